--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,44 @@
+Feature: Configuration in the log
+    An accepted configuration is in force everywhere within seconds and never reverts.
+
+    Background:
+        Given the "rastro-sul" fleet
+
+    Scenario: an accepted change is in force on every node
+        When an operator changes tier "desk" to rank 5 against the version in force
+        Then the change is accepted
+        And tier "desk" has rank 5 on every node within 4 seconds
+
+    Scenario: of two racing operators one gets a conflict
+        When two operators change the configuration against the same version
+        Then one change is accepted and the other names the version in force
+
+    Scenario Outline: a record that is no valid change is skipped by all nodes alike
+        When the log gets a record that <flaw>
+        Then every node keeps the version in force
+        And the time line of every node has an event "<kind>"
+
+        Examples:
+            | flaw                              | kind     |
+            | is not JSON                       | skipped  |
+            | has a later format                | skipped  |
+            | names an unknown tier             | skipped  |
+            | was made against an older version | conflict |
+
+    Scenario: a change waits out an outage of the log's readers
+        Given the log is down
+        When an operator changes tier "desk" to rank 5 against the version in force
+        Then the change fails with an error that names the log
+        And every node keeps the version in force
+
+    Scenario Outline: a document that is wrong is refused with every problem named
+        When a document is checked in which <flaw>
+        Then the problems name "<field>" and "<value>"
+
+        Examples:
+            | flaw                                   | field                             | value     |
+            | a tier has rank -1                     | tiers[0].rank                     | -1        |
+            | an operation names the tier "nothing"  | operations[0].tier                | nothing   |
+            | two tiers have one name                | tiers[1].name                     | desk      |
+            | a workspace has the key hash "abc"     | workspaces[0].keyHash             | abc       |
+            | a promise has no answer bound          | operations[0].promise.answerMs    | missing   |
--- /dev/null
+++ b/features/steps/configuration_steps.ts
@@ -0,0 +1,153 @@
+/**
+ * Steps about configuration.
+ *
+ * @module
+ */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { ConfigurationChangeResult } from "../../src/coordination/mod.js";
+import type { EntryNode } from "../../src/daemon/mod.js";
+import { checkDocument, CONFIGURATION_STREAM } from "../../src/protocol/mod.js";
+import type { ConfigurationDocument, Tier } from "../../src/state/mod.js";
+import type { Scenario } from "../support/world.js";
+
+/** Results of the changes of one scenario. */
+const results = new WeakMap<Scenario, PromiseSettledResult<ConfigurationChangeResult>[]>();
+
+/** Problems of the document of one scenario. */
+const problems = new WeakMap<Scenario, readonly string[]>();
+
+/** Versions in force before the step under test. */
+const versionsBefore = new WeakMap<Scenario, readonly number[]>();
+
+Given("the log is down", function(this: Scenario) {
+    this.fleet.log.faults.down = true;
+});
+
+When(
+    "an operator changes tier {string} to rank {int} against the version in force",
+    async function(this: Scenario, tier: string, rank: number) {
+        rememberVersions(this);
+        const [node] = this.fleet.nodes;
+        await settleChanges(this, [changeRank(node, tier, rank)]);
+    },
+);
+
+When("two operators change the configuration against the same version", async function(this: Scenario) {
+    const [first, second] = this.fleet.nodes;
+    await settleChanges(this, [changeRank(first, "desk", 4), changeRank(second, "desk", 5)]);
+});
+
+When(/^the log gets a record that (.*)$/, async function(this: Scenario, flaw: string) {
+    rememberVersions(this);
+    const { clock, log } = this.fleet;
+    await clock.runUntil(log.append(CONFIGURATION_STREAM, Buffer.from(flawedRecord(this.fleet.document, flaw))));
+    await clock.advance(4_000);
+});
+
+When(/^a document is checked in which (.*)$/, function(this: Scenario, flaw: string) {
+    problems.set(this, checkDocument(flawedDocument(this.fleet.document, flaw)).problems ?? []);
+});
+
+Then("the change is accepted", function(this: Scenario) {
+    const [result] = settledResults(this);
+    assert.ok(result.status === "fulfilled" && result.value.problems === undefined);
+});
+
+Then("tier {string} has rank {int} on every node within {int} seconds", async function(
+    this: Scenario,
+    tier: string,
+    rank: number,
+    seconds: number,
+) {
+    await this.fleet.clock.advance(seconds * 1_000);
+    for (const node of this.fleet.nodes) {
+        assert.equal(node.view.tier(tier)?.rank, rank);
+    }
+});
+
+Then("one change is accepted and the other names the version in force", function(this: Scenario) {
+    const values = settledResults(this).map(result => result.status === "fulfilled" ? result.value : undefined);
+    const accepted = values.filter(value => value !== undefined && value.problems === undefined);
+    const refused = values.filter(value => value?.problems !== undefined);
+    assert.equal(accepted.length, 1);
+    assert.equal(refused.length, 1);
+    assert.match(refused[0]?.problems?.[0] ?? "", new RegExp(`version ${this.fleet.nodes[0].view.current.version}\\b`));
+});
+
+Then("the change fails with an error that names the log", function(this: Scenario) {
+    const [result] = settledResults(this);
+    assert.ok(result.status === "rejected");
+    assert.match(String(result.reason), /Cannot append to stream configuration at log/);
+});
+
+Then("every node keeps the version in force", function(this: Scenario) {
+    assert.deepEqual(this.fleet.nodes.map(node => node.view.current.version), versionsBefore.get(this));
+});
+
+Then("the time line of every node has an event {string}", function(this: Scenario, kind: string) {
+    for (const node of this.fleet.nodes) {
+        assert.ok(node.ring.list().some(event => event.kind === kind), node.settings.node);
+    }
+});
+
+Then("the problems name {string} and {string}", function(this: Scenario, field: string, value: string) {
+    const found = (problems.get(this) ?? []).filter(problem => problem.includes(`"${field}"`));
+    assert.equal(found.length, 1, JSON.stringify(problems.get(this)));
+    assert.ok(found[0].includes(value), found[0]);
+});
+
+function rememberVersions(scenario: Scenario): void {
+    versionsBefore.set(scenario, scenario.fleet.nodes.map(node => node.view.current.version));
+}
+
+function changeRank(node: EntryNode, name: string, rank: number): Promise<ConfigurationChangeResult> {
+    const { version, document } = node.view.current;
+    const tiers = document.tiers.map(tier => tier.name === name ? { name, rank } : tier);
+    return node.follower.change({ madeAgainst: version, author: "operator", document: { ...document, tiers } });
+}
+
+async function settleChanges(scenario: Scenario, changes: readonly Promise<ConfigurationChangeResult>[]): Promise<void> {
+    results.set(scenario, await scenario.fleet.clock.runUntil(Promise.allSettled(changes)));
+}
+
+function settledResults(scenario: Scenario): readonly PromiseSettledResult<ConfigurationChangeResult>[] {
+    return results.get(scenario) ?? [];
+}
+
+function flawedRecord(document: ConfigurationDocument, flaw: string): string {
+    const record = { format: 1, id: "flawed", madeAgainst: 0, author: "operator", document };
+    switch (flaw) {
+        case "is not JSON":
+            return "{";
+        case "has a later format":
+            return JSON.stringify({ ...record, format: 2 });
+        case "names an unknown tier":
+            return JSON.stringify({ ...record, document: { ...document, tiers: [] } });
+        case "was made against an older version":
+            return JSON.stringify({ ...record, madeAgainst: -1 });
+        default:
+            throw new Error(`Cannot make record: flaw "${flaw}" is unknown`);
+    }
+}
+
+function flawedDocument(document: ConfigurationDocument, flaw: string): unknown {
+    const [tier, ...tiers] = document.tiers;
+    const [operation, ...operations] = document.operations;
+    const [workspace, ...workspaces] = document.workspaces;
+    switch (flaw) {
+        case "a tier has rank -1":
+            return { ...document, tiers: [{ ...tier, rank: -1 }, ...tiers] };
+        case 'an operation names the tier "nothing"':
+            return { ...document, operations: [{ ...operation, tier: "nothing" }, ...operations] };
+        case "two tiers have one name":
+            return { ...document, tiers: [tier, { name: tier.name, rank: 9 } satisfies Tier, ...tiers] };
+        case 'a workspace has the key hash "abc"':
+            return { ...document, workspaces: [{ ...workspace, keyHash: "abc" }, ...workspaces] };
+        case "a promise has no answer bound":
+            return { ...document, operations: [{ ...operation, promise: {} }, ...operations] };
+        default:
+            throw new Error(`Cannot make document: flaw "${flaw}" is unknown`);
+    }
+}
--- /dev/null
+++ b/features/support/world.ts
@@ -0,0 +1,64 @@
+/**
+ * State of one scenario.
+ *
+ * @module
+ */
+
+import { After, setDefaultTimeout, setWorldConstructor, World } from "@cucumber/cucumber";
+import { readDeployment } from "../../standin/deployment.js";
+import { InProcessFleet, type InProcessFleetSettings, type RecordedAnswer } from "../../standin/in_process_fleet.js";
+
+/** Longest time of one step, in milliseconds. */
+const STEP_TIMEOUT_MS = 120_000;
+
+/** State that the steps of one scenario share. */
+export class Scenario extends World {
+    /** Answers of the scenario, in the order in which the calls were sent. */
+    readonly answers: RecordedAnswer[] = [];
+    /** Bodies of the calls, in the same order. */
+    readonly bodies: Buffer[] = [];
+    private started: InProcessFleet | undefined;
+
+    /** Fleet of the scenario. */
+    get fleet(): InProcessFleet {
+        if (this.started === undefined) {
+            throw new Error("Cannot use fleet: no step has started it");
+        }
+        return this.started;
+    }
+
+    /** Starts a fleet from a deployment under `examples/`. */
+    async startFleet(example: string, settings: Omit<InProcessFleetSettings, "deployment"> = {}): Promise<void> {
+        const deployment = await readDeployment(`examples/${example}.yaml`);
+        this.started = new InProcessFleet({ ...settings, deployment });
+        await this.started.start();
+    }
+
+    /** Last answer of the scenario. */
+    get answer(): RecordedAnswer {
+        const last = this.answers.at(-1);
+        if (last === undefined) {
+            throw new Error("Cannot use answer: no call was sent");
+        }
+        return last;
+    }
+
+    /** Lets all calls of the scenario end. */
+    async finishCalls(): Promise<void> {
+        await this.fleet.clock.runUntil(Promise.all(this.answers.map(answer => answer.done)));
+    }
+
+    /** Ends the fleet's tasks. */
+    async stopFleet(): Promise<void> {
+        if (this.started !== undefined) {
+            await this.started.clock.runUntil(Promise.all(this.started.nodes.map(node => node.stop())));
+        }
+    }
+}
+
+setWorldConstructor(Scenario);
+setDefaultTimeout(STEP_TIMEOUT_MS);
+
+After(async function(this: Scenario) {
+    await this.stopFleet();
+});
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,19 @@
+#!/usr/bin/env node
+/**
+ * Program `foxtailrail`.
+ *
+ * @module
+ */
+
+import { Builtins, Cli } from "clipanion";
+import { ConfigApplyCommand, ConfigDiffCommand, ConfigShowCommand } from "./config_commands.js";
+import { SendCommand } from "./send_command.js";
+import { StatusCommand } from "./status_command.js";
+import { TimelineCommand } from "./timeline_command.js";
+
+const cli = new Cli({ binaryName: "foxtailrail", binaryLabel: "foxtailrail operators' command line" });
+for (const command of [StatusCommand, ConfigShowCommand, ConfigDiffCommand, ConfigApplyCommand, SendCommand, TimelineCommand]) {
+    cli.register(command);
+}
+cli.register(Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
--- /dev/null
+++ b/src/cli/operator_client.ts
@@ -0,0 +1,107 @@
+/**
+ * Calls of an operator to a daemon.
+ *
+ * @module
+ */
+
+import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { wire } from "../protocol/mod.js";
+
+/** Metadata field that carries the operator's key. */
+const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
+
+/** Longest time to wait for an answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 15_000;
+
+/** Call to a daemon that failed. */
+export class OperatorError extends Error {
+    override readonly name = "OperatorError";
+
+    /**
+     * @param step Call that failed, such as `read status`.
+     * @param peer Address of the daemon.
+     * @param refused Whether the daemon answered and refused the operator's key.
+     * @param cause Error underneath.
+     */
+    constructor(readonly step: string, readonly peer: string, readonly refused: boolean, cause: ServiceError) {
+        super(`Cannot ${step} at ${peer}: ${cause.details || cause.message}`, { cause });
+    }
+}
+
+/** Callback of the gRPC library. */
+type Reply<Answer> = (error: ServiceError | null, answer: Answer) => void;
+
+/** Connection of an operator to one daemon. */
+export class OperatorClient {
+    private readonly client: wire.OperatorClient;
+    private readonly metadata = new Metadata();
+
+    /**
+     * @param address IP number and port for peers and operators.
+     * @param key Operator's key.
+     */
+    constructor(readonly address: string, key: string | undefined) {
+        this.client = new wire.OperatorClient(address, credentials.createInsecure());
+        if (key !== undefined) {
+            this.metadata.set(OPERATOR_KEY_FIELD, key);
+        }
+    }
+
+    /** Reads the daemon's status. */
+    readStatus(): Promise<wire.StatusReply> {
+        return this.call("read status", reply => this.client.readStatus({}, this.metadata, deadline(), reply));
+    }
+
+    /** Reads the configuration in force. */
+    readConfiguration(): Promise<wire.ConfigurationReply> {
+        return this.call("read configuration", reply => this.client.readConfiguration({}, this.metadata, deadline(), reply));
+    }
+
+    /** Asks for a change of the configuration. */
+    changeConfiguration(request: wire.ChangeConfigurationRequest): Promise<wire.ChangeConfigurationReply> {
+        return this.call("change configuration", reply => {
+            this.client.changeConfiguration(request, this.metadata, deadline(), reply);
+        });
+    }
+
+    /** Reads events of the daemon's time line until it ends or the signal is aborted. */
+    async *readTimeline(request: wire.ReadTimelineRequest, signal?: AbortSignal): AsyncGenerator<wire.EventRecord> {
+        const call = this.client.readTimeline(request, this.metadata, request.follow ? {} : deadline());
+        signal?.addEventListener("abort", () => call.cancel(), { once: true });
+        try {
+            for await (const event of call) {
+                yield event as wire.EventRecord;
+            }
+        }
+        catch (error) {
+            if (!signal?.aborted) {
+                throw this.toError("read time line", error as ServiceError);
+            }
+        }
+    }
+
+    /** Closes the connection. */
+    close(): void {
+        this.client.close();
+    }
+
+    private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
+        return new Promise((resolve, reject) => {
+            start((error, answer) => {
+                if (error) {
+                    reject(this.toError(step, error));
+                    return;
+                }
+                resolve(answer);
+            });
+        });
+    }
+
+    private toError(step: string, error: ServiceError): OperatorError {
+        return new OperatorError(step, this.address, error.code === status.UNAUTHENTICATED, error);
+    }
+}
+
+function deadline(): { readonly deadline: number } {
+    return { deadline: Date.now() + ANSWER_TIMEOUT_MS };
+}
--- /dev/null
+++ b/src/cli/operator_command.ts
@@ -0,0 +1,77 @@
+/**
+ * Common part of the commands that call a daemon.
+ *
+ * @module
+ */
+
+import { Command, Option, UsageError } from "clipanion";
+import { readFile } from "node:fs/promises";
+import { OperatorClient, OperatorError } from "./operator_client.js";
+
+/** Exit codes; docs/OPERATING.md lists them. */
+export enum ExitCode {
+    Done = 0,
+    Refused = 1,
+    Usage = 2,
+    Unreachable = 3,
+    NotAllowed = 4,
+}
+
+/** Command that calls one daemon. */
+export abstract class OperatorCommand extends Command {
+    address = Option.String("--address", {
+        env: "FOXTAILRAIL_ADDRESS",
+        description: "IP number and port of a daemon, for peers and operators. Also FOXTAILRAIL_ADDRESS.",
+    });
+    keyFile = Option.String("--key-file", {
+        env: "FOXTAILRAIL_KEY_FILE",
+        description: "File that holds the operator's key. Also FOXTAILRAIL_KEY_FILE.",
+    });
+    json = Option.Boolean("--json", false, { description: "Print JSON in place of tables." });
+
+    /**
+     * Does the command's work.
+     *
+     * @param client Connection to the daemon.
+     * @returns Exit code.
+     */
+    protected abstract run(client: OperatorClient): Promise<ExitCode>;
+
+    override async execute(): Promise<number> {
+        if (this.address === undefined) {
+            throw new UsageError("No daemon is named: give --address, or set FOXTAILRAIL_ADDRESS, such as 127.0.0.1:7102.");
+        }
+        const client = new OperatorClient(this.address, await this.readKey());
+        try {
+            return await this.run(client);
+        }
+        catch (error) {
+            if (!(error instanceof OperatorError)) {
+                throw error;
+            }
+            this.context.stderr.write(`${error.message}\n`);
+            return error.refused ? ExitCode.NotAllowed : ExitCode.Unreachable;
+        }
+        finally {
+            client.close();
+        }
+    }
+
+    /** Reads the operator's key, if a file is named. */
+    protected async readKey(): Promise<string | undefined> {
+        if (this.keyFile === undefined) {
+            return undefined;
+        }
+        try {
+            return (await readFile(this.keyFile, "utf8")).trim();
+        }
+        catch (error) {
+            throw new UsageError(`Cannot read key file "${this.keyFile}": ${(error as Error).message}.`);
+        }
+    }
+
+    /** Prints a value as JSON, or the text for people. */
+    protected print(value: unknown, text: string): void {
+        this.context.stdout.write(this.json ? `${JSON.stringify(value)}\n` : text);
+    }
+}
--- /dev/null
+++ b/src/cli/status_command.ts
@@ -0,0 +1,44 @@
+/**
+ * Command `foxtailrail status`.
+ *
+ * @module
+ */
+
+import { Command } from "clipanion";
+import type { OperatorClient } from "./operator_client.js";
+import { ExitCode, OperatorCommand } from "./operator_command.js";
+import { formatTable } from "./table.js";
+
+/** Shows a daemon's state, backend servers and limits. */
+export class StatusCommand extends OperatorCommand {
+    static override paths = [["status"]];
+    static override usage = Command.Usage({
+        category: "Daemons",
+        description: "Shows a daemon's state, its backend servers, and each limit beside its use.",
+        examples: [["Show one daemon", "foxtailrail status --address 127.0.0.1:7102 --key-file operator.key"]],
+    });
+
+    protected override async run(client: OperatorClient): Promise<ExitCode> {
+        const status = await client.readStatus();
+        const servers = status.backendServers.map(server => [
+            server.id,
+            server.pool,
+            server.failureDomain,
+            server.state,
+            server.version || "-",
+            String(server.outstanding),
+            server.reportAgeMs < 0 ? "none" : `${server.reportAgeMs} ms`,
+        ]);
+        const members = status.members.map(member => [member.id, member.failureDomain, member.state, member.address]);
+        const limits = status.limits.map(limit => [limit.name, String(limit.value), String(limit.limit)]);
+        const text = [
+            `Node ${status.node} in ${status.failureDomain}: ${status.ready ? "ready" : "not ready"}, `,
+            `configuration ${status.configurationVersion}\n\n`,
+            formatTable(["BACKEND SERVER", "POOL", "DOMAIN", "STATE", "VERSION", "OUTSTANDING", "REPORT AGE"], servers),
+            `\n${formatTable(["ENTRY VM", "DOMAIN", "STATE", "ADDRESS"], members)}`,
+            `\n${formatTable(["LIMIT", "USED", "ALLOWED"], limits)}`,
+        ];
+        this.print(status, text.join(""));
+        return ExitCode.Done;
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatcher.ts
@@ -0,0 +1,153 @@
+/**
+ * Dispatch of one call: attempts, retries by semantics, and the record of each.
+ *
+ * @module
+ */
+
+import {
+    type AcceptedCall,
+    DispatchError,
+    DispatchFault,
+    DispatchStep,
+    Executed,
+    Refusal,
+    RefusalType,
+} from "../protocol/mod.js";
+import { type EventRing, Part, Semantics } from "../state/mod.js";
+import type { CallScope } from "./_call_scope.js";
+import type { CallPass } from "./call_guard.js";
+import type { RetryBudget } from "./retry_budget.js";
+import { type Assignment, DispatchResult, type Scheduler } from "./scheduler.js";
+
+/** Most attempts of one call, the first included. */
+const MAX_ATTEMPTS = 4;
+
+/** Time after which a caller may ask again when backend servers failed, in milliseconds. */
+const FAILED_RETRY_AFTER_MS = 1_000;
+
+/** One call on its way to a backend server. */
+export interface Dispatch {
+    readonly scope: CallScope;
+    readonly pass: CallPass;
+    /** Tokens of the answer held so far. */
+    heldTokens(): number;
+    /**
+     * Makes one attempt.
+     *
+     * @throws {DispatchError} When the answer did not come whole.
+     */
+    attempt(assignment: Assignment): Promise<void>;
+}
+
+/** Settings of a {@linkcode Dispatcher}. */
+export interface DispatcherSettings {
+    readonly scheduler: Scheduler;
+    readonly retryBudget: RetryBudget;
+    readonly ring: EventRing;
+}
+
+/** Runs dispatches until one attempt succeeds or no further attempt is allowed. */
+export class Dispatcher {
+    /** @param settings See {@linkcode DispatcherSettings}. */
+    constructor(private readonly settings: DispatcherSettings) {}
+
+    /**
+     * Runs one dispatch.
+     *
+     * @throws {Refusal} When no attempt succeeded.
+     */
+    async run(dispatch: Dispatch): Promise<void> {
+        const excluded = new Set<string>();
+        this.settings.retryBudget.recordAttempt();
+        for (let attempt = 1;; attempt++) {
+            const assignment = await this.assign(dispatch, excluded);
+            const error = await this.tryOnce(dispatch, assignment);
+            if (error === undefined) {
+                return;
+            }
+            if (dispatch.scope.signal.aborted) {
+                throw dispatch.scope.toRefusal();
+            }
+            if (attempt >= MAX_ATTEMPTS || !this.mayRetry(dispatch, error)) {
+                throw toRefusal(error, dispatch.scope.executed);
+            }
+            excluded.add(error.peer);
+        }
+    }
+
+    private async assign(dispatch: Dispatch, excluded: ReadonlySet<string>): Promise<Assignment> {
+        const { scope } = dispatch;
+        try {
+            return await this.settings.scheduler.assign(scope.call, {
+                signal: scope.signal,
+                excluded,
+                heldTokens: dispatch.heldTokens(),
+            });
+        }
+        catch (error) {
+            throw scope.signal.aborted ? scope.toRefusal() : withExecuted(error, scope.executed);
+        }
+    }
+
+    private async tryOnce(dispatch: Dispatch, assignment: Assignment): Promise<DispatchError | undefined> {
+        const { scope, pass } = dispatch;
+        const peer = assignment.server.vm.id;
+        if (!pass.tryDispatch()) {
+            assignment.release(DispatchResult.Abandoned);
+            throw new Refusal(RefusalType.AlreadyDispatched, "This call was dispatched already; it is not sent again.", {
+                executed: Executed.Unknown,
+            });
+        }
+        this.record(scope.call, peer, "dispatched", `Call was sent to ${peer}.`);
+        try {
+            await dispatch.attempt(assignment);
+            assignment.release(DispatchResult.Whole);
+            this.record(scope.call, peer, "answered", `Whole answer came from ${peer}.`);
+            return undefined;
+        }
+        catch (error) {
+            assignment.release(scope.signal.aborted ? DispatchResult.Abandoned : DispatchResult.Failed);
+            return this.takeError(dispatch, error);
+        }
+    }
+
+    private takeError(dispatch: Dispatch, error: unknown): DispatchError {
+        if (!(error instanceof DispatchError)) {
+            throw error;
+        }
+        if (error.executed === Executed.No) {
+            dispatch.pass.dispatchNotSent();
+        }
+        else {
+            dispatch.scope.executed = Executed.Unknown;
+        }
+        this.record(
+            dispatch.scope.call,
+            error.peer,
+            error.fault === DispatchFault.Crossed ? "crossed" : "failed",
+            `${error.message}.`,
+        );
+        return error;
+    }
+
+    private mayRetry(dispatch: Dispatch, error: DispatchError): boolean {
+        const notSent = error.step === DispatchStep.Connect;
+        const repeatable = dispatch.scope.call.operation.semantics === Semantics.Repeatable;
+        return (notSent || repeatable) && this.settings.retryBudget.tryRetry();
+    }
+
+    private record(call: AcceptedCall, peer: string, kind: string, text: string): void {
+        this.settings.ring.record({ part: Part.Dispatch, kind, text, peer, requestId: call.incoming.id });
+    }
+}
+
+function toRefusal(error: DispatchError, executed: Executed): Refusal {
+    return new Refusal(RefusalType.BackendFailed, `${error.message}.`, { executed, retryAfterMs: FAILED_RETRY_AFTER_MS });
+}
+
+function withExecuted(error: unknown, executed: Executed): unknown {
+    if (!(error instanceof Refusal) || error.executed === executed || executed === Executed.No) {
+        return error;
+    }
+    return new Refusal(error.type, error.message, { executed, retryAfterMs: error.retryAfterMs, field: error.field });
+}
--- /dev/null
+++ b/src/coordination/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Decisions of a node: which calls run, when, where and how often.
+ *
+ * @module
+ */
+
+export * from "./call_guard.js";
+export * from "./call_observer.js";
+export * from "./call_resolver.js";
+export * from "./configuration_follower.js";
+export * from "./dispatcher.js";
+export * from "./least_loaded_scheduler.js";
+export * from "./local_call_guard.js";
+export * from "./platform_watch.js";
+export * from "./request_handler.js";
+export * from "./retry_budget.js";
+export * from "./scheduler.js";
--- /dev/null
+++ b/src/coordination/model_dispatch.ts
@@ -0,0 +1,113 @@
+/**
+ * Dispatch of a model call, streamed or whole.
+ *
+ * @module
+ */
+
+import {
+    type AnswerWriter,
+    DispatchError,
+    DispatchFault,
+    DispatchStep,
+    encodeChunk,
+    encodeCompletion,
+    type Engine,
+    type EngineEnd,
+    type EngineToken,
+    STREAM_END,
+} from "../protocol/mod.js";
+import type { CallScope } from "./_call_scope.js";
+import type { CallPass } from "./call_guard.js";
+import type { Dispatch } from "./dispatcher.js";
+import type { Assignment } from "./scheduler.js";
+
+/** Settings of a {@linkcode ModelDispatch}. */
+export interface ModelDispatchSettings {
+    readonly scope: CallScope;
+    readonly pass: CallPass;
+    readonly engine: Engine;
+    readonly writer: AnswerWriter;
+    /** Model that the answer names. */
+    readonly model: string;
+    /** Is told of each token as it comes. */
+    readonly onToken: (atFirst: boolean) => void;
+}
+
+/** Relays one model answer; attempts after the first resume where the one before broke off. */
+export class ModelDispatch implements Dispatch {
+    readonly scope: CallScope;
+    readonly pass: CallPass;
+    private readonly texts: string[] = [];
+
+    /** @param settings See {@linkcode ModelDispatchSettings}. */
+    constructor(private readonly settings: ModelDispatchSettings) {
+        this.scope = settings.scope;
+        this.pass = settings.pass;
+    }
+
+    heldTokens(): number {
+        return this.texts.length;
+    }
+
+    async attempt(assignment: Assignment): Promise<void> {
+        const { incoming } = this.scope.call;
+        const { vm } = assignment.server;
+        const request = { id: incoming.id, body: incoming.body, fromToken: this.texts.length };
+        for await (const event of this.settings.engine.generate(vm, request, this.scope.signal)) {
+            if (event.kind === "end") {
+                this.checkLength(event.end, vm.id);
+                await this.finish(event.end);
+                return;
+            }
+            assignment.recordToken();
+            await this.take(event.token, vm.id);
+        }
+        throw this.broken(vm.id, "the stream ended without its last event");
+    }
+
+    private async take(token: EngineToken, peer: string): Promise<void> {
+        if (token.index !== this.texts.length) {
+            throw this.broken(peer, `token ${token.index} came in place of token ${this.texts.length}`);
+        }
+        this.settings.onToken(this.texts.length === 0);
+        this.texts.push(token.text);
+        if (this.scope.call.streamed) {
+            this.startStream();
+            await this.settings.writer.write(encodeChunk({ ...this.identity(), text: token.text }));
+        }
+    }
+
+    private checkLength(end: EngineEnd, peer: string): void {
+        if (end.outputTokens !== this.texts.length) {
+            throw this.broken(peer, `the answer has ${end.outputTokens} tokens and ${this.texts.length} came`);
+        }
+    }
+
+    private async finish(end: EngineEnd): Promise<void> {
+        const { writer } = this.settings;
+        if (this.scope.call.streamed) {
+            this.startStream();
+            await writer.write(encodeChunk({ ...this.identity(), text: "", finishReason: end.finishReason }));
+            await writer.write(STREAM_END);
+        }
+        else {
+            writer.writeHead({ status: 200, contentType: "application/json" });
+            await writer.write(encodeCompletion({ ...this.identity(), ...end, text: this.texts.join("") }));
+        }
+        writer.end();
+    }
+
+    private startStream(): void {
+        if (!this.settings.writer.started) {
+            this.settings.writer.writeHead({ status: 200, contentType: "text/event-stream" });
+        }
+    }
+
+    private identity(): { readonly id: string; readonly model: string } {
+        return { id: this.scope.call.incoming.id, model: this.settings.model };
+    }
+
+    private broken(peer: string, reason: string): DispatchError {
+        return new DispatchError({ fault: DispatchFault.Broken, step: DispatchStep.ReadBody, peer, cause: new Error(reason) });
+    }
+}
--- /dev/null
+++ b/src/coordination/platform_watch.ts
@@ -0,0 +1,91 @@
+/**
+ * Watching of the VM list and of the backend servers' load reports.
+ *
+ * @module
+ */
+
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+import type { Engine, VmList } from "../protocol/mod.js";
+import { type BackendTable, type Clock, type EventRing, Part, type Vm, VmRole } from "../state/mod.js";
+
+/** Time between two reads of the VM list, in milliseconds. */
+const VM_LIST_INTERVAL_MS = 1_000;
+
+/** Time between two reads of one backend server's load report, in milliseconds. */
+const REPORT_INTERVAL_MS = 500;
+
+/** Settings of a {@linkcode PlatformWatch}. */
+export interface PlatformWatchSettings {
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly vmList: VmList;
+    readonly engine: Engine;
+    readonly table: BackendTable;
+}
+
+/** Keeps the backend table up to date: one task for the VM list and one for each backend server. */
+export class PlatformWatch {
+    /** VM lists as they are read. */
+    readonly lists: Stream<readonly Vm[]>;
+    private readonly publish: (vms: readonly Vm[]) => void;
+    private readonly reporters = new Map<string, AbortController>();
+
+    /** @param settings See {@linkcode PlatformWatchSettings}. */
+    constructor(private readonly settings: PlatformWatchSettings) {
+        [this.publish, this.lists] = createAdapter<readonly Vm[]>();
+    }
+
+    /** Watches until the signal is aborted. While the VM list is down, the last one stays in force. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, vmList } = this.settings;
+        while (!signal.aborted) {
+            try {
+                this.take(await vmList.read());
+            }
+            catch (error) {
+                this.settings.ring.record({ part: Part.Member, kind: "listFailed", text: `${(error as Error).message}.` });
+            }
+            await clock.sleep(VM_LIST_INTERVAL_MS, signal);
+        }
+        for (const reporter of this.reporters.values()) {
+            reporter.abort();
+        }
+    }
+
+    private take(vms: readonly Vm[]): void {
+        const { table } = this.settings;
+        table.replace(vms.filter(vm => vm.role === VmRole.Backend));
+        for (const [id, reporter] of this.reporters) {
+            if (table.get(id) === undefined) {
+                reporter.abort();
+                this.reporters.delete(id);
+            }
+        }
+        for (const server of table.all) {
+            if (!this.reporters.has(server.vm.id)) {
+                const reporter = new AbortController();
+                this.reporters.set(server.vm.id, reporter);
+                void this.followReports(server.vm.id, reporter.signal);
+            }
+        }
+        this.publish(vms);
+    }
+
+    private async followReports(id: string, signal: AbortSignal): Promise<void> {
+        const { clock, engine, table } = this.settings;
+        while (!signal.aborted) {
+            const server = table.get(id);
+            if (server === undefined) {
+                return;
+            }
+            try {
+                server.report = await engine.readLoad(server.vm);
+            }
+            catch {
+                // The report's age tells the scheduler that none came.
+            }
+            await clock.sleep(REPORT_INTERVAL_MS, signal);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/request_handler.ts
@@ -0,0 +1,133 @@
+/**
+ * Handling of one call from its arrival to its answer.
+ *
+ * @module
+ */
+
+import {
+    type AcceptedCall,
+    type AnswerWriter,
+    CallHandler,
+    type Engine,
+    Executed,
+    type IncomingCall,
+    type PlainService,
+    Refusal,
+    RefusalType,
+    type ServiceAnswer,
+} from "../protocol/mod.js";
+import { type Clock, type EventRing, Part } from "../state/mod.js";
+import { CallScope } from "./_call_scope.js";
+import { CallTimer } from "./_call_timer.js";
+import type { CallGuard, CallPass } from "./call_guard.js";
+import type { CallObserver } from "./call_observer.js";
+import type { CallResolver } from "./call_resolver.js";
+import type { Dispatcher } from "./dispatcher.js";
+import { ModelDispatch } from "./model_dispatch.js";
+import { ServiceDispatch } from "./service_dispatch.js";
+
+/** Settings of a {@linkcode RequestHandler}. */
+export interface RequestHandlerSettings {
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly resolver: CallResolver;
+    readonly guard: CallGuard;
+    readonly dispatcher: Dispatcher;
+    readonly engine: Engine;
+    readonly plainService: PlainService;
+    readonly observer: CallObserver;
+}
+
+/** Resolves, guards, dispatches and answers calls. */
+export class RequestHandler extends CallHandler {
+    private activeCalls = 0;
+
+    /** @param settings See {@linkcode RequestHandlerSettings}. */
+    constructor(private readonly settings: RequestHandlerSettings) {
+        super();
+    }
+
+    /** Number of calls that are waiting or running now. */
+    get active(): number {
+        return this.activeCalls;
+    }
+
+    override async handle(incoming: IncomingCall, writer: AnswerWriter): Promise<void> {
+        this.activeCalls += 1;
+        let call: AcceptedCall | undefined;
+        try {
+            call = this.settings.resolver.resolve(incoming);
+            this.settings.observer.recordAccepted(call);
+            await this.serve(call, writer);
+        }
+        catch (error) {
+            const refusal = toRefusal(error);
+            this.settings.observer.recordRefused(call, refusal);
+            this.record(incoming.id, "refused", `Call was refused as ${refusal.type}: ${refusal.message}`);
+            writer.refuse(refusal);
+        }
+        finally {
+            this.activeCalls -= 1;
+        }
+    }
+
+    private async serve(call: AcceptedCall, writer: AnswerWriter): Promise<void> {
+        const pass = await this.settings.guard.enter(call);
+        if (pass.recorded !== undefined) {
+            await writeServiceAnswer(writer, pass.recorded);
+            return;
+        }
+        const scope = new CallScope(call, this.settings.clock);
+        try {
+            const figures = await this.dispatch(scope, pass, writer);
+            this.settings.observer.recordAnswered(call, figures.finish());
+        }
+        catch (error) {
+            await pass.fail(error instanceof Refusal ? error.executed : Executed.Unknown);
+            throw error;
+        }
+        finally {
+            scope.close();
+        }
+    }
+
+    private async dispatch(scope: CallScope, pass: CallPass, writer: AnswerWriter): Promise<CallTimer> {
+        const timer = new CallTimer(scope.call, this.settings.clock);
+        if (scope.call.promptTokens === 0) {
+            const dispatch = new ServiceDispatch({ scope, pass, service: this.settings.plainService });
+            await this.settings.dispatcher.run(dispatch);
+            await pass.complete(dispatch.answer);
+            await writeServiceAnswer(writer, dispatch.answer as ServiceAnswer);
+            return timer;
+        }
+        const dispatch = new ModelDispatch({
+            scope,
+            pass,
+            writer,
+            engine: this.settings.engine,
+            model: scope.call.operation.pool,
+            onToken: () => timer.recordToken(),
+        });
+        await this.settings.dispatcher.run(dispatch);
+        await pass.complete(undefined);
+        return timer;
+    }
+
+    private record(requestId: string, kind: string, text: string): void {
+        this.settings.ring.record({ part: Part.Caller, kind, text, requestId });
+    }
+}
+
+async function writeServiceAnswer(writer: AnswerWriter, answer: ServiceAnswer): Promise<void> {
+    writer.writeHead({ status: answer.status, contentType: answer.contentType });
+    await writer.write(answer.body);
+    writer.end();
+}
+
+function toRefusal(error: unknown): Refusal {
+    if (error instanceof Refusal) {
+        return error;
+    }
+    const detail = `The node failed: ${error instanceof Error ? error.message : String(error)}.`;
+    return new Refusal(RefusalType.BackendFailed, detail, { executed: Executed.Unknown });
+}
--- /dev/null
+++ b/src/coordination/retry_budget.ts
@@ -0,0 +1,92 @@
+/**
+ * Budget that keeps retries from amplifying an overload.
+ *
+ * @module
+ */
+
+import type { Clock } from "../state/mod.js";
+
+/** Share of first attempts that may be retried, as a fraction from 0 to 1. */
+const DEFAULT_RETRY_FRACTION = 0.1;
+
+/** Time over which attempts are counted, in milliseconds. */
+const DEFAULT_WINDOW_MS = 10_000;
+
+/** Retries that are allowed in each window whatever the number of attempts, so that a quiet node can retry at all. */
+const DEFAULT_FLOOR_RETRIES = 3;
+
+/** Settings of a {@linkcode RetryBudget}. */
+export interface RetryBudgetSettings {
+    /** Retries allowed for each first attempt, from 0 to 1. Defaults to 0.1. */
+    readonly retryFraction?: number;
+    /** Length of the counting window, in milliseconds. Defaults to 10,000. */
+    readonly windowMs?: number;
+    /** Retries allowed in each window whatever the number of attempts. Defaults to 3. */
+    readonly floorRetries?: number;
+}
+
+/**
+ * Counts first attempts and retries in the present window and the one before.
+ *
+ * @example
+ * const budget = new RetryBudget(clock);
+ * budget.recordAttempt();
+ * if (budget.tryRetry()) {
+ *     await dispatchAgain();
+ * }
+ */
+export class RetryBudget {
+    private readonly retryFraction: number;
+    private readonly windowMs: number;
+    private readonly floorRetries: number;
+    private windowStartMs: number;
+    private attempts = 0;
+    private retries = 0;
+    private previousAttempts = 0;
+    private previousRetries = 0;
+
+    /**
+     * @param clock Clock that moves the window.
+     * @param settings See {@linkcode RetryBudgetSettings}.
+     */
+    constructor(private readonly clock: Clock, settings: RetryBudgetSettings = {}) {
+        this.retryFraction = settings.retryFraction ?? DEFAULT_RETRY_FRACTION;
+        this.windowMs = settings.windowMs ?? DEFAULT_WINDOW_MS;
+        this.floorRetries = settings.floorRetries ?? DEFAULT_FLOOR_RETRIES;
+        this.windowStartMs = clock.now();
+    }
+
+    /** Counts a first attempt. */
+    recordAttempt(): void {
+        this.moveWindow();
+        this.attempts += 1;
+    }
+
+    /**
+     * Takes one retry from the budget.
+     *
+     * @returns `true` if the retry may be sent; the budget is then already charged.
+     */
+    tryRetry(): boolean {
+        this.moveWindow();
+        const allowed = Math.max(this.floorRetries, (this.attempts + this.previousAttempts) * this.retryFraction);
+        if (this.retries + this.previousRetries >= allowed) {
+            return false;
+        }
+        this.retries += 1;
+        return true;
+    }
+
+    private moveWindow(): void {
+        const elapsedMs = this.clock.now() - this.windowStartMs;
+        if (elapsedMs < this.windowMs) {
+            return;
+        }
+        const adjacent = elapsedMs < 2 * this.windowMs;
+        this.previousAttempts = adjacent ? this.attempts : 0;
+        this.previousRetries = adjacent ? this.retries : 0;
+        this.attempts = 0;
+        this.retries = 0;
+        this.windowStartMs = this.clock.now();
+    }
+}
--- /dev/null
+++ b/src/coordination/service_dispatch.ts
@@ -0,0 +1,52 @@
+/**
+ * Dispatch of a call to a plain service.
+ *
+ * @module
+ */
+
+import type { PlainService, ServiceAnswer } from "../protocol/mod.js";
+import type { CallScope } from "./_call_scope.js";
+import type { CallPass } from "./call_guard.js";
+import type { Dispatch } from "./dispatcher.js";
+import type { Assignment } from "./scheduler.js";
+
+/** Part of the path that names the service. */
+const SERVICE_PREFIX = /^\/v1\/services\/[^/]+/;
+
+/** Settings of a {@linkcode ServiceDispatch}. */
+export interface ServiceDispatchSettings {
+    readonly scope: CallScope;
+    readonly pass: CallPass;
+    readonly service: PlainService;
+}
+
+/** Sends one call to a plain service and holds its whole answer. */
+export class ServiceDispatch implements Dispatch {
+    readonly scope: CallScope;
+    readonly pass: CallPass;
+    /** Whole answer, once it has come. */
+    answer: ServiceAnswer | undefined;
+
+    /** @param settings See {@linkcode ServiceDispatchSettings}. */
+    constructor(private readonly settings: ServiceDispatchSettings) {
+        this.scope = settings.scope;
+        this.pass = settings.pass;
+    }
+
+    heldTokens(): number {
+        return 0;
+    }
+
+    async attempt(assignment: Assignment): Promise<void> {
+        const { incoming } = this.scope.call;
+        const request = {
+            id: incoming.id,
+            method: incoming.method,
+            target: `${incoming.path.replace(SERVICE_PREFIX, "") || "/"}${incoming.query}`,
+            contentType: incoming.contentType,
+            idempotencyKey: incoming.idempotencyKey,
+            body: incoming.body,
+        };
+        this.answer = await this.settings.service.send(assignment.server.vm, request, this.scope.signal);
+    }
+}
--- /dev/null
+++ b/src/daemon/event_log.ts
@@ -0,0 +1,30 @@
+/**
+ * Log lines of the events that a node records.
+ *
+ * @module
+ */
+
+import { runEffects, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import type { Logger } from "pino";
+import type { EventRing, TimelineEvent } from "../state/mod.js";
+
+/**
+ * Writes each event of the ring as a log line, with the part as its prefix. Events of single calls are written at debug level.
+ *
+ * @param ring Ring whose events are written.
+ * @param logger Where the lines go.
+ */
+export function logEvents(ring: EventRing, logger: Logger): void {
+    const write = (event: TimelineEvent) => {
+        const fields = { part: event.part, kind: event.kind, requestId: event.requestId, peer: event.peer };
+        const line = `${event.part}: ${event.text}`;
+        if (event.requestId === undefined) {
+            logger.info(fields, line);
+        }
+        else {
+            logger.debug(fields, line);
+        }
+    };
+    void runEffects(tap(write, ring.events), newDefaultScheduler());
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,80 @@
+#!/usr/bin/env node
+/**
+ * Program `foxtailraild`.
+ *
+ * @module
+ */
+
+import { Builtins, Cli, Command, Option } from "clipanion";
+import { pino } from "pino";
+import { SeededRandom, SystemClock } from "../state/mod.js";
+import { Daemon } from "./daemon.js";
+import { readSettings, SettingsError } from "./settings.js";
+
+/** Exit code when the settings are wrong. */
+const EXIT_BAD_SETTINGS = 2;
+
+/** Exit code when calls were left at the end of a drain. */
+const EXIT_CALLS_LEFT = 3;
+
+/** Runs one entry VM. */
+class RunCommand extends Command {
+    static override paths = [Command.Default];
+    static override usage = Command.Usage({
+        description: "Runs one entry VM of foxtailrail.",
+        examples: [
+            ["Run with a settings file", "foxtailraild --settings entry-1.yaml"],
+            ["Check a settings file", "foxtailraild --settings entry-1.yaml --check"],
+        ],
+    });
+
+    settingsFile = Option.String("--settings", { required: true, description: "Settings file in YAML." });
+    check = Option.Boolean("--check", false, { description: "Check the settings and exit." });
+
+    override async execute(): Promise<number> {
+        try {
+            const settings = await readSettings(this.settingsFile);
+            if (this.check) {
+                this.context.stdout.write(`Settings ${this.settingsFile} are valid.\n`);
+                return 0;
+            }
+            const logger = pino({ level: settings.logLevel, base: { node: settings.node } });
+            const clock = new SystemClock();
+            const random = new SeededRandom(process.pid ^ Math.floor(clock.now()));
+            const daemon = new Daemon({ settings, clock, random, logger });
+            await daemon.start();
+            return await runUntilSignal(daemon);
+        }
+        catch (error) {
+            if (!(error instanceof SettingsError)) {
+                throw error;
+            }
+            this.context.stderr.write(`${error.message}\n`);
+            return EXIT_BAD_SETTINGS;
+        }
+    }
+}
+
+/** Waits for SIGTERM or SIGINT, then drains; a second signal ends the drain. */
+async function runUntilSignal(daemon: Daemon): Promise<number> {
+    const hurry = new AbortController();
+    await new Promise<void>(resolve => {
+        let signals = 0;
+        const onSignal = () => {
+            signals += 1;
+            if (signals > 1) {
+                hurry.abort();
+            }
+            resolve();
+        };
+        process.on("SIGTERM", onSignal);
+        process.on("SIGINT", onSignal);
+    });
+    const left = await daemon.drain(hurry.signal);
+    return left > 0 ? EXIT_CALLS_LEFT : 0;
+}
+
+const cli = new Cli({ binaryName: "foxtailraild", binaryLabel: "foxtailrail daemon" });
+cli.register(RunCommand);
+cli.register(Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
--- /dev/null
+++ b/src/daemon/metrics.ts
@@ -0,0 +1,105 @@
+/**
+ * Metrics of a daemon.
+ *
+ * @module
+ */
+
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type AnsweredCall, CallObserver } from "../coordination/mod.js";
+import type { AcceptedCall, Refusal } from "../protocol/mod.js";
+
+/** Bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.2, 0.4, 0.72, 1, 2, 5, 10, 30, 60];
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Quantity that has a named limit. */
+export interface LimitedQuantity {
+    /** Name of the limit, such as `MAX_BODY_BYTES`. */
+    readonly name: string;
+    readonly limit: number;
+    /** Returns the quantity as it is now. */
+    readonly read: () => number;
+}
+
+/** Counts calls, and shows every limited quantity beside its limit. */
+export class Metrics extends CallObserver {
+    readonly registry = new Registry();
+    private readonly accepted = new Counter({
+        name: "foxtailrail_calls_accepted_total",
+        help: "Calls accepted for scheduling.",
+        labelNames: ["tier", "operation"] as const,
+        registers: [this.registry],
+    });
+    private readonly answered = new Counter({
+        name: "foxtailrail_calls_answered_total",
+        help: "Calls that got their whole answer, by whether it came within the promise.",
+        labelNames: ["tier", "operation", "kept"] as const,
+        registers: [this.registry],
+    });
+    private readonly refused = new Counter({
+        name: "foxtailrail_calls_refused_total",
+        help: "Calls refused, by type and by whether they can have run.",
+        labelNames: ["tier", "type", "executed"] as const,
+        registers: [this.registry],
+    });
+    private readonly firstToken = new Histogram({
+        name: "foxtailrail_first_token_seconds",
+        help: "Time from acceptance to the first token.",
+        labelNames: ["tier"] as const,
+        buckets: LATENCY_BUCKETS_S,
+        registers: [this.registry],
+    });
+    private readonly longestGap = new Histogram({
+        name: "foxtailrail_longest_gap_seconds",
+        help: "Longest time between two tokens of an answer.",
+        labelNames: ["tier"] as const,
+        buckets: LATENCY_BUCKETS_S,
+        registers: [this.registry],
+    });
+
+    constructor() {
+        super();
+        collectDefaultMetrics({ register: this.registry });
+    }
+
+    /** Shows quantities beside their limits. */
+    watchLimits(quantities: readonly LimitedQuantity[]): void {
+        const used = new Gauge({
+            name: "foxtailrail_limit_used",
+            help: "Quantity that has a named limit.",
+            labelNames: ["limit"] as const,
+            registers: [this.registry],
+            collect: () => {
+                for (const quantity of quantities) {
+                    used.set({ limit: quantity.name }, quantity.read());
+                }
+            },
+        });
+        const limits = new Gauge({
+            name: "foxtailrail_limit",
+            help: "Value of a named limit.",
+            labelNames: ["limit"] as const,
+            registers: [this.registry],
+        });
+        for (const quantity of quantities) {
+            limits.set({ limit: quantity.name }, quantity.limit);
+        }
+    }
+
+    override recordAccepted(call: AcceptedCall): void {
+        this.accepted.inc({ tier: call.tier.name, operation: call.operation.name });
+    }
+
+    override recordAnswered(call: AcceptedCall, figures: AnsweredCall): void {
+        const tier = call.tier.name;
+        this.answered.inc({ tier, operation: call.operation.name, kept: String(figures.kept) });
+        this.firstToken.observe({ tier }, figures.firstTokenMs / MS_PER_SECOND);
+        this.longestGap.observe({ tier }, figures.longestGapMs / MS_PER_SECOND);
+    }
+
+    override recordRefused(call: AcceptedCall | undefined, refusal: Refusal): void {
+        this.refused.inc({ tier: call?.tier.name ?? "none", type: refusal.type, executed: refusal.executed });
+    }
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,95 @@
+/**
+ * Settings of a daemon, read from a YAML file.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { parseDocument } from "yaml";
+import { z } from "zod";
+import { describeIssue } from "../protocol/mod.js";
+
+/** Time for which a leaving node goes on serving while the balancer still sends it calls, in milliseconds. */
+const DEFAULT_BALANCER_LAG_MS = 3_000;
+
+/** Longest time that a leaving node waits for its last call, in milliseconds. */
+const DEFAULT_DRAIN_LIMIT_MS = 60_000;
+
+const addressSchema = z.string().regex(
+    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
+    "must be an IP number and a port, such as 127.0.0.1:7001",
+);
+
+const settingsSchema = z.strictObject({
+    node: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be 1 to 63 lower-case letters, digits and hyphens"),
+    failureDomain: z.string().min(1),
+    listen: z.strictObject({ callers: addressSchema, peers: addressSchema }),
+    platform: z.strictObject({ log: addressSchema, vmList: addressSchema, weightStore: addressSchema }),
+    operators: z.strictObject({
+        keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in lower-case hexadecimal")).min(1),
+    }),
+    drain: z.strictObject({
+        balancerLagMs: z.int().min(0).max(60_000).default(DEFAULT_BALANCER_LAG_MS),
+        limitMs: z.int().min(0).max(3_600_000).default(DEFAULT_DRAIN_LIMIT_MS),
+    }).default({ balancerLagMs: DEFAULT_BALANCER_LAG_MS, limitMs: DEFAULT_DRAIN_LIMIT_MS }),
+    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+});
+
+/** Settings of a daemon. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Settings file that is wrong; every problem is named. */
+export class SettingsError extends Error {
+    override readonly name = "SettingsError";
+
+    /**
+     * @param file Path of the file.
+     * @param problems Sentences, each of which names the field, its value and what is allowed.
+     */
+    constructor(readonly file: string, readonly problems: readonly string[]) {
+        super(`Cannot read settings ${file}:\n${problems.map(problem => `  ${problem}`).join("\n")}`);
+    }
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param file Path of the YAML file.
+ * @throws {SettingsError} When the file cannot be read or holds a wrong setting.
+ */
+export async function readSettings(file: string): Promise<Settings> {
+    let text: string;
+    try {
+        text = await readFile(file, "utf8");
+    }
+    catch (cause) {
+        throw new SettingsError(file, [(cause as Error).message]);
+    }
+    return parseSettings(text, file);
+}
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param text YAML text.
+ * @param file Name used in errors.
+ * @throws {SettingsError} When the text holds a wrong setting.
+ */
+export function parseSettings(text: string, file: string): Settings {
+    const document = parseDocument(text);
+    if (document.errors.length > 0) {
+        throw new SettingsError(file, document.errors.map(error => error.message));
+    }
+    const value: unknown = document.toJS();
+    const result = settingsSchema.safeParse(value);
+    if (!result.success) {
+        throw new SettingsError(file, result.error.issues.map(issue => describeIssue(issue, "settings", value).text));
+    }
+    return result.data;
+}
+
+/** Tells whether a key belongs to an operator. */
+export function isOperatorKey(settings: Settings, key: string | undefined): boolean {
+    return key !== undefined && settings.operators.keyHashes.includes(createHash("sha256").update(key).digest("hex"));
+}
--- /dev/null
+++ b/src/protocol/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Messages, codecs and the interfaces of everything outside a daemon.
+ *
+ * @module
+ */
+
+export * from "./call.js";
+export * from "./chat_completion.js";
+export * from "./configuration_record.js";
+export * from "./engine.js";
+export * from "./errors.js";
+export * as wire from "./gen/peer.js";
+export * from "./log_service.js";
+export * from "./operator.js";
+export * from "./peer.js";
+export * from "./plain_service.js";
+export * from "./refusal.js";
+export * from "./schema_problem.js";
+export * from "./vm_list.js";
+export * from "./weight_store.js";
--- /dev/null
+++ b/src/protocol/operator.ts
@@ -0,0 +1,47 @@
+/**
+ * What a daemon answers to other daemons and to operators.
+ *
+ * @module
+ */
+
+import type {
+    ChangeConfigurationReply,
+    ChangeConfigurationRequest,
+    ConfigurationReply,
+    EventRecord,
+    ProbeReply,
+    ProbeRequest,
+    ReadTimelineRequest,
+    StatusReply,
+} from "./gen/peer.js";
+
+/** Answers other daemons. */
+export abstract class PeerHandler {
+    /** Answers that this daemon is alive. */
+    abstract probe(request: ProbeRequest): Promise<ProbeReply>;
+}
+
+/** Where the events of a time line go. */
+export interface TimelineFeed {
+    /** Sends one event. */
+    send(event: EventRecord): void;
+    /** Ends the feed. */
+    end(): void;
+    /** Calls the listener when the reader goes away. */
+    onClose(listener: () => void): void;
+}
+
+/** Answers operators; the transport has checked their keys. */
+export abstract class OperatorHandler {
+    /** Describes the daemon as it is now. */
+    abstract readStatus(): Promise<StatusReply>;
+
+    /** Returns the configuration in force. */
+    abstract readConfiguration(): Promise<ConfigurationReply>;
+
+    /** Appends a change to the log and waits until it is in force here, or refuses it. */
+    abstract changeConfiguration(request: ChangeConfigurationRequest): Promise<ChangeConfigurationReply>;
+
+    /** Sends the events kept, then new ones if they are asked for. */
+    abstract readTimeline(request: ReadTimelineRequest, feed: TimelineFeed): void;
+}
--- /dev/null
+++ b/src/protocol/refusal.ts
@@ -0,0 +1,98 @@
+/**
+ * Refusals that callers get, as problem details.
+ *
+ * After RFC 9457, "Problem Details for HTTP APIs" (2023), section 3.
+ *
+ * @module
+ */
+
+import { Executed } from "./errors.js";
+
+/** Stable type of a refusal; its URI is `urn:foxtailrail:problem:` and this name. */
+export enum RefusalType {
+    InvalidRequest = "invalid-request",
+    UnknownWorkspace = "unknown-workspace",
+    UnknownOperation = "unknown-operation",
+    BodyTooLarge = "body-too-large",
+    BodyTooSlow = "body-too-slow",
+    Overloaded = "overloaded",
+    DeadlinePassed = "deadline-passed",
+    NoBackendServer = "no-backend-server",
+    BackendFailed = "backend-failed",
+    KeyConflict = "key-conflict",
+    InProgress = "in-progress",
+    AlreadyDispatched = "already-dispatched",
+    Draining = "draining",
+    NotReady = "not-ready",
+    CallerGone = "caller-gone",
+    LogUnavailable = "log-unavailable",
+    TooManyConnections = "too-many-connections",
+}
+
+/** HTTP status of each type of refusal. */
+const STATUS_OF_TYPE: Readonly<Record<RefusalType, number>> = {
+    [RefusalType.InvalidRequest]: 400,
+    [RefusalType.UnknownWorkspace]: 401,
+    [RefusalType.UnknownOperation]: 404,
+    [RefusalType.BodyTooLarge]: 413,
+    [RefusalType.BodyTooSlow]: 408,
+    [RefusalType.Overloaded]: 503,
+    [RefusalType.DeadlinePassed]: 504,
+    [RefusalType.NoBackendServer]: 503,
+    [RefusalType.BackendFailed]: 502,
+    [RefusalType.KeyConflict]: 422,
+    [RefusalType.InProgress]: 409,
+    [RefusalType.AlreadyDispatched]: 409,
+    [RefusalType.Draining]: 503,
+    [RefusalType.NotReady]: 503,
+    [RefusalType.CallerGone]: 499,
+    [RefusalType.LogUnavailable]: 503,
+    [RefusalType.TooManyConnections]: 503,
+};
+
+/** Settings of a {@linkcode Refusal}. */
+export interface RefusalSettings {
+    /** Whether the request can have run. Defaults to `Executed.No`. */
+    readonly executed?: Executed;
+    /** Time after which the caller may ask again, in milliseconds. Left out when asking again does not help. */
+    readonly retryAfterMs?: number;
+    /** Field of the request that is wrong, such as `messages[0].role`. */
+    readonly field?: string;
+}
+
+/** Refusal of a request, thrown inside the system and written to the caller as problem details. */
+export class Refusal extends Error {
+    override readonly name = "Refusal";
+    readonly executed: Executed;
+    readonly retryAfterMs: number | undefined;
+    readonly field: string | undefined;
+
+    /**
+     * @param type Stable type.
+     * @param detail Sentence that names the field, its value and the remedy.
+     * @param settings See {@linkcode RefusalSettings}.
+     */
+    constructor(readonly type: RefusalType, detail: string, settings: RefusalSettings = {}) {
+        super(detail);
+        this.executed = settings.executed ?? Executed.No;
+        this.retryAfterMs = settings.retryAfterMs;
+        this.field = settings.field;
+    }
+
+    /** HTTP status of the refusal. */
+    get status(): number {
+        return STATUS_OF_TYPE[this.type];
+    }
+
+    /** Returns the body of the refusal as JSON text. */
+    toProblem(): string {
+        return JSON.stringify({
+            type: `urn:foxtailrail:problem:${this.type}`,
+            title: this.type.replaceAll("-", " "),
+            status: this.status,
+            detail: this.message,
+            executed: this.executed,
+            field: this.field,
+        });
+    }
+}
--- /dev/null
+++ b/src/state/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * State that a node holds in memory.
+ *
+ * @module
+ */
+
+export * from "./backend_server.js";
+export * from "./backend_table.js";
+export * from "./clock.js";
+export * from "./configuration.js";
+export * from "./configuration_view.js";
+export * from "./event_ring.js";
+export * from "./hybrid_clock.js";
+export * from "./random.js";
--- /dev/null
+++ b/src/transport/http_platform.ts
@@ -0,0 +1,156 @@
+/**
+ * The platform's log service, VM list and weight store over HTTP.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import {
+    Executed,
+    type LogPage,
+    type LogReadSettings,
+    LogService,
+    PlatformError,
+    VmList,
+    WeightStore,
+    type WeightStoreState,
+} from "../protocol/mod.js";
+import { type Vm, VmRole, VmState } from "../state/mod.js";
+import { type HttpClient, isConnectError } from "./http_client.js";
+
+/** Longest time to wait for an answer beyond what was asked for, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 2_000;
+
+/** Records asked for in one read when the caller names no number. */
+const DEFAULT_MAX_RECORDS = 1_000;
+
+const appendSchema = z.object({ offset: z.int() });
+
+const pageSchema = z.object({
+    firstOffset: z.int(),
+    endOffset: z.int(),
+    records: z.array(z.object({ offset: z.int(), data: z.string() })),
+});
+
+const vmSchema = z.object({
+    id: z.string(),
+    role: z.enum(VmRole),
+    address: z.string(),
+    failureDomain: z.string(),
+    state: z.enum(VmState),
+    pool: z.string().optional(),
+});
+
+const weightStoreSchema = z.object({ bytesPerSecond: z.number(), activeLoads: z.number() });
+
+/** Settings of one platform call. */
+interface PlatformCall {
+    readonly step: string;
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: Uint8Array;
+    readonly waitMs?: number;
+}
+
+/** One platform service at one address. */
+class PlatformEndpoint {
+    constructor(private readonly client: HttpClient, private readonly address: string) {}
+
+    /** Makes one call and checks the shape of its answer. */
+    async call<Answer>(call: PlatformCall, schema: z.ZodType<Answer>): Promise<Answer> {
+        try {
+            const timeoutMs = ANSWER_TIMEOUT_MS + (call.waitMs ?? 0);
+            const response = await this.client.pool(this.address).request({
+                method: call.method,
+                path: call.path,
+                body: call.body === undefined ? undefined : Buffer.from(call.body),
+                headersTimeout: timeoutMs,
+                bodyTimeout: timeoutMs,
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                throw new Error(`status ${response.statusCode}`);
+            }
+            return schema.parse(await response.body.json());
+        }
+        catch (cause) {
+            const landed = isConnectError(cause) ? Executed.No : Executed.Unknown;
+            throw new PlatformError(call.step, this.address, landed, cause);
+        }
+    }
+}
+
+/** Log service that speaks HTTP. */
+export class HttpLogService extends LogService {
+    private readonly endpoint: PlatformEndpoint;
+
+    /**
+     * @param client Connections.
+     * @param address IP number and port of the log service.
+     */
+    constructor(client: HttpClient, address: string) {
+        super();
+        this.endpoint = new PlatformEndpoint(client, address);
+    }
+
+    override async append(stream: string, data: Uint8Array): Promise<number> {
+        const call: PlatformCall = {
+            step: `append to stream ${stream}`,
+            method: "POST",
+            path: `/streams/${stream}/records`,
+            body: data,
+        };
+        return (await this.endpoint.call(call, appendSchema)).offset;
+    }
+
+    override async read(stream: string, fromOffset: number, settings: LogReadSettings = {}): Promise<LogPage> {
+        const maxRecords = settings.maxRecords ?? DEFAULT_MAX_RECORDS;
+        const waitMs = settings.waitMs ?? 0;
+        const call: PlatformCall = {
+            step: `read stream ${stream}`,
+            method: "GET",
+            path: `/streams/${stream}/records?from=${fromOffset}&max=${maxRecords}&waitMs=${waitMs}`,
+            waitMs,
+        };
+        const page = await this.endpoint.call(call, pageSchema);
+        const records = page.records.map(record => ({ offset: record.offset, data: Buffer.from(record.data, "base64") }));
+        return { ...page, records };
+    }
+}
+
+/** VM list that speaks HTTP. */
+export class HttpVmList extends VmList {
+    private readonly endpoint: PlatformEndpoint;
+
+    /**
+     * @param client Connections.
+     * @param address IP number and port of the VM list.
+     */
+    constructor(client: HttpClient, address: string) {
+        super();
+        this.endpoint = new PlatformEndpoint(client, address);
+    }
+
+    override read(): Promise<readonly Vm[]> {
+        return this.endpoint.call({ step: "read VM list", method: "GET", path: "/vms" }, z.array(vmSchema));
+    }
+}
+
+/** Weight store that speaks HTTP. */
+export class HttpWeightStore extends WeightStore {
+    private readonly endpoint: PlatformEndpoint;
+
+    /**
+     * @param client Connections.
+     * @param address IP number and port of the weight store.
+     */
+    constructor(client: HttpClient, address: string) {
+        super();
+        this.endpoint = new PlatformEndpoint(client, address);
+    }
+
+    override readState(): Promise<WeightStoreState> {
+        return this.endpoint.call({ step: "read weight store", method: "GET", path: "/state" }, weightStoreSchema);
+    }
+}
--- /dev/null
+++ b/src/transport/http_server.ts
@@ -0,0 +1,301 @@
+/**
+ * HTTP server towards callers.
+ *
+ * @module
+ */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import {
+    type AnswerHead,
+    AnswerWriter,
+    type CallHandler,
+    Executed,
+    type IncomingCall,
+    Refusal,
+    RefusalType,
+} from "../protocol/mod.js";
+
+/** Largest body of a call, in bytes. */
+export const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Bytes of bodies that are held at the same time, over all calls. */
+export const MAX_HELD_BODY_BYTES = 64 * 1024 * 1024;
+
+/** Headers of a call. */
+export const MAX_HEADERS = 100;
+
+/** Bytes of all headers of a call. */
+export const MAX_HEADER_BYTES = 32 * 1024;
+
+/** Connections of callers. */
+export const MAX_CALLER_CONNECTIONS = 8_192;
+
+/** Longest time that a caller may take to send headers, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+
+/** Longest time that a caller may take to send a whole call, in milliseconds. */
+const BODY_TIMEOUT_MS = 30_000;
+
+/** Answers of the operations side, such as `/metrics`. */
+export interface OperationsPage {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: string;
+}
+
+/** Settings of a {@linkcode HttpServer}. */
+export interface HttpServerSettings {
+    /** Node's id, the first part of each call's id. */
+    readonly node: string;
+    /** Answers calls. */
+    readonly handler: CallHandler;
+    /** Answers `/metrics`, `/healthz` and `/readyz`; `undefined` for any other path. */
+    readonly operationsPage: (path: string) => Promise<OperationsPage | undefined>;
+}
+
+/** Accepts calls over HTTP and hands them to the handler. */
+export class HttpServer {
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private heldBodyBytes = 0;
+    private callCount = 0;
+    private closing = false;
+
+    /** @param settings See {@linkcode HttpServerSettings}. */
+    constructor(private readonly settings: HttpServerSettings) {
+        this.server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: BODY_TIMEOUT_MS,
+            connectionsCheckingInterval: 1_000,
+            noDelay: true,
+        });
+        this.server.maxHeadersCount = MAX_HEADERS + 1;
+        this.server.maxConnections = MAX_CALLER_CONNECTIONS;
+        this.server.on("connection", socket => this.track(socket));
+        this.server.on("request", (request, response) => void this.answer(request, response));
+        this.server.on("clientError", (error, socket) => refuseMalformed(error, socket as Socket));
+    }
+
+    /** Number of connections open now. */
+    get connections(): number {
+        return this.sockets.size;
+    }
+
+    /** Bytes of bodies held now. */
+    get bodyBytes(): number {
+        return this.heldBodyBytes;
+    }
+
+    /** Starts to listen and returns the port. */
+    async listen(host: string, port: number): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host, port, backlog: 4_096 }, () => resolve());
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Stops accepting connections and closes those that carry no call; the others close after their answer. */
+    stopAccepting(): void {
+        this.closing = true;
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Closes all connections, whatever they carry. */
+    close(): void {
+        this.stopAccepting();
+        this.server.closeAllConnections();
+    }
+
+    private track(socket: Socket): void {
+        this.sockets.add(socket);
+        socket.on("close", () => this.sockets.delete(socket));
+        socket.on("error", () => socket.destroy());
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const [path = "/", search] = (request.url ?? "/").split("?", 2);
+        const page = request.method === "GET" ? await this.settings.operationsPage(path) : undefined;
+        if (page !== undefined) {
+            response.writeHead(page.status, { "content-type": page.contentType });
+            response.end(page.body);
+            return;
+        }
+        await this.answerCall(request, response, { path, query: search === undefined ? "" : `?${search}` });
+    }
+
+    private async answerCall(request: IncomingMessage, response: ServerResponse, target: CallTarget): Promise<void> {
+        const writer = new HttpAnswerWriter(response, () => this.closing);
+        const gone = new AbortController();
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                gone.abort();
+            }
+        });
+        let body: Buffer;
+        try {
+            body = await this.readBody(request);
+        }
+        catch (error) {
+            request.resume();
+            writer.refuse(error instanceof Refusal ? error : new Refusal(RefusalType.CallerGone, "The caller went away."));
+            return;
+        }
+        this.callCount += 1;
+        try {
+            await this.settings.handler.handle(this.toCall(request, { ...target, body, gone: gone.signal }), writer);
+        }
+        finally {
+            this.heldBodyBytes -= body.length;
+        }
+    }
+
+    private toCall(
+        request: IncomingMessage,
+        parts: CallTarget & { readonly body: Buffer; readonly gone: AbortSignal },
+    ): IncomingCall {
+        const authorization = request.headers.authorization;
+        return {
+            id: `${this.settings.node}-${this.callCount.toString(36)}-${Date.now().toString(36)}`,
+            method: request.method ?? "GET",
+            path: parts.path,
+            query: parts.query,
+            bearerKey: authorization?.startsWith("Bearer ") ? authorization.slice("Bearer ".length) : undefined,
+            idempotencyKey: singleHeader(request, "idempotency-key"),
+            operationName: singleHeader(request, "foxtailrail-operation"),
+            contentType: request.headers["content-type"],
+            body: parts.body,
+            gone: parts.gone,
+        };
+    }
+
+    private async readBody(request: IncomingMessage): Promise<Buffer> {
+        checkHeaders(request);
+        const chunks: Buffer[] = [];
+        let size = 0;
+        try {
+            for await (const chunk of request as AsyncIterable<Buffer>) {
+                size += chunk.length;
+                this.heldBodyBytes += chunk.length;
+                this.checkBodySize(size);
+                chunks.push(chunk);
+            }
+        }
+        catch (error) {
+            this.heldBodyBytes -= size;
+            throw error;
+        }
+        return Buffer.concat(chunks, size);
+    }
+
+    private checkBodySize(size: number): void {
+        if (size > MAX_BODY_BYTES) {
+            throw new Refusal(RefusalType.BodyTooLarge, `Body is larger than ${MAX_BODY_BYTES} bytes. Send a smaller one.`, {
+                field: "body",
+            });
+        }
+        if (this.heldBodyBytes > MAX_HELD_BODY_BYTES) {
+            throw new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
+                retryAfterMs: 1_000,
+            });
+        }
+    }
+}
+
+/** Path and query of a call. */
+interface CallTarget {
+    readonly path: string;
+    readonly query: string;
+}
+
+/** Writes an answer to an HTTP connection. */
+class HttpAnswerWriter extends AnswerWriter {
+    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+        super();
+    }
+
+    override get started(): boolean {
+        return this.response.headersSent;
+    }
+
+    override writeHead(head: AnswerHead): void {
+        const headers: Record<string, string> = { "content-type": head.contentType };
+        for (const [name, value] of Object.entries(head.headers ?? {})) {
+            headers[name] = value;
+        }
+        if (this.isClosing()) {
+            headers["connection"] = "close";
+        }
+        this.response.writeHead(head.status, headers);
+    }
+
+    override async write(chunk: Uint8Array): Promise<void> {
+        if (this.response.write(chunk) || this.response.destroyed) {
+            return;
+        }
+        await new Promise<void>(resolve => {
+            const finish = () => {
+                this.response.off("drain", finish);
+                this.response.off("close", finish);
+                resolve();
+            };
+            this.response.on("drain", finish);
+            this.response.on("close", finish);
+        });
+    }
+
+    override end(): void {
+        this.response.end();
+    }
+
+    override abort(): void {
+        this.response.destroy();
+    }
+}
+
+function singleHeader(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return typeof value === "string" ? value : undefined;
+}
+
+function checkHeaders(request: IncomingMessage): void {
+    if (request.rawHeaders.length / 2 > MAX_HEADERS) {
+        throw new Refusal(RefusalType.InvalidRequest, `Call has more than ${MAX_HEADERS} headers. Send fewer.`, {
+            field: "headers",
+        });
+    }
+}
+
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const refusal = malformedRefusal(error.code);
+    const body = refusal.toProblem();
+    const head = [
+        `HTTP/1.1 ${refusal.status} Refused`,
+        "Content-Type: application/problem+json",
+        `Content-Length: ${Buffer.byteLength(body)}`,
+        "Connection: close",
+    ];
+    socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+}
+
+function malformedRefusal(code: string | undefined): Refusal {
+    if (code === "HPE_HEADER_OVERFLOW") {
+        return new Refusal(RefusalType.InvalidRequest, `Headers are larger than ${MAX_HEADER_BYTES} bytes. Send fewer.`, {
+            field: "headers",
+        });
+    }
+    if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        return new Refusal(RefusalType.BodyTooSlow, "The call came too slowly. Send it again.", {
+            field: "body",
+            executed: Executed.No,
+        });
+    }
+    return new Refusal(RefusalType.InvalidRequest, "The call is not valid HTTP/1.1. Correct it.", { field: "request" });
+}
--- /dev/null
+++ b/src/transport/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * HTTP and gRPC, towards callers, backend servers, the platform, operators and other daemons.
+ *
+ * @module
+ */
+
+export * from "./grpc_client.js";
+export * from "./grpc_server.js";
+export * from "./http_client.js";
+export * from "./http_engine.js";
+export * from "./http_plain_service.js";
+export * from "./http_platform.js";
+export * from "./http_server.js";
--- /dev/null
+++ b/standin/engine_model.ts
@@ -0,0 +1,367 @@
+/**
+ * Model of an engine: continuous batching, FIFO admission, prefix cache, lagging reports, faults.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { EngineEnd, EngineEvent, EngineRequest } from "../src/protocol/mod.js";
+import type { Clock, LoadReport } from "../src/state/mod.js";
+import { hashBlocks, PrefixCache } from "./prefix_cache.js";
+
+/** Characters in one token. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Answer tokens when the caller names no limit. */
+const DEFAULT_MAX_TOKENS = 512;
+
+/** Performance of an engine. */
+export interface EngineProfile {
+    readonly engineClass: string;
+    readonly prefillTokensPerSecond: number;
+    /** Time of one decode step with one sequence, in milliseconds. */
+    readonly stepMs: number;
+    /** Time that each further sequence adds to a step, in milliseconds. */
+    readonly stepPerSequenceMs: number;
+    /** Sequences that run at the same time. */
+    readonly maxSequences: number;
+    /** Prompt tokens prefilled in one step at most. */
+    readonly prefillChunkTokens: number;
+    /** Blocks of 64 tokens in the prefix cache. */
+    readonly cacheBlocks: number;
+    /** Lag of load reports, in milliseconds. */
+    readonly reportLagMs: number;
+}
+
+/** Three speeds of hardware. */
+export const ENGINE_PROFILES: Readonly<Record<"slow" | "medium" | "fast", EngineProfile>> = {
+    slow: {
+        engineClass: "g3",
+        prefillTokensPerSecond: 4_000,
+        stepMs: 18,
+        stepPerSequenceMs: 0.9,
+        maxSequences: 16,
+        prefillChunkTokens: 512,
+        cacheBlocks: 1_000,
+        reportLagMs: 1_000,
+    },
+    medium: {
+        engineClass: "g4",
+        prefillTokensPerSecond: 8_000,
+        stepMs: 14,
+        stepPerSequenceMs: 0.6,
+        maxSequences: 24,
+        prefillChunkTokens: 512,
+        cacheBlocks: 2_000,
+        reportLagMs: 1_000,
+    },
+    fast: {
+        engineClass: "g5",
+        prefillTokensPerSecond: 16_000,
+        stepMs: 10,
+        stepPerSequenceMs: 0.4,
+        maxSequences: 32,
+        prefillChunkTokens: 1_024,
+        cacheBlocks: 4_000,
+        reportLagMs: 1_000,
+    },
+};
+
+/** Faults that a test switches on. */
+export interface EngineFaults {
+    /** Connections are refused. */
+    refuse: boolean;
+    /** Requests get status 500. */
+    serverError: boolean;
+    /** Streams break after this many tokens of one connection. */
+    breakAfterTokens: number | undefined;
+    /** Answers carry the id of another request. */
+    cross: boolean;
+    /** Factor on the time of each step. */
+    slowFactor: number;
+    /** No new load report is made. */
+    reportsFrozen: boolean;
+    /** Nothing proceeds. */
+    hang: boolean;
+}
+
+/** Counts of an engine since its start. */
+export interface EngineCounts {
+    requests: number;
+    prefilledTokens: number;
+    /** Prefilled tokens of requests that did not end whole. */
+    wastedPrefillTokens: number;
+    cachedTokens: number;
+    decodedTokens: number;
+    cancelled: number;
+}
+
+/** Sequence that waits or runs. */
+interface Sequence {
+    readonly id: string;
+    readonly digest: string;
+    readonly blocks: readonly string[];
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly queue: EventQueue;
+    cachedTokens: number;
+    prefillLeft: number;
+    prefilled: number;
+    nextToken: number;
+}
+
+/** Engine as a test or a stand-in process runs it. */
+export class EngineModel {
+    readonly faults: EngineFaults = {
+        refuse: false,
+        serverError: false,
+        breakAfterTokens: undefined,
+        cross: false,
+        slowFactor: 1,
+        reportsFrozen: false,
+        hang: false,
+    };
+    readonly counts: EngineCounts = {
+        requests: 0,
+        prefilledTokens: 0,
+        wastedPrefillTokens: 0,
+        cachedTokens: 0,
+        decodedTokens: 0,
+        cancelled: 0,
+    };
+    /** Version that the engine runs. */
+    version = "1.0";
+    readonly cache: PrefixCache;
+    private readonly waiting: Sequence[] = [];
+    private readonly running = new Set<Sequence>();
+    private reports: LoadReport[] = [];
+    private stepping = false;
+
+    /**
+     * @param clock Clock that steps are timed by.
+     * @param profile Performance.
+     */
+    constructor(private readonly clock: Clock, readonly profile: EngineProfile) {
+        this.cache = new PrefixCache(profile.cacheBlocks);
+        this.reports.push(this.makeReport());
+    }
+
+    /**
+     * Runs a request.
+     *
+     * @param request Request with its chat-completions body.
+     * @param signal Cancels the request.
+     */
+    async *generate(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent> {
+        const sequence = this.admit(request);
+        const onAbort = () => sequence.queue.close();
+        signal.addEventListener("abort", onAbort, { once: true });
+        let whole = false;
+        try {
+            for await (const event of sequence.queue.read()) {
+                whole = event.kind === "end";
+                yield event;
+            }
+        }
+        finally {
+            signal.removeEventListener("abort", onAbort);
+            this.retire(sequence, whole);
+        }
+    }
+
+    /** Returns the load report that the lag lets through. */
+    report(): LoadReport {
+        const visibleAtMs = this.clock.now() - this.profile.reportLagMs;
+        if (!this.faults.reportsFrozen) {
+            this.reports.push(this.makeReport());
+        }
+        while (this.reports.length > 1 && this.reports[1].atMs <= visibleAtMs) {
+            this.reports.shift();
+        }
+        return this.reports[0];
+    }
+
+    private admit(request: EngineRequest): Sequence {
+        const body = JSON.parse(request.body.toString("utf8")) as ChatBody;
+        const prompt = body.messages.map(message => message.content).join("\n");
+        const digest = promptDigest(request.body);
+        const maxTokens = body.max_tokens ?? DEFAULT_MAX_TOKENS;
+        const outputTokens = 1 + Number.parseInt(digest, 16) % maxTokens;
+        const promptTokens = Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN)) + request.fromToken;
+        const sequence: Sequence = {
+            id: request.id,
+            digest,
+            blocks: hashBlocks(prompt),
+            promptTokens,
+            outputTokens,
+            queue: new EventQueue(),
+            cachedTokens: 0,
+            prefillLeft: promptTokens,
+            prefilled: 0,
+            nextToken: request.fromToken,
+        };
+        this.counts.requests += 1;
+        this.waiting.push(sequence);
+        if (!this.stepping) {
+            this.stepping = true;
+            void this.step();
+        }
+        return sequence;
+    }
+
+    private async step(): Promise<void> {
+        while (this.waiting.length > 0 || this.running.size > 0) {
+            this.start();
+            const prefill = this.prefill();
+            const decoding = [...this.running].filter(sequence => sequence.prefillLeft === 0);
+            const decodeMs = this.profile.stepMs + this.profile.stepPerSequenceMs * decoding.length;
+            const prefillMs = prefill / this.profile.prefillTokensPerSecond * 1_000;
+            await this.clock.sleep((decodeMs + prefillMs) * this.faults.slowFactor);
+            if (!this.faults.hang) {
+                this.decode(decoding);
+            }
+        }
+        this.stepping = false;
+    }
+
+    private start(): void {
+        while (this.waiting.length > 0 && this.running.size < this.profile.maxSequences) {
+            const sequence = this.waiting.shift() as Sequence;
+            const cached = Math.min(this.cache.cachedTokens(sequence.blocks), sequence.promptTokens - 1);
+            sequence.cachedTokens = cached;
+            sequence.prefillLeft = sequence.promptTokens - cached;
+            this.counts.cachedTokens += cached;
+            this.running.add(sequence);
+        }
+    }
+
+    private prefill(): number {
+        let room = this.profile.prefillChunkTokens;
+        for (const sequence of this.running) {
+            if (sequence.prefillLeft === 0) {
+                continue;
+            }
+            const tokens = Math.min(room, sequence.prefillLeft);
+            sequence.prefillLeft -= tokens;
+            sequence.prefilled += tokens;
+            room -= tokens;
+            if (sequence.prefillLeft === 0) {
+                this.cache.store(sequence.blocks);
+            }
+            if (room === 0) {
+                break;
+            }
+        }
+        const done = this.profile.prefillChunkTokens - room;
+        this.counts.prefilledTokens += done;
+        return done;
+    }
+
+    private decode(sequences: readonly Sequence[]): void {
+        for (const sequence of sequences) {
+            if (!this.running.has(sequence)) {
+                continue;
+            }
+            if (sequence.nextToken < sequence.outputTokens) {
+                const index = sequence.nextToken;
+                sequence.nextToken += 1;
+                this.counts.decodedTokens += 1;
+                sequence.queue.push({ kind: "token", token: { index, text: tokenText(sequence.digest, index) } });
+            }
+            if (sequence.nextToken >= sequence.outputTokens) {
+                sequence.queue.push({ kind: "end", end: describeEnd(sequence) });
+                sequence.queue.close();
+                this.running.delete(sequence);
+            }
+        }
+    }
+
+    private retire(sequence: Sequence, whole: boolean): void {
+        this.running.delete(sequence);
+        const place = this.waiting.indexOf(sequence);
+        if (place >= 0) {
+            this.waiting.splice(place, 1);
+        }
+        if (!whole) {
+            this.counts.cancelled += 1;
+            this.counts.wastedPrefillTokens += sequence.prefilled;
+        }
+    }
+
+    private makeReport(): LoadReport {
+        return {
+            version: this.version,
+            engineClass: this.profile.engineClass,
+            waiting: this.waiting.length,
+            running: this.running.size,
+            waitingTokens: this.waiting.reduce((sum, sequence) => sum + sequence.promptTokens, 0),
+            atMs: this.clock.now(),
+        };
+    }
+}
+
+/** Body of a chat-completions request, as far as the model reads it. */
+interface ChatBody {
+    readonly messages: readonly { readonly content: string }[];
+    readonly max_tokens?: number;
+}
+
+/** Events that wait for their reader. */
+class EventQueue {
+    private readonly events: EngineEvent[] = [];
+    private wake: () => void = () => undefined;
+    private closed = false;
+
+    push(event: EngineEvent): void {
+        this.events.push(event);
+        this.wake();
+    }
+
+    close(): void {
+        this.closed = true;
+        this.wake();
+    }
+
+    async *read(): AsyncGenerator<EngineEvent> {
+        for (;;) {
+            const event = this.events.shift();
+            if (event !== undefined) {
+                yield event;
+                continue;
+            }
+            if (this.closed) {
+                return;
+            }
+            await new Promise<void>(resolve => {
+                this.wake = resolve;
+            });
+        }
+    }
+}
+
+/** Returns the digest of a request, from which its answer follows. */
+export function promptDigest(body: Buffer): string {
+    return createHash("sha256").update(body).digest("hex").slice(0, 8);
+}
+
+/** Returns the text of one answer token. */
+export function tokenText(digest: string, index: number): string {
+    return `${digest}.${index} `;
+}
+
+/** Returns the whole answer that an engine gives to a request. */
+export function expectedAnswer(body: Buffer): string {
+    const { max_tokens: maxTokens = DEFAULT_MAX_TOKENS } = JSON.parse(body.toString("utf8")) as ChatBody;
+    const digest = promptDigest(body);
+    const outputTokens = 1 + Number.parseInt(digest, 16) % maxTokens;
+    return Array.from({ length: outputTokens }, (value, index) => tokenText(digest, index)).join("");
+}
+
+function describeEnd(sequence: Sequence): EngineEnd {
+    return {
+        finishReason: "stop",
+        cachedTokens: sequence.cachedTokens,
+        promptTokens: sequence.promptTokens,
+        outputTokens: sequence.outputTokens,
+    };
+}
--- /dev/null
+++ b/standin/engine_server.ts
@@ -0,0 +1,60 @@
+/**
+ * Engine stand-in over HTTP.
+ *
+ * @module
+ */
+
+import type { Server } from "node:http";
+import type { EngineModel } from "./engine_model.js";
+import { sendJson, serveStandIn, setFaults, type StandInRequest } from "./stand_in_server.js";
+
+/** Id that crossed answers carry. */
+const CROSSED_ID = "another-request";
+
+/**
+ * Serves an engine: `POST /v1/generate`, `GET /load`, `GET /counts`, `POST /faults`.
+ *
+ * @param port Port to listen on.
+ * @param model Engine.
+ */
+export function serveEngine(port: number, model: EngineModel): Promise<Server> {
+    return serveStandIn(port, async request => {
+        switch (`${request.method} ${request.url.pathname}`) {
+            case "POST /v1/generate":
+                return generate(request, model);
+            case "GET /load":
+                return sendJson(request.response, model.report());
+            case "GET /counts":
+                return sendJson(request.response, model.counts);
+            case "POST /faults":
+                return setFaults(request, model.faults);
+            default:
+                request.response.writeHead(404).end();
+        }
+    });
+}
+
+async function generate(request: StandInRequest, model: EngineModel): Promise<void> {
+    const { response, headers, body } = request;
+    if (model.faults.refuse || model.faults.serverError) {
+        response.writeHead(500).end();
+        return;
+    }
+    const id = model.faults.cross ? CROSSED_ID : String(headers["x-request-id"]);
+    const fromToken = Number(headers["x-from-token"] ?? 0);
+    const gone = new AbortController();
+    response.on("close", () => gone.abort());
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    response.flushHeaders();
+    let count = 0;
+    for await (const event of model.generate({ id, body, fromToken }, gone.signal)) {
+        if (event.kind === "token" && count === model.faults.breakAfterTokens) {
+            response.destroy();
+            return;
+        }
+        count += 1;
+        const wire = event.kind === "token" ? { id, token: event.token } : { id, end: event.end };
+        response.write(`data: ${JSON.stringify(wire)}\n\n`);
+    }
+    response.end();
+}
--- /dev/null
+++ b/standin/fleet_process.ts
@@ -0,0 +1,99 @@
+/**
+ * Processes of a local fleet.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { type AddressInfo, createServer } from "node:net";
+
+/** Time to wait between looks at a starting process, in milliseconds. */
+const READY_POLL_MS = 50;
+
+/** Longest time to wait for a process to be ready, in milliseconds. */
+const READY_TIMEOUT_MS = 30_000;
+
+/** One process that the launcher started. */
+export class FleetProcess {
+    private readonly child: ChildProcess;
+    private readonly ended: Promise<number | undefined>;
+
+    /**
+     * @param name Name used in errors.
+     * @param args Arguments of Node.
+     */
+    constructor(readonly name: string, args: readonly string[]) {
+        this.child = spawn(process.execPath, args, { stdio: ["ignore", "ignore", "inherit"] });
+        this.ended = new Promise(resolve => {
+            this.child.once("exit", code => resolve(code ?? undefined));
+        });
+    }
+
+    /** Process id. */
+    get pid(): number | undefined {
+        return this.child.pid;
+    }
+
+    /** Sends a signal without waiting for the end. */
+    signal(name: NodeJS.Signals): void {
+        this.child.kill(name);
+    }
+
+    /** Ends the process with a signal and returns its exit code. */
+    async end(signal: NodeJS.Signals = "SIGTERM"): Promise<number | undefined> {
+        this.child.kill(signal);
+        return this.ended;
+    }
+}
+
+/**
+ * Waits until an address answers with status 200.
+ *
+ * @param url Address to ask.
+ * @throws {Error} When it has not answered within 30 seconds.
+ */
+export async function awaitReady(url: string): Promise<void> {
+    const giveUpAtMs = Date.now() + READY_TIMEOUT_MS;
+    while (Date.now() < giveUpAtMs) {
+        try {
+            const response = await fetch(url);
+            await response.arrayBuffer();
+            if (response.status === 200) {
+                return;
+            }
+        }
+        catch {
+            // The process does not listen yet.
+        }
+        await new Promise(resolve => {
+            setTimeout(resolve, READY_POLL_MS);
+        });
+    }
+    throw new Error(`Cannot wait for ${url}: it has not answered within ${READY_TIMEOUT_MS} ms`);
+}
+
+/**
+ * Finds ports that are free now.
+ *
+ * @param count Number of ports.
+ * @param basePort First port, or 0 for any.
+ */
+export async function findPorts(count: number, basePort: number): Promise<readonly number[]> {
+    if (basePort > 0) {
+        return Array.from({ length: count }, (value, index) => basePort + index);
+    }
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer();
+        await new Promise<void>(resolve => {
+            server.listen(0, "127.0.0.1", resolve);
+        });
+        return server;
+    }));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server =>
+        new Promise(resolve => {
+            server.close(resolve);
+        })
+    ));
+    return ports;
+}
--- /dev/null
+++ b/standin/local_backends.ts
@@ -0,0 +1,92 @@
+/**
+ * Connections to models in the same process, in place of HTTP.
+ *
+ * @module
+ */
+
+import {
+    DispatchError,
+    DispatchFault,
+    DispatchStep,
+    Engine,
+    type EngineEvent,
+    type EngineRequest,
+    Executed,
+    PlainService,
+    PlatformError,
+    type ServiceAnswer,
+    type ServiceRequest,
+} from "../src/protocol/mod.js";
+import type { LoadReport, Vm } from "../src/state/mod.js";
+import type { EngineModel } from "./engine_model.js";
+import type { ServiceModel } from "./service_model.js";
+
+/** Engines in this process, by the id of their VM. */
+export class LocalEngines extends Engine {
+    /** @param models Models by VM id; tests may add to it. */
+    constructor(readonly models: Map<string, EngineModel>) {
+        super();
+    }
+
+    override async *generate(vm: Vm, request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent> {
+        const model = this.models.get(vm.id);
+        if (model === undefined || model.faults.refuse) {
+            throw fault(vm, DispatchFault.Refused, DispatchStep.Connect);
+        }
+        if (model.faults.serverError) {
+            throw fault(vm, DispatchFault.ServerError, DispatchStep.AwaitHead);
+        }
+        let count = 0;
+        for await (const event of model.generate(request, signal)) {
+            if (model.faults.cross) {
+                throw fault(vm, DispatchFault.Crossed, DispatchStep.AwaitFirstToken);
+            }
+            if (event.kind === "token" && count === model.faults.breakAfterTokens) {
+                throw fault(vm, DispatchFault.Broken, DispatchStep.ReadBody);
+            }
+            count += 1;
+            yield event;
+        }
+        if (signal.aborted) {
+            throw fault(vm, DispatchFault.Cancelled, DispatchStep.ReadBody);
+        }
+    }
+
+    override async readLoad(vm: Vm): Promise<LoadReport> {
+        const model = this.models.get(vm.id);
+        if (model === undefined || model.faults.refuse) {
+            throw new PlatformError("read load report", vm.id, Executed.No, new Error("the connection was refused"));
+        }
+        return model.report();
+    }
+}
+
+/** Plain services in this process, by the id of their VM. */
+export class LocalServices extends PlainService {
+    /** @param models Models by VM id; tests may add to it. */
+    constructor(readonly models: Map<string, ServiceModel>) {
+        super();
+    }
+
+    override async send(vm: Vm, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        const model = this.models.get(vm.id);
+        if (model === undefined || model.faults.refuse) {
+            throw fault(vm, DispatchFault.Refused, DispatchStep.Connect);
+        }
+        const answer = await model.send(request, signal);
+        if (signal.aborted) {
+            throw fault(vm, DispatchFault.Cancelled, DispatchStep.AwaitHead);
+        }
+        if (model.faults.breakAfterEffect) {
+            throw fault(vm, DispatchFault.Broken, DispatchStep.AwaitHead);
+        }
+        if (model.faults.cross) {
+            throw fault(vm, DispatchFault.Crossed, DispatchStep.ReadBody);
+        }
+        return answer;
+    }
+}
+
+function fault(vm: Vm, kind: DispatchFault, step: DispatchStep): DispatchError {
+    return new DispatchError({ fault: kind, step, peer: vm.id });
+}
--- /dev/null
+++ b/standin/local_fleet.ts
@@ -0,0 +1,208 @@
+/**
+ * Local fleet of separate processes on loopback.
+ *
+ * @module
+ */
+
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { stringify } from "yaml";
+import { CONFIGURATION_STREAM, encodeConfigurationRecord } from "../src/protocol/mod.js";
+import { type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { HttpClient, HttpLogService } from "../src/transport/mod.js";
+import { type Deployment, hashKey, toDocument } from "./deployment.js";
+import { awaitReady, findPorts, FleetProcess } from "./fleet_process.js";
+
+/** Program of a stand-in. */
+const STAND_IN_PROGRAM = fileURLToPath(new URL("./main.js", import.meta.url));
+
+/** Program of a daemon. */
+const DAEMON_PROGRAM = fileURLToPath(new URL("../src/daemon/main.js", import.meta.url));
+
+/** Stand-ins of the platform. */
+const PLATFORM_KINDS = ["log", "vm-list", "weight-store"] as const;
+
+/** Lag of the balancer in a local fleet, in milliseconds. */
+const BALANCER_LAG_MS = 200;
+
+/** Settings of a {@linkcode LocalFleet}. */
+export interface LocalFleetSettings {
+    readonly deployment: Deployment;
+    /** First port, or 0 for any free ports. Defaults to 0. */
+    readonly basePort?: number;
+    /** Key of the operator. */
+    readonly operatorKey: string;
+}
+
+/** Backend server of the fleet. */
+export interface FleetBackend {
+    readonly vm: Vm;
+    readonly process: FleetProcess;
+}
+
+/** Daemon of the fleet. */
+export interface FleetDaemon {
+    readonly node: string;
+    /** Address for callers. */
+    readonly callers: string;
+    /** Address for peers and operators. */
+    readonly peers: string;
+    readonly failureDomain: string;
+    readonly settingsFile: string;
+    process: FleetProcess;
+}
+
+/** Platform, backend servers and daemons as separate processes. */
+export class LocalFleet {
+    readonly backends: FleetBackend[] = [];
+    readonly daemons: FleetDaemon[] = [];
+    private readonly platform: FleetProcess[] = [];
+    private ports: number[] = [];
+    private platformAddresses: readonly string[] = [];
+    private folder = "";
+
+    /** @param settings See {@linkcode LocalFleetSettings}. */
+    constructor(private readonly settings: LocalFleetSettings) {}
+
+    /** File that holds the operator's key. */
+    get keyFile(): string {
+        return join(this.folder, "operator.key");
+    }
+
+    /** Address of the log service. */
+    get logAddress(): string {
+        return this.platformAddresses[0];
+    }
+
+    /** Starts all processes and waits until every daemon is ready. */
+    async start(): Promise<void> {
+        const { deployment, basePort = 0, operatorKey } = this.settings;
+        const backendCount = deployment.pools.reduce((sum, pool) => sum + pool.servers.length, 0);
+        this.ports = [...await findPorts(2 * deployment.entryVms.length + PLATFORM_KINDS.length + backendCount, basePort)];
+        this.folder = await mkdtemp(join(tmpdir(), "foxtailrail-"));
+        await writeFile(this.keyFile, `${operatorKey}\n`);
+        const daemonPorts = this.ports.splice(0, 2 * deployment.entryVms.length);
+        await this.startPlatform();
+        await this.startBackends();
+        await this.publishVms(daemonPorts);
+        await this.publishConfiguration();
+        await this.startDaemons(daemonPorts);
+    }
+
+    /** Starts a daemon again after its process has ended. */
+    async restart(daemon: FleetDaemon): Promise<void> {
+        daemon.process = this.runDaemon(daemon.node, daemon.settingsFile);
+        await awaitReady(`http://${daemon.callers}/readyz`);
+    }
+
+    /** Drains the daemons, then ends all other processes. */
+    async stop(): Promise<void> {
+        await Promise.all(this.daemons.map(daemon => daemon.process.end()));
+        await Promise.all([...this.backends.map(backend => backend.process), ...this.platform].map(each => each.end()));
+        await rm(this.folder, { recursive: true, force: true });
+    }
+
+    private async startPlatform(): Promise<void> {
+        const addresses: string[] = [];
+        for (const kind of PLATFORM_KINDS) {
+            const address = this.takeAddress();
+            addresses.push(address);
+            this.platform.push(runStandIn(kind, address, []));
+        }
+        this.platformAddresses = addresses;
+        await awaitReady(`http://${addresses[1]}/vms`);
+        await awaitReady(`http://${addresses[0]}/streams/${CONFIGURATION_STREAM}/records?from=0&max=1&waitMs=0`);
+    }
+
+    private async startBackends(): Promise<void> {
+        const { pools, failureDomains } = this.settings.deployment;
+        for (const pool of pools) {
+            for (const [index, server] of pool.servers.entries()) {
+                const address = this.takeAddress();
+                const id = `${pool.name}-${index + 1}`;
+                const kind = pool.kind === "model" ? "engine" : "service";
+                this.backends.push({
+                    vm: {
+                        id,
+                        role: VmRole.Backend,
+                        address,
+                        failureDomain: failureDomains[index % failureDomains.length],
+                        state: VmState.Live,
+                        pool: pool.name,
+                    },
+                    process: runStandIn(kind, address, ["--profile", server.profile]),
+                });
+            }
+        }
+        await Promise.all(this.backends.map(backend => awaitReady(`http://${backend.vm.address}/load`)));
+    }
+
+    private async publishVms(daemonPorts: readonly number[]): Promise<void> {
+        const vms = this.backends.map(backend => backend.vm);
+        for (const [index, { failureDomain }] of this.settings.deployment.entryVms.entries()) {
+            vms.push({
+                id: `entry-${index + 1}`,
+                role: VmRole.Entry,
+                address: `127.0.0.1:${daemonPorts[2 * index + 1]}`,
+                failureDomain,
+                state: VmState.Live,
+            });
+        }
+        await fetch(`http://${this.platformAddresses[1]}/vms`, { method: "PUT", body: JSON.stringify(vms) });
+    }
+
+    private async publishConfiguration(): Promise<void> {
+        const client = new HttpClient();
+        const log = new HttpLogService(client, this.logAddress);
+        const document = toDocument(this.settings.deployment);
+        const record = encodeConfigurationRecord({ id: "initial", madeAgainst: -1, author: "launcher", document });
+        await log.append(CONFIGURATION_STREAM, record);
+        await client.close();
+    }
+
+    private async startDaemons(daemonPorts: readonly number[]): Promise<void> {
+        for (const [index, { failureDomain }] of this.settings.deployment.entryVms.entries()) {
+            const node = `entry-${index + 1}`;
+            const callers = `127.0.0.1:${daemonPorts[2 * index]}`;
+            const peers = `127.0.0.1:${daemonPorts[2 * index + 1]}`;
+            const settingsFile = join(this.folder, `${node}.yaml`);
+            await writeFile(settingsFile, this.daemonSettings({ node, callers, peers, failureDomain }));
+            this.daemons.push({ node, callers, peers, failureDomain, settingsFile, process: this.runDaemon(node, settingsFile) });
+        }
+        await Promise.all(this.daemons.map(daemon => awaitReady(`http://${daemon.callers}/readyz`)));
+    }
+
+    private daemonSettings(daemon: Pick<FleetDaemon, "node" | "callers" | "peers" | "failureDomain">): string {
+        const [log, vmList, weightStore] = this.platformAddresses;
+        return stringify({
+            node: daemon.node,
+            failureDomain: daemon.failureDomain,
+            listen: { callers: daemon.callers, peers: daemon.peers },
+            platform: { log, vmList, weightStore },
+            operators: { keyHashes: [hashKey(this.settings.operatorKey)] },
+            drain: { balancerLagMs: BALANCER_LAG_MS },
+            logLevel: "warn",
+        });
+    }
+
+    private runDaemon(node: string, settingsFile: string): FleetProcess {
+        return new FleetProcess(node, [DAEMON_PROGRAM, "--settings", settingsFile]);
+    }
+
+    private takeAddress(): string {
+        return `127.0.0.1:${this.ports.shift()}`;
+    }
+}
+
+function runStandIn(kind: string, address: string, further: readonly string[]): FleetProcess {
+    return new FleetProcess(`${kind} ${address}`, [
+        STAND_IN_PROGRAM,
+        "--kind",
+        kind,
+        "--port",
+        address.split(":")[1],
+        ...further,
+    ]);
+}
--- /dev/null
+++ b/standin/log_model.ts
@@ -0,0 +1,119 @@
+/**
+ * Model of the platform's log service.
+ *
+ * @module
+ */
+
+import { Executed, type LogPage, type LogReadSettings, type LogRecord, LogService, PlatformError } from "../src/protocol/mod.js";
+import type { Clock } from "../src/state/mod.js";
+
+/** Name used in errors. */
+const PEER = "log";
+
+/** Time between two looks for a new record, in milliseconds. */
+const READ_POLL_MS = 5;
+
+/** Faults that a test switches on. */
+export interface LogFaults {
+    /** No call is answered, and none takes effect. */
+    down: boolean;
+    /** Appends take effect and their answers are lost. */
+    loseAnswers: boolean;
+}
+
+/** Settings of a {@linkcode LogModel}. */
+export interface LogModelSettings {
+    /** Appends in a second over all streams. Defaults to 300. */
+    readonly appendsPerSecond?: number;
+    /** Time of one call, in milliseconds. Defaults to 2. */
+    readonly callMs?: number;
+    /** Time for which records are kept, in milliseconds. Defaults to 7 days. */
+    readonly retentionMs?: number;
+}
+
+/** Record with the time at which it was appended. */
+interface StoredRecord extends LogRecord {
+    readonly atMs: number;
+}
+
+/** Stream with its records that are still kept. */
+interface StoredStream {
+    readonly records: StoredRecord[];
+    endOffset: number;
+}
+
+/** Log service as a test or a stand-in process runs it. */
+export class LogModel extends LogService {
+    readonly faults: LogFaults = { down: false, loseAnswers: false };
+    /** Appends that landed. */
+    appends = 0;
+    private readonly streams = new Map<string, StoredStream>();
+    private readonly appendsPerSecond: number;
+    private readonly callMs: number;
+    private readonly retentionMs: number;
+    private nextAppendAtMs = 0;
+
+    /**
+     * @param clock Clock that calls are timed by.
+     * @param settings See {@linkcode LogModelSettings}.
+     */
+    constructor(private readonly clock: Clock, settings: LogModelSettings = {}) {
+        super();
+        this.appendsPerSecond = settings.appendsPerSecond ?? 300;
+        this.callMs = settings.callMs ?? 2;
+        this.retentionMs = settings.retentionMs ?? 7 * 86_400_000;
+    }
+
+    override async append(stream: string, data: Uint8Array): Promise<number> {
+        const nowMs = this.clock.now();
+        this.nextAppendAtMs = Math.max(nowMs, this.nextAppendAtMs + 1_000 / this.appendsPerSecond);
+        await this.clock.sleep(this.nextAppendAtMs - nowMs + this.callMs);
+        this.checkUp(`append to stream ${stream}`);
+        const stored = this.stream(stream);
+        const offset = stored.endOffset;
+        stored.endOffset += 1;
+        stored.records.push({ offset, data, atMs: this.clock.now() });
+        this.appends += 1;
+        if (this.faults.loseAnswers) {
+            throw new PlatformError(`append to stream ${stream}`, PEER, Executed.Unknown, new Error("the answer was lost"));
+        }
+        return offset;
+    }
+
+    override async read(stream: string, fromOffset: number, settings: LogReadSettings = {}): Promise<LogPage> {
+        await this.clock.sleep(this.callMs);
+        const stored = this.stream(stream);
+        const giveUpAtMs = this.clock.now() + (settings.waitMs ?? 0);
+        while (stored.endOffset <= fromOffset && this.clock.now() < giveUpAtMs && !this.faults.down) {
+            await this.clock.sleep(READ_POLL_MS);
+        }
+        this.checkUp(`read stream ${stream}`);
+        this.expire(stored);
+        const firstOffset = stored.records[0]?.offset ?? stored.endOffset;
+        const start = Math.max(0, fromOffset - firstOffset);
+        const records = stored.records.slice(start, start + (settings.maxRecords ?? 1_000));
+        return { records, firstOffset, endOffset: stored.endOffset };
+    }
+
+    private stream(name: string): StoredStream {
+        let stored = this.streams.get(name);
+        if (stored === undefined) {
+            stored = { records: [], endOffset: 0 };
+            this.streams.set(name, stored);
+        }
+        return stored;
+    }
+
+    private expire(stored: StoredStream): void {
+        const horizonMs = this.clock.now() - this.retentionMs;
+        while (stored.records.length > 0 && stored.records[0].atMs < horizonMs) {
+            stored.records.shift();
+        }
+    }
+
+    private checkUp(step: string): void {
+        if (this.faults.down) {
+            throw new PlatformError(step, PEER, Executed.Unknown, new Error("the log is down"));
+        }
+    }
+}
--- /dev/null
+++ b/standin/virtual_clock.ts
@@ -0,0 +1,154 @@
+/**
+ * Clock that moves only when it is told to, for tests and experiments in one process.
+ *
+ * @module
+ */
+
+import type { Clock } from "../src/state/mod.js";
+
+/** Time at which virtual clocks start, in milliseconds since the Unix epoch. */
+const START_MS = 1_800_000_000_000;
+
+/** Wait that has not ended. */
+interface Timer {
+    readonly atMs: number;
+    /** Order among timers of the same time. */
+    readonly order: number;
+    readonly fire: () => void;
+    cancelled: boolean;
+}
+
+/** Clock whose waits end in order when the test advances it. */
+export class VirtualClock implements Clock {
+    private nowMs = START_MS;
+    private order = 0;
+    private readonly heap: Timer[] = [];
+
+    now(): number {
+        return this.nowMs;
+    }
+
+    sleep(durationMs: number, signal?: AbortSignal): Promise<boolean> {
+        if (signal?.aborted) {
+            return Promise.resolve(false);
+        }
+        return new Promise(resolve => {
+            const onAbort = () => {
+                timer.cancelled = true;
+                resolve(false);
+            };
+            const timer: Timer = {
+                atMs: this.nowMs + Math.max(0, durationMs),
+                order: this.order++,
+                cancelled: false,
+                fire: () => {
+                    signal?.removeEventListener("abort", onAbort);
+                    resolve(true);
+                },
+            };
+            signal?.addEventListener("abort", onAbort, { once: true });
+            this.push(timer);
+        });
+    }
+
+    /**
+     * Moves the clock and lets everything that becomes due run.
+     *
+     * @param durationMs Time to move, in milliseconds.
+     */
+    async advance(durationMs: number): Promise<void> {
+        const untilMs = this.nowMs + durationMs;
+        await settle();
+        while (this.heap.length > 0 && this.heap[0].atMs <= untilMs) {
+            await this.fireNext();
+        }
+        this.nowMs = untilMs;
+    }
+
+    /**
+     * Moves the clock until a promise settles.
+     *
+     * @param promise Promise to wait for.
+     * @param limitMs Longest time to move, in milliseconds. Defaults to 10 minutes.
+     * @throws {RangeError} When the promise has not settled by then.
+     */
+    async runUntil<Value>(promise: Promise<Value>, limitMs = 600_000): Promise<Value> {
+        let settled = false;
+        const done = () => {
+            settled = true;
+        };
+        promise.then(done, done);
+        const giveUpAtMs = this.nowMs + limitMs;
+        await settle();
+        while (!settled) {
+            if (this.heap.length === 0 || this.heap[0].atMs > giveUpAtMs) {
+                throw new RangeError(`Cannot wait for promise: it has not settled after ${limitMs} ms`);
+            }
+            await this.fireNext();
+        }
+        return promise;
+    }
+
+    private async fireNext(): Promise<void> {
+        const timer = this.pop();
+        if (timer.cancelled) {
+            return;
+        }
+        this.nowMs = Math.max(this.nowMs, timer.atMs);
+        timer.fire();
+        await settle();
+    }
+
+    private push(timer: Timer): void {
+        const { heap } = this;
+        let index = heap.push(timer) - 1;
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            if (!isEarlier(heap[index], heap[parent])) {
+                return;
+            }
+            [heap[index], heap[parent]] = [heap[parent], heap[index]];
+            index = parent;
+        }
+    }
+
+    private pop(): Timer {
+        const { heap } = this;
+        const top = heap[0];
+        const last = heap.pop() as Timer;
+        if (heap.length > 0) {
+            heap[0] = last;
+            this.sink();
+        }
+        return top;
+    }
+
+    private sink(): void {
+        const { heap } = this;
+        let index = 0;
+        for (;;) {
+            let least = index;
+            for (const child of [2 * index + 1, 2 * index + 2]) {
+                if (child < heap.length && isEarlier(heap[child], heap[least])) {
+                    least = child;
+                }
+            }
+            if (least === index) {
+                return;
+            }
+            [heap[index], heap[least]] = [heap[least], heap[index]];
+            index = least;
+        }
+    }
+}
+
+function isEarlier(left: Timer, right: Timer): boolean {
+    return left.atMs < right.atMs || left.atMs === right.atMs && left.order < right.order;
+}
+
+/** Lets all promise callbacks that are due run. */
+function settle(): Promise<void> {
+    return new Promise(resolve => {
+        setImmediate(resolve);
+    });
+}
