Add the seams that the issues are built behind: shared values, experiments

Cause: scheduling, rollouts and membership all need values that nodes share; each would otherwise invent a channel. Ruled out: one call per purpose between all pairs of nodes (bytes grow with the square of the fleet). Change: abstract Dissemination with topics in order of importance, a stand-in with delay and cuts, the experiment runner with targets; the linter's layer rule covers sub-folders, and its cycle rule now resolves TypeScript imports (a trial cycle passed unseen before, since the rule could not follow '.js' names to their sources).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,3 +1,4 @@
+import { createTypeScriptImportResolver } from "eslint-import-resolver-typescript";
 import importX from "eslint-plugin-import-x";
 import tseslint from "typescript-eslint";
 
@@ -17,10 +18,10 @@
         "no-restricted-imports": ["error", {
             patterns: [
                 {
-                    regex: `^\\.\\./(${forbidden.join("|")})/`,
+                    regex: `^(\\.\\./)+(${forbidden.join("|")})/`,
                     message: `Layer "${layer}" does not import this layer; see docs/ARCHITECTURE.md.`,
                 },
-                { regex: "^\\.\\./[^/]+/(?!mod\\.js$)", message: "A folder is imported by its mod.js only." },
+                { regex: "^(\\.\\./)+[^/.]+/(?!mod\\.js$|gen/)", message: "A folder is imported by its mod.js only." },
                 { regex: "standin|features|measure", message: "The product imports no stand-in, test or experiment." },
             ],
         }],
@@ -33,7 +34,11 @@
     {
         files: ["**/*.ts"],
         plugins: { "import-x": importX },
-        settings: { "import-x/resolver": { typescript: true } },
+        settings: {
+            "import-x/resolver-next": [createTypeScriptImportResolver({ project: "./tsconfig.json" })],
+            "import-x/parsers": { "@typescript-eslint/parser": [".ts"] },
+            "import-x/extensions": [".ts"],
+        },
         languageOptions: { parserOptions: { project: "./tsconfig.json" } },
         rules: {
             curly: ["error", "all"],
--- /dev/null
+++ b/measure/experiments.ts
@@ -0,0 +1,10 @@
+/**
+ * All experiments, by name.
+ *
+ * @module
+ */
+
+import type { Experiment } from "./experiment.js";
+
+/** Experiments in the order in which the help lists them. */
+export const experiments: readonly Experiment[] = [];
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -15,3 +15,4 @@
 export * from "./request_handler.js";
 export * from "./retry_budget.js";
 export * from "./scheduler.js";
+export * from "./silent_dissemination.js";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Logger } from "pino";
+import { SilentDissemination } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
     GrpcServer,
@@ -57,6 +58,7 @@
             plainService: new HttpPlainService(this.client),
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
+            dissemination: new SilentDissemination(),
             observer: this.metrics,
         });
         this.httpServer = new HttpServer({
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -17,7 +17,7 @@
     RequestHandler,
     RetryBudget,
 } from "../coordination/mod.js";
-import type { Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -40,6 +40,8 @@
     readonly plainService: PlainService;
     readonly log: LogService;
     readonly vmList: VmList;
+    /** Values shared with other nodes. */
+    readonly dissemination: Dissemination;
     readonly observer: CallObserver;
 }
 
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -7,6 +7,7 @@
 export * from "./call.js";
 export * from "./chat_completion.js";
 export * from "./configuration_record.js";
+export * from "./dissemination.js";
 export * from "./engine.js";
 export * from "./errors.js";
 export * as wire from "./gen/peer.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -17,6 +17,7 @@
 import { type Deployment, toDocument } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
+import { DisseminationHub } from "./local_dissemination.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
 import { VirtualClock } from "./virtual_clock.js";
@@ -43,6 +44,7 @@
     readonly engines = new Map<string, EngineModel>();
     readonly services = new Map<string, ServiceModel>();
     readonly ledger = new EffectLedger();
+    readonly hub = new DisseminationHub(this.clock);
     readonly log: LogModel;
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
@@ -140,6 +142,7 @@
                     plainService: new LocalServices(this.services),
                     log: this.log,
                     vmList: this.vmList,
+                    dissemination: this.hub.join(id),
                     observer: new SilentObserver(),
                 }),
             );
--- /dev/null
+++ b/standin/local_dissemination.ts
@@ -0,0 +1,113 @@
+/**
+ * Dissemination between nodes in one process, with a delay and cuts.
+ *
+ * @module
+ */
+
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+import { Dissemination, type SharedValue, type Topic } from "../src/protocol/mod.js";
+import type { Clock } from "../src/state/mod.js";
+
+/** Time that a value takes to reach every node, in milliseconds. */
+const SPREAD_MS = 500;
+
+/** Nodes that share values, and the cuts between them. */
+export class DisseminationHub {
+    private readonly members = new Map<string, LocalDissemination>();
+    private readonly isolated = new Set<string>();
+
+    /** @param clock Clock that delays and ages are measured by. */
+    constructor(readonly clock: Clock) {}
+
+    /** Adds a node. */
+    join(node: string): LocalDissemination {
+        const member = new LocalDissemination(this, node);
+        this.members.set(node, member);
+        return member;
+    }
+
+    /** Cuts a node off from all others, or heals the cut. */
+    setIsolated(node: string, isolated: boolean): void {
+        if (isolated) {
+            this.isolated.add(node);
+            return;
+        }
+        this.isolated.delete(node);
+        for (const [name, member] of this.members) {
+            if (name !== node) {
+                void this.spread(member);
+            }
+        }
+        void this.spread(this.members.get(node));
+    }
+
+    /** Carries all values of a node to the others after the delay. */
+    async spread(origin: LocalDissemination | undefined): Promise<void> {
+        await this.clock.sleep(SPREAD_MS);
+        if (origin === undefined || this.isolated.has(origin.node)) {
+            return;
+        }
+        for (const [node, member] of this.members) {
+            if (node !== origin.node && !this.isolated.has(node)) {
+                member.take(origin.own());
+            }
+        }
+    }
+}
+
+/** Value with the time at which it was published. */
+interface TimedValue {
+    readonly topic: Topic;
+    readonly origin: string;
+    readonly key: string;
+    readonly atMs: number;
+    readonly data: Uint8Array;
+}
+
+/** One node's end of a {@linkcode DisseminationHub}. */
+export class LocalDissemination extends Dissemination {
+    override readonly arrivals: Stream<SharedValue>;
+    private readonly announce: (value: SharedValue) => void;
+    private readonly published = new Map<string, TimedValue>();
+    private readonly received = new Map<string, TimedValue>();
+
+    /**
+     * @param hub Hub that connects the nodes.
+     * @param node Id of this node.
+     */
+    constructor(private readonly hub: DisseminationHub, readonly node: string) {
+        super();
+        [this.announce, this.arrivals] = createAdapter<SharedValue>();
+    }
+
+    override publish(topic: Topic, key: string, data: Uint8Array): void {
+        this.published.set(`${topic} ${key}`, { topic, key, data, origin: this.node, atMs: this.hub.clock.now() });
+        void this.hub.spread(this);
+    }
+
+    override read(topic: Topic): readonly SharedValue[] {
+        return [...this.received.values()].filter(value => value.topic === topic).map(value => this.toShared(value));
+    }
+
+    /** Returns the values that this node has published. */
+    own(): Iterable<TimedValue> {
+        return this.published.values();
+    }
+
+    /** Takes the values of another node. */
+    take(values: Iterable<TimedValue>): void {
+        for (const value of values) {
+            const name = `${value.origin} ${value.topic} ${value.key}`;
+            const known = this.received.get(name);
+            if (known === undefined || known.atMs < value.atMs) {
+                this.received.set(name, value);
+                this.announce(this.toShared(value));
+            }
+        }
+    }
+
+    private toShared({ topic, origin, key, atMs, data }: TimedValue): SharedValue {
+        return { topic, origin, key, data, ageMs: this.hub.clock.now() - atMs };
+    }
+}
