Measure the daemon beside a bare relay

Ruled out: the engine stand-in as backend (its steps, not the way through, would be measured). Change: 'npm run measure -- proxy': relay and daemon take turns against a backend that answers at once.

--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -5,6 +5,9 @@
  */
 
 import type { Experiment } from "./experiment.js";
+import { proxyExperiment } from "./proxy.js";
 
 /** Experiments in the order in which the help lists them. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [
+    proxyExperiment,
+];
--- /dev/null
+++ b/measure/load_worker.ts
@@ -0,0 +1,113 @@
+/**
+ * Load in a closed loop from a thread of its own.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+import { fileURLToPath } from "node:url";
+import { isMainThread, parentPort, Worker, workerData } from "node:worker_threads";
+import { Pool } from "undici";
+
+/** Largest latency that is told apart, in microseconds. */
+const MAX_LATENCY_US = 60_000_000;
+
+/** Call that is sent over and over. */
+export interface LoadCall {
+    readonly address: string;
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body?: string;
+}
+
+/** Settings of one run of load. */
+export interface LoadSettings {
+    readonly call: LoadCall;
+    readonly connections: number;
+    readonly durationMs: number;
+}
+
+/** Result of one run of load. */
+export interface LoadResult {
+    readonly calls: number;
+    readonly failures: number;
+    readonly elapsedMs: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+}
+
+/** Result of one thread. */
+interface ThreadResult {
+    readonly failures: number;
+    readonly latenciesUs: Uint32Array;
+}
+
+/**
+ * Sends one call over and over from several threads.
+ *
+ * @param settings Call, connections of each thread and duration.
+ * @param threads Number of threads.
+ */
+export async function runLoad(settings: LoadSettings, threads: number): Promise<LoadResult> {
+    const startMs = performance.now();
+    const results = await Promise.all(Array.from({ length: threads }, () => runThread(settings)));
+    const elapsedMs = performance.now() - startMs;
+    const histogram = newHistogram();
+    for (const latencyUs of results.flatMap(result => [...result.latenciesUs])) {
+        histogram.recordValue(latencyUs);
+    }
+    return {
+        calls: histogram.totalCount,
+        failures: results.reduce((sum, result) => sum + result.failures, 0),
+        elapsedMs: Math.min(elapsedMs, settings.durationMs),
+        p50Ms: histogram.getValueAtPercentile(50) / 1_000,
+        p99Ms: histogram.getValueAtPercentile(99) / 1_000,
+    };
+}
+
+/** Makes a histogram of latencies in microseconds. */
+export function newHistogram(): Histogram {
+    return build({ lowestDiscernibleValue: 1, highestTrackableValue: MAX_LATENCY_US, numberOfSignificantValueDigits: 3 });
+}
+
+function runThread(settings: LoadSettings): Promise<ThreadResult> {
+    return new Promise((resolve, reject) => {
+        const worker = new Worker(fileURLToPath(import.meta.url), { workerData: settings });
+        worker.once("message", resolve);
+        worker.once("error", reject);
+    });
+}
+
+async function runLoop({ call, connections, durationMs }: LoadSettings): Promise<ThreadResult> {
+    const pool = new Pool(`http://${call.address}`, { connections });
+    const giveUpAtMs = performance.now() + durationMs;
+    const latenciesUs: number[] = [];
+    let failures = 0;
+    const loop = async () => {
+        while (performance.now() < giveUpAtMs) {
+            const startMs = performance.now();
+            try {
+                const response = await pool.request({
+                    method: call.method,
+                    path: call.path,
+                    headers: call.headers,
+                    body: call.body,
+                });
+                await response.body.arrayBuffer();
+                failures += response.statusCode === 200 ? 0 : 1;
+            }
+            catch {
+                failures += 1;
+            }
+            latenciesUs.push(Math.max(1, Math.round((performance.now() - startMs) * 1_000)));
+        }
+    };
+    await Promise.all(Array.from({ length: connections }, loop));
+    await pool.close();
+    return { failures, latenciesUs: Uint32Array.from(latenciesUs) };
+}
+
+if (!isMainThread) {
+    parentPort?.postMessage(await runLoop(workerData as LoadSettings));
+}
--- /dev/null
+++ b/measure/proxy.ts
@@ -0,0 +1,260 @@
+/**
+ * Experiment: throughput and added latency of one daemon beside a bare relay, and its memory with slow readers.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import { connect, type Socket } from "node:net";
+import { type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { readDeployment } from "../standin/deployment.js";
+import { awaitReady, findPorts, FleetProcess } from "../standin/fleet_process.js";
+import { LocalFleet } from "../standin/local_fleet.js";
+import type { Experiment, Report } from "./experiment.js";
+import { INSTANT_BACKEND_PROGRAM } from "./instant_backend.js";
+import { type LoadCall, type LoadResult, runLoad } from "./load_worker.js";
+import { BARE_RELAY_PROGRAM } from "./naive/bare_relay.js";
+
+/** Rounds in which the relay and the daemon take turns. */
+const ROUNDS = 4;
+
+/** Time of one turn, in milliseconds. */
+const TURN_MS = 2_500;
+
+/** Threads that send load. */
+const LOAD_THREADS = 2;
+
+/** Connections of each thread. */
+const CONNECTIONS_PER_THREAD = 32;
+
+/** Callers that do not read their answers. */
+const SLOW_READERS = 1_000;
+
+/** Time for which slow readers hold their calls, in milliseconds. */
+const SLOW_READ_MS = 6_000;
+
+/** Share of the bare relay's calls that the daemon is to reach. */
+const MIN_THROUGHPUT_SHARE = 0.6;
+
+/** Memory that a node may take, in megabytes; the letter's size. */
+const MAX_MEMORY_MB = 256;
+
+/** Bytes in a megabyte. */
+const BYTES_PER_MB = 1_048_576;
+
+/** Deployment that the experiment changes. */
+const DEPLOYMENT = "examples/rastro-sul.yaml";
+
+/** Two addresses under comparison, with the process id of the daemon. */
+interface Contest {
+    readonly relay: string;
+    readonly daemon: string;
+    readonly daemonPid: number;
+    readonly workspaceKey: string;
+}
+
+/** Figures of one kind of call. */
+interface Comparison {
+    readonly kind: string;
+    readonly relay: LoadResult[];
+    readonly daemon: LoadResult[];
+}
+
+/** Compares a daemon with a bare relay, in turns. */
+export const proxyExperiment: Experiment = {
+    name: "proxy",
+    summary: "throughput and added latency of one daemon beside a bare relay",
+    run: seed => withContest(contest => compare(contest, seed)),
+};
+
+async function withContest(body: (contest: Contest) => Promise<Report>): Promise<Report> {
+    const example = await readDeployment(DEPLOYMENT);
+    const deployment = {
+        ...example,
+        entryVms: example.entryVms.slice(0, 1),
+        pools: example.pools.map(pool => ({ ...pool, servers: [] })),
+    };
+    const fleet = new LocalFleet({ deployment, operatorKey: "operator" });
+    const [backendPort, relayPort] = await findPorts(2, 0);
+    const backend = new FleetProcess("backend", [INSTANT_BACKEND_PROGRAM, String(backendPort)]);
+    const relay = new FleetProcess("relay", [BARE_RELAY_PROGRAM, String(relayPort), String(backendPort)]);
+    try {
+        await fleet.start();
+        await awaitReady(`http://127.0.0.1:${relayPort}/load`);
+        await fleet.publish(deployment.pools.map(pool => backendVm(pool.name, backendPort)));
+        const [daemon] = fleet.daemons;
+        const [{ key }] = deployment.workspaces;
+        await awaitAnswer(daemon.callers, key);
+        return await body({
+            relay: `127.0.0.1:${relayPort}`,
+            daemon: daemon.callers,
+            daemonPid: daemon.process.pid ?? 0,
+            workspaceKey: key,
+        });
+    }
+    finally {
+        await Promise.all([backend.end(), relay.end()]);
+        await fleet.stop();
+    }
+}
+
+async function compare(contest: Contest, seed: number): Promise<Report> {
+    const comparisons: Comparison[] = [];
+    for (const kind of ["service", "whole", "streamed"]) {
+        comparisons.push(await takeTurns(kind, contest));
+    }
+    const memory = await holdSlowReaders(contest);
+    return {
+        scenario: "proxy",
+        seed,
+        baseline: { calls: comparisons.map(each => summarise(each.kind, each.relay)) },
+        current: { calls: comparisons.map(each => summarise(each.kind, each.daemon)), ...memory },
+        targets: [
+            ...comparisons.map(each => ({
+                name: `calls a second beside the bare relay's, ${each.kind}`,
+                measured: rate(each.daemon) / rate(each.relay),
+                comparison: "at least" as const,
+                bound: MIN_THROUGHPUT_SHARE,
+            })),
+            {
+                name: `memory with ${SLOW_READERS} slow readers, MB`,
+                measured: memory.memoryWithSlowReadersMb,
+                comparison: "at most",
+                bound: MAX_MEMORY_MB,
+            },
+        ],
+    };
+}
+
+async function takeTurns(kind: string, contest: Contest): Promise<Comparison> {
+    const comparison: Comparison = { kind, relay: [], daemon: [] };
+    const relayCall = toRelayCall(kind, contest);
+    const daemonCall = toDaemonCall(kind, contest);
+    await turn(relayCall);
+    await turn(daemonCall);
+    for (let round = 0; round < ROUNDS; round++) {
+        comparison.relay.push(await turn(relayCall));
+        comparison.daemon.push(await turn(daemonCall));
+    }
+    return comparison;
+}
+
+function turn(call: LoadCall): Promise<LoadResult> {
+    return runLoad({ call, connections: CONNECTIONS_PER_THREAD, durationMs: TURN_MS }, LOAD_THREADS);
+}
+
+function toRelayCall(kind: string, contest: Contest): LoadCall {
+    const headers = { "content-type": "application/json" };
+    if (kind === "service") {
+        return { address: contest.relay, method: "GET", path: "/status", headers };
+    }
+    return { address: contest.relay, method: "POST", path: "/v1/generate", headers, body: chatBody(kind === "streamed") };
+}
+
+function toDaemonCall(kind: string, contest: Contest): LoadCall {
+    const headers = { "content-type": "application/json", authorization: `Bearer ${contest.workspaceKey}` };
+    if (kind === "service") {
+        return { address: contest.daemon, method: "GET", path: "/v1/services/case-management/status", headers };
+    }
+    return {
+        address: contest.daemon,
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { ...headers, "foxtailrail-operation": "dossier-summary" },
+        body: chatBody(kind === "streamed"),
+    };
+}
+
+function chatBody(stream: boolean): string {
+    return JSON.stringify({
+        model: "default",
+        stream,
+        max_tokens: 64,
+        messages: [{ role: "user", content: "Summarise the dossier." }],
+    });
+}
+
+/** Lets callers send calls and read nothing, and reads the daemon's memory meanwhile. */
+async function holdSlowReaders(
+    contest: Contest,
+): Promise<{ readonly memoryAtRestMb: number; readonly memoryWithSlowReadersMb: number }> {
+    const memoryAtRestMb = await residentMb(contest.daemonPid);
+    const call = toDaemonCall("streamed", contest);
+    const [host, port] = call.address.split(":");
+    const head = Object.entries(call.headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    const body = call.body ?? "";
+    const text = `POST ${call.path} HTTP/1.1\r\nhost: ${call.address}\r\n${head}content-length: ${body.length}\r\n\r\n${body}`;
+    const sockets: Socket[] = [];
+    for (let index = 0; index < SLOW_READERS; index++) {
+        const socket = connect({ host, port: Number(port) });
+        socket.on("error", () => socket.destroy());
+        socket.pause();
+        // Pipelined calls keep coming on a connection whose answers are not read.
+        socket.write(text.repeat(8));
+        sockets.push(socket);
+    }
+    let memoryWithSlowReadersMb = 0;
+    const giveUpAtMs = performance.now() + SLOW_READ_MS;
+    while (performance.now() < giveUpAtMs) {
+        memoryWithSlowReadersMb = Math.max(memoryWithSlowReadersMb, await residentMb(contest.daemonPid));
+        await new Promise(resolve => {
+            setTimeout(resolve, 100);
+        });
+    }
+    for (const socket of sockets) {
+        socket.destroy();
+    }
+    return { memoryAtRestMb, memoryWithSlowReadersMb };
+}
+
+async function residentMb(pid: number): Promise<number> {
+    const [, pages = "0"] = (await readFile(`/proc/${pid}/statm`, "utf8")).split(" ");
+    return Number(pages) * 4_096 / BYTES_PER_MB;
+}
+
+function summarise(kind: string, results: readonly LoadResult[]): Readonly<Record<string, number | string>> {
+    return {
+        kind,
+        callsPerSecond: Math.round(rate(results)),
+        p50Ms: median(results.map(result => result.p50Ms)),
+        p99Ms: median(results.map(result => result.p99Ms)),
+        failures: results.reduce((sum, result) => sum + result.failures, 0),
+    };
+}
+
+function rate(results: readonly LoadResult[]): number {
+    return median(results.map(result => result.calls / result.elapsedMs * 1_000));
+}
+
+function median(values: readonly number[]): number {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.floor(sorted.length / 2)];
+}
+
+function backendVm(pool: string, port: number): Vm {
+    return {
+        id: `${pool}-1`,
+        role: VmRole.Backend,
+        address: `127.0.0.1:${port}`,
+        failureDomain: "sul-a",
+        state: VmState.Live,
+        pool,
+    };
+}
+
+async function awaitAnswer(address: string, workspaceKey: string): Promise<void> {
+    const giveUpAtMs = performance.now() + 10_000;
+    while (performance.now() < giveUpAtMs) {
+        const response = await fetch(`http://${address}/v1/services/case-management/status`, {
+            headers: { authorization: `Bearer ${workspaceKey}` },
+        });
+        await response.arrayBuffer();
+        if (response.status === 200) {
+            return;
+        }
+        await new Promise(resolve => {
+            setTimeout(resolve, 100);
+        });
+    }
+    throw new Error(`Cannot measure ${address}: it answers no call`);
+}
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -61,6 +61,7 @@
     private readonly platform: FleetProcess[] = [];
     private ports: number[] = [];
     private platformAddresses: readonly string[] = [];
+    private readonly entryVms: Vm[] = [];
     private folder = "";
 
     /** @param settings See {@linkcode LocalFleetSettings}. */
@@ -139,10 +140,19 @@
         await Promise.all(this.backends.map(backend => awaitReady(`http://${backend.vm.address}/load`)));
     }
 
+    /**
+     * Sets the backend servers of the VM list.
+     *
+     * @param backends Backend servers; the entry VMs stay.
+     */
+    async publish(backends: readonly Vm[]): Promise<void> {
+        const body = JSON.stringify([...backends, ...this.entryVms]);
+        await fetch(`http://${this.platformAddresses[1]}/vms`, { method: "PUT", body });
+    }
+
     private async publishVms(daemonPorts: readonly number[]): Promise<void> {
-        const vms = this.backends.map(backend => backend.vm);
         for (const [index, { failureDomain }] of this.settings.deployment.entryVms.entries()) {
-            vms.push({
+            this.entryVms.push({
                 id: `entry-${index + 1}`,
                 role: VmRole.Entry,
                 address: `127.0.0.1:${daemonPorts[2 * index + 1]}`,
@@ -150,7 +160,7 @@
                 state: VmState.Live,
             });
         }
-        await fetch(`http://${this.platformAddresses[1]}/vms`, { method: "PUT", body: JSON.stringify(vms) });
+        await this.publish(this.backends.map(backend => backend.vm));
     }
 
     private async publishConfiguration(): Promise<void> {
