Spend less on each call's bookkeeping

Cause: profile under 'measure -- proxy': each ended call made an abort error with its stack (6.9% of the samples), read its body through an async iterator, built log lines that no level wrote, and sent small answers in three writes. Ruled out: metrics and hashing (under 2% each). Change: fixed abort reasons, body read by events, whole answers in one write with their length, chunks from a prefix made once a call, no log line built for calls unless debug is on.

--- a/src/coordination/_call_scope.ts
+++ b/src/coordination/_call_scope.ts
@@ -7,6 +7,11 @@
 import { type AcceptedCall, Executed, Refusal, RefusalType } from "../protocol/mod.js";
 import type { Clock } from "../state/mod.js";
 
+/** Reasons for the end of a scope; made once, since an error's stack is dear. */
+const SCOPE_CLOSED = new Error("the call has ended");
+const CALLER_GONE = new Error("the caller went away");
+const DEADLINE_PASSED = new Error("the deadline has passed");
+
 /** Bounds one call in time and collects whether it can have run. */
 export class CallScope {
     /** Is aborted at the deadline, when the caller goes away, or when the scope is closed. */
@@ -23,9 +28,9 @@
     constructor(readonly call: AcceptedCall, private readonly clock: Clock) {
         this.signal = this.controller.signal;
         const { gone } = call.incoming;
-        gone.addEventListener("abort", () => this.controller.abort(), { once: true });
+        gone.addEventListener("abort", () => this.controller.abort(CALLER_GONE), { once: true });
         if (gone.aborted) {
-            this.controller.abort();
+            this.controller.abort(CALLER_GONE);
         }
         void this.watchDeadline();
     }
@@ -37,7 +42,7 @@
 
     /** Ends the scope and everything that waits on its signal. */
     close(): void {
-        this.controller.abort();
+        this.controller.abort(SCOPE_CLOSED);
     }
 
     /** Returns the refusal that tells why the signal was aborted. */
@@ -53,7 +58,7 @@
         const elapsed = await this.clock.sleep(Math.max(0, this.remainingMs), this.signal);
         if (elapsed) {
             this.deadlinePassed = true;
-            this.controller.abort();
+            this.controller.abort(DEADLINE_PASSED);
         }
     }
 }
--- a/src/coordination/call_resolver.ts
+++ b/src/coordination/call_resolver.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 import {
     type AcceptedCall,
     type ChatCompletion,
@@ -91,7 +91,7 @@
                 },
             );
         }
-        const workspace = this.configuration.workspaceByKeyHash(createHash("sha256").update(bearerKey).digest("hex"));
+        const workspace = this.configuration.workspaceByKeyHash(hash("sha256", bearerKey));
         if (workspace === undefined) {
             throw new Refusal(
                 RefusalType.UnknownWorkspace,
--- a/src/coordination/model_dispatch.ts
+++ b/src/coordination/model_dispatch.ts
@@ -5,16 +5,16 @@
  */
 
 import {
+    type AnswerIdentity,
     type AnswerWriter,
+    ChunkEncoder,
     DispatchError,
     DispatchFault,
     DispatchStep,
-    encodeChunk,
     encodeCompletion,
     type Engine,
     type EngineEnd,
     type EngineToken,
-    STREAM_END,
 } from "../protocol/mod.js";
 import type { CallScope } from "./_call_scope.js";
 import type { CallPass } from "./call_guard.js";
@@ -38,11 +38,15 @@
     readonly scope: CallScope;
     readonly pass: CallPass;
     private readonly texts: string[] = [];
+    private readonly identity: AnswerIdentity;
+    private readonly encoder: ChunkEncoder;
 
     /** @param settings See {@linkcode ModelDispatchSettings}. */
     constructor(private readonly settings: ModelDispatchSettings) {
         this.scope = settings.scope;
         this.pass = settings.pass;
+        this.identity = { id: settings.scope.call.incoming.id, model: settings.model };
+        this.encoder = new ChunkEncoder(this.identity);
     }
 
     heldTokens(): number {
@@ -73,7 +77,7 @@
         this.texts.push(token.text);
         if (this.scope.call.streamed) {
             this.startStream();
-            await this.settings.writer.write(encodeChunk({ ...this.identity(), text: token.text }));
+            await this.settings.writer.write(this.encoder.encodeText(token.text));
         }
     }
 
@@ -85,15 +89,13 @@
 
     private async finish(end: EngineEnd): Promise<void> {
         const { writer } = this.settings;
-        if (this.scope.call.streamed) {
-            this.startStream();
-            await writer.write(encodeChunk({ ...this.identity(), text: "", finishReason: end.finishReason }));
-            await writer.write(STREAM_END);
-        }
-        else {
-            writer.writeHead({ status: 200, contentType: "application/json" });
-            await writer.write(encodeCompletion({ ...this.identity(), ...end, text: this.texts.join("") }));
+        if (!this.scope.call.streamed) {
+            const body = encodeCompletion({ ...this.identity, ...end, text: this.texts.join("") });
+            writer.writeWhole({ status: 200, contentType: "application/json" }, body);
+            return;
         }
+        this.startStream();
+        await writer.write(this.encoder.encodeEnd(end.finishReason));
         writer.end();
     }
 
@@ -103,10 +105,6 @@
         }
     }
 
-    private identity(): { readonly id: string; readonly model: string } {
-        return { id: this.scope.call.incoming.id, model: this.settings.model };
-    }
-
     private broken(peer: string, reason: string): DispatchError {
         return new DispatchError({ fault: DispatchFault.Broken, step: DispatchStep.ReadBody, peer, cause: new Error(reason) });
     }
--- a/src/coordination/request_handler.ts
+++ b/src/coordination/request_handler.ts
@@ -74,7 +74,7 @@
     private async serve(call: AcceptedCall, writer: AnswerWriter): Promise<void> {
         const pass = await this.settings.guard.enter(call);
         if (pass.recorded !== undefined) {
-            await writeServiceAnswer(writer, pass.recorded);
+            writeServiceAnswer(writer, pass.recorded);
             return;
         }
         const scope = new CallScope(call, this.settings.clock);
@@ -97,7 +97,7 @@
             const dispatch = new ServiceDispatch({ scope, pass, service: this.settings.plainService });
             await this.settings.dispatcher.run(dispatch);
             await pass.complete(dispatch.answer);
-            await writeServiceAnswer(writer, dispatch.answer as ServiceAnswer);
+            writeServiceAnswer(writer, dispatch.answer as ServiceAnswer);
             return timer;
         }
         const dispatch = new ModelDispatch({
@@ -118,10 +118,8 @@
     }
 }
 
-async function writeServiceAnswer(writer: AnswerWriter, answer: ServiceAnswer): Promise<void> {
-    writer.writeHead({ status: answer.status, contentType: answer.contentType });
-    await writer.write(answer.body);
-    writer.end();
+function writeServiceAnswer(writer: AnswerWriter, answer: ServiceAnswer): void {
+    writer.writeWhole({ status: answer.status, contentType: answer.contentType }, answer.body);
 }
 
 function toRefusal(error: unknown): Refusal {
--- a/src/daemon/event_log.ts
+++ b/src/daemon/event_log.ts
@@ -17,6 +17,9 @@
  */
 export function logEvents(ring: EventRing, logger: Logger): void {
     const write = (event: TimelineEvent) => {
+        if (event.requestId !== undefined && !logger.isLevelEnabled("debug")) {
+            return;
+        }
         const fields = { part: event.part, kind: event.kind, requestId: event.requestId, peer: event.peer };
         const line = `${event.part}: ${event.text}`;
         if (event.requestId === undefined) {
--- a/src/protocol/call.ts
+++ b/src/protocol/call.ts
@@ -82,8 +82,19 @@
         if (refusal.retryAfterMs !== undefined) {
             headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)));
         }
-        this.writeHead({ status: refusal.status, contentType: "application/problem+json", headers });
-        void this.write(Buffer.from(refusal.toProblem()));
+        const head = { status: refusal.status, contentType: "application/problem+json", headers };
+        this.writeWhole(head, Buffer.from(refusal.toProblem()));
+    }
+
+    /**
+     * Writes a whole answer at once.
+     *
+     * @param head Status and headers.
+     * @param body Whole body.
+     */
+    writeWhole(head: AnswerHead, body: Uint8Array): void {
+        this.writeHead(head);
+        void this.write(body);
         this.end();
     }
 
--- a/src/protocol/chat_completion.ts
+++ b/src/protocol/chat_completion.ts
@@ -70,38 +70,40 @@
     }
 }
 
-/** Settings of a streamed chunk. */
-export interface ChunkSettings {
+/** Who answers whom: what all parts of one answer carry. */
+export interface AnswerIdentity {
     readonly id: string;
     readonly model: string;
-    /** Text of the chunk; empty in the last one. */
-    readonly text: string;
-    /** Reason for the end, in the last chunk only. */
-    readonly finishReason?: string;
 }
 
 /** Marker that ends a whole streamed answer. */
-export const STREAM_END = Buffer.from("data: [DONE]\n\n");
+const STREAM_END = "data: [DONE]\n\n";
 
-/**
- * Writes one chunk of a streamed answer as a server-sent event.
- *
- * @param settings See {@linkcode ChunkSettings}.
- */
-export function encodeChunk(settings: ChunkSettings): Buffer {
-    const choice = {
-        index: 0,
-        delta: settings.text === "" ? {} : { content: settings.text },
-        // The convention has null, not an absent field, in all chunks but the last.
-        // eslint-disable-next-line no-restricted-syntax
-        finish_reason: settings.finishReason ?? null,
-    };
-    const chunk = { id: settings.id, object: "chat.completion.chunk", model: settings.model, choices: [choice] };
-    return Buffer.from(`data: ${JSON.stringify(chunk)}\n\n`);
+/** Writes the chunks of one streamed answer as server-sent events. */
+export class ChunkEncoder {
+    private readonly prefix: string;
+
+    /** @param identity Id and model that each chunk carries. */
+    constructor(identity: AnswerIdentity) {
+        const head = JSON.stringify({ id: identity.id, object: "chat.completion.chunk", model: identity.model });
+        this.prefix = `data: ${head.slice(0, -1)},"choices":[{"index":0,"delta":`;
+    }
+
+    /** Writes a chunk that carries text. */
+    encodeText(text: string): Buffer {
+        return Buffer.from(`${this.prefix}{"content":${JSON.stringify(text)}},"finish_reason":null}]}\n\n`);
+    }
+
+    /** Writes the last chunk and the marker after it. */
+    encodeEnd(finishReason: string): Buffer {
+        return Buffer.from(`${this.prefix}{},"finish_reason":${JSON.stringify(finishReason)}}]}\n\n${STREAM_END}`);
+    }
 }
 
 /** Settings of a whole answer. */
-export interface CompletionSettings extends ChunkSettings {
+export interface CompletionSettings extends AnswerIdentity {
+    readonly text: string;
+    readonly finishReason: string;
     readonly promptTokens: number;
     readonly outputTokens: number;
 }
@@ -118,6 +120,6 @@
         completion_tokens: settings.outputTokens,
         total_tokens: settings.promptTokens + settings.outputTokens,
     };
-    const choices = [{ index: 0, message, finish_reason: settings.finishReason ?? "stop" }];
+    const choices = [{ index: 0, message, finish_reason: settings.finishReason }];
     return Buffer.from(JSON.stringify({ id: settings.id, object: "chat.completion", model: settings.model, choices, usage }));
 }
--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -50,10 +50,10 @@
         const { method, path, headers, body } = request;
         pool.dispatch({ method: method as "GET", path, headers, body }, {
             onRequestStart: controller => this.start(controller),
-            onResponseStart: (_controller, status, responseHeaders) => this.takeHead(status, responseHeaders),
-            onResponseData: (_controller, chunk) => this.takeChunk(chunk),
+            onResponseStart: (controller, status, responseHeaders) => this.takeHead(status, responseHeaders),
+            onResponseData: (controller, chunk) => this.takeChunk(chunk),
             onResponseEnd: () => this.finish(),
-            onResponseError: (_controller, error) => this.fail(error),
+            onResponseError: (controller, error) => this.fail(error),
         });
     }
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -37,6 +37,9 @@
 /** Longest time that a caller may take to send a whole call, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Reason for the end of a call whose connection closed. */
+const CALLER_GONE = new Error("the caller went away");
+
 /** Answers of the operations side, such as `/metrics`. */
 export interface OperationsPage {
     readonly status: number;
@@ -132,7 +135,7 @@
         const gone = new AbortController();
         response.on("close", () => {
             if (!response.writableFinished) {
-                gone.abort();
+                gone.abort(CALLER_GONE);
             }
         });
         let body: Buffer;
@@ -172,28 +175,39 @@
         };
     }
 
-    private async readBody(request: IncomingMessage): Promise<Buffer> {
+    private readBody(request: IncomingMessage): Promise<Buffer> {
         checkHeaders(request);
-        const chunks: Buffer[] = [];
-        let size = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
+        if (request.headers["content-length"] === undefined && request.headers["transfer-encoding"] === undefined) {
+            return Promise.resolve(EMPTY_BODY);
+        }
+        return new Promise((resolve, reject) => {
+            const chunks: Buffer[] = [];
+            let size = 0;
+            const fail = (error: Error) => {
+                request.removeAllListeners("data");
+                this.heldBodyBytes -= size;
+                size = 0;
+                reject(error);
+            };
+            request.on("data", (chunk: Buffer) => {
                 size += chunk.length;
                 this.heldBodyBytes += chunk.length;
-                this.checkBodySize(size);
+                const refusal = this.checkBodySize(size);
+                if (refusal !== undefined) {
+                    fail(refusal);
+                    return;
+                }
                 chunks.push(chunk);
-            }
-        }
-        catch (error) {
-            this.heldBodyBytes -= size;
-            throw error;
-        }
-        return Buffer.concat(chunks, size);
+            });
+            request.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
+            request.on("error", fail);
+            request.on("aborted", () => fail(CALLER_GONE));
+        });
     }
 
-    private checkBodySize(size: number): void {
+    private checkBodySize(size: number): Refusal | undefined {
         if (size > MAX_BODY_BYTES) {
-            throw new Refusal(RefusalType.BodyTooLarge, `Body is larger than ${MAX_BODY_BYTES} bytes. Send a smaller one.`, {
+            return new Refusal(RefusalType.BodyTooLarge, `Body is larger than ${MAX_BODY_BYTES} bytes. Send a smaller one.`, {
                 field: "body",
             });
         }
@@ -205,6 +219,9 @@
     }
 }
 
+/** Body of a call without one. */
+const EMPTY_BODY = Buffer.alloc(0);
+
 /** Path and query of a call. */
 interface CallTarget {
     readonly path: string;
@@ -247,6 +264,11 @@
         });
     }
 
+    override writeWhole(head: AnswerHead, body: Uint8Array): void {
+        this.writeHead({ ...head, headers: { ...head.headers, "content-length": String(body.length) } });
+        this.response.end(body);
+    }
+
     override end(): void {
         this.response.end();
     }
