Send the chunks of one turn of the event loop together

Cause: 14% of the daemon's samples under 'measure -- proxy' were writev calls of three small buffers for each token, though the tokens of one network chunk are handled in one turn. Ruled out: corking by the HTTP library alone (it corks per turn, but still writes three buffers for each chunk). Change: HttpAnswerWriter joins what is written in one turn; the experiment also gives processor time for each call, which suffers less from other work on the machine than calls a second do. Conclusion: kept for the fewer system calls; the target is to be measured again on a quiet machine.

--- a/measure/proxy.ts
+++ b/measure/proxy.ts
@@ -45,10 +45,14 @@
 /** Deployment that the experiment changes. */
 const DEPLOYMENT = "examples/rastro-sul.yaml";
 
+/** Microseconds in a clock tick of `/proc`. */
+const US_PER_TICK = 10_000;
+
 /** Two addresses under comparison, with the process id of the daemon. */
 interface Contest {
     readonly relay: string;
     readonly daemon: string;
+    readonly relayPid: number;
     readonly daemonPid: number;
     readonly workspaceKey: string;
 }
@@ -56,8 +60,14 @@
 /** Figures of one kind of call. */
 interface Comparison {
     readonly kind: string;
-    readonly relay: LoadResult[];
-    readonly daemon: LoadResult[];
+    readonly relay: TurnResult[];
+    readonly daemon: TurnResult[];
+}
+
+/** Result of one turn. */
+interface TurnResult extends LoadResult {
+    /** Processor time of the relay or the daemon for each call, in microseconds. */
+    readonly processorUs: number;
 }
 
 /** Compares a daemon with a bare relay, in turns. */
@@ -88,6 +98,7 @@
         return await body({
             relay: `127.0.0.1:${relayPort}`,
             daemon: daemon.callers,
+            relayPid: relay.pid ?? 0,
             daemonPid: daemon.process.pid ?? 0,
             workspaceKey: key,
         });
@@ -130,17 +141,25 @@
     const comparison: Comparison = { kind, relay: [], daemon: [] };
     const relayCall = toRelayCall(kind, contest);
     const daemonCall = toDaemonCall(kind, contest);
-    await turn(relayCall);
-    await turn(daemonCall);
+    await turn(relayCall, contest.relayPid);
+    await turn(daemonCall, contest.daemonPid);
     for (let round = 0; round < ROUNDS; round++) {
-        comparison.relay.push(await turn(relayCall));
-        comparison.daemon.push(await turn(daemonCall));
+        comparison.relay.push(await turn(relayCall, contest.relayPid));
+        comparison.daemon.push(await turn(daemonCall, contest.daemonPid));
     }
     return comparison;
 }
 
-function turn(call: LoadCall): Promise<LoadResult> {
-    return runLoad({ call, connections: CONNECTIONS_PER_THREAD, durationMs: TURN_MS }, LOAD_THREADS);
+async function turn(call: LoadCall, pid: number): Promise<TurnResult> {
+    const beforeUs = await processorTimeUs(pid);
+    const result = await runLoad({ call, connections: CONNECTIONS_PER_THREAD, durationMs: TURN_MS }, LOAD_THREADS);
+    return { ...result, processorUs: (await processorTimeUs(pid) - beforeUs) / result.calls };
+}
+
+/** Reads the processor time of a process, in microseconds; see proc(5), fields 14 and 15 of `stat`. */
+async function processorTimeUs(pid: number): Promise<number> {
+    const fields = (await readFile(`/proc/${pid}/stat`, "utf8")).split(") ")[1].split(" ");
+    return (Number(fields[11]) + Number(fields[12])) * US_PER_TICK;
 }
 
 function toRelayCall(kind: string, contest: Contest): LoadCall {
@@ -212,12 +231,13 @@
     return Number(pages) * 4_096 / BYTES_PER_MB;
 }
 
-function summarise(kind: string, results: readonly LoadResult[]): Readonly<Record<string, number | string>> {
+function summarise(kind: string, results: readonly TurnResult[]): Readonly<Record<string, number | string>> {
     return {
         kind,
         callsPerSecond: Math.round(rate(results)),
         p50Ms: median(results.map(result => result.p50Ms)),
         p99Ms: median(results.map(result => result.p99Ms)),
+        processorUsPerCall: Math.round(median(results.map(result => result.processorUs))),
         failures: results.reduce((sum, result) => sum + result.failures, 0),
     };
 }
--- /dev/null
+++ b/src/transport/_http_answer_writer.ts
@@ -0,0 +1,79 @@
+/**
+ * Answers to callers over HTTP.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import { type AnswerHead, AnswerWriter } from "../protocol/mod.js";
+
+/** Writes an answer to an HTTP connection; chunks that are written in one turn of the event loop leave together. */
+export class HttpAnswerWriter extends AnswerWriter {
+    private pending: Uint8Array[] = [];
+    private readonly flushPending = () => this.flush();
+
+    /**
+     * @param response Response of the HTTP library.
+     * @param isClosing Whether the server closes connections after their answers.
+     */
+    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+        super();
+    }
+
+    override get started(): boolean {
+        return this.response.headersSent;
+    }
+
+    override writeHead(head: AnswerHead): void {
+        const headers: Record<string, string> = { "content-type": head.contentType, ...head.headers };
+        if (this.isClosing()) {
+            headers["connection"] = "close";
+        }
+        this.response.writeHead(head.status, headers);
+    }
+
+    override async write(chunk: Uint8Array): Promise<void> {
+        if (this.pending.length === 0) {
+            process.nextTick(this.flushPending);
+        }
+        this.pending.push(chunk);
+        if (this.response.writableNeedDrain && !this.response.destroyed) {
+            await this.awaitDrain();
+        }
+    }
+
+    override writeWhole(head: AnswerHead, body: Uint8Array): void {
+        this.writeHead({ ...head, headers: { ...head.headers, "content-length": String(body.length) } });
+        this.response.end(body);
+    }
+
+    override end(): void {
+        const rest = Buffer.concat(this.pending);
+        this.pending = [];
+        this.response.end(rest);
+    }
+
+    override abort(): void {
+        this.pending = [];
+        this.response.destroy();
+    }
+
+    private flush(): void {
+        if (this.pending.length > 0 && !this.response.destroyed) {
+            this.response.write(this.pending.length === 1 ? this.pending[0] : Buffer.concat(this.pending));
+        }
+        this.pending = [];
+    }
+
+    private awaitDrain(): Promise<void> {
+        return new Promise(resolve => {
+            const finish = () => {
+                this.response.off("drain", finish);
+                this.response.off("close", finish);
+                resolve();
+            };
+            this.response.on("drain", finish);
+            this.response.on("close", finish);
+        });
+    }
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -6,15 +6,8 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import {
-    type AnswerHead,
-    AnswerWriter,
-    type CallHandler,
-    Executed,
-    type IncomingCall,
-    Refusal,
-    RefusalType,
-} from "../protocol/mod.js";
+import { type CallHandler, Executed, type IncomingCall, Refusal, RefusalType } from "../protocol/mod.js";
+import { HttpAnswerWriter } from "./_http_answer_writer.js";
 
 /** Largest body of a call, in bytes. */
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -228,56 +221,6 @@
     readonly query: string;
 }
 
-/** Writes an answer to an HTTP connection. */
-class HttpAnswerWriter extends AnswerWriter {
-    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
-        super();
-    }
-
-    override get started(): boolean {
-        return this.response.headersSent;
-    }
-
-    override writeHead(head: AnswerHead): void {
-        const headers: Record<string, string> = { "content-type": head.contentType };
-        for (const [name, value] of Object.entries(head.headers ?? {})) {
-            headers[name] = value;
-        }
-        if (this.isClosing()) {
-            headers["connection"] = "close";
-        }
-        this.response.writeHead(head.status, headers);
-    }
-
-    override async write(chunk: Uint8Array): Promise<void> {
-        if (this.response.write(chunk) || this.response.destroyed) {
-            return;
-        }
-        await new Promise<void>(resolve => {
-            const finish = () => {
-                this.response.off("drain", finish);
-                this.response.off("close", finish);
-                resolve();
-            };
-            this.response.on("drain", finish);
-            this.response.on("close", finish);
-        });
-    }
-
-    override writeWhole(head: AnswerHead, body: Uint8Array): void {
-        this.writeHead({ ...head, headers: { ...head.headers, "content-length": String(body.length) } });
-        this.response.end(body);
-    }
-
-    override end(): void {
-        this.response.end();
-    }
-
-    override abort(): void {
-        this.response.destroy();
-    }
-}
-
 function singleHeader(request: IncomingMessage, name: string): string | undefined {
     const value = request.headers[name];
     return typeof value === "string" ? value : undefined;
