--- /dev/null
+++ b/features/steps/caller_interface_steps.ts
@@ -0,0 +1,428 @@
+/**
+ * Steps about HTTP towards callers and backend servers, over real loopback connections.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AnswerWriter, CallHandler, DispatchError, type IncomingCall } from "../../src/protocol/mod.js";
+import { type Vm, VmRole, VmState } from "../../src/state/mod.js";
+import { HttpClient, HttpEngine, HttpPlainService, HttpServer } from "../../src/transport/mod.js";
+import type { Scenario } from "../support/world.js";
+
+/** Longest time that a caller may take to send a call in these tests, in milliseconds. */
+const BODY_TIMEOUT_MS = 300;
+
+/** Time between two looks at a condition, in milliseconds. */
+const POLL_MS = 10;
+
+/** Longest time to wait for a condition, in milliseconds. */
+const CONDITION_TIMEOUT_MS = 30_000;
+
+/** Time after which a request to a server that never answers is cancelled, in milliseconds. */
+const CANCEL_AFTER_MS = 200;
+
+/** Handler whose behaviour a scenario sets. */
+class ScriptedHandler extends CallHandler {
+    calls = 0;
+    writtenBytes = 0;
+    ended = false;
+
+    constructor(private readonly script: (writer: AnswerWriter, handler: ScriptedHandler, call: IncomingCall) => Promise<void>) {
+        super();
+    }
+
+    override async handle(call: IncomingCall, writer: AnswerWriter): Promise<void> {
+        this.calls += 1;
+        await this.script(writer, this, call);
+        this.ended = true;
+    }
+}
+
+/** Connections and servers of one scenario. */
+class HttpBench {
+    handler: ScriptedHandler | undefined;
+    server: HttpServer | undefined;
+    port = 0;
+    backend: Server | undefined;
+    backendPort = 0;
+    readonly client = new HttpClient();
+    readonly sockets: Socket[] = [];
+    readonly replies: string[] = [];
+    readonly errors: unknown[] = [];
+
+    /** Starts the HTTP server with a handler. */
+    async serve(handler: ScriptedHandler): Promise<void> {
+        this.handler = handler;
+        this.server = new HttpServer({
+            node: "entry-1",
+            handler,
+            operationsPage: () => Promise.resolve(undefined),
+            limits: {
+                maxBodyBytes: 1_000,
+                maxHeldBodyBytes: 3_000,
+                headersTimeoutMs: BODY_TIMEOUT_MS,
+                bodyTimeoutMs: BODY_TIMEOUT_MS,
+            },
+        });
+        this.port = await this.server.listen("127.0.0.1", 0);
+    }
+
+    /** Opens a connection whose replies are collected. */
+    open(): Socket {
+        const socket = connect({ host: "127.0.0.1", port: this.port });
+        const index = this.replies.push("") - 1;
+        socket.on("data", chunk => {
+            this.replies[index] += chunk.toString("latin1");
+        });
+        socket.on("error", () => socket.destroy());
+        this.sockets.push(socket);
+        return socket;
+    }
+
+    /** Starts a backend server. */
+    async serveBackend(answer: (request: IncomingMessage, response: ServerResponse) => void): Promise<void> {
+        this.backend = createServer(answer);
+        this.backend.listen(0, "127.0.0.1");
+        await once(this.backend, "listening");
+        this.backendPort = (this.backend.address() as AddressInfo).port;
+    }
+
+    /** Closes everything. */
+    async close(): Promise<void> {
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+        this.server?.close();
+        await this.client.close();
+        this.backend?.closeAllConnections();
+        this.backend?.close();
+    }
+}
+
+/** Bench of each scenario that has one. */
+const benches = new WeakMap<Scenario, HttpBench>();
+
+function benchOf(scenario: Scenario): HttpBench {
+    let bench = benches.get(scenario);
+    if (bench === undefined) {
+        bench = new HttpBench();
+        benches.set(scenario, bench);
+    }
+    return bench;
+}
+
+After(async function(this: Scenario) {
+    await benches.get(this)?.close();
+});
+
+Given("an HTTP server that takes bodies of 1000 bytes and holds 3000 bytes", async function(this: Scenario) {
+    await benchOf(this).serve(
+        new ScriptedHandler(async writer => writer.writeWhole({ status: 200, contentType: "text/plain" }, Buffer.alloc(0))),
+    );
+});
+
+Given(
+    "an HTTP server whose handler writes {int} chunks of {int} bytes",
+    async function(this: Scenario, count: number, size: number) {
+        const chunk = Buffer.alloc(size);
+        await benchOf(this).serve(
+            new ScriptedHandler(async (writer, handler, call) => {
+                writer.writeHead({ status: 200, contentType: "text/plain" });
+                for (let index = 0; index < count && !call.gone.aborted; index++) {
+                    handler.writtenBytes += size;
+                    await writer.write(chunk);
+                    await new Promise(resolve => {
+                        setImmediate(resolve);
+                    });
+                }
+            }),
+        );
+    },
+);
+
+Given("an HTTP server whose handler breaks off after its first chunk", async function(this: Scenario) {
+    await benchOf(this).serve(
+        new ScriptedHandler(async writer => {
+            writer.writeHead({ status: 200, contentType: "text/plain" });
+            await writer.write(Buffer.from("first"));
+            await new Promise(resolve => {
+                setImmediate(resolve);
+            });
+            writer.abort();
+        }),
+    );
+});
+
+Given(/^a backend server over HTTP that (.*)$/, async function(this: Scenario, fault: string) {
+    const bench = benchOf(this);
+    await bench.serveBackend(faultyBackend(fault));
+    if (fault === "refuses the connection") {
+        bench.backend?.close();
+        await once(bench.backend as Server, "close");
+    }
+});
+
+When(
+    /^a connection sends (a body of 1001 bytes|a chunked body of 1001 bytes|101 headers|a header of 40000 bytes|"NOT HTTP"|half a body and then nothing)$/,
+    async function(
+        this: Scenario,
+        bytes: string,
+    ) {
+        const bench = benchOf(this);
+        bench.open().write(badCall(bytes));
+        await waitUntil(() => bench.replies[0].includes("}"));
+    },
+);
+
+When("{int} connections each send {int} bytes of a body and wait", async function(this: Scenario, count: number, size: number) {
+    const bench = benchOf(this);
+    for (let index = 0; index < count; index++) {
+        bench.open().write(`POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n${"b".repeat(size)}`);
+    }
+    await waitUntil(() => bench.replies.some(reply => reply.includes("overloaded")));
+});
+
+When("a connection sends half a body and closes", async function(this: Scenario) {
+    const bench = benchOf(this);
+    const socket = bench.open();
+    socket.write("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\nhalf");
+    await waitUntil(() => (bench.server?.bodyBytes ?? 0) > 0);
+    socket.destroy();
+    await waitUntil(() => bench.server?.connections === 0);
+});
+
+When("a connection sends a call and reads nothing", async function(this: Scenario) {
+    const bench = benchOf(this);
+    const socket = bench.open();
+    socket.pause();
+    socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    await waitUntil(() => (bench.handler?.writtenBytes ?? 0) > 0);
+    await waitUntilSteady(() => bench.handler?.writtenBytes ?? 0);
+});
+
+When("a connection sends a call and reads to the end", async function(this: Scenario) {
+    const bench = benchOf(this);
+    const socket = bench.open();
+    socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    await once(socket, "close");
+});
+
+When("the adapter for {string} sends a request", async function(this: Scenario, kind: string) {
+    const bench = benchOf(this);
+    bench.errors.push(await failureOf(bench, kind, "request-1", AbortSignal.timeout(CANCEL_AFTER_MS)));
+});
+
+When("{int} requests are sent to it at the same time", async function(this: Scenario, count: number) {
+    const bench = benchOf(this);
+    const sends = Array.from({ length: count }, (value, index) => {
+        return failureOf(bench, "service", `request-${index}`, new AbortController().signal);
+    });
+    bench.errors.push(...await Promise.all(sends));
+});
+
+Then(
+    "the connection gets status {int} with problem {string} and field {string}",
+    function(this: Scenario, status: number, type: string, field: string) {
+        const [reply] = benchOf(this).replies;
+        assert.match(reply, new RegExp(`^HTTP/1.1 ${status} `));
+        const problem = JSON.parse(reply.slice(reply.indexOf("{"))) as {
+            readonly type: string;
+            readonly field: string;
+            readonly executed: string;
+        };
+        assert.deepEqual([problem.type, problem.field, problem.executed], [`urn:foxtailrail:problem:${type}`, field, "no"]);
+    },
+);
+
+Then("no call reaches the handler", function(this: Scenario) {
+    assert.equal(benchOf(this).handler?.calls, 0);
+});
+
+Then("the server holds no body", async function(this: Scenario) {
+    await waitUntil(() => benchOf(this).server?.bodyBytes === 0);
+});
+
+Then("the server holds at most {int} bytes", function(this: Scenario, bytes: number) {
+    assert.ok((benchOf(this).server?.bodyBytes ?? Infinity) <= bytes);
+});
+
+Then("one of the connections is refused as {string} with a time to come back", function(this: Scenario, type: string) {
+    const refused = benchOf(this).replies.filter(reply => reply.includes(`urn:foxtailrail:problem:${type}`));
+    assert.equal(refused.length, 1);
+    assert.match(refused[0], /retry-after: \d+/i);
+});
+
+Then("the handler waits with at most {int} bytes not yet taken by the connection", function(this: Scenario, bytes: number) {
+    const { handler } = benchOf(this);
+    assert.equal(handler?.ended, false);
+    // The operating system's buffers on both ends of the connection take part of what was written.
+    assert.ok((handler?.writtenBytes ?? Infinity) <= bytes + socketBufferBytes());
+});
+
+Then("the handler ends when the connection closes", async function(this: Scenario) {
+    const bench = benchOf(this);
+    bench.sockets[0].destroy();
+    await waitUntil(() => bench.handler?.ended === true);
+});
+
+Then("the answer has its first chunk and no end", function(this: Scenario) {
+    const [reply] = benchOf(this).replies;
+    assert.ok(reply.includes("first"));
+    assert.ok(!reply.includes("\r\n0\r\n\r\n"));
+});
+
+Then("the dispatch fails as {string} with executed {string}", function(this: Scenario, fault: string, executed: string) {
+    const [error] = benchOf(this).errors;
+    assert.ok(error instanceof DispatchError, String(error));
+    assert.deepEqual([error.fault, error.executed, error.peer], [fault, executed, "backend-1"], error.message);
+});
+
+Then("each request gets its own answer or fails as {string}", function(this: Scenario, fault: string) {
+    for (const error of benchOf(this).errors) {
+        assert.ok(error === undefined || error instanceof DispatchError && error.fault === fault, String(error));
+    }
+});
+
+Then("{int} requests failed as {string}", function(this: Scenario, count: number, fault: string) {
+    const failed = benchOf(this).errors.filter(error => error instanceof DispatchError && error.fault === fault);
+    assert.equal(failed.length, count);
+});
+
+/** Largest buffers that the operating system gives the two ends of a loopback connection, in bytes. */
+function socketBufferBytes(): number {
+    return 10_000_000;
+}
+
+function badCall(bytes: string): string {
+    const line = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n";
+    switch (bytes) {
+        case "a body of 1001 bytes":
+            return `${line}content-length: 1001\r\n\r\n${"b".repeat(1_001)}`;
+        case "a chunked body of 1001 bytes":
+            return `${line}transfer-encoding: chunked\r\n\r\n3e9\r\n${"b".repeat(1_001)}\r\n0\r\n\r\n`;
+        case "101 headers":
+            return `${line}${Array.from({ length: 100 }, (value, index) => `x-${index}: 1\r\n`).join("")}\r\n`;
+        case "a header of 40000 bytes":
+            return `${line}x-large: ${"h".repeat(40_000)}\r\n\r\n`;
+        case '"NOT HTTP"':
+            return "NOT HTTP\r\n\r\n";
+        default:
+            return `${line}content-length: 1000\r\n\r\nhalf`;
+    }
+}
+
+function faultyBackend(fault: string): (request: IncomingMessage, response: ServerResponse) => void {
+    const waiting: ServerResponse[] = [];
+    return (request, response) => {
+        const id = String(request.headers["x-request-id"]);
+        const stream = { "content-type": "text/event-stream", "x-request-id": id };
+        const token = (index: number) => `data: ${JSON.stringify({ id, token: { index, text: "t" } })}\n\n`;
+        switch (fault) {
+            case "closes after the request line":
+                request.socket.destroy();
+                return;
+            case "answers with status 500":
+                response.writeHead(500).end();
+                return;
+            case "answers with another id":
+                response.writeHead(200, { ...stream, "x-request-id": "other" });
+                response.end(`data: ${JSON.stringify({ id: "other", token: { index: 0, text: "t" } })}\n\n`);
+                return;
+            case "breaks off after two tokens":
+            case "breaks off in the body":
+                response.writeHead(200, stream);
+                response.write(token(0) + token(1), () => response.destroy());
+                return;
+            case "ends cleanly after two tokens":
+                response.writeHead(200, stream).end(token(0) + token(1));
+                return;
+            case "sends an event that is not JSON":
+                response.writeHead(200, stream).end("data: {\n\n");
+                return;
+            case "swaps the answers of every two requests":
+                response.setHeader("x-request-id", id);
+                waiting.push(response);
+                swapPair(waiting);
+                return;
+            default:
+                // The request stays without an answer.
+        }
+    };
+}
+
+function swapPair(waiting: ServerResponse[]): void {
+    if (waiting.length < 2) {
+        return;
+    }
+    const [first, second] = waiting.splice(0, 2);
+    const firstId = String(first.getHeader("x-request-id"));
+    first.setHeader("x-request-id", String(second.getHeader("x-request-id")));
+    second.setHeader("x-request-id", firstId);
+    first.end("answer");
+    second.end("answer");
+}
+
+/** Sends one request and returns its error, or `undefined` when it got its whole answer. */
+async function failureOf(bench: HttpBench, kind: string, id: string, signal: AbortSignal): Promise<unknown> {
+    const vm: Vm = {
+        id: "backend-1",
+        role: VmRole.Backend,
+        address: `127.0.0.1:${bench.backendPort}`,
+        failureDomain: "sul-a",
+        state: VmState.Live,
+    };
+    try {
+        if (kind === "service") {
+            const request = {
+                id,
+                method: "GET",
+                target: "/",
+                contentType: undefined,
+                idempotencyKey: undefined,
+                body: Buffer.alloc(0),
+            };
+            await new HttpPlainService(bench.client).send(vm, request, signal);
+            return undefined;
+        }
+        for await (
+            const event of new HttpEngine(bench.client).generate(vm, { id, body: Buffer.from("{}"), fromToken: 0 }, signal)
+        ) {
+            assert.equal(event.kind, "token");
+        }
+        return undefined;
+    }
+    catch (error) {
+        return error;
+    }
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    const giveUpAtMs = Date.now() + CONDITION_TIMEOUT_MS;
+    while (!condition()) {
+        assert.ok(Date.now() < giveUpAtMs, `Cannot wait for condition: it has not come within ${CONDITION_TIMEOUT_MS} ms`);
+        await pause();
+    }
+}
+
+/** Waits until a value has not changed over many looks. */
+async function waitUntilSteady(read: () => number): Promise<void> {
+    let last = read();
+    for (let steadyLooks = 0; steadyLooks < 30; steadyLooks++) {
+        await pause();
+        if (read() !== last) {
+            last = read();
+            steadyLooks = 0;
+        }
+    }
+}
+
+function pause(): Promise<void> {
+    return new Promise(resolve => {
+        setTimeout(resolve, POLL_MS);
+    });
+}
--- /dev/null
+++ b/features/steps/settings_steps.ts
@@ -0,0 +1,113 @@
+/**
+ * Steps about settings files.
+ *
+ * @module
+ */
+
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parse, parseDocument } from "yaml";
+import { parseSettings, type Settings } from "../../src/daemon/mod.js";
+import type { Scenario } from "../support/world.js";
+
+/** Example settings, which the reference in docs/OPERATING.md shows too. */
+const EXAMPLE_FILE = "examples/entry-1.yaml";
+
+/** Result of reading settings. */
+interface ReadResult {
+    readonly settings?: Settings;
+    readonly error?: Error;
+}
+
+/** Result of a run of the daemon. */
+interface RunResult {
+    readonly code: number | undefined;
+    readonly output: string;
+}
+
+const reads = new WeakMap<Scenario, ReadResult>();
+const runs = new WeakMap<Scenario, RunResult>();
+
+When("valid settings are read", function(this: Scenario) {
+    reads.set(this, read(exampleText()));
+});
+
+When(/^settings are read in which "([^"]*)" is (.*)$/, function(this: Scenario, path: string, value: string) {
+    reads.set(this, read(change(exampleText(), path, value)));
+});
+
+When(
+    /^settings are read in which "([^"]*)" and "([^"]*)" are both wrong$/,
+    function(this: Scenario, first: string, second: string) {
+        reads.set(this, read(change(change(exampleText(), first, '"?"'), second, '"?"')));
+    },
+);
+
+When(/^the daemon checks a file that is (.*)$/, function(this: Scenario, state: string) {
+    const folder = mkdtempSync(join(tmpdir(), "foxtailrail-settings-"));
+    const file = join(folder, "entry.yaml");
+    const text = exampleText();
+    const texts: Readonly<Record<string, string | undefined>> = {
+        valid: text,
+        "not YAML": "node: [",
+        wrong: change(text, "node", '"?"'),
+    };
+    if (texts[state] !== undefined) {
+        writeFileSync(file, texts[state]);
+    }
+    const result = spawnSync(process.execPath, ["dist/src/daemon/main.js", "--settings", file, "--check"], { encoding: "utf8" });
+    runs.set(this, { code: result.status ?? undefined, output: result.stdout + result.stderr });
+    rmSync(folder, { recursive: true });
+});
+
+Then("the drain limit is {int} ms and the log level is {string}", function(this: Scenario, limitMs: number, logLevel: string) {
+    const settings = reads.get(this)?.settings;
+    assert.deepEqual([settings?.drain.limitMs, settings?.logLevel], [limitMs, logLevel]);
+});
+
+Then(/^the error names "([^"]*)", (.*) and "([^"]*)"$/, function(this: Scenario, path: string, shown: string, allowed: string) {
+    const message = reads.get(this)?.error?.message ?? "";
+    for (const part of [`"${path}"`, shown.replace(/^"(.*)"$/, "$1"), allowed]) {
+        assert.ok(message.includes(part), `${message} lacks ${part}`);
+    }
+});
+
+Then("the error names both", function(this: Scenario) {
+    const message = reads.get(this)?.error?.message ?? "";
+    assert.match(message, /"node"[^]*"listen.peers"/);
+});
+
+Then("it exits with {int} and says {string}", function(this: Scenario, code: number, text: string) {
+    const run = runs.get(this);
+    assert.equal(run?.code, code, run?.output);
+    assert.ok(run?.output.includes(text.replaceAll('\\"', '"')), run?.output);
+});
+
+function exampleText(): string {
+    return readFileSync(EXAMPLE_FILE, "utf8");
+}
+
+function read(text: string): ReadResult {
+    try {
+        return { settings: parseSettings(text, "entry.yaml") };
+    }
+    catch (error) {
+        return { error: error as Error };
+    }
+}
+
+function change(text: string, path: string, value: string): string {
+    const document = parseDocument(text);
+    const keys = path.split(".");
+    if (value === "missing") {
+        document.deleteIn(keys);
+    }
+    else {
+        document.setIn(keys, parse(value));
+    }
+    return document.toString();
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -16,10 +16,10 @@
 export const MAX_HELD_BODY_BYTES = 64 * 1024 * 1024;
 
 /** Headers of a call. */
-export const MAX_HEADERS = 100;
+const MAX_HEADERS = 100;
 
 /** Bytes of all headers of a call. */
-export const MAX_HEADER_BYTES = 32 * 1024;
+const MAX_HEADER_BYTES = 32 * 1024;
 
 /** Connections of callers. */
 export const MAX_CALLER_CONNECTIONS = 8_192;
@@ -33,6 +33,9 @@
 /** Reason for the end of a call whose connection closed. */
 const CALLER_GONE = new Error("the caller went away");
 
+/** Time between two looks for callers that are too slow, in milliseconds. */
+const CONNECTION_CHECK_MS = 1_000;
+
 /** Answers of the operations side, such as `/metrics`. */
 export interface OperationsPage {
     readonly status: number;
@@ -40,8 +43,30 @@
     readonly body: string;
 }
 
+/** Limits of a {@linkcode HttpServer}. */
+export interface HttpServerLimits {
+    /** Largest body of a call, in bytes. Defaults to {@linkcode MAX_BODY_BYTES}. */
+    readonly maxBodyBytes: number;
+    /** Bytes of bodies held at the same time. Defaults to {@linkcode MAX_HELD_BODY_BYTES}. */
+    readonly maxHeldBodyBytes: number;
+    /** Longest time that a caller may take to send headers, in milliseconds. Defaults to 10,000. */
+    readonly headersTimeoutMs: number;
+    /** Longest time that a caller may take to send a whole call, in milliseconds. Defaults to 30,000. */
+    readonly bodyTimeoutMs: number;
+}
+
+/** Limits when the settings name none. */
+const DEFAULT_LIMITS: HttpServerLimits = {
+    maxBodyBytes: MAX_BODY_BYTES,
+    maxHeldBodyBytes: MAX_HELD_BODY_BYTES,
+    headersTimeoutMs: HEADERS_TIMEOUT_MS,
+    bodyTimeoutMs: BODY_TIMEOUT_MS,
+};
+
 /** Settings of a {@linkcode HttpServer}. */
 export interface HttpServerSettings {
+    /** Limits that differ from the defaults. */
+    readonly limits?: Partial<HttpServerLimits>;
     /** Node's id, the first part of each call's id. */
     readonly node: string;
     /** Answers calls. */
@@ -53,6 +78,7 @@
 /** Accepts calls over HTTP and hands them to the handler. */
 export class HttpServer {
     private readonly server: Server;
+    private readonly limits: HttpServerLimits;
     private readonly sockets = new Set<Socket>();
     private heldBodyBytes = 0;
     private callCount = 0;
@@ -60,11 +86,12 @@
 
     /** @param settings See {@linkcode HttpServerSettings}. */
     constructor(private readonly settings: HttpServerSettings) {
+        this.limits = { ...DEFAULT_LIMITS, ...settings.limits };
         this.server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: BODY_TIMEOUT_MS,
-            connectionsCheckingInterval: 1_000,
+            headersTimeout: this.limits.headersTimeoutMs,
+            requestTimeout: this.limits.bodyTimeoutMs,
+            connectionsCheckingInterval: Math.min(CONNECTION_CHECK_MS, this.limits.bodyTimeoutMs),
             noDelay: true,
         });
         this.server.maxHeadersCount = MAX_HEADERS + 1;
@@ -199,16 +226,21 @@
     }
 
     private checkBodySize(size: number): Refusal | undefined {
-        if (size > MAX_BODY_BYTES) {
-            return new Refusal(RefusalType.BodyTooLarge, `Body is larger than ${MAX_BODY_BYTES} bytes. Send a smaller one.`, {
-                field: "body",
-            });
+        if (size > this.limits.maxBodyBytes) {
+            return new Refusal(
+                RefusalType.BodyTooLarge,
+                `Body is larger than ${this.limits.maxBodyBytes} bytes. Send a smaller one.`,
+                {
+                    field: "body",
+                },
+            );
         }
-        if (this.heldBodyBytes > MAX_HELD_BODY_BYTES) {
-            throw new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
+        if (this.heldBodyBytes > this.limits.maxHeldBodyBytes) {
+            return new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
                 retryAfterMs: 1_000,
             });
         }
+        return undefined;
     }
 }
 
