--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -19,11 +19,14 @@
         And the time line of every node has an event "<kind>"
 
         Examples:
-            | flaw                              | kind     |
-            | is not JSON                       | skipped  |
-            | has a later format                | skipped  |
-            | names an unknown tier             | skipped  |
-            | was made against an older version | conflict |
+            | flaw                                    | kind     |
+            | is not JSON                             | skipped  |
+            | has a later format                      | skipped  |
+            | names an unknown tier                   | skipped  |
+            | removes a tier that is in use           | skipped  |
+            | has one wrong change beside a right one | skipped  |
+            | forges the author of an exception       | skipped  |
+            | was made against an older version       | conflict |
 
     Scenario: a change waits out an outage of the log's readers
         Given the log is down
@@ -42,3 +45,7 @@
             | two tiers have one name                | tiers[1].name                     | desk      |
             | a workspace has the key hash "abc"     | workspaces[0].keyHash             | abc       |
             | a promise has no answer bound          | operations[0].promise.answerMs    | missing   |
+            | an exception has no reason             | exceptions[0].reason              | reason    |
+            | an exception names no field            | exceptions[0].path                | tiers/desk |
+            | an exception overrides the semantics   | exceptions[0].path                | semantics |
+            | an exception sets a rank of 99         | exceptions[0].value               | 99        |
--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -6,14 +6,14 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { ConfigurationChangeResult } from "../../src/coordination/mod.js";
+import { ChangeOutcome, type ChangeResult } from "../../src/coordination/mod.js";
 import type { EntryNode } from "../../src/daemon/mod.js";
 import { checkDocument, CONFIGURATION_STREAM } from "../../src/protocol/mod.js";
-import type { ConfigurationDocument, Tier } from "../../src/state/mod.js";
+import { ChangeKind, type ConfigurationDocument, ItemList, type Tier } from "../../src/state/mod.js";
 import type { Scenario } from "../support/world.js";
 
 /** Results of the changes of one scenario. */
-const results = new WeakMap<Scenario, PromiseSettledResult<ConfigurationChangeResult>[]>();
+const results = new WeakMap<Scenario, PromiseSettledResult<ChangeResult>[]>();
 
 /** Problems of the document of one scenario. */
 const problems = new WeakMap<Scenario, readonly string[]>();
@@ -52,7 +52,8 @@
 
 Then("the change is accepted", function(this: Scenario) {
     const [result] = settledResults(this);
-    assert.ok(result.status === "fulfilled" && result.value.problems === undefined);
+    assert.ok(result.status === "fulfilled", String((result as PromiseRejectedResult).reason));
+    assert.equal(result.value.outcome, ChangeOutcome.Accepted, result.value.problems.join());
 });
 
 Then("tier {string} has rank {int} on every node within {int} seconds", async function(
@@ -69,11 +70,11 @@
 
 Then("one change is accepted and the other names the version in force", function(this: Scenario) {
     const values = settledResults(this).map(result => result.status === "fulfilled" ? result.value : undefined);
-    const accepted = values.filter(value => value !== undefined && value.problems === undefined);
-    const refused = values.filter(value => value?.problems !== undefined);
+    const accepted = values.filter(value => value?.outcome === ChangeOutcome.Accepted);
+    const refused = values.filter(value => value?.outcome === ChangeOutcome.Conflict);
     assert.equal(accepted.length, 1);
     assert.equal(refused.length, 1);
-    assert.match(refused[0]?.problems?.[0] ?? "", new RegExp(`version ${this.fleet.nodes[0].view.current.version}\\b`));
+    assert.match(refused[0]?.problems[0] ?? "", new RegExp(`version ${this.fleet.nodes[0].view.current.version}\\b`));
 });
 
 Then("the change fails with an error that names the log", function(this: Scenario) {
@@ -102,29 +103,40 @@
     versionsBefore.set(scenario, scenario.fleet.nodes.map(node => node.view.current.version));
 }
 
-function changeRank(node: EntryNode, name: string, rank: number): Promise<ConfigurationChangeResult> {
-    const { version, document } = node.view.current;
-    const tiers = document.tiers.map(tier => tier.name === name ? { name, rank } : tier);
-    return node.follower.change({ madeAgainst: version, author: "operator", document: { ...document, tiers } });
+function changeRank(node: EntryNode, name: string, rank: number): Promise<ChangeResult> {
+    const changes = [{ kind: ChangeKind.Set, list: ItemList.Tiers, item: { name, rank } }];
+    const madeAgainst = node.view.published.version;
+    return node.follower.change({ id: `${node.settings.node}-${name}-${rank}`, madeAgainst, author: "operator", changes });
 }
 
-async function settleChanges(scenario: Scenario, changes: readonly Promise<ConfigurationChangeResult>[]): Promise<void> {
+async function settleChanges(scenario: Scenario, changes: readonly Promise<ChangeResult>[]): Promise<void> {
     results.set(scenario, await scenario.fleet.clock.runUntil(Promise.allSettled(changes)));
 }
 
-function settledResults(scenario: Scenario): readonly PromiseSettledResult<ConfigurationChangeResult>[] {
+function settledResults(scenario: Scenario): readonly PromiseSettledResult<ChangeResult>[] {
     return results.get(scenario) ?? [];
 }
 
 function flawedRecord(document: ConfigurationDocument, flaw: string): string {
-    const record = { format: 1, id: "flawed", madeAgainst: 0, author: "operator", document };
+    const [operation] = document.operations;
+    const rank = { kind: ChangeKind.Set, list: ItemList.Tiers, item: { name: "desk", rank: 7 } };
+    const record = { format: 1, id: "flawed", madeAgainst: 0, author: "operator", atMs: 0, changes: [rank] as unknown[] };
+    const changing = (...changes: unknown[]) => JSON.stringify({ ...record, changes });
     switch (flaw) {
         case "is not JSON":
             return "{";
         case "has a later format":
             return JSON.stringify({ ...record, format: 2 });
         case "names an unknown tier":
-            return JSON.stringify({ ...record, document: { ...document, tiers: [] } });
+            return changing({ kind: ChangeKind.Set, list: ItemList.Operations, item: { ...operation, tier: "nothing" } });
+        case "removes a tier that is in use":
+            return changing({ kind: ChangeKind.Remove, list: ItemList.Tiers, key: operation.tier });
+        case "has one wrong change beside a right one":
+            return changing(rank, { kind: ChangeKind.Remove, list: ItemList.Tiers, key: "nothing" });
+        case "forges the author of an exception": {
+            const item = { path: "tiers/desk/rank", value: 9, reason: "forged", author: "somebody", madeAtMs: 0 };
+            return changing({ kind: ChangeKind.Set, list: ItemList.Exceptions, item });
+        }
         case "was made against an older version":
             return JSON.stringify({ ...record, madeAgainst: -1 });
         default:
@@ -136,6 +148,7 @@
     const [tier, ...tiers] = document.tiers;
     const [operation, ...operations] = document.operations;
     const [workspace, ...workspaces] = document.workspaces;
+    const exception = { path: "tiers/desk/rank", value: 3, reason: "a test", author: "operator", madeAtMs: 0 };
     switch (flaw) {
         case "a tier has rank -1":
             return { ...document, tiers: [{ ...tier, rank: -1 }, ...tiers] };
@@ -147,6 +160,17 @@
             return { ...document, workspaces: [{ ...workspace, keyHash: "abc" }, ...workspaces] };
         case "a promise has no answer bound":
             return { ...document, operations: [{ ...operation, promise: {} }, ...operations] };
+        case "an exception has no reason":
+            return { ...document, exceptions: [{ ...exception, reason: " " }] };
+        case "an exception names no field":
+            return { ...document, exceptions: [{ ...exception, path: "tiers/desk" }] };
+        case "an exception overrides the semantics":
+            return {
+                ...document,
+                exceptions: [{ ...exception, path: "operations/claim-filing/semantics", value: "repeatable" }],
+            };
+        case "an exception sets a rank of 99":
+            return { ...document, exceptions: [{ ...exception, value: 99 }] };
         default:
             throw new Error(`Cannot make document: flaw "${flaw}" is unknown`);
     }
--- a/src/cli/config_commands.ts
+++ b/src/cli/config_commands.ts
@@ -6,56 +6,66 @@
 
 import { Command, Option, UsageError } from "clipanion";
 import { readFile } from "node:fs/promises";
-import { userInfo } from "node:os";
 import { parseDocument, stringify } from "yaml";
 import { checkDocument } from "../protocol/mod.js";
-import type { ConfigurationDocument } from "../state/mod.js";
-import { diffDocuments } from "./document_diff.js";
+import {
+    changesBetween,
+    type ConfigurationDocument,
+    diffDocuments,
+    explainPath,
+    parseExceptionPath,
+    type ValueSource,
+} from "../state/mod.js";
+import { ConfigurationChangeCommand, ConfigurationCommand } from "./configuration_command.js";
 import type { OperatorClient } from "./operator_client.js";
-import { ExitCode, OperatorCommand } from "./operator_command.js";
+import { ExitCode } from "./operator_command.js";
 
-/** Shows the configuration in force. */
-export class ConfigShowCommand extends OperatorCommand {
+/** Shows the configuration. */
+export class ConfigShowCommand extends ConfigurationCommand {
     static override paths = [["config", "show"]];
     static override usage = Command.Usage({
         category: "Configuration",
-        description: "Shows the configuration in force as YAML.",
+        description: "Shows the configuration as YAML: the defaults, and the exceptions beside them.",
         examples: [["Save the configuration", "foxtailrail config show > fleet.yaml"]],
     });
 
     protected override async run(client: OperatorClient): Promise<ExitCode> {
-        const { version, document } = await readCurrent(client);
+        const { version, document } = await this.readCurrent(client);
         this.print({ version, document }, `# version ${version}\n${stringify(document)}`);
         return ExitCode.Done;
     }
 }
 
 /** Shows what a file would change. */
-export class ConfigDiffCommand extends OperatorCommand {
+export class ConfigDiffCommand extends ConfigurationCommand {
     static override paths = [["config", "diff"]];
     static override usage = Command.Usage({
         category: "Configuration",
         description: "Shows what applying a file would change.",
+        details: "A file without a list of exceptions leaves the exceptions as they are.",
         examples: [["Compare a file", "foxtailrail config diff fleet.yaml"]],
     });
     file = Option.String({ name: "FILE" });
 
     protected override async run(client: OperatorClient): Promise<ExitCode> {
-        const next = await readDocument(this.file);
-        const current = await readCurrent(client);
+        const current = await this.readCurrent(client);
+        const next = await readDocument(this.file, current.document);
         const changes = diffDocuments(current.document, next);
         this.print({ version: current.version, changes }, changes.map(change => `${change.text}\n`).join("") || "No change.\n");
         return ExitCode.Done;
     }
 }
 
-/** Publishes a file as the new configuration. */
-export class ConfigApplyCommand extends OperatorCommand {
+/** Publishes the changes that a file makes. */
+export class ConfigApplyCommand extends ConfigurationChangeCommand {
     static override paths = [["config", "apply"]];
     static override usage = Command.Usage({
         category: "Configuration",
-        description: "Checks a file and publishes it as the new configuration.",
-        details: "The change is refused with exit code 1 when another operator's change came first.",
+        description: "Checks a file and publishes what it changes; all of it takes effect or nothing.",
+        details: `
+            The change is refused with exit code 5 when another operator's change came first; the answer shows what it changed.
+            A file without a list of exceptions leaves the exceptions as they are.
+        `,
         examples: [
             ["Apply a file to the version in force now", "foxtailrail config apply fleet.yaml"],
             ["Apply a file made against version 12", "foxtailrail config apply fleet.yaml --made-against 12"],
@@ -65,38 +75,72 @@
     madeAgainst = Option.String("--made-against", {
         description: "Version that the file was made against. Defaults to the one in force.",
     });
-    author = Option.String("--author", userInfo().username, { description: "Name put on record. Defaults to the user's." });
 
     protected override async run(client: OperatorClient): Promise<ExitCode> {
-        const document = await readDocument(this.file);
-        const madeAgainst = this.madeAgainst === undefined ?
-            (await client.readConfiguration()).version :
-            Number(this.madeAgainst);
+        const current = await this.readCurrent(client);
+        const madeAgainst = Number(this.madeAgainst ?? current.version);
         if (!Number.isInteger(madeAgainst)) {
             throw new UsageError(`Option --made-against is "${this.madeAgainst}"; give a whole number.`);
         }
-        const reply = await client.changeConfiguration({ madeAgainst, document: JSON.stringify(document), author: this.author });
-        if (!reply.accepted) {
-            this.context.stderr.write(`Cannot apply ${this.file}: ${reply.problems.join("\n  ")}\n`);
+        const next = await readDocument(this.file, current.document);
+        return this.submit(client, madeAgainst, changesBetween(current.document, next));
+    }
+}
+
+/** Shows where an effective value comes from. */
+export class ConfigExplainCommand extends ConfigurationCommand {
+    static override paths = [["config", "explain"]];
+    static override usage = Command.Usage({
+        category: "Configuration",
+        description: "Shows the effective value of a path, and where it comes from.",
+        details: "An exception of one workspace goes before one of all, and that before the default.",
+        examples: [
+            ["Explain a promise", "foxtailrail config explain operations/claim-filing/promise/answerMs"],
+            [
+                "Explain a promise for one workspace",
+                "foxtailrail config explain workspaces/pilot/operations/claim-filing/promise/answerMs",
+            ],
+        ],
+    });
+    valuePath = Option.String({ name: "PATH" });
+
+    protected override async run(client: OperatorClient): Promise<ExitCode> {
+        if (parseExceptionPath(this.valuePath) === undefined) {
+            throw new UsageError(
+                `"${this.valuePath}" is no path; give LIST/NAME/FIELD or workspaces/NAME/operations/NAME/FIELD, such as operations/claim-filing/promise/answerMs.`,
+            );
+        }
+        const { version, document, nowMs } = await this.readCurrent(client);
+        const explanation = explainPath(document, this.valuePath, nowMs);
+        if (explanation.effective === undefined) {
+            this.context.stderr.write(`Cannot explain "${this.valuePath}": version ${version} has no value there.\n`);
             return ExitCode.Refused;
         }
-        this.print({ version: reply.version }, `Version ${reply.version} is in the log and in force on this node.\n`);
+        const { effective, sources } = explanation;
+        const lines = sources.map(source => `${source === effective ? "*" : " "} ${describeSource(source)}\n`);
+        const text = `${this.valuePath} is ${JSON.stringify(effective.value)} in version ${version}:\n${lines.join("")}`;
+        this.print({ version, path: this.valuePath, value: effective.value, sources }, text);
         return ExitCode.Done;
     }
 }
 
-/** Configuration in force as read from a daemon. */
-interface CurrentConfiguration {
-    readonly version: number;
-    readonly document: ConfigurationDocument;
+function describeSource({ path, value, exception, expired }: ValueSource): string {
+    if (exception === undefined) {
+        return `default ${path} = ${JSON.stringify(value)}`;
+    }
+    const end = exception.endsAtMs === undefined ? "no end" : `${expired ? "ended" : "ends"} ${toIso(exception.endsAtMs)}`;
+    const made = `by ${exception.author} on ${toIso(exception.madeAtMs)}`;
+    return `${expired ? "expired exception" : "exception"} ${path} = ${
+        JSON.stringify(value)
+    }, ${made}, ${end}: ${exception.reason}`;
 }
 
-async function readCurrent(client: OperatorClient): Promise<CurrentConfiguration> {
-    const { version, document } = await client.readConfiguration();
-    return { version, document: JSON.parse(document) as ConfigurationDocument };
+function toIso(ms: number): string {
+    return new Date(ms).toISOString();
 }
 
-async function readDocument(file: string): Promise<ConfigurationDocument> {
+/** Reads a file; lists of exceptions that it leaves out are taken from the document in force. */
+async function readDocument(file: string, current: ConfigurationDocument): Promise<ConfigurationDocument> {
     let text: string;
     try {
         text = await readFile(file, "utf8");
@@ -108,7 +152,9 @@
     if (parsed.errors.length > 0) {
         throw new UsageError(`Cannot read "${file}": ${parsed.errors.map(error => error.message).join("\n")}`);
     }
-    const checked = checkDocument(parsed.toJS());
+    const value: unknown = parsed.toJS();
+    const whole = typeof value === "object" && value ? { exceptions: current.exceptions, ...value } : value;
+    const checked = checkDocument(whole);
     if (checked.problems !== undefined) {
         throw new UsageError(`Cannot use "${file}":\n  ${checked.problems.join("\n  ")}`);
     }
--- /dev/null
+++ b/src/cli/configuration_command.ts
@@ -0,0 +1,78 @@
+/**
+ * Common part of the commands that read or change the configuration.
+ *
+ * @module
+ */
+
+import { Option } from "clipanion";
+import { randomUUID } from "node:crypto";
+import { configurationWire } from "../protocol/mod.js";
+import { type ConfigurationDocument, type ItemChange } from "../state/mod.js";
+import type { OperatorClient } from "./operator_client.js";
+import { ExitCode, OperatorCommand } from "./operator_command.js";
+
+/** Exit code of each outcome that is no success. */
+const EXIT_CODES: ReadonlyMap<configurationWire.ChangeOutcome, ExitCode> = new Map([
+    [configurationWire.ChangeOutcome.CHANGE_OUTCOME_INVALID, ExitCode.Refused],
+    [configurationWire.ChangeOutcome.CHANGE_OUTCOME_CONFLICT, ExitCode.Conflict],
+    [configurationWire.ChangeOutcome.CHANGE_OUTCOME_UNKNOWN, ExitCode.Unknown],
+]);
+
+/** Configuration as it stands in the log, read from a daemon. */
+export interface CurrentConfiguration {
+    readonly version: number;
+    readonly document: ConfigurationDocument;
+    /** Time of the daemon, in milliseconds since the Unix epoch. */
+    readonly nowMs: number;
+}
+
+/** Command that reads the configuration. */
+export abstract class ConfigurationCommand extends OperatorCommand {
+    /** Reads the configuration as it stands in the log. */
+    protected async readCurrent(client: OperatorClient): Promise<CurrentConfiguration> {
+        const { version, document, wallMs } = await client.readConfiguration();
+        return { version, document: JSON.parse(document) as ConfigurationDocument, nowMs: wallMs };
+    }
+}
+
+/** Command that changes the configuration. */
+export abstract class ConfigurationChangeCommand extends ConfigurationCommand {
+    changeId = Option.String("--change-id", {
+        description: "Id of the change. Give the one of an earlier try to ask what became of it; it is never applied twice.",
+    });
+
+    /**
+     * Asks for changes and prints what became of them.
+     *
+     * @param client Connection to the daemon.
+     * @param madeAgainst Version that the changes were made against.
+     * @param changes Changes; all of them take effect or none.
+     */
+    protected async submit(client: OperatorClient, madeAgainst: number, changes: readonly ItemChange[]): Promise<ExitCode> {
+        if (changes.length === 0) {
+            this.print({ version: madeAgainst, changes: 0 }, "No change.\n");
+            return ExitCode.Done;
+        }
+        const id = this.changeId ?? randomUUID();
+        const reply = await client.changeConfiguration({ id, madeAgainst, changes: JSON.stringify(changes) });
+        const exitCode = EXIT_CODES.get(reply.outcome);
+        if (exitCode === undefined) {
+            this.print({ version: reply.version, id }, `Version ${reply.version} is in the log and in force on this node.\n`);
+            return ExitCode.Done;
+        }
+        this.reportRefusal(id, reply);
+        return exitCode;
+    }
+
+    private reportRefusal(id: string, { problems, others, version }: configurationWire.ChangeConfigurationReply): void {
+        if (this.json) {
+            this.context.stdout.write(`${JSON.stringify({ id, version, problems, others })}\n`);
+            return;
+        }
+        const lines = [`Cannot change the configuration: ${problems.join("\n  ")}`];
+        if (others.length > 0) {
+            lines.push("Changed by others meanwhile:", ...others.map(line => `  ${line}`));
+        }
+        this.context.stderr.write(`${lines.join("\n")}\n`);
+    }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,15 +5,57 @@
  * @module
  */
 
-import { Builtins, Cli } from "clipanion";
-import { ConfigApplyCommand, ConfigDiffCommand, ConfigShowCommand } from "./config_commands.js";
+import { Builtins, Cli, type Command } from "clipanion";
+import { ConfigApplyCommand, ConfigDiffCommand, ConfigExplainCommand, ConfigShowCommand } from "./config_commands.js";
+import { ExceptionAddCommand, ExceptionListCommand, ExceptionRemoveCommand } from "./exception_commands.js";
+import {
+    TierListCommand,
+    TierSetCommand,
+    WorkspaceAddCommand,
+    WorkspaceListCommand,
+    WorkspaceRemoveCommand,
+} from "./item_commands.js";
+import { ExitCode } from "./operator_command.js";
 import { SendCommand } from "./send_command.js";
 import { StatusCommand } from "./status_command.js";
 import { TimelineCommand } from "./timeline_command.js";
 
+/** Commands in the order in which the help lists them. */
+const commands = [
+    StatusCommand,
+    TimelineCommand,
+    ConfigShowCommand,
+    ConfigDiffCommand,
+    ConfigApplyCommand,
+    ConfigExplainCommand,
+    ExceptionAddCommand,
+    ExceptionListCommand,
+    ExceptionRemoveCommand,
+    WorkspaceListCommand,
+    WorkspaceAddCommand,
+    WorkspaceRemoveCommand,
+    TierListCommand,
+    TierSetCommand,
+    SendCommand,
+];
+
 const cli = new Cli({ binaryName: "foxtailrail", binaryLabel: "foxtailrail operators' command line" });
-for (const command of [StatusCommand, ConfigShowCommand, ConfigDiffCommand, ConfigApplyCommand, SendCommand, TimelineCommand]) {
+for (const command of commands) {
     cli.register(command);
 }
 cli.register(Builtins.HelpCommand);
-process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
+
+/** Runs the command that the arguments name. */
+async function run(args: string[]): Promise<number> {
+    let command: Command;
+    try {
+        command = cli.process(args, Cli.defaultContext);
+    }
+    catch (error) {
+        process.stderr.write(cli.error(error));
+        return ExitCode.Usage;
+    }
+    return cli.run(command, Cli.defaultContext);
+}
+
+process.exitCode = await run(process.argv.slice(2));
--- a/src/cli/mod.ts
+++ b/src/cli/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
-export * from "./document_diff.js";
+export * from "./merged_timeline.js";
 export * from "./operator_client.js";
 export * from "./table.js";
+export * from "./timeline_page.js";
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
-import { wire } from "../protocol/mod.js";
+import { configurationWire, wire } from "../protocol/mod.js";
 
 /** Metadata field that carries the operator's key. */
 const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
@@ -34,6 +34,7 @@
 /** Connection of an operator to one daemon. */
 export class OperatorClient {
     private readonly client: wire.OperatorClient;
+    private readonly configuration: configurationWire.ConfigurationOperatorClient;
     private readonly metadata = new Metadata();
 
     /**
@@ -42,6 +43,7 @@
      */
     constructor(readonly address: string, key: string | undefined) {
         this.client = new wire.OperatorClient(address, credentials.createInsecure());
+        this.configuration = new configurationWire.ConfigurationOperatorClient(address, credentials.createInsecure());
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
@@ -52,15 +54,19 @@
         return this.call("read status", reply => this.client.readStatus({}, this.metadata, deadline(), reply));
     }
 
-    /** Reads the configuration in force. */
-    readConfiguration(): Promise<wire.ConfigurationReply> {
-        return this.call("read configuration", reply => this.client.readConfiguration({}, this.metadata, deadline(), reply));
+    /** Reads the configuration as it stands in the log. */
+    readConfiguration(): Promise<configurationWire.ReadConfigurationReply> {
+        return this.call("read configuration", reply => {
+            this.configuration.readConfiguration({}, this.metadata, deadline(), reply);
+        });
     }
 
-    /** Asks for a change of the configuration. */
-    changeConfiguration(request: wire.ChangeConfigurationRequest): Promise<wire.ChangeConfigurationReply> {
+    /** Asks for changes of the configuration. */
+    changeConfiguration(
+        request: configurationWire.ChangeConfigurationRequest,
+    ): Promise<configurationWire.ChangeConfigurationReply> {
         return this.call("change configuration", reply => {
-            this.client.changeConfiguration(request, this.metadata, deadline(), reply);
+            this.configuration.changeConfiguration(request, this.metadata, deadline(), reply);
         });
     }
 
@@ -83,6 +89,7 @@
     /** Closes the connection. */
     close(): void {
         this.client.close();
+        this.configuration.close();
     }
 
     private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -15,6 +15,8 @@
     Usage = 2,
     Unreachable = 3,
     NotAllowed = 4,
+    Conflict = 5,
+    Unknown = 6,
 }
 
 /** Command that calls one daemon. */
@@ -38,6 +40,19 @@
     protected abstract run(client: OperatorClient): Promise<ExitCode>;
 
     override async execute(): Promise<number> {
+        try {
+            return await this.callDaemon();
+        }
+        catch (error) {
+            if (!(error instanceof UsageError)) {
+                throw error;
+            }
+            this.context.stderr.write(`${error.message}\n`);
+            return ExitCode.Usage;
+        }
+    }
+
+    private async callDaemon(): Promise<ExitCode> {
         if (this.address === undefined) {
             throw new UsageError("No daemon is named: give --address, or set FOXTAILRAIL_ADDRESS, such as 127.0.0.1:7102.");
         }
--- a/src/cli/timeline_command.ts
+++ b/src/cli/timeline_command.ts
@@ -4,18 +4,21 @@
  * @module
  */
 
-import { Command, Option } from "clipanion";
+import { Command, Option, UsageError } from "clipanion";
+import { once } from "node:events";
+import { writeFile } from "node:fs/promises";
 import type { wire } from "../protocol/mod.js";
-import { compareHybridTimes } from "../state/mod.js";
-import { OperatorClient, OperatorError } from "./operator_client.js";
+import { followTimelines, mergeTimelines, type TimelineSource, type UnreachableNode } from "./merged_timeline.js";
+import { OperatorClient } from "./operator_client.js";
 import { ExitCode, OperatorCommand } from "./operator_command.js";
 import { formatTable } from "./table.js";
+import { drawTimeline } from "./timeline_page.js";
 
-/** Events of the nodes that answered, and the nodes that did not. */
-interface MergedTimeline {
-    readonly events: readonly wire.EventRecord[];
-    readonly unreachable: readonly string[];
-}
+/** Form of a time span before now, such as `90s`. */
+const SPAN = /^(\d+)([smh])$/;
+
+/** Milliseconds in each unit of a time span. */
+const UNIT_MS: Readonly<Record<string, number>> = { s: 1_000, m: 60_000, h: 3_600_000 };
 
 /** Shows the events of all nodes in one order. */
 export class TimelineCommand extends OperatorCommand {
@@ -23,57 +26,125 @@
     static override usage = Command.Usage({
         category: "Daemons",
         description: "Shows the events of all nodes in one order.",
-        details: "Nodes that do not answer are named at the end.",
-        examples: [["Follow one call over all nodes", "foxtailrail timeline --request entry-1-a-m3x"]],
+        details: "Nodes that do not answer are named, and make the exit code 3. Events that a slow reader missed are counted.",
+        examples: [
+            ["Follow one call over all nodes", "foxtailrail timeline --request entry-1-a-m3x"],
+            ["Watch a rollout as it goes", "foxtailrail timeline --rollout llm-2-4 --follow"],
+            [
+                "Draw the last ten minutes of one backend server",
+                "foxtailrail timeline --server language-model-2 --since 10m --html page.html",
+            ],
+        ],
     });
-    request = Option.String("--request", "", { description: "Show only the events of this call." });
+    request = Option.String("--request", "", { description: "Only the events of this call." });
+    rollout = Option.String("--rollout", "", { description: "Only the events of this rollout." });
+    server = Option.String("--server", "", { description: "Only the events of this backend server or other peer." });
+    node = Option.String("--node", { description: "Only the events of this node." });
+    since = Option.String("--since", { description: "Only events from this time on, as in 10m or 2026-12-03T22:00:00Z." });
+    until = Option.String("--until", { description: "Only events before this time, as in 5m or 2026-12-03T22:10:00Z." });
+    follow = Option.Boolean("--follow", false, { description: "Go on with new events until interrupted." });
+    html = Option.String("--html", { description: "Write a picture to this file in place of a table." });
 
     protected override async run(client: OperatorClient): Promise<ExitCode> {
-        const merged = await this.readAll(client);
-        const rows = merged.events.map(event => [
-            new Date(event.wallMs).toISOString(),
-            event.node,
-            event.part,
-            event.kind,
-            event.requestId || "-",
-            event.text,
-        ]);
-        const missing = merged.unreachable.map(node => `No answer from ${node}.\n`).join("");
-        this.print(merged, formatTable(["TIME", "NODE", "PART", "KIND", "CALL", "EVENT"], rows) + missing);
-        return ExitCode.Done;
+        if (this.follow && this.html !== undefined) {
+            throw new UsageError("Options --follow and --html exclude each other; give one of them.");
+        }
+        const sources = await this.listSources(client);
+        return this.follow ? this.followAll(sources) : this.showAll(sources);
     }
 
-    private async readAll(client: OperatorClient): Promise<MergedTimeline> {
-        const key = await this.readKey();
-        const { members, node } = await client.readStatus();
-        const addresses = new Map(members.map(member => [member.id, member.address]));
-        addresses.set(node, client.address);
-        const events: wire.EventRecord[] = [];
-        const unreachable: string[] = [];
-        for (const [id, address] of addresses) {
-            try {
-                events.push(...await this.readNode(new OperatorClient(address, key)));
-            }
-            catch (error) {
-                if (!(error instanceof OperatorError)) {
-                    throw error;
-                }
-                unreachable.push(`${id} (${address})`);
-            }
+    private async showAll(sources: readonly TimelineSource[]): Promise<ExitCode> {
+        const merged = await mergeTimelines(sources);
+        if (this.html !== undefined) {
+            await writeFile(this.html, drawTimeline(merged));
+            this.context.stdout.write(`${merged.events.length} events are in ${this.html}.\n`);
+        }
+        else {
+            const table = formatTable(["TIME", "NODE", "PART", "KIND", "CALL", "EVENT"], merged.events.map(toRow));
+            this.print(merged, table + merged.unreachable.map(describeUnreachable).join(""));
         }
-        return { events: events.sort(compareHybridTimes), unreachable };
+        return merged.unreachable.length > 0 ? ExitCode.Unreachable : ExitCode.Done;
     }
 
-    private async readNode(client: OperatorClient): Promise<readonly wire.EventRecord[]> {
-        const events: wire.EventRecord[] = [];
-        try {
-            for await (const event of client.readTimeline({ requestId: this.request, follow: false })) {
-                events.push(event);
-            }
-            return events;
-        }
-        finally {
-            client.close();
+    private async followAll(sources: readonly TimelineSource[]): Promise<ExitCode> {
+        const interrupted = new AbortController();
+        process.once("SIGINT", () => interrupted.abort());
+        let exitCode = ExitCode.Done;
+        const sink = {
+            onEvents: async (events: readonly wire.EventRecord[]) => {
+                const lines = events.map(event => this.json ? JSON.stringify(event) : toRow(event).join("  "));
+                if (!this.context.stdout.write(`${lines.join("\n")}\n`)) {
+                    await once(this.context.stdout, "drain");
+                }
+            },
+            onUnreachable: (node: UnreachableNode) => {
+                exitCode = ExitCode.Unreachable;
+                this.context.stderr.write(describeUnreachable(node));
+            },
+        };
+        await followTimelines(sources, sink, interrupted.signal);
+        return exitCode;
+    }
+
+    private async listSources(client: OperatorClient): Promise<readonly TimelineSource[]> {
+        const key = await this.readKey();
+        const status = await client.readStatus();
+        const addresses = new Map(status.members.map(member => [member.id, member.address]));
+        addresses.set(status.node, client.address);
+        if (this.node !== undefined && !addresses.has(this.node)) {
+            throw new UsageError(`Option --node is "${this.node}"; the nodes are ${[...addresses.keys()].sort().join(", ")}.`);
         }
+        const request = this.toRequest();
+        const wanted = [...addresses].filter(([node]) => this.node === undefined || node === this.node);
+        return wanted.map(([node, address]) => ({ node, address, read: signal => readNode({ address, key, request, signal }) }));
+    }
+
+    private toRequest(): wire.ReadTimelineRequest {
+        return {
+            requestId: this.request,
+            rollout: this.rollout,
+            peer: this.server,
+            sinceMs: parseTime("--since", this.since),
+            untilMs: parseTime("--until", this.until),
+            follow: this.follow,
+        };
+    }
+}
+
+/** What is read from one node. */
+interface NodeRead {
+    readonly address: string;
+    readonly key: string | undefined;
+    readonly request: wire.ReadTimelineRequest;
+    readonly signal: AbortSignal | undefined;
+}
+
+async function* readNode({ address, key, request, signal }: NodeRead): AsyncGenerator<wire.EventRecord> {
+    const client = new OperatorClient(address, key);
+    try {
+        yield* client.readTimeline(request, signal);
+    }
+    finally {
+        client.close();
+    }
+}
+
+function toRow(event: wire.EventRecord): readonly string[] {
+    return [new Date(event.wallMs).toISOString(), event.node, event.part, event.kind, event.requestId || "-", event.text];
+}
+
+function describeUnreachable({ node, address, why }: UnreachableNode): string {
+    return `No answer from ${node} (${address}): ${why}\n`;
+}
+
+function parseTime(option: string, text: string | undefined): number {
+    if (text === undefined) {
+        return 0;
+    }
+    const [, count, unit] = SPAN.exec(text) ?? [];
+    const timeMs = count === undefined ? Date.parse(text) : Date.now() - Number(count) * UNIT_MS[unit];
+    if (Number.isNaN(timeMs)) {
+        throw new UsageError(`Option ${option} is "${text}"; give a span such as 10m, or a time such as 2026-12-03T22:00:00Z.`);
     }
+    return timeMs;
 }
--- a/src/coordination/call_resolver.ts
+++ b/src/coordination/call_resolver.ts
@@ -35,6 +35,12 @@
 /** Longest `Idempotency-Key`, in characters. */
 const MAX_KEY_LENGTH = 255;
 
+/** Plain service that a call goes to, and the path below it. */
+interface ServiceTarget {
+    readonly service: string;
+    readonly path: string;
+}
+
 /** Turns calls as they came into calls that can be scheduled, or refuses them. */
 export class CallResolver {
     /**
@@ -51,7 +57,7 @@
     resolve(incoming: IncomingCall): AcceptedCall {
         this.checkReady();
         const workspace = this.findWorkspace(incoming.bearerKey);
-        const operation = this.findOperation(incoming);
+        const operation = this.findOperation(incoming, workspace);
         checkKey(incoming.idempotencyKey, operation);
         const tier = this.configuration.tier(operation.tier);
         if (tier === undefined) {
@@ -104,16 +110,16 @@
         return workspace;
     }
 
-    private findOperation(incoming: IncomingCall): Operation {
+    private findOperation(incoming: IncomingCall, workspace: Workspace): Operation {
         const [, service, servicePath = "/"] = SERVICE_PATH.exec(incoming.path) ?? [];
         if (service !== undefined) {
-            return this.findServiceOperation(incoming, service, servicePath);
+            return this.findServiceOperation(incoming, { service, path: servicePath }, workspace);
         }
         const name = incoming.path === CHAT_PATH ? incoming.operationName : OPERATION_CHAT_PATH.exec(incoming.path)?.[1];
         if (incoming.method !== "POST" || name === undefined) {
             throw unknownTarget(incoming);
         }
-        const operation = this.configuration.operation(name);
+        const operation = this.configuration.operation(name, workspace.name);
         if (operation === undefined || this.poolOf(operation)?.kind !== PoolKind.Model) {
             throw new Refusal(
                 RefusalType.UnknownOperation,
@@ -126,8 +132,9 @@
         return operation;
     }
 
-    private findServiceOperation(incoming: IncomingCall, service: string, path: string): Operation {
-        const operation = this.configuration.operationByRoute(service, incoming.method, path);
+    private findServiceOperation(incoming: IncomingCall, target: ServiceTarget, workspace: Workspace): Operation {
+        const { service, path } = target;
+        const operation = this.configuration.operationByRoute({ service, path, method: incoming.method }, workspace.name);
         if (operation === undefined) {
             throw new Refusal(
                 RefusalType.UnknownOperation,
@@ -141,7 +148,7 @@
     }
 
     private poolOf(operation: Operation): Pool | undefined {
-        return this.configuration.current.document.pools.find(pool => pool.name === operation.pool);
+        return this.configuration.pool(operation.pool);
     }
 
     private parseBody(incoming: IncomingCall, operation: Operation): ChatCompletion | undefined {
--- /dev/null
+++ b/src/coordination/configuration/configuration_changer.ts
@@ -0,0 +1,190 @@
+/**
+ * Making of changes that operators ask for.
+ *
+ * @module
+ */
+
+import {
+    checkApplied,
+    checkChanges,
+    CONFIGURATION_STREAM,
+    type ConfigurationRecord,
+    encodeConfigurationRecord,
+    Executed,
+    type LogService,
+    MAX_RECORD_BYTES,
+    PlatformError,
+} from "../../protocol/mod.js";
+import { type Clock, type ConfigurationView, type ItemChange, ItemList } from "../../state/mod.js";
+import { ChangeOutcome, type ChangeResult, type RecordOutcome } from "./change_outcome.js";
+import type { ConfigurationJournal } from "./configuration_journal.js";
+
+/** Appends tried for one change. */
+const MAX_APPENDS = 3;
+
+/** Time to wait for a record whose answer was lost before it is appended again, in milliseconds. */
+const LOST_ANSWER_WAIT_MS = 1_500;
+
+/** Longest time to wait for an appended change to be read back, in milliseconds. */
+const LANDING_TIMEOUT_MS = 8_000;
+
+/** Changes that an operator asks for. */
+export interface ConfigurationProposal {
+    /** Id chosen by the operator's client; the same proposal may be made again under it. */
+    readonly id: string;
+    /** Version that the changes were made against. */
+    readonly madeAgainst: number;
+    /** Operator, as known by the key. */
+    readonly author: string;
+    /** Parsed changes, not yet checked. */
+    readonly changes: unknown;
+}
+
+/** Settings of a {@linkcode ConfigurationChanger}. */
+export interface ConfigurationChangerSettings {
+    readonly clock: Clock;
+    readonly log: LogService;
+    readonly view: ConfigurationView;
+    readonly journal: ConfigurationJournal;
+}
+
+/**
+ * Appends changes and waits until they are read back.
+ *
+ * An append whose answer was lost is repeated under the same id. That cannot apply the change twice: a record takes effect only on
+ * the very version that it was made against, and the first of the two replaces that version.
+ */
+export class ConfigurationChanger {
+    /** @param settings See {@linkcode ConfigurationChangerSettings}. */
+    constructor(private readonly settings: ConfigurationChangerSettings) {}
+
+    /**
+     * Makes a change.
+     *
+     * @param proposal See {@linkcode ConfigurationProposal}.
+     * @param signal Gives the wait up when aborted.
+     * @throws {PlatformError} When the log did not answer and the record was not read back.
+     */
+    async change(proposal: ConfigurationProposal, signal: AbortSignal): Promise<ChangeResult> {
+        const { journal, view } = this.settings;
+        const known = journal.history.outcome(proposal.id);
+        if (known !== undefined) {
+            return this.toResult(known, proposal.madeAgainst);
+        }
+        const checked = checkChanges(this.stamp(proposal));
+        if (checked.problems !== undefined) {
+            return this.refuse(checked.problems);
+        }
+        if (proposal.madeAgainst !== view.published.version) {
+            return this.conflict(proposal.madeAgainst);
+        }
+        const applied = checkApplied(view.published.document, checked.changes);
+        if (applied.problems !== undefined) {
+            return this.refuse(applied.problems);
+        }
+        return this.append(this.toRecord(proposal, checked.changes), signal);
+    }
+
+    private async append(record: ConfigurationRecord, signal: AbortSignal): Promise<ChangeResult> {
+        const data = encodeConfigurationRecord(record);
+        if (data.length > MAX_RECORD_BYTES) {
+            return this.refuse([`The changes have ${data.length} bytes; make them in parts of at most ${MAX_RECORD_BYTES}.`]);
+        }
+        let failure: PlatformError | undefined;
+        for (let attempt = 1; attempt <= MAX_APPENDS; attempt += 1) {
+            const thrown = await this.tryAppend(data);
+            const outcome = await this.awaitOutcome(
+                record.id,
+                thrown === undefined ? LANDING_TIMEOUT_MS : LOST_ANSWER_WAIT_MS,
+                signal,
+            );
+            if (outcome !== undefined) {
+                return this.toResult(outcome, record.madeAgainst);
+            }
+            if (thrown === undefined) {
+                return this.unknown(record);
+            }
+            failure = mayHaveLanded(failure) ? failure : thrown;
+        }
+        throw failure;
+    }
+
+    private async tryAppend(data: Uint8Array): Promise<PlatformError | undefined> {
+        try {
+            await this.settings.log.append(CONFIGURATION_STREAM, data);
+            return undefined;
+        }
+        catch (error) {
+            if (error instanceof PlatformError) {
+                return error;
+            }
+            throw error;
+        }
+    }
+
+    private async awaitOutcome(id: string, limitMs: number, signal: AbortSignal): Promise<RecordOutcome | undefined> {
+        const { clock, journal } = this.settings;
+        const over = new AbortController();
+        const stop = () => over.abort();
+        signal.addEventListener("abort", stop, { once: true });
+        void clock.sleep(limitMs, over.signal).then(stop);
+        try {
+            return await journal.history.await(id, over.signal);
+        }
+        finally {
+            signal.removeEventListener("abort", stop);
+            stop();
+        }
+    }
+
+    /** Puts the operator and the time on the exceptions, whatever the client wrote there. */
+    private stamp({ changes, author }: ConfigurationProposal): unknown {
+        if (!Array.isArray(changes)) {
+            return changes;
+        }
+        const madeAtMs = Math.floor(this.settings.clock.now());
+        return (changes as readonly Partial<ExceptionChange>[]).map(change => {
+            const isException = change?.list === ItemList.Exceptions && typeof change.item === "object";
+            return isException ? { ...change, item: { ...change.item, author, madeAtMs } } : change;
+        });
+    }
+
+    private toRecord({ id, madeAgainst, author }: ConfigurationProposal, changes: readonly ItemChange[]): ConfigurationRecord {
+        return { id, madeAgainst, author, atMs: Math.floor(this.settings.clock.now()), changes };
+    }
+
+    private toResult(outcome: RecordOutcome, madeAgainst: number): ChangeResult {
+        return outcome.outcome === ChangeOutcome.Conflict ? this.conflict(madeAgainst) : { ...outcome, others: [] };
+    }
+
+    private refuse(problems: readonly string[]): ChangeResult {
+        return { outcome: ChangeOutcome.Invalid, version: this.settings.view.published.version, problems, others: [] };
+    }
+
+    private conflict(madeAgainst: number): ChangeResult {
+        const { view, journal } = this.settings;
+        const { version } = view.published;
+        const problem = madeAgainst > version ?
+            `The change was made against version ${madeAgainst}, but this node has only read up to version ${version}. Try again.` :
+            `The change was made against version ${madeAgainst}, but another came first. Read version ${version} and change that.`;
+        const others = journal.history.linesSince(madeAgainst) ??
+            [`Version ${madeAgainst} is older than the changes that this node remembers; compare with config diff.`];
+        return { outcome: ChangeOutcome.Conflict, version, problems: [problem], others };
+    }
+
+    private unknown({ id }: ConfigurationRecord): ChangeResult {
+        const { version } = this.settings.view.published;
+        const problem = `The change is in the log, but this node could not read it back. Ask again with id ${id}.`;
+        return { outcome: ChangeOutcome.Unknown, version, problems: [problem], others: [] };
+    }
+}
+
+/** Change of an exception as it comes from a client. */
+interface ExceptionChange {
+    readonly list: unknown;
+    readonly item: object;
+}
+
+function mayHaveLanded(failure: PlatformError | undefined): boolean {
+    return failure?.landed === Executed.Unknown;
+}
--- /dev/null
+++ b/src/coordination/configuration/configuration_follower.ts
@@ -0,0 +1,110 @@
+/**
+ * Configuration of a node: read from the log and from peers, changed for operators.
+ *
+ * @module
+ */
+
+import {
+    type ConfigurationPeers,
+    type configurationWire,
+    type Dissemination,
+    encodeSnapshot,
+    type LogService,
+} from "../../protocol/mod.js";
+import { type Clock, type ConfigurationView, type EventRing, Part, type RandomSource, type Vm } from "../../state/mod.js";
+import type { ChangeResult } from "./change_outcome.js";
+import { ConfigurationChanger, type ConfigurationProposal } from "./configuration_changer.js";
+import { ConfigurationJournal } from "./configuration_journal.js";
+import { LogReader } from "./log_reader.js";
+import { PeerCatchUp } from "./peer_catch_up.js";
+import { SnapshotStore } from "./snapshot_store.js";
+
+/** Settings of a {@linkcode ConfigurationFollower}. */
+export interface ConfigurationFollowerSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly ring: EventRing;
+    readonly log: LogService;
+    readonly view: ConfigurationView;
+    readonly dissemination: Dissemination;
+    readonly peers: ConfigurationPeers;
+    /** Entry VMs known now; this node may be among them. */
+    readonly entryVms: () => readonly Vm[];
+}
+
+/** Keeps the configuration of one node up to date with the log. */
+export class ConfigurationFollower {
+    readonly journal: ConfigurationJournal;
+    readonly snapshots: SnapshotStore;
+    private readonly reader: LogReader;
+    private readonly catchUp: PeerCatchUp;
+    private readonly changer: ConfigurationChanger;
+    private readonly stopped = new AbortController();
+
+    /** @param settings See {@linkcode ConfigurationFollowerSettings}. */
+    constructor(private readonly settings: ConfigurationFollowerSettings) {
+        const { clock, random, ring, log, view, dissemination, peers, entryVms } = settings;
+        this.journal = new ConfigurationJournal({ clock, ring, view });
+        const { journal } = this;
+        this.snapshots = new SnapshotStore({ clock, random, ring, log, journal });
+        this.reader = new LogReader({ clock, ring, log, journal, snapshots: this.snapshots });
+        this.catchUp = new PeerCatchUp({ clock, random, ring, journal, dissemination, peers, entryVms });
+        this.changer = new ConfigurationChanger({ clock, log, view, journal });
+    }
+
+    /** Whether the node has a configuration to serve by. */
+    get configured(): boolean {
+        return this.settings.view.published.version >= 0;
+    }
+
+    /** Whether the last read of the log failed. */
+    get logFailing(): boolean {
+        return this.reader.failing;
+    }
+
+    /** Why the node is not ready, in one sentence. */
+    get whyNotReady(): string {
+        return this.reader.failing ?
+            "No configuration yet: the log does not answer and no peer that answers has one." :
+            "No configuration yet: the log holds none that this node could read so far.";
+    }
+
+    /** Follows the log and the peers until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        signal.addEventListener("abort", () => this.stopped.abort(), { once: true });
+        await Promise.all([
+            this.reader.run(signal),
+            this.catchUp.run(signal, () => this.reader.failing || !this.configured),
+            this.snapshots.run(signal, () => !this.reader.failing),
+        ]);
+    }
+
+    /**
+     * Appends a change and waits until it was read back.
+     *
+     * @throws {PlatformError} When the log did not answer and the record was not read back.
+     */
+    async change(proposal: ConfigurationProposal): Promise<ChangeResult> {
+        const result = await this.changer.change(proposal, this.stopped.signal);
+        const text = `Change ${proposal.id} by ${proposal.author} against version ${proposal.madeAgainst}: ${result.outcome}.`;
+        this.settings.ring.record({ part: Part.Configuration, kind: "change", text });
+        return result;
+    }
+
+    /** Returns what a peer that has read less asks for. */
+    copyFor({ fromOffset }: configurationWire.FetchConfigurationRequest): configurationWire.FetchConfigurationReply {
+        const { journal } = this;
+        const nothing = { nextOffset: 0, records: [], snapshot: Buffer.alloc(0) };
+        const snapshot = journal.snapshot();
+        if (snapshot === undefined || fromOffset >= journal.nextOffset) {
+            return nothing;
+        }
+        const records = journal.kept.from(fromOffset);
+        if (records === undefined) {
+            return { ...nothing, nextOffset: journal.nextOffset, snapshot: Buffer.from(encodeSnapshot(snapshot)) };
+        }
+        const last = records.at(-1);
+        const copies = records.map(({ offset, data }) => ({ offset, data: Buffer.from(data) }));
+        return { ...nothing, nextOffset: last === undefined ? journal.nextOffset : last.offset + 1, records: copies };
+    }
+}
--- /dev/null
+++ b/src/coordination/configuration/log_reader.ts
@@ -0,0 +1,116 @@
+/**
+ * Reading of the configuration stream.
+ *
+ * @module
+ */
+
+import { CONFIGURATION_STREAM, type LogService } from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part } from "../../state/mod.js";
+import { withinTime } from "./_time_limit.js";
+import type { ConfigurationJournal } from "./configuration_journal.js";
+import type { SnapshotStore } from "./snapshot_store.js";
+
+/** Time that a read waits for a new record, in milliseconds. */
+const READ_WAIT_MS = 10_000;
+
+/** Time after which a read is given up, in milliseconds. */
+const READ_LIMIT_MS = READ_WAIT_MS + 3_000;
+
+/** Time to wait after a failed read, in milliseconds. */
+const READ_RETRY_DELAY_MS = 500;
+
+/** Settings of a {@linkcode LogReader}. */
+export interface LogReaderSettings {
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly log: LogService;
+    readonly journal: ConfigurationJournal;
+    readonly snapshots: SnapshotStore;
+}
+
+/** Follows the configuration stream: from the last snapshot on, and across gaps that the retention has left. */
+export class LogReader {
+    private startedFromSnapshot = false;
+    private failed = false;
+    private gapReported = false;
+
+    /** @param settings See {@linkcode LogReaderSettings}. */
+    constructor(private readonly settings: LogReaderSettings) {}
+
+    /** Whether the last read failed. */
+    get failing(): boolean {
+        return this.failed;
+    }
+
+    /** Reads until the signal is aborted. No failed or unanswered read ends it. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock } = this.settings;
+        while (!signal.aborted) {
+            try {
+                const advanced = await this.readOnce(signal);
+                this.setFailed(false, "The log can be read.");
+                if (!advanced) {
+                    await clock.sleep(READ_RETRY_DELAY_MS, signal);
+                }
+            }
+            catch (error) {
+                if (!signal.aborted) {
+                    this.setFailed(true, `${(error as Error).message}.`);
+                    await clock.sleep(READ_RETRY_DELAY_MS, signal);
+                }
+            }
+        }
+    }
+
+    /** Reads once; returns `false` when records are missing and no snapshot covers them. */
+    private async readOnce(signal: AbortSignal): Promise<boolean> {
+        const { clock, log, journal, snapshots } = this.settings;
+        if (!this.startedFromSnapshot) {
+            await this.adoptLatest(signal);
+            this.startedFromSnapshot = true;
+        }
+        const fromOffset = journal.nextOffset;
+        const read = log.read(CONFIGURATION_STREAM, fromOffset, { waitMs: READ_WAIT_MS });
+        const page = await withinTime(read, {
+            clock,
+            signal,
+            step: `read stream ${CONFIGURATION_STREAM}`,
+            limitMs: READ_LIMIT_MS,
+        });
+        const last = page.records.at(-1);
+        const nextOffset = last === undefined ? fromOffset : last.offset + 1;
+        if (journal.take({ fromOffset: Math.max(fromOffset, page.firstOffset), nextOffset, records: page.records })) {
+            this.gapReported = false;
+            return true;
+        }
+        snapshots.forget();
+        return await this.adoptLatest(signal) || this.reportGap(page.firstOffset);
+    }
+
+    private async adoptLatest(signal: AbortSignal): Promise<boolean> {
+        const { journal, snapshots } = this.settings;
+        const latest = await snapshots.readLatest(signal);
+        return latest !== undefined && journal.adopt(latest);
+    }
+
+    private reportGap(firstOffset: number): false {
+        const { ring, journal } = this.settings;
+        if (!this.gapReported) {
+            this.gapReported = true;
+            const text = `Records ${journal.nextOffset} to ${
+                firstOffset - 1
+            } are no longer in the log and no snapshot covers them.`;
+            ring.record({ part: Part.Configuration, kind: "gap", text, warning: true });
+        }
+        return false;
+    }
+
+    private setFailed(failed: boolean, text: string): void {
+        if (this.failed === failed) {
+            return;
+        }
+        this.failed = failed;
+        const kind = failed ? "readFailed" : "readRecovered";
+        this.settings.ring.record({ part: Part.Configuration, kind, text, warning: failed });
+    }
+}
--- /dev/null
+++ b/src/coordination/configuration/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Configuration of a node, kept up to date with the log.
+ *
+ * @module
+ */
+
+export { MAX_REMEMBERED_CHANGES } from "./_change_history.js";
+export { MAX_KEPT_RECORDS } from "./_kept_records.js";
+export * from "./change_outcome.js";
+export * from "./configuration_changer.js";
+export * from "./configuration_follower.js";
+export * from "./configuration_journal.js";
+export * from "./snapshot_store.js";
--- /dev/null
+++ b/src/coordination/configuration/peer_catch_up.ts
@@ -0,0 +1,142 @@
+/**
+ * Catching up with peers that have read further than this node.
+ *
+ * @module
+ */
+
+import { runEffects, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import type { configurationWire } from "../../protocol/mod.js";
+import { type ConfigurationPeers, decodeSnapshot, type Dissemination, type SharedValue, Topic } from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part, type RandomSource, type Vm } from "../../state/mod.js";
+import type { ConfigurationJournal } from "./configuration_journal.js";
+
+/** Time that the log has to deliver what a peer already has, in milliseconds. */
+const LOG_GRACE_MS = 500;
+
+/** Time between two rounds of asking peers while the log cannot be read, in milliseconds. */
+const ASK_INTERVAL_MS = 1_000;
+
+/** Peers asked in one round. */
+const PEERS_PER_ROUND = 2;
+
+/** Longest time to wait for a peer, in milliseconds. */
+const FETCH_TIMEOUT_MS = 1_000;
+
+/** Settings of a {@linkcode PeerCatchUp}. */
+export interface PeerCatchUpSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly ring: EventRing;
+    readonly journal: ConfigurationJournal;
+    readonly dissemination: Dissemination;
+    readonly peers: ConfigurationPeers;
+    /** Entry VMs known now; this node may be among them. */
+    readonly entryVms: () => readonly Vm[];
+}
+
+/** Tells peers how far this node has read, and fetches from those that have read further. */
+export class PeerCatchUp {
+    private readonly fetching = new Set<string>();
+
+    /** @param settings See {@linkcode PeerCatchUpSettings}. */
+    constructor(private readonly settings: PeerCatchUpSettings) {}
+
+    /**
+     * Catches up until the signal is aborted.
+     *
+     * @param signal Ends the task.
+     * @param needsPeers Whether this node cannot read the log, or has no configuration.
+     */
+    async run(signal: AbortSignal, needsPeers: () => boolean): Promise<void> {
+        const { clock, journal, dissemination } = this.settings;
+        const scheduler = newDefaultScheduler();
+        void runEffects(tap(() => this.publish(), journal.advances), scheduler);
+        void runEffects(tap(value => void this.onValue(value, signal), dissemination.arrivals), scheduler);
+        while (await clock.sleep(ASK_INTERVAL_MS, signal)) {
+            if (needsPeers()) {
+                await Promise.all(this.choosePeers().map(peer => this.fetchAll(peer, signal)));
+            }
+        }
+    }
+
+    private publish(): void {
+        const { journal, dissemination } = this.settings;
+        if (journal.complete) {
+            dissemination.publish(Topic.ConfigurationVersion, "", Buffer.from(String(journal.nextOffset)));
+        }
+    }
+
+    private async onValue(value: SharedValue, signal: AbortSignal): Promise<void> {
+        const { clock, journal, entryVms } = this.settings;
+        if (value.topic !== Topic.ConfigurationVersion || signal.aborted) {
+            return;
+        }
+        const offset = Number(Buffer.from(value.data).toString("utf8"));
+        if (!(offset > journal.nextOffset) || !await clock.sleep(LOG_GRACE_MS, signal) || offset <= journal.nextOffset) {
+            return;
+        }
+        const peer = entryVms().find(vm => vm.id === value.origin);
+        if (peer !== undefined) {
+            await this.fetchAll(peer, signal);
+        }
+    }
+
+    private choosePeers(): readonly Vm[] {
+        const { random, ring, entryVms } = this.settings;
+        const others = entryVms().filter(vm => vm.id !== ring.node);
+        const chosen: Vm[] = [];
+        while (chosen.length < PEERS_PER_ROUND && others.length > 0) {
+            chosen.push(...others.splice(random.below(others.length), 1));
+        }
+        return chosen;
+    }
+
+    /** Fetches from a peer until it has nothing newer. */
+    private async fetchAll(peer: Vm, signal: AbortSignal): Promise<void> {
+        if (this.fetching.has(peer.id)) {
+            return;
+        }
+        this.fetching.add(peer.id);
+        try {
+            while (!signal.aborted && await this.fetchOnce(peer)) {
+                // Each round brings a bounded number of records.
+            }
+        }
+        catch {
+            // Another peer is asked in the next round.
+        }
+        finally {
+            this.fetching.delete(peer.id);
+        }
+    }
+
+    /** Fetches once; returns whether that brought something new. */
+    private async fetchOnce(peer: Vm): Promise<boolean> {
+        const { ring, journal, peers } = this.settings;
+        const fromOffset = journal.nextOffset;
+        const reply = await peers.fetch(peer.address, { node: ring.node, fromOffset }, FETCH_TIMEOUT_MS);
+        this.take(fromOffset, reply);
+        if (journal.nextOffset <= fromOffset) {
+            return false;
+        }
+        const text = `Offsets ${fromOffset} to ${journal.nextOffset - 1} came from a peer.`;
+        ring.record({ part: Part.Configuration, kind: "caughtUp", text, peer: peer.id });
+        return true;
+    }
+
+    private take(fromOffset: number, reply: configurationWire.FetchConfigurationReply): void {
+        const { journal } = this.settings;
+        if (reply.nextOffset <= journal.nextOffset) {
+            return;
+        }
+        if (reply.snapshot.length === 0) {
+            journal.take({ fromOffset, nextOffset: reply.nextOffset, records: reply.records });
+            return;
+        }
+        const snapshot = decodeSnapshot(reply.snapshot);
+        if (snapshot !== undefined) {
+            journal.adopt(snapshot);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/configuration_desk.ts
@@ -0,0 +1,97 @@
+/**
+ * Answers of a daemon about its configuration, to other daemons and to operators.
+ *
+ * @module
+ */
+
+import { ChangeOutcome, type ChangeResult, type ConfigurationProposal } from "../coordination/mod.js";
+import {
+    ConfigurationOperatorHandler,
+    ConfigurationPeerHandler,
+    configurationWire,
+    Executed,
+    PlatformError,
+} from "../protocol/mod.js";
+import type { EntryNode } from "./entry_node.js";
+
+/** Outcomes as they stand in replies. */
+const WIRE_OUTCOMES: Readonly<Record<ChangeOutcome, configurationWire.ChangeOutcome>> = {
+    [ChangeOutcome.Accepted]: configurationWire.ChangeOutcome.CHANGE_OUTCOME_ACCEPTED,
+    [ChangeOutcome.Invalid]: configurationWire.ChangeOutcome.CHANGE_OUTCOME_INVALID,
+    [ChangeOutcome.Conflict]: configurationWire.ChangeOutcome.CHANGE_OUTCOME_CONFLICT,
+    [ChangeOutcome.Unknown]: configurationWire.ChangeOutcome.CHANGE_OUTCOME_UNKNOWN,
+};
+
+/** Answers other daemons that cannot read the log. */
+export class ConfigurationPeerDesk extends ConfigurationPeerHandler {
+    /** @param node Node that answers. */
+    constructor(private readonly node: EntryNode) {
+        super();
+    }
+
+    override async fetchConfiguration(
+        request: configurationWire.FetchConfigurationRequest,
+    ): Promise<configurationWire.FetchConfigurationReply> {
+        return this.node.follower.copyFor(request);
+    }
+}
+
+/** Answers operators who read and change the configuration. */
+export class ConfigurationOperatorDesk extends ConfigurationOperatorHandler {
+    /** @param node Node that answers. */
+    constructor(private readonly node: EntryNode) {
+        super();
+    }
+
+    override async readConfiguration(): Promise<configurationWire.ReadConfigurationReply> {
+        const { view, settings: { clock } } = this.node;
+        const { version, document } = view.published;
+        return { version, document: JSON.stringify(document), wallMs: Math.floor(clock.now()) };
+    }
+
+    override async changeConfiguration(
+        request: configurationWire.ChangeConfigurationRequest,
+        operator: string,
+    ): Promise<configurationWire.ChangeConfigurationReply> {
+        const { id, madeAgainst } = request;
+        if (id === "") {
+            return this.toReply(this.refuse('Field "id" is missing; give an id of your own, such as a UUID.'));
+        }
+        const changes = parseChanges(request.changes);
+        return this.toReply(await this.change({ id, madeAgainst, author: operator, changes }));
+    }
+
+    private async change(proposal: ConfigurationProposal): Promise<ChangeResult> {
+        try {
+            return await this.node.follower.change(proposal);
+        }
+        catch (error) {
+            if (!(error instanceof PlatformError)) {
+                throw error;
+            }
+            const advice = error.landed === Executed.No ?
+                "Nothing was appended; make the change again." :
+                `It may land yet; ask again with id ${proposal.id}, which never applies it twice.`;
+            const { version } = this.node.view.published;
+            return { outcome: ChangeOutcome.Unknown, version, problems: [`${error.message}. ${advice}`], others: [] };
+        }
+    }
+
+    private refuse(problem: string): ChangeResult {
+        return { outcome: ChangeOutcome.Invalid, version: this.node.view.published.version, problems: [problem], others: [] };
+    }
+
+    private toReply(result: ChangeResult): configurationWire.ChangeConfigurationReply {
+        const { outcome, version, problems, others } = result;
+        return { outcome: WIRE_OUTCOMES[outcome], version, problems: [...problems], others: [...others] };
+    }
+}
+
+function parseChanges(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/daemon/configuration_metrics.ts
@@ -0,0 +1,50 @@
+/**
+ * Metrics of a node's configuration.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, type Registry } from "prom-client";
+import type { EntryNode } from "./entry_node.js";
+
+/**
+ * Shows how far a node's configuration has come.
+ *
+ * @param registry Registry of the daemon.
+ * @param node Node that is shown.
+ */
+export function watchConfiguration(registry: Registry, node: EntryNode): void {
+    const { follower, view } = node;
+    const gauges = [
+        {
+            name: "version",
+            help: "Version of the configuration in force; -1 before the first.",
+            read: () => view.published.version,
+        },
+        { name: "next_offset", help: "First offset of the log not read yet.", read: () => follower.journal.nextOffset },
+        { name: "log_failing", help: "1 while the log cannot be read.", read: () => Number(follower.logFailing) },
+        {
+            name: "incomplete",
+            help: "1 after a record of a later format was skipped.",
+            read: () => Number(!follower.journal.complete),
+        },
+    ];
+    for (const { name, help, read } of gauges) {
+        const gauge: Gauge = new Gauge({
+            name: `foxtailrail_configuration_${name}`,
+            help,
+            registers: [registry],
+            collect: () => gauge.set(read()),
+        });
+    }
+    let counted = 0;
+    const skipped: Counter = new Counter({
+        name: "foxtailrail_configuration_skipped_total",
+        help: "Records skipped as malformed, wrong or of a later format.",
+        registers: [registry],
+        collect: () => {
+            skipped.inc(follower.journal.skipped - counted);
+            counted = follower.journal.skipped;
+        },
+    });
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,9 +5,10 @@
  */
 
 import type { Logger } from "pino";
-import { SilentDissemination } from "../coordination/mod.js";
+import { MAX_KEPT_RECORDS, MAX_REMEMBERED_CHANGES, SilentDissemination } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    GrpcConfigurationPeers,
     GrpcServer,
     HttpClient,
     HttpEngine,
@@ -19,12 +20,14 @@
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
 } from "../transport/mod.js";
+import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
+import { watchConfiguration } from "./configuration_metrics.js";
 import { EntryNode } from "./entry_node.js";
 import { logEvents } from "./event_log.js";
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorDesk } from "./operator_desk.js";
 import { PeerDesk } from "./peer_desk.js";
-import { isOperatorKey, type Settings } from "./settings.js";
+import { findOperator, type Settings } from "./settings.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
 const DRAIN_POLL_MS = 20;
@@ -41,6 +44,7 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
+    private readonly configurationPeers = new GrpcConfigurationPeers();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -59,6 +63,7 @@
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             dissemination: new SilentDissemination(),
+            configurationPeers: this.configurationPeers,
             observer: this.metrics,
         });
         this.httpServer = new HttpServer({
@@ -68,10 +73,13 @@
         });
         const limits = this.limits();
         this.metrics.watchLimits(limits);
+        watchConfiguration(this.metrics.registry, this.node);
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk(this.node),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
-            isOperatorKey: key => isOperatorKey(settings, key),
+            configurationPeerHandler: new ConfigurationPeerDesk(this.node),
+            configurationOperatorHandler: new ConfigurationOperatorDesk(this.node),
+            findOperator: key => findOperator(settings, key),
         });
     }
 
@@ -115,6 +123,7 @@
     private async stop(): Promise<void> {
         this.httpServer.close();
         this.grpcServer.close();
+        this.configurationPeers.close();
         await this.client.close();
         await this.node.stop();
     }
@@ -140,7 +149,7 @@
     }
 
     private whyNotReady(): string {
-        return this.draining ? "draining\n" : "no configuration yet\n";
+        return this.draining ? "draining\n" : `${this.node.follower.whyNotReady}\n`;
     }
 
     private limits(): readonly LimitedQuantity[] {
@@ -148,6 +157,12 @@
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
+            { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
+            {
+                name: "MAX_REMEMBERED_CHANGES",
+                limit: MAX_REMEMBERED_CHANGES,
+                read: () => this.node.follower.journal.history.size,
+            },
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -17,7 +17,7 @@
     RequestHandler,
     RetryBudget,
 } from "../coordination/mod.js";
-import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import type { ConfigurationPeers, Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -42,12 +42,14 @@
     readonly vmList: VmList;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
+    /** Configuration of other nodes. */
+    readonly configurationPeers: ConfigurationPeers;
     readonly observer: CallObserver;
 }
 
 /** State and coordination of one entry VM. */
 export class EntryNode {
-    readonly view = new ConfigurationView();
+    readonly view: ConfigurationView;
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
@@ -62,12 +64,22 @@
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
+        this.view = new ConfigurationView(clock);
         const { view, table } = this;
         this.hybridClock = new HybridClock(clock);
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
+        this.follower = new ConfigurationFollower({
+            clock,
+            random,
+            ring,
+            log: settings.log,
+            view,
+            dissemination: settings.dissemination,
+            peers: settings.configurationPeers,
+            entryVms: () => this.entryVms,
+        });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
             clock,
@@ -83,7 +95,7 @@
 
     /** Whether the node has a configuration to serve by. */
     get configured(): boolean {
-        return this.view.current.version >= 0;
+        return this.follower.configured;
     }
 
     /** Starts the tasks that follow the platform. */
--- a/src/daemon/event_log.ts
+++ b/src/daemon/event_log.ts
@@ -19,7 +19,10 @@
     const write = (event: TimelineEvent) => {
         const fields = { part: event.part, kind: event.kind, requestId: event.requestId, peer: event.peer };
         const line = `${event.part}: ${event.text}`;
-        if (event.requestId === undefined) {
+        if (event.warning) {
+            logger.warn(fields, line);
+        }
+        else if (event.requestId === undefined) {
             logger.info(fields, line);
         }
         else {
--- a/src/daemon/operator_desk.ts
+++ b/src/daemon/operator_desk.ts
@@ -8,9 +8,10 @@
 import { newDefaultScheduler } from "@most/scheduler";
 import type { wire } from "../protocol/mod.js";
 import { OperatorHandler, type TimelineFeed } from "../protocol/mod.js";
-import type { TimelineEvent, Vm } from "../state/mod.js";
+import { Part, type TimelineEvent, type Vm } from "../state/mod.js";
 import type { EntryNode } from "./entry_node.js";
 import type { LimitedQuantity } from "./metrics.js";
+import { DROPPED_KIND, TimelineSender } from "./timeline_sender.js";
 
 /** Settings of an {@linkcode OperatorDesk}. */
 export interface OperatorDeskSettings {
@@ -33,47 +34,36 @@
             node: node.settings.node,
             failureDomain: node.settings.failureDomain,
             ready: isReady(),
-            configurationVersion: node.view.current.version,
+            configurationVersion: node.view.published.version,
             backendServers: this.describeServers(),
             limits: limits.map(quantity => ({ name: quantity.name, value: quantity.read(), limit: quantity.limit })),
             members: node.entryVms.map(describeMember),
         };
     }
 
-    override async readConfiguration(): Promise<wire.ConfigurationReply> {
-        const { version, document } = this.settings.node.view.current;
-        return { version, document: JSON.stringify(document) };
-    }
-
-    override async changeConfiguration(request: wire.ChangeConfigurationRequest): Promise<wire.ChangeConfigurationReply> {
-        const document = parseDocument(request.document);
-        const change = { madeAgainst: request.madeAgainst, author: request.author, document };
-        const result = await this.settings.node.follower.change(change);
-        if (result.problems !== undefined) {
-            return { accepted: false, version: this.settings.node.view.current.version, problems: [...result.problems] };
-        }
-        return { accepted: true, version: result.version, problems: [] };
-    }
-
     override readTimeline(request: wire.ReadTimelineRequest, feed: TimelineFeed): void {
-        const wanted = (event: TimelineEvent) => request.requestId === "" || event.requestId === request.requestId;
-        for (const event of this.settings.node.ring.list().filter(wanted)) {
-            feed.send(toRecord(event));
-        }
+        const { ring } = this.settings.node;
+        const sender = new TimelineSender({
+            feed,
+            backlog: ring.list().filter(event => isWanted(event, request)).map(toRecord),
+            describeDropped: count => this.describeDropped(count),
+            endsAfterBacklog: !request.follow,
+        });
         if (!request.follow) {
-            feed.end();
             return;
         }
-        let open = true;
-        feed.onClose(() => {
-            open = false;
-        });
         const sendWanted = (event: TimelineEvent) => {
-            if (wanted(event)) {
-                feed.send(toRecord(event));
+            if (isWanted(event, request)) {
+                sender.offer(toRecord(event));
             }
         };
-        void runEffects(tap(sendWanted, takeWhile(() => open, this.settings.node.ring.events)), newDefaultScheduler());
+        void runEffects(tap(sendWanted, takeWhile(() => sender.isOpen, ring.events)), newDefaultScheduler());
+    }
+
+    private describeDropped(count: number): wire.EventRecord {
+        const { ring, hybridClock } = this.settings.node;
+        const text = `${count} events were dropped, since this reader is slow.`;
+        return toRecord({ part: Part.Daemon, kind: DROPPED_KIND, text, node: ring.node, time: hybridClock.tick() });
     }
 
     private describeServers(): wire.BackendServerStatus[] {
@@ -94,13 +84,13 @@
     return { id: vm.id, address: vm.address, failureDomain: vm.failureDomain, state: vm.state };
 }
 
-function parseDocument(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
+function isWanted(event: TimelineEvent, request: wire.ReadTimelineRequest): boolean {
+    const { wallMs } = event.time;
+    return (request.requestId === "" || event.requestId === request.requestId) &&
+        (request.rollout === "" || event.rollout === request.rollout) &&
+        (request.peer === "" || event.peer === request.peer) &&
+        (request.sinceMs === 0 || wallMs >= request.sinceMs) &&
+        (request.untilMs === 0 || wallMs < request.untilMs);
 }
 
 function toRecord(event: TimelineEvent): wire.EventRecord {
@@ -113,5 +103,6 @@
         requestId: event.requestId ?? "",
         peer: event.peer ?? "",
         text: event.text,
+        rollout: event.rollout ?? "",
     };
 }
--- a/src/daemon/peer_desk.ts
+++ b/src/daemon/peer_desk.ts
@@ -17,6 +17,6 @@
     override async probe(request: wire.ProbeRequest): Promise<wire.ProbeReply> {
         this.node.hybridClock.observe({ wallMs: request.wallMs, counter: request.counter });
         const time = this.node.hybridClock.tick();
-        return { node: this.node.settings.node, ...time, configurationVersion: this.node.view.current.version };
+        return { node: this.node.settings.node, ...time, configurationVersion: this.node.view.published.version };
     }
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -21,14 +21,20 @@
     "must be an IP number and a port, such as 127.0.0.1:7001",
 );
 
+const operatorSchema = z.strictObject({
+    name: z.string().regex(
+        /^[a-z0-9][a-z0-9.@-]{0,62}$/,
+        "must be 1 to 63 lower-case letters, digits, dots, at signs and hyphens",
+    ),
+    keyHash: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in lower-case hexadecimal"),
+});
+
 const settingsSchema = z.strictObject({
     node: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be 1 to 63 lower-case letters, digits and hyphens"),
     failureDomain: z.string().min(1),
     listen: z.strictObject({ callers: addressSchema, peers: addressSchema }),
     platform: z.strictObject({ log: addressSchema, vmList: addressSchema, weightStore: addressSchema }),
-    operators: z.strictObject({
-        keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in lower-case hexadecimal")).min(1),
-    }),
+    operators: z.array(operatorSchema).min(1).refine(hasNoRepeats, "names an operator or a key twice; give each its own"),
     drain: z.strictObject({
         balancerLagMs: z.int().min(0).max(60_000).default(DEFAULT_BALANCER_LAG_MS),
         limitMs: z.int().min(0).max(3_600_000).default(DEFAULT_DRAIN_LIMIT_MS),
@@ -89,7 +95,22 @@
     return result.data;
 }
 
-/** Tells whether a key belongs to an operator. */
-export function isOperatorKey(settings: Settings, key: string | undefined): boolean {
-    return key !== undefined && settings.operators.keyHashes.includes(createHash("sha256").update(key).digest("hex"));
+/**
+ * Finds the operator who owns a key.
+ *
+ * @param settings Settings that name the operators.
+ * @param key Key that a call carries; it is compared by its hash and never kept.
+ * @returns Name of the operator, or `undefined` when the key is missing or belongs to nobody.
+ */
+export function findOperator(settings: Settings, key: string | undefined): string | undefined {
+    if (key === undefined) {
+        return undefined;
+    }
+    const keyHash = createHash("sha256").update(key).digest("hex");
+    return settings.operators.find(operator => operator.keyHash === keyHash)?.name;
+}
+
+function hasNoRepeats(operators: readonly z.infer<typeof operatorSchema>[]): boolean {
+    const values = operators.flatMap(({ name, keyHash }) => [name, keyHash]);
+    return new Set(values).size === values.length;
 }
--- a/src/protocol/configuration_record.ts
+++ b/src/protocol/configuration_record.ts
@@ -5,141 +5,90 @@
  */
 
 import { z } from "zod";
-import { type ConfigurationDocument, PoolKind, Semantics } from "../state/mod.js";
-import { describeIssue } from "./schema_problem.js";
+import { ChangeKind, type ItemChange, ItemList } from "../state/mod.js";
+import { changesSchema } from "./_configuration_schema.js";
 
 /** Stream of the log that holds configuration. */
 export const CONFIGURATION_STREAM = "configuration";
 
+/** Largest record, in bytes. */
+export const MAX_RECORD_BYTES = 1024 * 1024;
+
 /** Format of records that this release writes; records of later formats are skipped. */
 const RECORD_FORMAT = 1;
 
-const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be 1 to 63 lower-case letters, digits and hyphens");
-const durationSchema = z.int().min(1).max(86_400_000);
-
-const promiseSchema = z.strictObject({
-    firstTokenMs: durationSchema.optional(),
-    betweenTokensMs: durationSchema.optional(),
-    answerMs: durationSchema,
-});
-
-const routeSchema = z.strictObject({
-    service: nameSchema,
-    method: z.enum(["GET", "POST", "PUT", "PATCH", "DELETE"]),
-    pathPrefix: z.string().startsWith("/"),
-});
-
-const operationSchema = z.strictObject({
-    name: nameSchema,
-    tier: nameSchema,
-    pool: nameSchema,
-    semantics: z.enum(Semantics),
-    promise: promiseSchema,
-    routes: z.array(routeSchema).default([]),
-});
-
-const workspaceSchema = z.strictObject({
-    name: nameSchema,
-    keyHash: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in lower-case hexadecimal"),
-});
+const headSchema = z.object({ format: z.int().min(1) });
 
-const documentSchema = z.strictObject({
-    tiers: z.array(z.strictObject({ name: nameSchema, rank: z.int().min(0).max(15) })),
-    pools: z.array(z.strictObject({ name: nameSchema, kind: z.enum(PoolKind) })),
-    operations: z.array(operationSchema),
-    workspaces: z.array(workspaceSchema),
-});
-
-const recordSchema = z.object({
+const recordSchema = z.strictObject({
     format: z.literal(RECORD_FORMAT),
-    id: z.string().min(1),
+    id: z.string().min(1).max(200),
     madeAgainst: z.int().min(-1),
     author: z.string().min(1),
-    document: documentSchema,
+    atMs: z.int().min(0),
+    changes: changesSchema,
 });
 
-/** Change of the configuration as it stands in the log. */
+/** Changes of the configuration as they stand in the log; all of them take effect or none. */
 export interface ConfigurationRecord {
-    /** Id given by the node that appended it. */
+    /** Id of the change; a change that is appended twice has the same one in both records. */
     readonly id: string;
-    /** Version that the change was made against; it takes effect only when that version is in force. */
+    /** Version that the changes were made against; they take effect only when that version is in force. */
     readonly madeAgainst: number;
-    /** Operator who made the change. */
+    /** Operator who made the changes. */
     readonly author: string;
-    readonly document: ConfigurationDocument;
+    /** Time at which they were made, in milliseconds since the Unix epoch. */
+    readonly atMs: number;
+    readonly changes: readonly ItemChange[];
 }
 
-/** Result of checking a document: the document, or its problems. */
-export type CheckedDocument =
-    | { readonly document: ConfigurationDocument; readonly problems?: undefined }
-    | { readonly document?: undefined; readonly problems: readonly string[] };
-
-/**
- * Checks a configuration document: its shape, then the names that it refers to.
- *
- * @param value Parsed YAML or JSON.
- */
-export function checkDocument(value: unknown): CheckedDocument {
-    const result = documentSchema.safeParse(value);
-    if (!result.success) {
-        return { problems: result.error.issues.map(issue => describeIssue(issue, "document", value).text) };
-    }
-    const problems = findReferenceProblems(result.data);
-    return problems.length > 0 ? { problems } : { document: result.data };
+/** What a record of the log turned out to be. */
+export enum RecordKind {
+    Changes = "changes",
+    Malformed = "malformed",
+    /** Written by a later release. */
+    LaterFormat = "laterFormat",
 }
 
+/** Result of reading a record. */
+export type DecodedRecord =
+    | { readonly kind: RecordKind.Changes; readonly record: ConfigurationRecord }
+    | { readonly kind: RecordKind.Malformed; readonly reason: string }
+    | { readonly kind: RecordKind.LaterFormat; readonly format: number };
+
 /** Writes a record for the log. */
 export function encodeConfigurationRecord(record: ConfigurationRecord): Uint8Array {
     return Buffer.from(JSON.stringify({ format: RECORD_FORMAT, ...record }));
 }
 
 /**
- * Reads a record of the log.
+ * Reads a record of the log. What comes of it depends on its bytes alone, so that all nodes of a release skip the same records.
  *
- * @returns The record, or `undefined` when it is malformed or of a later format; every node skips it alike.
+ * @param data Bytes of the record.
  */
-export function decodeConfigurationRecord(data: Uint8Array): ConfigurationRecord | undefined {
+export function decodeConfigurationRecord(data: Uint8Array): DecodedRecord {
+    let value: unknown;
     try {
-        const result = recordSchema.safeParse(JSON.parse(Buffer.from(data).toString("utf8")));
-        return result.success && findReferenceProblems(result.data.document).length === 0 ? result.data : undefined;
+        value = JSON.parse(Buffer.from(data).toString("utf8"));
     }
-    catch {
-        return undefined;
+    catch (error) {
+        return { kind: RecordKind.Malformed, reason: (error as Error).message };
     }
-}
-
-function findReferenceProblems(document: ConfigurationDocument): readonly string[] {
-    const tiers = new Set(document.tiers.map(tier => tier.name));
-    const pools = new Set(document.pools.map(pool => pool.name));
-    const problems = [
-        ...findRepeated("tiers", document.tiers.map(tier => tier.name)),
-        ...findRepeated("pools", document.pools.map(pool => pool.name)),
-        ...findRepeated("operations", document.operations.map(operation => operation.name)),
-        ...findRepeated("workspaces", document.workspaces.map(workspace => workspace.name)),
-    ];
-    for (const [index, operation] of document.operations.entries()) {
-        if (!tiers.has(operation.tier)) {
-            problems.push(
-                `Field "operations[${index}].tier" is wrong: no tier is named "${operation.tier}"; add it under tiers.`,
-            );
-        }
-        if (!pools.has(operation.pool)) {
-            problems.push(
-                `Field "operations[${index}].pool" is wrong: no pool is named "${operation.pool}"; add it under pools.`,
-            );
-        }
+    const head = headSchema.safeParse(value);
+    if (head.success && head.data.format > RECORD_FORMAT) {
+        return { kind: RecordKind.LaterFormat, format: head.data.format };
+    }
+    const result = recordSchema.safeParse(value);
+    if (!result.success) {
+        return { kind: RecordKind.Malformed, reason: result.error.issues[0].message };
+    }
+    if (hasForeignAuthor(result.data)) {
+        return { kind: RecordKind.Malformed, reason: "an exception names another author than the record" };
     }
-    return problems;
+    return { kind: RecordKind.Changes, record: result.data };
 }
 
-function findRepeated(list: string, names: readonly string[]): readonly string[] {
-    const problems: string[] = [];
-    const seen = new Set<string>();
-    for (const [index, name] of names.entries()) {
-        if (seen.has(name)) {
-            problems.push(`Field "${list}[${index}].name" is wrong: "${name}" stands twice; give it another name.`);
-        }
-        seen.add(name);
-    }
-    return problems;
+function hasForeignAuthor(record: ConfigurationRecord): boolean {
+    return record.changes.some(change =>
+        change.kind === ChangeKind.Set && change.list === ItemList.Exceptions && change.item.author !== record.author
+    );
 }
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -43,6 +43,8 @@
   readonly peer: string;
   /** Short sentence for people. */
   readonly text: string;
+  /** Rollout the event belongs to, or empty. */
+  readonly rollout: string;
 }
 
 export interface ProbeRequest {
@@ -97,39 +99,23 @@
   readonly members: readonly MemberStatus[];
 }
 
-export interface ReadConfigurationRequest {
-}
-
-export interface ConfigurationReply {
-  readonly version: number;
-  /** Configuration as JSON text, in the shape of docs/OPERATING.md. */
-  readonly document: string;
-}
-
-export interface ChangeConfigurationRequest {
-  /** Version the change was made against; the change is refused when another came first. */
-  readonly madeAgainst: number;
-  /** Whole new configuration as JSON text. */
-  readonly document: string;
-  readonly author: string;
-}
-
-export interface ChangeConfigurationReply {
-  readonly accepted: boolean;
-  readonly version: number;
-  /** Reasons for which the change was refused, one a line. */
-  readonly problems: readonly string[];
-}
-
 export interface ReadTimelineRequest {
   /** Only events of this request, or all when empty. */
   readonly requestId: string;
   /** Keep the call open and send new events. */
   readonly follow: boolean;
+  /** Only events of this rollout, or all when empty. */
+  readonly rollout: string;
+  /** Only events of this peer, such as a backend server, or all when empty. */
+  readonly peer: string;
+  /** Only events from this time on, in milliseconds since the Unix epoch; 0 for all. */
+  readonly sinceMs: number;
+  /** Only events before this time, in milliseconds since the Unix epoch; 0 for all. */
+  readonly untilMs: number;
 }
 
 function createBaseEventRecord(): EventRecord {
-  return { wallMs: 0, counter: 0, node: "", part: "", kind: "", requestId: "", peer: "", text: "" };
+  return { wallMs: 0, counter: 0, node: "", part: "", kind: "", requestId: "", peer: "", text: "", rollout: "" };
 }
 
 export const EventRecord: MessageFns<EventRecord> = {
@@ -158,6 +144,9 @@
     if (message.text !== "") {
       writer.uint32(66).string(message.text);
     }
+    if (message.rollout !== "") {
+      writer.uint32(74).string(message.rollout);
+    }
     return writer;
   },
 
@@ -238,6 +227,14 @@
             message.text = reader.string();
             continue;
           }
+          case 9: {
+            if (tag !== 74) {
+              break;
+            }
+
+            message.rollout = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -812,117 +809,34 @@
   },
 };
 
-function createBaseReadConfigurationRequest(): ReadConfigurationRequest {
-  return {};
-}
-
-export const ReadConfigurationRequest: MessageFns<ReadConfigurationRequest> = {
-  encode(_: ReadConfigurationRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): ReadConfigurationRequest {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
-    }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseReadConfigurationRequest() as any;
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
-    }
-  },
-};
-
-function createBaseConfigurationReply(): ConfigurationReply {
-  return { version: 0, document: "" };
+function createBaseReadTimelineRequest(): ReadTimelineRequest {
+  return { requestId: "", follow: false, rollout: "", peer: "", sinceMs: 0, untilMs: 0 };
 }
 
-export const ConfigurationReply: MessageFns<ConfigurationReply> = {
-  encode(message: ConfigurationReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.version !== 0) {
-      writer.uint32(8).int64(message.version);
-    }
-    if (message.document !== "") {
-      writer.uint32(18).string(message.document);
+export const ReadTimelineRequest: MessageFns<ReadTimelineRequest> = {
+  encode(message: ReadTimelineRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.requestId !== "") {
+      writer.uint32(10).string(message.requestId);
     }
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): ConfigurationReply {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    if (message.follow !== false) {
+      writer.uint32(16).bool(message.follow);
     }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseConfigurationReply() as any;
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 8) {
-              break;
-            }
-
-            message.version = longToNumber(reader.int64());
-            continue;
-          }
-          case 2: {
-            if (tag !== 18) {
-              break;
-            }
-
-            message.document = reader.string();
-            continue;
-          }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    if (message.rollout !== "") {
+      writer.uint32(26).string(message.rollout);
     }
-  },
-};
-
-function createBaseChangeConfigurationRequest(): ChangeConfigurationRequest {
-  return { madeAgainst: 0, document: "", author: "" };
-}
-
-export const ChangeConfigurationRequest: MessageFns<ChangeConfigurationRequest> = {
-  encode(message: ChangeConfigurationRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.madeAgainst !== 0) {
-      writer.uint32(8).int64(message.madeAgainst);
+    if (message.peer !== "") {
+      writer.uint32(34).string(message.peer);
     }
-    if (message.document !== "") {
-      writer.uint32(18).string(message.document);
+    if (message.sinceMs !== 0) {
+      writer.uint32(40).int64(message.sinceMs);
     }
-    if (message.author !== "") {
-      writer.uint32(26).string(message.author);
+    if (message.untilMs !== 0) {
+      writer.uint32(48).int64(message.untilMs);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): ChangeConfigurationRequest {
+  decode(input: BinaryReader | Uint8Array, length?: number): ReadTimelineRequest {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -931,24 +845,24 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseChangeConfigurationRequest() as any;
+      const message = createBaseReadTimelineRequest() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 8) {
+            if (tag !== 10) {
               break;
             }
 
-            message.madeAgainst = longToNumber(reader.int64());
+            message.requestId = reader.string();
             continue;
           }
           case 2: {
-            if (tag !== 18) {
+            if (tag !== 16) {
               break;
             }
 
-            message.document = reader.string();
+            message.follow = reader.bool();
             continue;
           }
           case 3: {
@@ -956,132 +870,31 @@
               break;
             }
 
-            message.author = reader.string();
+            message.rollout = reader.string();
             continue;
           }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
-    }
-  },
-};
-
-function createBaseChangeConfigurationReply(): ChangeConfigurationReply {
-  return { accepted: false, version: 0, problems: [] };
-}
-
-export const ChangeConfigurationReply: MessageFns<ChangeConfigurationReply> = {
-  encode(message: ChangeConfigurationReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.accepted !== false) {
-      writer.uint32(8).bool(message.accepted);
-    }
-    if (message.version !== 0) {
-      writer.uint32(16).int64(message.version);
-    }
-    for (const v of message.problems) {
-      writer.uint32(26).string(v!);
-    }
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): ChangeConfigurationReply {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
-    }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseChangeConfigurationReply() as any;
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 8) {
-              break;
-            }
-
-            message.accepted = reader.bool();
-            continue;
-          }
-          case 2: {
-            if (tag !== 16) {
-              break;
-            }
-
-            message.version = longToNumber(reader.int64());
-            continue;
-          }
-          case 3: {
-            if (tag !== 26) {
+          case 4: {
+            if (tag !== 34) {
               break;
             }
 
-            message.problems.push(reader.string());
+            message.peer = reader.string();
             continue;
           }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
-    }
-  },
-};
-
-function createBaseReadTimelineRequest(): ReadTimelineRequest {
-  return { requestId: "", follow: false };
-}
-
-export const ReadTimelineRequest: MessageFns<ReadTimelineRequest> = {
-  encode(message: ReadTimelineRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.requestId !== "") {
-      writer.uint32(10).string(message.requestId);
-    }
-    if (message.follow !== false) {
-      writer.uint32(16).bool(message.follow);
-    }
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): ReadTimelineRequest {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
-    }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseReadTimelineRequest() as any;
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 10) {
+          case 5: {
+            if (tag !== 40) {
               break;
             }
 
-            message.requestId = reader.string();
+            message.sinceMs = longToNumber(reader.int64());
             continue;
           }
-          case 2: {
-            if (tag !== 16) {
+          case 6: {
+            if (tag !== 48) {
               break;
             }
 
-            message.follow = reader.bool();
+            message.untilMs = longToNumber(reader.int64());
             continue;
           }
         }
@@ -1148,27 +961,6 @@
     responseSerialize: (value: StatusReply): Buffer => Buffer.from(StatusReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): StatusReply => StatusReply.decode(value),
   },
-  readConfiguration: {
-    path: "/foxtailrail.v1.Operator/ReadConfiguration" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: ReadConfigurationRequest): Buffer =>
-      Buffer.from(ReadConfigurationRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): ReadConfigurationRequest => ReadConfigurationRequest.decode(value),
-    responseSerialize: (value: ConfigurationReply): Buffer => Buffer.from(ConfigurationReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): ConfigurationReply => ConfigurationReply.decode(value),
-  },
-  changeConfiguration: {
-    path: "/foxtailrail.v1.Operator/ChangeConfiguration" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: ChangeConfigurationRequest): Buffer =>
-      Buffer.from(ChangeConfigurationRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): ChangeConfigurationRequest => ChangeConfigurationRequest.decode(value),
-    responseSerialize: (value: ChangeConfigurationReply): Buffer =>
-      Buffer.from(ChangeConfigurationReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): ChangeConfigurationReply => ChangeConfigurationReply.decode(value),
-  },
   readTimeline: {
     path: "/foxtailrail.v1.Operator/ReadTimeline" as const,
     requestStream: false as const,
@@ -1182,8 +974,6 @@
 
 export interface OperatorServer extends UntypedServiceImplementation {
   readStatus: handleUnaryCall<StatusRequest, StatusReply>;
-  readConfiguration: handleUnaryCall<ReadConfigurationRequest, ConfigurationReply>;
-  changeConfiguration: handleUnaryCall<ChangeConfigurationRequest, ChangeConfigurationReply>;
   readTimeline: handleServerStreamingCall<ReadTimelineRequest, EventRecord>;
 }
 
@@ -1203,36 +993,6 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: StatusReply) => void,
   ): ClientUnaryCall;
-  readConfiguration(
-    request: ReadConfigurationRequest,
-    callback: (error: ServiceError | null, response: ConfigurationReply) => void,
-  ): ClientUnaryCall;
-  readConfiguration(
-    request: ReadConfigurationRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: ConfigurationReply) => void,
-  ): ClientUnaryCall;
-  readConfiguration(
-    request: ReadConfigurationRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: ConfigurationReply) => void,
-  ): ClientUnaryCall;
-  changeConfiguration(
-    request: ChangeConfigurationRequest,
-    callback: (error: ServiceError | null, response: ChangeConfigurationReply) => void,
-  ): ClientUnaryCall;
-  changeConfiguration(
-    request: ChangeConfigurationRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: ChangeConfigurationReply) => void,
-  ): ClientUnaryCall;
-  changeConfiguration(
-    request: ChangeConfigurationRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: ChangeConfigurationReply) => void,
-  ): ClientUnaryCall;
   readTimeline(request: ReadTimelineRequest, options?: Partial<CallOptions>): ClientReadableStream<EventRecord>;
   readTimeline(
     request: ReadTimelineRequest,
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -6,10 +6,14 @@
 
 export * from "./call.js";
 export * from "./chat_completion.js";
+export * from "./configuration_check.js";
+export * from "./configuration_peers.js";
 export * from "./configuration_record.js";
+export * from "./configuration_snapshot.js";
 export * from "./dissemination.js";
 export * from "./engine.js";
 export * from "./errors.js";
+export * as configurationWire from "./gen/configuration.js";
 export * as wire from "./gen/peer.js";
 export * from "./log_service.js";
 export * from "./operator.js";
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -4,16 +4,7 @@
  * @module
  */
 
-import type {
-    ChangeConfigurationReply,
-    ChangeConfigurationRequest,
-    ConfigurationReply,
-    EventRecord,
-    ProbeReply,
-    ProbeRequest,
-    ReadTimelineRequest,
-    StatusReply,
-} from "./gen/peer.js";
+import type { EventRecord, ProbeReply, ProbeRequest, ReadTimelineRequest, StatusReply } from "./gen/peer.js";
 
 /** Answers other daemons. */
 export abstract class PeerHandler {
@@ -23,10 +14,12 @@
 
 /** Where the events of a time line go. */
 export interface TimelineFeed {
-    /** Sends one event. */
-    send(event: EventRecord): void;
+    /** Sends one event; returns `false` when the reader should be given time until it has drained. */
+    send(event: EventRecord): boolean;
     /** Ends the feed. */
     end(): void;
+    /** Calls the listener when the reader has taken what was sent. */
+    onDrain(listener: () => void): void;
     /** Calls the listener when the reader goes away. */
     onClose(listener: () => void): void;
 }
@@ -36,12 +29,6 @@
     /** Describes the daemon as it is now. */
     abstract readStatus(): Promise<StatusReply>;
 
-    /** Returns the configuration in force. */
-    abstract readConfiguration(): Promise<ConfigurationReply>;
-
-    /** Appends a change to the log and waits until it is in force here, or refuses it. */
-    abstract changeConfiguration(request: ChangeConfigurationRequest): Promise<ChangeConfigurationReply>;
-
     /** Sends the events kept, then new ones if they are asked for. */
     abstract readTimeline(request: ReadTimelineRequest, feed: TimelineFeed): void;
 }
--- a/src/state/configuration.ts
+++ b/src/state/configuration.ts
@@ -69,12 +69,31 @@
     readonly keyHash: string;
 }
 
+/** Value that an exception puts in place of a default. */
+export type ExceptionValue = string | number | boolean;
+
+/** Value that overrides the defaults at one path of the configuration. */
+export interface ConfigurationException {
+    /** Path of the overridden value, such as `workspaces/pilot/operations/claim-filing/promise/answerMs`. */
+    readonly path: string;
+    readonly value: ExceptionValue;
+    /** Why the exception is made. */
+    readonly reason: string;
+    /** Operator who made it. */
+    readonly author: string;
+    /** Time at which it was made, in milliseconds since the Unix epoch. */
+    readonly madeAtMs: number;
+    /** Time from which on it has no effect, in milliseconds since the Unix epoch. Left out when it has no end. */
+    readonly endsAtMs?: number;
+}
+
 /** Whole configuration, without its version. */
 export interface ConfigurationDocument {
     readonly tiers: readonly Tier[];
     readonly pools: readonly Pool[];
     readonly operations: readonly Operation[];
     readonly workspaces: readonly Workspace[];
+    readonly exceptions: readonly ConfigurationException[];
 }
 
 /** Configuration in force at a version. */
@@ -87,5 +106,5 @@
 /** Configuration of a node that has read nothing yet. */
 export const EMPTY_CONFIGURATION: Configuration = {
     version: -1,
-    document: { tiers: [], pools: [], operations: [], workspaces: [] },
+    document: { tiers: [], pools: [], operations: [], workspaces: [], exceptions: [] },
 };
--- a/src/state/configuration_view.ts
+++ b/src/state/configuration_view.ts
@@ -6,14 +6,17 @@
 
 import { createAdapter } from "@most/adapter";
 import type { Stream } from "@most/types";
+import { type Clock, SystemClock } from "./clock.js";
 import {
     type Configuration,
     EMPTY_CONFIGURATION,
     type Operation,
+    type Pool,
     type ServiceRoute,
     type Tier,
     type Workspace,
 } from "./configuration.js";
+import { applyExceptions, nextExceptionEndMs, type WorkspaceOperations, workspaceOperations } from "./configuration_exception.js";
 
 /** Route of a plain service with the operation it belongs to. */
 interface RoutedOperation {
@@ -21,24 +24,48 @@
     readonly operation: Operation;
 }
 
-/** Holds the configuration in force and answers look-ups in constant time. */
+/** Call of a plain service. */
+export interface ServiceCall {
+    readonly service: string;
+    /** HTTP method in upper case. */
+    readonly method: string;
+    /** Path below the service, beginning with a slash. */
+    readonly path: string;
+}
+
+/**
+ * Holds the configuration in force and answers look-ups in constant time.
+ *
+ * An exception ends by the clock of this node: the first look-up after its end sees the configuration without it.
+ */
 export class ConfigurationView {
-    /** Configurations as they come into force. */
+    /** Effective configurations as they come into force. */
     readonly changes: Stream<Configuration>;
     private readonly publish: (configuration: Configuration) => void;
-    private configuration = EMPTY_CONFIGURATION;
+    private inLog = EMPTY_CONFIGURATION;
+    private effective = EMPTY_CONFIGURATION;
+    private nextEndMs = Infinity;
     private tiers = new Map<string, Tier>();
+    private pools = new Map<string, Pool>();
     private operations = new Map<string, Operation>();
+    private ofWorkspaces: ReadonlyMap<string, WorkspaceOperations> = new Map();
     private workspaces = new Map<string, Workspace>();
     private routes: readonly RoutedOperation[] = [];
 
-    constructor() {
+    /** @param clock Clock by which exceptions end. Defaults to the machine's. */
+    constructor(private readonly clock: Clock = new SystemClock()) {
         [this.publish, this.changes] = createAdapter<Configuration>();
     }
 
-    /** Configuration in force. */
+    /** Configuration in force, with the exceptions that have not ended applied. */
     get current(): Configuration {
-        return this.configuration;
+        this.expire();
+        return this.effective;
+    }
+
+    /** Configuration as it stands in the log: defaults beside the list of exceptions. */
+    get published(): Configuration {
+        return this.inLog;
     }
 
     /**
@@ -47,54 +74,81 @@
      * @returns Whether the configuration came into force.
      */
     advance(next: Configuration): boolean {
-        if (next.version <= this.configuration.version) {
+        if (next.version <= this.inLog.version) {
             return false;
         }
-        this.configuration = next;
+        this.inLog = next;
         this.index();
-        this.publish(next);
         return true;
     }
 
     /** Returns the tier of that name. */
     tier(name: string): Tier | undefined {
+        this.expire();
         return this.tiers.get(name);
     }
 
-    /** Returns the operation of that name. */
-    operation(name: string): Operation | undefined {
-        return this.operations.get(name);
+    /** Returns the pool of that name. */
+    pool(name: string): Pool | undefined {
+        this.expire();
+        return this.pools.get(name);
+    }
+
+    /**
+     * Returns the operation of that name.
+     *
+     * @param name Name of the operation.
+     * @param workspace Workspace whose exceptions apply, if any.
+     */
+    operation(name: string, workspace?: string): Operation | undefined {
+        this.expire();
+        const own = workspace === undefined ? undefined : this.ofWorkspaces.get(workspace)?.get(name);
+        return own ?? this.operations.get(name);
     }
 
     /** Returns the workspace whose key has that hash. */
     workspaceByKeyHash(keyHash: string): Workspace | undefined {
+        this.expire();
         return this.workspaces.get(keyHash);
     }
 
     /**
      * Returns the operation that covers a call of a plain service.
      *
-     * @param service Name of the service.
-     * @param method HTTP method in upper case.
-     * @param path Path below the service, beginning with a slash.
+     * @param call Call as it came.
+     * @param workspace Workspace whose exceptions apply, if any.
      */
-    operationByRoute(service: string, method: string, path: string): Operation | undefined {
+    operationByRoute(call: ServiceCall, workspace?: string): Operation | undefined {
+        this.expire();
         for (const { route, operation } of this.routes) {
-            if (route.service === service && route.method === method && coversPath(route.pathPrefix, path)) {
-                return operation;
+            if (route.service === call.service && route.method === call.method && coversPath(route.pathPrefix, call.path)) {
+                return this.operation(operation.name, workspace);
             }
         }
         return undefined;
     }
 
+    private expire(): void {
+        if (this.clock.now() >= this.nextEndMs) {
+            this.index();
+        }
+    }
+
     private index(): void {
-        const { tiers, operations, workspaces } = this.configuration.document;
+        const nowMs = this.clock.now();
+        const document = applyExceptions(this.inLog.document, nowMs);
+        const { tiers, pools, operations, workspaces } = document;
+        this.effective = { version: this.inLog.version, document };
+        this.nextEndMs = nextExceptionEndMs(document, nowMs);
         this.tiers = new Map(tiers.map(tier => [tier.name, tier]));
+        this.pools = new Map(pools.map(pool => [pool.name, pool]));
         this.operations = new Map(operations.map(operation => [operation.name, operation]));
+        this.ofWorkspaces = workspaceOperations(document, nowMs);
         this.workspaces = new Map(workspaces.map(workspace => [workspace.keyHash, workspace]));
         this.routes = operations
             .flatMap(operation => operation.routes.map(route => ({ route, operation })))
             .sort((left, right) => right.route.pathPrefix.length - left.route.pathPrefix.length);
+        this.publish(this.effective);
     }
 }
 
--- a/src/state/event_ring.ts
+++ b/src/state/event_ring.ts
@@ -34,6 +34,10 @@
     readonly text: string;
     /** Request that the event belongs to. */
     readonly requestId?: string;
+    /** Rollout that the event belongs to. */
+    readonly rollout?: string;
+    /** Whether the event is logged as a warning. Defaults to `false`. */
+    readonly warning?: boolean;
     /** Peer of the event: a backend server, a node or a platform service. */
     readonly peer?: string;
 }
--- /dev/null
+++ b/src/transport/grpc_configuration_peers.ts
@@ -0,0 +1,62 @@
+/**
+ * Fetching of configuration from other daemons over gRPC.
+ *
+ * @module
+ */
+
+import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
+import { ConfigurationPeers, configurationWire, PeerError } from "../protocol/mod.js";
+
+/** Channels kept open. Fetching is rare, so that most nodes keep none. */
+const MAX_CHANNELS = 8;
+
+/** Fetches configuration over channels of its own. */
+export class GrpcConfigurationPeers extends ConfigurationPeers {
+    private readonly clients = new Map<string, configurationWire.ConfigurationPeerClient>();
+
+    /** @param channelCredentials Credentials of the channels. Defaults to plain text. */
+    constructor(private readonly channelCredentials: ChannelCredentials = credentials.createInsecure()) {
+        super();
+    }
+
+    override fetch(
+        address: string,
+        request: configurationWire.FetchConfigurationRequest,
+        timeoutMs: number,
+    ): Promise<configurationWire.FetchConfigurationReply> {
+        return new Promise((resolve, reject) => {
+            this.client(address).fetch(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, reply) => {
+                if (error) {
+                    reject(new PeerError("fetch configuration from", address, error));
+                    return;
+                }
+                resolve(reply);
+            });
+        });
+    }
+
+    /** Closes all channels. */
+    close(): void {
+        for (const client of this.clients.values()) {
+            client.close();
+        }
+        this.clients.clear();
+    }
+
+    private client(address: string): configurationWire.ConfigurationPeerClient {
+        const known = this.clients.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const [oldest] = this.clients;
+        if (oldest !== undefined && this.clients.size >= MAX_CHANNELS) {
+            this.clients.delete(oldest[0]);
+            oldest[1].close();
+        }
+        const client = new configurationWire.ConfigurationPeerClient(address, this.channelCredentials, {
+            "grpc.use_local_subchannel_pool": 1,
+        });
+        this.clients.set(address, client);
+        return client;
+    }
+}
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -4,22 +4,24 @@
  * @module
  */
 
-import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
-import type { OperatorHandler, PeerHandler } from "../protocol/mod.js";
-import { type TimelineFeed, wire } from "../protocol/mod.js";
+import { Server, ServerCredentials, type ServerWritableStream } from "@grpc/grpc-js";
+import type { ConfigurationOperatorHandler, ConfigurationPeerHandler, OperatorHandler, PeerHandler } from "../protocol/mod.js";
+import { configurationWire, type TimelineFeed, wire } from "../protocol/mod.js";
+import { type FindOperator, guarded, notAllowed, operatorKey, unary } from "./_grpc_calls.js";
+
+export { OPERATOR_KEY_FIELD } from "./_grpc_calls.js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
-/** Metadata field that carries the operator's key. */
-export const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
-
 /** Settings of a {@linkcode GrpcServer}. */
 export interface GrpcServerSettings {
     readonly peerHandler: PeerHandler;
     readonly operatorHandler: OperatorHandler;
-    /** Whether a key belongs to an operator. */
-    readonly isOperatorKey: (key: string | undefined) => boolean;
+    readonly configurationPeerHandler: ConfigurationPeerHandler;
+    readonly configurationOperatorHandler: ConfigurationOperatorHandler;
+    /** Finds the operator who owns a key. */
+    readonly findOperator: FindOperator;
     /** Credentials of the server. Defaults to plain text. */
     readonly credentials?: ServerCredentials;
 }
@@ -35,6 +37,8 @@
     constructor(private readonly settings: GrpcServerSettings) {
         this.server.addService(wire.PeerService, this.peerImplementation());
         this.server.addService(wire.OperatorService, this.operatorImplementation());
+        this.server.addService(configurationWire.ConfigurationPeerService, this.configurationPeerImplementation());
+        this.server.addService(configurationWire.ConfigurationOperatorService, this.configurationOperatorImplementation());
     }
 
     /** Starts to listen and returns the port. */
@@ -62,57 +66,41 @@
     }
 
     private operatorImplementation(): wire.OperatorServer {
-        const { operatorHandler } = this.settings;
+        const { operatorHandler, findOperator } = this.settings;
         return {
-            readStatus: this.guarded(() => operatorHandler.readStatus()),
-            readConfiguration: this.guarded(() => operatorHandler.readConfiguration()),
-            changeConfiguration: this.guarded(request => operatorHandler.changeConfiguration(request)),
+            readStatus: guarded(findOperator, () => operatorHandler.readStatus()),
             readTimeline: call => {
-                if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                    call.destroy(notAllowed() as Error);
+                if (findOperator(operatorKey(call.metadata)) === undefined) {
+                    call.destroy(notAllowed());
                     return;
                 }
-                const feed: TimelineFeed = {
-                    send: event => call.write(event),
-                    end: () => call.end(),
-                    onClose: listener => {
-                        call.on("cancelled", listener);
-                        call.on("close", listener);
-                    },
-                };
-                operatorHandler.readTimeline(call.request, feed);
+                operatorHandler.readTimeline(call.request, toFeed(call));
             },
         };
     }
 
-    private guarded<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-        const answerUnguarded = unary(answer);
-        return (call, callback) => {
-            if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                callback(notAllowed());
-                return;
-            }
-            answerUnguarded(call, callback);
+    private configurationPeerImplementation(): configurationWire.ConfigurationPeerServer {
+        const { configurationPeerHandler } = this.settings;
+        return { fetch: unary(request => configurationPeerHandler.fetchConfiguration(request)) };
+    }
+
+    private configurationOperatorImplementation(): configurationWire.ConfigurationOperatorServer {
+        const { configurationOperatorHandler: handler, findOperator } = this.settings;
+        return {
+            readConfiguration: guarded(findOperator, () => handler.readConfiguration()),
+            changeConfiguration: guarded(findOperator, (request, operator) => handler.changeConfiguration(request, operator)),
         };
     }
 }
 
-function unary<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-    return (call, callback) => {
-        answer(call.request).then(
-            // The library's callback type has null for "no error".
-            // eslint-disable-next-line no-restricted-syntax
-            reply => callback(null, reply),
-            (error: unknown) => callback({ code: status.INTERNAL, details: String(error) }),
-        );
+function toFeed(call: ServerWritableStream<wire.ReadTimelineRequest, wire.EventRecord>): TimelineFeed {
+    return {
+        send: event => call.write(event),
+        end: () => call.end(),
+        onDrain: listener => call.on("drain", listener),
+        onClose: listener => {
+            call.on("cancelled", listener);
+            call.on("close", listener);
+        },
     };
 }
-
-function operatorKey(metadata: Metadata): string | undefined {
-    return metadata.get(OPERATOR_KEY_FIELD)[0]?.toString();
-}
-
-function notAllowed(): Partial<ServiceError> {
-    const details = "Cannot answer: the call carries no operator's key; name a key file with --key-file.";
-    return Object.assign(new Error(details), { code: status.UNAUTHENTICATED, details, metadata: new Metadata() });
-}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./grpc_client.js";
+export * from "./grpc_configuration_peers.js";
 export * from "./grpc_server.js";
 export * from "./http_client.js";
 export * from "./http_engine.js";
--- a/standin/deployment.ts
+++ b/standin/deployment.ts
@@ -8,8 +8,8 @@
 import { readFile } from "node:fs/promises";
 import { parse } from "yaml";
 import { z } from "zod";
-import { checkDocument } from "../src/protocol/mod.js";
-import type { ConfigurationDocument } from "../src/state/mod.js";
+import { checkDocument, encodeConfigurationRecord } from "../src/protocol/mod.js";
+import { changesBetween, type ConfigurationDocument, EMPTY_CONFIGURATION } from "../src/state/mod.js";
 
 const workspaceSchema = z.object({ name: z.string(), key: z.string() });
 
@@ -59,3 +59,13 @@
     }
     return checked.document;
 }
+
+/**
+ * Returns the first record of the configuration stream, which sets a whole document.
+ *
+ * @param document Configuration of the deployment.
+ */
+export function toFirstRecord(document: ConfigurationDocument): Uint8Array {
+    const changes = changesBetween(EMPTY_CONFIGURATION.document, document);
+    return encodeConfigurationRecord({ id: "initial", madeAgainst: -1, author: "launcher", atMs: 0, changes });
+}
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -6,19 +6,15 @@
 
 import { CallObserver } from "../src/coordination/mod.js";
 import { EntryNode } from "../src/daemon/mod.js";
-import {
-    type AnswerHead,
-    AnswerWriter,
-    CONFIGURATION_STREAM,
-    encodeConfigurationRecord,
-    type IncomingCall,
-} from "../src/protocol/mod.js";
+import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
-import { type Deployment, toDocument } from "./deployment.js";
+import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
+import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
+import { NodeLog } from "./node_log.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
 import { VirtualClock } from "./virtual_clock.js";
 import { VmListModel } from "./vm_list_model.js";
@@ -46,6 +42,9 @@
     readonly ledger = new EffectLedger();
     readonly hub = new DisseminationHub(this.clock);
     readonly log: LogModel;
+    /** Ways of the nodes to the log, by node. */
+    readonly nodeLogs = new Map<string, NodeLog>();
+    readonly configurationPeers = new ConfigurationPeerHub(this.clock);
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
     readonly document: ConfigurationDocument;
@@ -63,8 +62,7 @@
     /** Publishes configuration and VM list, starts the nodes and lets them read both. */
     async start(): Promise<void> {
         this.publishVms();
-        const record = { id: "initial", madeAgainst: -1, author: "test", document: this.document };
-        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, encodeConfigurationRecord(record)));
+        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, toFirstRecord(this.document)));
         for (const node of this.nodes) {
             node.start();
         }
@@ -104,7 +102,39 @@
         return { id: incoming.id, writer, gone, done };
     }
 
-    private publishVms(): void {
+    /**
+     * Adds an entry VM; it is not started yet.
+     *
+     * @returns The node; {@linkcode nodeLogs} holds its way to the log.
+     */
+    addNode(failureDomain: string): EntryNode {
+        const { seed = 1 } = this.settings;
+        const index = this.nodes.length;
+        const id = `entry-${index + 1}`;
+        const address = `127.0.0.1:${this.vms.length + 1}`;
+        const nodeLog = new NodeLog(this.log);
+        const node = new EntryNode({
+            node: id,
+            failureDomain,
+            clock: this.clock,
+            random: new SeededRandom(seed * 1_000 + index),
+            engine: new LocalEngines(this.engines),
+            plainService: new LocalServices(this.services),
+            log: nodeLog,
+            vmList: this.vmList,
+            dissemination: this.hub.join(id),
+            configurationPeers: this.configurationPeers.join(address),
+            observer: new SilentObserver(),
+        });
+        this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
+        this.nodes.push(node);
+        this.nodeLogs.set(id, nodeLog);
+        this.configurationPeers.answers.set(address, request => node.follower.copyFor(request));
+        return node;
+    }
+
+    /** Tells the VM list of the VMs as they are now. */
+    publishVms(): void {
         this.vmList.set([...this.vms]);
     }
 
@@ -127,25 +157,9 @@
     }
 
     private makeNodes(): void {
-        const { deployment, seed = 1 } = this.settings;
-        for (const [index, { failureDomain }] of deployment.entryVms.entries()) {
-            const id = `entry-${index + 1}`;
-            const address = `127.0.0.1:${this.vms.length + 1}`;
-            this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
-            this.nodes.push(
-                new EntryNode({
-                    node: id,
-                    failureDomain,
-                    clock: this.clock,
-                    random: new SeededRandom(seed * 1_000 + index),
-                    engine: new LocalEngines(this.engines),
-                    plainService: new LocalServices(this.services),
-                    log: this.log,
-                    vmList: this.vmList,
-                    dissemination: this.hub.join(id),
-                    observer: new SilentObserver(),
-                }),
-            );
+        const { deployment } = this.settings;
+        for (const { failureDomain } of deployment.entryVms) {
+            this.addNode(failureDomain);
         }
     }
 }
--- /dev/null
+++ b/standin/local_configuration_peers.ts
@@ -0,0 +1,53 @@
+/**
+ * Fetching of configuration between nodes in one process.
+ *
+ * @module
+ */
+
+import { ConfigurationPeers, type configurationWire, PeerError } from "../src/protocol/mod.js";
+import type { Clock } from "../src/state/mod.js";
+
+/** Time of one call, in milliseconds. */
+const CALL_MS = 2;
+
+/** Answers a fetch. */
+export type FetchAnswer = (request: configurationWire.FetchConfigurationRequest) => configurationWire.FetchConfigurationReply;
+
+/** Nodes of a fleet by their addresses; nodes that are isolated cannot call and are not reached. */
+export class ConfigurationPeerHub {
+    readonly answers = new Map<string, FetchAnswer>();
+    readonly isolated = new Set<string>();
+    /** Calls answered. */
+    calls = 0;
+
+    /** @param clock Clock that calls are timed by. */
+    constructor(readonly clock: Clock) {}
+
+    /** Returns the connections of the node at an address. */
+    join(address: string): ConfigurationPeers {
+        return new LocalConfigurationPeers(this, address);
+    }
+}
+
+/** One node's connections to the others. */
+class LocalConfigurationPeers extends ConfigurationPeers {
+    constructor(private readonly hub: ConfigurationPeerHub, private readonly ownAddress: string) {
+        super();
+    }
+
+    override async fetch(
+        address: string,
+        request: configurationWire.FetchConfigurationRequest,
+        timeoutMs: number,
+    ): Promise<configurationWire.FetchConfigurationReply> {
+        const { answers, isolated, clock } = this.hub;
+        const answer = answers.get(address);
+        if (answer === undefined || isolated.has(address) || isolated.has(this.ownAddress)) {
+            await clock.sleep(timeoutMs);
+            throw new PeerError("fetch configuration from", address, new Error("the peer cannot be reached"));
+        }
+        await clock.sleep(CALL_MS);
+        this.hub.calls += 1;
+        return answer(request);
+    }
+}
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -9,10 +9,10 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { stringify } from "yaml";
-import { CONFIGURATION_STREAM, encodeConfigurationRecord } from "../src/protocol/mod.js";
+import { CONFIGURATION_STREAM } from "../src/protocol/mod.js";
 import { type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { HttpClient, HttpLogService } from "../src/transport/mod.js";
-import { type Deployment, hashKey, toDocument } from "./deployment.js";
+import { type Deployment, hashKey, toDocument, toFirstRecord } from "./deployment.js";
 import { awaitReady, findPorts, FleetProcess } from "./fleet_process.js";
 
 /** Program of a stand-in. */
@@ -27,6 +27,9 @@
 /** Lag of the balancer in a local fleet, in milliseconds. */
 const BALANCER_LAG_MS = 200;
 
+/** Name of the operator whose key the fleet knows. */
+export const OPERATOR_NAME = "local-operator";
+
 /** Settings of a {@linkcode LocalFleet}. */
 export interface LocalFleetSettings {
     readonly deployment: Deployment;
@@ -34,6 +37,8 @@
     readonly basePort?: number;
     /** Key of the operator. */
     readonly operatorKey: string;
+    /** Gives the log address of the daemons of a failure domain, such as that of a forwarder. Defaults to the log's own. */
+    readonly logAddress?: (failureDomain: string, logAddress: string) => string;
 }
 
 /** Backend server of the fleet. */
@@ -157,8 +162,7 @@
         const client = new HttpClient();
         const log = new HttpLogService(client, this.logAddress);
         const document = toDocument(this.settings.deployment);
-        const record = encodeConfigurationRecord({ id: "initial", madeAgainst: -1, author: "launcher", document });
-        await log.append(CONFIGURATION_STREAM, record);
+        await log.append(CONFIGURATION_STREAM, toFirstRecord(document));
         await client.close();
     }
 
@@ -175,13 +179,14 @@
     }
 
     private daemonSettings(daemon: Pick<FleetDaemon, "node" | "callers" | "peers" | "failureDomain">): string {
-        const [log, vmList, weightStore] = this.platformAddresses;
+        const [ownLog, vmList, weightStore] = this.platformAddresses;
+        const log = this.settings.logAddress?.(daemon.failureDomain, ownLog) ?? ownLog;
         return stringify({
             node: daemon.node,
             failureDomain: daemon.failureDomain,
             listen: { callers: daemon.callers, peers: daemon.peers },
             platform: { log, vmList, weightStore },
-            operators: { keyHashes: [hashKey(this.settings.operatorKey)] },
+            operators: [{ name: OPERATOR_NAME, keyHash: hashKey(this.settings.operatorKey) }],
             drain: { balancerLagMs: BALANCER_LAG_MS },
             logLevel: "warn",
         });
