--- /dev/null
+++ b/features/steps/configuration_fault_steps.ts
@@ -0,0 +1,198 @@
+/**
+ * Steps about configuration under faults.
+ *
+ * @module
+ */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { EntryNode } from "../../src/daemon/mod.js";
+import { CONFIGURATION_STREAM, type configurationWire, encodeConfigurationRecord } from "../../src/protocol/mod.js";
+import type { NodeLog } from "../../standin/node_log.js";
+import { changeRank, lastResult, rankChange, settleChanges, settledResults } from "../support/configuration_changes.js";
+import type { Scenario } from "../support/world.js";
+
+/** Nodes that a scenario has added. */
+const newNodes = new WeakMap<Scenario, EntryNode>();
+
+/** What a peer was offered. */
+const offers = new WeakMap<Scenario, configurationWire.FetchConfigurationReply>();
+
+/** Failure domain of the nodes that scenarios add. */
+const NEW_NODE_DOMAIN = "sul-a";
+
+Given("the answers to the next {int} appends of {string} are lost", function(this: Scenario, count: number, node: string) {
+    nodeLog(this, node).faults.loseAnswers = count;
+});
+
+Given("{string} is cut off from the log", function(this: Scenario, node: string) {
+    nodeLog(this, node).faults.cut = true;
+});
+
+Given("{string} gets no answer from the log", function(this: Scenario, node: string) {
+    nodeLog(this, node).faults.hang = true;
+});
+
+Given("{string} is cut off from its peers", function(this: Scenario, node: string) {
+    this.fleet.hub.setIsolated(node, true);
+    this.fleet.configurationPeers.isolated.add(addressOf(this, node));
+});
+
+Given("an operator has changed tier {string} to rank {int}", async function(this: Scenario, tier: string, rank: number) {
+    await settleChanges(this, [changeRank(this.fleet.nodes[0], tier, rank)]);
+    assert.equal(lastResult(this).outcome, "accepted");
+    await this.fleet.clock.advance(1_000);
+});
+
+When("{string} is healed", async function(this: Scenario, node: string) {
+    nodeLog(this, node).heal();
+    this.fleet.hub.setIsolated(node, false);
+    this.fleet.configurationPeers.isolated.delete(addressOf(this, node));
+    await this.fleet.clock.advance(1_000);
+});
+
+When("{int} seconds pass", async function(this: Scenario, seconds: number) {
+    await this.fleet.clock.advance(seconds * 1_000);
+});
+
+When(
+    "a change of tier {string} to rank {int} stands twice in the log, with one to rank {int} by somebody else between",
+    async function(this: Scenario, tier: string, rank: number, otherRank: number) {
+        const { clock, log, nodes } = this.fleet;
+        const { version } = nodes[0].view.published;
+        const base = { author: "operator", atMs: 0 };
+        const own = encodeConfigurationRecord({
+            ...base,
+            id: "repeated",
+            madeAgainst: version,
+            changes: [rankChange(tier, rank)],
+        });
+        const offset = await clock.runUntil(log.append(CONFIGURATION_STREAM, own));
+        const other = { ...base, id: "other", madeAgainst: offset, changes: [rankChange(tier, otherRank)] };
+        await clock.runUntil(log.append(CONFIGURATION_STREAM, encodeConfigurationRecord(other)));
+        await clock.runUntil(log.append(CONFIGURATION_STREAM, own));
+    },
+);
+
+When("an operator makes the same change twice under one id", async function(this: Scenario) {
+    const [node] = this.fleet.nodes;
+    const proposal = {
+        id: "same",
+        madeAgainst: node.view.published.version,
+        author: "operator",
+        changes: [rankChange("desk", 5)],
+    };
+    const first = await this.fleet.clock.runUntil(node.follower.change(proposal));
+    const second = await this.fleet.clock.runUntil(node.follower.change(proposal));
+    await settleChanges(this, [Promise.resolve(first), Promise.resolve(second)]);
+});
+
+When(/^a new node starts( that reaches no peer)?$/, async function(this: Scenario, alone: string | undefined) {
+    const { fleet } = this;
+    const node = fleet.addNode(NEW_NODE_DOMAIN);
+    newNodes.set(this, node);
+    if (alone) {
+        fleet.hub.setIsolated(node.settings.node, true);
+        fleet.configurationPeers.isolated.add(addressOf(this, node.settings.node));
+    }
+    fleet.publishVms();
+    node.start();
+});
+
+When("a peer offers every node the snapshot of version 0", async function(this: Scenario) {
+    const { fleet } = this;
+    for (const node of fleet.nodes) {
+        node.follower.journal.adopt({ configuration: { version: 0, document: fleet.document }, nextOffset: 1, atMs: 0 });
+        node.view.advance({ version: 0, document: fleet.document });
+    }
+});
+
+When("a peer asks {string} for configuration from offset {int}", function(this: Scenario, node: string, fromOffset: number) {
+    offers.set(this, nodeOf(this, node).follower.copyFor({ node: "peer", fromOffset }));
+});
+
+Then("the peer is offered nothing", function(this: Scenario) {
+    const offer = offers.get(this);
+    assert.deepEqual([offer?.nextOffset, offer?.records.length, offer?.snapshot.length], [0, 0, 0]);
+});
+
+Then("the refused operator is shown the other's change of {string}", function(this: Scenario, path: string) {
+    const values = settledResults(this).flatMap(result => result.status === "fulfilled" ? [result.value] : []);
+    const refused = values.filter(value => value.outcome === "conflict");
+    const { version } = this.fleet.nodes[0].view.current;
+    assert.equal(refused.length, 1);
+    assert.equal(refused[0].others.length, 1, JSON.stringify(refused[0].others));
+    assert.match(refused[0].others[0], new RegExp(`^version ${version} by operator: ~ ${path} .* -> `));
+});
+
+Then("the configuration stream changed the version once", async function(this: Scenario) {
+    await this.fleet.clock.advance(4_000);
+    for (const node of this.fleet.nodes) {
+        const versions = versionsInForce(node);
+        assert.equal(versions.length, 2, `${node.settings.node}: ${versions.join()}`);
+    }
+});
+
+Then("the outcome of the repeated change is {string} on every node", function(this: Scenario, outcome: string) {
+    for (const node of this.fleet.nodes) {
+        assert.equal(node.follower.journal.history.outcome("repeated")?.outcome, outcome);
+    }
+});
+
+Then("both answers name the same version", function(this: Scenario) {
+    const versions = settledResults(this).map(result => result.status === "fulfilled" ? result.value.version : undefined);
+    assert.equal(versions.length, 2);
+    assert.equal(versions[0], versions[1]);
+    assert.equal(lastResult(this).outcome, "accepted");
+});
+
+Then("the time line of {string} has an event {string}", function(this: Scenario, node: string, kind: string) {
+    assert.ok(nodeOf(this, node).ring.list().some(event => event.kind === kind));
+});
+
+Then("no node ever went back to an older version", function(this: Scenario) {
+    for (const node of this.fleet.nodes) {
+        const versions = versionsInForce(node);
+        assert.deepEqual(versions, [...versions].sort((left, right) => left - right));
+        assert.equal(node.view.current.version, versions.at(-1));
+    }
+});
+
+Then("the new node is configured within {int} seconds", async function(this: Scenario, seconds: number) {
+    await this.fleet.clock.advance(seconds * 1_000);
+    assert.ok(newNodes.get(this)?.configured);
+});
+
+Then("the new node is not configured after {int} seconds", async function(this: Scenario, seconds: number) {
+    await this.fleet.clock.advance(seconds * 1_000);
+    assert.equal(newNodes.get(this)?.configured, false);
+});
+
+Then("the new node says {string}", function(this: Scenario, text: string) {
+    const said = newNodes.get(this)?.follower.whyNotReady ?? "";
+    assert.ok(said.includes(text), said);
+});
+
+function nodeOf(scenario: Scenario, id: string): EntryNode {
+    const node = scenario.fleet.nodes.find(each => each.settings.node === id);
+    assert.ok(node, `no node is named ${id}`);
+    return node;
+}
+
+function nodeLog(scenario: Scenario, node: string): NodeLog {
+    const log = scenario.fleet.nodeLogs.get(node);
+    assert.ok(log, `no node is named ${node}`);
+    return log;
+}
+
+function addressOf(scenario: Scenario, node: string): string {
+    const vm = scenario.fleet.entryVms.find(each => each.id === node);
+    assert.ok(vm, `no node is named ${node}`);
+    return vm.address;
+}
+
+/** Versions that a node brought into force, as its time line tells them. */
+function versionsInForce(node: EntryNode): readonly number[] {
+    const events = node.ring.list().filter(event => event.kind === "inForce");
+    return events.map(event => Number(/^Version (\d+)/.exec(event.text)?.[1]));
+}
--- /dev/null
+++ b/features/steps/configuration_retention_steps.ts
@@ -0,0 +1,179 @@
+/**
+ * Steps about the configuration beyond the log's retention.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import {
+    CONFIGURATION_STREAM,
+    type ConfigurationSnapshot,
+    encodeConfigurationRecord,
+    encodeSnapshot,
+    SNAPSHOT_STREAM,
+} from "../../src/protocol/mod.js";
+import { ConfigurationFleet, type ConfigurationNode } from "../../standin/configuration_fleet.js";
+import { rankChange } from "../support/configuration_changes.js";
+import type { Scenario } from "../support/world.js";
+
+/** Milliseconds in an hour. */
+const HOUR_MS = 3_600_000;
+
+/** Milliseconds in a year. */
+const YEAR_MS = 365 * 24 * HOUR_MS;
+
+/** Time in which a change reaches the nodes that can read the log, in milliseconds. */
+const SETTLE_MS = 4_000;
+
+/** Fleets by scenario. */
+const fleets = new WeakMap<Scenario, ConfigurationFleet>();
+
+After(async function(this: Scenario) {
+    await fleets.get(this)?.stop();
+});
+
+Given(
+    "{int} configuration nodes on a log that keeps records for {int} hours",
+    async function(this: Scenario, count: number, hours: number) {
+        const fleet = new ConfigurationFleet({ retentionMs: hours * HOUR_MS });
+        fleets.set(this, fleet);
+        for (let index = 0; index < count; index += 1) {
+            fleet.addNode();
+        }
+        const first = { id: "first", madeAgainst: -1, author: "operator", atMs: 0, changes: [rankChange("desk", 0)] };
+        await fleet.clock.runUntil(fleet.log.append(CONFIGURATION_STREAM, encodeConfigurationRecord(first)));
+        await fleet.clock.advance(SETTLE_MS);
+    },
+);
+
+Given("one of them sets tier {string} to rank {int}", async function(this: Scenario, tier: string, rank: number) {
+    const fleet = fleetOf(this);
+    const [node] = fleet.nodes;
+    const { version } = node.view.published;
+    const proposal = { id: `${tier}-${rank}`, madeAgainst: version, author: "operator", changes: [rankChange(tier, rank)] };
+    const result = await fleet.clock.runUntil(node.follower.change(proposal));
+    assert.equal(result.outcome, "accepted", result.problems.join());
+    await fleet.clock.advance(SETTLE_MS);
+});
+
+Given("a snapshot stands in the log whose time is a year ahead", async function(this: Scenario) {
+    const fleet = fleetOf(this);
+    const snapshot = snapshotOf(fleet.nodes[0]);
+    await append(fleet, encodeSnapshot({ ...snapshot, atMs: snapshot.atMs + YEAR_MS }));
+});
+
+Given("the log of the configuration nodes gets a record of a later format", async function(this: Scenario) {
+    const { clock, log } = fleetOf(this);
+    await clock.runUntil(log.append(CONFIGURATION_STREAM, Buffer.from(JSON.stringify({ format: 2 }))));
+    await clock.advance(SETTLE_MS);
+});
+
+Given("one configuration node gets no answer from log and peers", function(this: Scenario) {
+    const fleet = fleetOf(this);
+    const node = fleet.nodes[2];
+    node.log.faults.hang = true;
+    fleet.setIsolated(node.vm, true);
+});
+
+When("that configuration node is healed", async function(this: Scenario) {
+    const fleet = fleetOf(this);
+    const node = fleet.nodes[2];
+    node.log.heal();
+    // Its peers stay out of reach, so that only the log can help.
+    await fleet.clock.advance(15_000);
+});
+
+When(
+    /^(\d+) hours pass for the configuration nodes( without a further snapshot)?$/,
+    async function(this: Scenario, hours: string, without: string | undefined) {
+        const fleet = fleetOf(this);
+        if (without) {
+            await stopAll(fleet);
+        }
+        await fleet.clock.advance(Number(hours) * HOUR_MS);
+    },
+);
+
+When("a configuration node starts without peers", function(this: Scenario) {
+    fleetOf(this).addNode(true);
+});
+
+When(/^two configuration nodes write a snapshot at once, (.*)$/, async function(this: Scenario, landing: string) {
+    const fleet = fleetOf(this);
+    const [first, second] = fleet.nodes.map(snapshotOf);
+    switch (landing) {
+        case "both up to the same offset":
+            await append(fleet, encodeSnapshot(first));
+            await append(fleet, encodeSnapshot(second));
+            return;
+        case "the one that covers less landing last": {
+            const document = { ...first.configuration.document, tiers: [{ name: "desk", rank: 0 }] };
+            await append(fleet, encodeSnapshot(first));
+            await append(fleet, encodeSnapshot({ configuration: { version: 0, document }, nextOffset: 1, atMs: first.atMs }));
+            return;
+        }
+        case "a malformed one landing last":
+            await append(fleet, encodeSnapshot(first));
+            await append(fleet, Buffer.from("no snapshot"));
+            return;
+        default:
+            throw new Error(`Cannot write snapshots: landing "${landing}" is unknown`);
+    }
+});
+
+Then("the log keeps no record of the configuration stream", async function(this: Scenario) {
+    const { clock, log } = fleetOf(this);
+    const page = await clock.runUntil(log.read(CONFIGURATION_STREAM, 0));
+    assert.deepEqual(page.records, []);
+    assert.ok(page.endOffset > 0);
+});
+
+Then(
+    "all configuration nodes have tier {string} at rank {int} within {int} seconds",
+    async function(this: Scenario, tier: string, rank: number, seconds: number) {
+        const fleet = fleetOf(this);
+        await fleet.clock.advance(seconds * 1_000);
+        assert.deepEqual(fleet.nodes.map(node => node.view.tier(tier)?.rank), fleet.nodes.map(() => rank));
+    },
+);
+
+Then("{int} to {int} snapshots were written", async function(this: Scenario, least: number, most: number) {
+    const { clock, log } = fleetOf(this);
+    const { endOffset } = await clock.runUntil(log.read(SNAPSHOT_STREAM, 0));
+    assert.ok(endOffset >= least && endOffset <= most, `${endOffset} snapshots`);
+});
+
+Then("the new configuration node has no configuration after {int} seconds", async function(this: Scenario, seconds: number) {
+    const fleet = fleetOf(this);
+    await fleet.clock.advance(seconds * 1_000);
+    assert.equal(fleet.nodes.at(-1)?.follower.configured, false);
+});
+
+Then("the new configuration node has a warning {string}", function(this: Scenario, kind: string) {
+    const events = fleetOf(this).nodes.at(-1)?.ring.list() ?? [];
+    assert.equal(events.filter(event => event.kind === kind && event.warning).length, 1);
+});
+
+function fleetOf(scenario: Scenario): ConfigurationFleet {
+    const fleet = fleets.get(scenario);
+    assert.ok(fleet, "no step has started configuration nodes");
+    return fleet;
+}
+
+function snapshotOf(node: ConfigurationNode): ConfigurationSnapshot {
+    const snapshot = node.follower.journal.snapshot();
+    assert.ok(snapshot);
+    return snapshot;
+}
+
+async function append({ clock, log }: ConfigurationFleet, data: Uint8Array): Promise<void> {
+    await clock.runUntil(log.append(SNAPSHOT_STREAM, data));
+}
+
+async function stopAll(fleet: ConfigurationFleet): Promise<void> {
+    for (const node of fleet.nodes) {
+        node.stop();
+    }
+    await fleet.clock.runUntil(Promise.all(fleet.nodes.map(node => node.done)));
+}
--- a/features/steps/configuration_steps.ts
+++ b/features/steps/configuration_steps.ts
@@ -6,21 +6,15 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { ChangeOutcome, type ChangeResult } from "../../src/coordination/mod.js";
-import type { EntryNode } from "../../src/daemon/mod.js";
+import { ChangeOutcome } from "../../src/coordination/mod.js";
 import { checkDocument, CONFIGURATION_STREAM } from "../../src/protocol/mod.js";
 import { ChangeKind, type ConfigurationDocument, ItemList, type Tier } from "../../src/state/mod.js";
+import { changeRank, rememberVersions, settleChanges, settledResults, versionsBefore } from "../support/configuration_changes.js";
 import type { Scenario } from "../support/world.js";
 
-/** Results of the changes of one scenario. */
-const results = new WeakMap<Scenario, PromiseSettledResult<ChangeResult>[]>();
-
 /** Problems of the document of one scenario. */
 const problems = new WeakMap<Scenario, readonly string[]>();
 
-/** Versions in force before the step under test. */
-const versionsBefore = new WeakMap<Scenario, readonly number[]>();
-
 Given("the log is down", function(this: Scenario) {
     this.fleet.log.faults.down = true;
 });
@@ -99,24 +93,6 @@
     assert.ok(found[0].includes(value), found[0]);
 });
 
-function rememberVersions(scenario: Scenario): void {
-    versionsBefore.set(scenario, scenario.fleet.nodes.map(node => node.view.current.version));
-}
-
-function changeRank(node: EntryNode, name: string, rank: number): Promise<ChangeResult> {
-    const changes = [{ kind: ChangeKind.Set, list: ItemList.Tiers, item: { name, rank } }];
-    const madeAgainst = node.view.published.version;
-    return node.follower.change({ id: `${node.settings.node}-${name}-${rank}`, madeAgainst, author: "operator", changes });
-}
-
-async function settleChanges(scenario: Scenario, changes: readonly Promise<ChangeResult>[]): Promise<void> {
-    results.set(scenario, await scenario.fleet.clock.runUntil(Promise.allSettled(changes)));
-}
-
-function settledResults(scenario: Scenario): readonly PromiseSettledResult<ChangeResult>[] {
-    return results.get(scenario) ?? [];
-}
-
 function flawedRecord(document: ConfigurationDocument, flaw: string): string {
     const [operation] = document.operations;
     const rank = { kind: ChangeKind.Set, list: ItemList.Tiers, item: { name: "desk", rank: 7 } };
--- a/src/coordination/configuration/snapshot_store.ts
+++ b/src/coordination/configuration/snapshot_store.ts
@@ -74,7 +74,7 @@
             const { records } = await this.read(from, end - from, signal);
             for (const { data } of records) {
                 const snapshot = decodeSnapshot(data);
-                if (snapshot !== undefined && snapshot.nextOffset > (best?.nextOffset ?? 0)) {
+                if (snapshot !== undefined && (best === undefined || isAhead(snapshot, best))) {
                     best = snapshot;
                 }
             }
@@ -151,3 +151,8 @@
         this.settings.ring.record({ part: Part.Configuration, kind, text, warning });
     }
 }
+
+/** Tells whether a snapshot covers more than another, or as much and is younger, so that it stays in the log for longer. */
+function isAhead(left: ConfigurationSnapshot, right: ConfigurationSnapshot): boolean {
+    return left.nextOffset > right.nextOffset || left.nextOffset === right.nextOffset && left.atMs > right.atMs;
+}
--- a/src/protocol/configuration_check.ts
+++ b/src/protocol/configuration_check.ts
@@ -60,7 +60,8 @@
     if (result.success) {
         return { changes: result.data };
     }
-    return { problems: result.error.issues.flatMap(issue => describeChangeIssue(issue, value)) };
+    const inRequest = result.error.issues.map(issue => ({ ...issue, path: ["changes", ...issue.path] }));
+    return { problems: inRequest.flatMap(issue => describeChangeIssue(issue, { changes: value })) };
 }
 
 /**
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -71,7 +71,7 @@
             readStatus: guarded(findOperator, () => operatorHandler.readStatus()),
             readTimeline: call => {
                 if (findOperator(operatorKey(call.metadata)) === undefined) {
-                    call.destroy(notAllowed());
+                    call.emit("error", notAllowed());
                     return;
                 }
                 operatorHandler.readTimeline(call.request, toFeed(call));
--- /dev/null
+++ b/standin/configuration_fleet.ts
@@ -0,0 +1,87 @@
+/**
+ * Nodes in one process that do nothing but follow the configuration, so that days of it can be run.
+ *
+ * @module
+ */
+
+import { ConfigurationFollower } from "../src/coordination/mod.js";
+import { ConfigurationView, EventRing, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { ConfigurationPeerHub } from "./local_configuration_peers.js";
+import { DisseminationHub } from "./local_dissemination.js";
+import { LogModel, type LogModelSettings } from "./log_model.js";
+import { NodeLog } from "./node_log.js";
+import { VirtualClock } from "./virtual_clock.js";
+
+/** Time between two looks of a node at the log, in milliseconds. */
+const LOG_POLL_MS = 2_000;
+
+/** Node that only follows the configuration. */
+export interface ConfigurationNode {
+    readonly vm: Vm;
+    readonly ring: EventRing;
+    readonly view: ConfigurationView;
+    readonly follower: ConfigurationFollower;
+    readonly log: NodeLog;
+    /** Ends when the node has stopped. */
+    readonly done: Promise<void>;
+    readonly stop: () => void;
+}
+
+/** Nodes, their log and their connections. */
+export class ConfigurationFleet {
+    readonly clock = new VirtualClock();
+    readonly hub = new DisseminationHub(this.clock);
+    readonly peers = new ConfigurationPeerHub(this.clock);
+    readonly log: LogModel;
+    readonly nodes: ConfigurationNode[] = [];
+
+    /** @param settings Settings of the log. */
+    constructor(settings: LogModelSettings) {
+        this.log = new LogModel(this.clock, settings);
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param isolated Whether it is cut off from its peers. Defaults to `false`.
+     */
+    addNode(isolated = false): ConfigurationNode {
+        const { clock } = this;
+        const index = this.nodes.length;
+        const id = `node-${index + 1}`;
+        const vm: Vm = { id, role: VmRole.Entry, address: `127.0.0.1:${index + 1}`, failureDomain: "a", state: VmState.Live };
+        const ring = new EventRing(id, new HybridClock(clock));
+        const view = new ConfigurationView(clock);
+        const log = new NodeLog(this.log, { clock, intervalMs: LOG_POLL_MS });
+        const dissemination = this.hub.join(id);
+        const peers = this.peers.join(vm.address);
+        const entryVms = () => this.nodes.map(node => node.vm);
+        const random = new SeededRandom(index + 1);
+        const follower = new ConfigurationFollower({ clock, random, ring, log, view, dissemination, peers, entryVms });
+        this.peers.answers.set(vm.address, request => follower.copyFor(request));
+        this.setIsolated(vm, isolated);
+        const stopped = new AbortController();
+        const node = { vm, ring, view, follower, log, done: follower.run(stopped.signal), stop: () => stopped.abort() };
+        this.nodes.push(node);
+        return node;
+    }
+
+    /** Cuts a node off from its peers, or heals the cut. */
+    setIsolated(vm: Vm, isolated: boolean): void {
+        this.hub.setIsolated(vm.id, isolated);
+        if (isolated) {
+            this.peers.isolated.add(vm.address);
+        }
+        else {
+            this.peers.isolated.delete(vm.address);
+        }
+    }
+
+    /** Ends all nodes. */
+    async stop(): Promise<void> {
+        for (const node of this.nodes) {
+            node.stop();
+        }
+        await this.clock.runUntil(Promise.all(this.nodes.map(node => node.done)));
+    }
+}
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -133,6 +133,11 @@
         return node;
     }
 
+    /** VMs of the nodes. */
+    get entryVms(): readonly Vm[] {
+        return this.vms.filter(vm => vm.role === VmRole.Entry);
+    }
+
     /** Tells the VM list of the VMs as they are now. */
     publishVms(): void {
         this.vmList.set([...this.vms]);
--- a/standin/node_log.ts
+++ b/standin/node_log.ts
@@ -5,6 +5,7 @@
  */
 
 import { Executed, type LogPage, type LogReadSettings, LogService, PlatformError } from "../src/protocol/mod.js";
+import type { Clock } from "../src/state/mod.js";
 
 /** Faults of one node's way to the log. */
 export interface NodeLogFaults {
@@ -16,15 +17,29 @@
     loseAnswers: number;
 }
 
+/** Intervals at which reads look at the log. */
+export interface LogPoll {
+    readonly clock: Clock;
+    readonly intervalMs: number;
+}
+
 /** Passes calls on to the log, unless a fault is set. */
 export class NodeLog extends LogService {
     readonly faults: NodeLogFaults = { cut: false, hang: false, loseAnswers: 0 };
 
-    /** @param log Log that all nodes share. */
-    constructor(private readonly log: LogService) {
+    /**
+     * @param log Log that all nodes share.
+     * @param poll When given, a read looks at intervals in place of waiting at the log, which makes long runs cheaper.
+     */
+    constructor(private readonly log: LogService, private readonly poll?: LogPoll) {
         super();
     }
 
+    /** Ends the faults; calls that were never answered stay so. */
+    heal(): void {
+        Object.assign(this.faults, { cut: false, hang: false, loseAnswers: 0 });
+    }
+
     override async append(stream: string, data: Uint8Array): Promise<number> {
         await this.check(`append to stream ${stream}`);
         const offset = await this.log.append(stream, data);
@@ -38,11 +53,26 @@
     override async read(stream: string, fromOffset: number, settings?: LogReadSettings): Promise<LogPage> {
         const step = `read stream ${stream}`;
         await this.check(step);
-        const page = await this.log.read(stream, fromOffset, settings);
+        const page = await this.readPage(stream, fromOffset, settings);
         await this.check(step);
         return page;
     }
 
+    private async readPage(stream: string, fromOffset: number, settings: LogReadSettings = {}): Promise<LogPage> {
+        if (this.poll === undefined) {
+            return this.log.read(stream, fromOffset, settings);
+        }
+        const { clock, intervalMs } = this.poll;
+        const giveUpAtMs = clock.now() + (settings.waitMs ?? 0);
+        for (;;) {
+            const page = await this.log.read(stream, fromOffset, { ...settings, waitMs: 0 });
+            if (page.endOffset > fromOffset || clock.now() >= giveUpAtMs) {
+                return page;
+            }
+            await clock.sleep(intervalMs);
+        }
+    }
+
     private async check(step: string): Promise<void> {
         if (this.faults.hang) {
             await new Promise<never>(() => undefined);
