Measure configuration; ask peers while a read of the log is overdue

A silent connection to the log held a change back for 6.8 s on 3 daemons (trial, shared machine): the long poll ended only after its 10 s. Polls now wait 2 s and peers are asked from 2.5 s on, while the read goes on, so that a slow log is still followed. Ruled out: shorter limits on the read itself, which a slow log would never meet.

--- a/features/configuration_faults.feature
+++ b/features/configuration_faults.feature
@@ -80,6 +80,18 @@
         When a peer asks "entry-1" for configuration from offset 0
         Then the peer is offered nothing
 
+    Scenario: a node whose log falls silent asks its peers although nobody tells it of the change
+        Given "entry-3" gets no answer from the log
+        And "entry-3" is told of no version by its peers
+        When an operator changes tier "desk" to rank 5 against the version in force
+        Then tier "desk" has rank 5 on every node within 4 seconds
+
+    Scenario: a log that answers slowly is still followed
+        Given "entry-3" gets answers from the log after 3 seconds
+        And "entry-3" is cut off from its peers
+        When an operator changes tier "desk" to rank 5 against the version in force
+        Then tier "desk" has rank 5 on every node within 9 seconds
+
     Scenario: an unanswered read does not stop the follower
         Given "entry-3" gets no answer from the log
         And "entry-3" is cut off from its peers
--- a/features/steps/configuration_fault_steps.ts
+++ b/features/steps/configuration_fault_steps.ts
@@ -33,6 +33,14 @@
     nodeLog(this, node).faults.hang = true;
 });
 
+Given("{string} gets answers from the log after {int} seconds", function(this: Scenario, node: string, seconds: number) {
+    nodeLog(this, node).faults.delayMs = seconds * 1_000;
+});
+
+Given("{string} is told of no version by its peers", function(this: Scenario, node: string) {
+    this.fleet.hub.setIsolated(node, true);
+});
+
 Given("{string} is cut off from its peers", function(this: Scenario, node: string) {
     this.fleet.hub.setIsolated(node, true);
     this.fleet.configurationPeers.isolated.add(addressOf(this, node));
--- a/features/steps/configuration_retention_steps.ts
+++ b/features/steps/configuration_retention_steps.ts
@@ -96,7 +96,7 @@
 );
 
 When("a configuration node starts without peers", function(this: Scenario) {
-    fleetOf(this).addNode(true);
+    fleetOf(this).addNode({ isolated: true });
 });
 
 When(/^two configuration nodes write a snapshot at once, (.*)$/, async function(this: Scenario, landing: string) {
--- /dev/null
+++ b/measure/config_fleet.ts
@@ -0,0 +1,181 @@
+/**
+ * Changes of the configuration over daemons as processes.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { OperatorClient } from "../src/cli/mod.js";
+import { ChangeKind, ItemList } from "../src/state/mod.js";
+import type { Deployment } from "../standin/deployment.js";
+import { LocalFleet } from "../standin/local_fleet.js";
+import { ForwarderState, TcpForwarder } from "../standin/tcp_forwarder.js";
+
+/** Changes made in each phase. */
+const CHANGES_PER_PHASE = 15;
+
+/** Time between two changes, in milliseconds. */
+const CHANGE_INTERVAL_MS = 200;
+
+/** Time after a phase in which its last change comes into force, in milliseconds. */
+const PHASE_SETTLE_MS = 5_000;
+
+/** Time between two looks at a daemon's version, in milliseconds. */
+const WATCH_INTERVAL_MS = 500;
+
+/** Failure domains; the last one is cut. */
+const DOMAINS = ["domain-a", "domain-b", "domain-c"] as const;
+
+/** Failure domain that is cut off from the log. */
+const CUT_DOMAIN = "domain-c";
+
+/** Key of the fleet's operator. */
+const OPERATOR_KEY = "measure-operator-key";
+
+/** State of the cut domain's way to the log, phase by phase. */
+const PHASES: readonly { readonly name: string; readonly state: ForwarderState }[] = [
+    { name: "whole", state: ForwarderState.Open },
+    { name: "cut, refusing", state: ForwarderState.Refusing },
+    { name: "healed", state: ForwarderState.Open },
+    { name: "cut, silent", state: ForwarderState.Silent },
+    { name: "healed again", state: ForwarderState.Open },
+];
+
+/** Figures of one phase. */
+export interface PhaseFigures {
+    readonly daemons: number;
+    readonly phase: string;
+    /** Times from the operator's call to in force, one for each change and daemon, in milliseconds; infinite when it never came. */
+    readonly delaysMs: readonly number[];
+}
+
+/** Figures of one fleet. */
+export interface FleetFigures {
+    readonly phases: readonly PhaseFigures[];
+    /** Looks at which a daemon had an older version than at the look before. */
+    readonly reverts: number;
+}
+
+/** Change that was accepted. */
+interface AcceptedChange {
+    readonly version: number;
+    readonly askedAtMs: number;
+}
+
+/**
+ * Changes the configuration of a fleet, whole and with one domain cut off from the log.
+ *
+ * @param daemonCount Number of daemons, spread over three failure domains.
+ */
+export async function measureFleet(daemonCount: number): Promise<FleetFigures> {
+    const forwarder = await TcpForwarder.listen();
+    const fleet = new LocalFleet({
+        deployment: makeDeployment(daemonCount),
+        operatorKey: OPERATOR_KEY,
+        logAddress: (failureDomain, logAddress) => {
+            forwarder.target = logAddress;
+            return failureDomain === CUT_DOMAIN ? forwarder.address : logAddress;
+        },
+    });
+    try {
+        await fleet.start();
+        return await runPhases(fleet, forwarder);
+    }
+    finally {
+        await fleet.stop();
+        forwarder.close();
+    }
+}
+
+async function runPhases(fleet: LocalFleet, forwarder: TcpForwarder): Promise<FleetFigures> {
+    const clients = fleet.daemons.map(daemon => new OperatorClient(daemon.peers, OPERATOR_KEY));
+    const stopped = new AbortController();
+    const watches = clients.map(client => countReverts(client, stopped.signal));
+    try {
+        const changes: { readonly phase: string; readonly accepted: readonly AcceptedChange[] }[] = [];
+        for (const { name, state } of PHASES) {
+            forwarder.set(state);
+            changes.push({ phase: name, accepted: await makeChanges(clients[0]) });
+        }
+        const inForce = await Promise.all(clients.map(readInForceTimes));
+        stopped.abort();
+        const reverts = (await Promise.all(watches)).reduce((sum, count) => sum + count, 0);
+        const phases = changes.map(({ phase, accepted }) => ({
+            phase,
+            daemons: clients.length,
+            delaysMs: accepted.flatMap(change =>
+                inForce.map(times => (times.get(change.version) ?? Infinity) - change.askedAtMs)
+            ),
+        }));
+        return { phases, reverts };
+    }
+    finally {
+        stopped.abort();
+        for (const client of clients) {
+            client.close();
+        }
+    }
+}
+
+async function makeChanges(client: OperatorClient): Promise<readonly AcceptedChange[]> {
+    const accepted: AcceptedChange[] = [];
+    for (let index = 0; index < CHANGES_PER_PHASE; index += 1) {
+        const { version } = await client.readConfiguration();
+        const item = { name: "batch", rank: version % 10 };
+        const changes = JSON.stringify([{ kind: ChangeKind.Set, list: ItemList.Tiers, item }]);
+        const askedAtMs = performance.timeOrigin + performance.now();
+        const reply = await client.changeConfiguration({ id: randomUUID(), madeAgainst: version, changes });
+        if (reply.problems.length > 0) {
+            throw new Error(`Cannot change configuration: ${reply.problems.join(" ")}`);
+        }
+        accepted.push({ version: reply.version, askedAtMs });
+        await sleep(CHANGE_INTERVAL_MS);
+    }
+    await sleep(PHASE_SETTLE_MS);
+    return accepted;
+}
+
+/** Reads when each version came into force at a daemon. */
+async function readInForceTimes(client: OperatorClient): Promise<ReadonlyMap<number, number>> {
+    const request = { requestId: "", rollout: "", peer: "", sinceMs: 0, untilMs: 0, follow: false };
+    const times = new Map<number, number>();
+    for await (const event of client.readTimeline(request)) {
+        if (event.kind === "inForce") {
+            times.set(Number(/^Version (\d+)/.exec(event.text)?.[1]), event.wallMs);
+        }
+    }
+    return times;
+}
+
+async function countReverts(client: OperatorClient, signal: AbortSignal): Promise<number> {
+    let reverts = 0;
+    let last = -1;
+    while (!signal.aborted) {
+        const { version } = await client.readConfiguration();
+        reverts += version < last ? 1 : 0;
+        last = version;
+        await sleep(WATCH_INTERVAL_MS);
+    }
+    return reverts;
+}
+
+function makeDeployment(daemonCount: number): Deployment {
+    return {
+        region: "measure",
+        failureDomains: [...DOMAINS],
+        entryVms: Array.from({ length: daemonCount }, (value, index) => ({ failureDomain: DOMAINS[index % DOMAINS.length] })),
+        pools: [{ name: "language-model", kind: "model", servers: [] }],
+        workspaces: [{ name: "clinic", key: "measure-clinic-key" }],
+        configuration: {
+            tiers: [{ name: "batch", rank: 0 }],
+            operations: [{
+                name: "summary",
+                tier: "batch",
+                pool: "language-model",
+                semantics: "repeatable",
+                promise: { answerMs: 30_000 },
+            }],
+        },
+    };
+}
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
+import { configExperiment } from "./config.js";
 import type { Experiment } from "./experiment.js";
 
 /** Experiments in the order in which the help lists them. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [configExperiment];
--- a/src/coordination/configuration/log_reader.ts
+++ b/src/coordination/configuration/log_reader.ts
@@ -11,10 +11,13 @@
 import type { SnapshotStore } from "./snapshot_store.js";
 
 /** Time that a read waits for a new record, in milliseconds. */
-const READ_WAIT_MS = 10_000;
+const READ_WAIT_MS = 2_000;
 
-/** Time after which a read is given up, in milliseconds. */
-const READ_LIMIT_MS = READ_WAIT_MS + 3_000;
+/** Time after which a read is overdue, so that peers are asked while it goes on, in milliseconds. */
+const READ_OVERDUE_MS = READ_WAIT_MS + 500;
+
+/** Time after which a read is given up, in milliseconds. A log that is slow still answers before. */
+const READ_LIMIT_MS = READ_WAIT_MS + 10_000;
 
 /** Time to wait after a failed read, in milliseconds. */
 const READ_RETRY_DELAY_MS = 500;
@@ -37,7 +40,7 @@
     /** @param settings See {@linkcode LogReaderSettings}. */
     constructor(private readonly settings: LogReaderSettings) {}
 
-    /** Whether the last read failed. */
+    /** Whether the last read failed, or the present one is overdue. */
     get failing(): boolean {
         return this.failed;
     }
@@ -71,12 +74,8 @@
         }
         const fromOffset = journal.nextOffset;
         const read = log.read(CONFIGURATION_STREAM, fromOffset, { waitMs: READ_WAIT_MS });
-        const page = await withinTime(read, {
-            clock,
-            signal,
-            step: `read stream ${CONFIGURATION_STREAM}`,
-            limitMs: READ_LIMIT_MS,
-        });
+        const step = `read stream ${CONFIGURATION_STREAM}`;
+        const page = await this.watchOverdue(withinTime(read, { clock, signal, step, limitMs: READ_LIMIT_MS }));
         const last = page.records.at(-1);
         const nextOffset = last === undefined ? fromOffset : last.offset + 1;
         if (journal.take({ fromOffset: Math.max(fromOffset, page.firstOffset), nextOffset, records: page.records })) {
@@ -87,6 +86,22 @@
         return await this.adoptLatest(signal) || this.reportGap(page.firstOffset);
     }
 
+    private async watchOverdue<Value>(read: Promise<Value>): Promise<Value> {
+        const answered = new AbortController();
+        const report = (overdue: boolean) => {
+            if (overdue) {
+                this.setFailed(true, `The log has not answered within ${READ_OVERDUE_MS} ms; peers are asked.`);
+            }
+        };
+        void this.settings.clock.sleep(READ_OVERDUE_MS, answered.signal).then(report);
+        try {
+            return await read;
+        }
+        finally {
+            answered.abort();
+        }
+    }
+
     private async adoptLatest(signal: AbortSignal): Promise<boolean> {
         const { journal, snapshots } = this.settings;
         const latest = await snapshots.readLatest(signal);
--- a/standin/configuration_fleet.ts
+++ b/standin/configuration_fleet.ts
@@ -5,6 +5,7 @@
  */
 
 import { ConfigurationFollower } from "../src/coordination/mod.js";
+import type { LogService } from "../src/protocol/mod.js";
 import { ConfigurationView, EventRing, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
@@ -27,6 +28,14 @@
     readonly stop: () => void;
 }
 
+/** Settings of a node. */
+export interface ConfigurationNodeSettings {
+    /** Whether it is cut off from its peers. Defaults to `false`. */
+    readonly isolated?: boolean;
+    /** Its way to the log. Defaults to the fleet's log. */
+    readonly log?: LogService;
+}
+
 /** Nodes, their log and their connections. */
 export class ConfigurationFleet {
     readonly clock = new VirtualClock();
@@ -43,23 +52,23 @@
     /**
      * Starts a node.
      *
-     * @param isolated Whether it is cut off from its peers. Defaults to `false`.
+     * @param settings See {@linkcode ConfigurationNodeSettings}.
      */
-    addNode(isolated = false): ConfigurationNode {
+    addNode(settings: ConfigurationNodeSettings = {}): ConfigurationNode {
         const { clock } = this;
         const index = this.nodes.length;
         const id = `node-${index + 1}`;
         const vm: Vm = { id, role: VmRole.Entry, address: `127.0.0.1:${index + 1}`, failureDomain: "a", state: VmState.Live };
         const ring = new EventRing(id, new HybridClock(clock));
         const view = new ConfigurationView(clock);
-        const log = new NodeLog(this.log, { clock, intervalMs: LOG_POLL_MS });
+        const log = new NodeLog(settings.log ?? this.log, clock, LOG_POLL_MS);
         const dissemination = this.hub.join(id);
         const peers = this.peers.join(vm.address);
         const entryVms = () => this.nodes.map(node => node.vm);
         const random = new SeededRandom(index + 1);
         const follower = new ConfigurationFollower({ clock, random, ring, log, view, dissemination, peers, entryVms });
         this.peers.answers.set(vm.address, request => follower.copyFor(request));
-        this.setIsolated(vm, isolated);
+        this.setIsolated(vm, settings.isolated ?? false);
         const stopped = new AbortController();
         const node = { vm, ring, view, follower, log, done: follower.run(stopped.signal), stop: () => stopped.abort() };
         this.nodes.push(node);
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -112,7 +112,7 @@
         const index = this.nodes.length;
         const id = `entry-${index + 1}`;
         const address = `127.0.0.1:${this.vms.length + 1}`;
-        const nodeLog = new NodeLog(this.log);
+        const nodeLog = new NodeLog(this.log, this.clock);
         const node = new EntryNode({
             node: id,
             failureDomain,
--- a/standin/node_log.ts
+++ b/standin/node_log.ts
@@ -15,29 +15,29 @@
     hang: boolean;
     /** Number of next appends that take effect and whose answers are lost. */
     loseAnswers: number;
+    /** Time that is added to each answer to a read, in milliseconds. */
+    delayMs: number;
 }
 
-/** Intervals at which reads look at the log. */
-export interface LogPoll {
-    readonly clock: Clock;
-    readonly intervalMs: number;
-}
+/** Way to the log that is whole. */
+const NO_FAULTS: NodeLogFaults = { cut: false, hang: false, loseAnswers: 0, delayMs: 0 };
 
 /** Passes calls on to the log, unless a fault is set. */
 export class NodeLog extends LogService {
-    readonly faults: NodeLogFaults = { cut: false, hang: false, loseAnswers: 0 };
+    readonly faults: NodeLogFaults = { ...NO_FAULTS };
 
     /**
      * @param log Log that all nodes share.
-     * @param poll When given, a read looks at intervals in place of waiting at the log, which makes long runs cheaper.
+     * @param clock Clock that delays are measured by.
+     * @param pollMs When given, a read looks at such intervals in place of waiting at the log, which makes long runs cheaper.
      */
-    constructor(private readonly log: LogService, private readonly poll?: LogPoll) {
+    constructor(private readonly log: LogService, private readonly clock: Clock, private readonly pollMs?: number) {
         super();
     }
 
     /** Ends the faults; calls that were never answered stay so. */
     heal(): void {
-        Object.assign(this.faults, { cut: false, hang: false, loseAnswers: 0 });
+        Object.assign(this.faults, NO_FAULTS);
     }
 
     override async append(stream: string, data: Uint8Array): Promise<number> {
@@ -54,22 +54,25 @@
         const step = `read stream ${stream}`;
         await this.check(step);
         const page = await this.readPage(stream, fromOffset, settings);
+        if (this.faults.delayMs > 0) {
+            await this.clock.sleep(this.faults.delayMs);
+        }
         await this.check(step);
         return page;
     }
 
     private async readPage(stream: string, fromOffset: number, settings: LogReadSettings = {}): Promise<LogPage> {
-        if (this.poll === undefined) {
+        const { clock, pollMs } = this;
+        if (pollMs === undefined) {
             return this.log.read(stream, fromOffset, settings);
         }
-        const { clock, intervalMs } = this.poll;
         const giveUpAtMs = clock.now() + (settings.waitMs ?? 0);
         for (;;) {
             const page = await this.log.read(stream, fromOffset, { ...settings, waitMs: 0 });
             if (page.endOffset > fromOffset || clock.now() >= giveUpAtMs) {
                 return page;
             }
-            await clock.sleep(intervalMs);
+            await clock.sleep(pollMs);
         }
     }
 
