--- a/features/steps/configuration_fault_steps.ts
+++ b/features/steps/configuration_fault_steps.ts
@@ -110,7 +110,10 @@
 When("a peer offers every node the snapshot of version 0", async function(this: Scenario) {
     const { fleet } = this;
     for (const node of fleet.nodes) {
-        node.follower.journal.adopt({ configuration: { version: 0, document: fleet.document }, nextOffset: 1, atMs: 0 });
+        const { journal } = node.follower;
+        const before = journal.nextOffset;
+        journal.adopt({ configuration: { version: 0, document: fleet.document }, nextOffset: 1, atMs: 0 });
+        assert.equal(journal.nextOffset, before);
         node.view.advance({ version: 0, document: fleet.document });
     }
 });
--- a/features/steps/operator_access_steps.ts
+++ b/features/steps/operator_access_steps.ts
@@ -80,7 +80,7 @@
 ) {
     rememberVersions(this);
     const side = sideOf(this);
-    const client = new OperatorClient(side.address, key);
+    const client = new OperatorClient(side.address, key ?? undefined);
     const failed = (error: unknown) => {
         side.failure = error;
     };
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -6,6 +6,10 @@
 
 import { configExperiment } from "./config.js";
 import type { Experiment } from "./experiment.js";
+import { proxyExperiment } from "./proxy.js";
 
 /** Experiments in the order in which the help lists them. */
-export const experiments: readonly Experiment[] = [configExperiment];
+export const experiments: readonly Experiment[] = [
+    proxyExperiment,
+    configExperiment,
+];
