--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { configExperiment } from "./config.js";
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
@@ -12,4 +13,5 @@
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
     drainExperiment,
+    configExperiment,
 ];
