--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
-import { wire } from "../protocol/mod.js";
+import { claimWire, wire } from "../protocol/mod.js";
 
 /** Metadata field that carries the operator's key. */
 const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
@@ -34,6 +34,7 @@
 /** Connection of an operator to one daemon. */
 export class OperatorClient {
     private readonly client: wire.OperatorClient;
+    private readonly claimClient: claimWire.ClaimOperatorClient;
     private readonly metadata = new Metadata();
 
     /**
@@ -42,6 +43,7 @@
      */
     constructor(readonly address: string, key: string | undefined) {
         this.client = new wire.OperatorClient(address, credentials.createInsecure());
+        this.claimClient = new claimWire.ClaimOperatorClient(address, credentials.createInsecure());
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
@@ -64,6 +66,11 @@
         });
     }
 
+    /** Lists calls whose outcome nobody recorded. */
+    listUnknown(request: claimWire.ListUnknownRequest): Promise<claimWire.ListUnknownReply> {
+        return this.call("list unknown calls", reply => this.claimClient.listUnknown(request, this.metadata, deadline(), reply));
+    }
+
     /** Reads events of the daemon's time line until it ends or the signal is aborted. */
     async *readTimeline(request: wire.ReadTimelineRequest, signal?: AbortSignal): AsyncGenerator<wire.EventRecord> {
         const call = this.client.readTimeline(request, this.metadata, request.follow ? {} : deadline());
@@ -83,6 +90,7 @@
     /** Closes the connection. */
     close(): void {
         this.client.close();
+        this.claimClient.close();
     }
 
     private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
--- /dev/null
+++ b/src/cli/request_list_command.ts
@@ -0,0 +1,57 @@
+/**
+ * Command `foxtailrail request list`.
+ *
+ * @module
+ */
+
+import { Command, Option, UsageError } from "clipanion";
+import type { OperatorClient } from "./operator_client.js";
+import { ExitCode, OperatorCommand } from "./operator_command.js";
+import { formatTable } from "./table.js";
+
+/** Milliseconds of each unit of time. */
+const UNIT_MS: Readonly<Record<string, number>> = { m: 60_000, h: 3_600_000 };
+
+/** Longest time that can be looked back, in milliseconds. */
+const MAX_SINCE_MS = 24 * 3_600_000;
+
+/** Lists run-once calls whose outcome nobody recorded. */
+export class RequestListCommand extends OperatorCommand {
+    static override paths = [["request", "list"]];
+    static override usage = Command.Usage({
+        category: "Requests",
+        description: "Lists calls that were claimed and have no recorded outcome.",
+        details: "See docs/operating/run_once.md for what to do with them.",
+        examples: [["List the calls of the last two hours", "foxtailrail request list --unknown --since 2h"]],
+    });
+    unknown = Option.Boolean("--unknown", false, {
+        description: "List calls whose outcome is unknown; no other list exists yet.",
+    });
+    since = Option.String("--since", "1h", { description: "Time to look back, such as 30m or 24h. Defaults to 1h." });
+
+    protected override async run(client: OperatorClient): Promise<ExitCode> {
+        if (!this.unknown) {
+            throw new UsageError("No list is named: give --unknown.");
+        }
+        const reply = await client.listUnknown({ sinceMs: parseSince(this.since) });
+        const rows = reply.calls.map(call => [
+            new Date(call.atMs).toISOString(),
+            call.workspace,
+            call.key,
+            call.operation,
+            call.node,
+            call.attempt,
+        ]);
+        this.print(reply, formatTable(["CLAIMED", "WORKSPACE", "KEY", "OPERATION", "NODE", "CALL"], rows));
+        return ExitCode.Done;
+    }
+}
+
+function parseSince(text: string): number {
+    const [, count, unit = ""] = /^(\d{1,4})([mh])$/.exec(text) ?? [];
+    const sinceMs = Number(count) * UNIT_MS[unit];
+    if (!(sinceMs > 0 && sinceMs <= MAX_SINCE_MS)) {
+        throw new UsageError(`Option --since is "${text}". Give minutes or hours up to one day, such as 30m or 24h.`);
+    }
+    return sinceMs;
+}
--- a/src/coordination/call_guard.ts
+++ b/src/coordination/call_guard.ts
@@ -6,17 +6,28 @@
 
 import type { AcceptedCall, Executed, ServiceAnswer } from "../protocol/mod.js";
 
+/** Whether a call may be sent to a backend server now. */
+export enum DispatchRight {
+    /** It may be sent once. */
+    Given = "given",
+    /** It was sent already and is not sent again. */
+    Used = "used",
+    /** It is not decided yet; nothing is to be held for the call meanwhile. */
+    Pending = "pending",
+}
+
 /** Right to dispatch a call, given by a {@linkcode CallGuard}. */
 export abstract class CallPass {
-    /** Answer recorded for an earlier call of the same key; it is given to the caller and nothing is dispatched. */
-    abstract readonly recorded: ServiceAnswer | undefined;
-
     /**
      * Takes the right to dispatch once more.
      *
-     * @returns Whether the call may be sent to a backend server now.
+     * @throws {Refusal} When another call of the same key has the right.
+     * @throws {RecordedAnswer} When another call of the same key was answered.
      */
-    abstract tryDispatch(): boolean;
+    abstract tryDispatch(): Promise<DispatchRight>;
+
+    /** Waits until a pending right is decided, or the signal is aborted. */
+    abstract awaitRight(signal: AbortSignal): Promise<void>;
 
     /**
      * Says that a dispatch failed before any byte was sent, so that it does not count.
@@ -33,17 +44,31 @@
     /**
      * Records that the call ended without a whole answer.
      *
-     * @param executed Whether a backend server can have run it.
+     * @param executed Whether this call's own dispatches can have run.
+     * @returns Whether the call can have run, earlier calls of the same key included.
      */
-    abstract fail(executed: Executed): Promise<void>;
+    abstract fail(executed: Executed): Promise<Executed>;
+}
+
+/** Answer recorded for an earlier call of the same key; it is given to the caller and nothing is dispatched. */
+export class RecordedAnswer extends Error {
+    override readonly name = "RecordedAnswer";
+
+    /** @param answer Answer of the earlier call. */
+    constructor(readonly answer: ServiceAnswer) {
+        super("An earlier call of the same key was answered.");
+    }
 }
 
 /** Gives each call the right to be dispatched, or refuses it. */
 export abstract class CallGuard {
     /**
-     * Admits one call.
+     * Admits one call; it may wait for a backend server before it takes the right to be dispatched.
      *
-     * @throws {Refusal} When a call of the same key may have been dispatched already.
+     * @throws {Refusal} When the call's key cannot be guarded.
      */
-    abstract enter(call: AcceptedCall): Promise<CallPass>;
+    abstract enter(call: AcceptedCall): CallPass;
+
+    /** Waits until everything that was recorded stands in the log, as long as the signal allows. */
+    abstract close(signal: AbortSignal): Promise<void>;
 }
--- /dev/null
+++ b/src/coordination/claims/_rendezvous.ts
@@ -0,0 +1,33 @@
+/**
+ * Rendezvous hashing: every node that sees the same members ranks them alike, without a word between them.
+ *
+ * After Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998).
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { Member } from "../../protocol/mod.js";
+
+/** Member with its weight for one name. */
+interface RankedMember {
+    readonly member: Member;
+    readonly weight: number;
+}
+
+/**
+ * Ranks members for a name.
+ *
+ * @param name What is to be placed, such as a stream.
+ * @param members Members to choose from.
+ * @returns Members, best first.
+ */
+export function rankMembers(name: string, members: readonly Member[]): readonly Member[] {
+    const ranked: RankedMember[] = members.map(member => ({ member, weight: weigh(name, member.id) }));
+    ranked.sort((left, right) => right.weight - left.weight || left.member.id.localeCompare(right.member.id));
+    return ranked.map(({ member }) => member);
+}
+
+function weigh(name: string, id: string): number {
+    return createHash("sha256").update(`${name}\n${id}`).digest().readUIntBE(0, 6);
+}
--- /dev/null
+++ b/src/coordination/claims/claim_guard.ts
@@ -0,0 +1,81 @@
+/**
+ * Guard that lets the log decide which call of a key is dispatched.
+ *
+ * @module
+ */
+
+import { type AcceptedCall, type ClaimClient, claimWire, type LogService, type MemberView } from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part, Semantics } from "../../state/mod.js";
+import { CallGuard, type CallPass } from "../call_guard.js";
+import { toExpired } from "./_claim_refusal.js";
+import { type ClaimKey, toClaimKey } from "./claim_key.js";
+import { ClaimPass } from "./claim_pass.js";
+import { ClaimRouter } from "./claim_router.js";
+import { ClaimStore } from "./claim_store.js";
+import { ClaimStreams } from "./claim_streams.js";
+import { UnclaimedPass } from "./unclaimed_pass.js";
+
+/** Age beyond which a key that carries its date is refused, in milliseconds; below the time for which the log keeps records. */
+const DEFAULT_HORIZON_MS = 6 * 86_400_000;
+
+/** Settings of a {@linkcode ClaimGuard}. */
+export interface ClaimGuardSettings {
+    /** Id of this node. */
+    readonly node: string;
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly log: LogService;
+    readonly members: MemberView;
+    readonly client: ClaimClient;
+    /** Age beyond which a key that carries its date is refused, in milliseconds. Defaults to 6 days. */
+    readonly horizonMs?: number;
+    /** Least time between two appends that carry claims of one stream, in milliseconds. Defaults to 6. */
+    readonly claimSpacingMs?: number;
+}
+
+/** Claims the keys of run-once and dispatch-once calls in the log. */
+export class ClaimGuard extends CallGuard {
+    /** Streams that this node combines or has read. */
+    readonly streams: ClaimStreams;
+    /** Outcomes and releases on their way to the log. */
+    readonly store: ClaimStore;
+    private readonly router: ClaimRouter;
+    private readonly horizonMs: number;
+
+    /** @param settings See {@linkcode ClaimGuardSettings}. */
+    constructor(private readonly settings: ClaimGuardSettings) {
+        super();
+        this.horizonMs = settings.horizonMs ?? DEFAULT_HORIZON_MS;
+        this.streams = new ClaimStreams(settings);
+        this.router = new ClaimRouter({ ...settings, streams: this.streams });
+        this.store = new ClaimStore({ ...settings, router: this.router, onLost: entry => this.recordLost(entry) });
+    }
+
+    override enter(call: AcceptedCall): CallPass {
+        const { semantics } = call.operation;
+        const { idempotencyKey } = call.incoming;
+        if (idempotencyKey === undefined || semantics === Semantics.Repeatable) {
+            return new UnclaimedPass(semantics);
+        }
+        const key = toClaimKey(call.workspace.name, idempotencyKey);
+        this.checkHorizon(key);
+        return new ClaimPass({ ...this.settings, router: this.router, store: this.store, call, key });
+    }
+
+    override close(signal: AbortSignal): Promise<void> {
+        return this.store.flush(signal);
+    }
+
+    /** The stream itself shows when records have expired; the horizon covers a log that forgets an empty stream. */
+    private checkHorizon({ createdAtMs }: ClaimKey): void {
+        if (createdAtMs !== undefined && createdAtMs < this.settings.clock.now() - this.horizonMs) {
+            throw toExpired();
+        }
+    }
+
+    private recordLost(entry: claimWire.ClaimEntry): void {
+        const what = entry.kind === claimWire.ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME ? "Outcome" : "Release";
+        const text = `${what} did not reach the log; callers who ask again are told "unknown".`;
+        this.settings.ring.record({ part: Part.Claim, kind: "lost", text, requestId: entry.attempt });
+    }
+}
--- /dev/null
+++ b/src/coordination/claims/claim_pass.ts
@@ -0,0 +1,180 @@
+/**
+ * Pass of a call whose key is claimed in the log.
+ *
+ * @module
+ */
+
+import { type AcceptedCall, claimWire, Executed, type MemberView, type ServiceAnswer } from "../../protocol/mod.js";
+import { type Clock, Semantics } from "../../state/mod.js";
+import { CallPass, DispatchRight } from "../call_guard.js";
+import { toRefusal } from "./_claim_refusal.js";
+import { type ClaimKey, digestCall } from "./claim_key.js";
+import type { ClaimRouter } from "./claim_router.js";
+import type { ClaimStore } from "./claim_store.js";
+
+/** Longest time for which a backend server is held for a call whose claim is not decided, in milliseconds. */
+const CLAIM_HOLD_MS = 50;
+
+/** Time before the call's deadline at which the wait for the log ends, in milliseconds. */
+const DEADLINE_RESERVE_MS = 20;
+
+/** Longest time to look up, at the end of a call that claimed nothing, whether another call of its key has run, in milliseconds. */
+const LOOKUP_LIMIT_MS = 50;
+
+/** Longest time to wait for the outcome of another call of the key that runs, in milliseconds. */
+const OUTCOME_WAIT_MS = 1_000;
+
+/** Time between two looks for that outcome, in milliseconds. */
+const OUTCOME_POLL_MS = 60;
+
+/** Time after the promised deadline for which an owner is taken to be at work, in milliseconds. */
+const OWNER_GRACE_MS = 5_000;
+
+/** Largest body that is kept for callers who ask again, in bytes. */
+const MAX_KEPT_BODY_BYTES = 16 * 1024;
+
+const { ClaimEntryKind, ClaimVerdictKind } = claimWire;
+
+/** Settings of a {@linkcode ClaimPass}. */
+export interface ClaimPassSettings {
+    readonly clock: Clock;
+    /** Id of this node. */
+    readonly node: string;
+    readonly members: MemberView;
+    readonly router: ClaimRouter;
+    readonly store: ClaimStore;
+    readonly call: AcceptedCall;
+    readonly key: ClaimKey;
+}
+
+/** Claims the key when the call is about to be dispatched, so that a call which only waited leaves no claim behind. */
+export class ClaimPass extends CallPass {
+    private claim: Promise<claimWire.ClaimVerdict> | undefined;
+    private verdict: claimWire.ClaimVerdict | undefined;
+    private dispatched = false;
+    private closed = false;
+
+    /** @param settings See {@linkcode ClaimPassSettings}. */
+    constructor(private readonly settings: ClaimPassSettings) {
+        super();
+    }
+
+    override async tryDispatch(): Promise<DispatchRight> {
+        if (this.dispatched || this.closed) {
+            return DispatchRight.Used;
+        }
+        this.claim ??= this.takeClaim();
+        const decided = new AbortController();
+        await Promise.race([this.claim, this.settings.clock.sleep(CLAIM_HOLD_MS, decided.signal)]);
+        decided.abort();
+        if (this.verdict === undefined) {
+            return DispatchRight.Pending;
+        }
+        if (this.verdict.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED) {
+            throw toRefusal(this.verdict, this.ownerRuns(this.verdict));
+        }
+        this.dispatched = true;
+        return DispatchRight.Given;
+    }
+
+    override async awaitRight(signal: AbortSignal): Promise<void> {
+        const aborted = new Promise<void>(resolve => {
+            signal.addEventListener("abort", () => resolve(), { once: true });
+        });
+        await Promise.race([this.claim, aborted]);
+    }
+
+    override dispatchNotSent(): void {
+        this.dispatched = false;
+    }
+
+    override async complete(answer: ServiceAnswer | undefined): Promise<void> {
+        this.closed = true;
+        this.settings.store.put(
+            this.settings.key.stream,
+            this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME, this.toOutcome(answer)),
+        );
+    }
+
+    override async fail(executed: Executed): Promise<Executed> {
+        this.closed = true;
+        if (this.dispatched) {
+            return Executed.Unknown;
+        }
+        if (this.claim === undefined) {
+            return this.lookUp();
+        }
+        if (this.mayOwn()) {
+            // The key is free again for the next call, at whichever node.
+            this.settings.store.put(this.settings.key.stream, this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE));
+        }
+        return this.verdict === undefined ? Executed.Unknown : executed;
+    }
+
+    private async takeClaim(): Promise<claimWire.ClaimVerdict> {
+        const { router, key, call, clock } = this.settings;
+        const entry = this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM);
+        const untilMs = call.deadlineMs - DEADLINE_RESERVE_MS;
+        let verdict = await router.commit(key.stream, entry, untilMs);
+        const giveUpAtMs = Math.min(untilMs, clock.now() + OUTCOME_WAIT_MS);
+        while (this.isWorthWaiting(verdict) && clock.now() < giveUpAtMs) {
+            await clock.sleep(OUTCOME_POLL_MS);
+            verdict = await router.commit(key.stream, entry, untilMs);
+        }
+        this.verdict = verdict;
+        return verdict;
+    }
+
+    private isWorthWaiting(verdict: claimWire.ClaimVerdict): boolean {
+        const { call } = this.settings;
+        return verdict.kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD && call.operation.semantics === Semantics.RunOnce &&
+            !this.closed && this.ownerRuns(verdict);
+    }
+
+    /** Whether the claim stands in the log as the owner's, or can come to stand there. */
+    private mayOwn(): boolean {
+        const kind = this.verdict?.kind ?? ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN;
+        return kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED || kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN;
+    }
+
+    /** Tells whether another call of the key can have run; this one claimed nothing and did not. */
+    private async lookUp(): Promise<Executed> {
+        const { router, clock, key } = this.settings;
+        const entry = this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP);
+        const { kind } = await router.commit(key.stream, entry, clock.now() + LOOKUP_LIMIT_MS);
+        const ran = kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_EXPIRED;
+        return ran ? Executed.Unknown : Executed.No;
+    }
+
+    private ownerRuns({ owner, deadlineMs }: claimWire.ClaimVerdict): boolean {
+        const { members, node, clock } = this.settings;
+        const live = owner === node || members.live.some(member => member.id === owner);
+        return live && clock.now() < deadlineMs + OWNER_GRACE_MS;
+    }
+
+    private toOutcome(answer: ServiceAnswer | undefined): claimWire.ClaimOutcome {
+        const { semantics } = this.settings.call.operation;
+        if (answer === undefined || semantics !== Semantics.RunOnce || answer.body.length > MAX_KEPT_BODY_BYTES) {
+            return { status: answer?.status ?? 0, contentType: "", body: Buffer.alloc(0), kept: false };
+        }
+        return { ...answer, kept: true };
+    }
+
+    private toEntry(kind: claimWire.ClaimEntryKind, outcome?: claimWire.ClaimOutcome): claimWire.ClaimEntry {
+        const { call, key, node, clock } = this.settings;
+        return {
+            kind,
+            workspace: key.workspace,
+            key: key.key,
+            digest: digestCall(call),
+            attempt: call.incoming.id,
+            node,
+            operation: call.operation.name,
+            atMs: Math.floor(clock.now()),
+            deadlineMs: Math.floor(call.deadlineMs),
+            outcome,
+        };
+    }
+}
--- /dev/null
+++ b/src/coordination/claims/claim_router.ts
@@ -0,0 +1,118 @@
+/**
+ * Way of an entry to the log: through the combiner of its stream, or straight from this node.
+ *
+ * @module
+ */
+
+import { type ClaimClient, claimWire, type Member, type MemberView, PeerError } from "../../protocol/mod.js";
+import type { Clock } from "../../state/mod.js";
+import { rankMembers } from "./_rendezvous.js";
+import { toVerdict } from "./claim_index.js";
+import type { ClaimStreams } from "./claim_streams.js";
+
+/** Longest time to wait for a combiner, in milliseconds. */
+const COMBINER_TIMEOUT_MS = 400;
+
+/** Time for which a combiner that did not answer is passed over, in milliseconds. */
+const SUSPECT_MS = 5_000;
+
+/** Combiners that are tried before the node appends by itself. */
+const MAX_COMBINERS_TRIED = 2;
+
+/** Combiners that are remembered as not answering. */
+const MAX_SUSPECTS = 1_000;
+
+const { ClaimVerdictKind } = claimWire;
+
+/** Settings of a {@linkcode ClaimRouter}. */
+export interface ClaimRouterSettings {
+    /** Id of this node. */
+    readonly node: string;
+    readonly clock: Clock;
+    readonly members: MemberView;
+    readonly client: ClaimClient;
+    readonly streams: ClaimStreams;
+}
+
+/**
+ * Sends entries to the combiner of their stream.
+ *
+ * The combiner only makes appends fewer: a node with a stale view of the members asks another one, or none, and gets the same verdict
+ * from the same log.
+ */
+export class ClaimRouter {
+    private readonly suspectUntilMs = new Map<string, number>();
+
+    /** @param settings See {@linkcode ClaimRouterSettings}. */
+    constructor(private readonly settings: ClaimRouterSettings) {}
+
+    /**
+     * Brings an entry into the log, or tells why it does not stand there.
+     *
+     * @param stream Stream of the entry's key.
+     * @param entry Entry to commit.
+     * @param untilMs Time at which the wait ends, in milliseconds since the Unix epoch.
+     */
+    async commit(stream: string, entry: claimWire.ClaimEntry, untilMs: number): Promise<claimWire.ClaimVerdict> {
+        let mayHaveLanded = false;
+        for (const combiner of this.pickCombiners(stream)) {
+            if (combiner.id === this.settings.node) {
+                break;
+            }
+            const verdict = await this.askCombiner(combiner, { stream, entry, waitMs: 0 }, untilMs);
+            if (verdict !== undefined && isFinal(verdict)) {
+                return verdict;
+            }
+            mayHaveLanded ||= verdict?.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED;
+        }
+        const verdict = await this.settings.streams.open(stream).submit(entry, untilMs);
+        if (mayHaveLanded && verdict.kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN);
+        }
+        return verdict;
+    }
+
+    private pickCombiners(stream: string): readonly Member[] {
+        const nowMs = this.settings.clock.now();
+        const trusted = this.settings.members.live.filter(({ id }) => (this.suspectUntilMs.get(id) ?? 0) <= nowMs);
+        return rankMembers(stream, trusted).slice(0, MAX_COMBINERS_TRIED);
+    }
+
+    private async askCombiner(
+        combiner: Member,
+        request: claimWire.CommitClaimRequest,
+        untilMs: number,
+    ): Promise<claimWire.ClaimVerdict | undefined> {
+        const timeoutMs = Math.min(COMBINER_TIMEOUT_MS, untilMs - this.settings.clock.now());
+        if (timeoutMs < 1) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED);
+        }
+        // The combiner gives up first, so that its answer can still tell whether the entry was appended.
+        const waitMs = Math.floor(timeoutMs / 2);
+        try {
+            const verdict = await this.settings.client.commit(combiner.address, { ...request, waitMs }, timeoutMs);
+            if (!isFinal(verdict)) {
+                this.suspect(combiner);
+            }
+            return verdict;
+        }
+        catch (error) {
+            if (!(error instanceof PeerError)) {
+                throw error;
+            }
+            this.suspect(combiner);
+            return undefined;
+        }
+    }
+
+    private suspect({ id }: Member): void {
+        if (this.suspectUntilMs.size >= MAX_SUSPECTS) {
+            this.suspectUntilMs.clear();
+        }
+        this.suspectUntilMs.set(id, this.settings.clock.now() + SUSPECT_MS);
+    }
+}
+
+function isFinal({ kind }: claimWire.ClaimVerdict): boolean {
+    return kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED && kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN;
+}
--- /dev/null
+++ b/src/coordination/claims/claim_stream.ts
@@ -0,0 +1,286 @@
+/**
+ * Group commit of claims into one stream of the log, and reading back.
+ *
+ * @module
+ */
+
+import { claimWire, Executed, type LogService, PlatformError } from "../../protocol/mod.js";
+import type { Clock } from "../../state/mod.js";
+import { ClaimIndex, toVerdict } from "./claim_index.js";
+import { isDatedStream } from "./claim_key.js";
+
+/** Least time between two appends that carry claims, in milliseconds. */
+const CLAIM_SPACING_MS = 6;
+
+/** Least time between two appends that carry nothing a caller waits for, in milliseconds. */
+const OUTCOME_SPACING_MS = 50;
+
+/** Time to wait after a failed call of the log, in milliseconds. */
+const RETRY_DELAY_MS = 100;
+
+/** Largest record, in bytes of its entries. */
+const MAX_RECORD_BYTES = 256 * 1024;
+
+/** Keys that one stream may hold. */
+export const MAX_KEYS_PER_STREAM = 200_000;
+
+const { ClaimEntryKind, ClaimVerdictKind } = claimWire;
+
+/** Entry that waits for its verdict. */
+interface Pending {
+    readonly entry: claimWire.ClaimEntry;
+    readonly bytes: number;
+    /** Whether an append of the entry was begun whose fate is not known to be nothing. */
+    mayHaveLanded: boolean;
+    settled: boolean;
+    readonly settle: (verdict: claimWire.ClaimVerdict) => void;
+}
+
+/** Settings of a {@linkcode ClaimStream}. */
+export interface ClaimStreamSettings {
+    readonly clock: Clock;
+    readonly log: LogService;
+    /** Name of the stream in the log. */
+    readonly stream: string;
+    /** Least time between two appends that carry claims, in milliseconds. Defaults to 6. */
+    readonly claimSpacingMs?: number;
+}
+
+/**
+ * Combines the entries that wait into one append, reads back to its offset and gives each entry its verdict.
+ *
+ * Two nodes may do this for one stream at the same time: every verdict follows from the order of the log alone.
+ */
+export class ClaimStream {
+    /** Time at which the stream was last used, in milliseconds since the Unix epoch. */
+    lastUsedAtMs: number;
+    readonly index: ClaimIndex;
+    private readonly claimSpacingMs: number;
+    private nextOffset = 0;
+    /** Whether the last call of the log was answered, so that an append is likely to be. */
+    private reachable = false;
+    private queue: Pending[] = [];
+    private running = false;
+    private lastAppendAtMs = 0;
+
+    /** @param settings See {@linkcode ClaimStreamSettings}. */
+    constructor(private readonly settings: ClaimStreamSettings) {
+        this.claimSpacingMs = settings.claimSpacingMs ?? CLAIM_SPACING_MS;
+        this.lastUsedAtMs = settings.clock.now();
+        this.index = new ClaimIndex({ dated: isDatedStream(settings.stream) });
+    }
+
+    /** Whether entries wait or are being appended. */
+    get busy(): boolean {
+        return this.running;
+    }
+
+    /**
+     * Brings an entry into the log, or tells why it does not stand there.
+     *
+     * @param entry Entry; its attempt stays the same over repeats.
+     * @param untilMs Time at which the wait ends, in milliseconds since the Unix epoch.
+     */
+    async submit(entry: claimWire.ClaimEntry, untilMs: number): Promise<claimWire.ClaimVerdict> {
+        const { clock } = this.settings;
+        this.lastUsedAtMs = clock.now();
+        const decided = new AbortController();
+        return new Promise(resolve => {
+            const pending: Pending = {
+                entry,
+                bytes: claimWire.ClaimEntry.encode(entry).finish().length,
+                mayHaveLanded: false,
+                settled: false,
+                settle: verdict => {
+                    pending.settled = true;
+                    decided.abort();
+                    resolve(verdict);
+                },
+            };
+            this.queue.push(pending);
+            void this.giveUpAt(pending, untilMs, decided.signal);
+            this.start();
+        });
+    }
+
+    /**
+     * Reads to the end of the stream.
+     *
+     * @throws {PlatformError} When the log did not answer.
+     */
+    async refresh(): Promise<void> {
+        let endOffset: number;
+        do {
+            const page = await this.settings.log.read(this.settings.stream, this.nextOffset);
+            if (page.firstOffset > this.nextOffset) {
+                this.index.markLossy();
+                this.nextOffset = page.firstOffset;
+            }
+            this.index.forgetBefore(page.firstOffset);
+            for (const { offset, data } of page.records) {
+                this.applyRecord(offset, data);
+            }
+            endOffset = page.endOffset;
+        }
+        while (this.nextOffset < endOffset);
+    }
+
+    private async giveUpAt(pending: Pending, untilMs: number, decided: AbortSignal): Promise<void> {
+        const { clock } = this.settings;
+        const elapsed = await clock.sleep(untilMs - clock.now(), decided);
+        if (!elapsed || pending.settled) {
+            return;
+        }
+        this.queue = this.queue.filter(each => each !== pending);
+        pending.settle(toVerdict(
+            pending.mayHaveLanded ?
+                ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN :
+                ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED,
+        ));
+    }
+
+    private start(): void {
+        if (!this.running) {
+            this.running = true;
+            void this.run();
+        }
+    }
+
+    /** Commits until nothing waits. */
+    private async run(): Promise<void> {
+        const { clock } = this.settings;
+        while (this.queue.length > 0) {
+            await this.awaitSpacing();
+            try {
+                if (!this.reachable || this.queue.some(pending => this.needsReading(pending))) {
+                    await this.refresh();
+                    this.reachable = true;
+                }
+                this.settleKnown();
+                await this.appendBatch();
+                this.settleKnown();
+            }
+            catch (error) {
+                if (!(error instanceof PlatformError)) {
+                    throw error;
+                }
+                this.reachable = false;
+                await clock.sleep(RETRY_DELAY_MS);
+            }
+        }
+        this.running = false;
+    }
+
+    /** Another node may have recorded something since the last read, which a verdict on another's claim has to show. */
+    private needsReading({ entry }: Pending): boolean {
+        const { kind } = entry;
+        if (kind === ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP) {
+            return true;
+        }
+        return kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM && this.index.judge(entry) !== undefined;
+    }
+
+    private async awaitSpacing(): Promise<void> {
+        const { clock } = this.settings;
+        while (this.queue.length > 0) {
+            const urgent = this.queue.some(({ entry }) => isUrgent(entry));
+            const dueAtMs = this.lastAppendAtMs + (urgent ? this.claimSpacingMs : OUTCOME_SPACING_MS);
+            const waitMs = dueAtMs - clock.now();
+            if (waitMs <= 0) {
+                return;
+            }
+            await clock.sleep(Math.min(waitMs, this.claimSpacingMs));
+        }
+    }
+
+    private settleKnown(): void {
+        const left: Pending[] = [];
+        for (const pending of this.queue) {
+            const verdict = this.index.judge(pending.entry) ?? this.refuseWhenFull(pending);
+            if (verdict === undefined) {
+                left.push(pending);
+                continue;
+            }
+            pending.settle(verdict);
+        }
+        this.queue = left;
+    }
+
+    private refuseWhenFull({ entry, mayHaveLanded }: Pending): claimWire.ClaimVerdict | undefined {
+        const full = this.index.size >= MAX_KEYS_PER_STREAM && entry.kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM;
+        return full && !mayHaveLanded ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_FULL) : undefined;
+    }
+
+    private async appendBatch(): Promise<void> {
+        const batch = this.takeBatch();
+        if (batch.length === 0) {
+            return;
+        }
+        const data = claimWire.ClaimBatch.encode({ entries: batch.map(({ entry }) => entry) }).finish();
+        const before = batch.map(pending => pending.mayHaveLanded);
+        for (const pending of batch) {
+            pending.mayHaveLanded = true;
+        }
+        this.lastAppendAtMs = this.settings.clock.now();
+        try {
+            const offset = await this.settings.log.append(this.settings.stream, data);
+            await this.readBackTo(offset, data);
+        }
+        catch (error) {
+            if (error instanceof PlatformError && error.landed === Executed.No) {
+                for (const [index, pending] of batch.entries()) {
+                    pending.mayHaveLanded = before[index];
+                }
+            }
+            throw error;
+        }
+    }
+
+    private takeBatch(): readonly Pending[] {
+        const batch: Pending[] = [];
+        let bytes = 0;
+        for (const pending of this.queue) {
+            bytes += pending.bytes;
+            if (batch.length > 0 && bytes > MAX_RECORD_BYTES) {
+                return batch;
+            }
+            batch.push(pending);
+        }
+        return batch;
+    }
+
+    /** Brings the index to the offset of an own record; reads nothing when no other record lies before it. */
+    private async readBackTo(offset: number, data: Uint8Array): Promise<void> {
+        if (offset === this.nextOffset) {
+            this.applyRecord(offset, data);
+            return;
+        }
+        while (this.nextOffset <= offset) {
+            await this.refresh();
+        }
+    }
+
+    private applyRecord(offset: number, data: Uint8Array): void {
+        if (offset < this.nextOffset) {
+            return;
+        }
+        this.nextOffset = offset + 1;
+        for (const entry of decodeEntries(data)) {
+            this.index.apply(offset, entry);
+        }
+    }
+}
+
+function isUrgent({ kind }: claimWire.ClaimEntry): boolean {
+    return kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM || kind === ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP;
+}
+
+function decodeEntries(data: Uint8Array): readonly claimWire.ClaimEntry[] {
+    try {
+        return claimWire.ClaimBatch.decode(data).entries;
+    }
+    catch {
+        // A record that is no batch claims nothing; every reader skips it alike.
+        return [];
+    }
+}
--- /dev/null
+++ b/src/coordination/claims/claim_streams.ts
@@ -0,0 +1,72 @@
+/**
+ * Claim streams that a node holds in memory.
+ *
+ * @module
+ */
+
+import type { LogService } from "../../protocol/mod.js";
+import type { Clock } from "../../state/mod.js";
+import { ClaimStream } from "./claim_stream.js";
+
+/** Streams that a node holds; the one unused for longest is forgotten first and read again when it is asked for. */
+export const MAX_STREAMS = 64;
+
+/** Time after which an unused stream is forgotten, in milliseconds. */
+const IDLE_MS = 180_000;
+
+/** Settings of a {@linkcode ClaimStreams}. */
+export interface ClaimStreamsSettings {
+    readonly clock: Clock;
+    readonly log: LogService;
+    /** Least time between two appends that carry claims of one stream, in milliseconds. Defaults to 6. */
+    readonly claimSpacingMs?: number;
+}
+
+/** Reads each stream when it is first asked for, and forgets those that are not used. */
+export class ClaimStreams {
+    private readonly streams = new Map<string, ClaimStream>();
+
+    /** @param settings See {@linkcode ClaimStreamsSettings}. */
+    constructor(private readonly settings: ClaimStreamsSettings) {}
+
+    /** Number of streams held now. */
+    get size(): number {
+        return this.streams.size;
+    }
+
+    /** Number of keys held now, over all streams. */
+    get keys(): number {
+        let count = 0;
+        for (const stream of this.streams.values()) {
+            count += stream.index.size;
+        }
+        return count;
+    }
+
+    /** Returns a stream. */
+    open(name: string): ClaimStream {
+        const known = this.streams.get(name);
+        if (known !== undefined) {
+            this.streams.delete(name);
+            this.streams.set(name, known);
+            return known;
+        }
+        this.forgetUnused();
+        const stream = new ClaimStream({ ...this.settings, stream: name });
+        this.streams.set(name, stream);
+        return stream;
+    }
+
+    private forgetUnused(): void {
+        const idleSinceMs = this.settings.clock.now() - IDLE_MS;
+        for (const [name, stream] of this.streams) {
+            const mayGo = this.streams.size >= MAX_STREAMS || stream.lastUsedAtMs < idleSinceMs;
+            if (!mayGo) {
+                return;
+            }
+            if (!stream.busy) {
+                this.streams.delete(name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/claims/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Run-once claims: the order of the platform's log decides which call of a key is dispatched.
+ *
+ * @module
+ */
+
+export * from "./claim_guard.js";
+export * from "./claim_index.js";
+export * from "./claim_key.js";
+export * from "./claim_router.js";
+export * from "./claim_store.js";
+export * from "./claim_stream.js";
+export * from "./claim_streams.js";
+export * from "./no_claim_client.js";
+export * from "./unknown_calls.js";
--- /dev/null
+++ b/src/coordination/claims/unclaimed_pass.ts
@@ -0,0 +1,43 @@
+/**
+ * Pass of a call that no other node can know.
+ *
+ * @module
+ */
+
+import type { Executed } from "../../protocol/mod.js";
+import { Semantics } from "../../state/mod.js";
+import { CallPass, DispatchRight } from "../call_guard.js";
+
+/** Counts the dispatches of a call that is repeatable or has no key. */
+export class UnclaimedPass extends CallPass {
+    private dispatched = false;
+
+    /** @param semantics How often the call may be dispatched. */
+    constructor(private readonly semantics: Semantics) {
+        super();
+    }
+
+    override async tryDispatch(): Promise<DispatchRight> {
+        if (this.dispatched && this.semantics !== Semantics.Repeatable) {
+            return DispatchRight.Used;
+        }
+        this.dispatched = true;
+        return DispatchRight.Given;
+    }
+
+    override async awaitRight(): Promise<void> {
+        // The right is never pending.
+    }
+
+    override dispatchNotSent(): void {
+        this.dispatched = false;
+    }
+
+    override async complete(): Promise<void> {
+        // Nobody can ask again for this very call.
+    }
+
+    override async fail(executed: Executed): Promise<Executed> {
+        return executed;
+    }
+}
--- /dev/null
+++ b/src/coordination/claims/unknown_calls.ts
@@ -0,0 +1,67 @@
+/**
+ * Listing of calls whose outcome nobody recorded.
+ *
+ * @module
+ */
+
+import type { claimWire, LogService, MemberView } from "../../protocol/mod.js";
+import type { Clock } from "../../state/mod.js";
+import type { OpenClaim } from "./claim_index.js";
+import { datedStream, EPOCH_MS, UNDATED_STREAMS, undatedStream } from "./claim_key.js";
+import { ClaimStream } from "./claim_stream.js";
+
+/** Longest time that can be looked back, in milliseconds. */
+export const MAX_LOOK_BACK_MS = 86_400_000;
+
+/** Streams that are read at the same time. */
+const PARALLEL_READS = 16;
+
+/** Settings of an {@linkcode UnknownCalls}. */
+export interface UnknownCallsSettings {
+    readonly clock: Clock;
+    readonly log: LogService;
+    readonly members: MemberView;
+}
+
+/** Reads the claim streams on demand, since no node follows them all. */
+export class UnknownCalls {
+    /** @param settings See {@linkcode UnknownCallsSettings}. */
+    constructor(private readonly settings: UnknownCallsSettings) {}
+
+    /**
+     * Lists claims without an outcome whose owner is gone or late.
+     *
+     * @param sinceMs Time to look back, in milliseconds; at most one day.
+     * @throws {PlatformError} When the log did not answer.
+     */
+    async list(sinceMs: number): Promise<readonly claimWire.UnknownCall[]> {
+        const names = this.streamNames(Math.min(sinceMs, MAX_LOOK_BACK_MS));
+        const found: OpenClaim[] = [];
+        while (names.length > 0) {
+            const lists = await Promise.all(names.splice(0, PARALLEL_READS).map(name => this.readOpen(name)));
+            found.push(...lists.flat());
+        }
+        const fromMs = this.settings.clock.now() - sinceMs;
+        return found.filter(claim => claim.atMs >= fromMs && this.isUnknown(claim)).sort((left, right) => left.atMs - right.atMs);
+    }
+
+    private streamNames(sinceMs: number): string[] {
+        const nowMs = this.settings.clock.now();
+        const names = Array.from({ length: UNDATED_STREAMS }, (value, index) => undatedStream(index));
+        for (let atMs = nowMs - sinceMs; atMs < nowMs + EPOCH_MS; atMs += EPOCH_MS) {
+            names.push(datedStream(atMs));
+        }
+        return names;
+    }
+
+    private async readOpen(stream: string): Promise<readonly OpenClaim[]> {
+        const reader = new ClaimStream({ ...this.settings, stream });
+        await reader.refresh();
+        return [...reader.index.listOpen()];
+    }
+
+    private isUnknown({ node, deadlineMs }: OpenClaim): boolean {
+        const { members, clock } = this.settings;
+        return clock.now() > deadlineMs || !members.live.some(member => member.id === node);
+    }
+}
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -15,7 +15,7 @@
 } from "../protocol/mod.js";
 import { type EventRing, Part, Semantics } from "../state/mod.js";
 import type { CallScope } from "./_call_scope.js";
-import type { CallPass } from "./call_guard.js";
+import { type CallPass, DispatchRight } from "./call_guard.js";
 import type { RetryBudget } from "./retry_budget.js";
 import { type Assignment, DispatchResult, type Scheduler } from "./scheduler.js";
 
@@ -59,8 +59,13 @@
     async run(dispatch: Dispatch): Promise<void> {
         const excluded = new Set<string>();
         this.settings.retryBudget.recordAttempt();
-        for (let attempt = 1;; attempt++) {
+        let attempt = 0;
+        for (;;) {
             const assignment = await this.assign(dispatch, excluded);
+            if (!await this.takeRight(dispatch, assignment)) {
+                continue;
+            }
+            attempt += 1;
             const error = await this.tryOnce(dispatch, assignment);
             if (error === undefined) {
                 return;
@@ -89,15 +94,40 @@
         }
     }
 
-    private async tryOnce(dispatch: Dispatch, assignment: Assignment): Promise<DispatchError | undefined> {
-        const { scope, pass } = dispatch;
-        const peer = assignment.server.vm.id;
-        if (!pass.tryDispatch()) {
+    /**
+     * Takes the right to dispatch; gives the assignment back when there is none yet, so that a slow log holds no backend server.
+     *
+     * @returns Whether the call is to be dispatched by this assignment.
+     */
+    private async takeRight({ scope, pass }: Dispatch, assignment: Assignment): Promise<boolean> {
+        let right = DispatchRight.Used;
+        try {
+            right = await pass.tryDispatch();
+            if (right === DispatchRight.Given && scope.signal.aborted) {
+                pass.dispatchNotSent();
+                throw scope.toRefusal();
+            }
+        }
+        catch (error) {
             assignment.release(DispatchResult.Abandoned);
+            throw error;
+        }
+        if (right === DispatchRight.Given) {
+            return true;
+        }
+        assignment.release(DispatchResult.Abandoned);
+        if (right === DispatchRight.Used) {
             throw new Refusal(RefusalType.AlreadyDispatched, "This call was dispatched already; it is not sent again.", {
                 executed: Executed.Unknown,
             });
         }
+        await pass.awaitRight(scope.signal);
+        return false;
+    }
+
+    private async tryOnce(dispatch: Dispatch, assignment: Assignment): Promise<DispatchError | undefined> {
+        const { scope } = dispatch;
+        const peer = assignment.server.vm.id;
         this.record(scope.call, peer, "dispatched", `Call was sent to ${peer}.`);
         try {
             await dispatch.attempt(assignment);
--- a/src/coordination/request_handler.ts
+++ b/src/coordination/request_handler.ts
@@ -19,7 +19,7 @@
 import { type Clock, type EventRing, Part } from "../state/mod.js";
 import { CallScope } from "./_call_scope.js";
 import { CallTimer } from "./_call_timer.js";
-import type { CallGuard, CallPass } from "./call_guard.js";
+import { type CallGuard, type CallPass, RecordedAnswer } from "./call_guard.js";
 import type { CallObserver } from "./call_observer.js";
 import type { CallResolver } from "./call_resolver.js";
 import type { Dispatcher } from "./dispatcher.js";
@@ -72,19 +72,19 @@
     }
 
     private async serve(call: AcceptedCall, writer: AnswerWriter): Promise<void> {
-        const pass = await this.settings.guard.enter(call);
-        if (pass.recorded !== undefined) {
-            await writeServiceAnswer(writer, pass.recorded);
-            return;
-        }
+        const pass = this.settings.guard.enter(call);
         const scope = new CallScope(call, this.settings.clock);
         try {
             const figures = await this.dispatch(scope, pass, writer);
             this.settings.observer.recordAnswered(call, figures.finish());
         }
         catch (error) {
-            await pass.fail(error instanceof Refusal ? error.executed : Executed.Unknown);
-            throw error;
+            if (error instanceof RecordedAnswer) {
+                await writeServiceAnswer(writer, error.answer);
+                return;
+            }
+            const refusal = toRefusal(error);
+            throw refusal.withExecuted(await pass.fail(refusal.executed));
         }
         finally {
             scope.close();
--- /dev/null
+++ b/src/daemon/claim_desk.ts
@@ -0,0 +1,34 @@
+/**
+ * Answers of a daemon about claims.
+ *
+ * @module
+ */
+
+import { UnknownCalls } from "../coordination/mod.js";
+import { ClaimHandler, type claimWire } from "../protocol/mod.js";
+import type { EntryNode } from "./entry_node.js";
+
+/** Form of the names of claim streams. */
+const CLAIM_STREAM = /^claims-(minute|undated)-\d{1,12}$/;
+
+/** Commits the entries of other nodes, and lists calls whose outcome is unknown. */
+export class ClaimDesk extends ClaimHandler {
+    private readonly unknownCalls: UnknownCalls;
+
+    /** @param node Node that answers. */
+    constructor(private readonly node: EntryNode) {
+        super();
+        this.unknownCalls = new UnknownCalls({ ...node.settings, members: node });
+    }
+
+    override async commit({ stream, entry, waitMs }: claimWire.CommitClaimRequest): Promise<claimWire.ClaimVerdict> {
+        if (entry === undefined || !CLAIM_STREAM.test(stream)) {
+            throw new Error(`Cannot commit claim: stream "${stream}" is no claim stream, or the entry is missing`);
+        }
+        return this.node.guard.streams.open(stream).submit(entry, this.node.settings.clock.now() + waitMs);
+    }
+
+    override async listUnknown({ sinceMs }: claimWire.ListUnknownRequest): Promise<claimWire.ListUnknownReply> {
+        return { calls: await this.unknownCalls.list(sinceMs) };
+    }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,9 +5,10 @@
  */
 
 import type { Logger } from "pino";
-import { SilentDissemination } from "../coordination/mod.js";
+import { MAX_STORING_ENTRIES, MAX_STREAMS, SilentDissemination } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    GrpcClaimClient,
     GrpcServer,
     HttpClient,
     HttpEngine,
@@ -19,6 +20,7 @@
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
 } from "../transport/mod.js";
+import { ClaimDesk } from "./claim_desk.js";
 import { EntryNode } from "./entry_node.js";
 import { logEvents } from "./event_log.js";
 import { type LimitedQuantity, Metrics } from "./metrics.js";
@@ -41,6 +43,7 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
+    private readonly claimClient = new GrpcClaimClient();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -60,6 +63,7 @@
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             dissemination: new SilentDissemination(),
             observer: this.metrics,
+            claimClient: this.claimClient,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -70,6 +74,7 @@
         this.metrics.watchLimits(limits);
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk(this.node),
+            claimHandler: new ClaimDesk(this.node),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
             isOperatorKey: key => isOperatorKey(settings, key),
         });
@@ -114,9 +119,10 @@
 
     private async stop(): Promise<void> {
         this.httpServer.close();
+        await this.node.stop();
         this.grpcServer.close();
+        this.claimClient.close();
         await this.client.close();
-        await this.node.stop();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -147,6 +153,8 @@
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
+            { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
         ];
     }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -9,15 +9,25 @@
 import {
     type CallObserver,
     CallResolver,
+    ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
     LeastLoadedScheduler,
-    LocalCallGuard,
+    NoClaimClient,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
 } from "../coordination/mod.js";
-import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import type {
+    ClaimClient,
+    Dissemination,
+    Engine,
+    LogService,
+    Member,
+    MemberView,
+    PlainService,
+    VmList,
+} from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -27,6 +37,7 @@
     type RandomSource,
     type Vm,
     VmRole,
+    VmState,
 } from "../state/mod.js";
 
 /** What a node needs from outside. */
@@ -43,14 +54,22 @@
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
     readonly observer: CallObserver;
+    /** Connections to the claim combiners of other nodes. Defaults to none. */
+    readonly claimClient?: ClaimClient;
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
+    readonly claimHorizonMs?: number;
 }
 
+/** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
+const CLAIM_FLUSH_LIMIT_MS = 5_000;
+
 /** State and coordination of one entry VM. */
-export class EntryNode {
+export class EntryNode implements MemberView {
     readonly view = new ConfigurationView();
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
+    readonly guard: ClaimGuard;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
     /** Entry VMs of the last VM list, this one included. */
@@ -68,12 +87,21 @@
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
         this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
+        this.guard = new ClaimGuard({
+            node: settings.node,
+            clock,
+            ring,
+            log: settings.log,
+            members: this,
+            client: settings.claimClient ?? new NoClaimClient(),
+            horizonMs: settings.claimHorizonMs,
+        });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
             clock,
             ring,
             resolver: new CallResolver(view, clock),
-            guard: new LocalCallGuard(),
+            guard: this.guard,
             dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring }),
             engine,
             plainService,
@@ -86,6 +114,11 @@
         return this.view.current.version >= 0;
     }
 
+    /** Entry VMs that take new work, this one included. */
+    get live(): readonly Member[] {
+        return this.entryVms.filter(vm => vm.state === VmState.Live);
+    }
+
     /** Starts the tasks that follow the platform. */
     start(): void {
         const keepEntryVms = (vms: readonly Vm[]) => {
@@ -97,6 +130,10 @@
 
     /** Ends the tasks. */
     async stop(): Promise<void> {
+        const limit = new AbortController();
+        void this.settings.clock.sleep(CLAIM_FLUSH_LIMIT_MS, limit.signal).then(() => limit.abort());
+        await this.guard.close(limit.signal);
+        limit.abort();
         this.stopped.abort();
         await Promise.all(this.tasks);
     }
--- /dev/null
+++ b/src/protocol/claim_peer.ts
@@ -0,0 +1,29 @@
+/**
+ * Calls between daemons, and of operators, about run-once claims.
+ *
+ * @module
+ */
+
+import type { ClaimVerdict, CommitClaimRequest, ListUnknownReply, ListUnknownRequest } from "./gen/claims.js";
+
+/** Connection to the combiners of other daemons. */
+export abstract class ClaimClient {
+    /**
+     * Asks a daemon to bring an entry into the log.
+     *
+     * @param address IP number and port of the daemon.
+     * @param request Entry and its stream.
+     * @param timeoutMs Longest time to wait, in milliseconds.
+     * @throws {PeerError} When no answer came in time; the entry can stand in the log all the same.
+     */
+    abstract commit(address: string, request: CommitClaimRequest, timeoutMs: number): Promise<ClaimVerdict>;
+}
+
+/** Answers calls about claims. */
+export abstract class ClaimHandler {
+    /** Brings an entry of another daemon into the log. */
+    abstract commit(request: CommitClaimRequest): Promise<ClaimVerdict>;
+
+    /** Lists calls whose outcome nobody recorded. */
+    abstract listUnknown(request: ListUnknownRequest): Promise<ListUnknownReply>;
+}
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -6,12 +6,15 @@
 
 export * from "./call.js";
 export * from "./chat_completion.js";
+export * from "./claim_peer.js";
 export * from "./configuration_record.js";
 export * from "./dissemination.js";
 export * from "./engine.js";
 export * from "./errors.js";
+export * as claimWire from "./gen/claims.js";
 export * as wire from "./gen/peer.js";
 export * from "./log_service.js";
+export * from "./member_view.js";
 export * from "./operator.js";
 export * from "./peer.js";
 export * from "./plain_service.js";
--- a/src/protocol/refusal.ts
+++ b/src/protocol/refusal.ts
@@ -20,6 +20,7 @@
     NoBackendServer = "no-backend-server",
     BackendFailed = "backend-failed",
     KeyConflict = "key-conflict",
+    KeyExpired = "key-expired",
     InProgress = "in-progress",
     AlreadyDispatched = "already-dispatched",
     Draining = "draining",
@@ -41,6 +42,7 @@
     [RefusalType.NoBackendServer]: 503,
     [RefusalType.BackendFailed]: 502,
     [RefusalType.KeyConflict]: 422,
+    [RefusalType.KeyExpired]: 422,
     [RefusalType.InProgress]: 409,
     [RefusalType.AlreadyDispatched]: 409,
     [RefusalType.Draining]: 503,
@@ -84,6 +86,14 @@
         return STATUS_OF_TYPE[this.type];
     }
 
+    /** Returns the same refusal with another answer to whether the request can have run. */
+    withExecuted(executed: Executed): Refusal {
+        if (executed === this.executed) {
+            return this;
+        }
+        return new Refusal(this.type, this.message, { executed, retryAfterMs: this.retryAfterMs, field: this.field });
+    }
+
     /** Returns the body of the refusal as JSON text. */
     toProblem(): string {
         return JSON.stringify({
--- /dev/null
+++ b/src/transport/grpc_claim_client.ts
@@ -0,0 +1,66 @@
+/**
+ * gRPC connections to the claim combiners of other daemons.
+ *
+ * @module
+ */
+
+import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
+import { ClaimClient, claimWire, PeerError } from "../protocol/mod.js";
+
+/** Longest time between two attempts to connect, in milliseconds. */
+const MAX_RECONNECT_DELAY_MS = 1_000;
+
+/** Channels that are kept; the oldest is closed first. */
+const MAX_CHANNELS = 512;
+
+/** Keeps one channel for each daemon that combines claims of this node. */
+export class GrpcClaimClient extends ClaimClient {
+    private readonly clients = new Map<string, claimWire.ClaimPeerClient>();
+
+    /** @param channelCredentials Credentials of the channels. Defaults to plain text. */
+    constructor(private readonly channelCredentials: ChannelCredentials = credentials.createInsecure()) {
+        super();
+    }
+
+    override commit(address: string, request: claimWire.CommitClaimRequest, timeoutMs: number): Promise<claimWire.ClaimVerdict> {
+        return new Promise((resolve, reject) => {
+            this.client(address).commit(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, verdict) => {
+                if (error) {
+                    reject(new PeerError("commit claim", address, error));
+                    return;
+                }
+                resolve(verdict);
+            });
+        });
+    }
+
+    /** Closes all channels. */
+    close(): void {
+        for (const client of this.clients.values()) {
+            client.close();
+        }
+        this.clients.clear();
+    }
+
+    private client(address: string): claimWire.ClaimPeerClient {
+        let client = this.clients.get(address);
+        if (client === undefined) {
+            this.makeRoom();
+            client = new claimWire.ClaimPeerClient(address, this.channelCredentials, {
+                "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_DELAY_MS,
+                "grpc.use_local_subchannel_pool": 1,
+            });
+            this.clients.set(address, client);
+        }
+        return client;
+    }
+
+    private makeRoom(): void {
+        const [oldest] = this.clients;
+        if (this.clients.size >= MAX_CHANNELS && oldest !== undefined) {
+            const [address, client] = oldest;
+            this.clients.delete(address);
+            client.close();
+        }
+    }
+}
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -5,8 +5,8 @@
  */
 
 import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
-import type { OperatorHandler, PeerHandler } from "../protocol/mod.js";
-import { type TimelineFeed, wire } from "../protocol/mod.js";
+import type { ClaimHandler, OperatorHandler, PeerHandler } from "../protocol/mod.js";
+import { claimWire, type TimelineFeed, wire } from "../protocol/mod.js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -18,6 +18,7 @@
 export interface GrpcServerSettings {
     readonly peerHandler: PeerHandler;
     readonly operatorHandler: OperatorHandler;
+    readonly claimHandler: ClaimHandler;
     /** Whether a key belongs to an operator. */
     readonly isOperatorKey: (key: string | undefined) => boolean;
     /** Credentials of the server. Defaults to plain text. */
@@ -35,6 +36,8 @@
     constructor(private readonly settings: GrpcServerSettings) {
         this.server.addService(wire.PeerService, this.peerImplementation());
         this.server.addService(wire.OperatorService, this.operatorImplementation());
+        this.server.addService(claimWire.ClaimPeerService, this.claimImplementation());
+        this.server.addService(claimWire.ClaimOperatorService, this.claimOperatorImplementation());
     }
 
     /** Starts to listen and returns the port. */
@@ -85,6 +88,16 @@
         };
     }
 
+    private claimImplementation(): claimWire.ClaimPeerServer {
+        const { claimHandler } = this.settings;
+        return { commit: unary(request => claimHandler.commit(request)) };
+    }
+
+    private claimOperatorImplementation(): claimWire.ClaimOperatorServer {
+        const { claimHandler } = this.settings;
+        return { listUnknown: this.guarded(request => claimHandler.listUnknown(request)) };
+    }
+
     private guarded<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
         const answerUnguarded = unary(answer);
         return (call, callback) => {
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./grpc_claim_client.js";
 export * from "./grpc_client.js";
 export * from "./grpc_server.js";
 export * from "./http_client.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -5,7 +5,7 @@
  */
 
 import { CallObserver } from "../src/coordination/mod.js";
-import { EntryNode } from "../src/daemon/mod.js";
+import { ClaimDesk, EntryNode } from "../src/daemon/mod.js";
 import {
     type AnswerHead,
     AnswerWriter,
@@ -19,6 +19,7 @@
 import { LocalEngines, LocalServices } from "./local_backends.js";
 import { DisseminationHub } from "./local_dissemination.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
+import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
 import { VirtualClock } from "./virtual_clock.js";
 import { VmListModel } from "./vm_list_model.js";
@@ -36,6 +37,8 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. */
+    readonly claimHorizonMs?: number;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -48,6 +51,9 @@
     readonly log: LogModel;
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
+    /** Connections of each node, in the order of the nodes. */
+    readonly links: NodeLink[] = [];
+    readonly claimHub = new ClaimHub(this.clock);
     readonly document: ConfigurationDocument;
     private readonly vms: Vm[] = [];
     private callCount = 0;
@@ -132,20 +138,25 @@
             const id = `entry-${index + 1}`;
             const address = `127.0.0.1:${this.vms.length + 1}`;
             this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
-            this.nodes.push(
-                new EntryNode({
-                    node: id,
-                    failureDomain,
-                    clock: this.clock,
-                    random: new SeededRandom(seed * 1_000 + index),
-                    engine: new LocalEngines(this.engines),
-                    plainService: new LocalServices(this.services),
-                    log: this.log,
-                    vmList: this.vmList,
-                    dissemination: this.hub.join(id),
-                    observer: new SilentObserver(),
-                }),
-            );
+            const link = new NodeLink();
+            link.address = address;
+            const node = new EntryNode({
+                node: id,
+                failureDomain,
+                clock: this.clock,
+                random: new SeededRandom(seed * 1_000 + index),
+                engine: new LocalEngines(this.engines),
+                plainService: new LinkedService(link, new LocalServices(this.services)),
+                log: new LinkedLog(link, this.log, this.clock),
+                vmList: this.vmList,
+                dissemination: this.hub.join(id),
+                observer: new SilentObserver(),
+                claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
+                claimHorizonMs: this.settings.claimHorizonMs,
+            });
+            this.claimHub.join(link, new ClaimDesk(node));
+            this.nodes.push(node);
+            this.links.push(link);
         }
     }
 }
--- /dev/null
+++ b/standin/node_link.ts
@@ -0,0 +1,217 @@
+/**
+ * Connections of one node, which can be made to fail as its process or its network would.
+ *
+ * @module
+ */
+
+import {
+    ClaimClient,
+    type ClaimHandler,
+    type claimWire,
+    Executed,
+    type LogPage,
+    type LogReadSettings,
+    LogService,
+    PeerError,
+    PlainService,
+    PlatformError,
+    type ServiceAnswer,
+    type ServiceRequest,
+} from "../src/protocol/mod.js";
+import type { Clock, Vm } from "../src/state/mod.js";
+
+/** Time one way between two nodes, in milliseconds. */
+const PEER_ONE_WAY_MS = 1.5;
+
+/** Point in the course of a call at which a test can make something happen. */
+export enum LinkPoint {
+    BeforeAppend = "beforeAppend",
+    AppendLanded = "appendLanded",
+    Appended = "appended",
+    BeforeDispatch = "beforeDispatch",
+    Dispatched = "dispatched",
+    Answered = "answered",
+}
+
+/** Is told when a call passes a point; the call goes on when it resolves. */
+export type LinkListener = (point: LinkPoint, stream: string | undefined) => Promise<void>;
+
+/** State of one node's connections. */
+export class NodeLink {
+    /** Address of the node for its peers. */
+    address = "";
+    /** Whether the node is cut off from the log. */
+    cutFromLog = false;
+    /** Whether the node is cut off from the other nodes. */
+    cutFromPeers = false;
+    /** Whether the answers of appends are lost. */
+    loseAppendAnswers = false;
+    /** Time added to each call of the log, in milliseconds. */
+    logDelayMs = 0;
+    /** Listener of the points that calls pass. */
+    listener: LinkListener = async () => undefined;
+    private dead = false;
+    private resume: Promise<void> | undefined;
+    private wake: () => void = () => undefined;
+
+    /** Ends the node: nothing that it has begun goes on. */
+    kill(): void {
+        this.dead = true;
+    }
+
+    /** Stops the node until {@linkcode NodeLink.continue}. */
+    pause(): void {
+        this.resume ??= new Promise(resolve => {
+            this.wake = resolve;
+        });
+    }
+
+    /** Lets a paused node go on. */
+    continue(): void {
+        this.resume = undefined;
+        this.wake();
+    }
+
+    /** Passes a point: tells the listener, and holds the call when the node is stopped. */
+    async pass(point: LinkPoint, stream?: string): Promise<void> {
+        await this.listener(point, stream);
+        await this.run();
+    }
+
+    /** Resolves when the node runs; never, when it has ended. */
+    async run(): Promise<void> {
+        while (this.resume !== undefined) {
+            await this.resume;
+        }
+        if (this.dead) {
+            await new Promise<never>(() => undefined);
+        }
+    }
+}
+
+/** Log as one node reaches it. */
+export class LinkedLog extends LogService {
+    /**
+     * @param link Connections of the node.
+     * @param log Log behind them.
+     * @param clock Clock that delays are timed by.
+     */
+    constructor(private readonly link: NodeLink, private readonly log: LogService, private readonly clock: Clock) {
+        super();
+    }
+
+    override async append(stream: string, data: Uint8Array): Promise<number> {
+        const step = `append to stream ${stream}`;
+        await this.link.pass(LinkPoint.BeforeAppend, stream);
+        await this.clock.sleep(this.link.logDelayMs / 2);
+        this.checkConnected(step, Executed.No);
+        const offset = await this.log.append(stream, data);
+        await this.link.pass(LinkPoint.AppendLanded, stream);
+        await this.clock.sleep(this.link.logDelayMs / 2);
+        this.checkConnected(step, Executed.Unknown);
+        if (this.link.loseAppendAnswers) {
+            throw new PlatformError(step, "log", Executed.Unknown, new Error("the answer was lost"));
+        }
+        await this.link.pass(LinkPoint.Appended, stream);
+        return offset;
+    }
+
+    override async read(stream: string, fromOffset: number, settings?: LogReadSettings): Promise<LogPage> {
+        await this.link.run();
+        await this.clock.sleep(this.link.logDelayMs);
+        this.checkConnected(`read stream ${stream}`, Executed.No);
+        const page = await this.log.read(stream, fromOffset, settings);
+        await this.link.run();
+        this.checkConnected(`read stream ${stream}`, Executed.No);
+        return page;
+    }
+
+    private checkConnected(step: string, landed: Executed): void {
+        if (this.link.cutFromLog) {
+            throw new PlatformError(step, "log", landed, new Error("the log is out of reach"));
+        }
+    }
+}
+
+/** Plain services as one node reaches them. */
+export class LinkedService extends PlainService {
+    /**
+     * @param link Connections of the node.
+     * @param service Services behind them.
+     */
+    constructor(private readonly link: NodeLink, private readonly service: PlainService) {
+        super();
+    }
+
+    override async send(vm: Vm, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
+        await this.link.pass(LinkPoint.BeforeDispatch);
+        const answering = this.service.send(vm, request, signal);
+        await this.link.pass(LinkPoint.Dispatched);
+        const answer = await answering;
+        await this.link.pass(LinkPoint.Answered);
+        return answer;
+    }
+}
+
+/** Claim connections between the nodes of one process. */
+export class ClaimHub {
+    /** Calls carried. */
+    calls = 0;
+    private readonly ends = new Map<string, { readonly link: NodeLink; readonly handler: ClaimHandler }>();
+
+    /** @param clock Clock that delays are timed by. */
+    constructor(private readonly clock: Clock) {}
+
+    /** Adds the handler of a node. */
+    join(link: NodeLink, handler: ClaimHandler): void {
+        this.ends.set(link.address, { link, handler });
+    }
+
+    /** Carries one call, or fails as the network would. */
+    async carry(from: NodeLink, address: string, request: claimWire.CommitClaimRequest): Promise<claimWire.ClaimVerdict> {
+        const end = this.ends.get(address);
+        await this.clock.sleep(PEER_ONE_WAY_MS);
+        if (end === undefined || from.cutFromPeers || end.link.cutFromPeers) {
+            throw new PeerError("commit claim", address, new Error("the node is out of reach"));
+        }
+        this.calls += 1;
+        await end.link.run();
+        const verdict = await end.handler.commit(request);
+        await end.link.run();
+        await this.clock.sleep(PEER_ONE_WAY_MS);
+        return verdict;
+    }
+}
+
+/** Claim connections of one node. */
+export class LinkedClaimClient extends ClaimClient {
+    /**
+     * @param link Connections of the node.
+     * @param hub Hub that connects the nodes.
+     * @param clock Clock that time limits are measured by.
+     */
+    constructor(private readonly link: NodeLink, private readonly hub: ClaimHub, private readonly clock: Clock) {
+        super();
+    }
+
+    override async commit(
+        address: string,
+        request: claimWire.CommitClaimRequest,
+        timeoutMs: number,
+    ): Promise<claimWire.ClaimVerdict> {
+        const decided = new AbortController();
+        const timeout = this.clock.sleep(timeoutMs, decided.signal).then(() => undefined);
+        try {
+            await this.link.run();
+            const verdict = await Promise.race([this.hub.carry(this.link, address, request), timeout]);
+            if (verdict === undefined) {
+                throw new PeerError("commit claim", address, new Error(`no answer came within ${timeoutMs} ms`));
+            }
+            return verdict;
+        }
+        finally {
+            decided.abort();
+            await this.link.run();
+        }
+    }
+}
