Cause each failure at each step of a claim's life

Tables of fault by step, at a node that appends by itself and at another node's combiner; the effect ledger of the plain service judges.

--- /dev/null
+++ b/features/steps/run_once_steps.ts
@@ -0,0 +1,199 @@
+/**
+ * Steps about run-once calls and the faults in the course of their claims.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { rankMembers, toClaimKey } from "../../src/coordination/mod.js";
+import type { IncomingCall } from "../../src/protocol/mod.js";
+import { LinkPoint, type NodeLink } from "../../standin/node_link.js";
+import type { Scenario } from "../support/world.js";
+
+/** Time for which a fault lasts; longer than any promise, in milliseconds. */
+const FAULT_MS = 40_000;
+
+/** Time between two calls of a caller who asks again, in milliseconds. */
+const RETRY_MS = 5_000;
+
+/** Calls of a caller who asks again before giving up. */
+const MAX_RETRIES = 8;
+
+/** Time added to each call of a slow log, in milliseconds. */
+const SLOW_LOG_MS = 1_500;
+
+/** Point of each step of a claim's life, and how often the claim's node passes it before. */
+const STEPS: Readonly<Record<string, { readonly point: LinkPoint; readonly passes: number }>> = {
+    "before append": { point: LinkPoint.BeforeAppend, passes: 0 },
+    "append landed": { point: LinkPoint.AppendLanded, passes: 0 },
+    "after claim": { point: LinkPoint.BeforeDispatch, passes: 0 },
+    "after dispatch": { point: LinkPoint.Dispatched, passes: 0 },
+    "after answer": { point: LinkPoint.Answered, passes: 0 },
+    "after outcome": { point: LinkPoint.Appended, passes: 1 },
+};
+
+/** What a caller was told, and the effects at that moment. */
+interface Told {
+    readonly status: number;
+    readonly executed: string;
+    readonly type: string;
+    readonly effects: number;
+}
+
+/** Filing of one scenario. */
+interface Filing {
+    key: string;
+    readonly told: Told[];
+    /** Ends the fault. */
+    heal: () => void;
+}
+
+const filings = new WeakMap<Scenario, Filing>();
+
+After(function(this: Scenario) {
+    if (filings.has(this)) {
+        filingOf(this).heal();
+        for (const link of this.fleet.links) {
+            link.continue();
+        }
+    }
+});
+
+Given("node {int} appends its claims by itself", function(this: Scenario, number: number) {
+    this.fleet.links[number - 1].cutFromPeers = true;
+    filingOf(this).key = "filing";
+});
+
+Given("node {int} has its claims appended by node {int}", function(this: Scenario, number: number, combiner: number) {
+    const members = this.fleet.nodes[number - 1].live;
+    const wanted = this.fleet.nodes[combiner - 1].settings.node;
+    const workspace = this.fleet.document.workspaces[0].name;
+    const filing = filingOf(this);
+    for (let count = 0; filing.key === ""; count++) {
+        const [first] = rankMembers(toClaimKey(workspace, `filing-${count}`).stream, members);
+        filing.key = first.id === wanted ? `filing-${count}` : "";
+    }
+});
+
+Given(/^(the .*) when a filing is at "(.*)"$/, function(this: Scenario, fault: string, step: string) {
+    const { point, passes } = STEPS[step];
+    let left = passes;
+    let begun = false;
+    for (const link of this.fleet.links) {
+        link.listener = async (reached, stream) => {
+            if (begun || reached !== point || stream !== undefined && !stream.startsWith("claims-") || left-- > 0) {
+                return;
+            }
+            begun = true;
+            beginFault(this, link, fault);
+        };
+    }
+});
+
+When("the filing is sent to node {int}", async function(this: Scenario, number: number) {
+    file(this, number);
+    await this.fleet.clock.advance(FAULT_MS);
+});
+
+When("the fault has passed and the caller asks again at node {int} until the outcome is final", async function(this: Scenario, number: number) {
+    filingOf(this).heal();
+    await this.fleet.clock.advance(RETRY_MS);
+    for (let retry = 0; retry < MAX_RETRIES; retry++) {
+        const call = file(this, number);
+        await this.fleet.clock.runUntil(call);
+        await this.fleet.clock.advance(RETRY_MS);
+        const { status, type } = filingOf(this).told.at(-1) as Told;
+        if (status === 200 || type.endsWith("already-dispatched")) {
+            return;
+        }
+    }
+});
+
+Then("the filing took effect {int} times and the last answer is {string}", function(this: Scenario, effects: number, end: string) {
+    const { key, told } = filingOf(this);
+    assert.equal(this.fleet.ledger.count(key), effects, JSON.stringify(told));
+    const last = told.at(-1) as Told;
+    assert.equal(last.status === 200 ? "done" : last.executed, end, JSON.stringify(told));
+});
+
+Then("no answer about the filing was false", function(this: Scenario) {
+    for (const each of filingOf(this).told) {
+        const allowed = each.status === 200 ? [1] : each.executed === "no" ? [0] : [0, 1];
+        assert.ok(allowed.includes(each.effects), JSON.stringify(each));
+    }
+});
+
+function filingOf(scenario: Scenario): Filing {
+    let filing = filings.get(scenario);
+    if (filing === undefined) {
+        filing = { key: "", told: [], heal: () => undefined };
+        filings.set(scenario, filing);
+    }
+    return filing;
+}
+
+async function file(scenario: Scenario, number: number): Promise<void> {
+    const { fleet } = scenario;
+    const { key, told } = filingOf(scenario);
+    const call: Partial<IncomingCall> = {
+        path: "/v1/services/case-management/claims",
+        idempotencyKey: key,
+        body: Buffer.from("{}"),
+    };
+    const answer = fleet.send(fleet.nodes[number - 1], call);
+    await answer.done;
+    const status = answer.writer.head?.status ?? 0;
+    const { executed = "", type = "" } = JSON.parse(answer.writer.text) as Partial<Told>;
+    told.push({ status, executed, type, effects: fleet.ledger.count(key) });
+}
+
+function beginFault(scenario: Scenario, link: NodeLink, fault: string): void {
+    const { fleet } = scenario;
+    const filing = filingOf(scenario);
+    switch (fault) {
+        case "the node dies":
+            link.pause();
+            fleet.removeVm(fleet.nodes[fleet.links.indexOf(link)].settings.node);
+            return;
+        case "the node pauses":
+            link.pause();
+            filing.heal = () => link.continue();
+            return;
+        case "the log is down":
+            fleet.log.faults.down = true;
+            filing.heal = () => {
+                fleet.log.faults.down = false;
+            };
+            return;
+        case "the log is slow":
+            setLogDelay(fleet.links, SLOW_LOG_MS);
+            filing.heal = () => setLogDelay(fleet.links, 0);
+            return;
+        case "the node is cut off":
+            link.cutFromLog = true;
+            link.cutFromPeers = true;
+            filing.heal = () => {
+                link.cutFromLog = false;
+                link.cutFromPeers = false;
+            };
+            return;
+        case "the answers of appends are lost":
+            link.loseAppendAnswers = true;
+            filing.heal = () => {
+                link.loseAppendAnswers = false;
+            };
+            return;
+        case "the caller asks again at node 2":
+            void file(scenario, 2);
+            return;
+        default:
+            throw new Error(`Cannot begin fault "${fault}": it is unknown`);
+    }
+}
+
+function setLogDelay(links: readonly NodeLink[], delayMs: number): void {
+    for (const link of links) {
+        link.logDelayMs = delayMs;
+    }
+}
--- a/src/coordination/claims/claim_router.ts
+++ b/src/coordination/claims/claim_router.ts
@@ -6,7 +6,7 @@
 
 import { type ClaimClient, claimWire, type Member, type MemberView, PeerError } from "../../protocol/mod.js";
 import type { Clock } from "../../state/mod.js";
-import { rankMembers } from "./_rendezvous.js";
+import { rankMembers } from "./rendezvous.js";
 import { toVerdict } from "./claim_index.js";
 import type { ClaimStreams } from "./claim_streams.js";
 
--- a/src/coordination/claims/mod.ts
+++ b/src/coordination/claims/mod.ts
@@ -12,4 +12,5 @@
 export * from "./claim_stream.js";
 export * from "./claim_streams.js";
 export * from "./no_claim_client.js";
+export * from "./rendezvous.js";
 export * from "./unknown_calls.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -84,6 +84,13 @@
         this.publishVms();
     }
 
+    /** Takes a VM off the VM list. */
+    removeVm(id: string): void {
+        const index = this.vms.findIndex(vm => vm.id === id);
+        this.vms.splice(index, 1);
+        this.publishVms();
+    }
+
     /**
      * Sends one call to a node.
      *
--- a/standin/node_link.ts
+++ b/standin/node_link.ts
@@ -50,16 +50,10 @@
     logDelayMs = 0;
     /** Listener of the points that calls pass. */
     listener: LinkListener = async () => undefined;
-    private dead = false;
     private resume: Promise<void> | undefined;
     private wake: () => void = () => undefined;
 
-    /** Ends the node: nothing that it has begun goes on. */
-    kill(): void {
-        this.dead = true;
-    }
-
-    /** Stops the node until {@linkcode NodeLink.continue}. */
+    /** Stops everything that the node sends and receives until {@linkcode NodeLink.continue}; a dead node never continues. */
     pause(): void {
         this.resume ??= new Promise(resolve => {
             this.wake = resolve;
@@ -78,14 +72,11 @@
         await this.run();
     }
 
-    /** Resolves when the node runs; never, when it has ended. */
+    /** Resolves when the node runs. */
     async run(): Promise<void> {
         while (this.resume !== undefined) {
             await this.resume;
         }
-        if (this.dead) {
-            await new Promise<never>(() => undefined);
-        }
     }
 }
 
