--- /dev/null
+++ b/features/steps/claim_interleavings_steps.ts
@@ -0,0 +1,210 @@
+/**
+ * Steps that run random interleavings of claims against an oracle.
+ *
+ * @module
+ */
+
+import { Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { readDeployment } from "../../standin/deployment.js";
+import { InProcessFleet } from "../../standin/in_process_fleet.js";
+import type { Scenario } from "../support/world.js";
+
+/** Time for which the log keeps records; keys outlive it within one run, in milliseconds. */
+const RETENTION_MS = 30_000;
+
+/** Time after which every call of a run has ended, in milliseconds. */
+const SETTLE_MS = 60_000;
+
+/** Keys of one run. */
+const KEYS = 3;
+
+/** Longest interleaving. */
+const MAX_ACTIONS = 25;
+
+/** Time added to each call of a slow log, in milliseconds. */
+const SLOW_LOG_MS = 800;
+
+/** Kind of one action. */
+enum ActionKind {
+    File = "file",
+    Wait = "wait",
+    Pause = "pause",
+    Continue = "continue",
+    CutFromLog = "cutFromLog",
+    CutFromPeers = "cutFromPeers",
+    LoseAnswers = "loseAnswers",
+    SlowLog = "slowLog",
+    LogDown = "logDown",
+    Heal = "heal",
+}
+
+/** One action of an interleaving. */
+interface Action {
+    readonly kind: ActionKind;
+    /** Node that acts or fails. */
+    readonly node: number;
+    /** Key that is filed. */
+    readonly key: number;
+    /** Body that is filed; another body under the same key is a conflict. */
+    readonly body: number;
+    /** Time to wait after the action, in milliseconds. */
+    readonly waitMs: number;
+}
+
+/** What one caller was told. */
+interface Told {
+    readonly key: string;
+    readonly body: string;
+    readonly status: number;
+    readonly text: string;
+    /** Requests with the id of this very call that a service got, when the call was answered. */
+    readonly ownRequests: number;
+    readonly id: string;
+}
+
+const kinds = Object.values(ActionKind);
+
+const results = new WeakMap<Scenario, fc.RunDetails<[Action[]]>>();
+
+When(
+    "{int} random interleavings of {int} nodes are run with seed {int}",
+    async function(this: Scenario, runs: number, nodes: number, seed: number) {
+        const action: fc.Arbitrary<Action> = fc.record({
+            kind: fc.oneof({ weight: 8, arbitrary: fc.constant(ActionKind.File) }, { weight: 8, arbitrary: fc.constantFrom(...kinds) }),
+            node: fc.nat(nodes - 1),
+            key: fc.nat(KEYS - 1),
+            body: fc.oneof({ weight: 9, arbitrary: fc.constant(0) }, { weight: 1, arbitrary: fc.constant(1) }),
+            waitMs: fc.constantFrom(0, 1, 2, 3, 5, 8, 20, 100, 2_000, 12_000),
+        });
+        const property = fc.asyncProperty(fc.array(action, { minLength: 4, maxLength: MAX_ACTIONS }), actions => runOne(nodes, actions));
+        results.set(this, await fc.check(property, { seed, numRuns: runs, endOnFailure: false }));
+    },
+);
+
+Then("in none of them a filing ran twice or an answer was false", function(this: Scenario) {
+    const result = results.get(this) as fc.RunDetails<[Action[]]>;
+    assert.ok(!result.failed, fc.defaultReportMessage(result));
+});
+
+/** Runs one interleaving and checks it against the oracle: the requests that the services got. */
+async function runOne(nodes: number, actions: readonly Action[]): Promise<void> {
+    const deployment = await readDeployment("examples/rastro-sul.yaml");
+    const entryVms = Array.from({ length: nodes }, () => ({ failureDomain: "sul-a" }));
+    const fleet = new InProcessFleet({ deployment: { ...deployment, entryVms }, log: { retentionMs: RETENTION_MS } });
+    await fleet.start();
+    const keys = Array.from({ length: KEYS }, (value, index) => toDatedKey(fleet.clock.now(), index));
+    const told: Told[] = [];
+    const sent = watchServices(fleet);
+    for (const action of actions) {
+        act(fleet, action, { keys, told, sent });
+        await fleet.clock.advance(action.waitMs);
+    }
+    healAll(fleet);
+    await fleet.clock.advance(SETTLE_MS);
+    await fleet.clock.runUntil(Promise.all(fleet.nodes.map(node => node.stop())));
+    check(keys, told, sent);
+}
+
+/** What a run collects. */
+interface Collected {
+    readonly keys: readonly string[];
+    readonly told: Told[];
+    /** Ids of the calls that reached a service, by key. */
+    readonly sent: Map<string, string[]>;
+}
+
+function act(fleet: InProcessFleet, action: Action, collected: Collected): void {
+    const link = fleet.links[action.node];
+    switch (action.kind) {
+        case ActionKind.File:
+            void file(fleet, action, collected);
+            return;
+        case ActionKind.Pause:
+            link.pause();
+            return;
+        case ActionKind.Continue:
+            link.continue();
+            return;
+        case ActionKind.CutFromLog:
+            link.cutFromLog = true;
+            return;
+        case ActionKind.CutFromPeers:
+            link.cutFromPeers = true;
+            return;
+        case ActionKind.LoseAnswers:
+            link.loseAppendAnswers = true;
+            return;
+        case ActionKind.SlowLog:
+            link.logDelayMs = SLOW_LOG_MS;
+            return;
+        case ActionKind.LogDown:
+            fleet.log.faults.down = true;
+            return;
+        case ActionKind.Heal:
+            healAll(fleet);
+            return;
+        default:
+            return;
+    }
+}
+
+function healAll(fleet: InProcessFleet): void {
+    fleet.log.faults.down = false;
+    for (const link of fleet.links) {
+        link.cutFromLog = false;
+        link.cutFromPeers = false;
+        link.loseAppendAnswers = false;
+        link.logDelayMs = 0;
+        link.continue();
+    }
+}
+
+async function file(fleet: InProcessFleet, action: Action, { keys, told, sent }: Collected): Promise<void> {
+    const key = keys[action.key];
+    const body = `{"body":${action.body}}`;
+    const answer = fleet.send(fleet.nodes[action.node], {
+        path: "/v1/services/case-management/claims",
+        idempotencyKey: key,
+        body: Buffer.from(body),
+    });
+    await answer.done;
+    const { id, writer } = answer;
+    const ownRequests = (sent.get(key) ?? []).filter(each => each === id).length;
+    told.push({ key, body, id, ownRequests, status: writer.head?.status ?? 0, text: writer.text });
+}
+
+function watchServices(fleet: InProcessFleet): Map<string, string[]> {
+    const sent = new Map<string, string[]>();
+    for (const service of fleet.services.values()) {
+        const send = service.send.bind(service);
+        service.send = (request, signal) => {
+            const key = request.idempotencyKey ?? "";
+            sent.set(key, [...sent.get(key) ?? [], request.id]);
+            return send(request, signal);
+        };
+    }
+    return sent;
+}
+
+function check(keys: readonly string[], told: readonly Told[], sent: Map<string, string[]>): void {
+    for (const key of keys) {
+        const requests = sent.get(key) ?? [];
+        assert.ok(requests.length <= 1, `key ${key} was sent ${requests.length} times: ${requests.join(", ")}`);
+        const answers = told.filter(each => each.key === key && each.status === 200);
+        assert.ok(answers.length === 0 || requests.length === 1, `key ${key} was answered and never sent`);
+        assert.ok(new Set(answers.map(({ text }) => text)).size <= 1, `key ${key} had different answers`);
+        assert.ok(new Set(answers.map(({ body }) => body)).size <= 1, `key ${key} was answered for two bodies`);
+    }
+    for (const each of told) {
+        const late = (sent.get(each.key) ?? []).includes(each.id);
+        const saysNotRun = each.text.includes('"executed":"no"');
+        assert.ok(!saysNotRun || each.ownRequests === 0 && !late, `call ${each.id} was sent and told "no"`);
+    }
+}
+
+function toDatedKey(createdAtMs: number, index: number): string {
+    const time = createdAtMs.toString(16).padStart(12, "0");
+    return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-00000000000${index}`;
+}
--- /dev/null
+++ b/features/steps/claim_log_steps.ts
@@ -0,0 +1,359 @@
+/**
+ * Steps about the records of claims, and what callers are told of keys.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { OperatorClient, type OperatorError } from "../../src/cli/mod.js";
+import { ClaimIndex, EPOCH_MS, rankMembers, toClaimKey } from "../../src/coordination/mod.js";
+import { ClaimDesk } from "../../src/daemon/mod.js";
+import { ClaimHandler, claimWire, type IncomingCall, type OperatorHandler, type PeerHandler } from "../../src/protocol/mod.js";
+import { VmState } from "../../src/state/mod.js";
+import { GrpcClaimClient, GrpcServer } from "../../src/transport/mod.js";
+import { LinkPoint } from "../../standin/node_link.js";
+import type { Scenario } from "../support/world.js";
+
+/** Time after which every promise of a filing or lookup has passed, in milliseconds. */
+const PROMISE_PASSED_MS = 20_000;
+
+/** Time after which an outcome stands in the log, in milliseconds. */
+const OUTCOME_STORED_MS = 1_000;
+
+/** Time after which a change of the VM list is known, in milliseconds. */
+const LIST_KNOWN_MS = 3_000;
+
+/** Milliseconds of the units that a wrong clock is described in. */
+const UNIT_MS: Readonly<Record<string, number>> = { days: 86_400_000, hour: 3_600_000 };
+
+const FILING_PATH = "/v1/services/case-management/claims";
+const LOOKUP_PATH = "/v1/services/case-management/status";
+
+/** Server of a scenario about gRPC. */
+interface GrpcEnd {
+    readonly server: GrpcServer;
+    readonly client: GrpcClaimClient;
+    readonly address: string;
+}
+
+const indexes = new WeakMap<Scenario, ClaimIndex>();
+const ends = new WeakMap<Scenario, GrpcEnd>();
+
+After(function(this: Scenario) {
+    const end = ends.get(this);
+    end?.client.close();
+    end?.server.close();
+});
+
+When(/^a claim stream holds (.*)$/, function(this: Scenario, records: string) {
+    const index = new ClaimIndex({ dated: true });
+    for (const [offset, record] of records.split(", ").entries()) {
+        if (record === "lost records") {
+            index.markLossy();
+        }
+        else if (record !== "nothing") {
+            index.apply(offset, parseEntry(record));
+        }
+    }
+    indexes.set(this, index);
+});
+
+Then("attempt {string} is told {string}", function(this: Scenario, attempt: string, expected: string) {
+    const verdict = indexes.get(this)?.judge(parseEntry(attempt === "c" ? "other-body claim c" : `claim ${attempt}`));
+    const name = verdict === undefined ? "none" : claimWire.ClaimVerdictKind[verdict.kind];
+    assert.equal(name.replace("CLAIM_VERDICT_KIND_", ""), expected);
+});
+
+When(/^(.*) and a filing is sent to node 1$/, async function(this: Scenario, fault: string) {
+    const [link] = this.fleet.links;
+    const key = keyCombinedBy(this, 2);
+    switch (fault) {
+        case "the log went down":
+            this.fleet.log.faults.down = true;
+            break;
+        case "node 1 was cut off from the log and the other nodes":
+            link.cutFromLog = true;
+            link.cutFromPeers = true;
+            break;
+        case "the log goes down as an append lands":
+            onPoint(this, LinkPoint.AppendLanded, async () => {
+                link.loseAppendAnswers = true;
+                this.fleet.links[1].loseAppendAnswers = true;
+                this.fleet.log.faults.down = true;
+            });
+            break;
+        case "the combiner stops with node 1 cut off from the log":
+            link.cutFromLog = true;
+            onPoint(this, LinkPoint.BeforeAppend, async () => {
+                this.fleet.links[1].pause();
+                this.fleet.links[2].pause();
+            });
+            break;
+        default:
+            throw new Error(`Cannot set fault "${fault}": it is unknown`);
+    }
+    await sendAndWait(this, 1, { path: FILING_PATH, idempotencyKey: key });
+    this.fleet.log.faults.down = false;
+    continueAll(this);
+});
+
+Given(/^a filing that (was answered|was never sent)$/, async function(this: Scenario, past: string) {
+    if (past === "was answered") {
+        await sendAndWait(this, 1, { path: FILING_PATH, idempotencyKey: "filing" });
+    }
+});
+
+Given("no backend server takes work", async function(this: Scenario) {
+    for (const id of this.fleet.services.keys()) {
+        this.fleet.setVmState(id, VmState.Leaving);
+    }
+    await this.fleet.clock.advance(LIST_KNOWN_MS);
+});
+
+When("the caller asks again at node 2", async function(this: Scenario) {
+    await sendAndWait(this, 2, { path: FILING_PATH, idempotencyKey: "filing" });
+});
+
+When("a filing waits for the log at node 1", async function(this: Scenario) {
+    send(this, 1, { path: FILING_PATH, idempotencyKey: "filing" });
+    await this.fleet.clock.advance(OUTCOME_STORED_MS);
+});
+
+Then("no backend server is held for it", function(this: Scenario) {
+    const held = [...this.fleet.nodes[0].table.all].reduce((sum, server) => sum + server.outstanding, 0);
+    assert.equal(held, 0);
+});
+
+Then("a status lookup without a key and a dossier summary are answered", async function(this: Scenario) {
+    await sendAndWait(this, 1, { method: "GET", path: LOOKUP_PATH });
+    assert.equal(this.answer.writer.head?.status, 200);
+    const body = Buffer.from(JSON.stringify({ model: "default", max_tokens: 10, messages: [{ role: "user", content: "One." }] }));
+    await sendAndWait(this, 1, { operationName: "dossier-summary", body });
+    assert.equal(this.answer.writer.head?.status, 200);
+});
+
+Given(
+    /^a fleet whose log keeps records for (\d+) seconds and whose node 2 has a clock that is (.*)$/,
+    async function(this: Scenario, seconds: string, skew: string) {
+        await this.startFleet("rastro-sul", { log: { retentionMs: Number(seconds) * 1_000 }, clockSkewsMs: [0, parseSkew(skew)] });
+    },
+);
+
+Given("a filing with a dated key was answered at node 1", async function(this: Scenario) {
+    await sendAndWait(this, 1, { path: FILING_PATH, idempotencyKey: datedKeyCombinedBy(this, 1) });
+    assert.equal(this.answer.writer.head?.status, 200);
+    await this.fleet.clock.advance(OUTCOME_STORED_MS);
+});
+
+When("the caller asks again at node 2 after {int} seconds", async function(this: Scenario, seconds: number) {
+    const { key: sent } = JSON.parse(this.answers[0].writer.text) as { readonly key: string };
+    await this.fleet.clock.advance(seconds * 1_000);
+    // Node 2 has to read the stream by itself, and by its own clock.
+    this.fleet.links[1].cutFromPeers = true;
+    await sendAndWait(this, 2, { path: FILING_PATH, idempotencyKey: sent });
+});
+
+Given(
+    /^(all nodes reach each other|no node reaches another|each node lists only itself|node 1 dies as it sends)$/,
+    async function(this: Scenario, state: string) {
+        for (const [index, link] of this.fleet.links.entries()) {
+            link.cutFromPeers = state === "no node reaches another";
+            if (state === "each node lists only itself") {
+                const node = this.fleet.nodes[index];
+                const own = node.entryVms.filter(vm => vm.id === node.settings.node);
+                Object.defineProperty(node, "entryVms", { get: () => own, set: () => undefined });
+            }
+        }
+        if (state === "node 1 dies as it sends") {
+            this.fleet.links[0].listener = async point => {
+                if (point === LinkPoint.Dispatched) {
+                    this.fleet.links[0].pause();
+                    this.fleet.removeVm("entry-1");
+                }
+            };
+        }
+    },
+);
+
+When(
+    /^lookups with the same key are sent to (?:nodes 1 and (2)|node (1) twice) at once$/,
+    async function(this: Scenario, other: string | undefined, same: string | undefined) {
+        sendLookup(this, 1);
+        sendLookup(this, Number(other ?? same));
+        await this.fleet.clock.advance(PROMISE_PASSED_MS);
+    },
+);
+
+When(/^lookups with the same key are sent to node 1, then node (\d)$/, async function(this: Scenario, other: string) {
+    sendLookup(this, 1);
+    await this.fleet.clock.advance(PROMISE_PASSED_MS);
+    sendLookup(this, Number(other));
+    await this.fleet.clock.advance(PROMISE_PASSED_MS);
+});
+
+Then("the plain services got {int} requests", function(this: Scenario, count: number) {
+    const requests = [...this.fleet.services.values()].reduce((sum, service) => sum + service.requests, 0);
+    assert.equal(requests, count);
+});
+
+Then(
+    "{int} of the callers got a whole answer and the others a refusal that does not say \"not run\"",
+    function(this: Scenario, count: number) {
+        const heads = this.answers.map(answer => answer.writer.head?.status);
+        assert.equal(heads.filter(status => status === 200).length, count);
+        for (const answer of this.answers) {
+            if (answer.writer.head !== undefined && answer.writer.head.status !== 200) {
+                assert.match(answer.writer.text, /"executed":"unknown"/);
+            }
+        }
+        continueAll(this);
+    },
+);
+
+When("a filing is sent to node 1, another to node 2, and one still runs at node 3", async function(this: Scenario) {
+    send(this, 1, { path: FILING_PATH, idempotencyKey: "filing of node 1" });
+    send(this, 2, { path: FILING_PATH, idempotencyKey: "filing of node 2" });
+    await this.fleet.clock.advance(PROMISE_PASSED_MS);
+    for (const service of this.fleet.services.values()) {
+        service.faults.delayMs = LIST_KNOWN_MS;
+    }
+    send(this, 3, { path: FILING_PATH, idempotencyKey: "filing of node 3" });
+    await this.fleet.clock.advance(OUTCOME_STORED_MS);
+});
+
+Then("the list of unknown calls at node 3 names only the filing of node 1", async function(this: Scenario) {
+    const desk = new ClaimDesk(this.fleet.nodes[2]);
+    const { calls } = await this.fleet.clock.runUntil(desk.listUnknown({ sinceMs: 3_600_000 }));
+    assert.deepEqual(calls.map(({ key, operation, node }) => [key, operation, node]), [
+        ["filing of node 1", "claim-filing", "entry-1"],
+    ]);
+    continueAll(this);
+});
+
+Given("a daemon's gRPC server with one unknown call", async function(this: Scenario) {
+    const server = new GrpcServer({
+        peerHandler: {} as PeerHandler,
+        operatorHandler: {} as OperatorHandler,
+        claimHandler: new FixedClaims(),
+        isOperatorKey: key => key === "operator",
+    });
+    const address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
+    ends.set(this, { server, client: new GrpcClaimClient(), address });
+});
+
+Then("a claim gets its verdict over gRPC", async function(this: Scenario) {
+    const { client, address } = ends.get(this) as GrpcEnd;
+    const verdict = await client.commit(address, { stream: "claims-undated-0", entry: parseEntry("claim a"), waitMs: 5_000 }, 10_000);
+    assert.deepEqual([verdict.owner, Buffer.from(verdict.outcome?.body ?? []).toString()], ["entry-9", "a"]);
+});
+
+Then("an operator gets the list over gRPC, and a caller without a key does not", async function(this: Scenario) {
+    const { address } = ends.get(this) as GrpcEnd;
+    const operator = new OperatorClient(address, "operator");
+    const stranger = new OperatorClient(address, undefined);
+    try {
+        assert.equal((await operator.listUnknown({ sinceMs: 60_000 })).calls[0].key, "lost");
+        await assert.rejects(stranger.listUnknown({ sinceMs: 60_000 }), (error: unknown) => (error as OperatorError).refused);
+    }
+    finally {
+        operator.close();
+        stranger.close();
+    }
+});
+
+/** Claims that always give the same answers. */
+class FixedClaims extends ClaimHandler {
+    override async commit({ entry }: claimWire.CommitClaimRequest): Promise<claimWire.ClaimVerdict> {
+        const outcome = { status: 200, contentType: "text/plain", body: Buffer.from(entry?.attempt ?? ""), kept: true };
+        return { kind: claimWire.ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED, owner: "entry-9", deadlineMs: 0, outcome };
+    }
+
+    override async listUnknown(): Promise<claimWire.ListUnknownReply> {
+        return { calls: [{ workspace: "w", key: "lost", operation: "o", node: "entry-9", attempt: "a", atMs: 1 }] };
+    }
+}
+
+function parseEntry(text: string): claimWire.ClaimEntry {
+    const [, other, kind, attempt] = /^(other-body )?(claim|outcome|release) (\w)$/.exec(text) ?? [];
+    const kinds = claimWire.ClaimEntryKind;
+    const known: Readonly<Record<string, claimWire.ClaimEntryKind>> = {
+        claim: kinds.CLAIM_ENTRY_KIND_CLAIM,
+        outcome: kinds.CLAIM_ENTRY_KIND_OUTCOME,
+        release: kinds.CLAIM_ENTRY_KIND_RELEASE,
+    };
+    return {
+        kind: known[kind],
+        workspace: "workspace",
+        key: "key",
+        digest: Buffer.from(other ?? "body"),
+        attempt,
+        node: "entry-1",
+        operation: "claim-filing",
+        atMs: 0,
+        deadlineMs: 0,
+        outcome: undefined,
+    };
+}
+
+function parseSkew(skew: string): number {
+    const [, count = "0", unit = "days", way = "fast"] = /^(\d+) (days|hour) (slow|fast)$/.exec(skew) ?? [];
+    return Number(count) * UNIT_MS[unit] * (way === "slow" ? -1 : 1);
+}
+
+/** Makes a UUID of version 7 that was created at a time. */
+function toDatedKey(createdAtMs: number): string {
+    const time = Math.floor(createdAtMs).toString(16).padStart(12, "0");
+    return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-000000000001`;
+}
+
+function keyCombinedBy(scenario: Scenario, number: number): string {
+    const { fleet } = scenario;
+    const wanted = fleet.nodes[number - 1].settings.node;
+    for (let count = 0;; count++) {
+        const { stream } = toClaimKey(fleet.document.workspaces[0].name, `filing-${count}`);
+        if (rankMembers(stream, fleet.nodes[0].live)[0].id === wanted) {
+            return `filing-${count}`;
+        }
+    }
+}
+
+function datedKeyCombinedBy(scenario: Scenario, number: number): string {
+    const { fleet } = scenario;
+    for (let atMs = fleet.clock.now();; atMs -= EPOCH_MS) {
+        const { stream } = toClaimKey(fleet.document.workspaces[0].name, toDatedKey(atMs));
+        if (rankMembers(stream, fleet.nodes[0].live)[0].id === fleet.nodes[number - 1].settings.node) {
+            return toDatedKey(atMs);
+        }
+    }
+}
+
+function onPoint(scenario: Scenario, wanted: LinkPoint, act: () => Promise<void>): void {
+    for (const link of scenario.fleet.links) {
+        link.listener = async (point, stream) => {
+            if (point === wanted && stream?.startsWith("claims-")) {
+                await act();
+            }
+        };
+    }
+}
+
+function send(scenario: Scenario, number: number, call: Partial<IncomingCall>): void {
+    scenario.answers.push(scenario.fleet.send(scenario.fleet.nodes[number - 1], call));
+}
+
+function sendLookup(scenario: Scenario, number: number): void {
+    send(scenario, number, { method: "GET", path: LOOKUP_PATH, idempotencyKey: "lookup" });
+}
+
+async function sendAndWait(scenario: Scenario, number: number, call: Partial<IncomingCall>): Promise<void> {
+    send(scenario, number, call);
+    await scenario.fleet.clock.runUntil(scenario.answer.done);
+}
+
+function continueAll(scenario: Scenario): void {
+    for (const link of scenario.fleet.links) {
+        link.listener = async () => undefined;
+        link.continue();
+    }
+}
--- a/src/coordination/claims/claim_guard.ts
+++ b/src/coordination/claims/claim_guard.ts
@@ -29,8 +29,6 @@
     readonly client: ClaimClient;
     /** Age beyond which a key that carries its date is refused, in milliseconds. Defaults to 6 days. */
     readonly horizonMs?: number;
-    /** Least time between two appends that carry claims of one stream, in milliseconds. Defaults to 6. */
-    readonly claimSpacingMs?: number;
 }
 
 /** Claims the keys of run-once and dispatch-once calls in the log. */
--- a/src/coordination/claims/claim_index.ts
+++ b/src/coordination/claims/claim_index.ts
@@ -7,39 +7,36 @@
 import { claimWire } from "../../protocol/mod.js";
 import { toIndexName } from "./claim_key.js";
 
+/** Claim without an outcome. */
+export interface OpenClaim {
+    readonly workspace: string;
+    readonly key: string;
+    readonly operation: string;
+    readonly node: string;
+    readonly attempt: string;
+    readonly atMs: number;
+    readonly deadlineMs: number;
+}
+
 /** Owner of a key. */
 interface Owner {
     readonly attempt: string;
-    readonly node: string;
     readonly digest: Uint8Array;
-    readonly operation: string;
-    readonly atMs: number;
-    readonly deadlineMs: number;
-    outcome: claimWire.ClaimOutcome | undefined;
+    /** What an operator sees of the claim; dropped when its outcome comes, which keeps settled keys small. */
+    open: OpenClaim | undefined;
+    /** Offset of the record that holds the outcome; -1 before it came. */
+    outcomeOffset: number;
 }
 
 /** State of one key. */
 interface KeyState {
-    readonly workspace: string;
-    readonly key: string;
     owner: Owner | undefined;
     /** Attempts that never dispatched and never will; a late claim of theirs does not count. */
-    readonly released: Set<string>;
+    released: Set<string> | undefined;
     /** Offset of the last record that names the key. */
     lastOffset: number;
 }
 
-/** Claim without an outcome. */
-export interface OpenClaim {
-    readonly workspace: string;
-    readonly key: string;
-    readonly operation: string;
-    readonly node: string;
-    readonly attempt: string;
-    readonly atMs: number;
-    readonly deadlineMs: number;
-}
-
 const { ClaimEntryKind, ClaimVerdictKind } = claimWire;
 
 /** Settings of a {@linkcode ClaimIndex}. */
@@ -74,9 +71,7 @@
                 takeClaim(state, entry);
                 return;
             case ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME:
-                if (state.owner?.attempt === entry.attempt) {
-                    state.owner.outcome ??= entry.outcome;
-                }
+                takeOutcome(state, entry, offset);
                 return;
             case ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE:
                 release(state, entry.attempt);
@@ -115,7 +110,7 @@
             case ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME:
                 return this.judgeOutcome(state, entry);
             case ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE:
-                return state?.released.has(entry.attempt) ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_STORED) : undefined;
+                return state?.released?.has(entry.attempt) ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_STORED) : undefined;
             case ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP:
                 return this.judgeClaim(state, entry) ?? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_UNCLAIMED);
             default:
@@ -123,11 +118,16 @@
         }
     }
 
+    /** Returns the offset of the record that holds a key's outcome; -1 when there is none. */
+    outcomeOffset(entry: claimWire.ClaimEntry): number {
+        return this.states.get(toIndexName(entry.workspace, entry.key))?.owner?.outcomeOffset ?? -1;
+    }
+
     /** Lists claims without an outcome. */
     *listOpen(): Generator<OpenClaim> {
-        for (const { workspace, key, owner } of this.states.values()) {
-            if (owner !== undefined && owner.outcome === undefined) {
-                yield { workspace, key, ...owner };
+        for (const { owner } of this.states.values()) {
+            if (owner?.open !== undefined) {
+                yield owner.open;
             }
         }
     }
@@ -136,14 +136,14 @@
         const name = toIndexName(entry.workspace, entry.key);
         let state = this.states.get(name);
         if (state === undefined) {
-            state = { workspace: entry.workspace, key: entry.key, owner: undefined, released: new Set(), lastOffset: 0 };
+            state = { owner: undefined, released: undefined, lastOffset: 0 };
             this.states.set(name, state);
         }
         return state;
     }
 
     private judgeOutcome(state: KeyState | undefined, entry: claimWire.ClaimEntry): claimWire.ClaimVerdict | undefined {
-        const stored = state?.owner?.attempt === entry.attempt && state.owner.outcome !== undefined;
+        const stored = state?.owner?.attempt === entry.attempt && state.owner.outcomeOffset >= 0;
         return stored ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_STORED) : undefined;
     }
 
@@ -161,10 +161,11 @@
         if (Buffer.compare(owner.digest, entry.digest) !== 0) {
             return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_CONFLICT);
         }
-        const kind = owner.outcome === undefined ?
-            ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD :
-            ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED;
-        return { kind, owner: owner.node, deadlineMs: owner.deadlineMs, outcome: owner.outcome };
+        if (owner.open === undefined) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED);
+        }
+        const { node, deadlineMs } = owner.open;
+        return { kind: ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD, owner: node, deadlineMs, outcome: undefined };
     }
 }
 
@@ -174,19 +175,28 @@
 }
 
 function takeClaim(state: KeyState, entry: claimWire.ClaimEntry): void {
-    if (state.owner !== undefined || state.released.has(entry.attempt)) {
+    if (state.owner !== undefined || state.released?.has(entry.attempt)) {
         return;
     }
-    const { attempt, node, digest, operation, atMs, deadlineMs } = entry;
-    state.owner = { attempt, node, digest, operation, atMs, deadlineMs, outcome: undefined };
+    const { workspace, key, attempt, node, digest, operation, atMs, deadlineMs } = entry;
+    const open = { workspace, key, operation, node, attempt, atMs, deadlineMs };
+    state.owner = { attempt, digest, open, outcomeOffset: -1 };
+}
+
+function takeOutcome({ owner }: KeyState, entry: claimWire.ClaimEntry, offset: number): void {
+    if (owner?.attempt === entry.attempt && owner.open !== undefined) {
+        owner.open = undefined;
+        owner.outcomeOffset = offset;
+    }
 }
 
 function release(state: KeyState, attempt: string): void {
     if (state.owner?.attempt === attempt) {
-        if (state.owner.outcome !== undefined) {
+        if (state.owner.open === undefined) {
             return;
         }
         state.owner = undefined;
     }
+    state.released ??= new Set();
     state.released.add(attempt);
 }
--- a/src/coordination/claims/claim_key.ts
+++ b/src/coordination/claims/claim_key.ts
@@ -14,7 +14,7 @@
 export const EPOCH_MS = 60_000;
 
 /** Streams that keys without a date are spread over. */
-export const UNDATED_STREAMS = 16;
+export const UNDATED_STREAMS = 8;
 
 /** Key of a call with its stream. */
 export interface ClaimKey {
--- a/src/coordination/claims/claim_router.ts
+++ b/src/coordination/claims/claim_router.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type ClaimClient, claimWire, type Member, type MemberView, PeerError } from "../../protocol/mod.js";
+import { type ClaimClient, ClaimPeerError, claimWire, type Member, type MemberView } from "../../protocol/mod.js";
 import type { Clock } from "../../state/mod.js";
 import { rankMembers } from "./rendezvous.js";
 import { toVerdict } from "./claim_index.js";
@@ -60,10 +60,10 @@
                 break;
             }
             const verdict = await this.askCombiner(combiner, { stream, entry, waitMs: 0 }, untilMs);
-            if (verdict !== undefined && isFinal(verdict)) {
+            if (isFinal(verdict)) {
                 return verdict;
             }
-            mayHaveLanded ||= verdict?.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED;
+            mayHaveLanded ||= verdict.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED;
         }
         const verdict = await this.settings.streams.open(stream).submit(entry, untilMs);
         if (mayHaveLanded && verdict.kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED) {
@@ -82,7 +82,7 @@
         combiner: Member,
         request: claimWire.CommitClaimRequest,
         untilMs: number,
-    ): Promise<claimWire.ClaimVerdict | undefined> {
+    ): Promise<claimWire.ClaimVerdict> {
         const timeoutMs = Math.min(COMBINER_TIMEOUT_MS, untilMs - this.settings.clock.now());
         if (timeoutMs < 1) {
             return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED);
@@ -97,11 +97,15 @@
             return verdict;
         }
         catch (error) {
-            if (!(error instanceof PeerError)) {
+            if (!(error instanceof ClaimPeerError)) {
                 throw error;
             }
             this.suspect(combiner);
-            return undefined;
+            return toVerdict(
+                error.sent ?
+                    ClaimVerdictKind.CLAIM_VERDICT_KIND_FATE_UNKNOWN :
+                    ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED,
+            );
         }
     }
 
--- a/src/coordination/claims/claim_stream.ts
+++ b/src/coordination/claims/claim_stream.ts
@@ -9,8 +9,8 @@
 import { ClaimIndex, toVerdict } from "./claim_index.js";
 import { isDatedStream } from "./claim_key.js";
 
-/** Least time between two appends that carry claims, in milliseconds. */
-const CLAIM_SPACING_MS = 6;
+/** Least time between two appends that carry claims when none is given, in milliseconds. */
+const DEFAULT_CLAIM_SPACING_MS = 6;
 
 /** Least time between two appends that carry nothing a caller waits for, in milliseconds. */
 const OUTCOME_SPACING_MS = 50;
@@ -21,11 +21,11 @@
 /** Largest record, in bytes of its entries. */
 const MAX_RECORD_BYTES = 256 * 1024;
 
-/** Keys that one stream may hold. */
-export const MAX_KEYS_PER_STREAM = 200_000;
-
 const { ClaimEntryKind, ClaimVerdictKind } = claimWire;
 
+/** Outcome whose record has expired. */
+const NO_OUTCOME: claimWire.ClaimOutcome = { status: 0, contentType: "", body: new Uint8Array(0), kept: false };
+
 /** Entry that waits for its verdict. */
 interface Pending {
     readonly entry: claimWire.ClaimEntry;
@@ -44,6 +44,8 @@
     readonly stream: string;
     /** Least time between two appends that carry claims, in milliseconds. Defaults to 6. */
     readonly claimSpacingMs?: number;
+    /** Whether the node holds as many keys as it may. Defaults to never. */
+    readonly isFull?: () => boolean;
 }
 
 /**
@@ -65,7 +67,7 @@
 
     /** @param settings See {@linkcode ClaimStreamSettings}. */
     constructor(private readonly settings: ClaimStreamSettings) {
-        this.claimSpacingMs = settings.claimSpacingMs ?? CLAIM_SPACING_MS;
+        this.claimSpacingMs = settings.claimSpacingMs ?? DEFAULT_CLAIM_SPACING_MS;
         this.lastUsedAtMs = settings.clock.now();
         this.index = new ClaimIndex({ dated: isDatedStream(settings.stream) });
     }
@@ -156,9 +158,9 @@
                     await this.refresh();
                     this.reachable = true;
                 }
-                this.settleKnown();
+                await this.settleKnown();
                 await this.appendBatch();
-                this.settleKnown();
+                await this.settleKnown();
             }
             catch (error) {
                 if (!(error instanceof PlatformError)) {
@@ -189,25 +191,35 @@
             if (waitMs <= 0) {
                 return;
             }
-            await clock.sleep(Math.min(waitMs, this.claimSpacingMs));
+            await clock.sleep(Math.min(waitMs, DEFAULT_CLAIM_SPACING_MS));
         }
     }
 
-    private settleKnown(): void {
-        const left: Pending[] = [];
+    private async settleKnown(): Promise<void> {
         for (const pending of this.queue) {
             const verdict = this.index.judge(pending.entry) ?? this.refuseWhenFull(pending);
             if (verdict === undefined) {
-                left.push(pending);
                 continue;
             }
-            pending.settle(verdict);
+            const whole = verdict.kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED ?
+                { ...verdict, outcome: await this.readOutcome(pending.entry) } :
+                verdict;
+            pending.settle(whole);
         }
-        this.queue = left;
+        this.queue = this.queue.filter(({ settled }) => !settled);
+    }
+
+    /** Reads an outcome from its record, since the index keeps no bodies. */
+    private async readOutcome(entry: claimWire.ClaimEntry): Promise<claimWire.ClaimOutcome> {
+        const offset = this.index.outcomeOffset(entry);
+        const { records: [record] } = await this.settings.log.read(this.settings.stream, offset, { maxRecords: 1 });
+        const entries = record?.offset === offset ? decodeEntries(record.data) : [];
+        const found = entries.find(each => each.outcome !== undefined && isSameKey(each, entry));
+        return found?.outcome ?? NO_OUTCOME;
     }
 
     private refuseWhenFull({ entry, mayHaveLanded }: Pending): claimWire.ClaimVerdict | undefined {
-        const full = this.index.size >= MAX_KEYS_PER_STREAM && entry.kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM;
+        const full = this.settings.isFull?.() === true && entry.kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM;
         return full && !mayHaveLanded ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_FULL) : undefined;
     }
 
@@ -271,6 +283,10 @@
     }
 }
 
+function isSameKey(left: claimWire.ClaimEntry, right: claimWire.ClaimEntry): boolean {
+    return left.workspace === right.workspace && left.key === right.key;
+}
+
 function isUrgent({ kind }: claimWire.ClaimEntry): boolean {
     return kind === ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM || kind === ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP;
 }
--- a/src/coordination/claims/claim_streams.ts
+++ b/src/coordination/claims/claim_streams.ts
@@ -6,11 +6,18 @@
 
 import type { LogService } from "../../protocol/mod.js";
 import type { Clock } from "../../state/mod.js";
+import { isDatedStream, UNDATED_STREAMS } from "./claim_key.js";
 import { ClaimStream } from "./claim_stream.js";
 
 /** Streams that a node holds; the one unused for longest is forgotten first and read again when it is asked for. */
 export const MAX_STREAMS = 64;
 
+/** Keys that a node holds over all streams; further ones are refused. */
+export const MAX_KEYS = 400_000;
+
+/** Least time between two appends of one stream that carry claims, in milliseconds. */
+const CLAIM_SPACING_MS = 6;
+
 /** Time after which an unused stream is forgotten, in milliseconds. */
 const IDLE_MS = 180_000;
 
@@ -18,8 +25,6 @@
 export interface ClaimStreamsSettings {
     readonly clock: Clock;
     readonly log: LogService;
-    /** Least time between two appends that carry claims of one stream, in milliseconds. Defaults to 6. */
-    readonly claimSpacingMs?: number;
 }
 
 /** Reads each stream when it is first asked for, and forgets those that are not used. */
@@ -52,7 +57,12 @@
             return known;
         }
         this.forgetUnused();
-        const stream = new ClaimStream({ ...this.settings, stream: name });
+        const stream = new ClaimStream({
+            ...this.settings,
+            stream: name,
+            claimSpacingMs: spacingOf(name),
+            isFull: () => this.keys >= MAX_KEYS,
+        });
         this.streams.set(name, stream);
         return stream;
     }
@@ -70,3 +80,8 @@
         }
     }
 }
+
+/** One dated stream at a time takes nearly all dated claims, but all undated streams are in use at once and share the appends. */
+function spacingOf(stream: string): number {
+    return isDatedStream(stream) ? CLAIM_SPACING_MS : CLAIM_SPACING_MS * UNDATED_STREAMS;
+}
--- a/src/coordination/claims/no_claim_client.ts
+++ b/src/coordination/claims/no_claim_client.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import { ClaimClient, type claimWire, PeerError } from "../../protocol/mod.js";
+import { ClaimClient, ClaimPeerError, type claimWire } from "../../protocol/mod.js";
 
 /** Reaches no other daemon, so that the node appends all claims by itself. */
 export class NoClaimClient extends ClaimClient {
     override async commit(address: string): Promise<claimWire.ClaimVerdict> {
-        throw new PeerError("commit claim", address, new Error("this node has no connections to others"));
+        throw new ClaimPeerError(address, false, new Error("this node has no connections to others"));
     }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Logger } from "pino";
-import { MAX_STORING_ENTRIES, MAX_STREAMS, SilentDissemination } from "../coordination/mod.js";
+import { MAX_KEYS, MAX_STORING_ENTRIES, MAX_STREAMS, SilentDissemination } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
     GrpcClaimClient,
@@ -153,6 +153,7 @@
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keys },
             { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
             { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
--- a/src/protocol/claim_peer.ts
+++ b/src/protocol/claim_peer.ts
@@ -5,6 +5,21 @@
  */
 
 import type { ClaimVerdict, CommitClaimRequest, ListUnknownReply, ListUnknownRequest } from "./gen/claims.js";
+import { PeerError } from "./peer.js";
+
+/** Call to a combiner that failed. */
+export class ClaimPeerError extends PeerError {
+    override readonly name: string = "ClaimPeerError";
+
+    /**
+     * @param peer Address of the daemon.
+     * @param sent Whether the call can have reached the daemon.
+     * @param cause Error underneath.
+     */
+    constructor(peer: string, readonly sent: boolean, cause: unknown) {
+        super("commit claim", peer, cause);
+    }
+}
 
 /** Connection to the combiners of other daemons. */
 export abstract class ClaimClient {
@@ -14,7 +29,7 @@
      * @param address IP number and port of the daemon.
      * @param request Entry and its stream.
      * @param timeoutMs Longest time to wait, in milliseconds.
-     * @throws {PeerError} When no answer came in time; the entry can stand in the log all the same.
+     * @throws {ClaimPeerError} When no answer came in time; if the call was sent, the entry can stand in the log all the same.
      */
     abstract commit(address: string, request: CommitClaimRequest, timeoutMs: number): Promise<ClaimVerdict>;
 }
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -21,7 +21,7 @@
 
 /** Call of another daemon that failed. */
 export class PeerError extends Error {
-    override readonly name = "PeerError";
+    override readonly name: string = "PeerError";
 
     /**
      * @param step Call that failed, such as `probe`.
--- a/src/transport/grpc_claim_client.ts
+++ b/src/transport/grpc_claim_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
-import { ClaimClient, claimWire, PeerError } from "../protocol/mod.js";
+import { ClaimClient, ClaimPeerError, claimWire } from "../protocol/mod.js";
 
 /** Longest time between two attempts to connect, in milliseconds. */
 const MAX_RECONNECT_DELAY_MS = 1_000;
@@ -22,11 +22,18 @@
         super();
     }
 
-    override commit(address: string, request: claimWire.CommitClaimRequest, timeoutMs: number): Promise<claimWire.ClaimVerdict> {
+    override async commit(
+        address: string,
+        request: claimWire.CommitClaimRequest,
+        timeoutMs: number,
+    ): Promise<claimWire.ClaimVerdict> {
+        const client = this.client(address);
+        const deadline = Date.now() + timeoutMs;
+        await awaitConnected(client, address, deadline);
         return new Promise((resolve, reject) => {
-            this.client(address).commit(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, verdict) => {
+            client.commit(request, new Metadata(), { deadline }, (error, verdict) => {
                 if (error) {
-                    reject(new PeerError("commit claim", address, error));
+                    reject(new ClaimPeerError(address, true, error));
                     return;
                 }
                 resolve(verdict);
@@ -64,3 +71,16 @@
         }
     }
 }
+
+/** Waits for the connection first, since a call that failed before there was one was certainly not sent. */
+function awaitConnected(client: claimWire.ClaimPeerClient, address: string, deadline: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        client.waitForReady(deadline, error => {
+            if (error) {
+                reject(new ClaimPeerError(address, false, error));
+                return;
+            }
+            resolve();
+        });
+    });
+}
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -21,6 +21,7 @@
 import { LogModel, type LogModelSettings } from "./log_model.js";
 import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
+import { SkewedClock } from "./skewed_clock.js";
 import { VirtualClock } from "./virtual_clock.js";
 import { VmListModel } from "./vm_list_model.js";
 
@@ -37,6 +38,8 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** How far the clock of each node is ahead, in milliseconds, in the order of the nodes. Defaults to 0. */
+    readonly clockSkewsMs?: readonly number[];
     /** Age beyond which a dated idempotency key is refused, in milliseconds. */
     readonly claimHorizonMs?: number;
 }
@@ -150,7 +153,7 @@
             const node = new EntryNode({
                 node: id,
                 failureDomain,
-                clock: this.clock,
+                clock: new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0),
                 random: new SeededRandom(seed * 1_000 + index),
                 engine: new LocalEngines(this.engines),
                 plainService: new LinkedService(link, new LocalServices(this.services)),
--- a/standin/node_link.ts
+++ b/standin/node_link.ts
@@ -8,11 +8,11 @@
     ClaimClient,
     type ClaimHandler,
     type claimWire,
+    ClaimPeerError,
     Executed,
     type LogPage,
     type LogReadSettings,
     LogService,
-    PeerError,
     PlainService,
     PlatformError,
     type ServiceAnswer,
@@ -161,15 +161,18 @@
     /** Carries one call, or fails as the network would. */
     async carry(from: NodeLink, address: string, request: claimWire.CommitClaimRequest): Promise<claimWire.ClaimVerdict> {
         const end = this.ends.get(address);
-        await this.clock.sleep(PEER_ONE_WAY_MS);
         if (end === undefined || from.cutFromPeers || end.link.cutFromPeers) {
-            throw new PeerError("commit claim", address, new Error("the node is out of reach"));
+            throw new ClaimPeerError(address, false, new Error("the node is out of reach"));
         }
+        await this.clock.sleep(PEER_ONE_WAY_MS);
         this.calls += 1;
         await end.link.run();
         const verdict = await end.handler.commit(request);
         await end.link.run();
         await this.clock.sleep(PEER_ONE_WAY_MS);
+        if (from.cutFromPeers || end.link.cutFromPeers) {
+            throw new ClaimPeerError(address, true, new Error("the answer was lost"));
+        }
         return verdict;
     }
 }
@@ -196,7 +199,7 @@
             await this.link.run();
             const verdict = await Promise.race([this.hub.carry(this.link, address, request), timeout]);
             if (verdict === undefined) {
-                throw new PeerError("commit claim", address, new Error(`no answer came within ${timeoutMs} ms`));
+                throw new ClaimPeerError(address, true, new Error(`no answer came within ${timeoutMs} ms`));
             }
             return verdict;
         }
