--- a/features/steps/claim_interleavings_steps.ts
+++ b/features/steps/claim_interleavings_steps.ts
@@ -72,13 +72,19 @@
     "{int} random interleavings of {int} nodes are run with seed {int}",
     async function(this: Scenario, runs: number, nodes: number, seed: number) {
         const action: fc.Arbitrary<Action> = fc.record({
-            kind: fc.oneof({ weight: 8, arbitrary: fc.constant(ActionKind.File) }, { weight: 8, arbitrary: fc.constantFrom(...kinds) }),
+            kind: fc.oneof({ weight: 8, arbitrary: fc.constant(ActionKind.File) }, {
+                weight: 8,
+                arbitrary: fc.constantFrom(...kinds),
+            }),
             node: fc.nat(nodes - 1),
             key: fc.nat(KEYS - 1),
             body: fc.oneof({ weight: 9, arbitrary: fc.constant(0) }, { weight: 1, arbitrary: fc.constant(1) }),
             waitMs: fc.constantFrom(0, 1, 2, 3, 5, 8, 20, 100, 2_000, 12_000),
         });
-        const property = fc.asyncProperty(fc.array(action, { minLength: 4, maxLength: MAX_ACTIONS }), actions => runOne(nodes, actions));
+        const property = fc.asyncProperty(
+            fc.array(action, { minLength: 4, maxLength: MAX_ACTIONS }),
+            actions => runOne(nodes, actions),
+        );
         results.set(this, await fc.check(property, { seed, numRuns: runs, endOnFailure: false }));
     },
 );
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -136,7 +136,10 @@
 Given(
     /^a fleet whose log keeps records for (\d+) seconds and whose node 2 has a clock that is (.*)$/,
     async function(this: Scenario, seconds: string, skew: string) {
-        await this.startFleet("rastro-sul", { log: { retentionMs: Number(seconds) * 1_000 }, clockSkewsMs: [0, parseSkew(skew)] });
+        await this.startFleet("rastro-sul", {
+            log: { retentionMs: Number(seconds) * 1_000 },
+            clockSkewsMs: [0, parseSkew(skew)],
+        });
     },
 );
 
@@ -198,7 +201,7 @@
 });
 
 Then(
-    "{int} of the callers got a whole answer and the others a refusal that does not say \"not run\"",
+    '{int} of the callers got a whole answer and the others a refusal that does not say "not run"',
     function(this: Scenario, count: number) {
         const heads = this.answers.map(answer => answer.writer.head?.status);
         assert.equal(heads.filter(status => status === 200).length, count);
@@ -244,7 +247,11 @@
 
 Then("a claim gets its verdict over gRPC", async function(this: Scenario) {
     const { client, address } = ends.get(this) as GrpcEnd;
-    const verdict = await client.commit(address, { stream: "claims-undated-0", entry: parseEntry("claim a"), waitMs: 5_000 }, 10_000);
+    const verdict = await client.commit(
+        address,
+        { stream: "claims-undated-0", entry: parseEntry("claim a"), waitMs: 5_000 },
+        10_000,
+    );
     assert.deepEqual([verdict.owner, Buffer.from(verdict.outcome?.body ?? []).toString()], ["entry-9", "a"]);
 });
 
--- a/features/steps/run_once_steps.ts
+++ b/features/steps/run_once_steps.ts
@@ -96,26 +96,32 @@
     await this.fleet.clock.advance(FAULT_MS);
 });
 
-When("the fault has passed and the caller asks again at node {int} until the outcome is final", async function(this: Scenario, number: number) {
-    filingOf(this).heal();
-    await this.fleet.clock.advance(RETRY_MS);
-    for (let retry = 0; retry < MAX_RETRIES; retry++) {
-        const call = file(this, number);
-        await this.fleet.clock.runUntil(call);
+When(
+    "the fault has passed and the caller asks again at node {int} until the outcome is final",
+    async function(this: Scenario, number: number) {
+        filingOf(this).heal();
         await this.fleet.clock.advance(RETRY_MS);
-        const { status, type } = filingOf(this).told.at(-1) as Told;
-        if (status === 200 || type.endsWith("already-dispatched")) {
-            return;
+        for (let retry = 0; retry < MAX_RETRIES; retry++) {
+            const call = file(this, number);
+            await this.fleet.clock.runUntil(call);
+            await this.fleet.clock.advance(RETRY_MS);
+            const { status, type } = filingOf(this).told.at(-1) as Told;
+            if (status === 200 || type.endsWith("already-dispatched")) {
+                return;
+            }
         }
-    }
-});
-
-Then("the filing took effect {int} times and the last answer is {string}", function(this: Scenario, effects: number, end: string) {
-    const { key, told } = filingOf(this);
-    assert.equal(this.fleet.ledger.count(key), effects, JSON.stringify(told));
-    const last = told.at(-1) as Told;
-    assert.equal(last.status === 200 ? "done" : last.executed, end, JSON.stringify(told));
-});
+    },
+);
+
+Then(
+    "the filing took effect {int} times and the last answer is {string}",
+    function(this: Scenario, effects: number, end: string) {
+        const { key, told } = filingOf(this);
+        assert.equal(this.fleet.ledger.count(key), effects, JSON.stringify(told));
+        const last = told.at(-1) as Told;
+        assert.equal(last.status === 200 ? "done" : last.executed, end, JSON.stringify(told));
+    },
+);
 
 Then("no answer about the filing was false", function(this: Scenario) {
     for (const each of filingOf(this).told) {
--- a/src/coordination/claims/claim_router.ts
+++ b/src/coordination/claims/claim_router.ts
@@ -6,9 +6,9 @@
 
 import { type ClaimClient, ClaimPeerError, claimWire, type Member, type MemberView } from "../../protocol/mod.js";
 import type { Clock } from "../../state/mod.js";
-import { rankMembers } from "./rendezvous.js";
 import { toVerdict } from "./claim_index.js";
 import type { ClaimStreams } from "./claim_streams.js";
+import { rankMembers } from "./rendezvous.js";
 
 /** Longest time to wait for a combiner, in milliseconds. */
 const COMBINER_TIMEOUT_MS = 400;
--- a/standin/log_model.ts
+++ b/standin/log_model.ts
@@ -10,8 +10,8 @@
 /** Name used in errors. */
 const PEER = "log";
 
-/** Time between two looks for a new record, in milliseconds. */
-const READ_POLL_MS = 5;
+/** Longest time after which a waiting read notices that the log went down, in milliseconds. */
+const DOWN_POLL_MS = 100;
 
 /** Faults that a test switches on. */
 export interface LogFaults {
@@ -40,6 +40,8 @@
 interface StoredStream {
     readonly records: StoredRecord[];
     endOffset: number;
+    /** Is aborted by the next append. */
+    appended: AbortController;
 }
 
 /** Log service as a test or a stand-in process runs it. */
@@ -74,6 +76,8 @@
         stored.endOffset += 1;
         stored.records.push({ offset, data, atMs: this.clock.now() });
         this.appends += 1;
+        stored.appended.abort();
+        stored.appended = new AbortController();
         if (this.faults.loseAnswers) {
             throw new PlatformError(`append to stream ${stream}`, PEER, Executed.Unknown, new Error("the answer was lost"));
         }
@@ -85,7 +89,7 @@
         const stored = this.stream(stream);
         const giveUpAtMs = this.clock.now() + (settings.waitMs ?? 0);
         while (stored.endOffset <= fromOffset && this.clock.now() < giveUpAtMs && !this.faults.down) {
-            await this.clock.sleep(READ_POLL_MS);
+            await this.clock.sleep(Math.min(DOWN_POLL_MS, giveUpAtMs - this.clock.now()), stored.appended.signal);
         }
         this.checkUp(`read stream ${stream}`);
         this.expire(stored);
@@ -98,7 +102,7 @@
     private stream(name: string): StoredStream {
         let stored = this.streams.get(name);
         if (stored === undefined) {
-            stored = { records: [], endOffset: 0 };
+            stored = { records: [], endOffset: 0, appended: new AbortController() };
             this.streams.set(name, stored);
         }
         return stored;
--- a/standin/node_link.ts
+++ b/standin/node_link.ts
@@ -7,8 +7,8 @@
 import {
     ClaimClient,
     type ClaimHandler,
-    type claimWire,
     ClaimPeerError,
+    type claimWire,
     Executed,
     type LogPage,
     type LogReadSettings,
