--- a/features/steps/run_once_steps.ts
+++ b/features/steps/run_once_steps.ts
@@ -92,7 +92,7 @@
 });
 
 When("the filing is sent to node {int}", async function(this: Scenario, number: number) {
-    file(this, number);
+    void file(this, number);
     await this.fleet.clock.advance(FAULT_MS);
 });
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -6,15 +6,8 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import {
-    type AnswerHead,
-    AnswerWriter,
-    type CallHandler,
-    Executed,
-    type IncomingCall,
-    Refusal,
-    RefusalType,
-} from "../protocol/mod.js";
+import { type CallHandler, Executed, type IncomingCall, Refusal, RefusalType } from "../protocol/mod.js";
+import { HttpAnswerWriter } from "./_http_answer_writer.js";
 
 /** Largest body of a call, in bytes. */
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -23,10 +16,10 @@
 export const MAX_HELD_BODY_BYTES = 64 * 1024 * 1024;
 
 /** Headers of a call. */
-export const MAX_HEADERS = 100;
+const MAX_HEADERS = 100;
 
 /** Bytes of all headers of a call. */
-export const MAX_HEADER_BYTES = 32 * 1024;
+const MAX_HEADER_BYTES = 32 * 1024;
 
 /** Connections of callers. */
 export const MAX_CALLER_CONNECTIONS = 8_192;
@@ -37,6 +30,12 @@
 /** Longest time that a caller may take to send a whole call, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 
+/** Reason for the end of a call whose connection closed. */
+const CALLER_GONE = new Error("the caller went away");
+
+/** Time between two looks for callers that are too slow, in milliseconds. */
+const CONNECTION_CHECK_MS = 1_000;
+
 /** Answers of the operations side, such as `/metrics`. */
 export interface OperationsPage {
     readonly status: number;
@@ -44,8 +43,30 @@
     readonly body: string;
 }
 
+/** Limits of a {@linkcode HttpServer}. */
+export interface HttpServerLimits {
+    /** Largest body of a call, in bytes. Defaults to {@linkcode MAX_BODY_BYTES}. */
+    readonly maxBodyBytes: number;
+    /** Bytes of bodies held at the same time. Defaults to {@linkcode MAX_HELD_BODY_BYTES}. */
+    readonly maxHeldBodyBytes: number;
+    /** Longest time that a caller may take to send headers, in milliseconds. Defaults to 10,000. */
+    readonly headersTimeoutMs: number;
+    /** Longest time that a caller may take to send a whole call, in milliseconds. Defaults to 30,000. */
+    readonly bodyTimeoutMs: number;
+}
+
+/** Limits when the settings name none. */
+const DEFAULT_LIMITS: HttpServerLimits = {
+    maxBodyBytes: MAX_BODY_BYTES,
+    maxHeldBodyBytes: MAX_HELD_BODY_BYTES,
+    headersTimeoutMs: HEADERS_TIMEOUT_MS,
+    bodyTimeoutMs: BODY_TIMEOUT_MS,
+};
+
 /** Settings of a {@linkcode HttpServer}. */
 export interface HttpServerSettings {
+    /** Limits that differ from the defaults. */
+    readonly limits?: Partial<HttpServerLimits>;
     /** Node's id, the first part of each call's id. */
     readonly node: string;
     /** Answers calls. */
@@ -57,6 +78,7 @@
 /** Accepts calls over HTTP and hands them to the handler. */
 export class HttpServer {
     private readonly server: Server;
+    private readonly limits: HttpServerLimits;
     private readonly sockets = new Set<Socket>();
     private heldBodyBytes = 0;
     private callCount = 0;
@@ -64,11 +86,12 @@
 
     /** @param settings See {@linkcode HttpServerSettings}. */
     constructor(private readonly settings: HttpServerSettings) {
+        this.limits = { ...DEFAULT_LIMITS, ...settings.limits };
         this.server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: BODY_TIMEOUT_MS,
-            connectionsCheckingInterval: 1_000,
+            headersTimeout: this.limits.headersTimeoutMs,
+            requestTimeout: this.limits.bodyTimeoutMs,
+            connectionsCheckingInterval: Math.min(CONNECTION_CHECK_MS, this.limits.bodyTimeoutMs),
             noDelay: true,
         });
         this.server.maxHeadersCount = MAX_HEADERS + 1;
@@ -132,7 +155,7 @@
         const gone = new AbortController();
         response.on("close", () => {
             if (!response.writableFinished) {
-                gone.abort();
+                gone.abort(CALLER_GONE);
             }
         });
         let body: Buffer;
@@ -172,90 +195,64 @@
         };
     }
 
-    private async readBody(request: IncomingMessage): Promise<Buffer> {
+    private readBody(request: IncomingMessage): Promise<Buffer> {
         checkHeaders(request);
-        const chunks: Buffer[] = [];
-        let size = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
+        if (request.headers["content-length"] === undefined && request.headers["transfer-encoding"] === undefined) {
+            return Promise.resolve(EMPTY_BODY);
+        }
+        return new Promise((resolve, reject) => {
+            const chunks: Buffer[] = [];
+            let size = 0;
+            const fail = (error: Error) => {
+                request.removeAllListeners("data");
+                this.heldBodyBytes -= size;
+                size = 0;
+                reject(error);
+            };
+            request.on("data", (chunk: Buffer) => {
                 size += chunk.length;
                 this.heldBodyBytes += chunk.length;
-                this.checkBodySize(size);
+                const refusal = this.checkBodySize(size);
+                if (refusal !== undefined) {
+                    fail(refusal);
+                    return;
+                }
                 chunks.push(chunk);
-            }
-        }
-        catch (error) {
-            this.heldBodyBytes -= size;
-            throw error;
-        }
-        return Buffer.concat(chunks, size);
+            });
+            request.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
+            request.on("error", fail);
+            request.on("aborted", () => fail(CALLER_GONE));
+        });
     }
 
-    private checkBodySize(size: number): void {
-        if (size > MAX_BODY_BYTES) {
-            throw new Refusal(RefusalType.BodyTooLarge, `Body is larger than ${MAX_BODY_BYTES} bytes. Send a smaller one.`, {
-                field: "body",
-            });
+    private checkBodySize(size: number): Refusal | undefined {
+        if (size > this.limits.maxBodyBytes) {
+            return new Refusal(
+                RefusalType.BodyTooLarge,
+                `Body is larger than ${this.limits.maxBodyBytes} bytes. Send a smaller one.`,
+                {
+                    field: "body",
+                },
+            );
         }
-        if (this.heldBodyBytes > MAX_HELD_BODY_BYTES) {
-            throw new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
+        if (this.heldBodyBytes > this.limits.maxHeldBodyBytes) {
+            return new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
                 retryAfterMs: 1_000,
             });
         }
+        return undefined;
     }
 }
 
+/** Body of a call without one. */
+const EMPTY_BODY = Buffer.alloc(0);
+
 /** Path and query of a call. */
 interface CallTarget {
     readonly path: string;
     readonly query: string;
 }
 
-/** Writes an answer to an HTTP connection. */
-class HttpAnswerWriter extends AnswerWriter {
-    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
-        super();
-    }
-
-    override get started(): boolean {
-        return this.response.headersSent;
-    }
-
-    override writeHead(head: AnswerHead): void {
-        const headers: Record<string, string> = { "content-type": head.contentType };
-        for (const [name, value] of Object.entries(head.headers ?? {})) {
-            headers[name] = value;
-        }
-        if (this.isClosing()) {
-            headers["connection"] = "close";
-        }
-        this.response.writeHead(head.status, headers);
-    }
-
-    override async write(chunk: Uint8Array): Promise<void> {
-        if (this.response.write(chunk) || this.response.destroyed) {
-            return;
-        }
-        await new Promise<void>(resolve => {
-            const finish = () => {
-                this.response.off("drain", finish);
-                this.response.off("close", finish);
-                resolve();
-            };
-            this.response.on("drain", finish);
-            this.response.on("close", finish);
-        });
-    }
-
-    override end(): void {
-        this.response.end();
-    }
-
-    override abort(): void {
-        this.response.destroy();
-    }
-}
-
 function singleHeader(request: IncomingMessage, name: string): string | undefined {
     const value = request.headers[name];
     return typeof value === "string" ? value : undefined;
