--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -5,6 +5,7 @@
  */
 
 import { claimsExperiment } from "./claims.js";
+import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
 
@@ -12,4 +13,5 @@
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
     claimsExperiment,
+    drainExperiment,
 ];
