--- a/features/steps/operator_access_steps.ts
+++ b/features/steps/operator_access_steps.ts
@@ -10,7 +10,6 @@
 import { drawTimeline, type MergedTimeline, mergeTimelines, OperatorClient, OperatorError } from "../../src/cli/mod.js";
 import {
     ConfigurationOperatorDesk,
-    ConfigurationPeerDesk,
     findOperator,
     OperatorDesk,
     parseSettings,
@@ -18,19 +17,12 @@
     SettingsError,
     TimelineSender,
 } from "../../src/daemon/mod.js";
-import { PeerHandler, type TimelineFeed, type wire } from "../../src/protocol/mod.js";
-import { GrpcServer } from "../../src/transport/mod.js";
+import { type TimelineFeed, type wire } from "../../src/protocol/mod.js";
+import { configurationOperatorService, GrpcServer, operatorService } from "../../src/transport/mod.js";
 import { hashKey } from "../../standin/deployment.js";
 import { rankChange, rememberVersions, versionsBefore } from "../support/configuration_changes.js";
 import type { Scenario } from "../support/world.js";
 
-/** Peer side that is not called here. */
-class NoPeers extends PeerHandler {
-    override async probe(): Promise<wire.ProbeReply> {
-        throw new Error("Cannot probe: the scenario has no peers");
-    }
-}
-
 /** Daemon's operator side, and what came of the last call to it. */
 interface OperatorSide {
     readonly server: GrpcServer;
@@ -62,12 +54,12 @@
 Given("a daemon's operator side over gRPC", async function(this: Scenario) {
     const [node] = this.fleet.nodes;
     const settings = readOperators(JSON.stringify([{ name: "ana", keyHash: hashKey("ana-key") }]));
+    const find = (key: string | undefined) => findOperator(settings, key);
     const server = new GrpcServer({
-        peerHandler: new NoPeers(),
-        operatorHandler: new OperatorDesk({ node, limits: [], isReady: () => true }),
-        configurationPeerHandler: new ConfigurationPeerDesk(node),
-        configurationOperatorHandler: new ConfigurationOperatorDesk(node),
-        findOperator: key => findOperator(settings, key),
+        services: [
+            operatorService(new OperatorDesk({ node, limits: [], isReady: () => true }), find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ],
     });
     const port = await server.listen("127.0.0.1", 0);
     sides.set(this, { server, address: `127.0.0.1:${port}`, failure: undefined });
--- /dev/null
+++ b/src/coordination/claims/claim_index.ts
@@ -0,0 +1,202 @@
+/**
+ * What the records of one claim stream say of each key, in the order of the log.
+ *
+ * @module
+ */
+
+import { claimWire } from "../../protocol/mod.js";
+import { toIndexName } from "./claim_key.js";
+
+/** Claim without an outcome. */
+export interface OpenClaim {
+    readonly workspace: string;
+    readonly key: string;
+    readonly operation: string;
+    readonly node: string;
+    readonly attempt: string;
+    readonly atMs: number;
+    readonly deadlineMs: number;
+}
+
+/** Owner of a key. */
+interface Owner {
+    readonly attempt: string;
+    readonly digest: Uint8Array;
+    /** What an operator sees of the claim; dropped when its outcome comes, which keeps settled keys small. */
+    open: OpenClaim | undefined;
+    /** Offset of the record that holds the outcome; -1 before it came. */
+    outcomeOffset: number;
+}
+
+/** State of one key. */
+interface KeyState {
+    owner: Owner | undefined;
+    /** Attempts that never dispatched and never will; a late claim of theirs does not count. */
+    released: Set<string> | undefined;
+    /** Offset of the last record that names the key. */
+    lastOffset: number;
+}
+
+const { ClaimEntryKind, ClaimVerdictKind } = claimWire;
+
+/** Settings of a {@linkcode ClaimIndex}. */
+export interface ClaimIndexSettings {
+    /** Whether the keys of the stream carry their date. */
+    readonly dated: boolean;
+}
+
+/**
+ * Applies the entries of one stream in order; the first claim of a key that was not released owns it.
+ *
+ * The index depends on nothing but the records, so that all nodes that read them give the same verdicts.
+ */
+export class ClaimIndex {
+    private readonly states = new Map<string, KeyState>();
+    private lossy = false;
+
+    /** @param settings See {@linkcode ClaimIndexSettings}. */
+    constructor(private readonly settings: ClaimIndexSettings) {}
+
+    /** Number of keys held. */
+    get size(): number {
+        return this.states.size;
+    }
+
+    /** Applies one entry of the record at an offset. */
+    apply(offset: number, entry: claimWire.ClaimEntry): void {
+        const state = this.stateOf(entry);
+        state.lastOffset = offset;
+        switch (entry.kind) {
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_CLAIM:
+                takeClaim(state, entry);
+                return;
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME:
+                takeOutcome(state, entry, offset);
+                return;
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE:
+                release(state, entry.attempt);
+                return;
+            default:
+                return;
+        }
+    }
+
+    /**
+     * Says that records which were never applied have expired.
+     *
+     * The keys of a dated stream are then all too old to be given out, since a missing record may have claimed any of them. Keys
+     * without a date are guarded only as long as their records are kept.
+     */
+    markLossy(): void {
+        this.lossy = true;
+    }
+
+    /** Forgets the undated keys that no kept record names; dated streams are forgotten whole. */
+    forgetBefore(firstOffset: number): void {
+        if (this.settings.dated) {
+            return;
+        }
+        for (const [name, state] of this.states) {
+            if (state.lastOffset < firstOffset) {
+                this.states.delete(name);
+            }
+        }
+    }
+
+    /** Gives the verdict on an entry as of the last record applied; `undefined` when the entry does not stand in the log. */
+    judge(entry: claimWire.ClaimEntry): claimWire.ClaimVerdict | undefined {
+        const state = this.states.get(toIndexName(entry.workspace, entry.key));
+        switch (entry.kind) {
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_OUTCOME:
+                return this.judgeOutcome(state, entry);
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE:
+                return state?.released?.has(entry.attempt) ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_STORED) : undefined;
+            case ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP:
+                return this.judgeClaim(state, entry) ?? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_UNCLAIMED);
+            default:
+                return this.judgeClaim(state, entry);
+        }
+    }
+
+    /** Returns the offset of the record that holds a key's outcome; -1 when there is none. */
+    outcomeOffset(entry: claimWire.ClaimEntry): number {
+        return this.states.get(toIndexName(entry.workspace, entry.key))?.owner?.outcomeOffset ?? -1;
+    }
+
+    /** Lists claims without an outcome. */
+    *listOpen(): Generator<OpenClaim> {
+        for (const { owner } of this.states.values()) {
+            if (owner?.open !== undefined) {
+                yield owner.open;
+            }
+        }
+    }
+
+    private stateOf(entry: claimWire.ClaimEntry): KeyState {
+        const name = toIndexName(entry.workspace, entry.key);
+        let state = this.states.get(name);
+        if (state === undefined) {
+            state = { owner: undefined, released: undefined, lastOffset: 0 };
+            this.states.set(name, state);
+        }
+        return state;
+    }
+
+    private judgeOutcome(state: KeyState | undefined, entry: claimWire.ClaimEntry): claimWire.ClaimVerdict | undefined {
+        const stored = state?.owner?.attempt === entry.attempt && state.owner.outcomeOffset >= 0;
+        return stored ? toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_STORED) : undefined;
+    }
+
+    private judgeClaim(state: KeyState | undefined, entry: claimWire.ClaimEntry): claimWire.ClaimVerdict | undefined {
+        if (this.lossy && this.settings.dated) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_EXPIRED);
+        }
+        const owner = state?.owner;
+        if (owner === undefined) {
+            return undefined;
+        }
+        if (owner.attempt === entry.attempt) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED);
+        }
+        if (Buffer.compare(owner.digest, entry.digest) !== 0) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_CONFLICT);
+        }
+        if (owner.open === undefined) {
+            return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED);
+        }
+        const { node, deadlineMs } = owner.open;
+        return { kind: ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD, owner: node, deadlineMs, outcome: undefined };
+    }
+}
+
+/** Makes a verdict that tells nothing of an owner. */
+export function toVerdict(kind: claimWire.ClaimVerdictKind): claimWire.ClaimVerdict {
+    return { kind, owner: "", deadlineMs: 0, outcome: undefined };
+}
+
+function takeClaim(state: KeyState, entry: claimWire.ClaimEntry): void {
+    if (state.owner !== undefined || state.released?.has(entry.attempt)) {
+        return;
+    }
+    const { workspace, key, attempt, node, digest, operation, atMs, deadlineMs } = entry;
+    const open = { workspace, key, operation, node, attempt, atMs, deadlineMs };
+    state.owner = { attempt, digest, open, outcomeOffset: -1 };
+}
+
+function takeOutcome({ owner }: KeyState, entry: claimWire.ClaimEntry, offset: number): void {
+    if (owner?.attempt === entry.attempt && owner.open !== undefined) {
+        owner.open = undefined;
+        owner.outcomeOffset = offset;
+    }
+}
+
+function release(state: KeyState, attempt: string): void {
+    if (state.owner?.attempt === attempt) {
+        if (state.owner.open === undefined) {
+            return;
+        }
+        state.owner = undefined;
+    }
+    state.released ??= new Set();
+    state.released.add(attempt);
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,11 +5,24 @@
  */
 
 import type { Logger } from "pino";
-import { MAX_KEPT_RECORDS, MAX_REMEMBERED_CHANGES, SilentDissemination } from "../coordination/mod.js";
+import {
+    MAX_KEPT_RECORDS,
+    MAX_KEYS,
+    MAX_REMEMBERED_CHANGES,
+    MAX_STORING_ENTRIES,
+    MAX_STREAMS,
+    SilentDissemination,
+} from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    claimOperatorService,
+    claimPeerService,
+    configurationOperatorService,
+    configurationPeerService,
+    GrpcClaimClient,
     GrpcConfigurationPeers,
     GrpcServer,
+    type GrpcService,
     HttpClient,
     HttpEngine,
     HttpLogService,
@@ -19,7 +32,11 @@
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
+    operatorService,
+    PeerGate,
+    peerService,
 } from "../transport/mod.js";
+import { ClaimDesk } from "./claim_desk.js";
 import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
 import { watchConfiguration } from "./configuration_metrics.js";
 import { EntryNode } from "./entry_node.js";
@@ -45,6 +62,7 @@
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
     private readonly configurationPeers = new GrpcConfigurationPeers();
+    private readonly claimClient = new GrpcClaimClient();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -65,6 +83,7 @@
             dissemination: new SilentDissemination(),
             configurationPeers: this.configurationPeers,
             observer: this.metrics,
+            claimClient: this.claimClient,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -74,13 +93,7 @@
         const limits = this.limits();
         this.metrics.watchLimits(limits);
         watchConfiguration(this.metrics.registry, this.node);
-        this.grpcServer = new GrpcServer({
-            peerHandler: new PeerDesk(this.node),
-            operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
-            configurationPeerHandler: new ConfigurationPeerDesk(this.node),
-            configurationOperatorHandler: new ConfigurationOperatorDesk(this.node),
-            findOperator: key => findOperator(settings, key),
-        });
+        this.grpcServer = new GrpcServer({ services: this.services(limits) });
     }
 
     /** Whether the node takes new work. */
@@ -120,12 +133,28 @@
         return left;
     }
 
+    private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
+        const { node } = this;
+        const gate = new PeerGate();
+        const claimDesk = new ClaimDesk(node);
+        const find = (key: string | undefined) => findOperator(this.parts.settings, key);
+        return [
+            peerService(new PeerDesk(node), gate),
+            claimPeerService(claimDesk, gate),
+            configurationPeerService(new ConfigurationPeerDesk(node), gate),
+            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready }), find),
+            claimOperatorService(claimDesk, find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ];
+    }
+
     private async stop(): Promise<void> {
         this.httpServer.close();
+        await this.node.stop();
         this.grpcServer.close();
         this.configurationPeers.close();
+        this.claimClient.close();
         await this.client.close();
-        await this.node.stop();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -156,6 +185,9 @@
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keys },
+            { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
+            { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
             { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
             {
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,11 +5,14 @@
  */
 
 export * from "./exchange.js";
+export * from "./grpc_claim_client.js";
 export * from "./grpc_client.js";
 export * from "./grpc_configuration_peers.js";
 export * from "./grpc_server.js";
+export * from "./grpc_services.js";
 export * from "./http_client.js";
 export * from "./http_engine.js";
 export * from "./http_plain_service.js";
 export * from "./http_platform.js";
 export * from "./http_server.js";
+export * from "./peer_gate.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -5,7 +5,7 @@
  */
 
 import { CallObserver } from "../src/coordination/mod.js";
-import { EntryNode } from "../src/daemon/mod.js";
+import { ClaimDesk, EntryNode } from "../src/daemon/mod.js";
 import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
@@ -14,8 +14,10 @@
 import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
+import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
 import { NodeLog } from "./node_log.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
+import { SkewedClock } from "./skewed_clock.js";
 import { VirtualClock } from "./virtual_clock.js";
 import { VmListModel } from "./vm_list_model.js";
 
@@ -32,6 +34,10 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** How far the clock of each node is ahead, in milliseconds, in the order of the nodes. Defaults to 0. */
+    readonly clockSkewsMs?: readonly number[];
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. */
+    readonly claimHorizonMs?: number;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -47,6 +53,9 @@
     readonly configurationPeers = new ConfigurationPeerHub(this.clock);
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
+    /** Connections of each node, in the order of the nodes. */
+    readonly links: NodeLink[] = [];
+    readonly claimHub = new ClaimHub(this.clock);
     readonly document: ConfigurationDocument;
     private readonly vms: Vm[] = [];
     private callCount = 0;
@@ -76,6 +85,13 @@
         this.publishVms();
     }
 
+    /** Takes a VM off the VM list. */
+    removeVm(id: string): void {
+        const index = this.vms.findIndex(vm => vm.id === id);
+        this.vms.splice(index, 1);
+        this.publishVms();
+    }
+
     /**
      * Sends one call to a node.
      *
@@ -113,21 +129,27 @@
         const id = `entry-${index + 1}`;
         const address = `127.0.0.1:${this.vms.length + 1}`;
         const nodeLog = new NodeLog(this.log, this.clock);
+        const link = new NodeLink();
+        link.address = address;
         const node = new EntryNode({
             node: id,
             failureDomain,
-            clock: this.clock,
+            clock: new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0),
             random: new SeededRandom(seed * 1_000 + index),
             engine: new LocalEngines(this.engines),
-            plainService: new LocalServices(this.services),
-            log: nodeLog,
+            plainService: new LinkedService(link, new LocalServices(this.services)),
+            log: new LinkedLog(link, nodeLog, this.clock),
             vmList: this.vmList,
             dissemination: this.hub.join(id),
             configurationPeers: this.configurationPeers.join(address),
             observer: new SilentObserver(),
+            claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
+            claimHorizonMs: this.settings.claimHorizonMs,
         });
         this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
         this.nodes.push(node);
+        this.links.push(link);
+        this.claimHub.join(link, new ClaimDesk(node));
         this.nodeLogs.set(id, nodeLog);
         this.configurationPeers.answers.set(address, request => node.follower.copyFor(request));
         return node;
@@ -162,8 +184,7 @@
     }
 
     private makeNodes(): void {
-        const { deployment } = this.settings;
-        for (const { failureDomain } of deployment.entryVms) {
+        for (const { failureDomain } of this.settings.deployment.entryVms) {
             this.addNode(failureDomain);
         }
     }
