--- /dev/null
+++ b/measure/scheduling_run.ts
@@ -0,0 +1,148 @@
+/**
+ * One run of the scheduling experiment: a case under one scheduler.
+ *
+ * @module
+ */
+
+import { type AnsweredCall, CallObserver, type Scheduler } from "../src/coordination/mod.js";
+import type { EntryNode } from "../src/daemon/mod.js";
+import type { AcceptedCall } from "../src/protocol/mod.js";
+import { PREFIX_BLOCK_TOKENS } from "../src/state/mod.js";
+import type { Deployment } from "../standin/deployment.js";
+import type { RetiredSequence } from "../standin/engine_model.js";
+import { InProcessFleet, type RecordedAnswer } from "../standin/in_process_fleet.js";
+import { DecisionHistory, RecordingScheduler } from "./decision_history.js";
+import type { Arrival } from "./scheduling_workload.js";
+
+/** Fault that sets in during a run. */
+export interface TimedFault {
+    readonly atMs: number;
+    readonly apply: (fleet: InProcessFleet) => void;
+}
+
+/** Settings of a run. */
+export interface RunSettings {
+    readonly deployment: Deployment;
+    readonly seed: number;
+    readonly arrivals: readonly Arrival[];
+    readonly faults: readonly TimedFault[];
+    /** Makes the scheduler that is measured. */
+    readonly makeScheduler: (node: EntryNode) => Scheduler;
+}
+
+/** Outcome of one call. */
+export interface CallOutcome {
+    readonly arrival: Arrival;
+    readonly kept: boolean;
+    readonly status: number;
+    readonly firstTokenMs: number | undefined;
+    /** Whether the answer was whole, in time or not. */
+    readonly whole: boolean;
+    /** Prompt tokens prefilled for the call, over all its dispatches. */
+    readonly prefilledTokens: number;
+    /** Prompt tokens prefilled although some engine had prefilled them before. */
+    readonly repeatedTokens: number;
+}
+
+/** Result of a run. */
+export interface RunResult {
+    readonly outcomes: readonly CallOutcome[];
+    readonly history: DecisionHistory;
+    readonly fleet: InProcessFleet;
+}
+
+/** Runs one case to the end of its last call. */
+export async function runCase(settings: RunSettings): Promise<RunResult> {
+    const history = new DecisionHistory();
+    const observer = new FigureObserver();
+    const fleet = new InProcessFleet({
+        deployment: settings.deployment,
+        seed: settings.seed,
+        node: {
+            observer,
+            makeScheduler: node => {
+                const scheduler = settings.makeScheduler(node);
+                return new RecordingScheduler(node.settings.node, scheduler, node.settings.clock, history);
+            },
+        },
+    });
+    const prefill = new PrefillLedger(fleet);
+    await fleet.start();
+    const answers = await sendAll(fleet, settings);
+    await fleet.clock.runUntil(Promise.all(answers.map(answer => answer.done)));
+    // Engines end their sequences one step after their callers.
+    await fleet.clock.advance(1_000);
+    await fleet.clock.runUntil(Promise.all(fleet.nodes.map(node => node.stop())));
+    const outcomes = answers.map((answer, index) => ({
+        arrival: settings.arrivals[index],
+        status: answer.writer.head?.status ?? 0,
+        whole: answer.writer.ended && answer.writer.head?.status === 200,
+        kept: observer.figures.get(answer.id)?.kept ?? false,
+        firstTokenMs: observer.figures.get(answer.id)?.firstTokenMs,
+        prefilledTokens: prefill.prefilled.get(answer.id) ?? 0,
+        repeatedTokens: prefill.repeated.get(answer.id) ?? 0,
+    }));
+    return { outcomes, history, fleet };
+}
+
+async function sendAll(fleet: InProcessFleet, settings: RunSettings): Promise<readonly RecordedAnswer[]> {
+    const startMs = fleet.clock.now();
+    const faults = [...settings.faults];
+    const answers: RecordedAnswer[] = [];
+    for (const arrival of settings.arrivals) {
+        while (faults.length > 0 && faults[0].atMs <= arrival.atMs) {
+            const [fault] = faults.splice(0, 1);
+            await fleet.clock.advance(Math.max(0, startMs + fault.atMs - fleet.clock.now()));
+            fault.apply(fleet);
+        }
+        await fleet.clock.advance(Math.max(0, startMs + arrival.atMs - fleet.clock.now()));
+        answers.push(fleet.send(fleet.nodes[arrival.node], {
+            operationName: arrival.operation,
+            bearerKey: settings.deployment.workspaces[arrival.workspace].key,
+            body: arrival.body,
+        }));
+    }
+    return answers;
+}
+
+/** Keeps the figures of answered calls. */
+class FigureObserver extends CallObserver {
+    readonly figures = new Map<string, AnsweredCall>();
+
+    override recordAccepted(): void {
+        // Only answers are of interest.
+    }
+
+    override recordAnswered(call: AcceptedCall, figures: AnsweredCall): void {
+        this.figures.set(call.incoming.id, figures);
+    }
+
+    override recordRefused(): void {
+        // Callers' statuses tell of refusals.
+    }
+}
+
+/** Counts prefilled and repeatedly prefilled tokens by call. */
+class PrefillLedger {
+    readonly prefilled = new Map<string, number>();
+    readonly repeated = new Map<string, number>();
+    private readonly seen = new Set<string>();
+
+    constructor(fleet: InProcessFleet) {
+        for (const engine of fleet.engines.values()) {
+            engine.onRetire = sequence => this.record(sequence);
+        }
+    }
+
+    private record({ id, blocks, cachedTokens, prefilled }: RetiredSequence): void {
+        this.prefilled.set(id, (this.prefilled.get(id) ?? 0) + prefilled);
+        const first = cachedTokens / PREFIX_BLOCK_TOKENS;
+        const after = (cachedTokens + prefilled) / PREFIX_BLOCK_TOKENS;
+        let repeated = 0;
+        for (let index = Math.ceil(first); index + 1 <= after && index < blocks.length; index++) {
+            repeated += this.seen.has(blocks[index]) ? PREFIX_BLOCK_TOKENS : 0;
+            this.seen.add(blocks[index]);
+        }
+        this.repeated.set(id, (this.repeated.get(id) ?? 0) + repeated);
+    }
+}
--- /dev/null
+++ b/measure/scheduling_workload.ts
@@ -0,0 +1,156 @@
+/**
+ * Calls of the scheduling experiment: lookups and dossiers of four tiers from unequal workspaces.
+ *
+ * @module
+ */
+
+import { type RandomSource, SeededRandom } from "../src/state/mod.js";
+import type { Deployment } from "../standin/deployment.js";
+import type { EngineProfile } from "../standin/engine_model.js";
+
+/** Prefilled tokens in the time of one generated token. */
+const DECODE_TOKEN_WEIGHT = 10;
+
+/** Characters in one token. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Share of the calls of each workspace; the first two are large. */
+const WORKSPACE_SHARES = [0.4, 0.3, 0.1, 0.1, 0.1];
+
+/** Kind of call. */
+interface CallKind {
+    readonly operation: string;
+    readonly tier: string;
+    /** Part of all work. */
+    readonly share: number;
+    readonly prefixTokens: number;
+    readonly minOwnTokens: number;
+    readonly maxOwnTokens: number;
+    readonly maxOutputTokens: number;
+    /** Documents that the prefixes are taken from. */
+    readonly documents: number;
+}
+
+/** Kinds of call; each tier has a quarter of the work. */
+const KINDS: readonly CallKind[] = [
+    kind("dossier-summary", "desk", 0.17, [1_024, 256, 768, 160, 40]),
+    kind("desk-question", "desk", 0.08, [0, 64, 256, 16, 1]),
+    kind("eligibility-flag", "triage", 0.1, [0, 64, 384, 16, 1]),
+    kind("case-review", "triage", 0.15, [768, 128, 512, 120, 40]),
+    kind("letter-draft", "standard", 0.25, [512, 128, 512, 200, 20]),
+    kind("payroll-extraction", "batch", 0.25, [512, 1_024, 2_560, 240, 20]),
+];
+
+/** Arrival of one call. */
+export interface Arrival {
+    readonly atMs: number;
+    /** Number of the node that the balancer gives it to. */
+    readonly node: number;
+    readonly operation: string;
+    readonly tier: string;
+    readonly workspace: number;
+    readonly body: Buffer;
+}
+
+/**
+ * Returns the work that engines do with every place in the batch taken and a full prefill in every step, in prefilled tokens a
+ * second: the most that they can do.
+ */
+export function capacityOf(profiles: readonly EngineProfile[]): number {
+    let tokensPerSecond = 0;
+    for (const profile of profiles) {
+        const decodeMs = profile.stepMs + profile.stepPerSequenceMs * profile.maxSequences;
+        const prefillMs = profile.prefillChunkTokens / profile.prefillTokensPerSecond * MS_PER_SECOND;
+        const tokens = profile.prefillChunkTokens + DECODE_TOKEN_WEIGHT * profile.maxSequences;
+        tokensPerSecond += tokens / (decodeMs + prefillMs) * MS_PER_SECOND;
+    }
+    return tokensPerSecond;
+}
+
+/** Settings of a workload. */
+export interface WorkloadSettings {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly nodes: number;
+    /** Work that the engines can do, in prefilled tokens a second. */
+    readonly capacity: number;
+    /** Offered work as a multiple of the capacity, by tier and time. */
+    readonly load: (tier: string, atMs: number) => number;
+}
+
+/** Returns the deployment of the experiment: six engines of three speeds. */
+export function toExperimentDeployment(deployment: Deployment): Deployment {
+    const firstTokenMs = 720;
+    const model = { pool: "language-model", semantics: "repeatable" };
+    const operations = [
+        { name: "dossier-summary", tier: "desk", promise: { firstTokenMs, betweenTokensMs: 36, answerMs: 30_000 }, ...model },
+        { name: "desk-question", tier: "desk", promise: { firstTokenMs, betweenTokensMs: 36, answerMs: 5_000 }, ...model },
+        { name: "eligibility-flag", tier: "triage", promise: { firstTokenMs, betweenTokensMs: 36, answerMs: 5_000 }, ...model },
+        { name: "case-review", tier: "triage", promise: { firstTokenMs, betweenTokensMs: 36, answerMs: 30_000 }, ...model },
+        { name: "letter-draft", tier: "standard", promise: { firstTokenMs: 2_000, answerMs: 30_000 }, ...model },
+        { name: "payroll-extraction", tier: "batch", promise: { answerMs: 30_000 }, ...model },
+    ];
+    return { ...deployment, configuration: { ...deployment.configuration, operations } };
+}
+
+/** Makes the arrivals of a run, in order of time. */
+export function makeArrivals(settings: WorkloadSettings): readonly Arrival[] {
+    const random = new SeededRandom(settings.seed);
+    const arrivals = KINDS.flatMap((each, index) => arrivalsOf(each, new SeededRandom(settings.seed * 100 + index), settings));
+    arrivals.sort((left, right) => left.atMs - right.atMs);
+    return arrivals.map(arrival => ({ ...arrival, node: random.below(settings.nodes) }));
+}
+
+function arrivalsOf(each: CallKind, random: RandomSource, settings: WorkloadSettings): readonly Arrival[] {
+    const ownTokens = (each.minOwnTokens + each.maxOwnTokens) / 2;
+    const tokens = each.prefixTokens + ownTokens + DECODE_TOKEN_WEIGHT * each.maxOutputTokens / 2;
+    const arrivals: Arrival[] = [];
+    let atMs = 0;
+    while (atMs < settings.durationMs) {
+        const perSecond = settings.capacity * each.share * settings.load(each.tier, atMs) / tokens;
+        atMs += -Math.log(1 - random.next()) / perSecond * MS_PER_SECOND;
+        arrivals.push({
+            atMs,
+            node: 0,
+            operation: each.operation,
+            tier: each.tier,
+            workspace: drawWorkspace(random),
+            body: makeBody(each, random, arrivals.length),
+        });
+    }
+    return arrivals;
+}
+
+function drawWorkspace(random: RandomSource): number {
+    let left = random.next();
+    for (const [index, share] of WORKSPACE_SHARES.entries()) {
+        left -= share;
+        if (left < 0) {
+            return index;
+        }
+    }
+    return 0;
+}
+
+function makeBody(each: CallKind, random: RandomSource, count: number): Buffer {
+    const document = random.below(each.documents);
+    const prefix = repeat(`${each.operation} document ${document}. `, each.prefixTokens);
+    const ownTokens = each.minOwnTokens + random.below(each.maxOwnTokens - each.minOwnTokens);
+    const own = repeat(`Question ${count} of ${each.operation}, ${random.below(1_000_000)}. `, ownTokens);
+    const messages = [{ role: "user", content: `${prefix}${own}` }];
+    const body = { model: "default", stream: true, max_tokens: each.maxOutputTokens, messages };
+    return Buffer.from(JSON.stringify(body));
+}
+
+function repeat(text: string, tokens: number): string {
+    const length = tokens * CHARACTERS_PER_TOKEN;
+    return text.repeat(Math.ceil(length / text.length)).slice(0, length);
+}
+
+function kind(operation: string, tier: string, share: number, sizes: readonly number[]): CallKind {
+    const [prefixTokens, minOwnTokens, maxOwnTokens, maxOutputTokens, documents] = sizes;
+    return { operation, tier, share, prefixTokens, minOwnTokens, maxOwnTokens, maxOutputTokens, documents };
+}
--- a/src/coordination/call_resolver.ts
+++ b/src/coordination/call_resolver.ts
@@ -72,6 +72,7 @@
             promptTokens: chat?.promptTokens ?? 0,
             maxOutputTokens: chat?.maxOutputTokens ?? 0,
             streamed: chat?.streamed ?? false,
+            prefixBlocks: chat?.prefixBlocks ?? [],
         };
     }
 
--- a/src/coordination/model_dispatch.ts
+++ b/src/coordination/model_dispatch.ts
@@ -56,6 +56,7 @@
         for await (const event of this.settings.engine.generate(vm, request, this.scope.signal)) {
             if (event.kind === "end") {
                 this.checkLength(event.end, vm.id);
+                assignment.recordEnd(event.end);
                 await this.finish(event.end);
                 return;
             }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { AcceptedCall } from "../protocol/mod.js";
+import type { AcceptedCall, EngineEnd } from "../protocol/mod.js";
 import type { BackendServer } from "../state/mod.js";
 
 /** How a dispatch ended, as far as the choice of backend servers must know. */
@@ -25,6 +25,15 @@
     /** Records that a token came. */
     abstract recordToken(): void;
 
+    /**
+     * Records the last event of a whole answer.
+     *
+     * @param end What the engine says of the answer.
+     */
+    recordEnd(end: EngineEnd): void {
+        void end;
+    }
+
     /**
      * Gives the right back. Later calls have no effect.
      *
@@ -51,4 +60,13 @@
      * @throws {Refusal} When the call is shed; nothing of it has been dispatched by this choice.
      */
     abstract assign(call: AcceptedCall, settings: AssignSettings): Promise<Assignment>;
+
+    /**
+     * Does the work that recurs, until the signal is aborted.
+     *
+     * @param signal Ends the work.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        void signal;
+    }
 }
--- /dev/null
+++ b/src/coordination/scheduling/_server_speed.ts
@@ -0,0 +1,102 @@
+/**
+ * Speed of one backend server, learned from the streams of this node.
+ *
+ * @module
+ */
+
+/** Prefill rate expected before the first observation, in tokens a second. */
+const DEFAULT_PREFILL_RATE = 8_000;
+
+/** Time to the first token of a tiny prompt expected before the first observation, in milliseconds. */
+const DEFAULT_BASE_MS = 40;
+
+/** Time between two tokens expected before the first observation, in milliseconds. */
+const DEFAULT_GAP_MS = 30;
+
+/** Prompts below this length tell of the base time, others of the prefill rate; in tokens. */
+const RATE_PROMPT_TOKENS = 512;
+
+/** Weight of an observation that shows the backend server faster than believed. */
+const FASTER_WEIGHT = 0.3;
+
+/** Weight of an observation that shows it slower, which may also be due to a queue. */
+const SLOWER_WEIGHT = 0.02;
+
+/** Part of the time to a first token that is taken as prefill at least. */
+const MIN_PREFILL_SHARE = 0.3;
+
+/** Weight of a new delay beyond the expected first token. */
+const DELAY_WEIGHT = 0.3;
+
+/** Time in which a delay that is not seen again counts half, in milliseconds. */
+const DELAY_HALF_LIFE_MS = 500;
+
+/** Weight of a new time between tokens. */
+const GAP_WEIGHT = 0.05;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Learns base time, prefill rate and time between tokens. */
+export class ServerSpeed {
+    private prefillRate = DEFAULT_PREFILL_RATE;
+    private baseMs = DEFAULT_BASE_MS;
+    private meanGapMs = DEFAULT_GAP_MS;
+    private meanDelayMs = 0;
+    private delayAtMs = 0;
+    private baseCount = 0;
+    private rateCount = 0;
+
+    /** Mean time between two tokens of an answer, in milliseconds. */
+    get gapMs(): number {
+        return this.meanGapMs;
+    }
+
+    /** Prefill rate in tokens a second. */
+    get tokensPerSecond(): number {
+        return this.prefillRate;
+    }
+
+    /** Returns the time to the first token with nothing ahead, in milliseconds. */
+    firstTokenMs(prefillTokens: number): number {
+        return this.baseMs + this.prefillMs(prefillTokens);
+    }
+
+    /** Returns the time that a prefill takes, in milliseconds. */
+    prefillMs(prefillTokens: number): number {
+        return prefillTokens / this.prefillRate * MS_PER_SECOND;
+    }
+
+    /** Learns from a first token. */
+    learnFirstToken(prefillTokens: number, elapsedMs: number): void {
+        if (prefillTokens < RATE_PROMPT_TOKENS) {
+            const sampleMs = Math.max(1, elapsedMs - this.prefillMs(prefillTokens));
+            this.baseCount += 1;
+            const weight = Math.max(sampleMs < this.baseMs ? FASTER_WEIGHT : SLOWER_WEIGHT, 1 / this.baseCount);
+            this.baseMs += weight * (sampleMs - this.baseMs);
+            return;
+        }
+        const prefillMs = Math.max(1, MIN_PREFILL_SHARE * elapsedMs, elapsedMs - this.baseMs);
+        const sample = prefillTokens / prefillMs * MS_PER_SECOND;
+        this.rateCount += 1;
+        const weight = Math.max(sample > this.prefillRate ? FASTER_WEIGHT : SLOWER_WEIGHT, 1 / this.rateCount);
+        this.prefillRate += weight * (sample - this.prefillRate);
+    }
+
+    /** Returns the delay by work of others that a call meets now, in milliseconds. */
+    delayMs(nowMs: number): number {
+        return this.meanDelayMs * 0.5 ** ((nowMs - this.delayAtMs) / DELAY_HALF_LIFE_MS);
+    }
+
+    /** Learns from the delay of a first token beyond the expected time. */
+    learnDelay(delayMs: number, nowMs: number): void {
+        const known = this.delayMs(nowMs);
+        this.meanDelayMs = known + DELAY_WEIGHT * (Math.max(0, delayMs) - known);
+        this.delayAtMs = nowMs;
+    }
+
+    /** Learns from a time between two tokens. */
+    learnGap(elapsedMs: number): void {
+        this.meanGapMs += GAP_WEIGHT * (elapsedMs - this.meanGapMs);
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling/admission_claims.ts
@@ -0,0 +1,140 @@
+/**
+ * Claims by which nodes stop lower tiers together, so that no node sheds a tier while another admits a lower one.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../state/mod.js";
+
+/** Time within which a claim reaches every node that can be reached, in milliseconds. */
+export const CLAIM_SPREAD_MS = 1_000;
+
+/** Time that a claim stays in force after its last publication; a silent peer's claim decays to "all tiers admitted" then. */
+export const CLAIM_HOLD_MS = 3_000;
+
+/** Time by which each rank stays stopped longer than the rank above it, in milliseconds. */
+const STAGGER_MS = 300;
+
+/** Time that a node needs to act on a claim that has come, in milliseconds. */
+const ACT_MS = 200;
+
+/** Claim that ranks below one are not admitted. */
+interface Claim {
+    /** Lowest rank still admitted. */
+    readonly lowestRank: number;
+    /** Time since which it is in force. */
+    readonly sinceMs: number;
+    /** Time of its last publication. */
+    publishedMs: number;
+    /** Time at which this node last had reason for it; `undefined` for claims of peers. */
+    wantedMs?: number;
+}
+
+/** Claim as it is published. */
+export interface PublishedClaim {
+    readonly lowestRank: number;
+    /** Time for which it has been in force, in milliseconds. */
+    readonly inForceMs: number;
+}
+
+/** Claims of this node and its peers on one pool. */
+export class AdmissionClaims {
+    private readonly own = new Map<number, Claim>();
+    private readonly peers = new Map<string, Claim>();
+
+    /** @param clock Clock that claims age by. */
+    constructor(private readonly clock: Clock) {}
+
+    /**
+     * Claims, or goes on to claim, that ranks below one are not admitted.
+     *
+     * @returns Whether the claim is new and must be published at once.
+     */
+    claim(lowestRank: number): boolean {
+        const nowMs = this.clock.now();
+        const known = this.own.get(lowestRank);
+        if (known !== undefined && nowMs - known.publishedMs < CLAIM_HOLD_MS) {
+            known.wantedMs = nowMs;
+            return false;
+        }
+        this.own.set(lowestRank, { lowestRank, sinceMs: nowMs, publishedMs: nowMs, wantedMs: nowMs });
+        return true;
+    }
+
+    /**
+     * Takes a claim of a peer.
+     *
+     * @param origin Node that claims.
+     * @param claim Claim as it was published.
+     * @param ageMs Time since then, in milliseconds.
+     */
+    take(origin: string, claim: PublishedClaim, ageMs: number): void {
+        const publishedMs = this.clock.now() - ageMs;
+        const sinceMs = publishedMs - claim.inForceMs;
+        this.peers.set(`${origin} ${claim.lowestRank}`, { lowestRank: claim.lowestRank, sinceMs, publishedMs });
+    }
+
+    /** Prolongs the claims that this node has had reason for since their last publication, and returns them. */
+    renew(): readonly PublishedClaim[] {
+        const nowMs = this.clock.now();
+        const renewed: PublishedClaim[] = [];
+        for (const claim of this.own.values()) {
+            if ((claim.wantedMs as number) >= claim.publishedMs && nowMs - claim.publishedMs < CLAIM_HOLD_MS) {
+                claim.publishedMs = nowMs;
+                renewed.push({ lowestRank: claim.lowestRank, inForceMs: Math.round(nowMs - claim.sinceMs) });
+            }
+        }
+        return renewed;
+    }
+
+    /** Whether a claim keeps a rank from being admitted and dispatched. */
+    isStopped(rank: number): boolean {
+        return Number.isFinite(this.stoppedSince(rank, CLAIM_HOLD_MS + STAGGER_MS * rank));
+    }
+
+    /**
+     * Returns the time since which no node that can be reached admits any rank below one; `Infinity` when some may.
+     *
+     * Stopping goes upwards: each rank is given up only when all below it have stopped everywhere. Admission comes back downwards.
+     *
+     * @param rank Rank that is to be shed.
+     * @param ranks All ranks in use, the highest first.
+     */
+    clearSince(rank: number, ranks: readonly number[]): number {
+        let clearMs = -Infinity;
+        for (let index = ranks.length - 1; index >= 0 && ranks[index] > rank; index--) {
+            const lower = ranks[index];
+            const stoppedMs = this.stoppedSince(lower, CLAIM_HOLD_MS + STAGGER_MS * (lower - 1));
+            clearMs = Math.max(stoppedMs + CLAIM_SPREAD_MS, clearMs) + ACT_MS;
+        }
+        return clearMs;
+    }
+
+    /** Forgets claims that have lapsed for every rank. */
+    dropLapsed(longestMs: number): void {
+        const oldestMs = this.clock.now() - longestMs;
+        dropOlder(this.own, oldestMs);
+        dropOlder(this.peers, oldestMs);
+    }
+
+    private stoppedSince(rank: number, holdMs: number): number {
+        const nowMs = this.clock.now();
+        let earliest = Infinity;
+        for (const claims of [this.own, this.peers]) {
+            for (const claim of claims.values()) {
+                if (claim.lowestRank < rank && nowMs - claim.publishedMs < holdMs) {
+                    earliest = Math.min(earliest, claim.sinceMs);
+                }
+            }
+        }
+        return earliest;
+    }
+}
+
+function dropOlder<Key>(claims: Map<Key, Claim>, oldestMs: number): void {
+    for (const [key, claim] of claims) {
+        if (claim.publishedMs < oldestMs) {
+            claims.delete(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Scheduling: which call goes where and when, and which is shed.
+ *
+ * @module
+ */
+
+export * from "./admission_claims.js";
+export * from "./call_queue.js";
+export * from "./cost_model.js";
+export * from "./pool_scheduler.js";
+export * from "./scheduling_counts.js";
+export * from "./scheduling_observer.js";
+export * from "./server_set.js";
+export * from "./server_window.js";
+export * from "./shed.js";
+export * from "./tiered_scheduler.js";
+export * from "./waiting_call.js";
--- /dev/null
+++ b/src/coordination/scheduling/pool_scheduler.ts
@@ -0,0 +1,347 @@
+/**
+ * Scheduling of one pool on one node: queue, windows, and what is shed.
+ *
+ * @module
+ */
+
+import { type AcceptedCall, type EngineEnd, Refusal, RefusalType } from "../../protocol/mod.js";
+import type { Clock, LoadView, PrefixIndex, RandomSource } from "../../state/mod.js";
+import { type Assignment, type AssignSettings, DispatchResult } from "../scheduler.js";
+import { DrainRate } from "./_drain_rate.js";
+import { type AssignmentListener, TrackedAssignment } from "./_tracked_assignment.js";
+import { AdmissionClaims } from "./admission_claims.js";
+import { CallQueue } from "./call_queue.js";
+import type { CostModel } from "./cost_model.js";
+import { type SchedulingObserver, ShedReason } from "./scheduling_observer.js";
+import { type ServerChoice, ServerSet } from "./server_set.js";
+import { OutstandingCall, type ServerWindow } from "./server_window.js";
+import { Shed } from "./shed.js";
+import { WaitingCall } from "./waiting_call.js";
+
+/** Calls that wait on one node for one pool at most. */
+export const MAX_WAITING_CALLS = 10_000;
+
+/** Bytes of bodies that wait on one node for one pool at most. */
+export const MAX_WAITING_BYTES = 64 * 1_048_576;
+
+/** Part of the time left at which a call's expected wait makes the node claim that lower tiers stop. */
+const CLAIM_WAIT_SHARE = 0.6;
+
+/** Part of the time left above which a call's expected wait has it refused at arrival. */
+const REFUSE_WAIT_SHARE = 0.8;
+
+/** Part of the limits on waiting calls and bytes above which lower tiers are stopped. */
+const CLAIM_FILL_SHARE = 0.8;
+
+/** Shortest and longest time after which a caller that was shed may ask again, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Age at which a claim has lapsed for every rank, in milliseconds. */
+const MAX_CLAIM_AGE_MS = 10_000;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Settings of a {@linkcode PoolScheduler}. */
+export interface PoolSchedulerSettings {
+    readonly pool: string;
+    readonly isService: boolean;
+    /** Id of this node. */
+    readonly node: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly costs: CostModel;
+    readonly prefixes: PrefixIndex;
+    readonly load: LoadView;
+    readonly observer: SchedulingObserver;
+    /** Returns the ranks with operations on the pool, the highest first. */
+    readonly ranks: () => readonly number[];
+    /** Is told when a claim of this node comes into force. */
+    readonly onClaim: () => void;
+}
+
+/** Decides on the calls of one pool. */
+export class PoolScheduler implements AssignmentListener {
+    readonly queue = new CallQueue();
+    readonly servers: ServerSet;
+    readonly claims: AdmissionClaims;
+    private readonly drain: DrainRate;
+    /** Time of the last dispatch of each rank, in milliseconds since the Unix epoch. */
+    private readonly dispatchedAtMs: number[] = [];
+
+    /** @param settings See {@linkcode PoolSchedulerSettings}. */
+    constructor(private readonly settings: PoolSchedulerSettings) {
+        const { clock, node, random, prefixes, load, isService } = settings;
+        this.servers = new ServerSet({ node, random, prefixes, load, isService });
+        this.claims = new AdmissionClaims(clock);
+        this.drain = new DrainRate(clock.now());
+    }
+
+    /** Waits until the call may be dispatched, or sheds it. */
+    async assign(call: AcceptedCall, assign: AssignSettings): Promise<Assignment> {
+        if (!this.servers.hasServer(assign.excluded)) {
+            const detail = `Pool "${this.settings.pool}" has no backend server that takes work. Try again.`;
+            throw new Refusal(RefusalType.NoBackendServer, detail, { retryAfterMs: MIN_RETRY_AFTER_MS });
+        }
+        const waiting = this.makeWaiting(call, assign);
+        const onAbort = () => this.withdraw(waiting);
+        assign.signal.addEventListener("abort", onAbort, { once: true });
+        this.enter(waiting);
+        try {
+            return await waiting.assigned;
+        }
+        finally {
+            assign.signal.removeEventListener("abort", onAbort);
+        }
+    }
+
+    /** Does what recurs: measures the rate, gives up on what must be, and dispatches. */
+    tick(): void {
+        const nowMs = this.settings.clock.now();
+        this.drain.measure(nowMs);
+        this.claims.dropLapsed(MAX_CLAIM_AGE_MS);
+        this.servers.measureFastest();
+        for (const window of this.servers.all) {
+            window.peerTokens = this.settings.load.peerTokens(window.server.vm.id);
+        }
+        this.obeyClaims();
+        this.pump();
+    }
+
+    /** Gives up the waiting calls of ranks that claims have stopped. */
+    obeyClaims(): void {
+        for (;;) {
+            const rank = this.queue.lowestRank();
+            if (rank === undefined || !this.claims.isStopped(rank) || !this.isClear(rank)) {
+                return;
+            }
+            const waiting = this.queue.tier(rank).leastUrgent() as WaitingCall;
+            this.shed(waiting, ShedReason.HigherTier);
+        }
+    }
+
+    onToken(assignment: TrackedAssignment, first: boolean): void {
+        const { window, outstanding, call } = assignment;
+        const wasOpen = window.openIndex >= 0;
+        window.recordToken(outstanding, this.settings.clock.now());
+        this.servers.update(window);
+        if (first) {
+            this.settings.prefixes.store(window.server.vm.id, call.prefixBlocks ?? []);
+        }
+        if (this.queue.size > 0 && window.openIndex >= 0 && (first || !wasOpen)) {
+            this.pump();
+        }
+    }
+
+    onEnd({ call, window, outstanding }: TrackedAssignment, end: EngineEnd): void {
+        this.settings.costs.learn(call, end.outputTokens);
+        window.recordEnd(outstanding, end.cachedTokens);
+        if (end.cachedTokens < outstanding.cachedTokens) {
+            this.settings.observer.recordStalePrefix();
+        }
+        this.settings.prefixes.store(window.server.vm.id, call.prefixBlocks ?? []);
+    }
+
+    onRelease({ window, outstanding }: TrackedAssignment, result: DispatchResult): void {
+        const nowMs = this.settings.clock.now();
+        window.remove(outstanding, result === DispatchResult.Whole, nowMs);
+        this.servers.update(window);
+        if (result === DispatchResult.Whole) {
+            window.ejection.recordSuccess(nowMs);
+        }
+        else if (result === DispatchResult.Failed) {
+            this.recordFailure(window, nowMs);
+        }
+        this.pump();
+    }
+
+    private enter(waiting: WaitingCall): void {
+        this.queue.add(waiting);
+        if (this.claims.isStopped(waiting.rank) && this.isClear(waiting.rank)) {
+            this.shed(waiting, ShedReason.HigherTier);
+            return;
+        }
+        this.pump();
+        if (waiting.isSettled) {
+            return;
+        }
+        this.boundQueue();
+        if (!waiting.isSettled && !waiting.isRetry) {
+            this.checkArrival(waiting);
+        }
+    }
+
+    /** Refuses a call at its arrival when its wait would break its promise. */
+    private checkArrival(waiting: WaitingCall): void {
+        const { rank } = waiting;
+        const slackMs = waiting.startByMs - this.settings.clock.now();
+        const waitMs = this.expectedWaitMs(waiting);
+        if (waitMs > slackMs * CLAIM_WAIT_SHARE) {
+            this.stopBelow(rank);
+        }
+        if (waitMs > slackMs * REFUSE_WAIT_SHARE && this.isClear(rank)) {
+            this.shed(waiting, ShedReason.Arrival);
+        }
+    }
+
+    private boundQueue(): void {
+        const { queue } = this;
+        const fill = Math.max(queue.size / MAX_WAITING_CALLS, queue.bytes / MAX_WAITING_BYTES);
+        const lowest = queue.lowestRank();
+        if (lowest !== undefined && fill > CLAIM_FILL_SHARE) {
+            this.stopBelow(lowest);
+        }
+        while (queue.size > MAX_WAITING_CALLS || queue.bytes > MAX_WAITING_BYTES) {
+            const waiting = queue.tier(queue.lowestRank() as number).leastUrgent() as WaitingCall;
+            this.shed(waiting, ShedReason.QueueFull);
+        }
+    }
+
+    private pump(): void {
+        this.giveUpLate();
+        while (this.queue.size > 0 && this.servers.openCount > 0 && this.dispatchNext()) {
+            // Each turn dispatches one call.
+        }
+        this.drain.setBacklogged(this.queue.size > 0);
+    }
+
+    private dispatchNext(): boolean {
+        const nowMs = this.settings.clock.now();
+        for (const rank of this.queue.ranks) {
+            const tier = this.queue.tier(rank);
+            if (tier.size === 0) {
+                continue;
+            }
+            if (this.claims.isStopped(rank)) {
+                return false;
+            }
+            for (const waiting of tier.offered()) {
+                const choice = this.servers.choose(waiting, nowMs);
+                if (choice !== undefined) {
+                    this.dispatch(waiting, choice, nowMs);
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private dispatch(waiting: WaitingCall, choice: ServerChoice, nowMs: number): void {
+        const { window, cachedTokens } = choice;
+        this.queue.take(waiting);
+        this.dispatchedAtMs[waiting.rank] = nowMs;
+        this.drain.recordDispatch(waiting.rank, waiting.cost.tokens);
+        const outstanding = new OutstandingCall(waiting.cost, cachedTokens, nowMs);
+        window.add(outstanding);
+        this.servers.update(window);
+        this.settings.observer.recordDispatch(waiting, nowMs - waiting.arrivedAtMs);
+        waiting.resolve(new TrackedAssignment(waiting.call, outstanding, window, this));
+    }
+
+    /** Marks calls that can no longer be in time, and gives up those that no lower tier went ahead of. */
+    private giveUpLate(): void {
+        const nowMs = this.settings.clock.now();
+        for (let waiting = this.queue.nextLate(nowMs); waiting !== undefined; waiting = this.queue.nextLate(nowMs)) {
+            this.stopBelow(waiting.rank);
+            if (
+                waiting.arrivedAtMs >= this.clearSince(waiting.rank) && waiting.arrivedAtMs > this.lowerDispatchMs(waiting.rank)
+            ) {
+                this.shed(waiting, ShedReason.Late);
+            }
+        }
+    }
+
+    private shed(waiting: WaitingCall, reason: ShedReason): void {
+        this.queue.remove(waiting);
+        this.settings.observer.recordShed(waiting, reason);
+        const detail =
+            `Pool "${this.settings.pool}" is overloaded for tier "${waiting.call.tier.name}": ${reason}. Try again later.`;
+        waiting.reject(new Shed(reason, detail, this.retryAfterMs(waiting)));
+    }
+
+    private withdraw(waiting: WaitingCall): void {
+        if (waiting.isSettled) {
+            return;
+        }
+        this.queue.remove(waiting);
+        this.settings.observer.recordWithdrawn(waiting);
+        waiting.reject(new Refusal(RefusalType.CallerGone, "The call ended while it waited."));
+    }
+
+    private recordFailure(window: ServerWindow, nowMs: number): void {
+        let ejected = 0;
+        for (const other of this.servers.all) {
+            ejected += other.ejection.isEjected(nowMs) ? 1 : 0;
+        }
+        if (2 * (ejected + 1) <= this.servers.size && window.ejection.recordFailure(nowMs)) {
+            window.restart();
+            this.settings.observer.recordEjected(window.server.vm.id);
+        }
+    }
+
+    private stopBelow(rank: number): void {
+        const ranks = this.settings.ranks();
+        if (rank === ranks.at(-1)) {
+            return;
+        }
+        if (this.claims.claim(rank)) {
+            this.settings.onClaim();
+            this.obeyClaims();
+        }
+    }
+
+    private isClear(rank: number): boolean {
+        return this.clearSince(rank) <= this.settings.clock.now();
+    }
+
+    private clearSince(rank: number): number {
+        return this.claims.clearSince(rank, this.settings.ranks());
+    }
+
+    private lowerDispatchMs(rank: number): number {
+        let latest = -Infinity;
+        for (let lower = rank + 1; lower < this.dispatchedAtMs.length; lower++) {
+            latest = Math.max(latest, this.dispatchedAtMs[lower] ?? -Infinity);
+        }
+        return latest;
+    }
+
+    private expectedWaitMs(waiting: WaitingCall): number {
+        const tier = this.queue.tier(waiting.rank);
+        const fairTokens = tier.tokensOf(waiting.workspace) * Math.max(1, tier.activeWorkspaces);
+        const ahead = this.queue.tokensAbove(waiting.rank) + Math.min(tier.tokens, fairTokens);
+        return ahead / this.drain.leftFor(waiting.rank) * MS_PER_SECOND;
+    }
+
+    private retryAfterMs(waiting: WaitingCall): number {
+        const tokens = this.queue.tokensAbove(waiting.rank) + this.queue.tier(waiting.rank).tokens;
+        const drainMs = tokens / this.drain.leftFor(waiting.rank) * MS_PER_SECOND;
+        const spread = 1 + this.settings.random.next();
+        return Math.min(MAX_RETRY_AFTER_MS, spread * Math.max(MIN_RETRY_AFTER_MS, drainMs));
+    }
+
+    private makeWaiting(call: AcceptedCall, assign: AssignSettings): WaitingCall {
+        const cost = this.settings.costs.expect(call, assign.heldTokens ?? 0);
+        const arrivedAtMs = this.settings.clock.now();
+        const startByMs = this.startByMs(call, assign, cost.prefillTokens, cost.outputTokens);
+        return new WaitingCall({ call, assign, cost, arrivedAtMs, startByMs });
+    }
+
+    /** Returns the latest time at which the fastest backend server could still keep the promise. */
+    private startByMs(call: AcceptedCall, assign: AssignSettings, prefillTokens: number, outputTokens: number): number {
+        const [holder] = this.settings.prefixes.find(call.prefixBlocks ?? []);
+        const uncachedTokens = Math.max(1, prefillTokens - (holder?.tokens ?? 0));
+        let firstMs = Infinity;
+        let wholeMs = Infinity;
+        for (const { speed } of this.servers.all) {
+            const speedFirstMs = speed.firstTokenMs(uncachedTokens);
+            firstMs = Math.min(firstMs, speedFirstMs);
+            wholeMs = Math.min(wholeMs, speedFirstMs + outputTokens * speed.gapMs);
+        }
+        const { promise } = call.operation;
+        const promisesFirst = promise.firstTokenMs !== undefined && (assign.heldTokens ?? 0) === 0;
+        const firstBy = promisesFirst ? call.acceptedAtMs + (promise.firstTokenMs as number) - firstMs : Infinity;
+        return Math.min(firstBy, call.deadlineMs - wholeMs);
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling/server_set.ts
@@ -0,0 +1,223 @@
+/**
+ * Backend servers of one pool that this node sends to, and the choice among them.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import { type BackendServer, type LoadView, type PrefixIndex, type RandomSource, reportedTokens } from "../../state/mod.js";
+import { ServerWindow } from "./server_window.js";
+import type { WaitingCall } from "./waiting_call.js";
+
+/** Backend servers of one pool that a node sends to at most. */
+export const MAX_SUBSET = 48;
+
+/** Backend servers with room that are compared for one call. */
+const SAMPLE_SIZE = 8;
+
+/** Part of the peers' work at a backend server that is taken to be ahead of a new call. */
+const PEER_WORK_AHEAD = 0.1;
+
+/** Longest prefill that is sent to a backend server while a faster one exists, in milliseconds: it holds up all after it. */
+const MAX_PREFILL_MS = 360;
+
+/** Factor by which another backend server must be faster to count so. */
+const FASTER_FACTOR = 1.5;
+
+/** Settings of a {@linkcode ServerSet}. */
+export interface ServerSetSettings {
+    /** Id of this node, by which its subset is drawn. */
+    readonly node: string;
+    readonly random: RandomSource;
+    readonly prefixes: PrefixIndex;
+    readonly load: LoadView;
+    /** Whether the pool is one of plain services. */
+    readonly isService: boolean;
+}
+
+/** Choice of a backend server for one call. */
+export interface ServerChoice {
+    readonly window: ServerWindow;
+    /** Tokens of the prompt that it is believed to have cached. */
+    readonly cachedTokens: number;
+}
+
+/**
+ * Windows of the backend servers in this node's subset.
+ *
+ * The subset is drawn by rendezvous hashing, after Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates"
+ * (1998). Within it, a random few of those with room are compared, after Mitzenmacher, "The Power of Two Choices in Randomized
+ * Load Balancing" (2001).
+ */
+export class ServerSet {
+    private readonly windows = new Map<string, ServerWindow>();
+    private readonly open: ServerWindow[] = [];
+    private readonly weights = new Map<string, string>();
+    private fastestPrefillRate = 0;
+
+    /** @param settings See {@linkcode ServerSetSettings}. */
+    constructor(private readonly settings: ServerSetSettings) {}
+
+    /** All windows. */
+    get all(): Iterable<ServerWindow> {
+        return this.windows.values();
+    }
+
+    /** Number of backend servers in the subset. */
+    get size(): number {
+        return this.windows.size;
+    }
+
+    /** Number of backend servers with room for the highest tier. */
+    get openCount(): number {
+        return this.open.length;
+    }
+
+    /** Brings the set into line with the backend servers of the pool. */
+    replace(servers: readonly BackendServer[]): void {
+        const chosen = new Set(this.drawSubset(servers));
+        for (const [id, window] of this.windows) {
+            if (!chosen.has(window.server)) {
+                this.windows.delete(id);
+                this.close(window);
+            }
+        }
+        for (const server of chosen) {
+            if (!this.windows.has(server.vm.id)) {
+                const window = new ServerWindow(server, this.settings.isService);
+                this.windows.set(server.vm.id, window);
+                this.update(window);
+            }
+        }
+    }
+
+    /** Brings the list of backend servers with room into line with one window. */
+    update(window: ServerWindow): void {
+        const listed = this.windows.get(window.server.vm.id) === window;
+        if (!window.hasRoom || !listed) {
+            this.close(window);
+        }
+        else if (window.openIndex < 0) {
+            window.openIndex = this.open.push(window) - 1;
+        }
+    }
+
+    /** Whether any backend server but the excluded ones takes work, now or later. */
+    hasServer(excluded: ReadonlySet<string>): boolean {
+        for (const [id, window] of this.windows) {
+            if (window.server.takesWork && !excluded.has(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Finds the fastest backend server anew. */
+    measureFastest(): void {
+        this.fastestPrefillRate = 0;
+        for (const { speed } of this.windows.values()) {
+            this.fastestPrefillRate = Math.max(this.fastestPrefillRate, speed.tokensPerSecond);
+        }
+    }
+
+    /**
+     * Chooses the backend server with the earliest expected first token.
+     *
+     * Cached tokens need no prefill and so count as time saved, against the time that the load costs.
+     *
+     * @returns `undefined` when no backend server with room can keep the promise of a call that is not late yet.
+     */
+    choose(waiting: WaitingCall, nowMs: number): ServerChoice | undefined {
+        const holders = new Map<string, number>();
+        for (const { server, tokens } of this.settings.prefixes.find(waiting.call.prefixBlocks ?? [])) {
+            holders.set(server, tokens);
+        }
+        const limitMs = waiting.late ? Infinity : firstTokenLimitMs(waiting, nowMs);
+        let best: ServerChoice | undefined;
+        let bestMs = limitMs;
+        for (const window of this.candidates(holders)) {
+            const { id } = window.server.vm;
+            if (waiting.assign.excluded.has(id) || !window.takes(waiting.rank, nowMs)) {
+                continue;
+            }
+            const cachedTokens = Math.min(holders.get(id) ?? 0, Math.max(0, waiting.cost.prefillTokens - 1));
+            const uncachedTokens = waiting.cost.prefillTokens - cachedTokens;
+            if (!waiting.late && this.isTooLong(window, uncachedTokens)) {
+                continue;
+            }
+            const expectedMs = this.expectedFirstTokenMs(window, uncachedTokens, nowMs);
+            if (expectedMs < bestMs) {
+                best = { window, cachedTokens };
+                bestMs = expectedMs;
+            }
+        }
+        return best;
+    }
+
+    private expectedFirstTokenMs(window: ServerWindow, uncachedTokens: number, nowMs: number): number {
+        const othersTokens = reportedTokens(window.server, nowMs) + PEER_WORK_AHEAD * window.peerTokens;
+        return window.firstTokenMs(uncachedTokens, nowMs) + window.speed.prefillMs(othersTokens);
+    }
+
+    private isTooLong({ speed }: ServerWindow, uncachedTokens: number): boolean {
+        return speed.prefillMs(uncachedTokens) > MAX_PREFILL_MS &&
+            speed.tokensPerSecond * FASTER_FACTOR < this.fastestPrefillRate;
+    }
+
+    private *candidates(holders: ReadonlyMap<string, number>): Iterable<ServerWindow> {
+        if (this.open.length <= SAMPLE_SIZE) {
+            yield* this.open;
+            return;
+        }
+        for (let count = 0; count < SAMPLE_SIZE; count++) {
+            yield this.open[this.settings.random.below(this.open.length)];
+        }
+        for (const id of holders.keys()) {
+            const window = this.windows.get(id);
+            if (window !== undefined && window.openIndex >= 0) {
+                yield window;
+            }
+        }
+    }
+
+    private close(window: ServerWindow): void {
+        if (window.openIndex < 0) {
+            return;
+        }
+        const last = this.open.pop() as ServerWindow;
+        if (last !== window) {
+            this.open[window.openIndex] = last;
+            last.openIndex = window.openIndex;
+        }
+        window.openIndex = -1;
+    }
+
+    private drawSubset(servers: readonly BackendServer[]): readonly BackendServer[] {
+        const live = servers.filter(server => server.takesWork);
+        if (live.length <= MAX_SUBSET) {
+            return live;
+        }
+        const weighed = live.map(server => ({ server, weight: this.weightOf(server.vm.id) }));
+        weighed.sort((left, right) => left.weight < right.weight ? -1 : 1);
+        return weighed.slice(0, MAX_SUBSET).map(({ server }) => server);
+    }
+
+    private weightOf(id: string): string {
+        const known = this.weights.get(id);
+        if (known !== undefined) {
+            return known;
+        }
+        const weight = createHash("sha256").update(`${this.settings.node} ${id}`).digest("hex");
+        this.weights.set(id, weight);
+        return weight;
+    }
+}
+
+function firstTokenLimitMs(waiting: WaitingCall, nowMs: number): number {
+    const { call } = waiting;
+    const { firstTokenMs } = call.operation.promise;
+    if (firstTokenMs === undefined || (waiting.assign.heldTokens ?? 0) > 0) {
+        return Infinity;
+    }
+    return call.acceptedAtMs + firstTokenMs - nowMs;
+}
--- /dev/null
+++ b/src/coordination/scheduling/tiered_scheduler.ts
@@ -0,0 +1,187 @@
+/**
+ * Scheduler that keeps the tiers' order under overload, on one node and with its peers.
+ *
+ * @module
+ */
+
+import { runEffects, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import { type AcceptedCall, type Dissemination, schedulingWire, type SharedValue, Topic } from "../../protocol/mod.js";
+import {
+    type BackendTable,
+    type Clock,
+    type ConfigurationView,
+    type EventRing,
+    LoadView,
+    Part,
+    PoolKind,
+    PrefixIndex,
+    type RandomSource,
+} from "../../state/mod.js";
+import { type Assignment, type AssignSettings, Scheduler } from "../scheduler.js";
+import { CostModel } from "./cost_model.js";
+import { PoolScheduler } from "./pool_scheduler.js";
+import { SchedulingCounts } from "./scheduling_counts.js";
+
+/** Time between two recurring steps, in milliseconds. */
+const TICK_MS = 100;
+
+/** Time between two publications of this node's work and claims, in milliseconds. */
+const PUBLISH_INTERVAL_MS = 1_000;
+
+/** Backend servers that a node names in one publication at most. */
+const MAX_PUBLISHED_SERVERS = 16;
+
+/** Tokens in the unit of published work. */
+const PUBLISHED_UNIT_TOKENS = 1_000;
+
+/** Settings of a {@linkcode TieredScheduler}. */
+export interface TieredSchedulerSettings {
+    /** Id of this node. */
+    readonly node: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly table: BackendTable;
+    readonly view: ConfigurationView;
+    readonly dissemination: Dissemination;
+    readonly ring: EventRing;
+}
+
+/**
+ * Schedules the calls of all pools.
+ *
+ * @example
+ * const scheduler = new TieredScheduler(settings);
+ * void scheduler.run(signal);
+ * const assignment = await scheduler.assign(call, { signal, excluded: new Set() });
+ */
+export class TieredScheduler extends Scheduler {
+    /** Counts of decisions. */
+    readonly counts: SchedulingCounts;
+    private readonly schedulers = new Map<string, PoolScheduler>();
+    private readonly costs = new CostModel();
+    private readonly prefixes: PrefixIndex;
+    private readonly load = new LoadView();
+    private publishedAtMs = 0;
+
+    /** @param settings See {@linkcode TieredSchedulerSettings}. */
+    constructor(private readonly settings: TieredSchedulerSettings) {
+        super();
+        this.prefixes = new PrefixIndex(settings.clock);
+        this.counts = new SchedulingCounts(settings.ring);
+    }
+
+    /** Schedulers of the pools that have had calls, by pool. */
+    get pools(): ReadonlyMap<string, PoolScheduler> {
+        return this.schedulers;
+    }
+
+    override assign(call: AcceptedCall, settings: AssignSettings): Promise<Assignment> {
+        return this.pool(call.operation.pool).assign(call, settings);
+    }
+
+    override async run(signal: AbortSignal): Promise<void> {
+        const { clock, dissemination } = this.settings;
+        void runEffects(tap(value => this.take(value), dissemination.arrivals), newDefaultScheduler());
+        while (!signal.aborted) {
+            this.tick();
+            await clock.sleep(TICK_MS, signal);
+        }
+    }
+
+    private tick(): void {
+        const nowMs = this.settings.clock.now();
+        this.load.refresh(nowMs);
+        for (const [name, pool] of this.schedulers) {
+            pool.servers.replace(this.settings.table.inPool(name));
+            pool.tick();
+        }
+        if (nowMs - this.publishedAtMs >= PUBLISH_INTERVAL_MS) {
+            this.publish();
+            this.publishedAtMs = nowMs;
+        }
+    }
+
+    private pool(name: string): PoolScheduler {
+        const known = this.schedulers.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const { node, clock, random, table, view } = this.settings;
+        const isService = view.current.document.pools.find(pool => pool.name === name)?.kind === PoolKind.Service;
+        const pool = new PoolScheduler({
+            pool: name,
+            isService,
+            node,
+            clock,
+            random,
+            costs: this.costs,
+            prefixes: this.prefixes,
+            load: this.load,
+            observer: this.counts,
+            ranks: () => this.ranksOf(name),
+            onClaim: () => this.publishClaims(name),
+        });
+        pool.servers.replace(table.inPool(name));
+        this.schedulers.set(name, pool);
+        return pool;
+    }
+
+    private ranksOf(pool: string): readonly number[] {
+        const { view } = this.settings;
+        const ranks = new Set<number>();
+        for (const operation of view.current.document.operations) {
+            const tier = view.tier(operation.tier);
+            if (operation.pool === pool && tier !== undefined) {
+                ranks.add(tier.rank);
+            }
+        }
+        return [...ranks].sort((left, right) => left - right);
+    }
+
+    private publish(): void {
+        for (const [name, pool] of this.schedulers) {
+            this.publishClaims(name);
+            const works = [...pool.servers.all]
+                .map(({ server, outstandingTokens }) => ({
+                    server: server.vm.id,
+                    kilotokens: Math.round(outstandingTokens / PUBLISHED_UNIT_TOKENS),
+                }))
+                .filter(work => work.kilotokens > 0)
+                .sort((left, right) => right.kilotokens - left.kilotokens);
+            const servers = works.slice(0, MAX_PUBLISHED_SERVERS);
+            this.settings.dissemination.publish(Topic.SentLoad, name, schedulingWire.SentWork.encode({ servers }).finish());
+        }
+    }
+
+    private publishClaims(name: string): void {
+        for (const own of this.schedulers.get(name)?.claims.renew() ?? []) {
+            const claim = schedulingWire.AdmissionClaim.encode({ pool: name, ...own });
+            this.settings.dissemination.publish(Topic.AdmissionLevel, `${name} ${own.lowestRank}`, claim.finish());
+        }
+    }
+
+    private take(value: SharedValue): void {
+        try {
+            this.decode(value);
+        }
+        catch (error) {
+            const text = `Value of ${value.origin} was not understood: ${(error as Error).message}.`;
+            this.settings.ring.record({ part: Part.Schedule, kind: "valueSkipped", text, peer: value.origin });
+        }
+    }
+
+    private decode(value: SharedValue): void {
+        if (value.topic === Topic.AdmissionLevel) {
+            const claim = schedulingWire.AdmissionClaim.decode(value.data);
+            const pool = this.pool(claim.pool);
+            pool.claims.take(value.origin, claim, value.ageMs);
+            pool.obeyClaims();
+        }
+        if (value.topic === Topic.SentLoad) {
+            const { servers } = schedulingWire.SentWork.decode(value.data);
+            const works = servers.map(work => ({ server: work.server, tokens: work.kilotokens * PUBLISHED_UNIT_TOKENS }));
+            this.load.takePeer(`${value.origin} ${value.key}`, works, this.settings.clock.now() - value.ageMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduling/waiting_call.ts
@@ -0,0 +1,82 @@
+/**
+ * Call that waits for a backend server.
+ *
+ * @module
+ */
+
+import type { AcceptedCall, Refusal } from "../../protocol/mod.js";
+import type { Assignment, AssignSettings } from "../scheduler.js";
+import type { CallCost } from "./cost_model.js";
+
+/** Settings of a {@linkcode WaitingCall}. */
+export interface WaitingCallSettings {
+    readonly call: AcceptedCall;
+    readonly assign: AssignSettings;
+    readonly cost: CallCost;
+    /** Time at which the call began to wait, in milliseconds since the Unix epoch. */
+    readonly arrivedAtMs: number;
+    /** Latest time of a dispatch that can keep the promise, in milliseconds since the Unix epoch. */
+    readonly startByMs: number;
+}
+
+/** Call in a queue, with the promise of its assignment. */
+export class WaitingCall {
+    readonly call: AcceptedCall;
+    readonly assign: AssignSettings;
+    readonly cost: CallCost;
+    readonly arrivedAtMs: number;
+    readonly startByMs: number;
+    /** Whether the call can no longer be dispatched in time. */
+    late = false;
+    /** Whether the call has left the queue. */
+    isSettled = false;
+    /** Resolves when the call may be dispatched; rejects when it is shed. */
+    readonly assigned: Promise<Assignment>;
+    private settle!: (assignment: Assignment) => void;
+    private fail!: (refusal: Refusal) => void;
+
+    /** @param settings See {@linkcode WaitingCallSettings}. */
+    constructor(settings: WaitingCallSettings) {
+        this.call = settings.call;
+        this.assign = settings.assign;
+        this.cost = settings.cost;
+        this.arrivedAtMs = settings.arrivedAtMs;
+        this.startByMs = settings.startByMs;
+        this.assigned = new Promise((resolve, reject) => {
+            this.settle = resolve;
+            this.fail = reject;
+        });
+    }
+
+    /** Importance of the call's tier: 0 is the highest. */
+    get rank(): number {
+        return this.call.tier.rank;
+    }
+
+    /** Name of the workspace that the call belongs to. */
+    get workspace(): string {
+        return this.call.workspace.name;
+    }
+
+    /** Bytes that the call holds in memory. */
+    get bytes(): number {
+        return this.call.incoming.body.length;
+    }
+
+    /** Whether the call was accepted before and waits for another attempt. */
+    get isRetry(): boolean {
+        return this.assign.excluded.size > 0;
+    }
+
+    /** Gives the call its backend server. */
+    resolve(assignment: Assignment): void {
+        this.isSettled = true;
+        this.settle(assignment);
+    }
+
+    /** Sheds the call. */
+    reject(refusal: Refusal): void {
+        this.isSettled = true;
+        this.fail(refusal);
+    }
+}
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -11,11 +11,12 @@
     CallResolver,
     ConfigurationFollower,
     Dispatcher,
-    LeastLoadedScheduler,
     LocalCallGuard,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
+    type Scheduler,
+    TieredScheduler,
 } from "../coordination/mod.js";
 import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
 import {
@@ -43,6 +44,8 @@
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
     readonly observer: CallObserver;
+    /** Makes the scheduler of a node. Defaults to a {@linkcode TieredScheduler}. */
+    readonly makeScheduler?: (node: EntryNode) => Scheduler;
 }
 
 /** State and coordination of one entry VM. */
@@ -51,6 +54,7 @@
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
+    readonly scheduler: Scheduler;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
     /** Entry VMs of the last VM list, this one included. */
@@ -68,7 +72,10 @@
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
         this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
-        const scheduler = new LeastLoadedScheduler(table, random);
+        const { node, dissemination } = settings;
+        const scheduler = settings.makeScheduler?.(this) ??
+            new TieredScheduler({ node, clock, random, table, view, dissemination, ring });
+        this.scheduler = scheduler;
         this.handler = new RequestHandler({
             clock,
             ring,
@@ -92,7 +99,8 @@
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
         };
         void runEffects(tap(keepEntryVms, this.watch.lists), newDefaultScheduler());
-        this.tasks = [this.follower.run(this.stopped.signal), this.watch.run(this.stopped.signal)];
+        const { signal } = this.stopped;
+        this.tasks = [this.follower.run(signal), this.watch.run(signal), this.scheduler.run(signal)];
     }
 
     /** Ends the tasks. */
--- a/src/protocol/call.ts
+++ b/src/protocol/call.ts
@@ -47,6 +47,8 @@
     readonly maxOutputTokens: number;
     /** Whether the answer is streamed. */
     readonly streamed: boolean;
+    /** Blocks of the prompt's prefix, by which engines name their cache. Defaults to none. */
+    readonly prefixBlocks?: readonly string[];
 }
 
 /** Head of an answer. */
--- a/src/protocol/chat_completion.ts
+++ b/src/protocol/chat_completion.ts
@@ -5,6 +5,7 @@
  */
 
 import { z } from "zod";
+import { hashPrefix } from "./prefix_blocks.js";
 import { Refusal, RefusalType } from "./refusal.js";
 import { describeIssue } from "./schema_problem.js";
 
@@ -36,6 +37,8 @@
     readonly maxOutputTokens: number;
     /** Estimated length of the prompt in tokens. */
     readonly promptTokens: number;
+    /** Blocks of the prompt's prefix. */
+    readonly prefixBlocks: readonly string[];
 }
 
 /**
@@ -50,12 +53,13 @@
         const problem = describeIssue(result.error.issues[0], "body");
         throw new Refusal(RefusalType.InvalidRequest, problem.text, { field: problem.path });
     }
-    const promptBytes = result.data.messages.reduce((sum, message) => sum + message.content.length, 0);
+    const prompt = result.data.messages.map(message => message.content).join("\n");
     return {
         model: result.data.model,
         streamed: result.data.stream,
         maxOutputTokens: result.data.max_tokens,
-        promptTokens: Math.max(1, Math.ceil(promptBytes / BYTES_PER_TOKEN)),
+        promptTokens: Math.max(1, Math.ceil(prompt.length / BYTES_PER_TOKEN)),
+        prefixBlocks: hashPrefix(prompt),
     };
 }
 
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -11,4 +11,6 @@
 export * from "./configuration_view.js";
 export * from "./event_ring.js";
 export * from "./hybrid_clock.js";
+export * from "./load_view.js";
+export * from "./prefix_index.js";
 export * from "./random.js";
--- a/standin/engine_model.ts
+++ b/standin/engine_model.ts
@@ -96,6 +96,16 @@
     cancelled: number;
 }
 
+/** Sequence that has ended, whole or not. */
+export interface RetiredSequence {
+    readonly id: string;
+    readonly blocks: readonly string[];
+    /** Prompt tokens that were cached. */
+    readonly cachedTokens: number;
+    /** Prompt tokens that were prefilled. */
+    readonly prefilled: number;
+}
+
 /** Sequence that waits or runs. */
 interface Sequence {
     readonly id: string;
@@ -131,6 +141,8 @@
     };
     /** Version that the engine runs. */
     version = "1.0";
+    /** Is told of each sequence that ends. */
+    onRetire: (sequence: RetiredSequence) => void = () => undefined;
     readonly cache: PrefixCache;
     private readonly waiting: Sequence[] = [];
     private readonly running = new Set<Sequence>();
@@ -282,6 +294,7 @@
         if (place >= 0) {
             this.waiting.splice(place, 1);
         }
+        this.onRetire(sequence);
         if (!whole) {
             this.counts.cancelled += 1;
             this.counts.wastedPrefillTokens += sequence.prefilled;
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -5,7 +5,7 @@
  */
 
 import { CallObserver } from "../src/coordination/mod.js";
-import { EntryNode } from "../src/daemon/mod.js";
+import { EntryNode, type NodeSettings } from "../src/daemon/mod.js";
 import {
     type AnswerHead,
     AnswerWriter,
@@ -36,6 +36,8 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** Settings of nodes that replace the usual ones. */
+    readonly node?: Pick<Partial<NodeSettings>, "observer" | "makeScheduler">;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -144,6 +146,7 @@
                     vmList: this.vmList,
                     dissemination: this.hub.join(id),
                     observer: new SilentObserver(),
+                    ...this.settings.node,
                 }),
             );
         }
