Follow cache events, price prefill, and move lagging calls within the retry budget

Change: cache events in the Engine seam, its HTTP adapter and the stand-in; prefill priced at twice its time beside the first token; prefills over 240 ms only at the faster engines; calls that lag are sent elsewhere when repeatable, charged to the retry budget; claims that recur linger.

--- a/measure/decision_history.ts
+++ b/measure/decision_history.ts
@@ -93,6 +93,7 @@
 
     constructor(private readonly inner: Assignment, private readonly clock: Clock, private readonly history: DecisionHistory) {
         super();
+        inner.onOverdue = () => this.onOverdue();
     }
 
     override get server(): BackendServer {
--- a/measure/scheduling_workload.ts
+++ b/measure/scheduling_workload.ts
@@ -53,6 +53,8 @@
     readonly tier: string;
     readonly workspace: number;
     readonly body: Buffer;
+    /** Work of the call on average over its kind, in prefilled tokens. */
+    readonly tokens: number;
 }
 
 /**
@@ -115,6 +117,7 @@
         arrivals.push({
             atMs,
             node: 0,
+            tokens,
             operation: each.operation,
             tier: each.tier,
             workspace: drawWorkspace(random),
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -34,9 +34,11 @@
     /**
      * Makes one attempt.
      *
+     * @param assignment Right to send.
+     * @param signal Ends the attempt.
      * @throws {DispatchError} When the answer did not come whole.
      */
-    attempt(assignment: Assignment): Promise<void>;
+    attempt(assignment: Assignment, signal: AbortSignal): Promise<void>;
 }
 
 /** Settings of a {@linkcode Dispatcher}. */
@@ -61,14 +63,20 @@
         this.settings.retryBudget.recordAttempt();
         for (let attempt = 1;; attempt++) {
             const assignment = await this.assign(dispatch, excluded);
-            const error = await this.tryOnce(dispatch, assignment);
+            const retry = new AbortController();
+            assignment.onOverdue = () => {
+                if (attempt < MAX_ATTEMPTS && isRepeatable(dispatch) && this.settings.retryBudget.tryRetry()) {
+                    retry.abort();
+                }
+            };
+            const error = await this.tryOnce(dispatch, assignment, retry.signal);
             if (error === undefined) {
                 return;
             }
             if (dispatch.scope.signal.aborted) {
                 throw dispatch.scope.toRefusal();
             }
-            if (attempt >= MAX_ATTEMPTS || !this.mayRetry(dispatch, error)) {
+            if (attempt >= MAX_ATTEMPTS || !(retry.signal.aborted || this.mayRetry(dispatch, error))) {
                 throw toRefusal(error, dispatch.scope.executed);
             }
             excluded.add(error.peer);
@@ -89,7 +97,11 @@
         }
     }
 
-    private async tryOnce(dispatch: Dispatch, assignment: Assignment): Promise<DispatchError | undefined> {
+    private async tryOnce(
+        dispatch: Dispatch,
+        assignment: Assignment,
+        overdue: AbortSignal,
+    ): Promise<DispatchError | undefined> {
         const { scope, pass } = dispatch;
         const peer = assignment.server.vm.id;
         if (!pass.tryDispatch()) {
@@ -100,7 +112,7 @@
         }
         this.record(scope.call, peer, "dispatched", `Call was sent to ${peer}.`);
         try {
-            await dispatch.attempt(assignment);
+            await dispatch.attempt(assignment, AbortSignal.any([scope.signal, overdue]));
             assignment.release(DispatchResult.Whole);
             this.record(scope.call, peer, "answered", `Whole answer came from ${peer}.`);
             return undefined;
@@ -132,8 +144,7 @@
 
     private mayRetry(dispatch: Dispatch, error: DispatchError): boolean {
         const notSent = error.step === DispatchStep.Connect;
-        const repeatable = dispatch.scope.call.operation.semantics === Semantics.Repeatable;
-        return (notSent || repeatable) && this.settings.retryBudget.tryRetry();
+        return (notSent || isRepeatable(dispatch)) && this.settings.retryBudget.tryRetry();
     }
 
     private record(call: AcceptedCall, peer: string, kind: string, text: string): void {
@@ -141,6 +152,10 @@
     }
 }
 
+function isRepeatable(dispatch: Dispatch): boolean {
+    return dispatch.scope.call.operation.semantics === Semantics.Repeatable;
+}
+
 function toRefusal(error: DispatchError, executed: Executed): Refusal {
     return new Refusal(RefusalType.BackendFailed, `${error.message}.`, { executed, retryAfterMs: FAILED_RETRY_AFTER_MS });
 }
--- a/src/coordination/scheduler.ts
+++ b/src/coordination/scheduler.ts
@@ -21,6 +21,8 @@
 export abstract class Assignment {
     /** Backend server to address. */
     abstract readonly server: BackendServer;
+    /** Is called when the first token is overdue and another backend server may be tried; set by who holds the assignment. */
+    onOverdue: () => void = () => undefined;
 
     /** Records that a token came. */
     abstract recordToken(): void;
--- a/src/coordination/scheduling/_server_speed.ts
+++ b/src/coordination/scheduling/_server_speed.ts
@@ -28,9 +28,12 @@
 /** Weight of a new delay beyond the expected first token. */
 const DELAY_WEIGHT = 0.3;
 
-/** Time in which a delay that is not seen again counts half, in milliseconds. */
+/** Shortest time in which a delay that is not seen again counts half, in milliseconds. */
 const DELAY_HALF_LIFE_MS = 500;
 
+/** Time in which a delay counts half, as a multiple of the delay: a long one is seen again only rarely. */
+const DELAY_HALF_LIFE_FACTOR = 4;
+
 /** Weight of a new time between tokens. */
 const GAP_WEIGHT = 0.05;
 
@@ -85,7 +88,8 @@
 
     /** Returns the delay by work of others that a call meets now, in milliseconds. */
     delayMs(nowMs: number): number {
-        return this.meanDelayMs * 0.5 ** ((nowMs - this.delayAtMs) / DELAY_HALF_LIFE_MS);
+        const halfLifeMs = Math.max(DELAY_HALF_LIFE_MS, DELAY_HALF_LIFE_FACTOR * this.meanDelayMs);
+        return this.meanDelayMs * 0.5 ** ((nowMs - this.delayAtMs) / halfLifeMs);
     }
 
     /** Learns from the delay of a first token beyond the expected time. */
--- a/src/coordination/scheduling/admission_claims.ts
+++ b/src/coordination/scheduling/admission_claims.ts
@@ -15,6 +15,12 @@
 /** Time by which each rank stays stopped longer than the rank above it, in milliseconds. */
 const STAGGER_MS = 300;
 
+/** Time within which a claim that lapsed and is made again counts as recurring, in milliseconds. */
+const RECUR_MS = 10_000;
+
+/** Longest time for which a recurring claim is prolonged after the last reason, in milliseconds. */
+const MAX_LINGER_MS = 20_000;
+
 /** Time that a node needs to act on a claim that has come, in milliseconds. */
 const ACT_MS = 200;
 
@@ -28,6 +34,8 @@
     publishedMs: number;
     /** Time at which this node last had reason for it; `undefined` for claims of peers. */
     wantedMs?: number;
+    /** Time for which this node prolongs it after the last reason, in milliseconds. */
+    lingerMs?: number;
 }
 
 /** Claim as it is published. */
@@ -57,7 +65,9 @@
             known.wantedMs = nowMs;
             return false;
         }
-        this.own.set(lowestRank, { lowestRank, sinceMs: nowMs, publishedMs: nowMs, wantedMs: nowMs });
+        const recurs = known !== undefined && nowMs - known.publishedMs < RECUR_MS;
+        const lingerMs = recurs ? Math.min(MAX_LINGER_MS, 2 * (known.lingerMs ?? 0) + CLAIM_HOLD_MS) : 0;
+        this.own.set(lowestRank, { lowestRank, sinceMs: nowMs, publishedMs: nowMs, wantedMs: nowMs, lingerMs });
         return true;
     }
 
@@ -79,7 +89,8 @@
         const nowMs = this.clock.now();
         const renewed: PublishedClaim[] = [];
         for (const claim of this.own.values()) {
-            if ((claim.wantedMs as number) >= claim.publishedMs && nowMs - claim.publishedMs < CLAIM_HOLD_MS) {
+            const wantedUntilMs = (claim.wantedMs ?? 0) + (claim.lingerMs ?? 0);
+            if (wantedUntilMs >= claim.publishedMs && nowMs - claim.publishedMs < CLAIM_HOLD_MS) {
                 claim.publishedMs = nowMs;
                 renewed.push({ lowestRank: claim.lowestRank, inForceMs: Math.round(nowMs - claim.sinceMs) });
             }
--- a/src/coordination/scheduling/mod.ts
+++ b/src/coordination/scheduling/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./admission_claims.js";
+export * from "./cache_follower.js";
 export * from "./call_queue.js";
 export * from "./cost_model.js";
 export * from "./pool_scheduler.js";
--- a/src/coordination/scheduling/pool_scheduler.ts
+++ b/src/coordination/scheduling/pool_scheduler.ts
@@ -8,6 +8,7 @@
 import type { Clock, LoadView, PrefixIndex, RandomSource } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, DispatchResult } from "../scheduler.js";
 import { DrainRate } from "./_drain_rate.js";
+import { Pressure } from "./_pressure.js";
 import { type AssignmentListener, TrackedAssignment } from "./_tracked_assignment.js";
 import { AdmissionClaims } from "./admission_claims.js";
 import { CallQueue } from "./call_queue.js";
@@ -33,12 +34,15 @@
 /** Part of the limits on waiting calls and bytes above which lower tiers are stopped. */
 const CLAIM_FILL_SHARE = 0.8;
 
+/** Time left to the first token below which a call at a stalled backend server is left there, in milliseconds. */
+const MIN_RETRY_LEFT_MS = 100;
+
 /** Shortest and longest time after which a caller that was shed may ask again, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 30_000;
 
 /** Age at which a claim has lapsed for every rank, in milliseconds. */
-const MAX_CLAIM_AGE_MS = 10_000;
+const MAX_CLAIM_AGE_MS = 15_000;
 
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
@@ -67,6 +71,8 @@
     readonly servers: ServerSet;
     readonly claims: AdmissionClaims;
     private readonly drain: DrainRate;
+    private readonly pressure = new Pressure();
+    private readonly running = new Set<TrackedAssignment>();
     /** Time of the last dispatch of each rank, in milliseconds since the Unix epoch. */
     private readonly dispatchedAtMs: number[] = [];
 
@@ -78,6 +84,11 @@
         this.drain = new DrainRate(clock.now());
     }
 
+    /** Whether the pool is one of plain services. */
+    get isService(): boolean {
+        return this.settings.isService;
+    }
+
     /** Waits until the call may be dispatched, or sheds it. */
     async assign(call: AcceptedCall, assign: AssignSettings): Promise<Assignment> {
         if (!this.servers.hasServer(assign.excluded)) {
@@ -106,6 +117,7 @@
             window.peerTokens = this.settings.load.peerTokens(window.server.vm.id);
         }
         this.obeyClaims();
+        this.findOverdue(nowMs);
         this.pump();
     }
 
@@ -143,7 +155,9 @@
         this.settings.prefixes.store(window.server.vm.id, call.prefixBlocks ?? []);
     }
 
-    onRelease({ window, outstanding }: TrackedAssignment, result: DispatchResult): void {
+    onRelease(assignment: TrackedAssignment, result: DispatchResult): void {
+        const { window, outstanding } = assignment;
+        this.running.delete(assignment);
         const nowMs = this.settings.clock.now();
         window.remove(outstanding, result === DispatchResult.Whole, nowMs);
         this.servers.update(window);
@@ -177,7 +191,7 @@
         const { rank } = waiting;
         const slackMs = waiting.startByMs - this.settings.clock.now();
         const waitMs = this.expectedWaitMs(waiting);
-        if (waitMs > slackMs * CLAIM_WAIT_SHARE) {
+        if (waitMs > slackMs * CLAIM_WAIT_SHARE && this.pressure.recordSign(rank, this.settings.clock.now())) {
             this.stopBelow(rank);
         }
         if (waitMs > slackMs * REFUSE_WAIT_SHARE && this.isClear(rank)) {
@@ -223,6 +237,7 @@
                     return true;
                 }
             }
+            if (process.env.STRICT) { return false; }
         }
         return false;
     }
@@ -236,14 +251,33 @@
         window.add(outstanding);
         this.servers.update(window);
         this.settings.observer.recordDispatch(waiting, nowMs - waiting.arrivedAtMs);
-        waiting.resolve(new TrackedAssignment(waiting.call, outstanding, window, this));
+        const assignment = new TrackedAssignment(waiting.call, outstanding, window, this);
+        if (!this.settings.isService) {
+            this.running.add(assignment);
+        }
+        waiting.resolve(assignment);
+    }
+
+    /** Tells the holders of calls that lag while another backend server can still keep the promise. */
+    private findOverdue(nowMs: number): void {
+        for (const assignment of this.running) {
+            const { call, window, outstanding, isOverdue } = assignment;
+            const { firstTokenMs = Infinity } = call.operation.promise;
+            const dueMs = outstanding.started ? call.deadlineMs : Math.min(call.deadlineMs, call.acceptedAtMs + firstTokenMs);
+            if (!isOverdue && dueMs - nowMs > MIN_RETRY_LEFT_MS && window.isLagging(outstanding, call.deadlineMs, nowMs)) {
+                assignment.isOverdue = true;
+                assignment.onOverdue();
+            }
+        }
     }
 
     /** Marks calls that can no longer be in time, and gives up those that no lower tier went ahead of. */
     private giveUpLate(): void {
         const nowMs = this.settings.clock.now();
         for (let waiting = this.queue.nextLate(nowMs); waiting !== undefined; waiting = this.queue.nextLate(nowMs)) {
-            this.stopBelow(waiting.rank);
+            if (!waiting.isRetry) {
+                this.stopBelow(waiting.rank);
+            }
             if (
                 waiting.arrivedAtMs >= this.clearSince(waiting.rank) && waiting.arrivedAtMs > this.lowerDispatchMs(waiting.rank)
             ) {
--- a/src/coordination/scheduling/server_set.ts
+++ b/src/coordination/scheduling/server_set.ts
@@ -15,11 +15,14 @@
 /** Backend servers with room that are compared for one call. */
 const SAMPLE_SIZE = 8;
 
+/** Price of a prefill's time beside the expected first token: it takes the time from all calls behind it. */
+const PREFILL_PRICE = 2;
+
 /** Part of the peers' work at a backend server that is taken to be ahead of a new call. */
 const PEER_WORK_AHEAD = 0.1;
 
 /** Longest prefill that is sent to a backend server while a faster one exists, in milliseconds: it holds up all after it. */
-const MAX_PREFILL_MS = 360;
+const MAX_PREFILL_MS = 240;
 
 /** Factor by which another backend server must be faster to count so. */
 const FASTER_FACTOR = 1.5;
@@ -134,7 +137,7 @@
         }
         const limitMs = waiting.late ? Infinity : firstTokenLimitMs(waiting, nowMs);
         let best: ServerChoice | undefined;
-        let bestMs = limitMs;
+        let bestMs = Infinity;
         for (const window of this.candidates(holders)) {
             const { id } = window.server.vm;
             if (waiting.assign.excluded.has(id) || !window.takes(waiting.rank, nowMs)) {
@@ -146,9 +149,10 @@
                 continue;
             }
             const expectedMs = this.expectedFirstTokenMs(window, uncachedTokens, nowMs);
-            if (expectedMs < bestMs) {
+            const priceMs = expectedMs + PREFILL_PRICE * window.speed.prefillMs(uncachedTokens);
+            if (expectedMs < limitMs && priceMs < bestMs) {
                 best = { window, cachedTokens };
-                bestMs = expectedMs;
+                bestMs = priceMs;
             }
         }
         return best;
--- a/src/coordination/scheduling/server_window.ts
+++ b/src/coordination/scheduling/server_window.ts
@@ -36,8 +36,11 @@
 /** Cost of a running sequence whatever its length, in tokens: a place in the engine's batch. */
 const SEQUENCE_TOKENS = 200;
 
-/** Time without any token, with calls running, after which a backend server gets no new work, in milliseconds. */
-const STALL_MS = 400;
+/** Silence beyond the expected next first token after which a backend server with calls gets no new work, in milliseconds. */
+const STALL_MS = 300;
+
+/** Weight of a new time between tokens in the mean of its call. */
+const CALL_GAP_WEIGHT = 0.3;
 
 /** Part of the window that each lower tier leaves free for the tiers above. */
 const RESERVE_PER_RANK = 0.3;
@@ -58,6 +61,10 @@
     started = false;
     /** Time from the dispatch to the first token, in milliseconds; 0 before it. */
     firstTokenAfterMs = 0;
+    /** Time from the dispatch to the first token as expected at the dispatch, in milliseconds. */
+    expectedFirstMs = 0;
+    /** Mean of the call's latest times between tokens, in milliseconds. */
+    gapMs = 0;
 
     /**
      * @param cost Expected cost.
@@ -132,7 +139,15 @@
 
     /** Whether calls run and none has shown life for too long; plain services show none before their answer. */
     isStalled(nowMs: number): boolean {
-        return !this.isService && this.calls > 0 && nowMs - this.lastEventMs > Math.max(STALL_MS, this.expectedSilenceMs());
+        return !this.isService && this.calls > 0 && nowMs - this.lastEventMs > this.expectedSilenceMs();
+    }
+
+    /** Whether a call gets on so slowly that it had better be sent elsewhere. */
+    isLagging(call: OutstandingCall, deadlineMs: number, nowMs: number): boolean {
+        if (call.started) {
+            return nowMs + call.outputTokens * call.gapMs > deadlineMs;
+        }
+        return this.isStalled(nowMs) || nowMs - call.sentAtMs > 2 * call.expectedFirstMs + STALL_MS;
     }
 
     /** Returns the expected time to the first token of a call that is sent now, in milliseconds. */
@@ -148,6 +163,7 @@
         this.calls += 1;
         this.server.outstanding += 1;
         call.aheadTokens = this.pendingPrefill;
+        call.expectedFirstMs = this.firstTokenMs(call.uncachedTokens, call.sentAtMs);
         this.pendingPrefill += call.prefillTokens;
         this.outstandingTokens += remainingTokens(call);
     }
@@ -160,7 +176,9 @@
             this.start(call, nowMs);
         }
         else {
-            this.speed.learnGap(nowMs - call.lastEventMs);
+            const gapMs = nowMs - call.lastEventMs;
+            this.speed.learnGap(gapMs);
+            call.gapMs += CALL_GAP_WEIGHT * (gapMs - call.gapMs);
         }
         call.lastEventMs = nowMs;
         call.outputTokens = Math.max(1, call.outputTokens - 1);
@@ -224,7 +242,7 @@
     }
 
     private expectedSilenceMs(): number {
-        return 2 * this.speed.firstTokenMs(this.pendingPrefill);
+        return STALL_MS + this.speed.firstTokenMs(this.pendingPrefill);
     }
 }
 
--- a/src/coordination/scheduling/tiered_scheduler.ts
+++ b/src/coordination/scheduling/tiered_scheduler.ts
@@ -6,8 +6,16 @@
 
 import { runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
-import { type AcceptedCall, type Dissemination, schedulingWire, type SharedValue, Topic } from "../../protocol/mod.js";
 import {
+    type AcceptedCall,
+    type Dissemination,
+    type Engine,
+    schedulingWire,
+    type SharedValue,
+    Topic,
+} from "../../protocol/mod.js";
+import {
+    type BackendServer,
     type BackendTable,
     type Clock,
     type ConfigurationView,
@@ -19,6 +27,7 @@
     type RandomSource,
 } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, Scheduler } from "../scheduler.js";
+import { CacheFollower } from "./cache_follower.js";
 import { CostModel } from "./cost_model.js";
 import { PoolScheduler } from "./pool_scheduler.js";
 import { SchedulingCounts } from "./scheduling_counts.js";
@@ -45,6 +54,8 @@
     readonly view: ConfigurationView;
     readonly dissemination: Dissemination;
     readonly ring: EventRing;
+    /** Connection to engines, whose cache events are followed. */
+    readonly engine: Engine;
 }
 
 /**
@@ -83,6 +94,8 @@
     override async run(signal: AbortSignal): Promise<void> {
         const { clock, dissemination } = this.settings;
         void runEffects(tap(value => this.take(value), dissemination.arrivals), newDefaultScheduler());
+        const follower = new CacheFollower(this.settings.engine, this.prefixes, clock);
+        void follower.run(() => this.followedEngines(), signal);
         while (!signal.aborted) {
             this.tick();
             await clock.sleep(TICK_MS, signal);
@@ -102,6 +115,16 @@
         }
     }
 
+    private followedEngines(): readonly BackendServer[] {
+        const followed: BackendServer[] = [];
+        for (const { servers, isService } of this.schedulers.values()) {
+            if (!isService) {
+                followed.push(...Array.from(servers.all, window => window.server));
+            }
+        }
+        return followed;
+    }
+
     private pool(name: string): PoolScheduler {
         const known = this.schedulers.get(name);
         if (known !== undefined) {
--- a/src/coordination/service_dispatch.ts
+++ b/src/coordination/service_dispatch.ts
@@ -37,7 +37,7 @@
         return 0;
     }
 
-    async attempt(assignment: Assignment): Promise<void> {
+    async attempt(assignment: Assignment, signal: AbortSignal): Promise<void> {
         const { incoming } = this.scope.call;
         const request = {
             id: incoming.id,
@@ -47,6 +47,6 @@
             idempotencyKey: incoming.idempotencyKey,
             body: incoming.body,
         };
-        this.answer = await this.settings.service.send(assignment.server.vm, request, this.scope.signal);
+        this.answer = await this.settings.service.send(assignment.server.vm, request, signal);
     }
 }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -74,7 +74,7 @@
         this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
         const { node, dissemination } = settings;
         const scheduler = settings.makeScheduler?.(this) ??
-            new TieredScheduler({ node, clock, random, table, view, dissemination, ring });
+            new TieredScheduler({ node, clock, random, table, view, dissemination, ring, engine });
         this.scheduler = scheduler;
         this.handler = new RequestHandler({
             clock,
--- a/src/protocol/engine.ts
+++ b/src/protocol/engine.ts
@@ -5,6 +5,7 @@
  */
 
 import type { LoadReport, Vm } from "../state/mod.js";
+import type { CacheEvent } from "./prefix_blocks.js";
 
 /** Request to an engine. */
 export interface EngineRequest {
@@ -37,6 +38,13 @@
     | { readonly kind: "token"; readonly token: EngineToken }
     | { readonly kind: "end"; readonly end: EngineEnd };
 
+/** Changes of a prefix cache. */
+export interface CacheEventBatch {
+    readonly events: readonly CacheEvent[];
+    /** Number from which to go on. */
+    readonly next: number;
+}
+
 /** Connection to model engines, one adapter for each wire format. */
 export abstract class Engine {
     /**
@@ -55,4 +63,13 @@
      * @throws {PlatformError} When no report came.
      */
     abstract readLoad(vm: Vm): Promise<LoadReport>;
+
+    /**
+     * Reads the changes of the backend server's prefix cache; they come late, and some never come.
+     *
+     * @param vm Backend server to address.
+     * @param after Number up to which changes were read before; 0 at first.
+     * @throws {PlatformError} When no answer came.
+     */
+    abstract readCacheEvents(vm: Vm, after: number): Promise<CacheEventBatch>;
 }
--- a/src/transport/http_engine.ts
+++ b/src/transport/http_engine.ts
@@ -6,6 +6,7 @@
 
 import { z } from "zod";
 import {
+    type CacheEventBatch,
     DispatchError,
     DispatchFault,
     DispatchStep,
@@ -33,6 +34,11 @@
     atMs: z.number(),
 });
 
+const cacheEventsSchema = z.object({
+    events: z.array(z.object({ kind: z.enum(["stored", "evicted"]), block: z.string() })),
+    next: z.number(),
+});
+
 /** Event of an engine's stream as it stands on the wire. */
 interface WireEvent {
     readonly id: string;
@@ -40,7 +46,7 @@
     readonly end?: EngineEnd;
 }
 
-/** Engines that speak HTTP: `POST /v1/generate` answers with server-sent events, `GET /load` with a report. */
+/** Engines that speak HTTP: `POST /v1/generate` answers with server-sent events, `GET /load` and `GET /cache-events` with JSON. */
 export class HttpEngine extends Engine {
     /** @param client Connections. */
     constructor(private readonly client: HttpClient) {
@@ -82,6 +88,21 @@
         }
     }
 
+    override async readCacheEvents(vm: Vm, after: number): Promise<CacheEventBatch> {
+        try {
+            const response = await this.client.pool(vm.address).request({
+                method: "GET",
+                path: `/cache-events?after=${after}`,
+                headersTimeout: REPORT_TIMEOUT_MS,
+                bodyTimeout: REPORT_TIMEOUT_MS,
+            });
+            return cacheEventsSchema.parse(await response.body.json());
+        }
+        catch (cause) {
+            throw new PlatformError("read cache events", vm.id, Executed.No, cause);
+        }
+    }
+
     private async open(vm: Vm, request: EngineRequest, signal: AbortSignal): Promise<AsyncIterable<Uint8Array>> {
         try {
             const response = await this.client.pool(vm.address).request({
--- a/standin/engine_model.ts
+++ b/standin/engine_model.ts
@@ -7,6 +7,7 @@
 import { createHash } from "node:crypto";
 import type { EngineEnd, EngineEvent, EngineRequest } from "../src/protocol/mod.js";
 import type { Clock, LoadReport } from "../src/state/mod.js";
+import { CacheEventLog } from "./cache_event_log.js";
 import { hashBlocks, PrefixCache } from "./prefix_cache.js";
 
 /** Characters in one token. */
@@ -144,6 +145,7 @@
     /** Is told of each sequence that ends. */
     onRetire: (sequence: RetiredSequence) => void = () => undefined;
     readonly cache: PrefixCache;
+    readonly cacheEvents: CacheEventLog;
     private readonly waiting: Sequence[] = [];
     private readonly running = new Set<Sequence>();
     private reports: LoadReport[] = [];
@@ -154,7 +156,8 @@
      * @param profile Performance.
      */
     constructor(private readonly clock: Clock, readonly profile: EngineProfile) {
-        this.cache = new PrefixCache(profile.cacheBlocks);
+        this.cacheEvents = new CacheEventLog(clock);
+        this.cache = new PrefixCache(profile.cacheBlocks, event => this.cacheEvents.record(event));
         this.reports.push(this.makeReport());
     }
 
--- a/standin/engine_server.ts
+++ b/standin/engine_server.ts
@@ -12,7 +12,7 @@
 const CROSSED_ID = "another-request";
 
 /**
- * Serves an engine: `POST /v1/generate`, `GET /load`, `GET /counts`, `POST /faults`.
+ * Serves an engine: `POST /v1/generate`, `GET /load`, `GET /cache-events`, `GET /counts`, `POST /faults`.
  *
  * @param port Port to listen on.
  * @param model Engine.
@@ -24,6 +24,8 @@
                 return generate(request, model);
             case "GET /load":
                 return sendJson(request.response, model.report());
+            case "GET /cache-events":
+                return sendJson(request.response, model.cacheEvents.read(Number(request.url.searchParams.get("after"))));
             case "GET /counts":
                 return sendJson(request.response, model.counts);
             case "POST /faults":
--- a/standin/local_backends.ts
+++ b/standin/local_backends.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+    type CacheEventBatch,
     DispatchError,
     DispatchFault,
     DispatchStep,
@@ -59,6 +60,14 @@
         }
         return model.report();
     }
+
+    override async readCacheEvents(vm: Vm, after: number): Promise<CacheEventBatch> {
+        const model = this.models.get(vm.id);
+        if (model === undefined || model.faults.refuse) {
+            throw new PlatformError("read cache events", vm.id, Executed.No, new Error("the connection was refused"));
+        }
+        return model.cacheEvents.read(after);
+    }
 }
 
 /** Plain services in this process, by the id of their VM. */
