--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,8 +4,14 @@
  * @module
  */
 
+import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
+import { proxyExperiment } from "./proxy.js";
 import { schedulingExperiment } from "./scheduling.js";
 
 /** Experiments in the order in which the help lists them. */
-export const experiments: readonly Experiment[] = [schedulingExperiment];
+export const experiments: readonly Experiment[] = [
+    proxyExperiment,
+    drainExperiment,
+    schedulingExperiment,
+];
