Prove scheduling by differential runs and tables of single decisions

Change: features/scheduling.feature: seven cases beside the naive scheduler with the shared inversion checker, answers checked word by word, refusals told at once, leaving and failing backend servers, fairness, claims and their decay, bounds, affinity, the checker.

--- /dev/null
+++ b/features/scheduling.feature
@@ -0,0 +1,95 @@
+Feature: Scheduling
+    Tiers are kept under overload, on every node and between nodes; what is given up is told at once.
+
+    Scenario Outline: beside a naive scheduler, no higher tier is shed first and no answer is lost or mixed up
+        When the scheduling case "<case>" runs for 14 s under both schedulers, seed <seed>
+        Then no higher tier was shed before a lower one
+        And every scheduled call got its own whole answer, a truthful refusal or a broken stream
+        And the scheduler keeps more "desk" promises than the naive one
+
+        Examples:
+            | case                     | seed |
+            | 1x                       | 11   |
+            | 2x                       | 11   |
+            | 3x                       | 12   |
+            | 10x lowest tier          | 13   |
+            | slow engine              | 14   |
+            | frozen reports           | 15   |
+            | 30% of cache events lost | 16   |
+
+    Scenario: a call that is given up on is answered at once
+        When the scheduling case "3x" runs for 14 s under both schedulers, seed 17
+        Then every call that was shed has "Retry-After", and executed "no" unless it was sent before, long before its deadline
+
+    Scenario: a leaving backend server gets no new work 3 s after the VM list shows it
+        Given the scheduling case "0.7x" with "language-model-6" leaving after 5 s
+        When it runs for 12 s, seed 21
+        Then "language-model-6" was sent work before 5 s, and none after 9 s
+
+    Scenario: a backend server that fails is ejected and comes back slowly
+        Given the scheduling case "0.7x" with "language-model-4" failing from 5 s to 8 s
+        When it runs for 20 s, seed 22
+        Then fewer than 25 calls were sent to "language-model-4" while it failed
+        And "language-model-4" was ejected, and was sent work again before the end
+
+    Scenario Outline: a workspace has its share whatever another one sends
+        Given <large> waiting calls of workspace "large" and <small> of "small" in one tier
+        When the first <count> calls are taken
+        Then at least <least> of them are of "small"
+
+        Examples:
+            | large | small | count | least |
+            | 100   | 5     | 10    | 4     |
+            | 5000  | 20    | 40    | 19    |
+            | 3     | 3     | 6     | 3     |
+
+    Scenario Outline: a claim stops lower ranks and decays when its origin is silent
+        Given a claim that rank <claimed> is the lowest admitted, in force for <force> ms, <age> ms old
+        Then rank <rank> is <stopped>, and rank <claimed> may be shed: <shed>
+
+        Examples:
+            | claimed | force | age  | rank | stopped | shed |
+            | 0       | 3000  | 100  | 1    | stopped | yes  |
+            | 0       | 3000  | 100  | 3    | stopped | yes  |
+            | 1       | 3000  | 100  | 1    | open    | yes  |
+            | 1       | 3000  | 100  | 2    | stopped | yes  |
+            | 0       | 0     | 100  | 1    | stopped | no   |
+            | 0       | 1000  | 100  | 1    | stopped | no   |
+            | 0       | 3000  | 3200 | 1    | stopped | no   |
+            | 0       | 3000  | 3400 | 1    | open    | no   |
+            | 0       | 3000  | 9000 | 3    | open    | no   |
+
+    Scenario Outline: the queue is bounded and the lowest tier gives way
+        Given a pool whose windows are full and <waiting> waiting calls of rank <rank>
+        When <more> calls of rank 0 arrive
+        Then <shed> calls of rank <rank> and no others were shed, and <left> calls wait
+
+        Examples:
+            | waiting | rank | more | shed | left  |
+            | 10000   | 3    | 5    | 5    | 10000 |
+            | 9990    | 3    | 5    | 0    | 9995  |
+
+    Scenario Outline: the checker finds an inversion
+        Given a call of rank <shed> that arrives at <arrives> and is <how> at <leaves>
+        And a call of rank <other> that arrives at <arrived> and is "dispatched" at <left>
+        Then the checker finds <found>
+
+        Examples:
+            | shed | arrives | how  | leaves | other | arrived | left | found               |
+            | 0    | 0       | shed | 0      | 1     | 0       | 50   | "still waiting"     |
+            | 0    | 0       | shed | 100    | 1     | 120     | 130  | "dispatched beside" |
+            | 0    | 0       | late | 100    | 1     | 20      | 40   | "went ahead"        |
+            | 0    | 0       | shed | 100    | 1     | 20      | 40   | nothing             |
+            | 0    | 0       | shed | 100    | 1     | 300     | 310  | nothing             |
+            | 1    | 0       | shed | 100    | 0     | 0       | 150  | nothing             |
+
+    Scenario Outline: a call goes to the engine that has its prefix, unless waiting there costs more
+        Given engines of equal speed where "<holder>" holds <held> tokens of a prompt of 2000 tokens
+        And "<holder>" has <pending> tokens to prefill before it
+        Then the call is sent to <choice>
+
+        Examples:
+            | holder   | held | pending | choice           |
+            | engine-2 | 1920 | 0       | "engine-2"       |
+            | engine-2 | 1920 | 1000    | "engine-2"       |
+            | engine-2 | 640  | 4000    | another engine   |
--- /dev/null
+++ b/features/steps/scheduling_part_steps.ts
@@ -0,0 +1,221 @@
+/**
+ * Steps about single decisions of the scheduler.
+ *
+ * @module
+ */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Departure, type Stay } from "../../measure/decision_history.js";
+import { findInversions } from "../../measure/inversions.js";
+import {
+    AdmissionClaims,
+    CallQueue,
+    OutstandingCall,
+    type PoolScheduler,
+    SchedulingObserver,
+    type ShedReason,
+    type WaitingCall,
+} from "../../src/coordination/mod.js";
+import { PREFIX_BLOCK_TOKENS, PrefixIndex, SeededRandom } from "../../src/state/mod.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
+import { makeCall, makePool, makeServers, makeWaiting } from "../support/scheduling_parts.js";
+import type { Scenario } from "../support/world.js";
+
+/** Tokens of the prompt whose prefix is held. */
+const PROMPT_TOKENS = 2_000;
+
+/** Engines of the affinity scenarios. */
+const ENGINE_COUNT = 3;
+
+/** Parts of one scenario. */
+class Parts {
+    readonly clock = new VirtualClock();
+    readonly queue = new CallQueue();
+    readonly taken: WaitingCall[] = [];
+    readonly observer = new KeepingObserver();
+    readonly stays: Stay[] = [];
+    claims = new AdmissionClaims(this.clock);
+    pool: PoolScheduler | undefined;
+}
+
+/** Observer that keeps what was shed and where calls went. */
+class KeepingObserver extends SchedulingObserver {
+    readonly shed: WaitingCall[] = [];
+
+    override recordDispatch(): void {
+        // The assignment tells where the call went.
+    }
+
+    override recordShed(waiting: WaitingCall, reason: ShedReason): void {
+        assert.ok(reason.length > 0);
+        this.shed.push(waiting);
+    }
+
+    override recordWithdrawn(): void {
+        // Not asked for.
+    }
+
+    override recordEjected(): void {
+        // Not asked for.
+    }
+
+    override recordStalePrefix(): void {
+        // Not asked for.
+    }
+}
+
+const partsOf = new WeakMap<Scenario, Parts>();
+
+function parts(scenario: Scenario): Parts {
+    const known = partsOf.get(scenario) ?? new Parts();
+    partsOf.set(scenario, known);
+    return known;
+}
+
+Given(
+    "{int} waiting calls of workspace {string} and {int} of {string} in one tier",
+    function(this: Scenario, large: number, first: string, small: number, second: string) {
+        const { queue, clock } = parts(this);
+        for (const [workspace, count] of [[first, large], [second, small]] as const) {
+            for (let index = 0; index < count; index++) {
+                queue.add(makeWaiting({ id: `${workspace}-${index}`, workspace, nowMs: clock.now() }));
+            }
+        }
+    },
+);
+
+When("the first {int} calls are taken", function(this: Scenario, count: number) {
+    const { queue, taken } = parts(this);
+    for (let index = 0; index < count; index++) {
+        const [next] = queue.tier(0).offered();
+        queue.take(next);
+        taken.push(next);
+    }
+});
+
+Then("at least {int} of them are of {string}", function(this: Scenario, least: number, workspace: string) {
+    const count = parts(this).taken.filter(waiting => waiting.workspace === workspace).length;
+    assert.ok(count >= least, `${count} are`);
+});
+
+Given(
+    "a claim that rank {int} is the lowest admitted, in force for {int} ms, {int} ms old",
+    function(this: Scenario, lowestRank: number, inForceMs: number, ageMs: number) {
+        parts(this).claims.take("entry-2", { lowestRank, inForceMs }, ageMs);
+    },
+);
+
+Then(
+    /^rank (\d+) is (stopped|open), and rank (\d+) may be shed: (yes|no)$/,
+    function(this: Scenario, rank: string, state: string, claimed: string, shed: string) {
+        const { claims, clock } = parts(this);
+        assert.equal(claims.isStopped(Number(rank)) ? "stopped" : "open", state);
+        assert.equal(claims.clearSince(Number(claimed), [0, 1, 2, 3]) <= clock.now() ? "yes" : "no", shed);
+    },
+);
+
+Given(
+    "a pool whose windows are full and {int} waiting calls of rank {int}",
+    function(this: Scenario, count: number, rank: number) {
+        const own = parts(this);
+        const pool = makePool({ clock: own.clock, random: new SeededRandom(1), observer: own.observer, servers: makeServers(1) });
+        own.pool = pool;
+        fillWindows(pool, own.clock);
+        sendCalls(own, count, rank);
+        assert.equal(pool.queue.size, count);
+    },
+);
+
+When("{int} calls of rank {int} arrive", async function(this: Scenario, count: number, rank: number) {
+    sendCalls(parts(this), count, rank);
+    await parts(this).clock.advance(1);
+});
+
+Then(
+    "{int} calls of rank {int} and no others were shed, and {int} calls wait",
+    function(this: Scenario, shed: number, rank: number, left: number) {
+        const { observer, pool } = parts(this);
+        assert.deepEqual([observer.shed.length, pool?.queue.size], [shed, left]);
+        assert.ok(observer.shed.every(waiting => waiting.rank === rank));
+    },
+);
+
+Given(
+    /^a call of rank (\d+) that arrives at (\d+) and is "?(shed|late|dispatched)"? at (\d+)$/,
+    function(this: Scenario, rank: string, arrived: string, how: string, left: string) {
+        parts(this).stays.push(makeStay({ rank: Number(rank), arrived: Number(arrived), left: Number(left), how }));
+    },
+);
+
+Then(/^the checker finds (?:"([^"]*)"|nothing)$/, function(this: Scenario, reason: string | undefined) {
+    const found = findInversions(parts(this).stays).map(inversion => inversion.reason as string);
+    assert.deepEqual(found, reason === undefined || reason === null ? [] : [reason]); // eslint-disable-line no-restricted-syntax
+});
+
+Given(
+    "engines of equal speed where {string} holds {int} tokens of a prompt of {int} tokens",
+    function(this: Scenario, holder: string, held: number, promptTokens: number) {
+        assert.equal(promptTokens, PROMPT_TOKENS);
+        const { clock, observer } = parts(this);
+        const prefixes = new PrefixIndex(clock);
+        prefixes.store(holder, promptBlocks().slice(0, held / PREFIX_BLOCK_TOKENS));
+        const servers = makeServers(ENGINE_COUNT);
+        parts(this).pool = makePool({ clock, random: new SeededRandom(1), observer, servers, prefixes });
+    },
+);
+
+Given("{string} has {int} tokens to prefill before it", function(this: Scenario, holder: string, pending: number) {
+    const { clock, pool } = parts(this);
+    const window = [...(pool?.servers.all ?? [])].find(each => each.server.vm.id === holder);
+    assert.ok(window !== undefined);
+    if (pending > 0) {
+        window.add(new OutstandingCall({ prefillTokens: pending, outputTokens: 1, tokens: pending }, 0, clock.now()));
+    }
+});
+
+Then(/^the call is sent to (?:"([^"]*)"|another engine)$/, async function(this: Scenario, choice: string | undefined) {
+    const { clock, pool } = parts(this);
+    const call = makeCall({ id: "call", promptTokens: PROMPT_TOKENS, prefixBlocks: promptBlocks(), nowMs: clock.now() });
+    const signal = new AbortController().signal;
+    const assignment = await pool?.assign(call, { signal, excluded: new Set() });
+    if (choice) {
+        assert.equal(assignment?.server.vm.id, choice);
+        return;
+    }
+    assert.notEqual(assignment?.server.vm.id, "engine-2");
+});
+
+function promptBlocks(): readonly string[] {
+    return Array.from({ length: Math.floor(PROMPT_TOKENS / PREFIX_BLOCK_TOKENS) }, (value, index) => `block-${index}`);
+}
+
+function fillWindows(pool: PoolScheduler, clock: VirtualClock): void {
+    for (const window of pool.servers.all) {
+        const tokens = 2 * window.limit;
+        window.add(new OutstandingCall({ prefillTokens: tokens, outputTokens: 1, tokens }, 0, clock.now()));
+        pool.servers.update(window);
+    }
+}
+
+function sendCalls({ pool, clock }: Parts, count: number, rank: number): void {
+    for (let index = 0; index < count; index++) {
+        const call = makeCall({ id: `${rank}-${index}`, rank, nowMs: clock.now() });
+        const signal = new AbortController().signal;
+        // Calls that are shed reject; the observer tells which.
+        pool?.assign(call, { signal, excluded: new Set() }).catch(() => undefined);
+    }
+}
+
+/** Short form of a stay. */
+interface StayForm {
+    readonly rank: number;
+    readonly arrived: number;
+    readonly left: number;
+    readonly how: string;
+}
+
+function makeStay({ rank, arrived, left, how }: StayForm): Stay {
+    const departure = how === "shed" ? Departure.Shed : how === "late" ? Departure.Late : Departure.Dispatched;
+    return { id: `${rank}`, node: "entry-1", pool: "pool", rank, arrivedAtMs: arrived, leftAtMs: left, departure };
+}
--- /dev/null
+++ b/features/steps/scheduling_run_steps.ts
@@ -0,0 +1,173 @@
+/**
+ * Steps that run cases of the scheduling experiment.
+ *
+ * @module
+ */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Stay } from "../../measure/decision_history.js";
+import { findInversions } from "../../measure/inversions.js";
+import { makeNaive, makeTiered, runSchedulingCase, SCHEDULING_CASES, type SchedulingCase } from "../../measure/scheduling.js";
+import type { CallOutcome, RunResult, TimedFault } from "../../measure/scheduling_run.js";
+import { VmState } from "../../src/state/mod.js";
+import { expectedAnswer } from "../../standin/engine_model.js";
+import type { Scenario } from "../support/world.js";
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Runs of one scenario. */
+interface Runs {
+    plan?: SchedulingCase;
+    current?: RunResult;
+    naive?: RunResult;
+}
+
+const runsOf = new WeakMap<Scenario, Runs>();
+
+When(
+    "the scheduling case {string} runs for {int} s under both schedulers, seed {int}",
+    async function(this: Scenario, name: string, seconds: number, seed: number) {
+        const plan = findCase(name);
+        const durationMs = seconds * MS_PER_SECOND;
+        const current = await runSchedulingCase(plan, { seed, durationMs, makeScheduler: makeTiered });
+        const naive = await runSchedulingCase(plan, { seed, durationMs, makeScheduler: makeNaive });
+        runsOf.set(this, { current, naive });
+    },
+);
+
+Given(
+    "the scheduling case {string} with {string} leaving after {int} s",
+    function(this: Scenario, name: string, server: string, seconds: number) {
+        const fault: TimedFault = { atMs: seconds * MS_PER_SECOND, apply: fleet => fleet.setVmState(server, VmState.Leaving) };
+        runsOf.set(this, { plan: { ...findCase(name), faults: [fault] } });
+    },
+);
+
+Given(
+    "the scheduling case {string} with {string} failing from {int} s to {int} s",
+    function(this: Scenario, name: string, server: string, from: number, until: number) {
+        const set = (serverError: boolean): TimedFault["apply"] => fleet => {
+            const engine = fleet.engines.get(server);
+            assert.ok(engine !== undefined);
+            engine.faults.serverError = serverError;
+        };
+        const faults = [{ atMs: from * MS_PER_SECOND, apply: set(true) }, { atMs: until * MS_PER_SECOND, apply: set(false) }];
+        runsOf.set(this, { plan: { ...findCase(name), faults } });
+    },
+);
+
+When("it runs for {int} s, seed {int}", async function(this: Scenario, seconds: number, seed: number) {
+    const { plan } = runsOf.get(this) ?? {};
+    assert.ok(plan !== undefined);
+    const settings = { seed, durationMs: seconds * MS_PER_SECOND, makeScheduler: makeTiered };
+    runsOf.set(this, { plan, current: await runSchedulingCase(plan, settings) });
+});
+
+Then("no higher tier was shed before a lower one", function(this: Scenario) {
+    const [first] = findInversions(currentOf(this).history.stays);
+    assert.equal(first, undefined, JSON.stringify(first));
+});
+
+Then("every scheduled call got its own whole answer, a truthful refusal or a broken stream", function(this: Scenario) {
+    const { outcomes, history } = currentOf(this);
+    const dispatched = new Set(history.stays.filter(stay => stay.server !== undefined).map(stay => stay.id));
+    for (const outcome of outcomes) {
+        const { writer, id } = outcome.answer;
+        if (outcome.status === 200) {
+            assert.ok(writer.ended || writer.aborted, id);
+            assert.ok(writer.aborted || streamText(writer.text) === expectedAnswer(outcome.arrival.body), id);
+            continue;
+        }
+        assert.ok(outcome.status >= 500, `${id} ${outcome.status}`);
+        assert.ok(!dispatched.has(id) || executedOf(outcome) === "unknown", `${id} ${writer.text}`);
+    }
+});
+
+Then("the scheduler keeps more {string} promises than the naive one", function(this: Scenario, tier: string) {
+    const kept = (run: RunResult) => run.outcomes.filter(outcome => outcome.arrival.tier === tier && outcome.kept).length;
+    const { naive } = runsOf.get(this) ?? {};
+    assert.ok(naive !== undefined);
+    assert.ok(kept(currentOf(this)) > kept(naive), `${kept(currentOf(this))} against ${kept(naive)}`);
+});
+
+Then(
+    "every call that was shed has {string}, and executed {string} unless it was sent before, long before its deadline",
+    function(this: Scenario, header: string, executed: string) {
+        const { outcomes, history } = currentOf(this);
+        const stays = new Map(history.stays.map(stay => [stay.id, stay]));
+        const sent = new Set(history.stays.filter(stay => stay.server !== undefined).map(stay => stay.id));
+        const shed = outcomes.filter(outcome => outcome.status === 503);
+        assert.ok(shed.length > 0);
+        for (const outcome of shed) {
+            const stay = stays.get(outcome.answer.id) as Stay;
+            assert.ok(Number(outcome.answer.writer.head?.headers?.[header.toLowerCase()]) >= 1, outcome.answer.writer.text);
+            assert.equal(executedOf(outcome), sent.has(outcome.answer.id) ? "unknown" : executed);
+            assert.ok(stay.leftAtMs - stay.arrivedAtMs < answerMsOf(outcome) / 2, JSON.stringify(stay));
+        }
+    },
+);
+
+Then(
+    "{string} was sent work before {int} s, and none after {int} s",
+    function(this: Scenario, server: string, before: number, after: number) {
+        const times = dispatchTimes(currentOf(this), server);
+        assert.ok(times.some(atMs => atMs < before * MS_PER_SECOND));
+        assert.deepEqual(times.filter(atMs => atMs > after * MS_PER_SECOND), []);
+    },
+);
+
+Then(
+    "fewer than {int} calls were sent to {string} while it failed",
+    function(this: Scenario, limit: number, server: string) {
+        const [from, until] = (runsOf.get(this)?.plan?.faults ?? []).map(fault => fault.atMs);
+        const sent = dispatchTimes(currentOf(this), server).filter(atMs => atMs >= from && atMs < until);
+        assert.ok(sent.length > 0 && sent.length < limit, `${sent.length} calls were sent`);
+    },
+);
+
+Then("{string} was ejected, and was sent work again before the end", function(this: Scenario, server: string) {
+    const run = currentOf(this);
+    const events = run.fleet.nodes.flatMap(node => node.ring.list());
+    assert.ok(events.some(event => event.kind === "ejected" && event.peer === server));
+    const until = runsOf.get(this)?.plan?.faults.at(-1)?.atMs ?? Infinity;
+    assert.ok(dispatchTimes(run, server).some(atMs => atMs > until));
+});
+
+function findCase(name: string): SchedulingCase {
+    const found = SCHEDULING_CASES.find(each => each.name === name);
+    assert.ok(found !== undefined, `no case is named "${name}"`);
+    return found;
+}
+
+function currentOf(scenario: Scenario): RunResult {
+    const { current } = runsOf.get(scenario) ?? {};
+    assert.ok(current !== undefined);
+    return current;
+}
+
+/** Returns the times of dispatches to a backend server since the first arrival, in milliseconds. */
+function dispatchTimes({ history, outcomes }: RunResult, server: string): readonly number[] {
+    const startMs = history.stays[0].arrivedAtMs - outcomes[0].arrival.atMs;
+    return history.stays.filter(stay => stay.server === server).map(stay => stay.leftAtMs - startMs);
+}
+
+function executedOf(outcome: CallOutcome): string {
+    return (JSON.parse(outcome.answer.writer.text) as { readonly executed: string }).executed;
+}
+
+function answerMsOf(outcome: CallOutcome): number {
+    return outcome.arrival.operation === "desk-question" || outcome.arrival.operation === "eligibility-flag" ? 5_000 : 30_000;
+}
+
+function streamText(text: string): string {
+    const events = text.split("\n\n").filter(event => event !== "").map(event => event.slice("data: ".length));
+    assert.equal(events.pop(), "[DONE]");
+    return events.map(event => (JSON.parse(event) as StreamEvent).choices[0].delta?.content ?? "").join("");
+}
+
+/** Part of a streamed chunk that the steps read. */
+interface StreamEvent {
+    readonly choices: readonly { readonly delta?: { readonly content?: string } }[];
+}
--- /dev/null
+++ b/features/support/scheduling_parts.ts
@@ -0,0 +1,121 @@
+/**
+ * Parts of the scheduler with small inputs, for tests of one decision.
+ *
+ * @module
+ */
+
+import { CostModel, PoolScheduler, type SchedulingObserver, WaitingCall } from "../../src/coordination/mod.js";
+import type { AcceptedCall } from "../../src/protocol/mod.js";
+import {
+    BackendServer,
+    type Clock,
+    LoadView,
+    PrefixIndex,
+    type RandomSource,
+    Semantics,
+    VmRole,
+    VmState,
+} from "../../src/state/mod.js";
+
+/** Length of a call's deadline, in milliseconds. */
+const ANSWER_MS = 3_600_000;
+
+/** Settings of {@linkcode makeCall}. */
+export interface TestCall {
+    readonly id: string;
+    readonly rank?: number;
+    readonly workspace?: string;
+    readonly promptTokens?: number;
+    readonly prefixBlocks?: readonly string[];
+    readonly nowMs: number;
+}
+
+/** Makes an accepted call. */
+export function makeCall(settings: TestCall): AcceptedCall {
+    const { id, rank = 0, workspace = "clinic", promptTokens = 100, prefixBlocks = [], nowMs } = settings;
+    const tier = { name: `tier-${rank}`, rank };
+    return {
+        incoming: {
+            id,
+            method: "POST",
+            path: "/v1/chat/completions",
+            query: "",
+            bearerKey: undefined,
+            idempotencyKey: undefined,
+            operationName: "operation",
+            contentType: "application/json",
+            body: Buffer.alloc(16),
+            gone: new AbortController().signal,
+        },
+        workspace: { name: workspace, keyHash: "" },
+        operation: {
+            name: "operation",
+            tier: tier.name,
+            pool: "pool",
+            semantics: Semantics.Repeatable,
+            promise: { answerMs: ANSWER_MS },
+            routes: [],
+        },
+        tier,
+        acceptedAtMs: nowMs,
+        deadlineMs: nowMs + ANSWER_MS,
+        promptTokens,
+        maxOutputTokens: 16,
+        streamed: true,
+        prefixBlocks,
+    };
+}
+
+/** Makes a waiting call. */
+export function makeWaiting(settings: TestCall): WaitingCall {
+    const call = makeCall(settings);
+    return new WaitingCall({
+        call,
+        assign: { signal: new AbortController().signal, excluded: new Set() },
+        cost: new CostModel().expect(call, 0),
+        arrivedAtMs: settings.nowMs,
+        startByMs: call.deadlineMs,
+    });
+}
+
+/** Makes backend servers `engine-1`, `engine-2` and so on. */
+export function makeServers(count: number): readonly BackendServer[] {
+    return Array.from({ length: count }, (value, index) =>
+        new BackendServer({
+            id: `engine-${index + 1}`,
+            role: VmRole.Backend,
+            address: `127.0.0.1:${index + 1}`,
+            failureDomain: "domain",
+            state: VmState.Live,
+            pool: "pool",
+        }));
+}
+
+/** Settings of {@linkcode makePool}. */
+export interface TestPool {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly observer: SchedulingObserver;
+    readonly servers: readonly BackendServer[];
+    readonly prefixes?: PrefixIndex;
+}
+
+/** Makes the scheduler of one pool with ranks 0 to 3. */
+export function makePool(settings: TestPool): PoolScheduler {
+    const { clock, random, observer, servers } = settings;
+    const pool = new PoolScheduler({
+        pool: "pool",
+        isService: false,
+        node: "entry-1",
+        clock,
+        random,
+        costs: new CostModel(),
+        prefixes: settings.prefixes ?? new PrefixIndex(clock),
+        load: new LoadView(),
+        observer,
+        ranks: () => [0, 1, 2, 3],
+        onClaim: () => undefined,
+    });
+    pool.servers.replace(servers);
+    return pool;
+}
--- a/measure/scheduling.ts
+++ b/measure/scheduling.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { TieredScheduler } from "../src/coordination/mod.js";
+import { type Scheduler, TieredScheduler } from "../src/coordination/mod.js";
 import type { EntryNode } from "../src/daemon/mod.js";
 import { readDeployment } from "../standin/deployment.js";
 import { ENGINE_PROFILES } from "../standin/engine_model.js";
@@ -81,7 +81,7 @@
     const naive = new Map<string, CaseFigures>();
     for (const each of SCHEDULING_CASES) {
         ours.set(each.name, await measureCase(each, seed, makeTiered));
-        naive.set(each.name, await measureCase(each, seed, node => new RoundRobinScheduler(node.table)));
+        naive.set(each.name, await measureCase(each, seed, makeNaive));
     }
     return {
         scenario: "scheduling",
@@ -92,7 +92,13 @@
     };
 }
 
-function makeTiered(node: EntryNode): TieredScheduler {
+/** Makes the naive scheduler. */
+export function makeNaive(node: EntryNode): RoundRobinScheduler {
+    return new RoundRobinScheduler(node.table);
+}
+
+/** Makes the scheduler of the daemon. */
+export function makeTiered(node: EntryNode): TieredScheduler {
     const { settings, table, view, ring } = node;
     const { clock, random, dissemination, engine } = settings;
     return new TieredScheduler({ node: settings.node, clock, random, table, view, dissemination, ring, engine });
@@ -111,17 +117,30 @@
     readonly inversions: number;
 }
 
-async function measureCase(
-    each: SchedulingCase,
-    seed: number,
-    makeScheduler: (node: EntryNode) => TieredScheduler | RoundRobinScheduler,
-): Promise<CaseFigures> {
+async function measureCase(each: SchedulingCase, seed: number, makeScheduler: SchedulerMaker): Promise<CaseFigures> {
+    return summarise(each.name, await runSchedulingCase(each, { seed, durationMs: DURATION_MS, makeScheduler }));
+}
+
+/** Makes the scheduler that is measured. */
+export type SchedulerMaker = (node: EntryNode) => Scheduler;
+
+/** Settings of one run of a case. */
+export interface CaseRunSettings {
+    readonly seed: number;
+    /** Length of the arrivals, in milliseconds. */
+    readonly durationMs: number;
+    readonly makeScheduler: SchedulerMaker;
+}
+
+/** Runs a case once. */
+export async function runSchedulingCase(each: SchedulingCase, settings: CaseRunSettings): Promise<RunResult> {
+    const { seed, durationMs, makeScheduler } = settings;
     const deployment = toExperimentDeployment(await readDeployment("examples/rastro-sul.yaml"));
     const nodes = deployment.entryVms.length;
     const [pool] = deployment.pools;
     const capacity = capacityOf(pool.servers.map(({ profile }) => ENGINE_PROFILES[profile]));
-    const arrivals = makeArrivals({ seed, durationMs: DURATION_MS, nodes, capacity, load: each.load });
-    return summarise(each.name, await runCase({ deployment, seed, arrivals, faults: each.faults, makeScheduler }));
+    const arrivals = makeArrivals({ seed, durationMs, nodes, capacity, load: each.load });
+    return runCase({ deployment, seed, arrivals, faults: each.faults, makeScheduler });
 }
 
 function summarise(name: string, { outcomes, history }: RunResult): CaseFigures {
--- a/measure/scheduling_run.ts
+++ b/measure/scheduling_run.ts
@@ -36,6 +36,8 @@
     readonly kept: boolean;
     readonly status: number;
     readonly firstTokenMs: number | undefined;
+    /** What the caller got. */
+    readonly answer: RecordedAnswer;
     /** Whether the answer was whole, in time or not. */
     readonly whole: boolean;
     /** Prompt tokens prefilled for the call, over all its dispatches. */
@@ -75,6 +77,7 @@
     await fleet.clock.runUntil(Promise.all(fleet.nodes.map(node => node.stop())));
     const outcomes = answers.map((answer, index) => ({
         arrival: settings.arrivals[index],
+        answer,
         status: answer.writer.head?.status ?? 0,
         whole: answer.writer.ended && answer.writer.head?.status === 200,
         kept: observer.figures.get(answer.id)?.kept ?? false,
