--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -9,6 +9,7 @@
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
+import { schedulingExperiment } from "./scheduling.js";
 
 /** Experiments in the order in which the help lists them. */
 export const experiments: readonly Experiment[] = [
@@ -16,4 +17,5 @@
     claimsExperiment,
     drainExperiment,
     configExperiment,
+    schedulingExperiment,
 ];
--- a/src/coordination/claims/claim_pass.ts
+++ b/src/coordination/claims/claim_pass.ts
@@ -70,9 +70,7 @@
         if (this.verdict === undefined) {
             return DispatchRight.Pending;
         }
-        if (this.verdict.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED) {
-            throw toRefusal(this.verdict, this.ownerRuns(this.verdict));
-        }
+        this.checkVerdict(this.verdict);
         this.dispatched = true;
         return DispatchRight.Given;
     }
@@ -82,6 +80,9 @@
             signal.addEventListener("abort", () => resolve(), { once: true });
         });
         await Promise.race([this.claim, aborted]);
+        if (this.verdict !== undefined) {
+            this.checkVerdict(this.verdict);
+        }
     }
 
     override dispatchNotSent(): void {
@@ -108,7 +109,22 @@
             // The key is free again for the next call, at whichever node.
             this.settings.store.put(this.settings.key.stream, this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_RELEASE));
         }
-        return this.verdict === undefined ? Executed.Unknown : executed;
+        return this.isKnownNotRun() ? executed : Executed.Unknown;
+    }
+
+    private checkVerdict(verdict: claimWire.ClaimVerdict): void {
+        if (verdict.kind !== ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED) {
+            throw toRefusal(verdict, this.ownerRuns(verdict));
+        }
+    }
+
+    /** Whether no claim of this call stands undispatched in the log, and none of another call has run. */
+    private isKnownNotRun(): boolean {
+        const kind = this.verdict?.kind;
+        return kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_NOT_APPENDED ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_FULL ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_CONFLICT;
     }
 
     private async takeClaim(): Promise<claimWire.ClaimVerdict> {
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -12,11 +12,12 @@
     ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
-    LeastLoadedScheduler,
     NoClaimClient,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
+    type Scheduler,
+    TieredScheduler,
 } from "../coordination/mod.js";
 import type {
     ClaimClient,
@@ -61,6 +62,8 @@
     readonly claimClient?: ClaimClient;
     /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
     readonly claimHorizonMs?: number;
+    /** Makes the scheduler of a node. Defaults to a {@linkcode TieredScheduler}. */
+    readonly makeScheduler?: (node: EntryNode) => Scheduler;
 }
 
 /** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
@@ -73,6 +76,7 @@
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
     readonly guard: ClaimGuard;
+    readonly scheduler: Scheduler;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
     /** Entry VMs of the last VM list, this one included. */
@@ -109,7 +113,10 @@
             client: settings.claimClient ?? new NoClaimClient(),
             horizonMs: settings.claimHorizonMs,
         });
-        const scheduler = new LeastLoadedScheduler(table, random);
+        const { node, dissemination } = settings;
+        const scheduler = settings.makeScheduler?.(this) ??
+            new TieredScheduler({ node, clock, random, table, view, dissemination, ring, engine });
+        this.scheduler = scheduler;
         this.handler = new RequestHandler({
             clock,
             ring,
@@ -138,7 +145,8 @@
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
         };
         void runEffects(tap(keepEntryVms, this.watch.lists), newDefaultScheduler());
-        this.tasks = [this.follower.run(this.stopped.signal), this.watch.run(this.stopped.signal)];
+        const { signal } = this.stopped;
+        this.tasks = [this.follower.run(signal), this.watch.run(signal), this.scheduler.run(signal)];
     }
 
     /** Ends the tasks. */
--- a/src/state/mod.ts
+++ b/src/state/mod.ts
@@ -14,4 +14,6 @@
 export * from "./configuration_view.js";
 export * from "./event_ring.js";
 export * from "./hybrid_clock.js";
+export * from "./load_view.js";
+export * from "./prefix_index.js";
 export * from "./random.js";
--- a/standin/engine_model.ts
+++ b/standin/engine_model.ts
@@ -7,6 +7,7 @@
 import { createHash } from "node:crypto";
 import type { EngineEnd, EngineEvent, EngineRequest } from "../src/protocol/mod.js";
 import type { Clock, LoadReport } from "../src/state/mod.js";
+import { CacheEventLog } from "./cache_event_log.js";
 import { hashBlocks, PrefixCache } from "./prefix_cache.js";
 
 /** Characters in one token. */
@@ -96,6 +97,16 @@
     cancelled: number;
 }
 
+/** Sequence that has ended, whole or not. */
+export interface RetiredSequence {
+    readonly id: string;
+    readonly blocks: readonly string[];
+    /** Prompt tokens that were cached. */
+    readonly cachedTokens: number;
+    /** Prompt tokens that were prefilled. */
+    readonly prefilled: number;
+}
+
 /** Sequence that waits or runs. */
 interface Sequence {
     readonly id: string;
@@ -131,7 +142,10 @@
     };
     /** Version that the engine runs. */
     version = "1.0";
+    /** Is told of each sequence that ends. */
+    onRetire: (sequence: RetiredSequence) => void = () => undefined;
     readonly cache: PrefixCache;
+    readonly cacheEvents: CacheEventLog;
     private readonly waiting: Sequence[] = [];
     private readonly running = new Set<Sequence>();
     private reports: LoadReport[] = [];
@@ -142,7 +156,8 @@
      * @param profile Performance.
      */
     constructor(private readonly clock: Clock, readonly profile: EngineProfile) {
-        this.cache = new PrefixCache(profile.cacheBlocks);
+        this.cacheEvents = new CacheEventLog(clock);
+        this.cache = new PrefixCache(profile.cacheBlocks, event => this.cacheEvents.record(event));
         this.reports.push(this.makeReport());
     }
 
@@ -282,6 +297,7 @@
         if (place >= 0) {
             this.waiting.splice(place, 1);
         }
+        this.onRetire(sequence);
         if (!whole) {
             this.counts.cancelled += 1;
             this.counts.wastedPrefillTokens += sequence.prefilled;
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -5,7 +5,7 @@
  */
 
 import { CallObserver } from "../src/coordination/mod.js";
-import { ClaimDesk, EntryNode } from "../src/daemon/mod.js";
+import { ClaimDesk, EntryNode, type NodeSettings } from "../src/daemon/mod.js";
 import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
@@ -38,6 +38,8 @@
     readonly clockSkewsMs?: readonly number[];
     /** Age beyond which a dated idempotency key is refused, in milliseconds. */
     readonly claimHorizonMs?: number;
+    /** Settings of nodes that replace the usual ones. */
+    readonly node?: Pick<Partial<NodeSettings>, "observer" | "makeScheduler">;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -145,6 +147,7 @@
             observer: new SilentObserver(),
             claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
             claimHorizonMs: this.settings.claimHorizonMs,
+            ...this.settings.node,
         });
         this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
         this.nodes.push(node);
