Let operators take dated keys only

Cause: a key without a date is guarded only as long as the log keeps its records; whoever needs more must be able to refuse such keys. Change: settings claims.requireDatedKeys and claims.keyHorizonMs. Seen to fail: 2 of the 3 new cases with the check off.

--- a/features/claim_log.feature
+++ b/features/claim_log.feature
@@ -74,6 +74,18 @@
             | 1 hour fast    | 240 | refusal 422 "key-expired", executed "unknown"       |
             | 10 days fast   | 30  | refusal 422 "key-expired", executed "unknown"       |
 
+    Scenario Outline: a fleet that takes dated keys only
+        Given a fleet that takes dated keys only
+        When a filing with <key> is sent to a node of it
+        Then the filing is answered with status <status>
+        And the plain services took <effects> effects
+
+        Examples:
+            | key                  | status | effects |
+            | a UUID of version 7  | 200    | 1       |
+            | a UUID of version 4  | 400    | 0       |
+            | the key "filing"     | 400    | 0       |
+
     Scenario Outline: two nodes that get the same key of a dispatch-once call send it once
         Given the "rastro-sul" fleet
         And <state>
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -16,6 +16,7 @@
             | platform.log         | missing        | missing        | expected string                        |
             | drain.limitMs        | -1             | -1             | >=0                                    |
             | logLevel             | "loud"         | "loud"         | debug                                  |
+            | claims.keyHorizonMs  | 1              | 1              | >=60000                                |
 
     Scenario: all bad settings are named in one error
         When settings are read in which "node" and "listen.peers" are both wrong
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -157,6 +157,20 @@
     await sendAndWait(this, 2, { path: FILING_PATH, idempotencyKey: sent });
 });
 
+Given("a fleet that takes dated keys only", async function(this: Scenario) {
+    await this.startFleet("rastro-sul", { keyRules: { requireDatedKeys: true } });
+});
+
+When(/^a filing with (.*) is sent to a node of it$/, async function(this: Scenario, kind: string) {
+    const dated = toDatedKey(this.fleet.clock.now());
+    const keys = new Map([["a UUID of version 7", dated], ["a UUID of version 4", dated.replace("-7", "-4")]]);
+    await sendAndWait(this, 1, { path: FILING_PATH, idempotencyKey: keys.get(kind) ?? "filing" });
+});
+
+Then("the filing is answered with status {int}", function(this: Scenario, status: number) {
+    assert.equal(this.answer.writer.head?.status, status, this.answer.writer.text);
+});
+
 Given(
     /^(all nodes reach each other|no node reaches another|each node lists only itself|node 1 dies as it sends)$/,
     async function(this: Scenario, state: string) {
--- a/src/coordination/claims/_claim_refusal.ts
+++ b/src/coordination/claims/_claim_refusal.ts
@@ -64,6 +64,13 @@
     );
 }
 
+/** Returns the refusal of a key that carries no date where one is required. */
+export function toUndated(): Refusal {
+    return refuse(RefusalType.InvalidRequest, 'Header "idempotency-key" carries no date. Send a UUID of version 7.', {
+        field: KEY_FIELD,
+    });
+}
+
 function toHeld({ owner }: claimWire.ClaimVerdict, ownerRuns: boolean): Refusal {
     if (ownerRuns) {
         return refuse(RefusalType.InProgress, "A call of this key is still running. Try again.", {
--- a/src/coordination/claims/claim_guard.ts
+++ b/src/coordination/claims/claim_guard.ts
@@ -7,7 +7,7 @@
 import { type AcceptedCall, type ClaimClient, claimWire, type LogService, type MemberView } from "../../protocol/mod.js";
 import { type Clock, type EventRing, Part, Semantics } from "../../state/mod.js";
 import { CallGuard, type CallPass } from "../call_guard.js";
-import { toExpired } from "./_claim_refusal.js";
+import { toExpired, toUndated } from "./_claim_refusal.js";
 import { type ClaimKey, toClaimKey } from "./claim_key.js";
 import { ClaimPass } from "./claim_pass.js";
 import { ClaimRouter } from "./claim_router.js";
@@ -18,6 +18,17 @@
 /** Age beyond which a key that carries its date is refused, in milliseconds; below the time for which the log keeps records. */
 const DEFAULT_HORIZON_MS = 6 * 86_400_000;
 
+/** Which idempotency keys a node takes. */
+export interface KeyRules {
+    /** Age beyond which a key that carries its date is refused, in milliseconds. Defaults to 6 days. */
+    readonly keyHorizonMs?: number;
+    /**
+     * Whether keys without a date are refused. Defaults to `false`; such keys are then guarded only as long as the log keeps their
+     * records.
+     */
+    readonly requireDatedKeys?: boolean;
+}
+
 /** Settings of a {@linkcode ClaimGuard}. */
 export interface ClaimGuardSettings {
     /** Id of this node. */
@@ -27,8 +38,8 @@
     readonly log: LogService;
     readonly members: MemberView;
     readonly client: ClaimClient;
-    /** Age beyond which a key that carries its date is refused, in milliseconds. Defaults to 6 days. */
-    readonly horizonMs?: number;
+    /** Which keys are taken. */
+    readonly keyRules?: KeyRules;
 }
 
 /** Claims the keys of run-once and dispatch-once calls in the log. */
@@ -38,12 +49,10 @@
     /** Outcomes and releases on their way to the log. */
     readonly store: ClaimStore;
     private readonly router: ClaimRouter;
-    private readonly horizonMs: number;
 
     /** @param settings See {@linkcode ClaimGuardSettings}. */
     constructor(private readonly settings: ClaimGuardSettings) {
         super();
-        this.horizonMs = settings.horizonMs ?? DEFAULT_HORIZON_MS;
         this.streams = new ClaimStreams(settings);
         this.router = new ClaimRouter({ ...settings, streams: this.streams });
         this.store = new ClaimStore({ ...settings, router: this.router, onLost: entry => this.recordLost(entry) });
@@ -56,7 +65,7 @@
             return new UnclaimedPass(semantics);
         }
         const key = toClaimKey(call.workspace.name, idempotencyKey);
-        this.checkHorizon(key);
+        this.checkDate(key);
         return new ClaimPass({ ...this.settings, router: this.router, store: this.store, call, key });
     }
 
@@ -65,8 +74,12 @@
     }
 
     /** The stream itself shows when records have expired; the horizon covers a log that forgets an empty stream. */
-    private checkHorizon({ createdAtMs }: ClaimKey): void {
-        if (createdAtMs !== undefined && createdAtMs < this.settings.clock.now() - this.horizonMs) {
+    private checkDate({ createdAtMs }: ClaimKey): void {
+        const { keyHorizonMs = DEFAULT_HORIZON_MS, requireDatedKeys = false } = this.settings.keyRules ?? {};
+        if (createdAtMs === undefined && requireDatedKeys) {
+            throw toUndated();
+        }
+        if (createdAtMs !== undefined && createdAtMs < this.settings.clock.now() - keyHorizonMs) {
             throw toExpired();
         }
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -64,6 +64,7 @@
             dissemination: new SilentDissemination(),
             observer: this.metrics,
             claimClient: this.claimClient,
+            keyRules: settings.claims,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -12,6 +12,7 @@
     ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
+    type KeyRules,
     LeastLoadedScheduler,
     NoClaimClient,
     PlatformWatch,
@@ -56,8 +57,8 @@
     readonly observer: CallObserver;
     /** Connections to the claim combiners of other nodes. Defaults to none. */
     readonly claimClient?: ClaimClient;
-    /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
-    readonly claimHorizonMs?: number;
+    /** Which idempotency keys are taken. */
+    readonly keyRules?: KeyRules;
 }
 
 /** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
@@ -94,7 +95,7 @@
             log: settings.log,
             members: this,
             client: settings.claimClient ?? new NoClaimClient(),
-            horizonMs: settings.claimHorizonMs,
+            keyRules: settings.keyRules,
         });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -16,6 +16,9 @@
 /** Longest time that a leaving node waits for its last call, in milliseconds. */
 const DEFAULT_DRAIN_LIMIT_MS = 60_000;
 
+/** Age beyond which a dated idempotency key is refused, in milliseconds; less than the log's retention by the error of clocks. */
+const DEFAULT_KEY_HORIZON_MS = 6 * 86_400_000;
+
 const addressSchema = z.string().regex(
     /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
     "must be an IP number and a port, such as 127.0.0.1:7001",
@@ -33,6 +36,10 @@
         balancerLagMs: z.int().min(0).max(60_000).default(DEFAULT_BALANCER_LAG_MS),
         limitMs: z.int().min(0).max(3_600_000).default(DEFAULT_DRAIN_LIMIT_MS),
     }).default({ balancerLagMs: DEFAULT_BALANCER_LAG_MS, limitMs: DEFAULT_DRAIN_LIMIT_MS }),
+    claims: z.strictObject({
+        keyHorizonMs: z.int().min(60_000).default(DEFAULT_KEY_HORIZON_MS),
+        requireDatedKeys: z.boolean().default(false),
+    }).default({ keyHorizonMs: DEFAULT_KEY_HORIZON_MS, requireDatedKeys: false }),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
 
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { CallObserver } from "../src/coordination/mod.js";
+import { CallObserver, type KeyRules } from "../src/coordination/mod.js";
 import { ClaimDesk, EntryNode } from "../src/daemon/mod.js";
 import {
     type AnswerHead,
@@ -40,8 +40,8 @@
     readonly log?: LogModelSettings;
     /** How far the clock of each node is ahead, in milliseconds, in the order of the nodes. Defaults to 0. */
     readonly clockSkewsMs?: readonly number[];
-    /** Age beyond which a dated idempotency key is refused, in milliseconds. */
-    readonly claimHorizonMs?: number;
+    /** Which idempotency keys are taken. */
+    readonly keyRules?: KeyRules;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -162,7 +162,7 @@
                 dissemination: this.hub.join(id),
                 observer: new SilentObserver(),
                 claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
-                claimHorizonMs: this.settings.claimHorizonMs,
+                keyRules: this.settings.keyRules,
             });
             this.claimHub.join(link, new ClaimDesk(node));
             this.nodes.push(node);
