--- a/src/coordination/claims/claim_index.ts
+++ b/src/coordination/claims/claim_index.ts
@@ -21,7 +21,8 @@
 /** Owner of a key. */
 interface Owner {
     readonly attempt: string;
-    readonly digest: Uint8Array;
+    /** Digest of the call; a copy, since the bytes of an entry keep its whole record in memory. */
+    readonly digest: string;
     /** What an operator sees of the claim; dropped when its outcome comes, which keeps settled keys small. */
     open: OpenClaim | undefined;
     /** Offset of the record that holds the outcome; -1 before it came. */
@@ -158,7 +159,7 @@
         if (owner.attempt === entry.attempt) {
             return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_OWNED);
         }
-        if (Buffer.compare(owner.digest, entry.digest) !== 0) {
+        if (owner.digest !== toText(entry.digest)) {
             return toVerdict(ClaimVerdictKind.CLAIM_VERDICT_KIND_CONFLICT);
         }
         if (owner.open === undefined) {
@@ -180,7 +181,11 @@
     }
     const { workspace, key, attempt, node, digest, operation, atMs, deadlineMs } = entry;
     const open = { workspace, key, operation, node, attempt, atMs, deadlineMs };
-    state.owner = { attempt, digest, open, outcomeOffset: -1 };
+    state.owner = { attempt, digest: toText(digest), open, outcomeOffset: -1 };
+}
+
+function toText(digest: Uint8Array): string {
+    return Buffer.from(digest).toString("latin1");
 }
 
 function takeOutcome({ owner }: KeyState, entry: claimWire.ClaimEntry, offset: number): void {
--- a/src/coordination/claims/claim_streams.ts
+++ b/src/coordination/claims/claim_streams.ts
@@ -13,7 +13,7 @@
 export const MAX_STREAMS = 64;
 
 /** Keys that a node holds over all streams; further ones are refused. */
-export const MAX_KEYS = 400_000;
+export const MAX_KEYS = 300_000;
 
 /** Least time between two appends of one stream that carry claims, in milliseconds. */
 const CLAIM_SPACING_MS = 6;
