--- a/features/local_fleet.feature
+++ b/features/local_fleet.feature
@@ -32,5 +32,5 @@
             | status --key-file /dev/null           | 4    | carries no operator's key       |
             | config show --key-file /dev/null      | 4    | carries no operator's key       |
             | status --address 127.0.0.1:1          | 3    | Cannot read status              |
-            | config diff no-such-file.yaml         | 1    | Cannot read                     |
-            | status --key-file no-such-file.key    | 1    | Cannot read key file            |
+            | config diff no-such-file.yaml         | 2    | Cannot read                     |
+            | status --key-file no-such-file.key    | 2    | Cannot read key file            |
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -9,7 +9,15 @@
 import { OperatorClient, type OperatorError } from "../../src/cli/mod.js";
 import { ClaimIndex, EPOCH_MS, rankMembers, toClaimKey } from "../../src/coordination/mod.js";
 import { ClaimDesk } from "../../src/daemon/mod.js";
-import { ClaimHandler, claimWire, type IncomingCall, type OperatorHandler, type PeerHandler } from "../../src/protocol/mod.js";
+import {
+    ClaimHandler,
+    claimWire,
+    type ConfigurationOperatorHandler,
+    type ConfigurationPeerHandler,
+    type IncomingCall,
+    type OperatorHandler,
+    type PeerHandler,
+} from "../../src/protocol/mod.js";
 import { VmState } from "../../src/state/mod.js";
 import { GrpcClaimClient, GrpcServer } from "../../src/transport/mod.js";
 import { LinkPoint } from "../../standin/node_link.js";
@@ -253,7 +261,9 @@
         peerHandler: {} as PeerHandler,
         operatorHandler: {} as OperatorHandler,
         claimHandler: new FixedClaims(),
-        isOperatorKey: key => key === "operator",
+        configurationPeerHandler: {} as ConfigurationPeerHandler,
+        configurationOperatorHandler: {} as ConfigurationOperatorHandler,
+        findOperator: key => key === "operator" ? "operator" : undefined,
     });
     const address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
     ends.set(this, { server, client: new GrpcClaimClient(), address });
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -5,6 +5,7 @@
  */
 
 import { claimsExperiment } from "./claims.js";
+import { configExperiment } from "./config.js";
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
@@ -14,4 +15,5 @@
     proxyExperiment,
     claimsExperiment,
     drainExperiment,
+    configExperiment,
 ];
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
-import { claimWire, wire } from "../protocol/mod.js";
+import { claimWire, configurationWire, wire } from "../protocol/mod.js";
 
 /** Metadata field that carries the operator's key. */
 const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
@@ -35,6 +35,7 @@
 export class OperatorClient {
     private readonly client: wire.OperatorClient;
     private readonly claimClient: claimWire.ClaimOperatorClient;
+    private readonly configuration: configurationWire.ConfigurationOperatorClient;
     private readonly metadata = new Metadata();
 
     /**
@@ -44,6 +45,7 @@
     constructor(readonly address: string, key: string | undefined) {
         this.client = new wire.OperatorClient(address, credentials.createInsecure());
         this.claimClient = new claimWire.ClaimOperatorClient(address, credentials.createInsecure());
+        this.configuration = new configurationWire.ConfigurationOperatorClient(address, credentials.createInsecure());
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
@@ -54,15 +56,19 @@
         return this.call("read status", reply => this.client.readStatus({}, this.metadata, deadline(), reply));
     }
 
-    /** Reads the configuration in force. */
-    readConfiguration(): Promise<wire.ConfigurationReply> {
-        return this.call("read configuration", reply => this.client.readConfiguration({}, this.metadata, deadline(), reply));
+    /** Reads the configuration as it stands in the log. */
+    readConfiguration(): Promise<configurationWire.ReadConfigurationReply> {
+        return this.call("read configuration", reply => {
+            this.configuration.readConfiguration({}, this.metadata, deadline(), reply);
+        });
     }
 
-    /** Asks for a change of the configuration. */
-    changeConfiguration(request: wire.ChangeConfigurationRequest): Promise<wire.ChangeConfigurationReply> {
+    /** Asks for changes of the configuration. */
+    changeConfiguration(
+        request: configurationWire.ChangeConfigurationRequest,
+    ): Promise<configurationWire.ChangeConfigurationReply> {
         return this.call("change configuration", reply => {
-            this.client.changeConfiguration(request, this.metadata, deadline(), reply);
+            this.configuration.changeConfiguration(request, this.metadata, deadline(), reply);
         });
     }
 
@@ -91,6 +97,7 @@
     close(): void {
         this.client.close();
         this.claimClient.close();
+        this.configuration.close();
     }
 
     private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -8,7 +8,7 @@
 export * from "./call_observer.js";
 export * from "./call_resolver.js";
 export * from "./claims/mod.js";
-export * from "./configuration_follower.js";
+export * from "./configuration/mod.js";
 export * from "./dispatcher.js";
 export * from "./least_loaded_scheduler.js";
 export * from "./platform_watch.js";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,10 +5,18 @@
  */
 
 import type { Logger } from "pino";
-import { MAX_KEYS, MAX_STORING_ENTRIES, MAX_STREAMS, SilentDissemination } from "../coordination/mod.js";
+import {
+    MAX_KEPT_RECORDS,
+    MAX_KEYS,
+    MAX_REMEMBERED_CHANGES,
+    MAX_STORING_ENTRIES,
+    MAX_STREAMS,
+    SilentDissemination,
+} from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
     GrpcClaimClient,
+    GrpcConfigurationPeers,
     GrpcServer,
     HttpClient,
     HttpEngine,
@@ -21,12 +29,14 @@
     type OperationsPage,
 } from "../transport/mod.js";
 import { ClaimDesk } from "./claim_desk.js";
+import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
+import { watchConfiguration } from "./configuration_metrics.js";
 import { EntryNode } from "./entry_node.js";
 import { logEvents } from "./event_log.js";
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorDesk } from "./operator_desk.js";
 import { PeerDesk } from "./peer_desk.js";
-import { isOperatorKey, type Settings } from "./settings.js";
+import { findOperator, type Settings } from "./settings.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
 const DRAIN_POLL_MS = 20;
@@ -44,6 +54,7 @@
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
     private readonly claimClient = new GrpcClaimClient();
+    private readonly configurationPeers = new GrpcConfigurationPeers();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -62,6 +73,7 @@
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             dissemination: new SilentDissemination(),
+            configurationPeers: this.configurationPeers,
             observer: this.metrics,
             claimClient: this.claimClient,
             keyRules: settings.claims,
@@ -73,11 +85,14 @@
         });
         const limits = this.limits();
         this.metrics.watchLimits(limits);
+        watchConfiguration(this.metrics.registry, this.node);
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk(this.node),
             claimHandler: new ClaimDesk(this.node),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
-            isOperatorKey: key => isOperatorKey(settings, key),
+            configurationPeerHandler: new ConfigurationPeerDesk(this.node),
+            configurationOperatorHandler: new ConfigurationOperatorDesk(this.node),
+            findOperator: key => findOperator(settings, key),
         });
     }
 
@@ -120,10 +135,12 @@
 
     private async stop(): Promise<void> {
         this.httpServer.close();
-        await this.node.stop();
+        await this.node.flush();
         this.grpcServer.close();
         this.claimClient.close();
+        this.configurationPeers.close();
         await this.client.close();
+        await this.node.stop();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -147,7 +164,7 @@
     }
 
     private whyNotReady(): string {
-        return this.draining ? "draining\n" : "no configuration yet\n";
+        return this.draining ? "draining\n" : `${this.node.follower.whyNotReady}\n`;
     }
 
     private limits(): readonly LimitedQuantity[] {
@@ -158,6 +175,12 @@
             { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
             { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
+            { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
+            {
+                name: "MAX_REMEMBERED_CHANGES",
+                limit: MAX_REMEMBERED_CHANGES,
+                read: () => this.node.follower.journal.history.size,
+            },
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -21,6 +21,7 @@
 } from "../coordination/mod.js";
 import type {
     ClaimClient,
+    ConfigurationPeers,
     Dissemination,
     Engine,
     LogService,
@@ -54,6 +55,8 @@
     readonly vmList: VmList;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
+    /** Configuration of other nodes. */
+    readonly configurationPeers: ConfigurationPeers;
     readonly observer: CallObserver;
     /** Connections to the claim combiners of other nodes. Defaults to none. */
     readonly claimClient?: ClaimClient;
@@ -66,7 +69,7 @@
 
 /** State and coordination of one entry VM. */
 export class EntryNode implements MemberView {
-    readonly view = new ConfigurationView();
+    readonly view: ConfigurationView;
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
@@ -82,12 +85,12 @@
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
+        this.view = new ConfigurationView(clock);
         const { view, table } = this;
         this.hybridClock = new HybridClock(clock);
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
         this.guard = new ClaimGuard({
             node: settings.node,
             clock,
@@ -97,6 +100,16 @@
             client: settings.claimClient ?? new NoClaimClient(),
             keyRules: settings.keyRules,
         });
+        this.follower = new ConfigurationFollower({
+            clock,
+            random,
+            ring,
+            log: settings.log,
+            view,
+            dissemination: settings.dissemination,
+            peers: settings.configurationPeers,
+            entryVms: () => this.entryVms,
+        });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
             clock,
@@ -112,7 +125,7 @@
 
     /** Whether the node has a configuration to serve by. */
     get configured(): boolean {
-        return this.view.current.version >= 0;
+        return this.follower.configured;
     }
 
     /** Entry VMs that take new work, this one included. */
@@ -129,12 +142,16 @@
         this.tasks = [this.follower.run(this.stopped.signal), this.watch.run(this.stopped.signal)];
     }
 
-    /** Ends the tasks. */
-    async stop(): Promise<void> {
+    /** Waits, within bounds, until the outcomes of calls stand in the log. */
+    async flush(): Promise<void> {
         const limit = new AbortController();
         void this.settings.clock.sleep(CLAIM_FLUSH_LIMIT_MS, limit.signal).then(() => limit.abort());
         await this.guard.close(limit.signal);
         limit.abort();
+    }
+
+    /** Ends the tasks. */
+    async stop(): Promise<void> {
         this.stopped.abort();
         await Promise.all(this.tasks);
     }
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -6,20 +6,16 @@
 
 import { CallObserver, type KeyRules } from "../src/coordination/mod.js";
 import { ClaimDesk, EntryNode } from "../src/daemon/mod.js";
-import {
-    type AnswerHead,
-    AnswerWriter,
-    CONFIGURATION_STREAM,
-    encodeConfigurationRecord,
-    type IncomingCall,
-} from "../src/protocol/mod.js";
+import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
-import { type Deployment, toDocument } from "./deployment.js";
+import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
+import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
 import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
+import { NodeLog } from "./node_log.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
 import { SkewedClock } from "./skewed_clock.js";
 import { VirtualClock } from "./virtual_clock.js";
@@ -52,6 +48,9 @@
     readonly ledger = new EffectLedger();
     readonly hub = new DisseminationHub(this.clock);
     readonly log: LogModel;
+    /** Ways of the nodes to the log, by node. */
+    readonly nodeLogs = new Map<string, NodeLog>();
+    readonly configurationPeers = new ConfigurationPeerHub(this.clock);
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
     /** Connections of each node, in the order of the nodes. */
@@ -72,8 +71,7 @@
     /** Publishes configuration and VM list, starts the nodes and lets them read both. */
     async start(): Promise<void> {
         this.publishVms();
-        const record = { id: "initial", madeAgainst: -1, author: "test", document: this.document };
-        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, encodeConfigurationRecord(record)));
+        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, toFirstRecord(this.document)));
         for (const node of this.nodes) {
             node.start();
         }
@@ -120,7 +118,49 @@
         return { id: incoming.id, writer, gone, done };
     }
 
-    private publishVms(): void {
+    /**
+     * Adds an entry VM; it is not started yet.
+     *
+     * @returns The node; {@linkcode nodeLogs} holds its way to the log.
+     */
+    addNode(failureDomain: string): EntryNode {
+        const { seed = 1 } = this.settings;
+        const index = this.nodes.length;
+        const id = `entry-${index + 1}`;
+        const address = `127.0.0.1:${this.vms.length + 1}`;
+        const link = new NodeLink(address);
+        const nodeLog = new NodeLog(new LinkedLog(link, this.log, this.clock), this.clock);
+        const node = new EntryNode({
+            node: id,
+            failureDomain,
+            clock: new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0),
+            random: new SeededRandom(seed * 1_000 + index),
+            engine: new LocalEngines(this.engines),
+            plainService: new LinkedService(link, new LocalServices(this.services)),
+            log: nodeLog,
+            vmList: this.vmList,
+            dissemination: this.hub.join(id),
+            configurationPeers: this.configurationPeers.join(address),
+            observer: new SilentObserver(),
+            claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
+            keyRules: this.settings.keyRules,
+        });
+        this.claimHub.join(link, new ClaimDesk(node));
+        this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
+        this.nodes.push(node);
+        this.links.push(link);
+        this.nodeLogs.set(id, nodeLog);
+        this.configurationPeers.answers.set(address, request => node.follower.copyFor(request));
+        return node;
+    }
+
+    /** VMs of the nodes. */
+    get entryVms(): readonly Vm[] {
+        return this.vms.filter(vm => vm.role === VmRole.Entry);
+    }
+
+    /** Tells the VM list of the VMs as they are now. */
+    publishVms(): void {
         this.vmList.set([...this.vms]);
     }
 
@@ -143,30 +183,9 @@
     }
 
     private makeNodes(): void {
-        const { deployment, seed = 1 } = this.settings;
-        for (const [index, { failureDomain }] of deployment.entryVms.entries()) {
-            const id = `entry-${index + 1}`;
-            const address = `127.0.0.1:${this.vms.length + 1}`;
-            this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
-            const link = new NodeLink();
-            link.address = address;
-            const node = new EntryNode({
-                node: id,
-                failureDomain,
-                clock: new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0),
-                random: new SeededRandom(seed * 1_000 + index),
-                engine: new LocalEngines(this.engines),
-                plainService: new LinkedService(link, new LocalServices(this.services)),
-                log: new LinkedLog(link, this.log, this.clock),
-                vmList: this.vmList,
-                dissemination: this.hub.join(id),
-                observer: new SilentObserver(),
-                claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
-                keyRules: this.settings.keyRules,
-            });
-            this.claimHub.join(link, new ClaimDesk(node));
-            this.nodes.push(node);
-            this.links.push(link);
+        const { deployment } = this.settings;
+        for (const { failureDomain } of deployment.entryVms) {
+            this.addNode(failureDomain);
         }
     }
 }
--- a/standin/node_link.ts
+++ b/standin/node_link.ts
@@ -38,8 +38,6 @@
 
 /** State of one node's connections. */
 export class NodeLink {
-    /** Address of the node for its peers. */
-    address = "";
     /** Whether the node is cut off from the log. */
     cutFromLog = false;
     /** Whether the node is cut off from the other nodes. */
@@ -53,6 +51,9 @@
     private resume: Promise<void> | undefined;
     private wake: () => void = () => undefined;
 
+    /** @param address Address of the node for its peers. */
+    constructor(readonly address: string) {}
+
     /** Stops everything that the node sends and receives until {@linkcode NodeLink.continue}; a dead node never continues. */
     pause(): void {
         this.resume ??= new Promise(resolve => {
