--- a/features/claim_log.feature
+++ b/features/claim_log.feature
@@ -103,6 +103,23 @@
             | each node lists only itself              | nodes 1 and 2 at once    | 1        | 1        |
             | node 1 dies as it sends                  | node 1, then node 2      | 1        | 0        |
 
+    Scenario: a node that ends gracefully leaves no outcome behind
+        Given the "rastro-sul" fleet
+        When a filing is answered at node 1, which then ends gracefully
+        And the caller asks again at node 2
+        Then the caller gets the same answer as before
+
+    Scenario Outline: a node that holds as many keys as it may
+        Given a claim stream of a full node that knows the claim of attempt "a"
+        When attempt "<attempt>" claims the <key> key
+        Then the claim's verdict is "<verdict>" and the log holds <records> records
+
+        Examples:
+            | attempt | key   | verdict | records |
+            | b       | known | HELD    | 1       |
+            | a       | known | OWNED   | 1       |
+            | b       | new   | FULL    | 1       |
+
     Scenario: operators see the calls whose outcome is unknown
         Given the "rastro-sul" fleet
         And node 1 dies as it sends
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -7,7 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { OperatorClient, type OperatorError } from "../../src/cli/mod.js";
-import { ClaimIndex, EPOCH_MS, rankMembers, toClaimKey } from "../../src/coordination/mod.js";
+import { ClaimIndex, ClaimStream, EPOCH_MS, rankMembers, toClaimKey } from "../../src/coordination/mod.js";
 import { ClaimDesk } from "../../src/daemon/mod.js";
 import {
     ClaimHandler,
@@ -20,7 +20,9 @@
 } from "../../src/protocol/mod.js";
 import { VmState } from "../../src/state/mod.js";
 import { GrpcClaimClient, GrpcServer } from "../../src/transport/mod.js";
+import { LogModel } from "../../standin/log_model.js";
 import { LinkPoint } from "../../standin/node_link.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
 import type { Scenario } from "../support/world.js";
 
 /** Time after which every promise of a filing or lookup has passed, in milliseconds. */
@@ -45,6 +47,15 @@
     readonly address: string;
 }
 
+/** Stream of a node that holds as many keys as it may. */
+interface FullNode {
+    readonly clock: VirtualClock;
+    readonly log: LogModel;
+    readonly stream: ClaimStream;
+    verdict: claimWire.ClaimVerdict | undefined;
+}
+
+const fullNodes = new WeakMap<Scenario, FullNode>();
 const indexes = new WeakMap<Scenario, ClaimIndex>();
 const ends = new WeakMap<Scenario, GrpcEnd>();
 
@@ -236,6 +247,42 @@
     },
 );
 
+When("a filing is answered at node 1, which then ends gracefully", async function(this: Scenario) {
+    // The node appends by itself, so that nobody else can bring its outcome into the log.
+    this.fleet.links[0].cutFromPeers = true;
+    await sendAndWait(this, 1, { path: FILING_PATH, idempotencyKey: "filing" });
+    await this.fleet.clock.runUntil(this.fleet.nodes[0].flush());
+    this.fleet.links[0].pause();
+    this.fleet.removeVm("entry-1");
+    await this.fleet.clock.advance(LIST_KNOWN_MS);
+});
+
+Given("a claim stream of a full node that knows the claim of attempt {string}", async function(this: Scenario, attempt: string) {
+    const clock = new VirtualClock();
+    const log = new LogModel(clock);
+    let full = false;
+    const stream = new ClaimStream({ clock, log, stream: "claims-undated-0", isFull: () => full });
+    await clock.runUntil(stream.submit(parseEntry(`claim ${attempt}`), clock.now() + OUTCOME_STORED_MS));
+    full = true;
+    fullNodes.set(this, { clock, log, stream, verdict: undefined });
+});
+
+When("attempt {string} claims the {word} key", async function(this: Scenario, attempt: string, key: string) {
+    const node = fullNodes.get(this) as FullNode;
+    const known = parseEntry(`claim ${attempt}`);
+    const entry = key === "known" ? known : { ...known, key: "new" };
+    node.verdict = await node.clock.runUntil(node.stream.submit(entry, node.clock.now() + OUTCOME_STORED_MS));
+});
+
+Then(
+    "the claim's verdict is {string} and the log holds {int} records",
+    function(this: Scenario, verdict: string, records: number) {
+        const node = fullNodes.get(this) as FullNode;
+        assert.equal(claimWire.ClaimVerdictKind[node.verdict?.kind ?? 0], `CLAIM_VERDICT_KIND_${verdict}`);
+        assert.equal(node.log.appends, records);
+    },
+);
+
 When("a filing is sent to node 1, another to node 2, and one still runs at node 3", async function(this: Scenario) {
     send(this, 1, { path: FILING_PATH, idempotencyKey: "filing of node 1" });
     send(this, 2, { path: FILING_PATH, idempotencyKey: "filing of node 2" });
