--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -9,17 +9,9 @@
 import { OperatorClient, type OperatorError } from "../../src/cli/mod.js";
 import { ClaimIndex, ClaimStream, EPOCH_MS, rankMembers, toClaimKey } from "../../src/coordination/mod.js";
 import { ClaimDesk } from "../../src/daemon/mod.js";
-import {
-    ClaimHandler,
-    claimWire,
-    type ConfigurationOperatorHandler,
-    type ConfigurationPeerHandler,
-    type IncomingCall,
-    type OperatorHandler,
-    type PeerHandler,
-} from "../../src/protocol/mod.js";
+import { ClaimHandler, claimWire, type IncomingCall } from "../../src/protocol/mod.js";
 import { VmState } from "../../src/state/mod.js";
-import { GrpcClaimClient, GrpcServer } from "../../src/transport/mod.js";
+import { claimOperatorService, claimPeerService, GrpcClaimClient, GrpcServer, PeerGate } from "../../src/transport/mod.js";
 import { LogModel } from "../../standin/log_model.js";
 import { LinkPoint } from "../../standin/node_link.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
@@ -304,13 +296,10 @@
 });
 
 Given("a daemon's gRPC server with one unknown call", async function(this: Scenario) {
+    const handler = new FixedClaims();
+    const findOperator = (key: string | undefined) => key === "operator" ? "ana" : undefined;
     const server = new GrpcServer({
-        peerHandler: {} as PeerHandler,
-        operatorHandler: {} as OperatorHandler,
-        claimHandler: new FixedClaims(),
-        configurationPeerHandler: {} as ConfigurationPeerHandler,
-        configurationOperatorHandler: {} as ConfigurationOperatorHandler,
-        findOperator: key => key === "operator" ? "operator" : undefined,
+        services: [claimPeerService(handler, new PeerGate()), claimOperatorService(handler, findOperator)],
     });
     const address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
     ends.set(this, { server, client: new GrpcClaimClient(), address });
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -34,8 +34,8 @@
 /** Connection of an operator to one daemon. */
 export class OperatorClient {
     private readonly client: wire.OperatorClient;
-    private readonly claimClient: claimWire.ClaimOperatorClient;
     private readonly configuration: configurationWire.ConfigurationOperatorClient;
+    private readonly claimClient: claimWire.ClaimOperatorClient;
     private readonly metadata = new Metadata();
 
     /**
@@ -44,8 +44,8 @@
      */
     constructor(readonly address: string, key: string | undefined) {
         this.client = new wire.OperatorClient(address, credentials.createInsecure());
-        this.claimClient = new claimWire.ClaimOperatorClient(address, credentials.createInsecure());
         this.configuration = new configurationWire.ConfigurationOperatorClient(address, credentials.createInsecure());
+        this.claimClient = new claimWire.ClaimOperatorClient(address, credentials.createInsecure());
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
@@ -96,8 +96,8 @@
     /** Closes the connection. */
     close(): void {
         this.client.close();
-        this.claimClient.close();
         this.configuration.close();
+        this.claimClient.close();
     }
 
     private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,9 +15,14 @@
 } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    claimOperatorService,
+    claimPeerService,
+    configurationOperatorService,
+    configurationPeerService,
     GrpcClaimClient,
     GrpcConfigurationPeers,
     GrpcServer,
+    type GrpcService,
     HttpClient,
     HttpEngine,
     HttpLogService,
@@ -27,6 +32,9 @@
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
+    operatorService,
+    PeerGate,
+    peerService,
 } from "../transport/mod.js";
 import { ClaimDesk } from "./claim_desk.js";
 import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
@@ -53,8 +61,8 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
-    private readonly claimClient = new GrpcClaimClient();
     private readonly configurationPeers = new GrpcConfigurationPeers();
+    private readonly claimClient = new GrpcClaimClient();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -86,14 +94,7 @@
         const limits = this.limits();
         this.metrics.watchLimits(limits);
         watchConfiguration(this.metrics.registry, this.node);
-        this.grpcServer = new GrpcServer({
-            peerHandler: new PeerDesk(this.node),
-            claimHandler: new ClaimDesk(this.node),
-            operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
-            configurationPeerHandler: new ConfigurationPeerDesk(this.node),
-            configurationOperatorHandler: new ConfigurationOperatorDesk(this.node),
-            findOperator: key => findOperator(settings, key),
-        });
+        this.grpcServer = new GrpcServer({ services: this.services(limits) });
     }
 
     /** Whether the node takes new work. */
@@ -133,12 +134,27 @@
         return left;
     }
 
+    private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
+        const { node } = this;
+        const gate = new PeerGate();
+        const claimDesk = new ClaimDesk(node);
+        const find = (key: string | undefined) => findOperator(this.parts.settings, key);
+        return [
+            peerService(new PeerDesk(node), gate),
+            claimPeerService(claimDesk, gate),
+            configurationPeerService(new ConfigurationPeerDesk(node), gate),
+            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready }), find),
+            claimOperatorService(claimDesk, find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ];
+    }
+
     private async stop(): Promise<void> {
         this.httpServer.close();
         await this.node.flush();
         this.grpcServer.close();
-        this.claimClient.close();
         this.configurationPeers.close();
+        this.claimClient.close();
         await this.client.close();
         await this.node.stop();
     }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -91,15 +91,6 @@
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.guard = new ClaimGuard({
-            node: settings.node,
-            clock,
-            ring,
-            log: settings.log,
-            members: this,
-            client: settings.claimClient ?? new NoClaimClient(),
-            keyRules: settings.keyRules,
-        });
         this.follower = new ConfigurationFollower({
             clock,
             random,
@@ -110,6 +101,15 @@
             peers: settings.configurationPeers,
             entryVms: () => this.entryVms,
         });
+        this.guard = new ClaimGuard({
+            node: settings.node,
+            clock,
+            ring,
+            log: settings.log,
+            members: this,
+            client: settings.claimClient ?? new NoClaimClient(),
+            keyRules: settings.keyRules,
+        });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
             clock,
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -128,8 +128,8 @@
         const index = this.nodes.length;
         const id = `entry-${index + 1}`;
         const address = `127.0.0.1:${this.vms.length + 1}`;
+        const nodeLog = new NodeLog(this.log, this.clock);
         const link = new NodeLink(address);
-        const nodeLog = new NodeLog(new LinkedLog(link, this.log, this.clock), this.clock);
         const node = new EntryNode({
             node: id,
             failureDomain,
@@ -137,7 +137,7 @@
             random: new SeededRandom(seed * 1_000 + index),
             engine: new LocalEngines(this.engines),
             plainService: new LinkedService(link, new LocalServices(this.services)),
-            log: nodeLog,
+            log: new LinkedLog(link, nodeLog, this.clock),
             vmList: this.vmList,
             dissemination: this.hub.join(id),
             configurationPeers: this.configurationPeers.join(address),
@@ -145,10 +145,10 @@
             claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
             keyRules: this.settings.keyRules,
         });
-        this.claimHub.join(link, new ClaimDesk(node));
         this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
         this.nodes.push(node);
         this.links.push(link);
+        this.claimHub.join(link, new ClaimDesk(node));
         this.nodeLogs.set(id, nodeLog);
         this.configurationPeers.answers.set(address, request => node.follower.copyFor(request));
         return node;
@@ -183,8 +183,7 @@
     }
 
     private makeNodes(): void {
-        const { deployment } = this.settings;
-        for (const { failureDomain } of deployment.entryVms) {
+        for (const { failureDomain } of this.settings.deployment.entryVms) {
             this.addNode(failureDomain);
         }
     }
