--- a/measure/claim_bench.ts
+++ b/measure/claim_bench.ts
@@ -145,8 +145,7 @@
 
 function claimInGroups(views: readonly (readonly Member[])[], settings: ClaimRunSettings, { clock, log, hub }: Shared): Claim {
     const guards = views.map((live, index) => {
-        const link = new NodeLink();
-        link.address = `node-${index}`;
+        const link = new NodeLink(`node-${index}`);
         const node = `entry-${index}`;
         const guard = new ClaimGuard({
             node,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -84,6 +84,7 @@
             configurationPeers: this.configurationPeers,
             observer: this.metrics,
             claimClient: this.claimClient,
+            keyRules: settings.claims,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -150,11 +151,12 @@
 
     private async stop(): Promise<void> {
         this.httpServer.close();
-        await this.node.stop();
+        await this.node.flush();
         this.grpcServer.close();
         this.configurationPeers.close();
         this.claimClient.close();
         await this.client.close();
+        await this.node.stop();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -12,6 +12,7 @@
     ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
+    type KeyRules,
     NoClaimClient,
     PlatformWatch,
     RequestHandler,
@@ -60,8 +61,8 @@
     readonly observer: CallObserver;
     /** Connections to the claim combiners of other nodes. Defaults to none. */
     readonly claimClient?: ClaimClient;
-    /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
-    readonly claimHorizonMs?: number;
+    /** Which idempotency keys are taken. */
+    readonly keyRules?: KeyRules;
     /** Makes the scheduler of a node. Defaults to a {@linkcode TieredScheduler}. */
     readonly makeScheduler?: (node: EntryNode) => Scheduler;
 }
@@ -111,7 +112,7 @@
             log: settings.log,
             members: this,
             client: settings.claimClient ?? new NoClaimClient(),
-            horizonMs: settings.claimHorizonMs,
+            keyRules: settings.keyRules,
         });
         const { node, dissemination } = settings;
         const scheduler = settings.makeScheduler?.(this) ??
@@ -149,12 +150,16 @@
         this.tasks = [this.follower.run(signal), this.watch.run(signal), this.scheduler.run(signal)];
     }
 
-    /** Ends the tasks. */
-    async stop(): Promise<void> {
+    /** Waits, within bounds, until the outcomes of calls stand in the log. */
+    async flush(): Promise<void> {
         const limit = new AbortController();
         void this.settings.clock.sleep(CLAIM_FLUSH_LIMIT_MS, limit.signal).then(() => limit.abort());
         await this.guard.close(limit.signal);
         limit.abort();
+    }
+
+    /** Ends the tasks. */
+    async stop(): Promise<void> {
         this.stopped.abort();
         await Promise.all(this.tasks);
     }
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { CallObserver } from "../src/coordination/mod.js";
+import { CallObserver, type KeyRules } from "../src/coordination/mod.js";
 import { ClaimDesk, EntryNode, type NodeSettings } from "../src/daemon/mod.js";
 import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
@@ -36,8 +36,8 @@
     readonly log?: LogModelSettings;
     /** How far the clock of each node is ahead, in milliseconds, in the order of the nodes. Defaults to 0. */
     readonly clockSkewsMs?: readonly number[];
-    /** Age beyond which a dated idempotency key is refused, in milliseconds. */
-    readonly claimHorizonMs?: number;
+    /** Which idempotency keys are taken. */
+    readonly keyRules?: KeyRules;
     /** Settings of nodes that replace the usual ones. */
     readonly node?: Pick<Partial<NodeSettings>, "observer" | "makeScheduler">;
 }
@@ -131,8 +131,7 @@
         const id = `entry-${index + 1}`;
         const address = `127.0.0.1:${this.vms.length + 1}`;
         const nodeLog = new NodeLog(this.log, this.clock);
-        const link = new NodeLink();
-        link.address = address;
+        const link = new NodeLink(address);
         const node = new EntryNode({
             node: id,
             failureDomain,
@@ -146,7 +145,7 @@
             configurationPeers: this.configurationPeers.join(address),
             observer: new SilentObserver(),
             claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
-            claimHorizonMs: this.settings.claimHorizonMs,
+            keyRules: this.settings.keyRules,
             ...this.settings.node,
         });
         this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
