--- a/features/configuration_faults.feature
+++ b/features/configuration_faults.feature
@@ -96,6 +96,7 @@
         Given "entry-3" gets no answer from the log
         And "entry-3" is cut off from its peers
         When 60 seconds pass
-        And "entry-3" is healed
+        And "entry-3" gets answers from the log again
+        And 15 seconds pass
         And an operator changes tier "desk" to rank 5 against the version in force
         Then tier "desk" has rank 5 on every node within 4 seconds
--- a/features/configuration_retention.feature
+++ b/features/configuration_retention.feature
@@ -17,6 +17,13 @@
         And one of them sets tier "desk" to rank 6
         Then all configuration nodes have tier "desk" at rank 6 within 4 seconds
 
+    Scenario: a change that is asked for again after its record has left the log is not applied again
+        Given one of them sets tier "desk" to rank 6
+        When 4 hours pass for the configuration nodes
+        And a configuration node starts without peers
+        And the new node is asked for the change to rank 5 of tier "desk" again
+        Then all configuration nodes have tier "desk" at rank 6 within 4 seconds
+
     Scenario: one node writes for all
         When 6 hours pass for the configuration nodes
         Then 5 to 8 snapshots were written
--- a/features/steps/configuration_fault_steps.ts
+++ b/features/steps/configuration_fault_steps.ts
@@ -59,6 +59,10 @@
     await this.fleet.clock.advance(1_000);
 });
 
+When("{string} gets answers from the log again", function(this: Scenario, node: string) {
+    nodeLog(this, node).heal();
+});
+
 When("{int} seconds pass", async function(this: Scenario, seconds: number) {
     await this.fleet.clock.advance(seconds * 1_000);
 });
@@ -112,7 +116,7 @@
     for (const node of fleet.nodes) {
         const { journal } = node.follower;
         const before = journal.nextOffset;
-        journal.adopt({ configuration: { version: 0, document: fleet.document }, nextOffset: 1, atMs: 0 });
+        journal.adopt({ configuration: { version: 0, document: fleet.document }, nextOffset: 1, applied: [], atMs: 0 });
         assert.equal(journal.nextOffset, before);
         node.view.advance({ version: 0, document: fleet.document });
     }
@@ -146,7 +150,7 @@
 
 Then("the outcome of the repeated change is {string} on every node", function(this: Scenario, outcome: string) {
     for (const node of this.fleet.nodes) {
-        assert.equal(node.follower.journal.history.outcome("repeated")?.outcome, outcome);
+        assert.equal(node.follower.journal.outcome("repeated")?.outcome, outcome);
     }
 });
 
--- a/features/steps/configuration_retention_steps.ts
+++ b/features/steps/configuration_retention_steps.ts
@@ -57,6 +57,21 @@
     await fleet.clock.advance(SETTLE_MS);
 });
 
+When("the new node is asked for the change to rank {int} of tier {string} again", async function(
+    this: Scenario,
+    rank: number,
+    tier: string,
+) {
+    const fleet = fleetOf(this);
+    await fleet.clock.advance(SETTLE_MS);
+    const node = fleet.nodes.at(-1) as ConfigurationNode;
+    const madeAgainst = node.view.published.version;
+    const proposal = { id: `${tier}-${rank}`, madeAgainst, author: "operator", changes: [rankChange(tier, rank)] };
+    assert.equal((await fleet.clock.runUntil(node.follower.change(proposal))).outcome, "accepted");
+    const record = encodeConfigurationRecord({ ...proposal, atMs: 0 });
+    await fleet.clock.runUntil(fleet.log.append(CONFIGURATION_STREAM, record));
+});
+
 Given("a snapshot stands in the log whose time is a year ahead", async function(this: Scenario) {
     const fleet = fleetOf(this);
     const snapshot = snapshotOf(fleet.nodes[0]);
@@ -110,7 +125,10 @@
         case "the one that covers less landing last": {
             const document = { ...first.configuration.document, tiers: [{ name: "desk", rank: 0 }] };
             await append(fleet, encodeSnapshot(first));
-            await append(fleet, encodeSnapshot({ configuration: { version: 0, document }, nextOffset: 1, atMs: first.atMs }));
+            await append(
+                fleet,
+                encodeSnapshot({ configuration: { version: 0, document }, nextOffset: 1, applied: [], atMs: first.atMs }),
+            );
             return;
         }
         case "a malformed one landing last":
--- a/src/coordination/configuration/configuration_changer.ts
+++ b/src/coordination/configuration/configuration_changer.ts
@@ -52,7 +52,8 @@
  * Appends changes and waits until they are read back.
  *
  * An append whose answer was lost is repeated under the same id. That cannot apply the change twice: a record takes effect only on
- * the very version that it was made against, and the first of the two replaces that version.
+ * the very version that it was made against, and the first of the two replaces that version. A change that is asked for again
+ * against a later version is known by its id, which every node and every snapshot keeps.
  */
 export class ConfigurationChanger {
     /** @param settings See {@linkcode ConfigurationChangerSettings}. */
@@ -67,7 +68,7 @@
      */
     async change(proposal: ConfigurationProposal, signal: AbortSignal): Promise<ChangeResult> {
         const { journal, view } = this.settings;
-        const known = journal.history.outcome(proposal.id);
+        const known = journal.outcome(proposal.id);
         if (known !== undefined) {
             return this.toResult(known, proposal.madeAgainst);
         }
--- a/src/coordination/configuration/configuration_journal.ts
+++ b/src/coordination/configuration/configuration_journal.ts
@@ -19,6 +19,12 @@
 import { KeptRecords } from "./_kept_records.js";
 import { ChangeOutcome, type RecordOutcome } from "./change_outcome.js";
 
+/**
+ * Changes whose ids are kept, so that none of them takes effect again. All nodes and snapshots keep the same ones; at 4,000 changes
+ * a day they are those of the last 6 hours.
+ */
+const APPLIED_IDS = 1_024;
+
 /** Settings of a {@linkcode ConfigurationJournal}. */
 export interface ConfigurationJournalSettings {
     readonly clock: Clock;
@@ -49,6 +55,7 @@
     /** Records that were skipped as malformed or of a later format. */
     skipped = 0;
     private readonly announce: (nextOffset: number) => void;
+    private applied = new Map<string, number>();
     private next = 0;
     private whole = true;
 
@@ -108,6 +115,7 @@
         this.whole = true;
         this.kept.restart(nextOffset);
         this.history.restart(configuration.version);
+        this.applied = new Map(snapshot.applied.map(({ id, version }) => [id, version]));
         if (this.settings.view.advance(configuration)) {
             this.record("inForce", `Version ${configuration.version} is in force, by a snapshot up to offset ${nextOffset}.`);
         }
@@ -121,7 +129,18 @@
         if (!this.whole || view.published.version < 0) {
             return undefined;
         }
-        return { configuration: view.published, nextOffset: this.next, atMs: Math.floor(clock.now()) };
+        const applied = [...this.applied].map(([id, version]) => ({ id, version }));
+        return { configuration: view.published, nextOffset: this.next, applied, atMs: Math.floor(clock.now()) };
+    }
+
+    /**
+     * Returns what became of a change.
+     *
+     * @returns The outcome, or `undefined` when no record of the change was read, or it was long ago.
+     */
+    outcome(id: string): RecordOutcome | undefined {
+        const version = this.applied.get(id);
+        return version === undefined ? this.history.outcome(id) : { outcome: ChangeOutcome.Accepted, version, problems: [] };
     }
 
     private apply({ offset, data }: LogRecord): void {
@@ -142,6 +161,11 @@
     private applyChanges(offset: number, record: ConfigurationRecord): RecordOutcome {
         const { view } = this.settings;
         const { version, document } = view.published;
+        const repeated = this.applied.get(record.id);
+        if (repeated !== undefined) {
+            this.record("repeated", `Record ${offset} repeats the change of version ${repeated} and has no effect.`);
+            return { outcome: ChangeOutcome.Accepted, version: repeated, problems: [] };
+        }
         if (record.madeAgainst !== version) {
             const text =
                 `Record ${offset} by ${record.author} was made against version ${record.madeAgainst}, but ${version} is in force.`;
@@ -157,11 +181,20 @@
             `version ${offset} by ${record.author}: ${each.text}`
         );
         this.history.add({ version: offset, lines });
+        this.rememberApplied(record.id, offset);
         view.advance({ version: offset, document: checked.document });
         this.record("inForce", `Version ${offset} by ${record.author} is in force.`);
         return { outcome: ChangeOutcome.Accepted, version: offset, problems: [] };
     }
 
+    private rememberApplied(id: string, version: number): void {
+        this.applied.set(id, version);
+        if (this.applied.size > APPLIED_IDS) {
+            const [oldest] = this.applied.keys();
+            this.applied.delete(oldest);
+        }
+    }
+
     private skip(text: string): void {
         this.skipped += 1;
         this.settings.ring.record({ part: Part.Configuration, kind: "skipped", text, warning: true });
--- a/src/protocol/configuration_snapshot.ts
+++ b/src/protocol/configuration_snapshot.ts
@@ -23,21 +23,31 @@
     version: z.int().min(0),
     nextOffset: z.int().min(1),
     atMs: z.int().min(0),
+    applied: z.array(z.strictObject({ id: z.string(), version: z.int() })),
     document: z.unknown(),
 });
 
+/** Change that took effect. */
+export interface AppliedId {
+    readonly id: string;
+    /** Version that it set. */
+    readonly version: number;
+}
+
 /** Configuration after all records of the log below an offset. */
 export interface ConfigurationSnapshot {
     readonly configuration: Configuration;
     /** Offset of the first record that the snapshot does not cover. */
     readonly nextOffset: number;
+    /** Last changes that took effect, oldest first, so that none of them takes effect again. */
+    readonly applied: readonly AppliedId[];
     /** Time at which it was taken, in milliseconds since the Unix epoch. */
     readonly atMs: number;
 }
 
 /** Writes a snapshot for the log or for a peer. */
-export function encodeSnapshot({ configuration, nextOffset, atMs }: ConfigurationSnapshot): Uint8Array {
-    return deflateRawSync(JSON.stringify({ format: SNAPSHOT_FORMAT, ...configuration, nextOffset, atMs }));
+export function encodeSnapshot({ configuration, ...rest }: ConfigurationSnapshot): Uint8Array {
+    return deflateRawSync(JSON.stringify({ format: SNAPSHOT_FORMAT, ...configuration, ...rest }));
 }
 
 /**
@@ -48,12 +58,12 @@
 export function decodeSnapshot(data: Uint8Array): ConfigurationSnapshot | undefined {
     try {
         const text = inflateRawSync(data, { maxOutputLength: MAX_SNAPSHOT_BYTES }).toString("utf8");
-        const { version, nextOffset, atMs, document } = snapshotSchema.parse(JSON.parse(text));
+        const { version, nextOffset, applied, atMs, document } = snapshotSchema.parse(JSON.parse(text));
         const checked = checkDocument(document);
         if (checked.problems !== undefined || version >= nextOffset) {
             return undefined;
         }
-        return { configuration: { version, document: checked.document }, nextOffset, atMs };
+        return { configuration: { version, document: checked.document }, nextOffset, applied, atMs };
     }
     catch {
         return undefined;
