--- a/src/cli/configuration_command.ts
+++ b/src/cli/configuration_command.ts
@@ -8,7 +8,7 @@
 import { randomUUID } from "node:crypto";
 import { configurationWire } from "../protocol/mod.js";
 import { type ConfigurationDocument, type ItemChange } from "../state/mod.js";
-import type { OperatorClient } from "./operator_client.js";
+import { type OperatorClient, OperatorError } from "./operator_client.js";
 import { ExitCode, OperatorCommand } from "./operator_command.js";
 
 /** Exit code of each outcome that is no success. */
@@ -54,7 +54,7 @@
             return ExitCode.Done;
         }
         const id = this.changeId ?? randomUUID();
-        const reply = await client.changeConfiguration({ id, madeAgainst, changes: JSON.stringify(changes) });
+        const reply = await this.askFor(client, { id, madeAgainst, changes: JSON.stringify(changes) });
         const exitCode = EXIT_CODES.get(reply.outcome);
         if (exitCode === undefined) {
             this.print({ version: reply.version, id }, `Version ${reply.version} is in the log and in force on this node.\n`);
@@ -64,6 +64,21 @@
         return exitCode;
     }
 
+    private async askFor(
+        client: OperatorClient,
+        request: configurationWire.ChangeConfigurationRequest,
+    ): Promise<configurationWire.ChangeConfigurationReply> {
+        try {
+            return await client.changeConfiguration(request);
+        }
+        catch (error) {
+            if (error instanceof OperatorError && !error.refused) {
+                this.context.stderr.write(`The change may have landed; ask again with --change-id ${request.id}.\n`);
+            }
+            throw error;
+        }
+    }
+
     private reportRefusal(id: string, { problems, others, version }: configurationWire.ChangeConfigurationReply): void {
         if (this.json) {
             this.context.stdout.write(`${JSON.stringify({ id, version, problems, others })}\n`);
