--- a/measure/config.ts
+++ b/measure/config.ts
@@ -31,11 +31,13 @@
 
 async function runConfig(seed: number): Promise<Report> {
     const phases: PhaseFigures[] = [];
+    const idle: number[] = [];
     let reverts = 0;
     for (const size of FLEET_SIZES) {
         const figures = await measureFleet(size);
         phases.push(...figures.phases);
         reverts += figures.reverts;
+        idle.push(figures.idleLogBytesPerSecond);
     }
     const cost = await measureCost(seed);
     const targets: Target[] = phases.map(({ daemons, phase, delaysMs }) => ({
@@ -49,7 +51,7 @@
         scenario: "config",
         seed,
         baseline: measureNaive(seed, cost.documentBytes),
-        current: { inForce: phases.map(toRow), reverts, ...cost },
+        current: { inForce: phases.map(toRow), reverts, idleLogBytesPerSecond: Math.max(...idle), ...cost },
         targets,
     };
 }
--- a/measure/config_fleet.ts
+++ b/measure/config_fleet.ts
@@ -30,6 +30,9 @@
 /** Failure domain that is cut off from the log. */
 const CUT_DOMAIN = "domain-c";
 
+/** Time for which the bytes of an idle fleet are counted, in milliseconds. */
+const IDLE_MS = 10_000;
+
 /** Key of the fleet's operator. */
 const OPERATOR_KEY = "measure-operator-key";
 
@@ -55,6 +58,8 @@
     readonly phases: readonly PhaseFigures[];
     /** Looks at which a daemon had an older version than at the look before. */
     readonly reverts: number;
+    /** Bytes between a daemon and the log while nothing changes, both ways, in a second. */
+    readonly idleLogBytesPerSecond: number;
 }
 
 /** Change that was accepted. */
@@ -93,6 +98,7 @@
     const stopped = new AbortController();
     const watches = clients.map(client => countReverts(client, stopped.signal));
     try {
+        const idleLogBytesPerSecond = await countIdleBytes(fleet, forwarder);
         const changes: { readonly phase: string; readonly accepted: readonly AcceptedChange[] }[] = [];
         for (const { name, state } of PHASES) {
             forwarder.set(state);
@@ -108,7 +114,7 @@
                 inForce.map(times => (times.get(change.version) ?? Infinity) - change.askedAtMs)
             ),
         }));
-        return { phases, reverts };
+        return { phases, reverts, idleLogBytesPerSecond };
     }
     finally {
         stopped.abort();
@@ -118,6 +124,13 @@
     }
 }
 
+async function countIdleBytes(fleet: LocalFleet, forwarder: TcpForwarder): Promise<number> {
+    const before = forwarder.bytes;
+    await sleep(IDLE_MS);
+    const daemons = fleet.daemons.filter(daemon => daemon.failureDomain === CUT_DOMAIN).length;
+    return (forwarder.bytes - before) * 1_000 / (IDLE_MS * daemons);
+}
+
 async function makeChanges(client: OperatorClient): Promise<readonly AcceptedChange[]> {
     const accepted: AcceptedChange[] = [];
     for (let index = 0; index < CHANGES_PER_PHASE; index += 1) {
--- a/standin/tcp_forwarder.ts
+++ b/standin/tcp_forwarder.ts
@@ -19,6 +19,8 @@
 export class TcpForwarder {
     /** Address that connections are forwarded to. */
     target = "";
+    /** Bytes carried both ways. */
+    bytes = 0;
     private state = ForwarderState.Open;
     private readonly sockets = new Set<Socket>();
 
@@ -80,6 +82,9 @@
 
     private track(socket: Socket): void {
         this.sockets.add(socket);
+        socket.on("data", chunk => {
+            this.bytes += chunk.length;
+        });
         socket.on("error", () => socket.destroy());
         socket.on("close", () => this.sockets.delete(socket));
     }
