--- a/features/steps/operator_access_steps.ts
+++ b/features/steps/operator_access_steps.ts
@@ -8,65 +8,21 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { OperatorClient, OperatorError } from "../../src/cli/mod.js";
-import {
-    ConfigurationOperatorDesk,
-    ConfigurationPeerDesk,
-    findOperator,
-    OperatorDesk,
-    parseSettings,
-    type Settings,
-    SettingsError,
-} from "../../src/daemon/mod.js";
-import { PeerHandler, type wire } from "../../src/protocol/mod.js";
-import { GrpcServer } from "../../src/transport/mod.js";
+import { SettingsError } from "../../src/daemon/mod.js";
 import { hashKey } from "../../standin/deployment.js";
 import { rankChange, rememberVersions, versionsBefore } from "../support/configuration_changes.js";
+import { operatorSideOf, readOperators, startOperatorSide, stopOperatorSide } from "../support/operator_side.js";
 import type { Scenario } from "../support/world.js";
 
-/** Peer side that is not called here. */
-class NoPeers extends PeerHandler {
-    override async probe(): Promise<wire.ProbeReply> {
-        throw new Error("Cannot probe: the scenario has no peers");
-    }
-}
-
-/** Daemon's operator side, and what came of the last call to it. */
-interface OperatorSide {
-    readonly server: GrpcServer;
-    readonly address: string;
-    failure: unknown;
-}
-
-/** Operator sides by scenario. */
-const sides = new WeakMap<Scenario, OperatorSide>();
-
 /** Settings errors by scenario. */
 const settingsErrors = new WeakMap<Scenario, unknown>();
 
-/** Settings text without its operators. */
-const SETTINGS = `
-node: entry-1
-failureDomain: sul-a
-listen: { callers: "127.0.0.1:1", peers: "127.0.0.1:2" }
-platform: { log: "127.0.0.1:3", vmList: "127.0.0.1:4", weightStore: "127.0.0.1:5" }
-`;
-
 After(function(this: Scenario) {
-    sides.get(this)?.server.close();
+    stopOperatorSide(this);
 });
 
 Given("a daemon's operator side over gRPC", async function(this: Scenario) {
-    const [node] = this.fleet.nodes;
-    const settings = readOperators(JSON.stringify([{ name: "ana", keyHash: hashKey("ana-key") }]));
-    const server = new GrpcServer({
-        peerHandler: new NoPeers(),
-        operatorHandler: new OperatorDesk({ node, limits: [], isReady: () => true }),
-        configurationPeerHandler: new ConfigurationPeerDesk(node),
-        configurationOperatorHandler: new ConfigurationOperatorDesk(node),
-        findOperator: key => findOperator(settings, key),
-    });
-    const port = await server.listen("127.0.0.1", 0);
-    sides.set(this, { server, address: `127.0.0.1:${port}`, failure: undefined });
+    await startOperatorSide(this);
 });
 
 When(/^an operator with (?:no key|the key "([^"]*)") asks it to (.*)$/, async function(
@@ -75,7 +31,7 @@
     call: string,
 ) {
     rememberVersions(this);
-    const side = sideOf(this);
+    const side = operatorSideOf(this);
     const client = new OperatorClient(side.address, key ?? undefined);
     const failed = (error: unknown) => {
         side.failure = error;
@@ -110,7 +66,7 @@
 });
 
 Then("the operator is refused for the key and nothing was done", async function(this: Scenario) {
-    const { failure } = sideOf(this);
+    const { failure } = operatorSideOf(this);
     assert.ok(failure instanceof OperatorError && failure.refused, String(failure));
     await this.fleet.clock.advance(4_000);
     assert.equal(this.fleet.log.appends, 1);
@@ -118,12 +74,15 @@
 });
 
 Then("neither the refusal nor the time line holds the key", function(this: Scenario) {
-    const texts = [String(sideOf(this).failure), ...this.fleet.nodes.flatMap(node => node.ring.list().map(event => event.text))];
+    const texts = [
+        String(operatorSideOf(this).failure),
+        ...this.fleet.nodes.flatMap(node => node.ring.list().map(event => event.text)),
+    ];
     assert.ok(!texts.some(text => text.includes("wrong-key")));
 });
 
 Then("the time line names the operator {string}", function(this: Scenario, operator: string) {
-    assert.equal(sideOf(this).failure, undefined);
+    assert.equal(operatorSideOf(this).failure, undefined);
     const events = this.fleet.nodes[0].ring.list();
     assert.ok(events.some(event => event.kind === "inForce" && event.text.includes(`by ${operator} `)));
 });
@@ -134,10 +93,6 @@
     assert.ok(error.problems.some(problem => problem.includes(`"${field}"`)), error.message);
 });
 
-function readOperators(operators: string): Settings {
-    return parseSettings(`${SETTINGS}operators: ${operators}\n`, "test.yaml");
-}
-
 async function callSide(scenario: Scenario, client: OperatorClient, call: string): Promise<void> {
     switch (call) {
         case "change the configuration": {
@@ -169,9 +124,3 @@
             throw new Error(`Cannot call: "${call}" is unknown`);
     }
 }
-
-function sideOf(scenario: Scenario): OperatorSide {
-    const side = sides.get(scenario);
-    assert.ok(side, "no step has started an operator side");
-    return side;
-}
--- /dev/null
+++ b/features/support/operator_side.ts
@@ -0,0 +1,76 @@
+/**
+ * Operator side of a daemon over gRPC, in front of a node under the virtual clock.
+ *
+ * @module
+ */
+
+import assert from "node:assert/strict";
+import {
+    ConfigurationOperatorDesk,
+    ConfigurationPeerDesk,
+    findOperator,
+    OperatorDesk,
+    parseSettings,
+    type Settings,
+} from "../../src/daemon/mod.js";
+import { PeerHandler, type wire } from "../../src/protocol/mod.js";
+import { GrpcServer } from "../../src/transport/mod.js";
+import { hashKey } from "../../standin/deployment.js";
+import type { Scenario } from "./world.js";
+
+/** Operator side, and what came of the last call to it. */
+export interface OperatorSide {
+    readonly server: GrpcServer;
+    readonly address: string;
+    failure: unknown;
+}
+
+/** Operator sides by scenario. */
+const sides = new WeakMap<Scenario, OperatorSide>();
+
+/** Settings text without its operators. */
+const SETTINGS = `
+node: entry-1
+failureDomain: sul-a
+listen: { callers: "127.0.0.1:1", peers: "127.0.0.1:2" }
+platform: { log: "127.0.0.1:3", vmList: "127.0.0.1:4", weightStore: "127.0.0.1:5" }
+`;
+
+/** Peer side that is not called here. */
+class NoPeers extends PeerHandler {
+    override async probe(): Promise<wire.ProbeReply> {
+        throw new Error("Cannot probe: the scenario has no peers");
+    }
+}
+
+/** Starts the operator side of a scenario's first node; it knows the operator `ana` with the key `ana-key`. */
+export async function startOperatorSide(scenario: Scenario): Promise<void> {
+    const [node] = scenario.fleet.nodes;
+    const settings = readOperators(JSON.stringify([{ name: "ana", keyHash: hashKey("ana-key") }]));
+    const server = new GrpcServer({
+        peerHandler: new NoPeers(),
+        operatorHandler: new OperatorDesk({ node, limits: [], isReady: () => true }),
+        configurationPeerHandler: new ConfigurationPeerDesk(node),
+        configurationOperatorHandler: new ConfigurationOperatorDesk(node),
+        findOperator: key => findOperator(settings, key),
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    sides.set(scenario, { server, address: `127.0.0.1:${port}`, failure: undefined });
+}
+
+/** Stops the operator side of a scenario, if there is one. */
+export function stopOperatorSide(scenario: Scenario): void {
+    sides.get(scenario)?.server.close();
+}
+
+/** Returns the operator side of a scenario. */
+export function operatorSideOf(scenario: Scenario): OperatorSide {
+    const side = sides.get(scenario);
+    assert.ok(side, "no step has started an operator side");
+    return side;
+}
+
+/** Reads settings with the operators given as JSON text. */
+export function readOperators(operators: string): Settings {
+    return parseSettings(`${SETTINGS}operators: ${operators}\n`, "test.yaml");
+}
