--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -12,6 +12,6 @@
 /** Experiments in the order in which the help lists them. */
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
-    configExperiment,
     drainExperiment,
+    configExperiment,
 ];
