--- a/features/support/operator_side.ts
+++ b/features/support/operator_side.ts
@@ -5,16 +5,8 @@
  */
 
 import assert from "node:assert/strict";
-import {
-    ConfigurationOperatorDesk,
-    ConfigurationPeerDesk,
-    findOperator,
-    OperatorDesk,
-    parseSettings,
-    type Settings,
-} from "../../src/daemon/mod.js";
-import { PeerHandler, type wire } from "../../src/protocol/mod.js";
-import { GrpcServer } from "../../src/transport/mod.js";
+import { ConfigurationOperatorDesk, findOperator, OperatorDesk, parseSettings, type Settings } from "../../src/daemon/mod.js";
+import { configurationOperatorService, GrpcServer, operatorService } from "../../src/transport/mod.js";
 import { hashKey } from "../../standin/deployment.js";
 import type { Scenario } from "./world.js";
 
@@ -36,23 +28,16 @@
 platform: { log: "127.0.0.1:3", vmList: "127.0.0.1:4", weightStore: "127.0.0.1:5" }
 `;
 
-/** Peer side that is not called here. */
-class NoPeers extends PeerHandler {
-    override async probe(): Promise<wire.ProbeReply> {
-        throw new Error("Cannot probe: the scenario has no peers");
-    }
-}
-
 /** Starts the operator side of a scenario's first node; it knows the operator `ana` with the key `ana-key`. */
 export async function startOperatorSide(scenario: Scenario): Promise<void> {
     const [node] = scenario.fleet.nodes;
     const settings = readOperators(JSON.stringify([{ name: "ana", keyHash: hashKey("ana-key") }]));
+    const find = (key: string | undefined) => findOperator(settings, key);
     const server = new GrpcServer({
-        peerHandler: new NoPeers(),
-        operatorHandler: new OperatorDesk({ node, limits: [], isReady: () => true }),
-        configurationPeerHandler: new ConfigurationPeerDesk(node),
-        configurationOperatorHandler: new ConfigurationOperatorDesk(node),
-        findOperator: key => findOperator(settings, key),
+        services: [
+            operatorService(new OperatorDesk({ node, limits: [], isReady: () => true }), find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ],
     });
     const port = await server.listen("127.0.0.1", 0);
     sides.set(scenario, { server, address: `127.0.0.1:${port}`, failure: undefined });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -16,6 +16,7 @@
     WorkspaceRemoveCommand,
 } from "./item_commands.js";
 import { ExitCode } from "./operator_command.js";
+import { RequestListCommand } from "./request_list_command.js";
 import { SendCommand } from "./send_command.js";
 import { StatusCommand } from "./status_command.js";
 import { TimelineCommand } from "./timeline_command.js";
@@ -37,6 +38,7 @@
     TierListCommand,
     TierSetCommand,
     SendCommand,
+    RequestListCommand,
 ];
 
 const cli = new Cli({ binaryName: "foxtailrail", binaryLabel: "foxtailrail operators' command line" });
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -4,24 +4,20 @@
  * @module
  */
 
-import { Server, ServerCredentials, type ServerWritableStream } from "@grpc/grpc-js";
-import type { ConfigurationOperatorHandler, ConfigurationPeerHandler, OperatorHandler, PeerHandler } from "../protocol/mod.js";
-import { configurationWire, type TimelineFeed, wire } from "../protocol/mod.js";
-import { type FindOperator, guarded, notAllowed, operatorKey, unary } from "./_grpc_calls.js";
-
-export { OPERATOR_KEY_FIELD } from "./_grpc_calls.js";
+import { Server, ServerCredentials, type ServiceDefinition, type UntypedServiceImplementation } from "@grpc/grpc-js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Service with its answers. */
+export interface GrpcService {
+    readonly definition: ServiceDefinition;
+    readonly implementation: UntypedServiceImplementation;
+}
+
 /** Settings of a {@linkcode GrpcServer}. */
 export interface GrpcServerSettings {
-    readonly peerHandler: PeerHandler;
-    readonly operatorHandler: OperatorHandler;
-    readonly configurationPeerHandler: ConfigurationPeerHandler;
-    readonly configurationOperatorHandler: ConfigurationOperatorHandler;
-    /** Finds the operator who owns a key. */
-    readonly findOperator: FindOperator;
+    readonly services: readonly GrpcService[];
     /** Credentials of the server. Defaults to plain text. */
     readonly credentials?: ServerCredentials;
 }
@@ -35,10 +31,9 @@
 
     /** @param settings See {@linkcode GrpcServerSettings}. */
     constructor(private readonly settings: GrpcServerSettings) {
-        this.server.addService(wire.PeerService, this.peerImplementation());
-        this.server.addService(wire.OperatorService, this.operatorImplementation());
-        this.server.addService(configurationWire.ConfigurationPeerService, this.configurationPeerImplementation());
-        this.server.addService(configurationWire.ConfigurationOperatorService, this.configurationOperatorImplementation());
+        for (const { definition, implementation } of settings.services) {
+            this.server.addService(definition, implementation);
+        }
     }
 
     /** Starts to listen and returns the port. */
@@ -59,48 +54,4 @@
     close(): void {
         this.server.forceShutdown();
     }
-
-    private peerImplementation(): wire.PeerServer {
-        const { peerHandler } = this.settings;
-        return { probe: unary(request => peerHandler.probe(request)) };
-    }
-
-    private operatorImplementation(): wire.OperatorServer {
-        const { operatorHandler, findOperator } = this.settings;
-        return {
-            readStatus: guarded(findOperator, () => operatorHandler.readStatus()),
-            readTimeline: call => {
-                if (findOperator(operatorKey(call.metadata)) === undefined) {
-                    call.emit("error", notAllowed());
-                    return;
-                }
-                operatorHandler.readTimeline(call.request, toFeed(call));
-            },
-        };
-    }
-
-    private configurationPeerImplementation(): configurationWire.ConfigurationPeerServer {
-        const { configurationPeerHandler } = this.settings;
-        return { fetch: unary(request => configurationPeerHandler.fetchConfiguration(request)) };
-    }
-
-    private configurationOperatorImplementation(): configurationWire.ConfigurationOperatorServer {
-        const { configurationOperatorHandler: handler, findOperator } = this.settings;
-        return {
-            readConfiguration: guarded(findOperator, () => handler.readConfiguration()),
-            changeConfiguration: guarded(findOperator, (request, operator) => handler.changeConfiguration(request, operator)),
-        };
-    }
-}
-
-function toFeed(call: ServerWritableStream<wire.ReadTimelineRequest, wire.EventRecord>): TimelineFeed {
-    return {
-        send: event => call.write(event),
-        end: () => call.end(),
-        onDrain: listener => call.on("drain", listener),
-        onClose: listener => {
-            call.on("cancelled", listener);
-            call.on("close", listener);
-        },
-    };
 }
--- /dev/null
+++ b/src/transport/grpc_services.ts
@@ -0,0 +1,84 @@
+/**
+ * gRPC services of a daemon: which call goes to which handler, and who may make it.
+ *
+ * @module
+ */
+
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import type {
+    ClaimHandler,
+    ConfigurationOperatorHandler,
+    ConfigurationPeerHandler,
+    OperatorHandler,
+    PeerHandler,
+} from "../protocol/mod.js";
+import { claimWire, configurationWire, type TimelineFeed, wire } from "../protocol/mod.js";
+import { type FindOperator, guarded, notAllowed, operatorKey } from "./_grpc_calls.js";
+import type { GrpcService } from "./grpc_server.js";
+import type { PeerGate } from "./peer_gate.js";
+
+export { type FindOperator, OPERATOR_KEY_FIELD } from "./_grpc_calls.js";
+
+/** Returns the service of probes between daemons. */
+export function peerService(handler: PeerHandler, gate: PeerGate): GrpcService {
+    const implementation: wire.PeerServer = { probe: gate.admit(request => handler.probe(request)) };
+    return { definition: wire.PeerService, implementation };
+}
+
+/** Returns the service of configuration between daemons. */
+export function configurationPeerService(handler: ConfigurationPeerHandler, gate: PeerGate): GrpcService {
+    const implementation: configurationWire.ConfigurationPeerServer = {
+        fetch: gate.admit(request => handler.fetchConfiguration(request)),
+    };
+    return { definition: configurationWire.ConfigurationPeerService, implementation };
+}
+
+/** Returns the service of claims between daemons. */
+export function claimPeerService(handler: ClaimHandler, gate: PeerGate): GrpcService {
+    const implementation: claimWire.ClaimPeerServer = { commit: gate.admit(request => handler.commit(request)) };
+    return { definition: claimWire.ClaimPeerService, implementation };
+}
+
+/** Returns the service of status and time line to operators. */
+export function operatorService(handler: OperatorHandler, findOperator: FindOperator): GrpcService {
+    const implementation: wire.OperatorServer = {
+        readStatus: guarded(findOperator, () => handler.readStatus()),
+        readTimeline: call => {
+            if (findOperator(operatorKey(call.metadata)) === undefined) {
+                call.emit("error", notAllowed());
+                return;
+            }
+            handler.readTimeline(call.request, toFeed(call));
+        },
+    };
+    return { definition: wire.OperatorService, implementation };
+}
+
+/** Returns the service of configuration to operators. */
+export function configurationOperatorService(handler: ConfigurationOperatorHandler, findOperator: FindOperator): GrpcService {
+    const implementation: configurationWire.ConfigurationOperatorServer = {
+        readConfiguration: guarded(findOperator, () => handler.readConfiguration()),
+        changeConfiguration: guarded(findOperator, (request, operator) => handler.changeConfiguration(request, operator)),
+    };
+    return { definition: configurationWire.ConfigurationOperatorService, implementation };
+}
+
+/** Returns the service of claims to operators. */
+export function claimOperatorService(handler: ClaimHandler, findOperator: FindOperator): GrpcService {
+    const implementation: claimWire.ClaimOperatorServer = {
+        listUnknown: guarded(findOperator, request => handler.listUnknown(request)),
+    };
+    return { definition: claimWire.ClaimOperatorService, implementation };
+}
+
+function toFeed(call: ServerWritableStream<wire.ReadTimelineRequest, wire.EventRecord>): TimelineFeed {
+    return {
+        send: event => call.write(event),
+        end: () => call.end(),
+        onDrain: listener => call.on("drain", listener),
+        onClose: listener => {
+            call.on("cancelled", listener);
+            call.on("close", listener);
+        },
+    };
+}
