--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -9,11 +9,10 @@
     ChangeConfigurationRequest,
     ConfigurationReply,
     EventRecord,
-    ProbeReply,
-    ProbeRequest,
     ReadTimelineRequest,
     StatusReply,
-} from "./gen/peer.js";
+} from "./gen/operator.js";
+import type { ProbeReply, ProbeRequest } from "./gen/peer.js";
 
 /** Answers other daemons. */
 export abstract class PeerHandler {
