--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -29,13 +29,19 @@
             String(server.outstanding),
             server.reportAgeMs < 0 ? "none" : `${server.reportAgeMs} ms`,
         ]);
-        const members = status.members.map(member => [member.id, member.failureDomain, member.state, member.address]);
+        const members = status.members.map(member => [
+            member.id,
+            member.failureDomain,
+            member.state,
+            member.address,
+            member.life === 0 ? "-" : `${new Date(member.life).toISOString()} / ${member.incarnation}`,
+        ]);
         const limits = status.limits.map(limit => [limit.name, String(limit.value), String(limit.limit)]);
         const text = [
             `Node ${status.node} in ${status.failureDomain}: ${status.ready ? "ready" : "not ready"}, `,
             `configuration ${status.configurationVersion}\n\n`,
             formatTable(["BACKEND SERVER", "POOL", "DOMAIN", "STATE", "VERSION", "OUTSTANDING", "REPORT AGE"], servers),
-            `\n${formatTable(["ENTRY VM", "DOMAIN", "STATE", "ADDRESS"], members)}`,
+            `\n${formatTable(["ENTRY VM", "DOMAIN", "STATE", "ADDRESS", "STARTED / INCARNATION"], members)}`,
             `\n${formatTable(["LIMIT", "USED", "ALLOWED"], limits)}`,
         ];
         this.print(status, text.join(""));
--- a/src/cli/timeline_command.ts
+++ b/src/cli/timeline_command.ts
@@ -5,6 +5,7 @@
  */
 
 import { Command, Option } from "clipanion";
+import { MemberState } from "../coordination/mod.js";
 import type { wire } from "../protocol/mod.js";
 import { compareHybridTimes } from "../state/mod.js";
 import { OperatorClient, OperatorError } from "./operator_client.js";
@@ -46,7 +47,8 @@
     private async readAll(client: OperatorClient): Promise<MergedTimeline> {
         const key = await this.readKey();
         const { members, node } = await client.readStatus();
-        const addresses = new Map(members.map(member => [member.id, member.address]));
+        const present = members.filter(member => member.state !== MemberState.Dead && member.state !== MemberState.Left);
+        const addresses = new Map(present.map(member => [member.id, member.address]));
         addresses.set(node, client.address);
         const events: wire.EventRecord[] = [];
         const unreachable: string[] = [];
--- /dev/null
+++ b/src/coordination/membership/_metered_peer_client.ts
@@ -0,0 +1,40 @@
+/**
+ * Peer client that charges every message to the node's budget.
+ *
+ * @module
+ */
+
+import { PeerClient, wire } from "../../protocol/mod.js";
+import type { ByteBudget } from "./byte_budget.js";
+
+/** Charges requests as they are sent and counts replies as they come. */
+export class MeteredPeerClient extends PeerClient {
+    /**
+     * @param client Client that sends the messages.
+     * @param budget Budget that is charged.
+     */
+    constructor(private readonly client: PeerClient, private readonly budget: ByteBudget) {
+        super();
+    }
+
+    override async probe(address: string, request: wire.ProbeRequest, timeoutMs: number): Promise<wire.ProbeReply> {
+        this.budget.charge(wire.ProbeRequest.encode(request).finish().length);
+        const reply = await this.client.probe(address, request, timeoutMs);
+        this.budget.countReceived(wire.ProbeReply.encode(reply).finish().length);
+        return reply;
+    }
+
+    override async relay(address: string, request: wire.RelayRequest, timeoutMs: number): Promise<wire.RelayReply> {
+        this.budget.charge(wire.RelayRequest.encode(request).finish().length);
+        const reply = await this.client.relay(address, request, timeoutMs);
+        this.budget.countReceived(wire.RelayReply.encode(reply).finish().length);
+        return reply;
+    }
+
+    override async exchange(address: string, request: wire.ExchangeRequest, timeoutMs: number): Promise<wire.ExchangeReply> {
+        this.budget.charge(wire.ExchangeRequest.encode(request).finish().length);
+        const reply = await this.client.exchange(address, request, timeoutMs);
+        this.budget.countReceived(wire.ExchangeReply.encode(reply).finish().length);
+        return reply;
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/_news_queue.ts
@@ -0,0 +1,60 @@
+/**
+ * News of members that are sent along with other messages.
+ *
+ * After Das, Gupta and Motivala, "SWIM" (2002), section 4.1: the least sent news go first, and each is sent a number of times that
+ * grows with the logarithm of the number of members.
+ *
+ * @module
+ */
+
+import type { wire } from "../../protocol/mod.js";
+
+/** News that wait to be sent; the most sent is dropped first. */
+export const MAX_WAITING_NEWS = 1_024;
+
+/** Times that each piece of news is sent, for each doubling of the number of members. */
+const SENDS_PER_DOUBLING = 2;
+
+/** Record with the number of times that it was sent. */
+interface Piece {
+    readonly record: wire.MemberRecord;
+    sends: number;
+}
+
+/** Latest news of each member. */
+export class NewsQueue {
+    private readonly pieces = new Map<string, Piece>();
+
+    /** Number of pieces that wait. */
+    get size(): number {
+        return this.pieces.size;
+    }
+
+    /** Adds news, in place of older ones of the same member. */
+    add(record: wire.MemberRecord): void {
+        this.pieces.delete(record.id);
+        if (this.pieces.size >= MAX_WAITING_NEWS) {
+            const [mostSent] = [...this.pieces.values()].sort((left, right) => right.sends - left.sends);
+            this.pieces.delete(mostSent.record.id);
+        }
+        this.pieces.set(record.id, { record, sends: 0 });
+    }
+
+    /**
+     * Takes the news for one message.
+     *
+     * @param maxRecords Largest number of records.
+     * @param memberCount Number of members known.
+     */
+    take(maxRecords: number, memberCount: number): wire.MemberRecord[] {
+        const maxSends = SENDS_PER_DOUBLING * Math.ceil(Math.log2(memberCount + 1));
+        const chosen = [...this.pieces.values()].sort((left, right) => left.sends - right.sends).slice(0, maxRecords);
+        for (const piece of chosen) {
+            piece.sends += 1;
+            if (piece.sends >= maxSends) {
+                this.pieces.delete(piece.record.id);
+            }
+        }
+        return chosen.map(piece => piece.record);
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/_prober.ts
@@ -0,0 +1,148 @@
+/**
+ * Probes of members, direct and through others.
+ *
+ * @module
+ */
+
+import { type PeerClient, PeerError, type wire } from "../../protocol/mod.js";
+import type { Clock, RandomSource } from "../../state/mod.js";
+import type { LocalHealth } from "./_local_health.js";
+import { isRemoved, type Member, MemberState } from "./member.js";
+
+/** Time that a direct probe may take, in milliseconds. */
+const PROBE_TIMEOUT_MS = 400;
+
+/** Time that a probe through another member may take, in milliseconds. */
+const RELAY_TIMEOUT_MS = 700;
+
+/** Time by which a wait may overrun before this node takes itself for slow, in milliseconds. */
+const OVERRUN_TOLERANCE_MS = 200;
+
+/** Members of the same failure domain that are asked to probe in this node's place. */
+const NEAR_HELPERS = 2;
+
+/** Members of other failure domains that are asked to probe in this node's place. */
+const FAR_HELPERS = 1;
+
+/** How a probe ended. */
+export enum ProbeResult {
+    /** The member answered, here or to a helper. */
+    Reached = "reached",
+    /** Neither this node nor its helpers reached the member. */
+    Failed = "failed",
+    /** This node was itself too slow to tell. */
+    Void = "void",
+}
+
+/** Settings of a {@linkcode Prober}. */
+export interface ProberSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly client: PeerClient;
+    readonly health: LocalHealth;
+    /** Returns this node as it is now. */
+    readonly self: () => Member;
+    /** Lists all members but this node. */
+    readonly others: () => readonly Member[];
+    /** Makes the request to a member. */
+    readonly request: (member: Member) => wire.ProbeRequest;
+    /** Takes the answer of a member, or of a helper that reached it. */
+    readonly onAnswer: (member: Member, reply: wire.ProbeReply | wire.RelayReply) => void;
+    /** Hears that a helper answered, whatever it found. */
+    readonly onHelp: () => void;
+}
+
+/** Probes members after SWIM: directly first, then through helpers. */
+export class Prober {
+    /** @param settings See {@linkcode ProberSettings}. */
+    constructor(private readonly settings: ProberSettings) {}
+
+    /** Probes a member directly and through helpers. */
+    async probe(member: Member): Promise<ProbeResult> {
+        const { clock, health } = this.settings;
+        const startedAtMs = clock.now();
+        const factor = health.factor;
+        if (await this.probeDirectly(member)) {
+            health.improve();
+            return ProbeResult.Reached;
+        }
+        if (await this.probeThroughHelpers(member)) {
+            return ProbeResult.Reached;
+        }
+        const allowedMs = (PROBE_TIMEOUT_MS + RELAY_TIMEOUT_MS) * factor + OVERRUN_TOLERANCE_MS;
+        if (clock.now() - startedAtMs > allowedMs) {
+            health.worsen();
+            return ProbeResult.Void;
+        }
+        return ProbeResult.Failed;
+    }
+
+    /** Probes a member directly. */
+    async probeDirectly(member: Member): Promise<boolean> {
+        const { client, health, request, onAnswer } = this.settings;
+        try {
+            const reply = await client.probe(member.address, request(member), PROBE_TIMEOUT_MS * health.factor);
+            onAnswer(member, reply);
+            // Another member may have taken over the address.
+            return reply.node === member.id;
+        }
+        catch (error) {
+            ignorePeerError(error);
+            return false;
+        }
+    }
+
+    private async probeThroughHelpers(member: Member): Promise<boolean> {
+        const helpers = this.pickHelpers(member);
+        const answers = await Promise.all(helpers.map(helper => this.probeThrough(helper, member)));
+        if (helpers.length > 0 && answers.every(answer => answer === undefined)) {
+            // A healthy helper says even that it did not reach the member; see Lifeguard (2018), section 4.1.
+            this.settings.health.worsen();
+        }
+        return answers.some(answer => answer?.reached);
+    }
+
+    private async probeThrough(helper: Member, member: Member): Promise<wire.RelayReply | undefined> {
+        const { client, health, self, onAnswer, onHelp } = this.settings;
+        const request = { node: self().id, target: member.id, address: member.address };
+        try {
+            const reply = await client.relay(helper.address, request, RELAY_TIMEOUT_MS * health.factor);
+            onHelp();
+            if (reply.reached) {
+                onAnswer(member, reply);
+            }
+            return reply;
+        }
+        catch (error) {
+            ignorePeerError(error);
+            return undefined;
+        }
+    }
+
+    private pickHelpers(target: Member): readonly Member[] {
+        const { others, self } = this.settings;
+        const able = others().filter(member => member.id !== target.id && member.protocol > 0 && canHelp(member));
+        const near = able.filter(member => member.failureDomain === self().failureDomain);
+        const far = able.filter(member => member.failureDomain !== self().failureDomain);
+        return [...this.pick(near, NEAR_HELPERS), ...this.pick(far, FAR_HELPERS)];
+    }
+
+    private pick(members: Member[], count: number): readonly Member[] {
+        const picked: Member[] = [];
+        while (picked.length < count && members.length > 0) {
+            picked.push(...members.splice(this.settings.random.below(members.length), 1));
+        }
+        return picked;
+    }
+}
+
+function canHelp(member: Member): boolean {
+    return !isRemoved(member) && member.state !== MemberState.Suspect && member.state !== MemberState.Unreachable;
+}
+
+/** The outcome tells enough of a peer that did not answer; everything else is a defect. */
+function ignorePeerError(error: unknown): void {
+    if (!(error instanceof PeerError)) {
+        throw error;
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/_suspicions.ts
@@ -0,0 +1,73 @@
+/**
+ * Suspicions that have neither been refuted nor confirmed by time.
+ *
+ * @module
+ */
+
+/** Longest time that a suspect has to refute, in milliseconds. */
+const MAX_SUSPICION_MS = 2_500;
+
+/** Shortest time that a suspect has to refute, in milliseconds. */
+const MIN_SUSPICION_MS = 1_250;
+
+/** Accusers beyond the first after which the shortest time holds. */
+const FULL_CONFIRMATIONS = 2;
+
+/** One suspicion. */
+interface Suspicion {
+    startedAtMs: number;
+    readonly accusers: Set<string>;
+}
+
+/** Suspicions of a node, by member. */
+export class Suspicions {
+    private readonly suspicions = new Map<string, Suspicion>();
+
+    /** Number of suspicions. */
+    get size(): number {
+        return this.suspicions.size;
+    }
+
+    /**
+     * Adds an accusation.
+     *
+     * @returns `true` when the accuser is new to the suspicion, so that others should hear of it.
+     */
+    accuse(id: string, accuser: string, nowMs: number): boolean {
+        const known = this.suspicions.get(id);
+        if (known === undefined) {
+            this.suspicions.set(id, { startedAtMs: nowMs, accusers: new Set([accuser]) });
+            return true;
+        }
+        if (known.accusers.has(accuser) || known.accusers.size > FULL_CONFIRMATIONS) {
+            return false;
+        }
+        known.accusers.add(accuser);
+        return true;
+    }
+
+    /** Ends a suspicion. */
+    clear(id: string): void {
+        this.suspicions.delete(id);
+    }
+
+    /** Moves all suspicions by time that this node itself lost. */
+    postpone(durationMs: number): void {
+        for (const suspicion of this.suspicions.values()) {
+            suspicion.startedAtMs += durationMs;
+        }
+    }
+
+    /** Returns the members whose time to refute has run out. */
+    listExpired(nowMs: number): readonly string[] {
+        const expired = [...this.suspicions].filter(([, suspicion]) => nowMs - suspicion.startedAtMs >= timeToRefute(suspicion));
+        return expired.map(([id]) => id);
+    }
+}
+
+/** Falls with the logarithm of the number of accusers; see Dadgar et al., "Lifeguard" (2018), section 4.2. */
+function timeToRefute(suspicion: Suspicion): number {
+    const confirmations = Math.min(FULL_CONFIRMATIONS, suspicion.accusers.size - 1);
+    const share = Math.log(confirmations + 1) / Math.log(FULL_CONFIRMATIONS + 1);
+    return MAX_SUSPICION_MS - (MAX_SUSPICION_MS - MIN_SUSPICION_MS) * share;
+}
--- /dev/null
+++ b/src/coordination/membership/_value_store.ts
@@ -0,0 +1,188 @@
+/**
+ * Latest value of each origin, topic and key.
+ *
+ * @module
+ */
+
+import type { wire } from "../../protocol/mod.js";
+import { Topic } from "../../protocol/mod.js";
+import type { Clock } from "../../state/mod.js";
+import { fingerprint } from "./_fingerprint.js";
+import { HotQueue } from "./_hot_queue.js";
+
+/** Values that a node keeps; the least important, oldest one is dropped first. */
+export const MAX_SHARED_VALUES = 16_384;
+
+/** Longest value, in bytes. */
+export const MAX_SHARED_VALUE_BYTES = 512;
+
+/** Longest name of an origin or a key, in characters. */
+const MAX_NAME_LENGTH = 200;
+
+/** Topics from this one on can wait; those before it are sent at once. */
+const FIRST_PATIENT_TOPIC = Topic.SentLoad;
+
+/** Bytes of a record beside its texts and data. */
+const RECORD_OVERHEAD_BYTES = 28;
+
+/** Value as a node keeps it. */
+export interface SharedEntry {
+    /** Fingerprint of topic, origin and key. */
+    readonly name: number;
+    readonly topic: number;
+    readonly origin: string;
+    readonly key: string;
+    /** Life of the origin that published the value. */
+    readonly life: number;
+    readonly version: number;
+    /** Time of publication by this node's clock, in milliseconds since the Unix epoch. */
+    readonly bornAtMs: number;
+    readonly data: Uint8Array;
+    /** Whether the origin is in this node's failure domain. */
+    readonly near: boolean;
+    /** Size of the record in a message, in bytes. */
+    readonly bytes: number;
+    /** Times that this node has sent the value. */
+    sends: number;
+}
+
+/** Tells whether values of a topic are sent at once. */
+export function isUrgent(topic: number): boolean {
+    return topic < FIRST_PATIENT_TOPIC;
+}
+
+/** Tells whether a record can be kept. */
+export function isWellFormed(record: wire.ValueRecord): boolean {
+    const named = record.origin !== "" && record.origin.length <= MAX_NAME_LENGTH && record.key.length <= MAX_NAME_LENGTH;
+    return named && record.data.length <= MAX_SHARED_VALUE_BYTES && record.life > 0 && record.version > 0;
+}
+
+/** Values by name, urgent ones apart so that a repair comes round to them sooner. */
+export class ValueStore {
+    readonly hot = new HotQueue();
+    private readonly urgent = new Map<number, SharedEntry>();
+    private readonly patient = new Map<number, SharedEntry>();
+    private urgentCursor: Iterator<SharedEntry> | undefined;
+    private patientCursor: Iterator<SharedEntry> | undefined;
+
+    /** @param clock Clock that ages are measured by. */
+    constructor(private readonly clock: Clock) {}
+
+    /** Number of values kept. */
+    get size(): number {
+        return this.urgent.size + this.patient.size;
+    }
+
+    /** All values. */
+    *all(): Generator<SharedEntry> {
+        yield* this.urgent.values();
+        yield* this.patient.values();
+    }
+
+    /** Returns a value by its name. */
+    get(name: number): SharedEntry | undefined {
+        return this.urgent.get(name) ?? this.patient.get(name);
+    }
+
+    /**
+     * Takes a value if it is newer than the one kept, and queues it to be sent.
+     *
+     * @param record Value as it came, or as this node publishes it.
+     * @param near Whether its origin is in this node's failure domain.
+     * @returns The entry, or `undefined` when the value is not newer.
+     */
+    take(record: wire.ValueRecord, near: boolean): SharedEntry | undefined {
+        const name = fingerprint(`${record.topic} ${record.origin} ${record.key}`);
+        const known = this.get(name);
+        if (known !== undefined && !isNewer(record, known)) {
+            return undefined;
+        }
+        if (known === undefined && this.size >= MAX_SHARED_VALUES && !this.makeRoom(record.topic)) {
+            return undefined;
+        }
+        const { topic, origin, key, life, version, data } = record;
+        const bytes = RECORD_OVERHEAD_BYTES + origin.length + key.length + data.length;
+        const bornAtMs = this.clock.now() - record.ageMs;
+        const entry: SharedEntry = { name, topic, origin, key, life, version, bornAtMs, data, near, bytes, sends: 0 };
+        if (known !== undefined && known.near !== near) {
+            this.hot.remove(known);
+        }
+        this.mapOf(topic).set(name, entry);
+        this.hot.add(entry);
+        return entry;
+    }
+
+    /** Drops a value. */
+    drop(entry: SharedEntry): void {
+        this.mapOf(entry.topic).delete(entry.name);
+        this.hot.remove(entry);
+    }
+
+    /** Queues all urgent values again, for peers that have missed them. */
+    resendUrgent(): void {
+        for (const entry of this.urgent.values()) {
+            entry.sends = 0;
+            this.hot.add(entry);
+        }
+    }
+
+    /** Returns the next values of a round through all of them, half of them urgent. */
+    nextForDigest(count: number): readonly SharedEntry[] {
+        const entries: SharedEntry[] = [];
+        this.urgentCursor = advance(this.urgent, this.urgentCursor, Math.ceil(count / 2), entries);
+        this.patientCursor = advance(this.patient, this.patientCursor, count - entries.length, entries);
+        return entries;
+    }
+
+    /** Turns an entry into its message. */
+    toRecord({ topic, origin, key, life, version, bornAtMs, data }: SharedEntry): wire.ValueRecord {
+        const ageMs = Math.max(0, Math.round(this.clock.now() - bornAtMs));
+        return { topic, origin, key, life, version, ageMs, data };
+    }
+
+    private mapOf(topic: number): Map<number, SharedEntry> {
+        return isUrgent(topic) ? this.urgent : this.patient;
+    }
+
+    /** Drops the least important value if it is less important than one of the topic. */
+    private makeRoom(topic: number): boolean {
+        let least: SharedEntry | undefined;
+        for (const entry of this.all()) {
+            if (
+                least === undefined || entry.topic > least.topic || entry.topic === least.topic && entry.bornAtMs < least.bornAtMs
+            ) {
+                least = entry;
+            }
+        }
+        if (least === undefined || least.topic < topic) {
+            return false;
+        }
+        this.drop(least);
+        return true;
+    }
+}
+
+/** Orders values of one name: by the life of the origin, then by its own order. */
+export function isNewer(
+    left: { readonly life: number; readonly version: number },
+    right: { readonly life: number; readonly version: number },
+): boolean {
+    return left.life !== right.life ? left.life > right.life : left.version > right.version;
+}
+
+function advance(
+    map: ReadonlyMap<number, SharedEntry>,
+    cursor: Iterator<SharedEntry> | undefined,
+    count: number,
+    into: SharedEntry[],
+): Iterator<SharedEntry> | undefined {
+    const iterator = cursor ?? map.values();
+    for (let taken = 0; taken < count; taken += 1) {
+        const next = iterator.next();
+        if (next.done) {
+            return undefined;
+        }
+        into.push(next.value);
+    }
+    return iterator;
+}
--- /dev/null
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -0,0 +1,407 @@
+/**
+ * Dissemination over exchanges with a few members at a time.
+ *
+ * After Demers et al., "Epidemic Algorithms for Replicated Database Maintenance" (1987): new values are pushed a limited number of
+ * times (section 1.4), and a digest of a few values in each exchange repairs what that missed (section 1.3).
+ *
+ * @module
+ */
+
+import { createAdapter } from "@most/adapter";
+import { runEffects, takeWhile, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import type { Stream } from "@most/types";
+import { Dissemination, PeerError, type SharedValue, type Topic, wire } from "../../protocol/mod.js";
+import type { Clock, RandomSource } from "../../state/mod.js";
+import {
+    isUrgent,
+    isWellFormed,
+    MAX_SHARED_VALUE_BYTES,
+    MAX_SHARED_VALUES,
+    type SharedEntry,
+    ValueStore,
+} from "./_value_store.js";
+import { isRemoved, type Member, PEER_PROTOCOL_VERSION } from "./member.js";
+import type { Membership, MembershipLimit } from "./membership.js";
+
+/** Time between two exchanges within the failure domain, in milliseconds. */
+const NEAR_INTERVAL_MS = 500;
+
+/** Exchanges within the failure domain for each round of exchanges over links. */
+const NEAR_ROUNDS_PER_FAR_ROUND = 2;
+
+/** Shortest time between two rounds, in milliseconds. */
+const MIN_ROUND_GAP_MS = 100;
+
+/** Members of the failure domain that hear of urgent values in one round. */
+const URGENT_FANOUT = 2;
+
+/** Longest message of an exchange, in bytes. */
+const MAX_EXCHANGE_BYTES = 1_400;
+
+/** Bytes below which no exchange is begun. */
+const MIN_EXCHANGE_BYTES = 250;
+
+/** Values named in a digest. */
+const MAX_DIGEST_VALUES = 24;
+
+/** Bytes of a value's name and version in a digest. */
+const DIGEST_VALUE_BYTES = 15;
+
+/** Time that an exchange may take, in milliseconds. */
+const EXCHANGE_TIMEOUT_MS = 1_000;
+
+/** Times that a value is sent, for each doubling of the number of members. */
+const SENDS_PER_DOUBLING = 1;
+
+/** Values of one message that are looked at. */
+const MAX_VALUES_PER_MESSAGE = 256;
+
+/** Time between two looks for values to drop, in milliseconds. */
+const PRUNE_INTERVAL_MS = 30_000;
+
+/** Age from which a value of an origin that is no member is dropped, in milliseconds. */
+const MAX_ORPHAN_AGE_MS = 60_000;
+
+/** Age from which a value of a removed member is dropped, in milliseconds. */
+const MAX_REMOVED_AGE_MS = 600_000;
+
+/** Settings of a {@linkcode GossipDissemination}. */
+export interface GossipDisseminationSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly membership: Membership;
+}
+
+/** Shares values with the members, near ones first, within the membership's byte budget. */
+export class GossipDissemination extends Dissemination {
+    override readonly arrivals: Stream<SharedValue>;
+    /** Exchanges that were put off because bytes were short. */
+    deferredExchanges = 0;
+    private readonly announce: (value: SharedValue) => void;
+    private readonly store: ValueStore;
+    private readonly busy = new Set<string>();
+    private readonly unreached = new Set<string>();
+    private lastVersion = 0;
+    private urgent = false;
+    private wake: AbortController | undefined;
+
+    /** @param settings See {@linkcode GossipDisseminationSettings}. */
+    constructor(private readonly settings: GossipDisseminationSettings) {
+        super();
+        [this.announce, this.arrivals] = createAdapter<SharedValue>();
+        this.store = new ValueStore(settings.clock);
+    }
+
+    /** Limits of the dissemination, each with its use. */
+    get limits(): readonly MembershipLimit[] {
+        return [{ name: "MAX_SHARED_VALUES", limit: MAX_SHARED_VALUES, read: () => this.store.size }];
+    }
+
+    override publish(topic: Topic, key: string, data: Uint8Array): void {
+        if (data.length > MAX_SHARED_VALUE_BYTES) {
+            const bytes = `it has ${data.length} bytes, at most ${MAX_SHARED_VALUE_BYTES} are allowed`;
+            throw new RangeError(`Cannot publish value "${key}" of topic ${topic}: ${bytes}`);
+        }
+        this.publishOwn(topic, key, data, 0);
+    }
+
+    override read(topic: Topic): readonly SharedValue[] {
+        const values: SharedValue[] = [];
+        for (const entry of this.store.all()) {
+            if (entry.topic === topic && this.isOfOther(entry) && this.isCurrent(entry)) {
+                values.push(this.toShared(entry));
+            }
+        }
+        return values;
+    }
+
+    /** Exchanges values until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        this.followMembers(signal);
+        await Promise.all([this.runRounds(signal), this.runPruning(signal)]);
+    }
+
+    /** Answers an exchange that another node began. */
+    answerExchange(request: wire.ExchangeRequest): wire.ExchangeReply {
+        const { membership } = this.settings;
+        const { budget } = membership;
+        budget.countReceived(wire.ExchangeRequest.encode(request).finish().length);
+        this.takeMessage(request);
+        const { newer, wanted } = this.compare(request.digest);
+        const reply = {
+            node: membership.self.id,
+            protocol: PEER_PROTOCOL_VERSION,
+            failureDomain: membership.self.failureDomain,
+            members: membership.newsFor(request.node),
+            contacts: this.contactsFor(request.failureDomain),
+            wanted,
+            values: [] as wire.ValueRecord[],
+        };
+        const room = Math.min(MAX_EXCHANGE_BYTES, budget.available) - wire.ExchangeReply.encode(reply).finish().length;
+        reply.values = this.fill(newer, room);
+        budget.charge(wire.ExchangeReply.encode(reply).finish().length);
+        return reply;
+    }
+
+    private followMembers(signal: AbortSignal): void {
+        const { membership } = this.settings;
+        const onChange = (member: Member) => {
+            if (member.id === membership.self.id) {
+                this.republish();
+            }
+            this.hurry();
+        };
+        void runEffects(tap(onChange, takeWhile(() => !signal.aborted, membership.changes)), newDefaultScheduler());
+    }
+
+    private async runRounds(signal: AbortSignal): Promise<void> {
+        const { clock, random } = this.settings;
+        let round = random.below(NEAR_ROUNDS_PER_FAR_ROUND);
+        while (!signal.aborted) {
+            await this.awaitRound(signal);
+            const { urgent } = this;
+            this.urgent = false;
+            this.noteReach();
+            round += 1;
+            const near = this.pickNear(urgent ? URGENT_FANOUT : 1);
+            const far = urgent || round % NEAR_ROUNDS_PER_FAR_ROUND === 0 ? this.settings.membership.farPartners() : [];
+            for (const partner of [...near, ...far]) {
+                void this.exchange(partner);
+            }
+            await clock.sleep(MIN_ROUND_GAP_MS, signal);
+        }
+    }
+
+    /** Waits for the next round, which urgent news bring forward. */
+    private async awaitRound(signal: AbortSignal): Promise<void> {
+        if (this.urgent) {
+            return;
+        }
+        const wake = new AbortController();
+        this.wake = wake;
+        const stop = () => wake.abort();
+        signal.addEventListener("abort", stop, { once: true });
+        await this.settings.clock.sleep(NEAR_INTERVAL_MS - MIN_ROUND_GAP_MS, wake.signal);
+        signal.removeEventListener("abort", stop);
+        this.wake = undefined;
+    }
+
+    private hurry(): void {
+        this.urgent = true;
+        this.wake?.abort();
+    }
+
+    private pickNear(count: number): readonly Member[] {
+        const partners = [...this.settings.membership.nearPartners()];
+        const picked: Member[] = [];
+        while (picked.length < count && partners.length > 0) {
+            picked.push(...partners.splice(this.settings.random.below(partners.length), 1));
+        }
+        return picked;
+    }
+
+    /** One exchange with one member, and a second message with the values it asks for. */
+    private async exchange(partner: Member): Promise<void> {
+        const { membership } = this.settings;
+        if (this.busy.has(partner.id)) {
+            return;
+        }
+        const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available);
+        if (room < MIN_EXCHANGE_BYTES) {
+            this.deferredExchanges += 1;
+            return;
+        }
+        this.busy.add(partner.id);
+        try {
+            const reply = await membership.client.exchange(partner.address, this.makeRequest(partner, room), EXCHANGE_TIMEOUT_MS);
+            this.takeMessage(reply);
+            await this.sendWanted(partner, reply.wanted);
+        }
+        catch (error) {
+            if (!(error instanceof PeerError)) {
+                throw error;
+            }
+            // Another partner gets the values; the digest of a later exchange repairs the rest.
+        }
+        finally {
+            this.busy.delete(partner.id);
+        }
+    }
+
+    private makeRequest(partner: Member, maxBytes: number): wire.ExchangeRequest {
+        const request = this.makeEmptyRequest(partner);
+        const digestBytes = MAX_DIGEST_VALUES * DIGEST_VALUE_BYTES;
+        const room = maxBytes - wire.ExchangeRequest.encode(request).finish().length;
+        const values = this.fill([], room - Math.min(digestBytes, Math.floor(room / 2)));
+        const left = room - values.reduce((sum, value) => sum + wire.ValueRecord.encode(value).finish().length + 3, 0);
+        const named = Math.max(0, Math.min(MAX_DIGEST_VALUES, Math.floor(left / DIGEST_VALUE_BYTES)));
+        const entries = this.store.nextForDigest(named);
+        const digest = { fingerprints: entries.map(entry => entry.name), versions: entries.map(entry => entry.version) };
+        return { ...request, values, digest };
+    }
+
+    private makeEmptyRequest(partner: Member): wire.ExchangeRequest {
+        const { membership } = this.settings;
+        return {
+            node: membership.self.id,
+            protocol: PEER_PROTOCOL_VERSION,
+            failureDomain: membership.self.failureDomain,
+            members: membership.newsFor(partner.id),
+            contacts: this.contactsFor(partner.failureDomain),
+            values: [],
+            digest: undefined,
+        };
+    }
+
+    private async sendWanted(partner: Member, wanted: readonly number[]): Promise<void> {
+        const { membership } = this.settings;
+        const entries = wanted.map(name => this.store.get(name)).filter(entry => entry !== undefined);
+        if (entries.length === 0 || membership.budget.available < MIN_EXCHANGE_BYTES) {
+            return;
+        }
+        const request = this.makeEmptyRequest(partner);
+        const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available);
+        const values = this.fill(entries, room - wire.ExchangeRequest.encode(request).finish().length);
+        this.takeMessage(await membership.client.exchange(partner.address, { ...request, values }, EXCHANGE_TIMEOUT_MS));
+    }
+
+    /** Chooses values for a message: first those asked for, then hot ones. */
+    private fill(first: readonly SharedEntry[], maxBytes: number): wire.ValueRecord[] {
+        const records: wire.ValueRecord[] = [];
+        let room = maxBytes;
+        for (const entry of [...first].sort((left, right) => left.topic - right.topic)) {
+            if (entry.bytes <= room) {
+                room -= entry.bytes;
+                records.push(this.store.toRecord(entry));
+            }
+        }
+        const sent = new Set(first.map(entry => entry.name));
+        const hot = this.store.hot.take(room, this.maxSends).filter(entry => !sent.has(entry.name));
+        return [...records, ...hot.map(entry => this.store.toRecord(entry))];
+    }
+
+    private get maxSends(): number {
+        return SENDS_PER_DOUBLING * Math.ceil(Math.log2(this.settings.membership.list().length + 1)) + 1;
+    }
+
+    private compare(digest: wire.ValueDigest | undefined): { newer: SharedEntry[]; wanted: number[] } {
+        const newer: SharedEntry[] = [];
+        const wanted: number[] = [];
+        for (const [index, name] of (digest?.fingerprints ?? []).slice(0, MAX_VALUES_PER_MESSAGE).entries()) {
+            const version = digest?.versions[index] ?? 0;
+            const entry = this.store.get(name);
+            if (entry === undefined || entry.version < version) {
+                wanted.push(name);
+            }
+            else if (entry.version > version) {
+                newer.push(entry);
+            }
+        }
+        return { newer, wanted };
+    }
+
+    private takeMessage(message: wire.ExchangeRequest | wire.ExchangeReply): void {
+        const { membership } = this.settings;
+        membership.takeNews(message.members);
+        if (message.failureDomain === membership.self.failureDomain) {
+            membership.contacts.take(message.contacts);
+        }
+        for (const record of message.values.slice(0, MAX_VALUES_PER_MESSAGE)) {
+            this.takeValue(record);
+        }
+    }
+
+    private takeValue(record: wire.ValueRecord): void {
+        const { membership } = this.settings;
+        const origin = membership.get(record.origin);
+        const orphaned = origin === undefined && record.ageMs > MAX_ORPHAN_AGE_MS;
+        if (!isWellFormed(record) || orphaned || origin !== undefined && record.life < origin.life) {
+            return;
+        }
+        if (record.origin === membership.self.id) {
+            this.overtake(record);
+            return;
+        }
+        const entry = this.store.take(record, origin?.failureDomain === membership.self.failureDomain);
+        if (entry === undefined) {
+            return;
+        }
+        if (isUrgent(entry.topic)) {
+            this.hurry();
+        }
+        this.announce(this.toShared(entry));
+    }
+
+    /** A value of this node itself that is newer than its own order came from a clock that was ahead. */
+    private overtake(record: wire.ValueRecord): void {
+        if (record.version > this.lastVersion) {
+            this.lastVersion = record.version;
+            this.republish();
+        }
+    }
+
+    private republish(): void {
+        const { id } = this.settings.membership.self;
+        for (const entry of [...this.store.all()].filter(each => each.origin === id)) {
+            this.publishOwn(entry.topic, entry.key, entry.data, this.settings.clock.now() - entry.bornAtMs);
+        }
+    }
+
+    private publishOwn(topic: number, key: string, data: Uint8Array, ageMs: number): void {
+        const { id, life } = this.settings.membership.self;
+        this.lastVersion = Math.max(this.lastVersion + 1, Math.floor(this.settings.clock.now()));
+        this.store.take({ topic, key, data, ageMs, origin: id, life, version: this.lastVersion }, true);
+        if (isUrgent(topic)) {
+            this.hurry();
+        }
+    }
+
+    /** Sends urgent values again to a failure domain that was out of reach. */
+    private noteReach(): void {
+        const { membership } = this.settings;
+        for (const domain of membership.knownDomains()) {
+            if (!membership.contacts.isReached(domain)) {
+                this.unreached.add(domain);
+            }
+            else if (this.unreached.delete(domain)) {
+                this.store.resendUrgent();
+            }
+        }
+    }
+
+    private contactsFor(failureDomain: string): wire.DomainContact[] {
+        const { membership } = this.settings;
+        return failureDomain === membership.self.failureDomain ? membership.contacts.list() : [];
+    }
+
+    private async runPruning(signal: AbortSignal): Promise<void> {
+        while (await this.settings.clock.sleep(PRUNE_INTERVAL_MS, signal)) {
+            for (const entry of [...this.store.all()].filter(each => this.isSpent(each))) {
+                this.store.drop(entry);
+            }
+        }
+    }
+
+    private isSpent(entry: SharedEntry): boolean {
+        const origin = this.settings.membership.get(entry.origin);
+        const ageMs = this.settings.clock.now() - entry.bornAtMs;
+        if (origin === undefined) {
+            return ageMs > MAX_ORPHAN_AGE_MS;
+        }
+        return entry.life < origin.life || isRemoved(origin) && ageMs > MAX_REMOVED_AGE_MS;
+    }
+
+    private isOfOther(entry: SharedEntry): boolean {
+        return entry.origin !== this.settings.membership.self.id;
+    }
+
+    private isCurrent(entry: SharedEntry): boolean {
+        const origin = this.settings.membership.get(entry.origin);
+        return origin === undefined || !isRemoved(origin) && entry.life >= origin.life;
+    }
+
+    private toShared({ topic, origin, key, data, bornAtMs }: SharedEntry): SharedValue {
+        return { topic, origin, key, data, ageMs: Math.max(0, this.settings.clock.now() - bornAtMs) };
+    }
+}
--- /dev/null
+++ b/src/coordination/membership/member_table.ts
@@ -0,0 +1,275 @@
+/**
+ * Members that a node knows, and the rules by which news change them.
+ *
+ * @module
+ */
+
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+import type { wire } from "../../protocol/mod.js";
+import { type Clock, type Vm, VmRole } from "../../state/mod.js";
+import { type DomainContacts } from "./_domain_contacts.js";
+import { NewsQueue } from "./_news_queue.js";
+import { Suspicions } from "./_suspicions.js";
+import { fromMemberRecord, isRemoved, type Member, MemberState, overrides, toMemberRecord } from "./member.js";
+
+/** Members that a node keeps; further ones are not taken in. */
+export const MAX_MEMBERS = 1_024;
+
+/** Time for which a removed member that the VM list does not show is kept, so that old news do not revive it, in milliseconds. */
+const REMOVED_KEPT_MS = 600_000;
+
+/** Settings of a {@linkcode MemberTable}. */
+export interface MemberTableSettings {
+    readonly clock: Clock;
+    readonly contacts: DomainContacts;
+    /** This node, as it is at its start. */
+    readonly self: Member;
+}
+
+/** Members by id, this node included. */
+export class MemberTable {
+    /** Members whose state, life or address has changed, as they are now. */
+    readonly changes: Stream<Member>;
+    readonly news = new NewsQueue();
+    readonly suspicions = new Suspicions();
+    /** Number of times that this node refuted an accusation. */
+    refutations = 0;
+    private readonly publish: (member: Member) => void;
+    private readonly members = new Map<string, Member>();
+    private readonly removedAtMs = new Map<string, number>();
+    private listed: ReadonlySet<string> = new Set();
+    private own: Member;
+
+    /** @param settings See {@linkcode MemberTableSettings}. */
+    constructor(private readonly settings: MemberTableSettings) {
+        [this.publish, this.changes] = createAdapter<Member>();
+        this.own = settings.self;
+        this.members.set(this.own.id, this.own);
+        this.news.add(toMemberRecord(this.own));
+    }
+
+    /** This node. */
+    get self(): Member {
+        return this.own;
+    }
+
+    /** Number of members kept, removed ones included. */
+    get size(): number {
+        return this.members.size;
+    }
+
+    /** Members but this node, as they are known from news alone. */
+    get others(): readonly Member[] {
+        return [...this.members.values()].filter(member => member.id !== this.own.id);
+    }
+
+    /** Returns a member as it is known from news alone. */
+    get(id: string): Member | undefined {
+        return this.members.get(id);
+    }
+
+    /** Returns all members; those of a failure domain out of reach are shown so. */
+    list(): readonly Member[] {
+        return [...this.members.values()].map(member => this.show(member));
+    }
+
+    /**
+     * Takes a VM list: adds what is new, and gives up members that neither the list nor their failure domain vouches for.
+     *
+     * @param vms VM list.
+     * @param cutOff Whether this node gets no answer from anyone, so that it cannot judge its suspects itself.
+     */
+    seed(vms: readonly Vm[], cutOff: boolean): void {
+        const entryVms = vms.filter(vm => vm.role === VmRole.Entry);
+        this.listed = new Set(entryVms.map(vm => vm.id));
+        for (const { id, address, failureDomain } of entryVms) {
+            if (!this.members.has(id) && this.holderOf(address) === undefined) {
+                this.put({ id, address, failureDomain, state: MemberState.Listed, life: 0, incarnation: 0, protocol: 0 });
+            }
+        }
+        for (const member of this.others) {
+            if (!this.listed.has(member.id)) {
+                this.giveUpUnlisted(member, cutOff);
+            }
+        }
+    }
+
+    /** Takes news from a message. */
+    take(records: readonly wire.MemberRecord[]): void {
+        for (const record of records) {
+            const member = fromMemberRecord(record);
+            if (member !== undefined) {
+                this.takeOne(member, record.accuser);
+            }
+        }
+    }
+
+    /** Takes an answer of a node whose protocol is older than records of members. */
+    takeOldAnswer(id: string): void {
+        const member = this.members.get(id);
+        if (member !== undefined && member.life === 0 && member.state !== MemberState.Alive) {
+            this.suspicions.clear(id);
+            this.put({ ...member, state: MemberState.Alive });
+        }
+    }
+
+    /** Suspects a member that this node could not reach. */
+    suspect(id: string): void {
+        const member = this.members.get(id);
+        if (member !== undefined && !isRemoved(member)) {
+            this.accuse(member, this.own.id);
+        }
+    }
+
+    /** Removes the suspects whose time to refute has run out. */
+    removeExpired(): void {
+        for (const id of this.suspicions.listExpired(this.settings.clock.now())) {
+            this.kill(id);
+        }
+    }
+
+    /** Marks this node as left. */
+    leave(): void {
+        this.setSelf({ ...this.own, incarnation: this.own.incarnation + 1, state: MemberState.Left });
+    }
+
+    private show(member: Member): Member {
+        const foreign = member.failureDomain !== this.own.failureDomain;
+        if (!foreign || isRemoved(member) || this.settings.contacts.isReached(member.failureDomain)) {
+            return member;
+        }
+        return { ...member, state: MemberState.Unreachable };
+    }
+
+    private takeOne(news: Member, accuser: string): void {
+        if (news.id === this.own.id) {
+            this.refute(news);
+            return;
+        }
+        const known = this.members.get(news.id);
+        if (news.state === MemberState.Suspect && known?.state === MemberState.Suspect && isSame(news, known)) {
+            this.accuse(known, accuser);
+            return;
+        }
+        if (known !== undefined && !overrides(news, known) || this.isReplaced(news)) {
+            return;
+        }
+        this.suspicions.clear(news.id);
+        if (news.state === MemberState.Suspect) {
+            this.accuse(news, accuser);
+            return;
+        }
+        this.put(news);
+        this.news.add(toMemberRecord(news));
+        this.removeEarlierHolder(news);
+    }
+
+    private accuse(member: Member, accuser: string): void {
+        const suspect = { ...member, state: MemberState.Suspect };
+        if (!this.suspicions.accuse(member.id, accuser, this.settings.clock.now())) {
+            return;
+        }
+        this.put(suspect);
+        this.tell(suspect, accuser);
+    }
+
+    private kill(id: string): void {
+        this.suspicions.clear(id);
+        const member = this.members.get(id);
+        if (member !== undefined && !isRemoved(member)) {
+            const dead = { ...member, state: MemberState.Dead };
+            this.put(dead);
+            this.tell(dead);
+        }
+    }
+
+    /** A member of which nothing was heard has no life to speak of, and others hold their own list against it. */
+    private tell(member: Member, accuser?: string): void {
+        if (member.life > 0) {
+            this.news.add(toMemberRecord(member, accuser));
+        }
+    }
+
+    /** Answers news of this node itself: a higher incarnation overrides an accusation, a higher life an earlier process. */
+    private refute(news: Member): void {
+        const { own } = this;
+        if (own.state === MemberState.Left) {
+            return;
+        }
+        if (news.life > own.life) {
+            this.setSelf({ ...own, life: news.life + 1, incarnation: 0 });
+            return;
+        }
+        if (news.life === own.life && overrides(news, own)) {
+            this.refutations += 1;
+            this.setSelf({ ...own, incarnation: news.incarnation + 1 });
+        }
+    }
+
+    private setSelf(self: Member): void {
+        this.own = self;
+        this.put(self);
+        this.news.add(toMemberRecord(self));
+    }
+
+    private put(member: Member): void {
+        const known = this.members.get(member.id);
+        if (known === undefined && this.members.size >= MAX_MEMBERS) {
+            return;
+        }
+        this.members.set(member.id, member);
+        if (!isRemoved(member)) {
+            this.removedAtMs.delete(member.id);
+        }
+        else if (!this.removedAtMs.has(member.id)) {
+            this.removedAtMs.set(member.id, this.settings.clock.now());
+        }
+        if (
+            known === undefined || known.state !== member.state || known.life !== member.life || known.address !== member.address
+        ) {
+            this.publish(member);
+        }
+    }
+
+    /** An address belongs to the member that started last. */
+    private isReplaced(news: Member): boolean {
+        const holder = this.holderOf(news.address);
+        return holder !== undefined && holder.id !== news.id && holder.life > news.life && !isRemoved(news);
+    }
+
+    private removeEarlierHolder(member: Member): void {
+        if (isRemoved(member)) {
+            return;
+        }
+        for (const other of this.members.values()) {
+            if (other.address === member.address && other.id !== member.id && other.life < member.life) {
+                this.kill(other.id);
+            }
+        }
+    }
+
+    private holderOf(address: string): Member | undefined {
+        return [...this.members.values()].find(member => member.address === address && !isRemoved(member));
+    }
+
+    private giveUpUnlisted(member: Member, cutOff: boolean): void {
+        const removedAtMs = this.removedAtMs.get(member.id);
+        if (removedAtMs !== undefined) {
+            if (this.settings.clock.now() - removedAtMs >= REMOVED_KEPT_MS) {
+                this.members.delete(member.id);
+                this.removedAtMs.delete(member.id);
+            }
+            return;
+        }
+        const unheard = member.state === MemberState.Listed;
+        const unjudged = cutOff && member.state === MemberState.Suspect;
+        if (unheard || unjudged || this.show(member).state === MemberState.Unreachable) {
+            this.kill(member.id);
+        }
+    }
+}
+
+function isSame(left: Member, right: Member): boolean {
+    return left.life === right.life && left.incarnation === right.incarnation;
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,9 +5,10 @@
  */
 
 import type { Logger } from "pino";
-import { SilentDissemination } from "../coordination/mod.js";
-import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
+import { GossipDissemination, Membership } from "../coordination/mod.js";
+import { type Clock, HybridClock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    GrpcPeerClient,
     GrpcServer,
     HttpClient,
     HttpEngine,
@@ -17,6 +18,7 @@
     HttpVmList,
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
+    MAX_PEER_CHANNELS,
     type OperationsPage,
 } from "../transport/mod.js";
 import { EntryNode } from "./entry_node.js";
@@ -41,14 +43,29 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
+    private readonly peerClient = new GrpcPeerClient();
+    private readonly membership: Membership;
+    private readonly dissemination: GossipDissemination;
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
+    private readonly stopped = new AbortController();
     private draining = false;
 
     /** @param parts See {@linkcode DaemonSettings}. */
     constructor(private readonly parts: DaemonSettings) {
         const { settings, clock, random } = parts;
+        this.membership = new Membership({
+            node: settings.node,
+            address: settings.listen.peers,
+            failureDomain: settings.failureDomain,
+            clock,
+            random,
+            hybridClock: new HybridClock(clock),
+            client: this.peerClient,
+        });
+        const { membership } = this;
+        this.dissemination = new GossipDissemination({ clock, random, membership });
         this.node = new EntryNode({
             node: settings.node,
             failureDomain: settings.failureDomain,
@@ -58,7 +75,8 @@
             plainService: new HttpPlainService(this.client),
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
-            dissemination: new SilentDissemination(),
+            membership,
+            dissemination: this.dissemination,
             observer: this.metrics,
         });
         this.httpServer = new HttpServer({
@@ -69,7 +87,11 @@
         const limits = this.limits();
         this.metrics.watchLimits(limits);
         this.grpcServer = new GrpcServer({
-            peerHandler: new PeerDesk(this.node),
+            peerHandler: new PeerDesk({
+                membership,
+                dissemination: this.dissemination,
+                configurationVersion: () => this.node.view.current.version,
+            }),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
             isOperatorKey: key => isOperatorKey(settings, key),
         });
@@ -87,6 +109,7 @@
         await this.grpcServer.listen(...splitAddress(settings.listen.peers));
         await this.httpServer.listen(...splitAddress(settings.listen.callers));
         this.node.start();
+        void this.dissemination.run(this.stopped.signal);
         this.record("started", `Node ${settings.node} listens on ${settings.listen.callers}.`);
     }
 
@@ -107,16 +130,19 @@
             await clock.sleep(DRAIN_POLL_MS, signal);
         }
         const left = this.node.handler.active;
+        await this.membership.leave();
         this.record("stopped", `Node ${settings.node} stops with ${left} calls left.`);
         await this.stop();
         return left;
     }
 
     private async stop(): Promise<void> {
+        this.stopped.abort();
         this.httpServer.close();
         this.grpcServer.close();
         await this.client.close();
         await this.node.stop();
+        this.peerClient.close();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -148,6 +174,9 @@
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
+            { name: "MAX_PEER_CHANNELS", limit: MAX_PEER_CHANNELS, read: () => this.peerClient.channels },
+            ...this.membership.limits,
+            ...this.dissemination.limits,
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -13,6 +13,8 @@
     Dispatcher,
     LeastLoadedScheduler,
     LocalCallGuard,
+    type Member,
+    type Membership,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
@@ -23,7 +25,8 @@
     type Clock,
     ConfigurationView,
     EventRing,
-    HybridClock,
+    type HybridClock,
+    Part,
     type RandomSource,
     type Vm,
     VmRole,
@@ -40,6 +43,8 @@
     readonly plainService: PlainService;
     readonly log: LogService;
     readonly vmList: VmList;
+    /** Other entry VMs as this one sees them. */
+    readonly membership: Membership;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
     readonly observer: CallObserver;
@@ -53,6 +58,7 @@
     readonly ring: EventRing;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
+    readonly membership: Membership;
     /** Entry VMs of the last VM list, this one included. */
     entryVms: readonly Vm[] = [];
     private readonly watch: PlatformWatch;
@@ -63,7 +69,8 @@
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
         const { view, table } = this;
-        this.hybridClock = new HybridClock(clock);
+        this.membership = settings.membership;
+        this.hybridClock = settings.membership.hybridClock;
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
@@ -88,11 +95,20 @@
 
     /** Starts the tasks that follow the platform. */
     start(): void {
-        const keepEntryVms = (vms: readonly Vm[]) => {
+        const { membership, watch, ring } = this;
+        const recordChange = (member: Member) => {
+            const text = `Member ${member.id} of ${member.failureDomain} is ${member.state}.`;
+            ring.record({ part: Part.Member, kind: member.state, peer: member.id, text });
+        };
+        const scheduler = newDefaultScheduler();
+        const takeList = (vms: readonly Vm[]) => {
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
+            membership.seed(vms);
         };
-        void runEffects(tap(keepEntryVms, this.watch.lists), newDefaultScheduler());
-        this.tasks = [this.follower.run(this.stopped.signal), this.watch.run(this.stopped.signal)];
+        void runEffects(tap(takeList, watch.lists), scheduler);
+        void runEffects(tap(recordChange, membership.changes), scheduler);
+        const { signal } = this.stopped;
+        this.tasks = [this.follower.run(signal), watch.run(signal), membership.run(signal)];
     }
 
     /** Ends the tasks. */
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -7,4 +7,5 @@
 export * from "./daemon.js";
 export * from "./entry_node.js";
 export * from "./metrics.js";
+export * from "./peer_desk.js";
 export * from "./settings.js";
--- a/src/daemon/operator_desk.ts
+++ b/src/daemon/operator_desk.ts
@@ -6,9 +6,10 @@
 
 import { runEffects, takeWhile, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
+import type { Member } from "../coordination/mod.js";
 import type { wire } from "../protocol/mod.js";
 import { OperatorHandler, type TimelineFeed } from "../protocol/mod.js";
-import type { TimelineEvent, Vm } from "../state/mod.js";
+import type { TimelineEvent } from "../state/mod.js";
 import type { EntryNode } from "./entry_node.js";
 import type { LimitedQuantity } from "./metrics.js";
 
@@ -36,7 +37,7 @@
             configurationVersion: node.view.current.version,
             backendServers: this.describeServers(),
             limits: limits.map(quantity => ({ name: quantity.name, value: quantity.read(), limit: quantity.limit })),
-            members: node.entryVms.map(describeMember),
+            members: node.membership.list().map(describeMember),
         };
     }
 
@@ -90,8 +91,8 @@
     }
 }
 
-function describeMember(vm: Vm): wire.MemberStatus {
-    return { id: vm.id, address: vm.address, failureDomain: vm.failureDomain, state: vm.state };
+function describeMember({ id, address, failureDomain, state, life, incarnation }: Member): wire.MemberStatus {
+    return { id, address, failureDomain, state, life, incarnation };
 }
 
 function parseDocument(text: string): unknown {
--- a/src/daemon/peer_desk.ts
+++ b/src/daemon/peer_desk.ts
@@ -4,19 +4,33 @@
  * @module
  */
 
+import type { GossipDissemination, Membership } from "../coordination/mod.js";
 import { PeerHandler, type wire } from "../protocol/mod.js";
-import type { EntryNode } from "./entry_node.js";
+
+/** Settings of a {@linkcode PeerDesk}. */
+export interface PeerDeskSettings {
+    readonly membership: Membership;
+    readonly dissemination: GossipDissemination;
+    /** Returns the version of the configuration in force here. */
+    readonly configurationVersion: () => number;
+}
 
 /** Answers other daemons from the state of the daemon. */
 export class PeerDesk extends PeerHandler {
-    /** @param node Node that answers. */
-    constructor(private readonly node: EntryNode) {
+    /** @param settings See {@linkcode PeerDeskSettings}. */
+    constructor(private readonly settings: PeerDeskSettings) {
         super();
     }
 
     override async probe(request: wire.ProbeRequest): Promise<wire.ProbeReply> {
-        this.node.hybridClock.observe({ wallMs: request.wallMs, counter: request.counter });
-        const time = this.node.hybridClock.tick();
-        return { node: this.node.settings.node, ...time, configurationVersion: this.node.view.current.version };
+        return this.settings.membership.answerProbe(request, this.settings.configurationVersion());
+    }
+
+    override relay(request: wire.RelayRequest): Promise<wire.RelayReply> {
+        return this.settings.membership.answerRelay(request);
+    }
+
+    override async exchange(request: wire.ExchangeRequest): Promise<wire.ExchangeReply> {
+        return this.settings.dissemination.answerExchange(request);
     }
 }
--- a/src/protocol/gen/operator.ts
+++ b/src/protocol/gen/operator.ts
@@ -71,7 +71,11 @@
   /** IP number and port for peers and operators. */
   readonly address: string;
   readonly failureDomain: string;
+  /** One of listed, alive, suspect, unreachable, dead, left. */
   readonly state: string;
+  /** Start of the member's process in milliseconds since the Unix epoch, or 0 when nothing was heard of it. */
+  readonly life: number;
+  readonly incarnation: number;
 }
 
 export interface StatusReply {
@@ -454,7 +458,7 @@
 };
 
 function createBaseMemberStatus(): MemberStatus {
-  return { id: "", address: "", failureDomain: "", state: "" };
+  return { id: "", address: "", failureDomain: "", state: "", life: 0, incarnation: 0 };
 }
 
 export const MemberStatus: MessageFns<MemberStatus> = {
@@ -471,6 +475,12 @@
     if (message.state !== "") {
       writer.uint32(34).string(message.state);
     }
+    if (message.life !== 0) {
+      writer.uint32(40).int64(message.life);
+    }
+    if (message.incarnation !== 0) {
+      writer.uint32(48).uint32(message.incarnation);
+    }
     return writer;
   },
 
@@ -519,6 +529,22 @@
             message.state = reader.string();
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.life = longToNumber(reader.int64());
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.incarnation = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -23,10 +23,48 @@
 
 export const protobufFileName = "peer.proto";
 
+export enum MemberStanding {
+  MEMBER_STANDING_LISTED = 0,
+  MEMBER_STANDING_ALIVE = 1,
+  MEMBER_STANDING_SUSPECT = 2,
+  MEMBER_STANDING_DEAD = 3,
+  MEMBER_STANDING_LEFT = 4,
+  UNRECOGNIZED = -1,
+}
+
+/** What a node knows of a member. */
+export interface MemberRecord {
+  readonly id: string;
+  /** IP number and port for peers and operators. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Start of the member's process in milliseconds since the Unix epoch; a restarted VM is a new member. */
+  readonly life: number;
+  /** Raised by the member itself when it refutes a suspicion or leaves. */
+  readonly incarnation: number;
+  readonly standing: MemberStanding;
+  /** Protocol version of the member's messages. */
+  readonly protocol: number;
+  /** Node that accuses the member, when it is suspect. */
+  readonly accuser: string;
+}
+
+/** How long ago a node of the sender's failure domain last reached another one. */
+export interface DomainContact {
+  readonly failureDomain: string;
+  readonly ageMs: number;
+}
+
 export interface ProbeRequest {
   readonly node: string;
   readonly wallMs: number;
   readonly counter: number;
+  /** Protocol version of the sender. */
+  readonly protocol: number;
+  /** Sender, then news on other members. */
+  readonly members: readonly MemberRecord[];
+  /** Member that the sender means to reach. */
+  readonly target: string;
 }
 
 export interface ProbeReply {
@@ -34,10 +72,251 @@
   readonly wallMs: number;
   readonly counter: number;
   readonly configurationVersion: number;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
+}
+
+/** Asks a member to probe another one. */
+export interface RelayRequest {
+  readonly node: string;
+  /** Member to probe and its address. */
+  readonly target: string;
+  readonly address: string;
+}
+
+export interface RelayReply {
+  readonly reached: boolean;
+  /** Record of the target, when it was reached. */
+  readonly members: readonly MemberRecord[];
+}
+
+/** Latest value that one node shares on one topic. */
+export interface ValueRecord {
+  readonly topic: number;
+  readonly origin: string;
+  readonly key: string;
+  /** Life of the origin that published the value. */
+  readonly life: number;
+  /** Order among the values of the origin. */
+  readonly version: number;
+  /** Time since the value was published, in milliseconds. */
+  readonly ageMs: number;
+  readonly data: Uint8Array;
+}
+
+/** Values that a node holds, by fingerprint of topic, origin and key; both lists have the same length. */
+export interface ValueDigest {
+  readonly fingerprints: readonly number[];
+  readonly versions: readonly number[];
+}
+
+export interface ExchangeRequest {
+  readonly node: string;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
+  readonly values: readonly ValueRecord[];
+  readonly digest:
+    | ValueDigest
+    | undefined;
+  /** Contacts of the sender's failure domain; only nodes of the same one use them. */
+  readonly contacts: readonly DomainContact[];
+  readonly failureDomain: string;
+}
+
+export interface ExchangeReply {
+  readonly node: string;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
+  /** Values that are newer than the request's digest says. */
+  readonly values: readonly ValueRecord[];
+  /** Fingerprints of values that the request's digest says are newer. */
+  readonly wanted: readonly number[];
+  readonly contacts: readonly DomainContact[];
+  readonly failureDomain: string;
+}
+
+function createBaseMemberRecord(): MemberRecord {
+  return { id: "", address: "", failureDomain: "", life: 0, incarnation: 0, standing: 0, protocol: 0, accuser: "" };
+}
+
+export const MemberRecord: MessageFns<MemberRecord> = {
+  encode(message: MemberRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
+    }
+    if (message.address !== "") {
+      writer.uint32(18).string(message.address);
+    }
+    if (message.failureDomain !== "") {
+      writer.uint32(26).string(message.failureDomain);
+    }
+    if (message.life !== 0) {
+      writer.uint32(32).int64(message.life);
+    }
+    if (message.incarnation !== 0) {
+      writer.uint32(40).uint32(message.incarnation);
+    }
+    if (message.standing !== 0) {
+      writer.uint32(48).int32(message.standing);
+    }
+    if (message.protocol !== 0) {
+      writer.uint32(56).uint32(message.protocol);
+    }
+    if (message.accuser !== "") {
+      writer.uint32(66).string(message.accuser);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): MemberRecord {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseMemberRecord() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.id = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.life = longToNumber(reader.int64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.incarnation = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.standing = reader.int32() as any;
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 8: {
+            if (tag !== 66) {
+              break;
+            }
+
+            message.accuser = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseDomainContact(): DomainContact {
+  return { failureDomain: "", ageMs: 0 };
 }
 
+export const DomainContact: MessageFns<DomainContact> = {
+  encode(message: DomainContact, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.failureDomain !== "") {
+      writer.uint32(10).string(message.failureDomain);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(16).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): DomainContact {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseDomainContact() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.ageMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
 function createBaseProbeRequest(): ProbeRequest {
-  return { node: "", wallMs: 0, counter: 0 };
+  return { node: "", wallMs: 0, counter: 0, protocol: 0, members: [], target: "" };
 }
 
 export const ProbeRequest: MessageFns<ProbeRequest> = {
@@ -51,6 +330,15 @@
     if (message.counter !== 0) {
       writer.uint32(24).uint32(message.counter);
     }
+    if (message.protocol !== 0) {
+      writer.uint32(32).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(42).fork()).join();
+    }
+    if (message.target !== "") {
+      writer.uint32(50).string(message.target);
+    }
     return writer;
   },
 
@@ -91,6 +379,30 @@
             message.counter = reader.uint32();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.target = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -105,7 +417,7 @@
 };
 
 function createBaseProbeReply(): ProbeReply {
-  return { node: "", wallMs: 0, counter: 0, configurationVersion: 0 };
+  return { node: "", wallMs: 0, counter: 0, configurationVersion: 0, protocol: 0, members: [] };
 }
 
 export const ProbeReply: MessageFns<ProbeReply> = {
@@ -122,6 +434,12 @@
     if (message.configurationVersion !== 0) {
       writer.uint32(32).int64(message.configurationVersion);
     }
+    if (message.protocol !== 0) {
+      writer.uint32(40).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(50).fork()).join();
+    }
     return writer;
   },
 
@@ -170,6 +488,22 @@
             message.configurationVersion = longToNumber(reader.int64());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -183,37 +517,644 @@
   },
 };
 
-/** Calls between daemons. */
-export type PeerService = typeof PeerService;
-export const PeerService = {
-  probe: {
-    path: "/foxtailrail.v1.Peer/Probe" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: ProbeRequest): Buffer => Buffer.from(ProbeRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): ProbeRequest => ProbeRequest.decode(value),
-    responseSerialize: (value: ProbeReply): Buffer => Buffer.from(ProbeReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): ProbeReply => ProbeReply.decode(value),
+function createBaseRelayRequest(): RelayRequest {
+  return { node: "", target: "", address: "" };
+}
+
+export const RelayRequest: MessageFns<RelayRequest> = {
+  encode(message: RelayRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.node !== "") {
+      writer.uint32(10).string(message.node);
+    }
+    if (message.target !== "") {
+      writer.uint32(18).string(message.target);
+    }
+    if (message.address !== "") {
+      writer.uint32(26).string(message.address);
+    }
+    return writer;
   },
-} as const;
 
-export interface PeerServer extends UntypedServiceImplementation {
-  probe: handleUnaryCall<ProbeRequest, ProbeReply>;
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayRequest() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.node = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.target = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseRelayReply(): RelayReply {
+  return { reached: false, members: [] };
 }
 
-export interface PeerClient extends Client {
-  probe(request: ProbeRequest, callback: (error: ServiceError | null, response: ProbeReply) => void): ClientUnaryCall;
-  probe(
-    request: ProbeRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: ProbeReply) => void,
-  ): ClientUnaryCall;
-  probe(
-    request: ProbeRequest,
+export const RelayReply: MessageFns<RelayReply> = {
+  encode(message: RelayReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.reached !== false) {
+      writer.uint32(8).bool(message.reached);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(18).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRelayReply() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.reached = reader.bool();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseValueRecord(): ValueRecord {
+  return { topic: 0, origin: "", key: "", life: 0, version: 0, ageMs: 0, data: new Uint8Array(0) };
+}
+
+export const ValueRecord: MessageFns<ValueRecord> = {
+  encode(message: ValueRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.topic !== 0) {
+      writer.uint32(8).uint32(message.topic);
+    }
+    if (message.origin !== "") {
+      writer.uint32(18).string(message.origin);
+    }
+    if (message.key !== "") {
+      writer.uint32(26).string(message.key);
+    }
+    if (message.life !== 0) {
+      writer.uint32(32).int64(message.life);
+    }
+    if (message.version !== 0) {
+      writer.uint32(40).int64(message.version);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(48).int64(message.ageMs);
+    }
+    if (message.data.length !== 0) {
+      writer.uint32(58).bytes(message.data);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ValueRecord {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseValueRecord() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.topic = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.origin = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.key = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.life = longToNumber(reader.int64());
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.version = longToNumber(reader.int64());
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.ageMs = longToNumber(reader.int64());
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.data = reader.bytes();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseValueDigest(): ValueDigest {
+  return { fingerprints: [], versions: [] };
+}
+
+export const ValueDigest: MessageFns<ValueDigest> = {
+  encode(message: ValueDigest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.fingerprints.length !== 0) {
+      writer.uint32(10).fork();
+      for (const v of message.fingerprints) {
+        writer.fixed64(v);
+      }
+      writer.join();
+    }
+    if (message.versions.length !== 0) {
+      writer.uint32(18).fork();
+      for (const v of message.versions) {
+        writer.int64(v);
+      }
+      writer.join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ValueDigest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseValueDigest() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag === 9) {
+              message.fingerprints.push(longToNumber(reader.fixed64()));
+
+              continue;
+            }
+
+            if (tag === 10) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.fingerprints.push(longToNumber(reader.fixed64()));
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 2: {
+            if (tag === 16) {
+              message.versions.push(longToNumber(reader.int64()));
+
+              continue;
+            }
+
+            if (tag === 18) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.versions.push(longToNumber(reader.int64()));
+              }
+
+              continue;
+            }
+
+            break;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseExchangeRequest(): ExchangeRequest {
+  return { node: "", protocol: 0, members: [], values: [], digest: undefined, contacts: [], failureDomain: "" };
+}
+
+export const ExchangeRequest: MessageFns<ExchangeRequest> = {
+  encode(message: ExchangeRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.node !== "") {
+      writer.uint32(10).string(message.node);
+    }
+    if (message.protocol !== 0) {
+      writer.uint32(16).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(26).fork()).join();
+    }
+    for (const v of message.values) {
+      ValueRecord.encode(v!, writer.uint32(34).fork()).join();
+    }
+    if (message.digest !== undefined) {
+      ValueDigest.encode(message.digest, writer.uint32(42).fork()).join();
+    }
+    for (const v of message.contacts) {
+      DomainContact.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.failureDomain !== "") {
+      writer.uint32(58).string(message.failureDomain);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ExchangeRequest {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseExchangeRequest() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.node = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.values.push(ValueRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.digest = ValueDigest.decode(reader, reader.uint32());
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.contacts.push(DomainContact.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseExchangeReply(): ExchangeReply {
+  return { node: "", protocol: 0, members: [], values: [], wanted: [], contacts: [], failureDomain: "" };
+}
+
+export const ExchangeReply: MessageFns<ExchangeReply> = {
+  encode(message: ExchangeReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.node !== "") {
+      writer.uint32(10).string(message.node);
+    }
+    if (message.protocol !== 0) {
+      writer.uint32(16).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(26).fork()).join();
+    }
+    for (const v of message.values) {
+      ValueRecord.encode(v!, writer.uint32(34).fork()).join();
+    }
+    if (message.wanted.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.wanted) {
+        writer.fixed64(v);
+      }
+      writer.join();
+    }
+    for (const v of message.contacts) {
+      DomainContact.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.failureDomain !== "") {
+      writer.uint32(58).string(message.failureDomain);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ExchangeReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseExchangeReply() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.node = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.values.push(ValueRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 5: {
+            if (tag === 41) {
+              message.wanted.push(longToNumber(reader.fixed64()));
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.wanted.push(longToNumber(reader.fixed64()));
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.contacts.push(DomainContact.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+/** Calls between daemons. */
+export type PeerService = typeof PeerService;
+export const PeerService = {
+  probe: {
+    path: "/foxtailrail.v1.Peer/Probe" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: ProbeRequest): Buffer => Buffer.from(ProbeRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): ProbeRequest => ProbeRequest.decode(value),
+    responseSerialize: (value: ProbeReply): Buffer => Buffer.from(ProbeReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): ProbeReply => ProbeReply.decode(value),
+  },
+  relay: {
+    path: "/foxtailrail.v1.Peer/Relay" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: RelayRequest): Buffer => Buffer.from(RelayRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): RelayRequest => RelayRequest.decode(value),
+    responseSerialize: (value: RelayReply): Buffer => Buffer.from(RelayReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): RelayReply => RelayReply.decode(value),
+  },
+  exchange: {
+    path: "/foxtailrail.v1.Peer/Exchange" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: ExchangeRequest): Buffer => Buffer.from(ExchangeRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): ExchangeRequest => ExchangeRequest.decode(value),
+    responseSerialize: (value: ExchangeReply): Buffer => Buffer.from(ExchangeReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): ExchangeReply => ExchangeReply.decode(value),
+  },
+} as const;
+
+export interface PeerServer extends UntypedServiceImplementation {
+  probe: handleUnaryCall<ProbeRequest, ProbeReply>;
+  relay: handleUnaryCall<RelayRequest, RelayReply>;
+  exchange: handleUnaryCall<ExchangeRequest, ExchangeReply>;
+}
+
+export interface PeerClient extends Client {
+  probe(request: ProbeRequest, callback: (error: ServiceError | null, response: ProbeReply) => void): ClientUnaryCall;
+  probe(
+    request: ProbeRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: ProbeReply) => void,
+  ): ClientUnaryCall;
+  probe(
+    request: ProbeRequest,
     metadata: Metadata,
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: ProbeReply) => void,
   ): ClientUnaryCall;
+  relay(request: RelayRequest, callback: (error: ServiceError | null, response: RelayReply) => void): ClientUnaryCall;
+  relay(
+    request: RelayRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: RelayReply) => void,
+  ): ClientUnaryCall;
+  relay(
+    request: RelayRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: RelayReply) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: ExchangeRequest,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: ExchangeRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: ExchangeRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
+  ): ClientUnaryCall;
 }
 
 export const PeerClient = makeGenericClientConstructor(PeerService, "foxtailrail.v1.Peer") as unknown as {
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -12,12 +12,18 @@
     ReadTimelineRequest,
     StatusReply,
 } from "./gen/operator.js";
-import type { ProbeReply, ProbeRequest } from "./gen/peer.js";
+import type { ExchangeReply, ExchangeRequest, ProbeReply, ProbeRequest, RelayReply, RelayRequest } from "./gen/peer.js";
 
 /** Answers other daemons. */
 export abstract class PeerHandler {
     /** Answers that this daemon is alive. */
     abstract probe(request: ProbeRequest): Promise<ProbeReply>;
+
+    /** Probes another daemon for the one that asks. */
+    abstract relay(request: RelayRequest): Promise<RelayReply>;
+
+    /** Takes shared values and answers with newer ones. */
+    abstract exchange(request: ExchangeRequest): Promise<ExchangeReply>;
 }
 
 /** Where the events of a time line go. */
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ProbeReply, ProbeRequest } from "./gen/peer.js";
+import type { ExchangeReply, ExchangeRequest, ProbeReply, ProbeRequest, RelayReply, RelayRequest } from "./gen/peer.js";
 
 /** Connection to other daemons. */
 export abstract class PeerClient {
@@ -17,6 +17,26 @@
      * @throws {PeerError} When no answer came in time.
      */
     abstract probe(address: string, request: ProbeRequest, timeoutMs: number): Promise<ProbeReply>;
+
+    /**
+     * Asks a daemon to probe another one.
+     *
+     * @param address IP number and port of the daemon that is asked.
+     * @param request Daemon to probe.
+     * @param timeoutMs Longest time to wait, in milliseconds.
+     * @throws {PeerError} When no answer came in time.
+     */
+    abstract relay(address: string, request: RelayRequest, timeoutMs: number): Promise<RelayReply>;
+
+    /**
+     * Exchanges shared values and news of members.
+     *
+     * @param address IP number and port of the daemon.
+     * @param request Values, news and a digest of what the sender holds.
+     * @param timeoutMs Longest time to wait, in milliseconds.
+     * @throws {PeerError} When no answer came in time.
+     */
+    abstract exchange(address: string, request: ExchangeRequest, timeoutMs: number): Promise<ExchangeReply>;
 }
 
 /** Call of another daemon that failed. */
--- a/src/transport/grpc_client.ts
+++ b/src/transport/grpc_client.ts
@@ -4,12 +4,18 @@
  * @module
  */
 
-import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
+import { type ChannelCredentials, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
 import { PeerClient, PeerError, wire } from "../protocol/mod.js";
 
 /** Longest time between two attempts to connect, in milliseconds. */
 const MAX_RECONNECT_DELAY_MS = 1_000;
 
+/** Channels to other daemons; the least recently used one is closed first. */
+export const MAX_PEER_CHANNELS = 64;
+
+/** Callback of the gRPC library. */
+type Answer<Reply> = (error: ServiceError | null, reply: Reply) => void;
+
 /** Keeps one channel for each daemon. */
 export class GrpcPeerClient extends PeerClient {
     private readonly clients = new Map<string, wire.PeerClient>();
@@ -19,24 +25,32 @@
         super();
     }
 
+    /** Number of open channels. */
+    get channels(): number {
+        return this.clients.size;
+    }
+
     override probe(address: string, request: wire.ProbeRequest, timeoutMs: number): Promise<wire.ProbeReply> {
-        return new Promise((resolve, reject) => {
-            this.client(address).probe(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, reply) => {
-                if (error) {
-                    reject(new PeerError("probe", address, error));
-                    return;
-                }
-                resolve(reply);
-            });
+        return this.call("probe", address, (client, done) => client.probe(request, new Metadata(), deadline(timeoutMs), done));
+    }
+
+    override relay(address: string, request: wire.RelayRequest, timeoutMs: number): Promise<wire.RelayReply> {
+        return this.call("relay through", address, (client, done) => {
+            client.relay(request, new Metadata(), deadline(timeoutMs), done);
+        });
+    }
+
+    override exchange(address: string, request: wire.ExchangeRequest, timeoutMs: number): Promise<wire.ExchangeReply> {
+        return this.call("exchange with", address, (client, done) => {
+            client.exchange(request, new Metadata(), deadline(timeoutMs), done);
         });
     }
 
     /** Closes the channels to daemons that are not members any more. */
     retain(addresses: ReadonlySet<string>): void {
-        for (const [address, client] of this.clients) {
+        for (const address of this.clients.keys()) {
             if (!addresses.has(address)) {
-                this.clients.delete(address);
-                client.close();
+                this.closeChannel(address);
             }
         }
     }
@@ -46,15 +60,47 @@
         this.retain(new Set());
     }
 
-    private client(address: string): wire.PeerClient {
-        let client = this.clients.get(address);
-        if (client === undefined) {
-            client = new wire.PeerClient(address, this.channelCredentials, {
-                "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_DELAY_MS,
-                "grpc.use_local_subchannel_pool": 1,
+    private call<Reply>(
+        step: string,
+        address: string,
+        start: (client: wire.PeerClient, done: Answer<Reply>) => void,
+    ): Promise<Reply> {
+        return new Promise((resolve, reject) => {
+            start(this.client(address), (error, reply) => {
+                if (error) {
+                    reject(new PeerError(step, address, error));
+                    return;
+                }
+                resolve(reply);
             });
-            this.clients.set(address, client);
-        }
+        });
+    }
+
+    private client(address: string): wire.PeerClient {
+        const client = this.clients.get(address) ?? this.open(address);
+        // The order of the map is the order of use.
+        this.clients.delete(address);
+        this.clients.set(address, client);
         return client;
     }
+
+    private open(address: string): wire.PeerClient {
+        const [leastUsed] = this.clients.keys();
+        if (this.clients.size >= MAX_PEER_CHANNELS) {
+            this.closeChannel(leastUsed);
+        }
+        return new wire.PeerClient(address, this.channelCredentials, {
+            "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_DELAY_MS,
+            "grpc.use_local_subchannel_pool": 1,
+        });
+    }
+
+    private closeChannel(address: string): void {
+        this.clients.get(address)?.close();
+        this.clients.delete(address);
+    }
+}
+
+function deadline(timeoutMs: number): { readonly deadline: number } {
+    return { deadline: Date.now() + timeoutMs };
 }
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -58,7 +58,11 @@
 
     private peerImplementation(): wire.PeerServer {
         const { peerHandler } = this.settings;
-        return { probe: unary(request => peerHandler.probe(request)) };
+        return {
+            probe: unary(request => peerHandler.probe(request)),
+            relay: unary(request => peerHandler.relay(request)),
+            exchange: unary(request => peerHandler.exchange(request)),
+        };
     }
 
     private operatorImplementation(): wire.OperatorServer {
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { CallObserver } from "../src/coordination/mod.js";
-import { EntryNode } from "../src/daemon/mod.js";
+import { CallObserver, GossipDissemination, Membership } from "../src/coordination/mod.js";
+import { EntryNode, PeerDesk } from "../src/daemon/mod.js";
 import {
     type AnswerHead,
     AnswerWriter,
@@ -13,11 +13,12 @@
     encodeConfigurationRecord,
     type IncomingCall,
 } from "../src/protocol/mod.js";
-import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { type ConfigurationDocument, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { type Deployment, toDocument } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
 import { DisseminationHub } from "./local_dissemination.js";
+import { LocalPeerNetwork } from "./local_peers.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
 import { VirtualClock } from "./virtual_clock.js";
@@ -29,6 +30,9 @@
 /** Time after which a started fleet has read its configuration and its VM list, in milliseconds. */
 const WARM_UP_MS = 3_000;
 
+/** Distance of the memberships' seeds from those of the nodes. */
+const MEMBERSHIP_SEED_OFFSET = 500;
+
 /** Settings of an {@linkcode InProcessFleet}. */
 export interface InProcessFleetSettings {
     readonly deployment: Deployment;
@@ -45,6 +49,7 @@
     readonly services = new Map<string, ServiceModel>();
     readonly ledger = new EffectLedger();
     readonly hub = new DisseminationHub(this.clock);
+    readonly peers = new LocalPeerNetwork(this.clock);
     readonly log: LogModel;
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
@@ -126,26 +131,45 @@
         }
     }
 
+    private makeMembership(node: string, address: string, failureDomain: string): Membership {
+        const { clock } = this;
+        const random = new SeededRandom((this.settings.seed ?? 1) * 1_000 + MEMBERSHIP_SEED_OFFSET + this.nodes.length);
+        const client = this.peers.connect(address);
+        const membership = new Membership({
+            node,
+            address,
+            failureDomain,
+            clock,
+            random,
+            client,
+            hybridClock: new HybridClock(clock),
+        });
+        // Values go through the hub; this one only carries news of members.
+        const dissemination = new GossipDissemination({ clock, random, membership });
+        this.peers.serve(address, new PeerDesk({ membership, dissemination, configurationVersion: () => -1 }));
+        return membership;
+    }
+
     private makeNodes(): void {
         const { deployment, seed = 1 } = this.settings;
         for (const [index, { failureDomain }] of deployment.entryVms.entries()) {
             const id = `entry-${index + 1}`;
             const address = `127.0.0.1:${this.vms.length + 1}`;
             this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
-            this.nodes.push(
-                new EntryNode({
-                    node: id,
-                    failureDomain,
-                    clock: this.clock,
-                    random: new SeededRandom(seed * 1_000 + index),
-                    engine: new LocalEngines(this.engines),
-                    plainService: new LocalServices(this.services),
-                    log: this.log,
-                    vmList: this.vmList,
-                    dissemination: this.hub.join(id),
-                    observer: new SilentObserver(),
-                }),
-            );
+            const node = new EntryNode({
+                node: id,
+                failureDomain,
+                clock: this.clock,
+                random: new SeededRandom(seed * 1_000 + index),
+                engine: new LocalEngines(this.engines),
+                plainService: new LocalServices(this.services),
+                log: this.log,
+                vmList: this.vmList,
+                membership: this.makeMembership(id, address, failureDomain),
+                dissemination: this.hub.join(id),
+                observer: new SilentObserver(),
+            });
+            this.nodes.push(node);
         }
     }
 }
