Test membership and dissemination in process, with deaths, pauses, cuts, stale lists and restarts

Each scenario runs the real Membership, GossipDissemination and PeerDesk under a virtual clock; messages are encoded, delayed and cut. Found by them: a node cut off by itself stretched the time after which it takes itself for cut off with its own bad health, and so removed the others first; the time is now fixed. Links exchanged every second without need; they now do every two.

--- /dev/null
+++ b/features/steps/dissemination_steps.ts
@@ -0,0 +1,206 @@
+/**
+ * Steps about dissemination.
+ *
+ * @module
+ */
+
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { MAX_PEER_BYTES_PER_SECOND } from "../../src/coordination/mod.js";
+import { type SharedValue, Topic } from "../../src/protocol/mod.js";
+import type { MemberFleet } from "../../standin/member_fleet.js";
+import { memberFleet } from "../support/member_fleets.js";
+import type { Scenario } from "../support/world.js";
+
+/** Time between two looks while a value is awaited, in milliseconds. */
+const LOOK_INTERVAL_MS = 100;
+
+/** Bytes that probes and news can take beyond the budget at once. */
+const PROBE_ALLOWANCE_BYTES = 2_000;
+
+/** Seconds for which a budget saves bytes. */
+const BURST_SECONDS = 2;
+
+/** Time at which the value of a scenario was shared, and the error of sharing it. */
+const sharing = new WeakMap<Scenario, { readonly atMs: number; readonly error?: Error }>();
+
+/** Name of a topic, or `topic NUMBER`. */
+function toTopic(name: string): Topic {
+    return name.startsWith("topic ") ? Number(name.slice("topic ".length)) : Topic[name as keyof typeof Topic];
+}
+
+When(/^node "(.*)" shares "(.*)" as "?([A-Za-z]+|topic \d+)"? for "(.*)"$/, function(
+    this: Scenario,
+    id: string,
+    text: string,
+    topic: string,
+    key: string,
+) {
+    const fleet = memberFleet(this);
+    fleet.get(id).dissemination.publish(toTopic(topic), key, Buffer.from(text));
+    sharing.set(this, { atMs: fleet.clock.now() });
+});
+
+When(
+    "node {string} shares the numbers from {int} to {int} as {string} for {string}, one every {int} ms",
+    async function(this: Scenario, id: string, first: number, last: number, topic: string, key: string, gapMs: number) {
+        const fleet = memberFleet(this);
+        for (let number = first; number <= last; number += 1) {
+            fleet.get(id).dissemination.publish(toTopic(topic), key, Buffer.from(String(number)));
+            await fleet.clock.advance(gapMs);
+        }
+    },
+);
+
+When(
+    "every node shares {int} values of {int} bytes as {string} every second, {int} times",
+    async function(this: Scenario, count: number, bytes: number, topic: string, times: number) {
+        const fleet = memberFleet(this);
+        for (let turn = 0; turn < times; turn += 1) {
+            for (const { dissemination } of fleet.processes.values()) {
+                for (let key = 0; key < count; key += 1) {
+                    dissemination.publish(toTopic(topic), `key-${key}`, Buffer.alloc(bytes, turn));
+                }
+            }
+            await fleet.clock.advance(1_000);
+        }
+    },
+);
+
+When("node {string} shares a value of {int} bytes", function(this: Scenario, id: string, bytes: number) {
+    const fleet = memberFleet(this);
+    try {
+        fleet.get(id).dissemination.publish(Topic.SentLoad, "pool", Buffer.alloc(bytes));
+        sharing.set(this, { atMs: fleet.clock.now() });
+    }
+    catch (error) {
+        sharing.set(this, { atMs: fleet.clock.now(), error: error as Error });
+    }
+});
+
+Then("sharing fails with {string}", function(this: Scenario, message: string) {
+    assert.equal(sharing.get(this)?.error?.message, message);
+});
+
+Then(
+    /^within (\d+) seconds every other node reads "(.*)" from "(.*)" as "?([A-Za-z]+|topic \d+)"? for "(.*)"$/,
+    async function(this: Scenario, seconds: string, text: string, origin: string, topic: string, key: string) {
+        const fleet = memberFleet(this);
+        await awaitReads(fleet, Number(seconds), () => {
+            const others = [...fleet.processes.keys()].filter(id => id !== origin);
+            return others.filter(id => readText(fleet, { id, origin, topic: toTopic(topic), key }) !== text);
+        });
+    },
+);
+
+Then("within {int} seconds node {string} reads {string} from {string} as {string}", async function(
+    this: Scenario,
+    seconds: number,
+    id: string,
+    text: string,
+    origin: string,
+    topic: string,
+) {
+    const fleet = memberFleet(this);
+    await awaitReads(fleet, seconds, () => readTexts(fleet, id, origin, topic).includes(text) ? [] : [id]);
+});
+
+Then("node {string} reads {string} from {string} as {string}", function(
+    this: Scenario,
+    id: string,
+    text: string,
+    origin: string,
+    topic: string,
+) {
+    assert.deepEqual(readTexts(memberFleet(this), id, origin, topic), [text]);
+});
+
+Then("node {string} reads nothing from {string} as {string}", function(
+    this: Scenario,
+    id: string,
+    origin: string,
+    topic: string,
+) {
+    assert.deepEqual(readTexts(memberFleet(this), id, origin, topic), []);
+});
+
+Then("every other node got {string} from {string} once", function(this: Scenario, text: string, origin: string) {
+    for (const [id, { arrivals }] of memberFleet(this).processes) {
+        const times = arrivals.filter(value => value.origin === origin && toText(value) === text).length;
+        assert.equal(times, id === origin ? 0 : 1, `Node ${id} got the value ${times} times.`);
+    }
+});
+
+Then("the age of the value at {string} is that of its publication, within {int} ms", function(
+    this: Scenario,
+    id: string,
+    toleranceMs: number,
+) {
+    const fleet = memberFleet(this);
+    const [value] = fleet.get(id).arrivals;
+    const read = fleet.get(id).dissemination.read(value.topic).find(each => each.origin === value.origin);
+    const trueAgeMs = fleet.clock.now() - (sharing.get(this)?.atMs ?? 0);
+    assert.ok(Math.abs((read?.ageMs ?? 0) - trueAgeMs) <= toleranceMs, `The age is ${read?.ageMs} ms, not ${trueAgeMs} ms.`);
+});
+
+Then("the numbers from {string} never went back at any node", function(this: Scenario, origin: string) {
+    for (const [id, { arrivals }] of memberFleet(this).processes) {
+        const numbers = arrivals.filter(value => value.origin === origin).map(value => Number(toText(value))).filter(
+            Number.isFinite,
+        );
+        assert.deepEqual(numbers, [...new Set(numbers)].sort((left, right) => left - right), `Node ${id} went back.`);
+        assert.ok(id === origin || numbers.length > 0);
+    }
+});
+
+Then("no node has sent more bytes than its budget allows", function(this: Scenario) {
+    const fleet = memberFleet(this);
+    for (const [id, { vm, membership }] of fleet.processes) {
+        const seconds = (fleet.clock.now() - membership.self.life) / 1_000 + BURST_SECONDS;
+        const allowed = MAX_PEER_BYTES_PER_SECOND * seconds + PROBE_ALLOWANCE_BYTES;
+        const sent = fleet.network.trafficOf(vm.address).sentBytes;
+        assert.ok(sent <= allowed, `Node ${id} sent ${sent} bytes, ${allowed} are allowed.`);
+    }
+});
+
+Then("node {string} holds more values of its own domain than of any other", function(this: Scenario, id: string) {
+    const { dissemination, vm } = memberFleet(this).get(id);
+    const counts = new Map<string, number>();
+    for (const value of dissemination.read(Topic.RolloutEvidence)) {
+        const domain = value.origin.split("-")[0];
+        counts.set(domain, (counts.get(domain) ?? 0) + 1);
+    }
+    const own = counts.get(vm.failureDomain) ?? 0;
+    const others = [...counts].filter(([domain]) => domain !== vm.failureDomain).map(([, count]) => count);
+    assert.ok(own > Math.max(0, ...others), `Own domain ${own}, others ${others.join(", ")}.`);
+});
+
+/** Value that a node may hold. */
+interface Place {
+    readonly id: string;
+    readonly origin: string;
+    readonly topic: Topic;
+    readonly key: string;
+}
+
+function readText(fleet: MemberFleet, { id, origin, topic, key }: Place): string | undefined {
+    const values = fleet.get(id).dissemination.read(topic);
+    const value = values.find(each => each.origin === origin && each.key === key);
+    return value === undefined ? undefined : toText(value);
+}
+
+function readTexts(fleet: MemberFleet, id: string, origin: string, topic: string): readonly string[] {
+    return fleet.get(id).dissemination.read(toTopic(topic)).filter(value => value.origin === origin).map(toText);
+}
+
+function toText(value: SharedValue): string {
+    return Buffer.from(value.data).toString("utf8");
+}
+
+async function awaitReads(fleet: MemberFleet, seconds: number, listWrong: () => readonly string[]): Promise<void> {
+    const giveUpAtMs = fleet.clock.now() + seconds * 1_000;
+    while (listWrong().length > 0 && fleet.clock.now() < giveUpAtMs) {
+        await fleet.clock.advance(LOOK_INTERVAL_MS);
+    }
+    assert.deepEqual(listWrong(), []);
+}
--- /dev/null
+++ b/features/steps/membership_steps.ts
@@ -0,0 +1,249 @@
+/**
+ * Steps about membership.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { isRemoved, MemberState } from "../../src/coordination/mod.js";
+import { MemberFleet } from "../../standin/member_fleet.js";
+import { memberFleet, memberFleets } from "../support/member_fleets.js";
+import type { Scenario } from "../support/world.js";
+
+/** Time in which a started fleet of memberships has settled, in milliseconds. */
+const WARM_UP_MS = 15_000;
+
+/** Time between two looks while a state is awaited, in milliseconds. */
+const LOOK_INTERVAL_MS = 100;
+
+/** Fleets that a scenario has started, in their order, with the bytes that they had sent when they were warm. */
+const started = new WeakMap<Scenario, WarmFleet[]>();
+
+/** Fleet of memberships once it has settled. */
+interface WarmFleet {
+    readonly fleet: MemberFleet;
+    readonly atMs: number;
+    readonly sentBytes: number;
+}
+
+After(function(this: Scenario) {
+    for (const process of memberFleets.get(this)?.processes.values() ?? []) {
+        process.stopped.abort();
+    }
+});
+
+Given("{int} domains of {int} membership nodes each", async function(this: Scenario, domains: number, nodesPerDomain: number) {
+    for (const process of memberFleets.get(this)?.processes.values() ?? []) {
+        process.stopped.abort();
+    }
+    const fleet = new MemberFleet({ domains, nodesPerDomain });
+    memberFleets.set(this, fleet);
+    await fleet.clock.advance(WARM_UP_MS);
+    const earlier = started.get(this) ?? [];
+    started.set(this, [...earlier, { fleet, atMs: fleet.clock.now(), sentBytes: totalSentBytes(fleet) }]);
+});
+
+Given("the membership VM list lags by {int} seconds", function(this: Scenario, seconds: number) {
+    memberFleet(this).vmList.lagMs = seconds * 1_000;
+});
+
+Given("the membership VM list is down", function(this: Scenario) {
+    memberFleet(this).vmList.down = true;
+});
+
+When("membership node {string} dies", function(this: Scenario, id: string) {
+    memberFleet(this).kill(id);
+    memberFleet(this).publishList();
+});
+
+When("membership node {string} leaves", async function(this: Scenario, id: string) {
+    const fleet = memberFleet(this);
+    await fleet.clock.runUntil(fleet.get(id).membership.leave());
+    fleet.kill(id);
+});
+
+When("membership node {string} starts at {string}", function(this: Scenario, id: string, address: string) {
+    memberFleet(this).start(id, address);
+    memberFleet(this).publishList();
+});
+
+When("old membership node {string} starts at {string}", function(this: Scenario, id: string, address: string) {
+    memberFleet(this).start(id, address, true);
+    memberFleet(this).publishList();
+});
+
+When("membership node {string} is paused for {int} ms", async function(this: Scenario, id: string, durationMs: number) {
+    await pause(memberFleet(this), id, durationMs);
+});
+
+When(
+    "membership node {string} stalls for {int} ms in every {int} ms, {int} times",
+    async function(this: Scenario, id: string, stallMs: number, periodMs: number, times: number) {
+        const fleet = memberFleet(this);
+        for (let turn = 0; turn < times; turn += 1) {
+            await pause(fleet, id, stallMs);
+            await fleet.clock.advance(periodMs - stallMs);
+        }
+    },
+);
+
+When(/^for (\d+) seconds messages from (.*) to (.*) are lost$/, async function(
+    this: Scenario,
+    seconds: string,
+    from: string,
+    to: string,
+) {
+    const fleet = memberFleet(this);
+    const matches = (pattern: string, address: string) =>
+        pattern === "all" || fleet.get(JSON.parse(pattern) as string).vm.address === address;
+    fleet.network.cuts.add((sender, receiver) => matches(from, sender) && matches(to, receiver));
+    await fleet.clock.advance(Number(seconds) * 1_000);
+});
+
+When("domain {string} is cut off for {int} seconds", async function(this: Scenario, domain: string, seconds: number) {
+    const fleet = memberFleet(this);
+    const inside = new Set(
+        [...fleet.processes.values()].filter(each => each.vm.failureDomain === domain).map(each => each.vm.address),
+    );
+    fleet.network.cuts.add((from, to) => inside.has(from) !== inside.has(to));
+    await fleet.clock.advance(seconds * 1_000);
+});
+
+When("the cut of the domain heals", function(this: Scenario) {
+    memberFleet(this).network.cuts.clear();
+});
+
+When("all membership nodes restart at once", function(this: Scenario) {
+    restartAll(memberFleet(this), "");
+});
+
+When("all membership nodes but {string} restart at once", function(this: Scenario, id: string) {
+    restartAll(memberFleet(this), id);
+});
+
+When("{int} ms pass for the members", async function(this: Scenario, durationMs: number) {
+    await memberFleet(this).clock.advance(durationMs);
+});
+
+Then(
+    /^within (\d+) seconds? every (other |new )?node(?: of domain "(.*)")? holds "(.*)" for "(.*)"$/,
+    async function(
+        this: Scenario,
+        seconds: string,
+        kind: string | undefined,
+        domain: string | undefined,
+        id: string,
+        state: string,
+    ) {
+        const fleet = memberFleet(this);
+        await awaitStates(fleet, Number(seconds), () => {
+            const observers = observersOf(fleet, id).filter(each => domain === undefined || each.startsWith(`${domain}-`));
+            assert.ok(observers.length > 0, `No ${kind ?? ""}node observes ${id}.`);
+            return observers.filter(each => fleet.stateSeenBy(each, id) !== state).map(each =>
+                `${each} holds ${id} for ${fleet.stateSeenBy(each, id)}`
+            );
+        });
+    },
+);
+
+Then(
+    "within {int} seconds every other node holds the new life of {string} for {string}",
+    async function(this: Scenario, seconds: number, id: string, state: string) {
+        const fleet = memberFleet(this);
+        await awaitStates(fleet, seconds, () => {
+            const { life } = fleet.get(id).membership.self;
+            const member = (observer: string) => fleet.get(observer).membership.get(id);
+            return observersOf(fleet, id).filter(each => member(each)?.life !== life || member(each)?.state !== state);
+        });
+    },
+);
+
+Then("within {int} seconds every node holds every other node for {string}", async function(
+    this: Scenario,
+    seconds: number,
+    state: string,
+) {
+    const fleet = memberFleet(this);
+    await awaitStates(fleet, seconds, () => {
+        const pairs = [...fleet.processes.keys()].flatMap(id => observersOf(fleet, id).map(observer => [observer, id]));
+        const wrong = pairs.filter(([observer, id]) => fleet.stateSeenBy(observer, id) !== state);
+        return wrong.map(([observer, id]) => `${observer} holds ${id} for ${fleet.stateSeenBy(observer, id)}`);
+    });
+});
+
+Then("node {string} holds {string} for {string}", function(this: Scenario, observer: string, id: string, state: string) {
+    assert.equal(memberFleet(this).stateSeenBy(observer, id), state);
+});
+
+Then("no running node was removed", function(this: Scenario) {
+    assert.deepEqual(memberFleet(this).wrongRemovals(), []);
+});
+
+Then("no running node but {string} was removed", function(this: Scenario, id: string) {
+    assert.deepEqual(memberFleet(this).wrongRemovals().filter(({ member }) => member.id !== id), []);
+});
+
+Then("no running node but {string} was suspect", function(this: Scenario, id: string) {
+    const suspected = memberFleet(this).changes.filter(({ member }) => member.state === MemberState.Suspect && member.id !== id);
+    assert.deepEqual(suspected, []);
+});
+
+Then("{string} was removed at most once by each node", function(this: Scenario, id: string) {
+    const removals = memberFleet(this).changes.filter(({ member }) => member.id === id && isRemoved(member)).map(({ by }) => by);
+    assert.ok(removals.length > 0);
+    assert.equal(new Set(removals).size, removals.length);
+});
+
+Then("node {string} removed nobody", function(this: Scenario, id: string) {
+    assert.deepEqual(memberFleet(this).changes.filter(({ by, member }) => by === id && isRemoved(member)), []);
+});
+
+Then("the nodes of the larger fleet sent no more bytes a second than those of the smaller one", function(this: Scenario) {
+    const fleets = started.get(this) ?? [];
+    const [larger, smaller] = fleets.slice(-2).map(meanBytesPerSecond);
+    assert.ok(
+        larger <= smaller,
+        `The nodes of the larger fleet sent ${larger}, those of the smaller one ${smaller} bytes a second.`,
+    );
+});
+
+function totalSentBytes(fleet: MemberFleet): number {
+    return [...fleet.processes.values()].reduce((sum, { membership }) => sum + membership.budget.sentBytes, 0);
+}
+
+function meanBytesPerSecond({ fleet, atMs, sentBytes }: WarmFleet): number {
+    const seconds = (fleet.clock.now() - atMs) / 1_000;
+    return (totalSentBytes(fleet) - sentBytes) / seconds / fleet.processes.size;
+}
+
+async function pause(fleet: MemberFleet, id: string, durationMs: number): Promise<void> {
+    const { clock } = fleet.get(id);
+    clock.pause();
+    await fleet.clock.advance(durationMs);
+    clock.resume();
+}
+
+function restartAll(fleet: MemberFleet, except: string): void {
+    const vms = [...fleet.processes.values()].map(({ vm }) => vm).filter(vm => vm.id !== except);
+    for (const vm of vms) {
+        fleet.kill(vm.id);
+    }
+    for (const vm of vms) {
+        fleet.start(vm.id, vm.address);
+    }
+    fleet.changes.length = 0;
+}
+
+/** Nodes that run the present protocol, but the one observed. */
+function observersOf(fleet: MemberFleet, id: string): readonly string[] {
+    return [...fleet.processes.values()].filter(each => !each.old && each.vm.id !== id).map(each => each.vm.id);
+}
+
+async function awaitStates(fleet: MemberFleet, seconds: number, listWrong: () => readonly string[]): Promise<void> {
+    const giveUpAtMs = fleet.clock.now() + seconds * 1_000;
+    while (listWrong().length > 0 && fleet.clock.now() < giveUpAtMs) {
+        await fleet.clock.advance(LOOK_INTERVAL_MS);
+    }
+    assert.deepEqual(listWrong(), []);
+}
--- a/src/coordination/membership/gossip_dissemination.ts
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -28,7 +28,7 @@
 const NEAR_INTERVAL_MS = 500;
 
 /** Exchanges within the failure domain for each round of exchanges over links. */
-const NEAR_ROUNDS_PER_FAR_ROUND = 2;
+const NEAR_ROUNDS_PER_FAR_ROUND = 4;
 
 /** Shortest time between two rounds, in milliseconds. */
 const MIN_ROUND_GAP_MS = 100;
--- a/src/coordination/membership/membership.ts
+++ b/src/coordination/membership/membership.ts
@@ -36,7 +36,7 @@
 const SWEEP_TOLERANCE_MS = 250;
 
 /** Time without any answer after which this node takes itself for cut off, in milliseconds. */
-const CUT_OFF_AFTER_MS = 2_000;
+const CUT_OFF_AFTER_MS = 2_500;
 
 /** Time between two probes of a removed member that the VM list still shows, in milliseconds. */
 const REMOVED_PROBE_INTERVAL_MS = 5_000;
@@ -143,7 +143,7 @@
 
     /** Whether this node gets no answer from anyone. */
     get cutOff(): boolean {
-        return this.settings.clock.now() - this.lastAnswerAtMs > CUT_OFF_AFTER_MS * this.health.factor;
+        return this.settings.clock.now() - this.lastAnswerAtMs > CUT_OFF_AFTER_MS;
     }
 
     /** Number of members that news wait about. */
