--- /dev/null
+++ b/measure/_member_process.ts
@@ -0,0 +1,164 @@
+/**
+ * Program of one light node: membership and dissemination over real gRPC, and nothing else of a daemon.
+ *
+ * @module
+ */
+
+import { runEffects, tap } from "@most/core";
+import { newDefaultScheduler } from "@most/scheduler";
+import { subscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
+import { GossipDissemination, Membership } from "../src/coordination/mod.js";
+import { PeerDesk } from "../src/daemon/mod.js";
+import { OperatorHandler, Topic } from "../src/protocol/mod.js";
+import { HybridClock, SeededRandom, SystemClock, type Vm } from "../src/state/mod.js";
+import { GrpcPeerClient, GrpcServer } from "../src/transport/mod.js";
+import type { MemberCommand, MemberReport, MemberStart } from "./_member_message.js";
+import { FullMeshMembership } from "./naive/full_mesh_membership.js";
+
+/** Time between two publications of each kind of value, in milliseconds. */
+const PUBLISH_INTERVALS_MS = { [Topic.AdmissionLevel]: 2_000, [Topic.SentLoad]: 1_000, [Topic.RolloutEvidence]: 5_000 };
+
+/** Length of each kind of value, in bytes. */
+const VALUE_BYTES = { [Topic.AdmissionLevel]: 20, [Topic.SentLoad]: 100, [Topic.RolloutEvidence]: 100 };
+
+/** Time of each second for which an overloaded node computes, in milliseconds. */
+const OVERLOAD_MS = 900;
+
+/** Milliseconds in a second. */
+const SECOND_MS = 1_000;
+
+/** Counts the bytes of all sockets of the process, with what HTTP/2 and TCP's user see on top of the messages. */
+class SocketCounter {
+    private readonly sockets = new Set<Socket>();
+    private closedBytes = 0;
+
+    constructor() {
+        subscribe("net.client.socket", message => this.add((message as { readonly socket: Socket }).socket));
+        subscribe("net.server.socket", message => this.add((message as { readonly socket: Socket }).socket));
+    }
+
+    /** Bytes written and read so far. */
+    get bytes(): number {
+        return [...this.sockets].reduce((sum, socket) => sum + bytesOf(socket), this.closedBytes);
+    }
+
+    private add(socket: Socket): void {
+        this.sockets.add(socket);
+        socket.once("close", () => {
+            this.sockets.delete(socket);
+            this.closedBytes += bytesOf(socket);
+        });
+    }
+}
+
+function bytesOf(socket: Socket): number {
+    return (socket.bytesWritten ?? 0) + (socket.bytesRead ?? 0);
+}
+
+/** Refuses operators; the light node has nothing to show them. */
+class NoOperators extends OperatorHandler {
+    override readStatus(): Promise<never> {
+        throw new Error("Cannot read status: this is a light node");
+    }
+
+    override readConfiguration(): Promise<never> {
+        throw new Error("Cannot read configuration: this is a light node");
+    }
+
+    override changeConfiguration(): Promise<never> {
+        throw new Error("Cannot change configuration: this is a light node");
+    }
+
+    override readTimeline(): void {
+        throw new Error("Cannot read time line: this is a light node");
+    }
+}
+
+const sockets = new SocketCounter();
+const start = JSON.parse(process.argv[2]) as MemberStart;
+const clock = new SystemClock();
+const random = new SeededRandom(start.seed);
+const membership = new Membership({
+    node: start.vm.id,
+    address: start.vm.address,
+    failureDomain: start.vm.failureDomain,
+    clock,
+    random,
+    hybridClock: new HybridClock(clock),
+    client: new GrpcPeerClient(),
+});
+const dissemination = new GossipDissemination({ clock, random, membership });
+const stopped = new AbortController();
+const [host, port] = start.vm.address.split(":");
+const server = new GrpcServer({
+    peerHandler: new PeerDesk({ membership, dissemination, configurationVersion: () => 0 }),
+    operatorHandler: new NoOperators(),
+    isOperatorKey: () => false,
+});
+await server.listen(host, Number(port));
+process.on("disconnect", () => process.exit(0));
+process.on("message", message => obey(message as MemberCommand));
+report({ kind: "ready" });
+
+function report(message: MemberReport): void {
+    process.send?.(message);
+}
+
+function reportChange(id: string, state: string): void {
+    report({ kind: "change", id, state, atMs: Date.now() });
+}
+
+function obey(command: MemberCommand): void {
+    switch (command.kind) {
+        case "list":
+            runWith(command.vms);
+            return;
+        case "figures": {
+            const { user, system } = process.cpuUsage();
+            const { sentBytes, receivedBytes } = membership.budget;
+            const figures = {
+                cpuMicros: user + system,
+                rssBytes: process.memoryUsage().rss,
+                messageBytes: sentBytes + receivedBytes,
+            };
+            report({ kind: "figures", ...figures, socketBytes: sockets.bytes, deferred: dissemination.deferredExchanges });
+            return;
+        }
+        case "overload":
+            void overload(command.seconds);
+            return;
+    }
+}
+
+function runWith(vms: readonly Vm[]): void {
+    if (start.naive) {
+        new FullMeshMembership({ node: start.vm.id, clock, client: membership.client, onChange: reportChange })
+            .follow(vms, stopped.signal);
+        return;
+    }
+    void runEffects(tap(member => reportChange(member.id, member.state), membership.changes), newDefaultScheduler());
+    membership.seed(vms);
+    void membership.run(stopped.signal);
+    void dissemination.run(stopped.signal);
+    for (const topic of [Topic.AdmissionLevel, Topic.SentLoad, Topic.RolloutEvidence] as const) {
+        void publishOften(topic);
+    }
+}
+
+async function publishOften(topic: keyof typeof VALUE_BYTES): Promise<void> {
+    while (!stopped.signal.aborted) {
+        dissemination.publish(topic, "pool", Buffer.alloc(VALUE_BYTES[topic], Math.floor(clock.now())));
+        await clock.sleep(PUBLISH_INTERVALS_MS[topic] * (0.5 + random.next()), stopped.signal);
+    }
+}
+
+async function overload(seconds: number): Promise<void> {
+    for (let second = 0; second < seconds; second += 1) {
+        const untilMs = clock.now() + OVERLOAD_MS;
+        while (clock.now() < untilMs) {
+            // Keeps the event loop busy.
+        }
+        await clock.sleep(SECOND_MS - OVERLOAD_MS);
+    }
+}
--- /dev/null
+++ b/measure/membership.ts
@@ -0,0 +1,225 @@
+/**
+ * Experiment: detection time, false suspicions and cost of a node for fleets of 4 to 64 processes.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { MemberGroup, type MemberNode } from "./_member_group.js";
+import type { MemberFigures } from "./_member_message.js";
+import type { Experiment, Figures, Report } from "./experiment.js";
+
+/** Sizes of the fleets. */
+const SIZES = [4, 8, 16, 32, 64];
+
+/** Sizes at which the naive version runs too. */
+const NAIVE_SIZES = [4, 8, 16, 32];
+
+/** Size of the letter. */
+const LETTER_NODES = 370;
+
+/** Time for a fleet to settle, in milliseconds. */
+const WARM_UP_MS = 8_000;
+
+/** Time over which the cost is measured, in milliseconds. */
+const WINDOW_MS = 10_000;
+
+/** Time for which one node is paused and another overloaded, in seconds. */
+const FAULT_SECONDS = 6;
+
+/** Time after the faults in which accusations still count, in milliseconds. */
+const AFTER_FAULT_MS = 4_000;
+
+/** Rounds of deaths; in each, one node of each failure domain dies. */
+const DEATH_ROUNDS = 3;
+
+/** Time for the others to notice a death, in milliseconds. */
+const DEATH_WAIT_MS = 6_000;
+
+/** Bounds of the letter. */
+const MAX_CORE_PERCENT = 1.6;
+const MAX_MEMORY_MB = 256;
+const MAX_BYTES_PER_SECOND = 7_000;
+const MAX_DETECTION_MS = 5_000;
+
+/** Bytes in a megabyte, milliseconds in a second, microseconds of processor time in a percent of a core for a second. */
+const MEGABYTE = 1_048_576;
+const SECOND_MS = 1_000;
+const MICROS_PER_PERCENT = 10_000;
+
+/** Figures of one size of fleet. */
+interface SizeFigures {
+    readonly nodes: number;
+    readonly corePercent: number;
+    readonly memoryMb: number;
+    readonly messageBytesPerSecond: number;
+    readonly socketBytesPerSecond: number;
+    readonly deferredPerNode: number;
+    readonly healthySuspected: number;
+    readonly liveRemoved: number;
+    readonly deaths: number;
+    readonly unnoticed: number;
+    readonly detectionsMs: readonly number[];
+}
+
+/** Runs fleets of growing size. */
+export const membership: Experiment = {
+    name: "membership",
+    summary: "detection time, false suspicions and cost of a node over 4 to 64 light processes",
+    async run(seed: number): Promise<Report> {
+        const naive: SizeFigures[] = [];
+        for (const size of NAIVE_SIZES) {
+            naive.push(await measureSize(size, { seed, naive: true }));
+        }
+        const current: SizeFigures[] = [];
+        for (const size of SIZES) {
+            current.push(await measureSize(size, { seed, naive: false }));
+        }
+        return {
+            scenario: "membership",
+            seed,
+            baseline: describe(naive),
+            current: describe(current),
+            targets: listTargets(current),
+        };
+    },
+};
+
+async function measureSize(size: number, settings: { readonly seed: number; readonly naive: boolean }): Promise<SizeFigures> {
+    const group = await MemberGroup.start(size, domainsOf(size), settings);
+    try {
+        await sleep(WARM_UP_MS);
+        const cost = await measureCost(group);
+        const faults = await causeFaults(group);
+        const deaths = await causeDeaths(group);
+        return { nodes: size, ...cost, ...faults, ...deaths };
+    }
+    finally {
+        group.stop();
+    }
+}
+
+/** Two nodes of a failure domain are the fewest that can notice a death. */
+function domainsOf(size: number): number {
+    return size <= 8 ? 2 : 4;
+}
+
+async function measureCost(group: MemberGroup) {
+    const before = await Promise.all(group.live.map(node => node.readFigures()));
+    await sleep(WINDOW_MS);
+    const after = await Promise.all(group.live.map(node => node.readFigures()));
+    const rate = (pick: (figures: MemberFigures) => number) =>
+        mean(after.map((figures, index) => pick(figures) - pick(before[index]))) * SECOND_MS / WINDOW_MS;
+    return {
+        corePercent: rate(figures => figures.cpuMicros) / MICROS_PER_PERCENT,
+        memoryMb: mean(after.map(figures => figures.rssBytes)) / MEGABYTE,
+        messageBytesPerSecond: rate(figures => figures.messageBytes),
+        socketBytesPerSecond: rate(figures => figures.socketBytes),
+        deferredPerNode: mean(after.map(figures => figures.deferred)),
+    };
+}
+
+/** Pauses one node for longer than the suspicion time and overloads another one. */
+async function causeFaults(group: MemberGroup) {
+    const [paused, overloaded] = group.live;
+    const startMs = Date.now();
+    overloaded.tell({ kind: "overload", seconds: FAULT_SECONDS });
+    paused.signal("SIGSTOP");
+    await sleep(FAULT_SECONDS * SECOND_MS);
+    paused.signal("SIGCONT");
+    await sleep(AFTER_FAULT_MS);
+    const changes = group.live.flatMap(node => node.changes).filter(change => change.atMs >= startMs);
+    const faulty = new Set([paused.vm.id, overloaded.vm.id]);
+    const isHealthy = (id: string) => !faulty.has(id);
+    return {
+        healthySuspected: changes.filter(({ id, state }) => state === "suspect" && isHealthy(id)).length,
+        // A node that is paused for longer than the suspicion time is removed by right.
+        liveRemoved: changes.filter(({ id, state }) => state === "dead" && id !== paused.vm.id).length,
+    };
+}
+
+async function causeDeaths(group: MemberGroup) {
+    const detectionsMs: number[] = [];
+    let deaths = 0;
+    let unnoticed = 0;
+    for (let round = 0; round < DEATH_ROUNDS; round += 1) {
+        const victims = pickVictims(group);
+        const diedAtMs = Date.now();
+        for (const victim of victims) {
+            victim.kill();
+        }
+        await sleep(DEATH_WAIT_MS);
+        deaths += victims.length;
+        for (const victim of victims) {
+            const observers = group.live.filter(node => node.vm.failureDomain === victim.vm.failureDomain);
+            for (const observer of observers) {
+                const noticed = observer.changes.find(each =>
+                    each.id === victim.vm.id && each.state === "dead" && each.atMs >= diedAtMs
+                );
+                unnoticed += noticed === undefined ? 1 : 0;
+                detectionsMs.push(noticed === undefined ? Infinity : noticed.atMs - diedAtMs);
+            }
+        }
+    }
+    return { deaths, unnoticed, detectionsMs };
+}
+
+/** One node of each failure domain that keeps at least one other. */
+function pickVictims(group: MemberGroup): readonly MemberNode[] {
+    const domains = new Map<string, MemberNode[]>();
+    for (const node of group.live) {
+        const nodes = domains.get(node.vm.failureDomain) ?? [];
+        nodes.push(node);
+        domains.set(node.vm.failureDomain, nodes);
+    }
+    return [...domains.values()].filter(nodes => nodes.length > 1).map(nodes => nodes[nodes.length - 1]);
+}
+
+function describe(sizes: readonly SizeFigures[]): Figures {
+    const rows = sizes.map(({ detectionsMs, ...figures }) => ({
+        ...figures,
+        detectionP50Ms: quantile(detectionsMs, 0.5),
+        detectionP99Ms: quantile(detectionsMs, 0.99),
+    }));
+    return {
+        sizes: rows,
+        slopes: (["corePercent", "memoryMb", "messageBytesPerSecond", "socketBytesPerSecond"] as const).map(name => {
+            const line = fitLine(sizes.map(figures => [figures.nodes, figures[name]]));
+            return { figure: name, perNode: line.slope, at370: line.at(LETTER_NODES) };
+        }),
+    };
+}
+
+function listTargets(sizes: readonly SizeFigures[]): Report["targets"] {
+    const at370 = (name: "corePercent" | "memoryMb" | "messageBytesPerSecond") =>
+        fitLine(sizes.map(figures => [figures.nodes, figures[name]])).at(LETTER_NODES);
+    const detections = sizes.flatMap(figures => figures.detectionsMs);
+    const total = (name: "liveRemoved" | "healthySuspected") => sizes.reduce((sum, figures) => sum + figures[name], 0);
+    const atMost = (name: string, measured: number, bound: number) => ({ name, measured, comparison: "at most" as const, bound });
+    return [
+        atMost("control at 370 nodes, % of a core", at370("corePercent"), MAX_CORE_PERCENT),
+        atMost("memory at 370 nodes, MB", at370("memoryMb"), MAX_MEMORY_MB),
+        atMost("messages at 370 nodes, bytes a second", at370("messageBytesPerSecond"), MAX_BYTES_PER_SECOND),
+        atMost("death noticed in its domain, p99, ms", quantile(detections, 0.99), MAX_DETECTION_MS),
+        atMost("live nodes removed", total("liveRemoved"), 0),
+    ];
+}
+
+/** Straight line through points, by least squares. */
+function fitLine(points: readonly (readonly [number, number])[]) {
+    const meanX = mean(points.map(([x]) => x));
+    const meanY = mean(points.map(([, y]) => y));
+    const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+    const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+    const slope = covariance / variance;
+    return { slope, at: (x: number) => meanY + slope * (x - meanX) };
+}
+
+function quantile(values: readonly number[], share: number): number {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.min(sorted.length - 1, Math.ceil(sorted.length * share) - 1)] ?? Infinity;
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
