Give each link its own queue, and stop sending what others already have

Values that can wait now go out twice, a value that comes again counts as sent, and each link has a queue of its own in which a lost message is queued again.

--- a/src/coordination/membership/_hot_queue.ts
+++ b/src/coordination/membership/_hot_queue.ts
@@ -32,9 +32,9 @@
      * Takes values for one message; each goes to the end of its queue until it was sent often enough.
      *
      * @param maxBytes Room in the message.
-     * @param maxSends Times that each value is sent.
+     * @param maxSends Times that a value of a topic is sent.
      */
-    take(maxBytes: number, maxSends: number): readonly SharedEntry[] {
+    take(maxBytes: number, maxSends: (topic: number) => number): readonly SharedEntry[] {
         const chosen: SharedEntry[] = [];
         let room = maxBytes;
         for (const queue of this.queuesInOrder()) {
@@ -43,7 +43,7 @@
                 chosen.push(entry);
                 queue.delete(entry.name);
                 entry.sends += 1;
-                if (entry.sends < maxSends) {
+                if (entry.sends < maxSends(entry.topic)) {
                     queue.set(entry.name, entry);
                 }
             }
--- a/src/coordination/membership/_value_store.ts
+++ b/src/coordination/membership/_value_store.ts
@@ -59,7 +59,10 @@
 
 /** Values by name, urgent ones apart so that a repair comes round to them sooner. */
 export class ValueStore {
+    /** Values that wait to be sent within the failure domain. */
     readonly hot = new HotQueue();
+    /** Values that wait to be sent over a link, by the failure domain at its other end. */
+    private readonly links = new Map<string, HotQueue>();
     private readonly urgent = new Map<number, SharedEntry>();
     private readonly patient = new Map<number, SharedEntry>();
     private urgentCursor: Iterator<SharedEntry> | undefined;
@@ -105,24 +108,51 @@
         const bornAtMs = this.clock.now() - record.ageMs;
         const entry: SharedEntry = { name, topic, origin, key, life, version, bornAtMs, data, near, bytes, sends: 0 };
         if (known !== undefined && known.near !== near) {
-            this.hot.remove(known);
+            this.drop(known);
         }
         this.mapOf(topic).set(name, entry);
-        this.hot.add(entry);
+        this.queue(entry);
         return entry;
     }
 
+    /** Takes a sign that others have a value too, which counts as if this node had sent it. */
+    noteKnown(record: wire.ValueRecord, maxSends: number): void {
+        const entry = this.get(fingerprint(`${record.topic} ${record.origin} ${record.key}`));
+        if (entry !== undefined && entry.life === record.life && entry.version === record.version) {
+            entry.sends += 1;
+            if (entry.sends >= maxSends) {
+                this.hot.remove(entry);
+            }
+        }
+    }
+
+    /** Returns the queue of a link that this node holds; a new one begins with the urgent values. */
+    link(failureDomain: string): HotQueue {
+        let queue = this.links.get(failureDomain);
+        if (queue === undefined) {
+            queue = new HotQueue();
+            for (const entry of this.urgent.values()) {
+                queue.add(entry);
+            }
+            this.links.set(failureDomain, queue);
+        }
+        return queue;
+    }
+
+    /** Drops the queues of links that this node does not hold. */
+    retainLinks(failureDomains: ReadonlySet<string>): void {
+        for (const domain of this.links.keys()) {
+            if (!failureDomains.has(domain)) {
+                this.links.delete(domain);
+            }
+        }
+    }
+
     /** Drops a value. */
     drop(entry: SharedEntry): void {
         this.mapOf(entry.topic).delete(entry.name);
-        this.hot.remove(entry);
-    }
-
-    /** Queues all urgent values again, for peers that have missed them. */
-    resendUrgent(): void {
-        for (const entry of this.urgent.values()) {
-            entry.sends = 0;
-            this.hot.add(entry);
+        for (const queue of [this.hot, ...this.links.values()]) {
+            queue.remove(entry);
         }
     }
 
@@ -140,6 +170,12 @@
         return { topic, origin, key, life, version, ageMs, data };
     }
 
+    private queue(entry: SharedEntry): void {
+        for (const queue of [this.hot, ...this.links.values()]) {
+            queue.add(entry);
+        }
+    }
+
     private mapOf(topic: number): Map<number, SharedEntry> {
         return isUrgent(topic) ? this.urgent : this.patient;
     }
--- a/src/coordination/membership/gossip_dissemination.ts
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -13,6 +13,7 @@
 import type { Stream } from "@most/types";
 import { Dissemination, PeerError, type SharedValue, type Topic, wire } from "../../protocol/mod.js";
 import type { Clock, RandomSource } from "../../state/mod.js";
+import type { HotQueue } from "./_hot_queue.js";
 import {
     isUrgent,
     isWellFormed,
@@ -51,8 +52,14 @@
 /** Time that an exchange may take, in milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 1_000;
 
-/** Times that a value is sent, for each doubling of the number of members. */
-const SENDS_PER_DOUBLING = 1;
+/** Times that an urgent value is sent within the failure domain, for each doubling of its number of members. */
+const URGENT_SENDS_PER_DOUBLING = 1;
+
+/** Times that any other value is sent within the failure domain; digests repair what that misses. */
+const PATIENT_SENDS = 2;
+
+/** Bytes that exchanges without haste leave in the budget for urgent values and links. */
+const RESERVE_BYTES = 700;
 
 /** Values of one message that are looked at. */
 const MAX_VALUES_PER_MESSAGE = 256;
@@ -73,6 +80,12 @@
     readonly membership: Membership;
 }
 
+/** Request with the values in it. */
+interface PreparedRequest {
+    readonly request: wire.ExchangeRequest;
+    readonly entries: readonly SharedEntry[];
+}
+
 /** Shares values with the members, near ones first, within the membership's byte budget. */
 export class GossipDissemination extends Dissemination {
     override readonly arrivals: Stream<SharedValue>;
@@ -81,7 +94,6 @@
     private readonly announce: (value: SharedValue) => void;
     private readonly store: ValueStore;
     private readonly busy = new Set<string>();
-    private readonly unreached = new Set<string>();
     private lastVersion = 0;
     private urgent = false;
     private wake: AbortController | undefined;
@@ -139,7 +151,8 @@
             values: [] as wire.ValueRecord[],
         };
         const room = Math.min(MAX_EXCHANGE_BYTES, budget.available) - wire.ExchangeReply.encode(reply).finish().length;
-        reply.values = this.fill(newer, room);
+        const near = request.failureDomain === membership.self.failureDomain;
+        reply.values = this.fill(newer, room, near ? this.store.hot : undefined);
         budget.charge(wire.ExchangeReply.encode(reply).finish().length);
         return reply;
     }
@@ -156,18 +169,21 @@
     }
 
     private async runRounds(signal: AbortSignal): Promise<void> {
-        const { clock, random } = this.settings;
+        const { clock, random, membership } = this.settings;
         let round = random.below(NEAR_ROUNDS_PER_FAR_ROUND);
         while (!signal.aborted) {
             await this.awaitRound(signal);
             const { urgent } = this;
             this.urgent = false;
-            this.noteReach();
+            this.store.retainLinks(membership.heldLinks());
             round += 1;
             const near = this.pickNear(urgent ? URGENT_FANOUT : 1);
-            const far = urgent || round % NEAR_ROUNDS_PER_FAR_ROUND === 0 ? this.settings.membership.farPartners() : [];
-            for (const partner of [...near, ...far]) {
-                void this.exchange(partner);
+            const far = urgent || round % NEAR_ROUNDS_PER_FAR_ROUND === 0 ? membership.farPartners() : [];
+            for (const partner of near) {
+                void this.exchange(partner, this.store.hot, urgent ? 0 : RESERVE_BYTES);
+            }
+            for (const partner of far) {
+                void this.exchange(partner, this.store.link(partner.failureDomain), 0);
             }
             await clock.sleep(MIN_ROUND_GAP_MS, signal);
         }
@@ -202,19 +218,20 @@
     }
 
     /** One exchange with one member, and a second message with the values it asks for. */
-    private async exchange(partner: Member): Promise<void> {
+    private async exchange(partner: Member, queue: HotQueue, reserveBytes: number): Promise<void> {
         const { membership } = this.settings;
         if (this.busy.has(partner.id)) {
             return;
         }
-        const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available);
+        const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available - reserveBytes);
         if (room < MIN_EXCHANGE_BYTES) {
             this.deferredExchanges += 1;
             return;
         }
         this.busy.add(partner.id);
+        const { request, entries } = this.makeRequest(partner, queue, room);
         try {
-            const reply = await membership.client.exchange(partner.address, this.makeRequest(partner, room), EXCHANGE_TIMEOUT_MS);
+            const reply = await membership.client.exchange(partner.address, request, EXCHANGE_TIMEOUT_MS);
             this.takeMessage(reply);
             await this.sendWanted(partner, reply.wanted);
         }
@@ -222,23 +239,33 @@
             if (!(error instanceof PeerError)) {
                 throw error;
             }
-            // Another partner gets the values; the digest of a later exchange repairs the rest.
+            this.requeue(entries, queue);
         }
         finally {
             this.busy.delete(partner.id);
         }
     }
 
-    private makeRequest(partner: Member, maxBytes: number): wire.ExchangeRequest {
+    /** Queues values again whose message was lost, unless newer ones have come. */
+    private requeue(entries: readonly SharedEntry[], queue: HotQueue): void {
+        for (const entry of entries) {
+            if (this.store.get(entry.name) === entry) {
+                queue.add(entry);
+            }
+        }
+    }
+
+    private makeRequest(partner: Member, queue: HotQueue, maxBytes: number): PreparedRequest {
         const request = this.makeEmptyRequest(partner);
         const digestBytes = MAX_DIGEST_VALUES * DIGEST_VALUE_BYTES;
         const room = maxBytes - wire.ExchangeRequest.encode(request).finish().length;
-        const values = this.fill([], room - Math.min(digestBytes, Math.floor(room / 2)));
+        const sent = queue.take(room - Math.min(digestBytes, Math.floor(room / 2)), topic => this.maxSends(topic, queue));
+        const values = sent.map(entry => this.store.toRecord(entry));
         const left = room - values.reduce((sum, value) => sum + wire.ValueRecord.encode(value).finish().length + 3, 0);
         const named = Math.max(0, Math.min(MAX_DIGEST_VALUES, Math.floor(left / DIGEST_VALUE_BYTES)));
         const entries = this.store.nextForDigest(named);
         const digest = { fingerprints: entries.map(entry => entry.name), versions: entries.map(entry => entry.version) };
-        return { ...request, values, digest };
+        return { request: { ...request, values, digest }, entries: sent };
     }
 
     private makeEmptyRequest(partner: Member): wire.ExchangeRequest {
@@ -266,8 +293,8 @@
         this.takeMessage(await membership.client.exchange(partner.address, { ...request, values }, EXCHANGE_TIMEOUT_MS));
     }
 
-    /** Chooses values for a message: first those asked for, then hot ones. */
-    private fill(first: readonly SharedEntry[], maxBytes: number): wire.ValueRecord[] {
+    /** Chooses values for a message: first those asked for, then those of a queue. */
+    private fill(first: readonly SharedEntry[], maxBytes: number, queue?: HotQueue): wire.ValueRecord[] {
         const records: wire.ValueRecord[] = [];
         let room = maxBytes;
         for (const entry of [...first].sort((left, right) => left.topic - right.topic)) {
@@ -277,12 +304,20 @@
             }
         }
         const sent = new Set(first.map(entry => entry.name));
-        const hot = this.store.hot.take(room, this.maxSends).filter(entry => !sent.has(entry.name));
-        return [...records, ...hot.map(entry => this.store.toRecord(entry))];
+        const queued = queue?.take(room, topic => this.maxSends(topic)) ?? [];
+        return [...records, ...queued.filter(entry => !sent.has(entry.name)).map(entry => this.store.toRecord(entry))];
     }
 
-    private get maxSends(): number {
-        return SENDS_PER_DOUBLING * Math.ceil(Math.log2(this.settings.membership.list().length + 1)) + 1;
+    /** A link is sent each value once; a lost message is queued again. */
+    private maxSends(topic: number, queue = this.store.hot): number {
+        if (queue !== this.store.hot) {
+            return 0;
+        }
+        if (!isUrgent(topic)) {
+            return PATIENT_SENDS;
+        }
+        const members = this.settings.membership.nearPartners().length + 1;
+        return URGENT_SENDS_PER_DOUBLING * Math.ceil(Math.log2(members + 1)) + 1;
     }
 
     private compare(digest: wire.ValueDigest | undefined): { newer: SharedEntry[]; wanted: number[] } {
@@ -325,6 +360,7 @@
         }
         const entry = this.store.take(record, origin?.failureDomain === membership.self.failureDomain);
         if (entry === undefined) {
+            this.store.noteKnown(record, this.maxSends(record.topic));
             return;
         }
         if (isUrgent(entry.topic)) {
@@ -357,19 +393,6 @@
         }
     }
 
-    /** Sends urgent values again to a failure domain that was out of reach. */
-    private noteReach(): void {
-        const { membership } = this.settings;
-        for (const domain of membership.knownDomains()) {
-            if (!membership.contacts.isReached(domain)) {
-                this.unreached.add(domain);
-            }
-            else if (this.unreached.delete(domain)) {
-                this.store.resendUrgent();
-            }
-        }
-    }
-
     private contactsFor(failureDomain: string): wire.DomainContact[] {
         const { membership } = this.settings;
         return failureDomain === membership.self.failureDomain ? membership.contacts.list() : [];
--- a/src/coordination/membership/membership.ts
+++ b/src/coordination/membership/membership.ts
@@ -53,6 +53,9 @@
 /** Time to tell a member that this node leaves, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 500;
 
+/** Start of the names of tasks that hold a link. */
+const LINK_PREFIX = "link ";
+
 /** Settings of a {@linkcode Membership}. */
 export interface MembershipSettings {
     /** Id of this node. */
@@ -173,10 +176,11 @@
         return this.table.get(id);
     }
 
-    /** Other failure domains that members are in. */
-    knownDomains(): ReadonlySet<string> {
-        const domains = this.table.others.filter(member => !isRemoved(member)).map(member => member.failureDomain);
-        return new Set(domains.filter(domain => domain !== this.self.failureDomain));
+    /** Other failure domains to which this node holds a link. */
+    heldLinks(): ReadonlySet<string> {
+        return new Set(
+            [...this.tasks.keys()].filter(name => name.startsWith(LINK_PREFIX)).map(name => name.slice(LINK_PREFIX.length)),
+        );
     }
 
     /** Members of this failure domain that can exchange values. */
@@ -294,7 +298,6 @@
         if (lostMs > SWEEP_TOLERANCE_MS) {
             this.health.worsen();
             suspicions.postpone(lostMs);
-            this.lastAnswerAtMs = Math.min(this.lastAnswerAtMs + lostMs, this.settings.clock.now());
             return;
         }
         if (this.cutOff) {
@@ -313,7 +316,7 @@
             wanted.set(`ring ${member.id}`, own => this.followSuccessor(member.id, own));
         }
         for (const domain of heldLinks(this.neighbourhood)) {
-            wanted.set(`link ${domain}`, own => this.followLink(domain, own));
+            wanted.set(`${LINK_PREFIX}${domain}`, own => this.followLink(domain, own));
         }
         for (const [name, task] of this.tasks) {
             if (!wanted.has(name)) {
