Speak mutual TLS between daemons, and exchange less often

Peers show a certificate with the DNS name peer.foxtailrail; the files are read again on change, the last whole ones stay in use, and expiry shows in status and metrics. Settings without `tls` are refused.

--- a/features/dissemination.feature
+++ b/features/dissemination.feature
@@ -29,6 +29,10 @@
         Then within 5 seconds every other node reads "veto" from "a-1" as "RollbackVeto" for "model"
         And no node has sent more bytes than its budget allows
 
+    Scenario: of values that can wait the more important ones are fresher when bytes are short
+        When every node shares 15 values of 200 bytes as "SentLoad" and as "RolloutEvidence" every second, 20 times
+        Then at node "a-2" the values of its domain as "SentLoad" are fresher than those as "RolloutEvidence"
+
     Scenario: values of a domain reach its own nodes before those of others when bytes are short
         When every node shares 40 values of 200 bytes as "RolloutEvidence" every second, 20 times
         Then node "a-2" holds more values of its own domain than of any other
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -111,6 +111,7 @@
     Scenario: a peer of the previous protocol version is a member and is not removed
         When membership node "a-2" dies
         And old membership node "a-2" starts at "10.0.0.2:7000"
+        And 20000 ms pass for the members
         And all membership nodes but "a-2" restart at once
         Then within 10 seconds every other node of domain "a" holds "a-2" for "alive"
         And within 60 seconds every other node of domain "a" holds "a-2" for "alive"
--- a/features/steps/dissemination_steps.ts
+++ b/features/steps/dissemination_steps.ts
@@ -53,13 +53,18 @@
 );
 
 When(
-    "every node shares {int} values of {int} bytes as {string} every second, {int} times",
-    async function(this: Scenario, count: number, bytes: number, topic: string, times: number) {
+    /^every node shares (\d+) values of (\d+) bytes as "(\w+)"(?: and as "(\w+)")? every second, (\d+) times$/,
+    async function(this: Scenario, count: string, bytes: string, first: string, second: string | undefined, times: string) {
         const fleet = memberFleet(this);
-        for (let turn = 0; turn < times; turn += 1) {
+        const topics = [first, second].filter(name => typeof name === "string").map(toTopic);
+        for (let turn = 0; turn < Number(times); turn += 1) {
             for (const { dissemination } of fleet.processes.values()) {
-                for (let key = 0; key < count; key += 1) {
-                    dissemination.publish(toTopic(topic), `key-${key}`, Buffer.alloc(bytes, turn));
+                for (
+                    const [topic, key] of topics.flatMap(each =>
+                        Array.from({ length: Number(count) }, (value, index) => [each, index])
+                    )
+                ) {
+                    dissemination.publish(topic, `key-${key}`, Buffer.alloc(Number(bytes), turn));
                 }
             }
             await fleet.clock.advance(1_000);
@@ -67,6 +72,22 @@
     },
 );
 
+Then("at node {string} the values of its domain as {string} are fresher than those as {string}", function(
+    this: Scenario,
+    id: string,
+    fresher: string,
+    older: string,
+) {
+    const { dissemination, vm } = memberFleet(this).get(id);
+    const ages = (topic: string) => {
+        const near = dissemination.read(toTopic(topic)).filter(value => value.origin.startsWith(`${vm.failureDomain}-`));
+        return near.map(value => value.ageMs).sort((left, right) => left - right);
+    };
+    const median = (values: readonly number[]) => values[Math.floor(values.length / 2)] ?? Infinity;
+    const [first, second] = [ages(fresher), ages(older)];
+    assert.ok(median(first) < median(second), `Median ages are ${median(first)} and ${median(second)} ms.`);
+});
+
 When("node {string} shares a value of {int} bytes", function(this: Scenario, id: string, bytes: number) {
     const fleet = memberFleet(this);
     try {
--- /dev/null
+++ b/features/steps/peer_security_steps.ts
@@ -0,0 +1,224 @@
+/**
+ * Steps about security between daemons.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { credentials } from "@grpc/grpc-js";
+import assert from "node:assert/strict";
+import { copyFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parseSettings, SettingsError } from "../../src/daemon/mod.js";
+import { OperatorHandler, PeerError, PeerHandler, type wire } from "../../src/protocol/mod.js";
+import { CertificateError, CertificateFiles, GrpcPeerClient, GrpcServer } from "../../src/transport/mod.js";
+import type { Scenario } from "../support/world.js";
+
+/** Folder of the certificates; its `make.sh` tells how they were made. */
+const FIXTURES = "features/fixtures/tls";
+
+/** Time for one probe, in milliseconds. */
+const PROBE_TIMEOUT_MS = 10_000;
+
+/** Server under test, with what it saw. */
+interface SecureServer {
+    readonly folder: string;
+    readonly files: CertificateFiles;
+    readonly server: GrpcServer;
+    readonly handler: CountingPeer;
+    readonly address: string;
+    error?: unknown;
+}
+
+/** Servers, results of reading settings, by scenario. */
+const servers = new WeakMap<Scenario, SecureServer>();
+const settingsErrors = new WeakMap<Scenario, SettingsError | undefined>();
+
+/** Peer that counts the probes that got to it. */
+class CountingPeer extends PeerHandler {
+    taken = 0;
+
+    override async probe(): Promise<wire.ProbeReply> {
+        this.taken += 1;
+        return { node: "entry-1", wallMs: 1, counter: 0, configurationVersion: 0, protocol: 1, members: [] };
+    }
+
+    override async relay(): Promise<wire.RelayReply> {
+        return { reached: false, members: [] };
+    }
+
+    override async exchange(): Promise<wire.ExchangeReply> {
+        throw new Error("Cannot exchange: this peer only counts probes");
+    }
+}
+
+/** Operators are not under test here. */
+class NoOperators extends OperatorHandler {
+    override readStatus(): Promise<never> {
+        throw new Error("Cannot read status");
+    }
+
+    override readConfiguration(): Promise<never> {
+        throw new Error("Cannot read configuration");
+    }
+
+    override changeConfiguration(): Promise<never> {
+        throw new Error("Cannot change configuration");
+    }
+
+    override readTimeline(): void {
+        throw new Error("Cannot read time line");
+    }
+}
+
+After(async function(this: Scenario) {
+    const secure = servers.get(this);
+    secure?.server.close();
+    if (secure !== undefined) {
+        await rm(secure.folder, { recursive: true });
+    }
+});
+
+Given("a TLS peer server with the certificate {string}", async function(this: Scenario, name: string) {
+    const folder = await mkdtemp(join(tmpdir(), "foxtailrail-tls-"));
+    await copyFile(join(FIXTURES, "ca.crt"), join(folder, "ca.crt"));
+    await useFiles(folder, name);
+    const files = new CertificateFiles({
+        certificateFile: join(folder, "own.crt"),
+        keyFile: join(folder, "own.key"),
+        caFile: join(folder, "ca.crt"),
+    });
+    const handler = new CountingPeer();
+    const server = new GrpcServer({
+        peerHandler: handler,
+        operatorHandler: new NoOperators(),
+        isOperatorKey: () => false,
+        credentials: files.serverCredentials(),
+    });
+    const port = await server.listen("127.0.0.1", 0);
+    servers.set(this, { folder, files, server, handler, address: `127.0.0.1:${port}` });
+});
+
+When(/^it is probed by a client with (?:the certificate "(.*)"|(no certificate|plain text))$/, async function(
+    this: Scenario,
+    name: string | undefined,
+    lack: string | undefined,
+) {
+    const secure = findServer(this);
+    const client = new GrpcPeerClient(await clientCredentials(name, lack));
+    secure.error = undefined;
+    try {
+        const request = { node: "entry-2", wallMs: 1, counter: 0, protocol: 1, members: [], target: "entry-1" };
+        await client.probe(secure.address, request, PROBE_TIMEOUT_MS);
+    }
+    catch (error) {
+        secure.error = error;
+    }
+    client.close();
+});
+
+When("the server's certificate files become those of {string}", async function(this: Scenario, name: string) {
+    await useFiles(findServer(this).folder, name);
+    findServer(this).files.reload();
+});
+
+When(/^the server's certificate files (hold no certificate|hold the key of "operator"|are gone)$/, async function(
+    this: Scenario,
+    fault: string,
+) {
+    const { folder, files } = findServer(this);
+    switch (fault) {
+        case "hold no certificate":
+            await writeFile(join(folder, "own.crt"), "half a file");
+            break;
+        case "are gone":
+            await rm(join(folder, "own.crt"));
+            break;
+        default:
+            await copyFile(join(FIXTURES, "operator.key"), join(folder, "own.key"));
+    }
+    try {
+        files.reload();
+    }
+    catch (error) {
+        findServer(this).error = error;
+    }
+});
+
+When(/^settings with (.*) are read$/, async function(this: Scenario, tls: string) {
+    const text = [
+        "node: entry-1",
+        "failureDomain: sul-a",
+        "listen: { callers: 127.0.0.1:7001, peers: 127.0.0.1:7002 }",
+        "platform: { log: 127.0.0.1:1, vmList: 127.0.0.1:2, weightStore: 127.0.0.1:3 }",
+        `operators: { keyHashes: [${"a".repeat(64)}] }`,
+        tls === "nothing" ? "" : tls,
+    ].join("\n");
+    try {
+        parseSettings(text, "entry-1.yaml");
+        settingsErrors.set(this, undefined);
+    }
+    catch (error) {
+        assert.ok(error instanceof SettingsError);
+        settingsErrors.set(this, error);
+    }
+});
+
+Then("the probe is answered", function(this: Scenario) {
+    assert.equal(findServer(this).error, undefined);
+});
+
+Then("the probe is refused", function(this: Scenario) {
+    assert.ok(findServer(this).error instanceof PeerError);
+});
+
+Then("the server has taken {int} probes", function(this: Scenario, count: number) {
+    assert.equal(findServer(this).handler.taken, count);
+});
+
+Then("the server's certificate expires in the year {int}", function(this: Scenario, year: number) {
+    assert.equal(new Date(findServer(this).files.expiresAtMs).getUTCFullYear(), year);
+});
+
+Then("the reload fails with {string}", function(this: Scenario, message: string) {
+    const { error } = findServer(this);
+    assert.ok(error instanceof CertificateError);
+    assert.ok(error.message.includes(message), error.message);
+});
+
+Then(/^the settings are (?:valid|refused with "(.*)")$/, function(this: Scenario, message: string | undefined) {
+    const error = settingsErrors.get(this);
+    if (message === undefined) {
+        assert.equal(error, undefined);
+        return;
+    }
+    assert.equal(error?.problems.length, 1);
+    assert.ok(error.problems[0].includes("tls"), error.problems[0]);
+    assert.ok(error.problems[0].includes(message), error.problems[0]);
+});
+
+function findServer(scenario: Scenario): SecureServer {
+    const secure = servers.get(scenario);
+    if (secure === undefined) {
+        throw new Error("Cannot use server: no step has started it");
+    }
+    return secure;
+}
+
+async function useFiles(folder: string, name: string): Promise<void> {
+    await copyFile(join(FIXTURES, `${name}.crt`), join(folder, "own.crt"));
+    await copyFile(join(FIXTURES, `${name}.key`), join(folder, "own.key"));
+}
+
+async function clientCredentials(name: string | undefined, lack: string | undefined) {
+    if (lack === "plain text") {
+        return credentials.createInsecure();
+    }
+    const caFile = join(FIXTURES, "ca.crt");
+    if (lack === "no certificate") {
+        return credentials.createSsl(await readFile(caFile));
+    }
+    const certificateFile = join(FIXTURES, `${name}.crt`);
+    return new CertificateFiles({ certificateFile, keyFile: join(FIXTURES, `${name}.key`), caFile }).channelCredentials();
+}
--- a/measure/_member_process.ts
+++ b/measure/_member_process.ts
@@ -16,11 +16,14 @@
 import type { MemberCommand, MemberReport, MemberStart } from "./_member_message.js";
 import { FullMeshMembership } from "./naive/full_mesh_membership.js";
 
-/** Time between two publications of each kind of value, in milliseconds. */
-const PUBLISH_INTERVALS_MS = { [Topic.AdmissionLevel]: 2_000, [Topic.SentLoad]: 1_000, [Topic.RolloutEvidence]: 5_000 };
-
-/** Length of each kind of value, in bytes. */
-const VALUE_BYTES = { [Topic.AdmissionLevel]: 20, [Topic.SentLoad]: 100, [Topic.RolloutEvidence]: 100 };
+/** Kinds of values that a node publishes, with the mean time between two and their length in bytes. */
+const PUBLICATIONS = [
+    // Every node publishes the version of each of 4,000 configuration changes a day.
+    { topic: Topic.ConfigurationVersion, intervalMs: 21_600, bytes: 8 },
+    { topic: Topic.AdmissionLevel, intervalMs: 30_000, bytes: 10 },
+    { topic: Topic.SentLoad, intervalMs: 5_000, bytes: 60 },
+    { topic: Topic.RolloutEvidence, intervalMs: 60_000, bytes: 100 },
+] as const;
 
 /** Time of each second for which an overloaded node computes, in milliseconds. */
 const OVERLOAD_MS = 900;
@@ -141,15 +144,14 @@
     membership.seed(vms);
     void membership.run(stopped.signal);
     void dissemination.run(stopped.signal);
-    for (const topic of [Topic.AdmissionLevel, Topic.SentLoad, Topic.RolloutEvidence] as const) {
-        void publishOften(topic);
+    for (const publication of PUBLICATIONS) {
+        void publishOften(publication);
     }
 }
 
-async function publishOften(topic: keyof typeof VALUE_BYTES): Promise<void> {
-    while (!stopped.signal.aborted) {
-        dissemination.publish(topic, "pool", Buffer.alloc(VALUE_BYTES[topic], Math.floor(clock.now())));
-        await clock.sleep(PUBLISH_INTERVALS_MS[topic] * (0.5 + random.next()), stopped.signal);
+async function publishOften({ topic, intervalMs, bytes }: typeof PUBLICATIONS[number]): Promise<void> {
+    while (await clock.sleep(intervalMs * (0.5 + random.next()), stopped.signal)) {
+        dissemination.publish(topic, "pool", Buffer.alloc(bytes, Math.floor(clock.now())));
     }
 }
 
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { type ChannelCredentials, credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
 import { wire } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "../transport/mod.js";
 
 /** Metadata field that carries the operator's key. */
 const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
@@ -39,9 +40,12 @@
     /**
      * @param address IP number and port for peers and operators.
      * @param key Operator's key.
+     * @param channelCredentials Certificates of the connection. Defaults to plain text.
      */
-    constructor(readonly address: string, key: string | undefined) {
-        this.client = new wire.OperatorClient(address, credentials.createInsecure());
+    constructor(readonly address: string, key: string | undefined, channelCredentials?: ChannelCredentials) {
+        this.client = new wire.OperatorClient(address, channelCredentials ?? credentials.createInsecure(), {
+            "grpc.ssl_target_name_override": PEER_DNS_NAME,
+        });
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -4,8 +4,10 @@
  * @module
  */
 
+import type { ChannelCredentials } from "@grpc/grpc-js";
 import { Command, Option, UsageError } from "clipanion";
 import { readFile } from "node:fs/promises";
+import { CertificateFiles } from "../transport/mod.js";
 import { OperatorClient, OperatorError } from "./operator_client.js";
 
 /** Exit codes; docs/OPERATING.md lists them. */
@@ -27,6 +29,18 @@
         env: "FOXTAILRAIL_KEY_FILE",
         description: "File that holds the operator's key. Also FOXTAILRAIL_KEY_FILE.",
     });
+    caFile = Option.String("--tls-ca", {
+        env: "FOXTAILRAIL_TLS_CA",
+        description: "Certificate authorities of the daemons, in PEM. Also FOXTAILRAIL_TLS_CA. Plain text when left out.",
+    });
+    certificateFile = Option.String("--tls-certificate", {
+        env: "FOXTAILRAIL_TLS_CERTIFICATE",
+        description: "Operator's certificate, in PEM. Also FOXTAILRAIL_TLS_CERTIFICATE.",
+    });
+    privateKeyFile = Option.String("--tls-key", {
+        env: "FOXTAILRAIL_TLS_KEY",
+        description: "Private key of the operator's certificate, in PEM. Also FOXTAILRAIL_TLS_KEY.",
+    });
     json = Option.Boolean("--json", false, { description: "Print JSON in place of tables." });
 
     /**
@@ -41,7 +55,7 @@
         if (this.address === undefined) {
             throw new UsageError("No daemon is named: give --address, or set FOXTAILRAIL_ADDRESS, such as 127.0.0.1:7102.");
         }
-        const client = new OperatorClient(this.address, await this.readKey());
+        const client = await this.connect(this.address);
         try {
             return await this.run(client);
         }
@@ -57,6 +71,27 @@
         }
     }
 
+    /** Connects to a daemon with the operator's key and certificates. */
+    protected async connect(address: string): Promise<OperatorClient> {
+        return new OperatorClient(address, await this.readKey(), this.readCredentials());
+    }
+
+    private readCredentials(): ChannelCredentials | undefined {
+        const { caFile, certificateFile, privateKeyFile: keyFile } = this;
+        if (caFile === undefined && certificateFile === undefined && keyFile === undefined) {
+            return undefined;
+        }
+        if (caFile === undefined || certificateFile === undefined || keyFile === undefined) {
+            throw new UsageError("Options --tls-ca, --tls-certificate and --tls-key go together: give all three, or none.");
+        }
+        try {
+            return new CertificateFiles({ caFile, certificateFile, keyFile }).channelCredentials();
+        }
+        catch (error) {
+            throw new UsageError(`${(error as Error).message}.`);
+        }
+    }
+
     /** Reads the operator's key, if a file is named. */
     protected async readKey(): Promise<string | undefined> {
         if (this.keyFile === undefined) {
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -9,6 +9,12 @@
 import { ExitCode, OperatorCommand } from "./operator_command.js";
 import { formatTable } from "./table.js";
 
+/** Milliseconds in a day. */
+const DAY_MS = 86_400_000;
+
+/** Days before its expiry from which a certificate has to be renewed. */
+const RENEWAL_DAYS = 14;
+
 /** Shows a daemon's state, backend servers and limits. */
 export class StatusCommand extends OperatorCommand {
     static override paths = [["status"]];
@@ -39,7 +45,8 @@
         const limits = status.limits.map(limit => [limit.name, String(limit.value), String(limit.limit)]);
         const text = [
             `Node ${status.node} in ${status.failureDomain}: ${status.ready ? "ready" : "not ready"}, `,
-            `configuration ${status.configurationVersion}\n\n`,
+            `configuration ${status.configurationVersion}\n`,
+            `${describeCertificate(status.certificateExpiresAtMs)}\n\n`,
             formatTable(["BACKEND SERVER", "POOL", "DOMAIN", "STATE", "VERSION", "OUTSTANDING", "REPORT AGE"], servers),
             `\n${formatTable(["ENTRY VM", "DOMAIN", "STATE", "ADDRESS", "STARTED / INCARNATION"], members)}`,
             `\n${formatTable(["LIMIT", "USED", "ALLOWED"], limits)}`,
@@ -48,3 +55,13 @@
         return ExitCode.Done;
     }
 }
+
+/** Tells how long the certificate for peers is still valid, with a warning when it has to be renewed. */
+function describeCertificate(expiresAtMs: number): string {
+    if (expiresAtMs === 0) {
+        return "Peers talk in plain text, as the settings say.";
+    }
+    const daysLeft = Math.floor((expiresAtMs - Date.now()) / DAY_MS);
+    const warning = daysLeft < RENEWAL_DAYS ? " RENEW IT NOW." : "";
+    return `The certificate for peers expires at ${new Date(expiresAtMs).toISOString()}, in ${daysLeft} days.${warning}`;
+}
--- a/src/cli/timeline_command.ts
+++ b/src/cli/timeline_command.ts
@@ -8,7 +8,7 @@
 import { MemberState } from "../coordination/mod.js";
 import type { wire } from "../protocol/mod.js";
 import { compareHybridTimes } from "../state/mod.js";
-import { OperatorClient, OperatorError } from "./operator_client.js";
+import { type OperatorClient, OperatorError } from "./operator_client.js";
 import { ExitCode, OperatorCommand } from "./operator_command.js";
 import { formatTable } from "./table.js";
 
@@ -45,7 +45,6 @@
     }
 
     private async readAll(client: OperatorClient): Promise<MergedTimeline> {
-        const key = await this.readKey();
         const { members, node } = await client.readStatus();
         const present = members.filter(member => member.state !== MemberState.Dead && member.state !== MemberState.Left);
         const addresses = new Map(present.map(member => [member.id, member.address]));
@@ -54,7 +53,7 @@
         const unreachable: string[] = [];
         for (const [id, address] of addresses) {
             try {
-                events.push(...await this.readNode(new OperatorClient(address, key)));
+                events.push(...await this.readNode(await this.connect(address)));
             }
             catch (error) {
                 if (!(error instanceof OperatorError)) {
--- a/src/coordination/membership/_hot_queue.ts
+++ b/src/coordination/membership/_hot_queue.ts
@@ -17,6 +17,11 @@
     private readonly topics = new Map<number, TopicQueue>();
     private topicOrder: readonly number[] = [];
 
+    /** Whether no value waits. */
+    get empty(): boolean {
+        return [...this.queuesInOrder()].every(queue => queue.size === 0);
+    }
+
     /** Adds a value, in the place of an older one of the same name if that still waits. */
     add(entry: SharedEntry): void {
         const queue = this.queue(entry);
--- a/src/coordination/membership/gossip_dissemination.ts
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -26,13 +26,13 @@
 import type { Membership, MembershipLimit } from "./membership.js";
 
 /** Time between two exchanges within the failure domain, in milliseconds. */
-const NEAR_INTERVAL_MS = 500;
+const NEAR_INTERVAL_MS = 1_000;
 
 /** Exchanges within the failure domain for each round of exchanges over links. */
-const NEAR_ROUNDS_PER_FAR_ROUND = 4;
+const NEAR_ROUNDS_PER_FAR_ROUND = 2;
 
 /** Shortest time between two rounds, in milliseconds. */
-const MIN_ROUND_GAP_MS = 100;
+const MIN_ROUND_GAP_MS = 500;
 
 /** Members of the failure domain that hear of urgent values in one round. */
 const URGENT_FANOUT = 2;
@@ -80,6 +80,23 @@
     readonly membership: Membership;
 }
 
+/** What an exchange is for. */
+interface ExchangePlan {
+    /** Values to send. */
+    readonly queue: HotQueue;
+    /** Whether the exchange only carries what waits, without a digest. */
+    readonly urgent: boolean;
+    /** Bytes to leave in the budget. */
+    readonly reserveBytes: number;
+}
+
+/** Room in a request. */
+interface RequestSize {
+    readonly maxBytes: number;
+    /** Values to name in the digest. */
+    readonly digestSize: number;
+}
+
 /** Request with the values in it. */
 interface PreparedRequest {
     readonly request: wire.ExchangeRequest;
@@ -180,10 +197,10 @@
             const near = this.pickNear(urgent ? URGENT_FANOUT : 1);
             const far = urgent || round % NEAR_ROUNDS_PER_FAR_ROUND === 0 ? membership.farPartners() : [];
             for (const partner of near) {
-                void this.exchange(partner, this.store.hot, urgent ? 0 : RESERVE_BYTES);
+                void this.exchange(partner, { queue: this.store.hot, urgent, reserveBytes: urgent ? 0 : RESERVE_BYTES });
             }
             for (const partner of far) {
-                void this.exchange(partner, this.store.link(partner.failureDomain), 0);
+                void this.exchange(partner, { queue: this.store.link(partner.failureDomain), urgent, reserveBytes: 0 });
             }
             await clock.sleep(MIN_ROUND_GAP_MS, signal);
         }
@@ -218,9 +235,10 @@
     }
 
     /** One exchange with one member, and a second message with the values it asks for. */
-    private async exchange(partner: Member, queue: HotQueue, reserveBytes: number): Promise<void> {
+    private async exchange(partner: Member, { queue, urgent, reserveBytes }: ExchangePlan): Promise<void> {
         const { membership } = this.settings;
-        if (this.busy.has(partner.id)) {
+        const idle = urgent && queue.empty && membership.waitingNews === 0;
+        if (idle || this.busy.has(partner.id)) {
             return;
         }
         const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available - reserveBytes);
@@ -229,7 +247,10 @@
             return;
         }
         this.busy.add(partner.id);
-        const { request, entries } = this.makeRequest(partner, queue, room);
+        const { request, entries } = this.makeRequest(partner, queue, {
+            maxBytes: room,
+            digestSize: urgent ? 0 : MAX_DIGEST_VALUES,
+        });
         try {
             const reply = await membership.client.exchange(partner.address, request, EXCHANGE_TIMEOUT_MS);
             this.takeMessage(reply);
@@ -255,14 +276,14 @@
         }
     }
 
-    private makeRequest(partner: Member, queue: HotQueue, maxBytes: number): PreparedRequest {
+    private makeRequest(partner: Member, queue: HotQueue, { maxBytes, digestSize }: RequestSize): PreparedRequest {
         const request = this.makeEmptyRequest(partner);
-        const digestBytes = MAX_DIGEST_VALUES * DIGEST_VALUE_BYTES;
+        const digestBytes = digestSize * DIGEST_VALUE_BYTES;
         const room = maxBytes - wire.ExchangeRequest.encode(request).finish().length;
         const sent = queue.take(room - Math.min(digestBytes, Math.floor(room / 2)), topic => this.maxSends(topic, queue));
         const values = sent.map(entry => this.store.toRecord(entry));
         const left = room - values.reduce((sum, value) => sum + wire.ValueRecord.encode(value).finish().length + 3, 0);
-        const named = Math.max(0, Math.min(MAX_DIGEST_VALUES, Math.floor(left / DIGEST_VALUE_BYTES)));
+        const named = Math.max(0, Math.min(digestSize, Math.floor(left / DIGEST_VALUE_BYTES)));
         const entries = this.store.nextForDigest(named);
         const digest = { fingerprints: entries.map(entry => entry.name), versions: entries.map(entry => entry.version) };
         return { request: { ...request, values, digest }, entries: sent };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,8 @@
 import { GossipDissemination, Membership } from "../coordination/mod.js";
 import { type Clock, HybridClock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    type CertificateError,
+    CertificateFiles,
     GrpcPeerClient,
     GrpcServer,
     HttpClient,
@@ -43,7 +45,8 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
-    private readonly peerClient = new GrpcPeerClient();
+    private readonly certificates: CertificateFiles | undefined;
+    private readonly peerClient: GrpcPeerClient;
     private readonly membership: Membership;
     private readonly dissemination: GossipDissemination;
     private readonly node: EntryNode;
@@ -55,6 +58,8 @@
     /** @param parts See {@linkcode DaemonSettings}. */
     constructor(private readonly parts: DaemonSettings) {
         const { settings, clock, random } = parts;
+        this.certificates = "plainText" in settings.tls ? undefined : new CertificateFiles(settings.tls);
+        this.peerClient = new GrpcPeerClient(this.certificates?.channelCredentials());
         this.membership = new Membership({
             node: settings.node,
             address: settings.listen.peers,
@@ -86,14 +91,21 @@
         });
         const limits = this.limits();
         this.metrics.watchLimits(limits);
+        this.metrics.watchCertificate(() => this.certificates?.expiresAtMs);
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk({
                 membership,
                 dissemination: this.dissemination,
                 configurationVersion: () => this.node.view.current.version,
             }),
-            operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
+            operatorHandler: new OperatorDesk({
+                node: this.node,
+                limits,
+                isReady: () => this.ready,
+                certificateExpiresAtMs: () => this.certificates?.expiresAtMs,
+            }),
             isOperatorKey: key => isOperatorKey(settings, key),
+            credentials: this.certificates?.serverCredentials(),
         });
     }
 
@@ -104,12 +116,13 @@
 
     /** Starts to listen and to follow the platform. */
     async start(): Promise<void> {
-        const { settings, logger } = this.parts;
+        const { settings, logger, clock } = this.parts;
         logEvents(this.node.ring, logger);
         await this.grpcServer.listen(...splitAddress(settings.listen.peers));
         await this.httpServer.listen(...splitAddress(settings.listen.callers));
         this.node.start();
         void this.dissemination.run(this.stopped.signal);
+        void this.certificates?.watch(clock, this.stopped.signal, error => this.recordCertificates(error));
         this.record("started", `Node ${settings.node} listens on ${settings.listen.callers}.`);
     }
 
@@ -180,6 +193,15 @@
         ];
     }
 
+    private recordCertificates(error: CertificateError | undefined): void {
+        if (error !== undefined) {
+            this.record("certificateRefused", `${error.message}. The last certificate stays in use.`);
+            return;
+        }
+        const expiry = new Date(this.certificates?.expiresAtMs ?? 0).toISOString();
+        this.record("certificateInUse", `New certificate files are in use; the certificate expires at ${expiry}.`);
+    }
+
     private record(kind: string, text: string): void {
         this.node.ring.record({ part: Part.Daemon, kind, text });
     }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -8,6 +8,7 @@
 import { Builtins, Cli, Command, Option } from "clipanion";
 import { pino } from "pino";
 import { SeededRandom, SystemClock } from "../state/mod.js";
+import { CertificateError } from "../transport/mod.js";
 import { Daemon } from "./daemon.js";
 import { readSettings, SettingsError } from "./settings.js";
 
@@ -46,7 +47,7 @@
             return await runUntilSignal(daemon);
         }
         catch (error) {
-            if (!(error instanceof SettingsError)) {
+            if (!(error instanceof SettingsError || error instanceof CertificateError)) {
                 throw error;
             }
             this.context.stderr.write(`${error.message}\n`);
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -88,6 +88,20 @@
         }
     }
 
+    /**
+     * Shows when the certificate for peers expires.
+     *
+     * @param readExpiry Returns the time in milliseconds since the Unix epoch, or `undefined` with plain text.
+     */
+    watchCertificate(readExpiry: () => number | undefined): void {
+        const gauge: Gauge = new Gauge({
+            name: "foxtailrail_certificate_expiry_seconds",
+            help: "Time at which the certificate for peers expires, in seconds since the Unix epoch; 0 with plain text.",
+            registers: [this.registry],
+            collect: () => gauge.set((readExpiry() ?? 0) / MS_PER_SECOND),
+        });
+    }
+
     override recordAccepted(call: AcceptedCall): void {
         this.accepted.inc({ tier: call.tier.name, operation: call.operation.name });
     }
--- a/src/daemon/operator_desk.ts
+++ b/src/daemon/operator_desk.ts
@@ -19,6 +19,8 @@
     readonly node: EntryNode;
     readonly limits: readonly LimitedQuantity[];
     readonly isReady: () => boolean;
+    /** Time at which the certificate for peers expires, or `undefined` with plain text. */
+    readonly certificateExpiresAtMs: () => number | undefined;
 }
 
 /** Answers operators from the state of the daemon. */
@@ -29,7 +31,7 @@
     }
 
     override async readStatus(): Promise<wire.StatusReply> {
-        const { node, isReady, limits } = this.settings;
+        const { node, isReady, limits, certificateExpiresAtMs } = this.settings;
         return {
             node: node.settings.node,
             failureDomain: node.settings.failureDomain,
@@ -37,6 +39,7 @@
             configurationVersion: node.view.current.version,
             backendServers: this.describeServers(),
             limits: limits.map(quantity => ({ name: quantity.name, value: quantity.read(), limit: quantity.limit })),
+            certificateExpiresAtMs: certificateExpiresAtMs() ?? 0,
             members: node.membership.list().map(describeMember),
         };
     }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -21,10 +21,16 @@
     "must be an IP number and a port, such as 127.0.0.1:7001",
 );
 
+const tlsSchema = z.union([
+    z.strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1), caFile: z.string().min(1) }),
+    z.strictObject({ plainText: z.literal(true) }),
+], { error: "must name certificateFile, keyFile and caFile, or be { plainText: true }" });
+
 const settingsSchema = z.strictObject({
     node: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be 1 to 63 lower-case letters, digits and hyphens"),
     failureDomain: z.string().min(1),
     listen: z.strictObject({ callers: addressSchema, peers: addressSchema }),
+    tls: tlsSchema,
     platform: z.strictObject({ log: addressSchema, vmList: addressSchema, weightStore: addressSchema }),
     operators: z.strictObject({
         keyHashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in lower-case hexadecimal")).min(1),
--- a/src/protocol/gen/operator.ts
+++ b/src/protocol/gen/operator.ts
@@ -86,6 +86,8 @@
   readonly backendServers: readonly BackendServerStatus[];
   readonly limits: readonly LimitUse[];
   readonly members: readonly MemberStatus[];
+  /** Time at which the certificate for peers expires in milliseconds since the Unix epoch; 0 with plain text. */
+  readonly certificateExpiresAtMs: number;
 }
 
 export interface ReadConfigurationRequest {
@@ -567,6 +569,7 @@
     backendServers: [],
     limits: [],
     members: [],
+    certificateExpiresAtMs: 0,
   };
 }
 
@@ -593,6 +596,9 @@
     for (const v of message.members) {
       MemberStatus.encode(v!, writer.uint32(58).fork()).join();
     }
+    if (message.certificateExpiresAtMs !== 0) {
+      writer.uint32(64).int64(message.certificateExpiresAtMs);
+    }
     return writer;
   },
 
@@ -665,6 +671,14 @@
             message.members.push(MemberStatus.decode(reader, reader.uint32()));
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.certificateExpiresAtMs = longToNumber(reader.int64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/transport/grpc_client.ts
+++ b/src/transport/grpc_client.ts
@@ -6,6 +6,7 @@
 
 import { type ChannelCredentials, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
 import { PeerClient, PeerError, wire } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "./certificate_files.js";
 
 /** Longest time between two attempts to connect, in milliseconds. */
 const MAX_RECONNECT_DELAY_MS = 1_000;
@@ -20,7 +21,7 @@
 export class GrpcPeerClient extends PeerClient {
     private readonly clients = new Map<string, wire.PeerClient>();
 
-    /** @param channelCredentials Credentials of the channels. Defaults to plain text. */
+    /** @param channelCredentials Credentials of the channels; `undefined` for plain text. */
     constructor(private readonly channelCredentials: ChannelCredentials = credentials.createInsecure()) {
         super();
     }
@@ -92,6 +93,8 @@
         return new wire.PeerClient(address, this.channelCredentials, {
             "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_DELAY_MS,
             "grpc.use_local_subchannel_pool": 1,
+            // Certificates name the role, since the VMs' addresses change.
+            "grpc.ssl_target_name_override": PEER_DNS_NAME,
         });
     }
 
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -7,10 +7,14 @@
 import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
 import type { OperatorHandler, PeerHandler } from "../protocol/mod.js";
 import { type TimelineFeed, wire } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "./certificate_files.js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Age at which a connection is replaced, so that a certificate that was taken back is out of use, in milliseconds. */
+const MAX_CONNECTION_AGE_MS = 600_000;
+
 /** Metadata field that carries the operator's key. */
 export const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
 
@@ -20,7 +24,7 @@
     readonly operatorHandler: OperatorHandler;
     /** Whether a key belongs to an operator. */
     readonly isOperatorKey: (key: string | undefined) => boolean;
-    /** Credentials of the server. Defaults to plain text. */
+    /** Credentials of the server; peers then have to show a certificate of a daemon. Defaults to plain text. */
     readonly credentials?: ServerCredentials;
 }
 
@@ -29,8 +33,12 @@
     private readonly server = new Server({
         "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
         "grpc.so_reuseport": 0,
+        "grpc.max_connection_age_ms": MAX_CONNECTION_AGE_MS,
     });
 
+    /** Calls refused since the caller's certificate is not one of a daemon. */
+    refusedPeers = 0;
+
     /** @param settings See {@linkcode GrpcServerSettings}. */
     constructor(private readonly settings: GrpcServerSettings) {
         this.server.addService(wire.PeerService, this.peerImplementation());
@@ -59,9 +67,23 @@
     private peerImplementation(): wire.PeerServer {
         const { peerHandler } = this.settings;
         return {
-            probe: unary(request => peerHandler.probe(request)),
-            relay: unary(request => peerHandler.relay(request)),
-            exchange: unary(request => peerHandler.exchange(request)),
+            probe: this.forPeers(request => peerHandler.probe(request)),
+            relay: this.forPeers(request => peerHandler.relay(request)),
+            exchange: this.forPeers(request => peerHandler.exchange(request)),
+        };
+    }
+
+    /** Refuses callers whose certificate is not one of a daemon, before anything of their message is used. */
+    private forPeers<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
+        const answerPeer = unary(answer);
+        return (call, callback) => {
+            const names = call.getAuthContext().sslPeerCertificate?.subjectaltname?.split(", ") ?? [];
+            if (this.settings.credentials !== undefined && !names.includes(`DNS:${PEER_DNS_NAME}`)) {
+                this.refusedPeers += 1;
+                callback(refusal(status.PERMISSION_DENIED, `the certificate does not carry the DNS name ${PEER_DNS_NAME}`));
+                return;
+            }
+            answerPeer(call, callback);
         };
     }
 
@@ -117,6 +139,10 @@
 }
 
 function notAllowed(): Partial<ServiceError> {
-    const details = "Cannot answer: the call carries no operator's key; name a key file with --key-file.";
-    return Object.assign(new Error(details), { code: status.UNAUTHENTICATED, details, metadata: new Metadata() });
+    return refusal(status.UNAUTHENTICATED, "the call carries no operator's key; name a key file with --key-file.");
+}
+
+function refusal(code: status, why: string): Partial<ServiceError> {
+    const details = `Cannot answer: ${why}`;
+    return Object.assign(new Error(details), { code, details, metadata: new Metadata() });
 }
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./certificate_files.js";
 export * from "./grpc_client.js";
 export * from "./grpc_server.js";
 export * from "./http_client.js";
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -180,6 +180,7 @@
             node: daemon.node,
             failureDomain: daemon.failureDomain,
             listen: { callers: daemon.callers, peers: daemon.peers },
+            tls: { plainText: true },
             platform: { log, vmList, weightStore },
             operators: { keyHashes: [hashKey(this.settings.operatorKey)] },
             drain: { balancerLagMs: BALANCER_LAG_MS },
