--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,8 +4,14 @@
  * @module
  */
 
+import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
-import { membership } from "./membership.js";
+import { membershipExperiment } from "./membership.js";
+import { proxyExperiment } from "./proxy.js";
 
 /** Experiments in the order in which the help lists them. */
-export const experiments: readonly Experiment[] = [membership];
+export const experiments: readonly Experiment[] = [
+    proxyExperiment,
+    drainExperiment,
+    membershipExperiment,
+];
--- a/measure/membership.ts
+++ b/measure/membership.ts
@@ -63,7 +63,7 @@
 }
 
 /** Runs fleets of growing size. */
-export const membership: Experiment = {
+export const membershipExperiment: Experiment = {
     name: "membership",
     summary: "detection time, false suspicions and cost of a node over 4 to 64 light processes",
     async run(seed: number): Promise<Report> {
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./certificate_files.js";
+export * from "./exchange.js";
 export * from "./grpc_client.js";
 export * from "./grpc_server.js";
 export * from "./http_client.js";
