Count the sends of a link apart from those within the failure domain

With digests switched off, values did not reach all nodes: each message over a link counted as one of the few sends of its value within the failure domain. Digests had hidden that.

--- a/measure/_member_process.ts
+++ b/measure/_member_process.ts
@@ -7,6 +7,7 @@
 import { runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
 import { subscribe } from "node:diagnostics_channel";
+import { setMaxListeners } from "node:events";
 import type { Socket } from "node:net";
 import { GossipDissemination, Membership } from "../src/coordination/mod.js";
 import { PeerDesk } from "../src/daemon/mod.js";
@@ -93,6 +94,8 @@
 });
 const dissemination = new GossipDissemination({ clock, random, membership });
 const stopped = new AbortController();
+// The naive version has one task for each other node.
+setMaxListeners(0, stopped.signal);
 const [host, port] = start.vm.address.split(":");
 const server = new GrpcServer({
     peerHandler: new PeerDesk({ membership, dissemination, configurationVersion: () => 0 }),
--- a/src/coordination/membership/_hot_queue.ts
+++ b/src/coordination/membership/_hot_queue.ts
@@ -37,9 +37,9 @@
      * Takes values for one message; each goes to the end of its queue until it was sent often enough.
      *
      * @param maxBytes Room in the message.
-     * @param maxSends Times that a value of a topic is sent.
+     * @param maxSends Times that a value of a topic is sent. Defaults to once, which leaves the values' count of sends alone.
      */
-    take(maxBytes: number, maxSends: (topic: number) => number): readonly SharedEntry[] {
+    take(maxBytes: number, maxSends?: (topic: number) => number): readonly SharedEntry[] {
         const chosen: SharedEntry[] = [];
         let room = maxBytes;
         for (const queue of this.queuesInOrder()) {
@@ -47,6 +47,9 @@
                 room -= entry.bytes;
                 chosen.push(entry);
                 queue.delete(entry.name);
+                if (maxSends === undefined) {
+                    continue;
+                }
                 entry.sends += 1;
                 if (entry.sends < maxSends(entry.topic)) {
                     queue.set(entry.name, entry);
--- a/src/coordination/membership/gossip_dissemination.ts
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -280,7 +280,9 @@
         const request = this.makeEmptyRequest(partner);
         const digestBytes = digestSize * DIGEST_VALUE_BYTES;
         const room = maxBytes - wire.ExchangeRequest.encode(request).finish().length;
-        const sent = queue.take(room - Math.min(digestBytes, Math.floor(room / 2)), topic => this.maxSends(topic, queue));
+        // A link is sent each value once; one whose message was lost is queued again.
+        const maxSends = queue === this.store.hot ? (topic: number) => this.maxSends(topic) : undefined;
+        const sent = queue.take(room - Math.min(digestBytes, Math.floor(room / 2)), maxSends);
         const values = sent.map(entry => this.store.toRecord(entry));
         const left = room - values.reduce((sum, value) => sum + wire.ValueRecord.encode(value).finish().length + 3, 0);
         const named = Math.max(0, Math.min(digestSize, Math.floor(left / DIGEST_VALUE_BYTES)));
@@ -329,11 +331,7 @@
         return [...records, ...queued.filter(entry => !sent.has(entry.name)).map(entry => this.store.toRecord(entry))];
     }
 
-    /** A link is sent each value once; a lost message is queued again. */
-    private maxSends(topic: number, queue = this.store.hot): number {
-        if (queue !== this.store.hot) {
-            return 0;
-        }
+    private maxSends(topic: number): number {
         if (!isUrgent(topic)) {
             return PATIENT_SENDS;
         }
