Repair news of members that were lost

A message now asks for members of which nothing was heard and repeats one record in turn. A member of the previous protocol, which has no life to order news by, is now told as alive too; before, only its ring predecessors knew it.

--- a/src/coordination/membership/member.ts
+++ b/src/coordination/membership/member.ts
@@ -47,6 +47,11 @@
     [wire.MemberStanding.MEMBER_STANDING_LEFT, MemberState.Left],
 ];
 
+/** Tells whether a record asks for what its receiver knows of the member. */
+export function isQuestion(record: wire.MemberRecord): boolean {
+    return record.standing === wire.MemberStanding.MEMBER_STANDING_LISTED;
+}
+
 /** Tells whether a member was removed: it is dead or has left. */
 export function isRemoved(member: Member): boolean {
     return member.state === MemberState.Dead || member.state === MemberState.Left;
@@ -88,7 +93,11 @@
  */
 export function fromMemberRecord(record: wire.MemberRecord): Member | undefined {
     const standing = STANDINGS.find(([wireStanding]) => wireStanding === record.standing);
-    if (standing === undefined || record.id === "" || record.address === "" || record.life <= 0) {
+    if (standing === undefined || record.id === "" || record.address === "" || record.life < 0) {
+        return undefined;
+    }
+    if (record.life === 0 && standing[1] !== MemberState.Alive) {
+        // Nobody can refute what is said of a member without a life, such as one of an older protocol.
         return undefined;
     }
     const { id, address, failureDomain, life, incarnation, protocol } = record;
--- a/src/coordination/membership/member_table.ts
+++ b/src/coordination/membership/member_table.ts
@@ -11,7 +11,7 @@
 import { type DomainContacts } from "./_domain_contacts.js";
 import { NewsQueue } from "./_news_queue.js";
 import { Suspicions } from "./_suspicions.js";
-import { fromMemberRecord, isRemoved, type Member, MemberState, overrides, toMemberRecord } from "./member.js";
+import { fromMemberRecord, isQuestion, isRemoved, type Member, MemberState, overrides, toMemberRecord } from "./member.js";
 
 /** Members that a node keeps; further ones are not taken in. */
 export const MAX_MEMBERS = 1_024;
@@ -40,6 +40,7 @@
     private readonly removedAtMs = new Map<string, number>();
     private listed: ReadonlySet<string> = new Set();
     private own: Member;
+    private repeated = 0;
 
     /** @param settings See {@linkcode MemberTableSettings}. */
     constructor(private readonly settings: MemberTableSettings) {
@@ -102,15 +103,34 @@
             if (member !== undefined) {
                 this.takeOne(member, record.accuser);
             }
+            else if (isQuestion(record)) {
+                this.answerQuestion(record.id);
+            }
         }
     }
 
+    /** Returns records that ask for members of which nothing was heard yet. */
+    questions(maxRecords: number): wire.MemberRecord[] {
+        return this.others.filter(member => member.state === MemberState.Listed).slice(0, maxRecords).map(member =>
+            toMemberRecord(member)
+        );
+    }
+
+    /** Returns the next member of a round through all of them, which repairs news that were lost. */
+    nextToRepeat(): wire.MemberRecord[] {
+        this.repeated = (this.repeated + 1) % this.members.size;
+        const member = [...this.members.values()][this.repeated];
+        return member.life > 0 ? [toMemberRecord(member)] : [];
+    }
+
     /** Takes an answer of a node whose protocol is older than records of members. */
     takeOldAnswer(id: string): void {
         const member = this.members.get(id);
         if (member !== undefined && member.life === 0 && member.state !== MemberState.Alive) {
             this.suspicions.clear(id);
-            this.put({ ...member, state: MemberState.Alive });
+            const alive = { ...member, state: MemberState.Alive };
+            this.put(alive);
+            this.news.add(toMemberRecord(alive));
         }
     }
 
@@ -134,6 +154,13 @@
         this.setSelf({ ...this.own, incarnation: this.own.incarnation + 1, state: MemberState.Left });
     }
 
+    private answerQuestion(id: string): void {
+        const known = this.members.get(id);
+        if (known !== undefined && known.state !== MemberState.Listed && known.life > 0) {
+            this.news.add(toMemberRecord(known));
+        }
+    }
+
     private show(member: Member): Member {
         const foreign = member.failureDomain !== this.own.failureDomain;
         if (!foreign || isRemoved(member) || this.settings.contacts.isReached(member.failureDomain)) {
--- a/src/coordination/membership/membership.ts
+++ b/src/coordination/membership/membership.ts
@@ -44,6 +44,9 @@
 /** Pieces of news that go along with one message. */
 const MAX_NEWS_PER_MESSAGE = 8;
 
+/** Members of which nothing was heard yet that one message asks for. */
+const MAX_QUESTIONS_PER_MESSAGE = 2;
+
 /** Bytes that must be left of the budget for news to go along. */
 const NEWS_RESERVE_BYTES = 500;
 
@@ -237,6 +240,7 @@
         }
         if (this.budget.available >= NEWS_RESERVE_BYTES) {
             records.push(...this.table.news.take(MAX_NEWS_PER_MESSAGE, this.table.size));
+            records.push(...this.table.questions(MAX_QUESTIONS_PER_MESSAGE), ...this.table.nextToRepeat());
         }
         return records;
     }
