--- a/features/steps/peer_security_steps.ts
+++ b/features/steps/peer_security_steps.ts
@@ -11,8 +11,15 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parseSettings, SettingsError } from "../../src/daemon/mod.js";
-import { OperatorHandler, PeerError, PeerHandler, type wire } from "../../src/protocol/mod.js";
-import { CertificateError, CertificateFiles, GrpcPeerClient, GrpcServer } from "../../src/transport/mod.js";
+import { PeerError, PeerHandler, type wire } from "../../src/protocol/mod.js";
+import {
+    CertificateError,
+    CertificateFiles,
+    GrpcPeerClient,
+    GrpcServer,
+    PeerGate,
+    peerService,
+} from "../../src/transport/mod.js";
 import type { Scenario } from "../support/world.js";
 
 /** Folder of the certificates; its `make.sh` tells how they were made. */
@@ -53,25 +60,6 @@
     }
 }
 
-/** Operators are not under test here. */
-class NoOperators extends OperatorHandler {
-    override readStatus(): Promise<never> {
-        throw new Error("Cannot read status");
-    }
-
-    override readConfiguration(): Promise<never> {
-        throw new Error("Cannot read configuration");
-    }
-
-    override changeConfiguration(): Promise<never> {
-        throw new Error("Cannot change configuration");
-    }
-
-    override readTimeline(): void {
-        throw new Error("Cannot read time line");
-    }
-}
-
 After(async function(this: Scenario) {
     const secure = servers.get(this);
     secure?.server.close();
@@ -91,9 +79,7 @@
     });
     const handler = new CountingPeer();
     const server = new GrpcServer({
-        peerHandler: handler,
-        operatorHandler: new NoOperators(),
-        isOperatorKey: () => false,
+        services: [peerService(handler, new PeerGate(true))],
         credentials: files.serverCredentials(),
     });
     const port = await server.listen("127.0.0.1", 0);
@@ -152,7 +138,7 @@
         "failureDomain: sul-a",
         "listen: { callers: 127.0.0.1:7001, peers: 127.0.0.1:7002 }",
         "platform: { log: 127.0.0.1:1, vmList: 127.0.0.1:2, weightStore: 127.0.0.1:3 }",
-        `operators: { keyHashes: [${"a".repeat(64)}] }`,
+        `operators: [{ name: ana, keyHash: ${"a".repeat(64)} }]`,
         tls === "nothing" ? "" : tls,
     ].join("\n");
     try {
--- a/measure/_member_process.ts
+++ b/measure/_member_process.ts
@@ -11,9 +11,9 @@
 import type { Socket } from "node:net";
 import { GossipDissemination, Membership } from "../src/coordination/mod.js";
 import { PeerDesk } from "../src/daemon/mod.js";
-import { OperatorHandler, Topic } from "../src/protocol/mod.js";
+import { Topic } from "../src/protocol/mod.js";
 import { HybridClock, SeededRandom, SystemClock, type Vm } from "../src/state/mod.js";
-import { GrpcPeerClient, GrpcServer } from "../src/transport/mod.js";
+import { GrpcPeerClient, GrpcServer, PeerGate, peerService } from "../src/transport/mod.js";
 import type { MemberCommand, MemberReport, MemberStart } from "./_member_message.js";
 import { FullMeshMembership } from "./naive/full_mesh_membership.js";
 
@@ -60,25 +60,6 @@
     return (socket.bytesWritten ?? 0) + (socket.bytesRead ?? 0);
 }
 
-/** Refuses operators; the light node has nothing to show them. */
-class NoOperators extends OperatorHandler {
-    override readStatus(): Promise<never> {
-        throw new Error("Cannot read status: this is a light node");
-    }
-
-    override readConfiguration(): Promise<never> {
-        throw new Error("Cannot read configuration: this is a light node");
-    }
-
-    override changeConfiguration(): Promise<never> {
-        throw new Error("Cannot change configuration: this is a light node");
-    }
-
-    override readTimeline(): void {
-        throw new Error("Cannot read time line: this is a light node");
-    }
-}
-
 const sockets = new SocketCounter();
 const start = JSON.parse(process.argv[2]) as MemberStart;
 const clock = new SystemClock();
@@ -97,11 +78,8 @@
 // The naive version has one task for each other node.
 setMaxListeners(0, stopped.signal);
 const [host, port] = start.vm.address.split(":");
-const server = new GrpcServer({
-    peerHandler: new PeerDesk({ membership, dissemination, configurationVersion: () => 0 }),
-    operatorHandler: new NoOperators(),
-    isOperatorKey: () => false,
-});
+const desk = new PeerDesk({ membership, dissemination, configurationVersion: () => 0 });
+const server = new GrpcServer({ services: [peerService(desk, new PeerGate())] });
 await server.listen(host, Number(port));
 process.on("disconnect", () => process.exit(0));
 process.on("message", message => obey(message as MemberCommand));
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { claimsExperiment } from "./claims.js";
+import { configExperiment } from "./config.js";
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { membershipExperiment } from "./membership.js";
@@ -12,6 +14,8 @@
 /** Experiments in the order in which the help lists them. */
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
+    claimsExperiment,
     drainExperiment,
     membershipExperiment,
+    configExperiment,
 ];
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { type ChannelCredentials, credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
-import { wire } from "../protocol/mod.js";
+import { claimWire, configurationWire, wire } from "../protocol/mod.js";
 import { PEER_DNS_NAME } from "../transport/mod.js";
 
 /** Metadata field that carries the operator's key. */
@@ -35,6 +35,8 @@
 /** Connection of an operator to one daemon. */
 export class OperatorClient {
     private readonly client: wire.OperatorClient;
+    private readonly configuration: configurationWire.ConfigurationOperatorClient;
+    private readonly claimClient: claimWire.ClaimOperatorClient;
     private readonly metadata = new Metadata();
 
     /**
@@ -43,9 +45,11 @@
      * @param channelCredentials Certificates of the connection. Defaults to plain text.
      */
     constructor(readonly address: string, key: string | undefined, channelCredentials?: ChannelCredentials) {
-        this.client = new wire.OperatorClient(address, channelCredentials ?? credentials.createInsecure(), {
-            "grpc.ssl_target_name_override": PEER_DNS_NAME,
-        });
+        const used = channelCredentials ?? credentials.createInsecure();
+        const options = { "grpc.ssl_target_name_override": PEER_DNS_NAME };
+        this.client = new wire.OperatorClient(address, used, options);
+        this.configuration = new configurationWire.ConfigurationOperatorClient(address, used, options);
+        this.claimClient = new claimWire.ClaimOperatorClient(address, used, options);
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
@@ -56,18 +60,27 @@
         return this.call("read status", reply => this.client.readStatus({}, this.metadata, deadline(), reply));
     }
 
-    /** Reads the configuration in force. */
-    readConfiguration(): Promise<wire.ConfigurationReply> {
-        return this.call("read configuration", reply => this.client.readConfiguration({}, this.metadata, deadline(), reply));
+    /** Reads the configuration as it stands in the log. */
+    readConfiguration(): Promise<configurationWire.ReadConfigurationReply> {
+        return this.call("read configuration", reply => {
+            this.configuration.readConfiguration({}, this.metadata, deadline(), reply);
+        });
     }
 
-    /** Asks for a change of the configuration. */
-    changeConfiguration(request: wire.ChangeConfigurationRequest): Promise<wire.ChangeConfigurationReply> {
+    /** Asks for changes of the configuration. */
+    changeConfiguration(
+        request: configurationWire.ChangeConfigurationRequest,
+    ): Promise<configurationWire.ChangeConfigurationReply> {
         return this.call("change configuration", reply => {
-            this.client.changeConfiguration(request, this.metadata, deadline(), reply);
+            this.configuration.changeConfiguration(request, this.metadata, deadline(), reply);
         });
     }
 
+    /** Lists calls whose outcome nobody recorded. */
+    listUnknown(request: claimWire.ListUnknownRequest): Promise<claimWire.ListUnknownReply> {
+        return this.call("list unknown calls", reply => this.claimClient.listUnknown(request, this.metadata, deadline(), reply));
+    }
+
     /** Reads events of the daemon's time line until it ends or the signal is aborted. */
     async *readTimeline(request: wire.ReadTimelineRequest, signal?: AbortSignal): AsyncGenerator<wire.EventRecord> {
         const call = this.client.readTimeline(request, this.metadata, request.follow ? {} : deadline());
@@ -87,6 +100,8 @@
     /** Closes the connection. */
     close(): void {
         this.client.close();
+        this.configuration.close();
+        this.claimClient.close();
     }
 
     private call<Answer>(step: string, start: (reply: Reply<Answer>) => void): Promise<Answer> {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,13 +5,28 @@
  */
 
 import type { Logger } from "pino";
-import { GossipDissemination, Membership } from "../coordination/mod.js";
+import {
+    GossipDissemination,
+    MAX_KEPT_RECORDS,
+    MAX_KEYS,
+    MAX_REMEMBERED_CHANGES,
+    MAX_STORING_ENTRIES,
+    MAX_STREAMS,
+    Membership,
+} from "../coordination/mod.js";
 import { type Clock, HybridClock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
     type CertificateError,
     CertificateFiles,
+    claimOperatorService,
+    claimPeerService,
+    configurationOperatorService,
+    configurationPeerService,
+    GrpcClaimClient,
+    GrpcConfigurationPeers,
     GrpcPeerClient,
     GrpcServer,
+    type GrpcService,
     HttpClient,
     HttpEngine,
     HttpLogService,
@@ -22,13 +37,19 @@
     MAX_HELD_BODY_BYTES,
     MAX_PEER_CHANNELS,
     type OperationsPage,
+    operatorService,
+    PeerGate,
+    peerService,
 } from "../transport/mod.js";
+import { ClaimDesk } from "./claim_desk.js";
+import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
+import { watchConfiguration } from "./configuration_metrics.js";
 import { EntryNode } from "./entry_node.js";
 import { logEvents } from "./event_log.js";
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorDesk } from "./operator_desk.js";
 import { PeerDesk } from "./peer_desk.js";
-import { isOperatorKey, type Settings } from "./settings.js";
+import { findOperator, type Settings } from "./settings.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
 const DRAIN_POLL_MS = 20;
@@ -49,6 +70,8 @@
     private readonly peerClient: GrpcPeerClient;
     private readonly membership: Membership;
     private readonly dissemination: GossipDissemination;
+    private readonly configurationPeers: GrpcConfigurationPeers;
+    private readonly claimClient: GrpcClaimClient;
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -60,6 +83,8 @@
         const { settings, clock, random } = parts;
         this.certificates = "plainText" in settings.tls ? undefined : new CertificateFiles(settings.tls);
         this.peerClient = new GrpcPeerClient(this.certificates?.channelCredentials());
+        this.configurationPeers = new GrpcConfigurationPeers(this.certificates?.channelCredentials());
+        this.claimClient = new GrpcClaimClient(this.certificates?.channelCredentials());
         this.membership = new Membership({
             node: settings.node,
             address: settings.listen.peers,
@@ -82,7 +107,9 @@
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             membership,
             dissemination: this.dissemination,
+            configurationPeers: this.configurationPeers,
             observer: this.metrics,
+            claimClient: this.claimClient,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -92,19 +119,9 @@
         const limits = this.limits();
         this.metrics.watchLimits(limits);
         this.metrics.watchCertificate(() => this.certificates?.expiresAtMs);
+        watchConfiguration(this.metrics.registry, this.node);
         this.grpcServer = new GrpcServer({
-            peerHandler: new PeerDesk({
-                membership,
-                dissemination: this.dissemination,
-                configurationVersion: () => this.node.view.current.version,
-            }),
-            operatorHandler: new OperatorDesk({
-                node: this.node,
-                limits,
-                isReady: () => this.ready,
-                certificateExpiresAtMs: () => this.certificates?.expiresAtMs,
-            }),
-            isOperatorKey: key => isOperatorKey(settings, key),
+            services: this.services(limits),
             credentials: this.certificates?.serverCredentials(),
         });
     }
@@ -149,13 +166,34 @@
         return left;
     }
 
+    private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
+        const { node, membership, dissemination } = this;
+        const gate = new PeerGate(this.certificates !== undefined);
+        const claimDesk = new ClaimDesk(node);
+        const certificateExpiresAtMs = () => this.certificates?.expiresAtMs;
+        const find = (key: string | undefined) => findOperator(this.parts.settings, key);
+        return [
+            peerService(
+                new PeerDesk({ membership, dissemination, configurationVersion: () => node.view.published.version }),
+                gate,
+            ),
+            claimPeerService(claimDesk, gate),
+            configurationPeerService(new ConfigurationPeerDesk(node), gate),
+            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready, certificateExpiresAtMs }), find),
+            claimOperatorService(claimDesk, find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ];
+    }
+
     private async stop(): Promise<void> {
         this.stopped.abort();
         this.httpServer.close();
-        this.grpcServer.close();
-        await this.client.close();
         await this.node.stop();
+        this.grpcServer.close();
         this.peerClient.close();
+        this.configurationPeers.close();
+        this.claimClient.close();
+        await this.client.close();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -179,17 +217,26 @@
     }
 
     private whyNotReady(): string {
-        return this.draining ? "draining\n" : "no configuration yet\n";
+        return this.draining ? "draining\n" : `${this.node.follower.whyNotReady}\n`;
     }
 
     private limits(): readonly LimitedQuantity[] {
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keys },
+            { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
+            { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
             { name: "MAX_PEER_CHANNELS", limit: MAX_PEER_CHANNELS, read: () => this.peerClient.channels },
             ...this.membership.limits,
             ...this.dissemination.limits,
+            { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
+            {
+                name: "MAX_REMEMBERED_CHANGES",
+                limit: MAX_REMEMBERED_CHANGES,
+                read: () => this.node.follower.journal.history.size,
+            },
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -9,17 +9,28 @@
 import {
     type CallObserver,
     CallResolver,
+    ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
     LeastLoadedScheduler,
-    LocalCallGuard,
-    type Member,
+    type Member as GroupMember,
     type Membership,
+    NoClaimClient,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
 } from "../coordination/mod.js";
-import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import type {
+    ClaimClient,
+    ConfigurationPeers,
+    Dissemination,
+    Engine,
+    LogService,
+    Member,
+    MemberView,
+    PlainService,
+    VmList,
+} from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -30,6 +41,7 @@
     type RandomSource,
     type Vm,
     VmRole,
+    VmState,
 } from "../state/mod.js";
 
 /** What a node needs from outside. */
@@ -47,15 +59,25 @@
     readonly membership: Membership;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
+    /** Configuration of other nodes. */
+    readonly configurationPeers: ConfigurationPeers;
     readonly observer: CallObserver;
+    /** Connections to the claim combiners of other nodes. Defaults to none. */
+    readonly claimClient?: ClaimClient;
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
+    readonly claimHorizonMs?: number;
 }
 
+/** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
+const CLAIM_FLUSH_LIMIT_MS = 5_000;
+
 /** State and coordination of one entry VM. */
-export class EntryNode {
-    readonly view = new ConfigurationView();
+export class EntryNode implements MemberView {
+    readonly view: ConfigurationView;
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
+    readonly guard: ClaimGuard;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
     readonly membership: Membership;
@@ -68,19 +90,38 @@
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
+        this.view = new ConfigurationView(clock);
         const { view, table } = this;
         this.membership = settings.membership;
         this.hybridClock = settings.membership.hybridClock;
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
+        this.follower = new ConfigurationFollower({
+            clock,
+            random,
+            ring,
+            log: settings.log,
+            view,
+            dissemination: settings.dissemination,
+            peers: settings.configurationPeers,
+            entryVms: () => this.entryVms,
+        });
+        this.guard = new ClaimGuard({
+            node: settings.node,
+            clock,
+            ring,
+            log: settings.log,
+            members: this,
+            client: settings.claimClient ?? new NoClaimClient(),
+            horizonMs: settings.claimHorizonMs,
+        });
         const scheduler = new LeastLoadedScheduler(table, random);
         this.handler = new RequestHandler({
             clock,
             ring,
             resolver: new CallResolver(view, clock),
-            guard: new LocalCallGuard(),
+            guard: this.guard,
             dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring }),
             engine,
             plainService,
@@ -90,30 +131,39 @@
 
     /** Whether the node has a configuration to serve by. */
     get configured(): boolean {
-        return this.view.current.version >= 0;
+        return this.follower.configured;
+    }
+
+    /** Entry VMs that take new work, this one included. */
+    get live(): readonly Member[] {
+        return this.entryVms.filter(vm => vm.state === VmState.Live);
     }
 
     /** Starts the tasks that follow the platform. */
     start(): void {
         const { membership, watch, ring } = this;
-        const recordChange = (member: Member) => {
-            const text = `Member ${member.id} of ${member.failureDomain} is ${member.state}.`;
-            ring.record({ part: Part.Member, kind: member.state, peer: member.id, text });
-        };
         const scheduler = newDefaultScheduler();
         const takeList = (vms: readonly Vm[]) => {
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
             membership.seed(vms);
         };
         void runEffects(tap(takeList, watch.lists), scheduler);
-        void runEffects(tap(recordChange, membership.changes), scheduler);
+        void runEffects(tap(member => recordMember(ring, member), membership.changes), scheduler);
         const { signal } = this.stopped;
         this.tasks = [this.follower.run(signal), watch.run(signal), membership.run(signal)];
     }
 
     /** Ends the tasks. */
     async stop(): Promise<void> {
+        const limit = new AbortController();
+        void this.settings.clock.sleep(CLAIM_FLUSH_LIMIT_MS, limit.signal).then(() => limit.abort());
+        await this.guard.close(limit.signal);
+        limit.abort();
         this.stopped.abort();
         await Promise.all(this.tasks);
     }
 }
+
+function recordMember(ring: EventRing, { id, failureDomain, state }: GroupMember): void {
+    ring.record({ part: Part.Member, kind: state, peer: id, text: `Member ${id} of ${failureDomain} is ${state}.` });
+}
--- a/src/daemon/event_log.ts
+++ b/src/daemon/event_log.ts
@@ -22,7 +22,10 @@
         }
         const fields = { part: event.part, kind: event.kind, requestId: event.requestId, peer: event.peer };
         const line = `${event.part}: ${event.text}`;
-        if (event.requestId === undefined) {
+        if (event.warning) {
+            logger.warn(fields, line);
+        }
+        else if (event.requestId === undefined) {
             logger.info(fields, line);
         }
         else {
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -4,8 +4,12 @@
  * @module
  */
 
+export * from "./claim_desk.js";
+export * from "./configuration_desk.js";
 export * from "./daemon.js";
 export * from "./entry_node.js";
 export * from "./metrics.js";
+export * from "./operator_desk.js";
 export * from "./peer_desk.js";
 export * from "./settings.js";
+export * from "./timeline_sender.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -5,22 +5,20 @@
  */
 
 import { CallObserver, GossipDissemination, Membership } from "../src/coordination/mod.js";
-import { EntryNode, PeerDesk } from "../src/daemon/mod.js";
-import {
-    type AnswerHead,
-    AnswerWriter,
-    CONFIGURATION_STREAM,
-    encodeConfigurationRecord,
-    type IncomingCall,
-} from "../src/protocol/mod.js";
-import { type ConfigurationDocument, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
-import { type Deployment, toDocument } from "./deployment.js";
+import { ClaimDesk, EntryNode, PeerDesk } from "../src/daemon/mod.js";
+import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
+import { type Clock, type ConfigurationDocument, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
+import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
 import { LocalPeerNetwork } from "./local_peers.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
+import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
+import { NodeLog } from "./node_log.js";
 import { EffectLedger, ServiceModel } from "./service_model.js";
+import { SkewedClock } from "./skewed_clock.js";
 import { VirtualClock } from "./virtual_clock.js";
 import { VmListModel } from "./vm_list_model.js";
 
@@ -40,6 +38,10 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** How far the clock of each node is ahead, in milliseconds, in the order of the nodes. Defaults to 0. */
+    readonly clockSkewsMs?: readonly number[];
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. */
+    readonly claimHorizonMs?: number;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -51,8 +53,14 @@
     readonly hub = new DisseminationHub(this.clock);
     readonly peers = new LocalPeerNetwork(this.clock);
     readonly log: LogModel;
+    /** Ways of the nodes to the log, by node. */
+    readonly nodeLogs = new Map<string, NodeLog>();
+    readonly configurationPeers = new ConfigurationPeerHub(this.clock);
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
+    /** Connections of each node, in the order of the nodes. */
+    readonly links: NodeLink[] = [];
+    readonly claimHub = new ClaimHub(this.clock);
     readonly document: ConfigurationDocument;
     private readonly vms: Vm[] = [];
     private callCount = 0;
@@ -68,8 +76,7 @@
     /** Publishes configuration and VM list, starts the nodes and lets them read both. */
     async start(): Promise<void> {
         this.publishVms();
-        const record = { id: "initial", madeAgainst: -1, author: "test", document: this.document };
-        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, encodeConfigurationRecord(record)));
+        await this.clock.runUntil(this.log.append(CONFIGURATION_STREAM, toFirstRecord(this.document)));
         for (const node of this.nodes) {
             node.start();
         }
@@ -83,6 +90,13 @@
         this.publishVms();
     }
 
+    /** Takes a VM off the VM list. */
+    removeVm(id: string): void {
+        const index = this.vms.findIndex(vm => vm.id === id);
+        this.vms.splice(index, 1);
+        this.publishVms();
+    }
+
     /**
      * Sends one call to a node.
      *
@@ -109,7 +123,53 @@
         return { id: incoming.id, writer, gone, done };
     }
 
-    private publishVms(): void {
+    /**
+     * Adds an entry VM; it is not started yet.
+     *
+     * @returns The node; {@linkcode nodeLogs} holds its way to the log.
+     */
+    addNode(failureDomain: string): EntryNode {
+        const { seed = 1 } = this.settings;
+        const index = this.nodes.length;
+        const id = `entry-${index + 1}`;
+        const address = `127.0.0.1:${this.vms.length + 1}`;
+        const nodeLog = new NodeLog(this.log, this.clock);
+        const link = new NodeLink();
+        link.address = address;
+        const vm: Vm = { id, role: VmRole.Entry, address, failureDomain, state: VmState.Live };
+        const clock = new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0);
+        const node = new EntryNode({
+            node: id,
+            failureDomain,
+            clock,
+            random: new SeededRandom(seed * 1_000 + index),
+            engine: new LocalEngines(this.engines),
+            plainService: new LinkedService(link, new LocalServices(this.services)),
+            log: new LinkedLog(link, nodeLog, this.clock),
+            vmList: this.vmList,
+            membership: this.makeMembership(vm, clock),
+            dissemination: this.hub.join(id),
+            configurationPeers: this.configurationPeers.join(address),
+            observer: new SilentObserver(),
+            claimClient: new LinkedClaimClient(link, this.claimHub, this.clock),
+            claimHorizonMs: this.settings.claimHorizonMs,
+        });
+        this.vms.push(vm);
+        this.nodes.push(node);
+        this.links.push(link);
+        this.claimHub.join(link, new ClaimDesk(node));
+        this.nodeLogs.set(id, nodeLog);
+        this.configurationPeers.answers.set(address, request => node.follower.copyFor(request));
+        return node;
+    }
+
+    /** VMs of the nodes. */
+    get entryVms(): readonly Vm[] {
+        return this.vms.filter(vm => vm.role === VmRole.Entry);
+    }
+
+    /** Tells the VM list of the VMs as they are now. */
+    publishVms(): void {
         this.vmList.set([...this.vms]);
     }
 
@@ -131,8 +191,7 @@
         }
     }
 
-    private makeMembership(node: string, address: string, failureDomain: string): Membership {
-        const { clock } = this;
+    private makeMembership({ id: node, address, failureDomain }: Vm, clock: Clock): Membership {
         const random = new SeededRandom((this.settings.seed ?? 1) * 1_000 + MEMBERSHIP_SEED_OFFSET + this.nodes.length);
         const client = this.peers.connect(address);
         const membership = new Membership({
@@ -151,25 +210,8 @@
     }
 
     private makeNodes(): void {
-        const { deployment, seed = 1 } = this.settings;
-        for (const [index, { failureDomain }] of deployment.entryVms.entries()) {
-            const id = `entry-${index + 1}`;
-            const address = `127.0.0.1:${this.vms.length + 1}`;
-            this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
-            const node = new EntryNode({
-                node: id,
-                failureDomain,
-                clock: this.clock,
-                random: new SeededRandom(seed * 1_000 + index),
-                engine: new LocalEngines(this.engines),
-                plainService: new LocalServices(this.services),
-                log: this.log,
-                vmList: this.vmList,
-                membership: this.makeMembership(id, address, failureDomain),
-                dissemination: this.hub.join(id),
-                observer: new SilentObserver(),
-            });
-            this.nodes.push(node);
+        for (const { failureDomain } of this.settings.deployment.entryVms) {
+            this.addNode(failureDomain);
         }
     }
 }
