--- a/features/support/operator_side.ts
+++ b/features/support/operator_side.ts
@@ -26,6 +26,7 @@
 failureDomain: sul-a
 listen: { callers: "127.0.0.1:1", peers: "127.0.0.1:2" }
 platform: { log: "127.0.0.1:3", vmList: "127.0.0.1:4", weightStore: "127.0.0.1:5" }
+tls: { plainText: true }
 `;
 
 /** Starts the operator side of a scenario's first node; it knows the operator `ana` with the key `ana-key`. */
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -8,6 +8,7 @@
 import { configExperiment } from "./config.js";
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
+import { membershipExperiment } from "./membership.js";
 import { proxyExperiment } from "./proxy.js";
 import { schedulingExperiment } from "./scheduling.js";
 
@@ -16,6 +17,7 @@
     proxyExperiment,
     claimsExperiment,
     drainExperiment,
+    membershipExperiment,
     configExperiment,
     schedulingExperiment,
 ];
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import { type ChannelCredentials, credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
 import { claimWire, configurationWire, wire } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "../transport/mod.js";
 
 /** Metadata field that carries the operator's key. */
 const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
@@ -41,11 +42,14 @@
     /**
      * @param address IP number and port for peers and operators.
      * @param key Operator's key.
+     * @param channelCredentials Certificates of the connection. Defaults to plain text.
      */
-    constructor(readonly address: string, key: string | undefined) {
-        this.client = new wire.OperatorClient(address, credentials.createInsecure());
-        this.configuration = new configurationWire.ConfigurationOperatorClient(address, credentials.createInsecure());
-        this.claimClient = new claimWire.ClaimOperatorClient(address, credentials.createInsecure());
+    constructor(readonly address: string, key: string | undefined, channelCredentials?: ChannelCredentials) {
+        const used = channelCredentials ?? credentials.createInsecure();
+        const options = { "grpc.ssl_target_name_override": PEER_DNS_NAME };
+        this.client = new wire.OperatorClient(address, used, options);
+        this.configuration = new configurationWire.ConfigurationOperatorClient(address, used, options);
+        this.claimClient = new claimWire.ClaimOperatorClient(address, used, options);
         if (key !== undefined) {
             this.metadata.set(OPERATOR_KEY_FIELD, key);
         }
--- a/src/cli/timeline_command.ts
+++ b/src/cli/timeline_command.ts
@@ -7,9 +7,10 @@
 import { Command, Option, UsageError } from "clipanion";
 import { once } from "node:events";
 import { writeFile } from "node:fs/promises";
+import { MemberState } from "../coordination/mod.js";
 import type { wire } from "../protocol/mod.js";
 import { followTimelines, mergeTimelines, type TimelineSource, type UnreachableNode } from "./merged_timeline.js";
-import { OperatorClient } from "./operator_client.js";
+import type { OperatorClient } from "./operator_client.js";
 import { ExitCode, OperatorCommand } from "./operator_command.js";
 import { formatTable } from "./table.js";
 import { drawTimeline } from "./timeline_page.js";
@@ -87,16 +88,26 @@
     }
 
     private async listSources(client: OperatorClient): Promise<readonly TimelineSource[]> {
-        const key = await this.readKey();
         const status = await client.readStatus();
-        const addresses = new Map(status.members.map(member => [member.id, member.address]));
+        const present = status.members.filter(member => member.state !== MemberState.Dead && member.state !== MemberState.Left);
+        const addresses = new Map(present.map(member => [member.id, member.address]));
         addresses.set(status.node, client.address);
         if (this.node !== undefined && !addresses.has(this.node)) {
             throw new UsageError(`Option --node is "${this.node}"; the nodes are ${[...addresses.keys()].sort().join(", ")}.`);
         }
         const request = this.toRequest();
         const wanted = [...addresses].filter(([node]) => this.node === undefined || node === this.node);
-        return wanted.map(([node, address]) => ({ node, address, read: signal => readNode({ address, key, request, signal }) }));
+        return wanted.map(([node, address]) => ({ node, address, read: signal => this.readNode({ address, request, signal }) }));
+    }
+
+    private async *readNode({ address, request, signal }: NodeRead): AsyncGenerator<wire.EventRecord> {
+        const client = await this.connect(address);
+        try {
+            yield* client.readTimeline(request, signal);
+        }
+        finally {
+            client.close();
+        }
     }
 
     private toRequest(): wire.ReadTimelineRequest {
@@ -114,21 +125,10 @@
 /** What is read from one node. */
 interface NodeRead {
     readonly address: string;
-    readonly key: string | undefined;
     readonly request: wire.ReadTimelineRequest;
     readonly signal: AbortSignal | undefined;
 }
 
-async function* readNode({ address, key, request, signal }: NodeRead): AsyncGenerator<wire.EventRecord> {
-    const client = new OperatorClient(address, key);
-    try {
-        yield* client.readTimeline(request, signal);
-    }
-    finally {
-        client.close();
-    }
-}
-
 function toRow(event: wire.EventRecord): readonly string[] {
     return [new Date(event.wallMs).toISOString(), event.node, event.part, event.kind, event.requestId || "-", event.text];
 }
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -10,6 +10,7 @@
 export * from "./claims/mod.js";
 export * from "./configuration/mod.js";
 export * from "./dispatcher.js";
+export * from "./membership/mod.js";
 export * from "./platform_watch.js";
 export * from "./request_handler.js";
 export * from "./retry_budget.js";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,21 +6,25 @@
 
 import type { Logger } from "pino";
 import {
+    GossipDissemination,
     MAX_KEPT_RECORDS,
     MAX_KEYS,
     MAX_REMEMBERED_CHANGES,
     MAX_STORING_ENTRIES,
     MAX_STREAMS,
-    SilentDissemination,
+    Membership,
 } from "../coordination/mod.js";
-import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
+import { type Clock, HybridClock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    type CertificateError,
+    CertificateFiles,
     claimOperatorService,
     claimPeerService,
     configurationOperatorService,
     configurationPeerService,
     GrpcClaimClient,
     GrpcConfigurationPeers,
+    GrpcPeerClient,
     GrpcServer,
     type GrpcService,
     HttpClient,
@@ -31,6 +35,7 @@
     HttpVmList,
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
+    MAX_PEER_CHANNELS,
     type OperationsPage,
     operatorService,
     PeerGate,
@@ -61,16 +66,36 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
-    private readonly configurationPeers = new GrpcConfigurationPeers();
-    private readonly claimClient = new GrpcClaimClient();
+    private readonly certificates: CertificateFiles | undefined;
+    private readonly peerClient: GrpcPeerClient;
+    private readonly membership: Membership;
+    private readonly dissemination: GossipDissemination;
+    private readonly configurationPeers: GrpcConfigurationPeers;
+    private readonly claimClient: GrpcClaimClient;
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
+    private readonly stopped = new AbortController();
     private draining = false;
 
     /** @param parts See {@linkcode DaemonSettings}. */
     constructor(private readonly parts: DaemonSettings) {
         const { settings, clock, random } = parts;
+        this.certificates = "plainText" in settings.tls ? undefined : new CertificateFiles(settings.tls);
+        this.peerClient = new GrpcPeerClient(this.certificates?.channelCredentials());
+        this.configurationPeers = new GrpcConfigurationPeers(this.certificates?.channelCredentials());
+        this.claimClient = new GrpcClaimClient(this.certificates?.channelCredentials());
+        this.membership = new Membership({
+            node: settings.node,
+            address: settings.listen.peers,
+            failureDomain: settings.failureDomain,
+            clock,
+            random,
+            hybridClock: new HybridClock(clock),
+            client: this.peerClient,
+        });
+        const { membership } = this;
+        this.dissemination = new GossipDissemination({ clock, random, membership });
         this.node = new EntryNode({
             node: settings.node,
             failureDomain: settings.failureDomain,
@@ -80,7 +105,8 @@
             plainService: new HttpPlainService(this.client),
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
-            dissemination: new SilentDissemination(),
+            membership,
+            dissemination: this.dissemination,
             configurationPeers: this.configurationPeers,
             observer: this.metrics,
             claimClient: this.claimClient,
@@ -93,8 +119,12 @@
         });
         const limits = this.limits();
         this.metrics.watchLimits(limits);
+        this.metrics.watchCertificate(() => this.certificates?.expiresAtMs);
         watchConfiguration(this.metrics.registry, this.node);
-        this.grpcServer = new GrpcServer({ services: this.services(limits) });
+        this.grpcServer = new GrpcServer({
+            services: this.services(limits),
+            credentials: this.certificates?.serverCredentials(),
+        });
     }
 
     /** Whether the node takes new work. */
@@ -104,11 +134,13 @@
 
     /** Starts to listen and to follow the platform. */
     async start(): Promise<void> {
-        const { settings, logger } = this.parts;
+        const { settings, logger, clock } = this.parts;
         logEvents(this.node.ring, logger);
         await this.grpcServer.listen(...splitAddress(settings.listen.peers));
         await this.httpServer.listen(...splitAddress(settings.listen.callers));
         this.node.start();
+        void this.dissemination.run(this.stopped.signal);
+        void this.certificates?.watch(clock, this.stopped.signal, error => this.recordCertificates(error));
         this.record("started", `Node ${settings.node} listens on ${settings.listen.callers}.`);
     }
 
@@ -129,30 +161,37 @@
             await clock.sleep(DRAIN_POLL_MS, signal);
         }
         const left = this.node.handler.active;
+        await this.membership.leave();
         this.record("stopped", `Node ${settings.node} stops with ${left} calls left.`);
         await this.stop();
         return left;
     }
 
     private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
-        const { node } = this;
-        const gate = new PeerGate();
+        const { node, membership, dissemination } = this;
+        const gate = new PeerGate(this.certificates !== undefined);
         const claimDesk = new ClaimDesk(node);
+        const certificateExpiresAtMs = () => this.certificates?.expiresAtMs;
         const find = (key: string | undefined) => findOperator(this.parts.settings, key);
         return [
-            peerService(new PeerDesk(node), gate),
+            peerService(
+                new PeerDesk({ membership, dissemination, configurationVersion: () => node.view.published.version }),
+                gate,
+            ),
             claimPeerService(claimDesk, gate),
             configurationPeerService(new ConfigurationPeerDesk(node), gate),
-            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready }), find),
+            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready, certificateExpiresAtMs }), find),
             claimOperatorService(claimDesk, find),
             configurationOperatorService(new ConfigurationOperatorDesk(node), find),
         ];
     }
 
     private async stop(): Promise<void> {
+        this.stopped.abort();
         this.httpServer.close();
         await this.node.flush();
         this.grpcServer.close();
+        this.peerClient.close();
         this.configurationPeers.close();
         this.claimClient.close();
         await this.client.close();
@@ -191,6 +230,9 @@
             { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
             { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
+            { name: "MAX_PEER_CHANNELS", limit: MAX_PEER_CHANNELS, read: () => this.peerClient.channels },
+            ...this.membership.limits,
+            ...this.dissemination.limits,
             { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
             {
                 name: "MAX_REMEMBERED_CHANGES",
@@ -200,6 +242,15 @@
         ];
     }
 
+    private recordCertificates(error: CertificateError | undefined): void {
+        if (error !== undefined) {
+            this.record("certificateRefused", `${error.message}. The last certificate stays in use.`);
+            return;
+        }
+        const expiry = new Date(this.certificates?.expiresAtMs ?? 0).toISOString();
+        this.record("certificateInUse", `New certificate files are in use; the certificate expires at ${expiry}.`);
+    }
+
     private record(kind: string, text: string): void {
         this.node.ring.record({ part: Part.Daemon, kind, text });
     }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -13,6 +13,8 @@
     ConfigurationFollower,
     Dispatcher,
     type KeyRules,
+    type Member as GroupMember,
+    type Membership,
     NoClaimClient,
     PlatformWatch,
     RequestHandler,
@@ -36,7 +38,8 @@
     type Clock,
     ConfigurationView,
     EventRing,
-    HybridClock,
+    type HybridClock,
+    Part,
     type RandomSource,
     type Vm,
     VmRole,
@@ -54,6 +57,8 @@
     readonly plainService: PlainService;
     readonly log: LogService;
     readonly vmList: VmList;
+    /** Other entry VMs as this one sees them. */
+    readonly membership: Membership;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
     /** Configuration of other nodes. */
@@ -80,6 +85,7 @@
     readonly scheduler: Scheduler;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
+    readonly membership: Membership;
     /** Entry VMs of the last VM list, this one included. */
     entryVms: readonly Vm[] = [];
     private readonly watch: PlatformWatch;
@@ -91,7 +97,8 @@
         const { clock, random, engine, plainService, observer } = settings;
         this.view = new ConfigurationView(clock);
         const { view, table } = this;
-        this.hybridClock = new HybridClock(clock);
+        this.membership = settings.membership;
+        this.hybridClock = settings.membership.hybridClock;
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
@@ -142,12 +149,16 @@
 
     /** Starts the tasks that follow the platform. */
     start(): void {
-        const keepEntryVms = (vms: readonly Vm[]) => {
+        const { membership, watch, ring } = this;
+        const scheduler = newDefaultScheduler();
+        const takeList = (vms: readonly Vm[]) => {
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
+            membership.seed(vms);
         };
-        void runEffects(tap(keepEntryVms, this.watch.lists), newDefaultScheduler());
+        void runEffects(tap(takeList, watch.lists), scheduler);
+        void runEffects(tap(member => recordMember(ring, member), membership.changes), scheduler);
         const { signal } = this.stopped;
-        this.tasks = [this.follower.run(signal), this.watch.run(signal), this.scheduler.run(signal)];
+        this.tasks = [this.follower.run(signal), watch.run(signal), membership.run(signal), this.scheduler.run(signal)];
     }
 
     /** Waits, within bounds, until the outcomes of calls stand in the log. */
@@ -164,3 +175,7 @@
         await Promise.all(this.tasks);
     }
 }
+
+function recordMember(ring: EventRing, { id, failureDomain, state }: GroupMember): void {
+    ring.record({ part: Part.Member, kind: state, peer: id, text: `Member ${id} of ${failureDomain} is ${state}.` });
+}
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -10,5 +10,6 @@
 export * from "./entry_node.js";
 export * from "./metrics.js";
 export * from "./operator_desk.js";
+export * from "./peer_desk.js";
 export * from "./settings.js";
 export * from "./timeline_sender.js";
--- a/src/daemon/operator_desk.ts
+++ b/src/daemon/operator_desk.ts
@@ -6,9 +6,10 @@
 
 import { runEffects, takeWhile, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
+import type { Member } from "../coordination/mod.js";
 import type { wire } from "../protocol/mod.js";
 import { OperatorHandler, type TimelineFeed } from "../protocol/mod.js";
-import { Part, type TimelineEvent, type Vm } from "../state/mod.js";
+import { Part, type TimelineEvent } from "../state/mod.js";
 import type { EntryNode } from "./entry_node.js";
 import type { LimitedQuantity } from "./metrics.js";
 import { DROPPED_KIND, TimelineSender } from "./timeline_sender.js";
@@ -19,6 +20,8 @@
     readonly node: EntryNode;
     readonly limits: readonly LimitedQuantity[];
     readonly isReady: () => boolean;
+    /** Returns the time at which the certificate for peers expires. Defaults to none, as with plain text. */
+    readonly certificateExpiresAtMs?: () => number | undefined;
 }
 
 /** Answers operators from the state of the daemon. */
@@ -29,7 +32,7 @@
     }
 
     override async readStatus(): Promise<wire.StatusReply> {
-        const { node, isReady, limits } = this.settings;
+        const { node, isReady, limits, certificateExpiresAtMs } = this.settings;
         return {
             node: node.settings.node,
             failureDomain: node.settings.failureDomain,
@@ -37,7 +40,8 @@
             configurationVersion: node.view.published.version,
             backendServers: this.describeServers(),
             limits: limits.map(quantity => ({ name: quantity.name, value: quantity.read(), limit: quantity.limit })),
-            members: node.entryVms.map(describeMember),
+            certificateExpiresAtMs: certificateExpiresAtMs?.() ?? 0,
+            members: node.membership.list().map(describeMember),
         };
     }
 
@@ -80,8 +84,8 @@
     }
 }
 
-function describeMember(vm: Vm): wire.MemberStatus {
-    return { id: vm.id, address: vm.address, failureDomain: vm.failureDomain, state: vm.state };
+function describeMember({ id, address, failureDomain, state, life, incarnation }: Member): wire.MemberStatus {
+    return { id, address, failureDomain, state, life, incarnation };
 }
 
 function isWanted(event: TimelineEvent, request: wire.ReadTimelineRequest): boolean {
--- a/src/protocol/gen/peer.ts
+++ b/src/protocol/gen/peer.ts
@@ -11,9 +11,7 @@
   type ChannelCredentials,
   Client,
   type ClientOptions,
-  type ClientReadableStream,
   type ClientUnaryCall,
-  type handleServerStreamingCall,
   type handleUnaryCall,
   makeGenericClientConstructor,
   type Metadata,
@@ -25,32 +23,48 @@
 
 export const protobufFileName = "peer.proto";
 
-/** One event of a node's time line. */
-export interface EventRecord {
-  /** Hybrid logical clock: wall time in milliseconds since the Unix epoch. */
-  readonly wallMs: number;
-  /** Hybrid logical clock: order within the same millisecond. */
-  readonly counter: number;
-  /** Node that recorded the event. */
-  readonly node: string;
-  /** Part of the system, such as "dispatch". */
-  readonly part: string;
-  /** Kind of event, such as "dispatched". */
-  readonly kind: string;
-  /** Request the event belongs to, or empty. */
-  readonly requestId: string;
-  /** Peer, usually a backend server, or empty. */
-  readonly peer: string;
-  /** Short sentence for people. */
-  readonly text: string;
-  /** Rollout the event belongs to, or empty. */
-  readonly rollout: string;
+export enum MemberStanding {
+  MEMBER_STANDING_LISTED = 0,
+  MEMBER_STANDING_ALIVE = 1,
+  MEMBER_STANDING_SUSPECT = 2,
+  MEMBER_STANDING_DEAD = 3,
+  MEMBER_STANDING_LEFT = 4,
+  UNRECOGNIZED = -1,
+}
+
+/** What a node knows of a member. */
+export interface MemberRecord {
+  readonly id: string;
+  /** IP number and port for peers and operators. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Start of the member's process in milliseconds since the Unix epoch; a restarted VM is a new member. */
+  readonly life: number;
+  /** Raised by the member itself when it refutes a suspicion or leaves. */
+  readonly incarnation: number;
+  readonly standing: MemberStanding;
+  /** Protocol version of the member's messages. */
+  readonly protocol: number;
+  /** Node that accuses the member, when it is suspect. */
+  readonly accuser: string;
+}
+
+/** How long ago a node of the sender's failure domain last reached another one. */
+export interface DomainContact {
+  readonly failureDomain: string;
+  readonly ageMs: number;
 }
 
 export interface ProbeRequest {
   readonly node: string;
   readonly wallMs: number;
   readonly counter: number;
+  /** Protocol version of the sender. */
+  readonly protocol: number;
+  /** Sender, then news on other members. */
+  readonly members: readonly MemberRecord[];
+  /** Member that the sender means to reach. */
+  readonly target: string;
 }
 
 export interface ProbeReply {
@@ -58,99 +72,103 @@
   readonly wallMs: number;
   readonly counter: number;
   readonly configurationVersion: number;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
 }
 
-export interface StatusRequest {
+/** Asks a member to probe another one. */
+export interface RelayRequest {
+  readonly node: string;
+  /** Member to probe and its address. */
+  readonly target: string;
+  readonly address: string;
 }
 
-/** A quantity beside its named limit. */
-export interface LimitUse {
-  readonly name: string;
-  readonly value: number;
-  readonly limit: number;
+export interface RelayReply {
+  readonly reached: boolean;
+  /** Record of the target, when it was reached. */
+  readonly members: readonly MemberRecord[];
 }
 
-export interface BackendServerStatus {
-  readonly id: string;
-  readonly pool: string;
-  readonly failureDomain: string;
-  readonly state: string;
-  readonly version: string;
-  readonly outstanding: number;
-  readonly reportAgeMs: number;
+/** Latest value that one node shares on one topic. */
+export interface ValueRecord {
+  readonly topic: number;
+  readonly origin: string;
+  readonly key: string;
+  /** Life of the origin that published the value. */
+  readonly life: number;
+  /** Order among the values of the origin. */
+  readonly version: number;
+  /** Time since the value was published, in milliseconds. */
+  readonly ageMs: number;
+  readonly data: Uint8Array;
 }
 
-/** Another entry VM as this node sees it. */
-export interface MemberStatus {
-  readonly id: string;
-  /** IP number and port for peers and operators. */
-  readonly address: string;
-  readonly failureDomain: string;
-  readonly state: string;
+/** Values that a node holds, by fingerprint of topic, origin and key; both lists have the same length. */
+export interface ValueDigest {
+  readonly fingerprints: readonly number[];
+  readonly versions: readonly number[];
 }
 
-export interface StatusReply {
+export interface ExchangeRequest {
   readonly node: string;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
+  readonly values: readonly ValueRecord[];
+  readonly digest:
+    | ValueDigest
+    | undefined;
+  /** Contacts of the sender's failure domain; only nodes of the same one use them. */
+  readonly contacts: readonly DomainContact[];
   readonly failureDomain: string;
-  readonly ready: boolean;
-  readonly configurationVersion: number;
-  readonly backendServers: readonly BackendServerStatus[];
-  readonly limits: readonly LimitUse[];
-  readonly members: readonly MemberStatus[];
 }
 
-export interface ReadTimelineRequest {
-  /** Only events of this request, or all when empty. */
-  readonly requestId: string;
-  /** Keep the call open and send new events. */
-  readonly follow: boolean;
-  /** Only events of this rollout, or all when empty. */
-  readonly rollout: string;
-  /** Only events of this peer, such as a backend server, or all when empty. */
-  readonly peer: string;
-  /** Only events from this time on, in milliseconds since the Unix epoch; 0 for all. */
-  readonly sinceMs: number;
-  /** Only events before this time, in milliseconds since the Unix epoch; 0 for all. */
-  readonly untilMs: number;
+export interface ExchangeReply {
+  readonly node: string;
+  readonly protocol: number;
+  readonly members: readonly MemberRecord[];
+  /** Values that are newer than the request's digest says. */
+  readonly values: readonly ValueRecord[];
+  /** Fingerprints of values that the request's digest says are newer. */
+  readonly wanted: readonly number[];
+  readonly contacts: readonly DomainContact[];
+  readonly failureDomain: string;
 }
 
-function createBaseEventRecord(): EventRecord {
-  return { wallMs: 0, counter: 0, node: "", part: "", kind: "", requestId: "", peer: "", text: "", rollout: "" };
+function createBaseMemberRecord(): MemberRecord {
+  return { id: "", address: "", failureDomain: "", life: 0, incarnation: 0, standing: 0, protocol: 0, accuser: "" };
 }
 
-export const EventRecord: MessageFns<EventRecord> = {
-  encode(message: EventRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.wallMs !== 0) {
-      writer.uint32(8).int64(message.wallMs);
-    }
-    if (message.counter !== 0) {
-      writer.uint32(16).uint32(message.counter);
+export const MemberRecord: MessageFns<MemberRecord> = {
+  encode(message: MemberRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
     }
-    if (message.node !== "") {
-      writer.uint32(26).string(message.node);
+    if (message.address !== "") {
+      writer.uint32(18).string(message.address);
     }
-    if (message.part !== "") {
-      writer.uint32(34).string(message.part);
+    if (message.failureDomain !== "") {
+      writer.uint32(26).string(message.failureDomain);
     }
-    if (message.kind !== "") {
-      writer.uint32(42).string(message.kind);
+    if (message.life !== 0) {
+      writer.uint32(32).int64(message.life);
     }
-    if (message.requestId !== "") {
-      writer.uint32(50).string(message.requestId);
+    if (message.incarnation !== 0) {
+      writer.uint32(40).uint32(message.incarnation);
     }
-    if (message.peer !== "") {
-      writer.uint32(58).string(message.peer);
+    if (message.standing !== 0) {
+      writer.uint32(48).int32(message.standing);
     }
-    if (message.text !== "") {
-      writer.uint32(66).string(message.text);
+    if (message.protocol !== 0) {
+      writer.uint32(56).uint32(message.protocol);
     }
-    if (message.rollout !== "") {
-      writer.uint32(74).string(message.rollout);
+    if (message.accuser !== "") {
+      writer.uint32(66).string(message.accuser);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): EventRecord {
+  decode(input: BinaryReader | Uint8Array, length?: number): MemberRecord {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -159,24 +177,24 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseEventRecord() as any;
+      const message = createBaseMemberRecord() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 8) {
+            if (tag !== 10) {
               break;
             }
 
-            message.wallMs = longToNumber(reader.int64());
+            message.id = reader.string();
             continue;
           }
           case 2: {
-            if (tag !== 16) {
+            if (tag !== 18) {
               break;
             }
 
-            message.counter = reader.uint32();
+            message.address = reader.string();
             continue;
           }
           case 3: {
@@ -184,39 +202,39 @@
               break;
             }
 
-            message.node = reader.string();
+            message.failureDomain = reader.string();
             continue;
           }
           case 4: {
-            if (tag !== 34) {
+            if (tag !== 32) {
               break;
             }
 
-            message.part = reader.string();
+            message.life = longToNumber(reader.int64());
             continue;
           }
           case 5: {
-            if (tag !== 42) {
+            if (tag !== 40) {
               break;
             }
 
-            message.kind = reader.string();
+            message.incarnation = reader.uint32();
             continue;
           }
           case 6: {
-            if (tag !== 50) {
+            if (tag !== 48) {
               break;
             }
 
-            message.requestId = reader.string();
+            message.standing = reader.int32() as any;
             continue;
           }
           case 7: {
-            if (tag !== 58) {
+            if (tag !== 56) {
               break;
             }
 
-            message.peer = reader.string();
+            message.protocol = reader.uint32();
             continue;
           }
           case 8: {
@@ -224,15 +242,64 @@
               break;
             }
 
-            message.text = reader.string();
+            message.accuser = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseDomainContact(): DomainContact {
+  return { failureDomain: "", ageMs: 0 };
+}
+
+export const DomainContact: MessageFns<DomainContact> = {
+  encode(message: DomainContact, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.failureDomain !== "") {
+      writer.uint32(10).string(message.failureDomain);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(16).uint32(message.ageMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): DomainContact {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseDomainContact() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
             continue;
           }
-          case 9: {
-            if (tag !== 74) {
+          case 2: {
+            if (tag !== 16) {
               break;
             }
 
-            message.rollout = reader.string();
+            message.ageMs = reader.uint32();
             continue;
           }
         }
@@ -249,7 +316,7 @@
 };
 
 function createBaseProbeRequest(): ProbeRequest {
-  return { node: "", wallMs: 0, counter: 0 };
+  return { node: "", wallMs: 0, counter: 0, protocol: 0, members: [], target: "" };
 }
 
 export const ProbeRequest: MessageFns<ProbeRequest> = {
@@ -263,6 +330,15 @@
     if (message.counter !== 0) {
       writer.uint32(24).uint32(message.counter);
     }
+    if (message.protocol !== 0) {
+      writer.uint32(32).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(42).fork()).join();
+    }
+    if (message.target !== "") {
+      writer.uint32(50).string(message.target);
+    }
     return writer;
   },
 
@@ -303,6 +379,30 @@
             message.counter = reader.uint32();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.target = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -317,7 +417,7 @@
 };
 
 function createBaseProbeReply(): ProbeReply {
-  return { node: "", wallMs: 0, counter: 0, configurationVersion: 0 };
+  return { node: "", wallMs: 0, counter: 0, configurationVersion: 0, protocol: 0, members: [] };
 }
 
 export const ProbeReply: MessageFns<ProbeReply> = {
@@ -334,6 +434,12 @@
     if (message.configurationVersion !== 0) {
       writer.uint32(32).int64(message.configurationVersion);
     }
+    if (message.protocol !== 0) {
+      writer.uint32(40).uint32(message.protocol);
+    }
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(50).fork()).join();
+    }
     return writer;
   },
 
@@ -382,6 +488,22 @@
             message.configurationVersion = longToNumber(reader.int64());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.protocol = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -395,16 +517,25 @@
   },
 };
 
-function createBaseStatusRequest(): StatusRequest {
-  return {};
+function createBaseRelayRequest(): RelayRequest {
+  return { node: "", target: "", address: "" };
 }
 
-export const StatusRequest: MessageFns<StatusRequest> = {
-  encode(_: StatusRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+export const RelayRequest: MessageFns<RelayRequest> = {
+  encode(message: RelayRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.node !== "") {
+      writer.uint32(10).string(message.node);
+    }
+    if (message.target !== "") {
+      writer.uint32(18).string(message.target);
+    }
+    if (message.address !== "") {
+      writer.uint32(26).string(message.address);
+    }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): StatusRequest {
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayRequest {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -413,10 +544,34 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseStatusRequest() as any;
+      const message = createBaseRelayRequest() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.node = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.target = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.address = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -430,25 +585,22 @@
   },
 };
 
-function createBaseLimitUse(): LimitUse {
-  return { name: "", value: 0, limit: 0 };
+function createBaseRelayReply(): RelayReply {
+  return { reached: false, members: [] };
 }
 
-export const LimitUse: MessageFns<LimitUse> = {
-  encode(message: LimitUse, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.name !== "") {
-      writer.uint32(10).string(message.name);
-    }
-    if (message.value !== 0) {
-      writer.uint32(17).double(message.value);
+export const RelayReply: MessageFns<RelayReply> = {
+  encode(message: RelayReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.reached !== false) {
+      writer.uint32(8).bool(message.reached);
     }
-    if (message.limit !== 0) {
-      writer.uint32(25).double(message.limit);
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(18).fork()).join();
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): LimitUse {
+  decode(input: BinaryReader | Uint8Array, length?: number): RelayReply {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -457,32 +609,24 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseLimitUse() as any;
+      const message = createBaseRelayReply() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.name = reader.string();
+            message.reached = reader.bool();
             continue;
           }
           case 2: {
-            if (tag !== 17) {
-              break;
-            }
-
-            message.value = reader.double();
-            continue;
-          }
-          case 3: {
-            if (tag !== 25) {
+            if (tag !== 18) {
               break;
             }
 
-            message.limit = reader.double();
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
             continue;
           }
         }
@@ -498,37 +642,37 @@
   },
 };
 
-function createBaseBackendServerStatus(): BackendServerStatus {
-  return { id: "", pool: "", failureDomain: "", state: "", version: "", outstanding: 0, reportAgeMs: 0 };
+function createBaseValueRecord(): ValueRecord {
+  return { topic: 0, origin: "", key: "", life: 0, version: 0, ageMs: 0, data: new Uint8Array(0) };
 }
 
-export const BackendServerStatus: MessageFns<BackendServerStatus> = {
-  encode(message: BackendServerStatus, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.id !== "") {
-      writer.uint32(10).string(message.id);
+export const ValueRecord: MessageFns<ValueRecord> = {
+  encode(message: ValueRecord, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.topic !== 0) {
+      writer.uint32(8).uint32(message.topic);
     }
-    if (message.pool !== "") {
-      writer.uint32(18).string(message.pool);
+    if (message.origin !== "") {
+      writer.uint32(18).string(message.origin);
     }
-    if (message.failureDomain !== "") {
-      writer.uint32(26).string(message.failureDomain);
+    if (message.key !== "") {
+      writer.uint32(26).string(message.key);
     }
-    if (message.state !== "") {
-      writer.uint32(34).string(message.state);
+    if (message.life !== 0) {
+      writer.uint32(32).int64(message.life);
     }
-    if (message.version !== "") {
-      writer.uint32(42).string(message.version);
+    if (message.version !== 0) {
+      writer.uint32(40).int64(message.version);
     }
-    if (message.outstanding !== 0) {
-      writer.uint32(48).uint32(message.outstanding);
+    if (message.ageMs !== 0) {
+      writer.uint32(48).int64(message.ageMs);
     }
-    if (message.reportAgeMs !== 0) {
-      writer.uint32(56).int64(message.reportAgeMs);
+    if (message.data.length !== 0) {
+      writer.uint32(58).bytes(message.data);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): BackendServerStatus {
+  decode(input: BinaryReader | Uint8Array, length?: number): ValueRecord {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -537,16 +681,16 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseBackendServerStatus() as any;
+      const message = createBaseValueRecord() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
+            if (tag !== 8) {
               break;
             }
 
-            message.id = reader.string();
+            message.topic = reader.uint32();
             continue;
           }
           case 2: {
@@ -554,7 +698,7 @@
               break;
             }
 
-            message.pool = reader.string();
+            message.origin = reader.string();
             continue;
           }
           case 3: {
@@ -562,23 +706,23 @@
               break;
             }
 
-            message.failureDomain = reader.string();
+            message.key = reader.string();
             continue;
           }
           case 4: {
-            if (tag !== 34) {
+            if (tag !== 32) {
               break;
             }
 
-            message.state = reader.string();
+            message.life = longToNumber(reader.int64());
             continue;
           }
           case 5: {
-            if (tag !== 42) {
+            if (tag !== 40) {
               break;
             }
 
-            message.version = reader.string();
+            message.version = longToNumber(reader.int64());
             continue;
           }
           case 6: {
@@ -586,15 +730,15 @@
               break;
             }
 
-            message.outstanding = reader.uint32();
+            message.ageMs = longToNumber(reader.int64());
             continue;
           }
           case 7: {
-            if (tag !== 56) {
+            if (tag !== 58) {
               break;
             }
 
-            message.reportAgeMs = longToNumber(reader.int64());
+            message.data = reader.bytes();
             continue;
           }
         }
@@ -610,28 +754,30 @@
   },
 };
 
-function createBaseMemberStatus(): MemberStatus {
-  return { id: "", address: "", failureDomain: "", state: "" };
+function createBaseValueDigest(): ValueDigest {
+  return { fingerprints: [], versions: [] };
 }
 
-export const MemberStatus: MessageFns<MemberStatus> = {
-  encode(message: MemberStatus, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.id !== "") {
-      writer.uint32(10).string(message.id);
-    }
-    if (message.address !== "") {
-      writer.uint32(18).string(message.address);
-    }
-    if (message.failureDomain !== "") {
-      writer.uint32(26).string(message.failureDomain);
+export const ValueDigest: MessageFns<ValueDigest> = {
+  encode(message: ValueDigest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.fingerprints.length !== 0) {
+      writer.uint32(10).fork();
+      for (const v of message.fingerprints) {
+        writer.fixed64(v);
+      }
+      writer.join();
     }
-    if (message.state !== "") {
-      writer.uint32(34).string(message.state);
+    if (message.versions.length !== 0) {
+      writer.uint32(18).fork();
+      for (const v of message.versions) {
+        writer.int64(v);
+      }
+      writer.join();
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): MemberStatus {
+  decode(input: BinaryReader | Uint8Array, length?: number): ValueDigest {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -640,41 +786,45 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseMemberStatus() as any;
+      const message = createBaseValueDigest() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
           case 1: {
-            if (tag !== 10) {
-              break;
+            if (tag === 9) {
+              message.fingerprints.push(longToNumber(reader.fixed64()));
+
+              continue;
             }
 
-            message.id = reader.string();
-            continue;
-          }
-          case 2: {
-            if (tag !== 18) {
-              break;
+            if (tag === 10) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.fingerprints.push(longToNumber(reader.fixed64()));
+              }
+
+              continue;
             }
 
-            message.address = reader.string();
-            continue;
+            break;
           }
-          case 3: {
-            if (tag !== 26) {
-              break;
+          case 2: {
+            if (tag === 16) {
+              message.versions.push(longToNumber(reader.int64()));
+
+              continue;
             }
 
-            message.failureDomain = reader.string();
-            continue;
-          }
-          case 4: {
-            if (tag !== 34) {
-              break;
+            if (tag === 18) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.versions.push(longToNumber(reader.int64()));
+              }
+
+              continue;
             }
 
-            message.state = reader.string();
-            continue;
+            break;
           }
         }
         if ((tag & 7) === 4 || tag === 0) {
@@ -689,45 +839,37 @@
   },
 };
 
-function createBaseStatusReply(): StatusReply {
-  return {
-    node: "",
-    failureDomain: "",
-    ready: false,
-    configurationVersion: 0,
-    backendServers: [],
-    limits: [],
-    members: [],
-  };
+function createBaseExchangeRequest(): ExchangeRequest {
+  return { node: "", protocol: 0, members: [], values: [], digest: undefined, contacts: [], failureDomain: "" };
 }
 
-export const StatusReply: MessageFns<StatusReply> = {
-  encode(message: StatusReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+export const ExchangeRequest: MessageFns<ExchangeRequest> = {
+  encode(message: ExchangeRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
     if (message.node !== "") {
       writer.uint32(10).string(message.node);
     }
-    if (message.failureDomain !== "") {
-      writer.uint32(18).string(message.failureDomain);
+    if (message.protocol !== 0) {
+      writer.uint32(16).uint32(message.protocol);
     }
-    if (message.ready !== false) {
-      writer.uint32(24).bool(message.ready);
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(26).fork()).join();
     }
-    if (message.configurationVersion !== 0) {
-      writer.uint32(32).int64(message.configurationVersion);
+    for (const v of message.values) {
+      ValueRecord.encode(v!, writer.uint32(34).fork()).join();
     }
-    for (const v of message.backendServers) {
-      BackendServerStatus.encode(v!, writer.uint32(42).fork()).join();
+    if (message.digest !== undefined) {
+      ValueDigest.encode(message.digest, writer.uint32(42).fork()).join();
     }
-    for (const v of message.limits) {
-      LimitUse.encode(v!, writer.uint32(50).fork()).join();
+    for (const v of message.contacts) {
+      DomainContact.encode(v!, writer.uint32(50).fork()).join();
     }
-    for (const v of message.members) {
-      MemberStatus.encode(v!, writer.uint32(58).fork()).join();
+    if (message.failureDomain !== "") {
+      writer.uint32(58).string(message.failureDomain);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): StatusReply {
+  decode(input: BinaryReader | Uint8Array, length?: number): ExchangeRequest {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -736,7 +878,7 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseStatusReply() as any;
+      const message = createBaseExchangeRequest() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
@@ -749,27 +891,27 @@
             continue;
           }
           case 2: {
-            if (tag !== 18) {
+            if (tag !== 16) {
               break;
             }
 
-            message.failureDomain = reader.string();
+            message.protocol = reader.uint32();
             continue;
           }
           case 3: {
-            if (tag !== 24) {
+            if (tag !== 26) {
               break;
             }
 
-            message.ready = reader.bool();
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
             continue;
           }
           case 4: {
-            if (tag !== 32) {
+            if (tag !== 34) {
               break;
             }
 
-            message.configurationVersion = longToNumber(reader.int64());
+            message.values.push(ValueRecord.decode(reader, reader.uint32()));
             continue;
           }
           case 5: {
@@ -777,7 +919,7 @@
               break;
             }
 
-            message.backendServers.push(BackendServerStatus.decode(reader, reader.uint32()));
+            message.digest = ValueDigest.decode(reader, reader.uint32());
             continue;
           }
           case 6: {
@@ -785,7 +927,7 @@
               break;
             }
 
-            message.limits.push(LimitUse.decode(reader, reader.uint32()));
+            message.contacts.push(DomainContact.decode(reader, reader.uint32()));
             continue;
           }
           case 7: {
@@ -793,7 +935,7 @@
               break;
             }
 
-            message.members.push(MemberStatus.decode(reader, reader.uint32()));
+            message.failureDomain = reader.string();
             continue;
           }
         }
@@ -809,34 +951,41 @@
   },
 };
 
-function createBaseReadTimelineRequest(): ReadTimelineRequest {
-  return { requestId: "", follow: false, rollout: "", peer: "", sinceMs: 0, untilMs: 0 };
+function createBaseExchangeReply(): ExchangeReply {
+  return { node: "", protocol: 0, members: [], values: [], wanted: [], contacts: [], failureDomain: "" };
 }
 
-export const ReadTimelineRequest: MessageFns<ReadTimelineRequest> = {
-  encode(message: ReadTimelineRequest, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.requestId !== "") {
-      writer.uint32(10).string(message.requestId);
+export const ExchangeReply: MessageFns<ExchangeReply> = {
+  encode(message: ExchangeReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.node !== "") {
+      writer.uint32(10).string(message.node);
     }
-    if (message.follow !== false) {
-      writer.uint32(16).bool(message.follow);
+    if (message.protocol !== 0) {
+      writer.uint32(16).uint32(message.protocol);
     }
-    if (message.rollout !== "") {
-      writer.uint32(26).string(message.rollout);
+    for (const v of message.members) {
+      MemberRecord.encode(v!, writer.uint32(26).fork()).join();
     }
-    if (message.peer !== "") {
-      writer.uint32(34).string(message.peer);
+    for (const v of message.values) {
+      ValueRecord.encode(v!, writer.uint32(34).fork()).join();
     }
-    if (message.sinceMs !== 0) {
-      writer.uint32(40).int64(message.sinceMs);
+    if (message.wanted.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.wanted) {
+        writer.fixed64(v);
+      }
+      writer.join();
     }
-    if (message.untilMs !== 0) {
-      writer.uint32(48).int64(message.untilMs);
+    for (const v of message.contacts) {
+      DomainContact.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.failureDomain !== "") {
+      writer.uint32(58).string(message.failureDomain);
     }
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): ReadTimelineRequest {
+  decode(input: BinaryReader | Uint8Array, length?: number): ExchangeReply {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -845,7 +994,7 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseReadTimelineRequest() as any;
+      const message = createBaseExchangeReply() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
@@ -854,7 +1003,7 @@
               break;
             }
 
-            message.requestId = reader.string();
+            message.node = reader.string();
             continue;
           }
           case 2: {
@@ -862,7 +1011,7 @@
               break;
             }
 
-            message.follow = reader.bool();
+            message.protocol = reader.uint32();
             continue;
           }
           case 3: {
@@ -870,7 +1019,7 @@
               break;
             }
 
-            message.rollout = reader.string();
+            message.members.push(MemberRecord.decode(reader, reader.uint32()));
             continue;
           }
           case 4: {
@@ -878,23 +1027,41 @@
               break;
             }
 
-            message.peer = reader.string();
+            message.values.push(ValueRecord.decode(reader, reader.uint32()));
             continue;
           }
           case 5: {
-            if (tag !== 40) {
+            if (tag === 41) {
+              message.wanted.push(longToNumber(reader.fixed64()));
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.wanted.push(longToNumber(reader.fixed64()));
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 6: {
+            if (tag !== 50) {
               break;
             }
 
-            message.sinceMs = longToNumber(reader.int64());
+            message.contacts.push(DomainContact.decode(reader, reader.uint32()));
             continue;
           }
-          case 6: {
-            if (tag !== 48) {
+          case 7: {
+            if (tag !== 58) {
               break;
             }
 
-            message.untilMs = longToNumber(reader.int64());
+            message.failureDomain = reader.string();
             continue;
           }
         }
@@ -922,10 +1089,30 @@
     responseSerialize: (value: ProbeReply): Buffer => Buffer.from(ProbeReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): ProbeReply => ProbeReply.decode(value),
   },
+  relay: {
+    path: "/foxtailrail.v1.Peer/Relay" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: RelayRequest): Buffer => Buffer.from(RelayRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): RelayRequest => RelayRequest.decode(value),
+    responseSerialize: (value: RelayReply): Buffer => Buffer.from(RelayReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): RelayReply => RelayReply.decode(value),
+  },
+  exchange: {
+    path: "/foxtailrail.v1.Peer/Exchange" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: ExchangeRequest): Buffer => Buffer.from(ExchangeRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): ExchangeRequest => ExchangeRequest.decode(value),
+    responseSerialize: (value: ExchangeReply): Buffer => Buffer.from(ExchangeReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): ExchangeReply => ExchangeReply.decode(value),
+  },
 } as const;
 
 export interface PeerServer extends UntypedServiceImplementation {
   probe: handleUnaryCall<ProbeRequest, ProbeReply>;
+  relay: handleUnaryCall<RelayRequest, RelayReply>;
+  exchange: handleUnaryCall<ExchangeRequest, ExchangeReply>;
 }
 
 export interface PeerClient extends Client {
@@ -941,69 +1128,38 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: ProbeReply) => void,
   ): ClientUnaryCall;
-}
-
-export const PeerClient = makeGenericClientConstructor(PeerService, "foxtailrail.v1.Peer") as unknown as {
-  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): PeerClient;
-  service: typeof PeerService;
-  serviceName: string;
-};
-
-/** Calls of operators. */
-export type OperatorService = typeof OperatorService;
-export const OperatorService = {
-  readStatus: {
-    path: "/foxtailrail.v1.Operator/ReadStatus" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: StatusRequest): Buffer => Buffer.from(StatusRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): StatusRequest => StatusRequest.decode(value),
-    responseSerialize: (value: StatusReply): Buffer => Buffer.from(StatusReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): StatusReply => StatusReply.decode(value),
-  },
-  readTimeline: {
-    path: "/foxtailrail.v1.Operator/ReadTimeline" as const,
-    requestStream: false as const,
-    responseStream: true as const,
-    requestSerialize: (value: ReadTimelineRequest): Buffer => Buffer.from(ReadTimelineRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): ReadTimelineRequest => ReadTimelineRequest.decode(value),
-    responseSerialize: (value: EventRecord): Buffer => Buffer.from(EventRecord.encode(value).finish()),
-    responseDeserialize: (value: Buffer): EventRecord => EventRecord.decode(value),
-  },
-} as const;
-
-export interface OperatorServer extends UntypedServiceImplementation {
-  readStatus: handleUnaryCall<StatusRequest, StatusReply>;
-  readTimeline: handleServerStreamingCall<ReadTimelineRequest, EventRecord>;
-}
-
-export interface OperatorClient extends Client {
-  readStatus(
-    request: StatusRequest,
-    callback: (error: ServiceError | null, response: StatusReply) => void,
+  relay(request: RelayRequest, callback: (error: ServiceError | null, response: RelayReply) => void): ClientUnaryCall;
+  relay(
+    request: RelayRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: RelayReply) => void,
   ): ClientUnaryCall;
-  readStatus(
-    request: StatusRequest,
+  relay(
+    request: RelayRequest,
     metadata: Metadata,
-    callback: (error: ServiceError | null, response: StatusReply) => void,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: RelayReply) => void,
   ): ClientUnaryCall;
-  readStatus(
-    request: StatusRequest,
+  exchange(
+    request: ExchangeRequest,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: ExchangeRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: ExchangeRequest,
     metadata: Metadata,
     options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: StatusReply) => void,
+    callback: (error: ServiceError | null, response: ExchangeReply) => void,
   ): ClientUnaryCall;
-  readTimeline(request: ReadTimelineRequest, options?: Partial<CallOptions>): ClientReadableStream<EventRecord>;
-  readTimeline(
-    request: ReadTimelineRequest,
-    metadata?: Metadata,
-    options?: Partial<CallOptions>,
-  ): ClientReadableStream<EventRecord>;
 }
 
-export const OperatorClient = makeGenericClientConstructor(OperatorService, "foxtailrail.v1.Operator") as unknown as {
-  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): OperatorClient;
-  service: typeof OperatorService;
+export const PeerClient = makeGenericClientConstructor(PeerService, "foxtailrail.v1.Peer") as unknown as {
+  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): PeerClient;
+  service: typeof PeerService;
   serviceName: string;
 };
 
--- a/src/transport/grpc_claim_client.ts
+++ b/src/transport/grpc_claim_client.ts
@@ -6,6 +6,7 @@
 
 import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
 import { ClaimClient, ClaimPeerError, claimWire } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "./certificate_files.js";
 
 /** Longest time between two attempts to connect, in milliseconds. */
 const MAX_RECONNECT_DELAY_MS = 1_000;
@@ -56,6 +57,7 @@
             client = new claimWire.ClaimPeerClient(address, this.channelCredentials, {
                 "grpc.max_reconnect_backoff_ms": MAX_RECONNECT_DELAY_MS,
                 "grpc.use_local_subchannel_pool": 1,
+                "grpc.ssl_target_name_override": PEER_DNS_NAME,
             });
             this.clients.set(address, client);
         }
--- a/src/transport/grpc_configuration_peers.ts
+++ b/src/transport/grpc_configuration_peers.ts
@@ -6,6 +6,7 @@
 
 import { type ChannelCredentials, credentials, Metadata } from "@grpc/grpc-js";
 import { ConfigurationPeers, configurationWire, PeerError } from "../protocol/mod.js";
+import { PEER_DNS_NAME } from "./certificate_files.js";
 
 /** Channels kept open. Fetching is rare, so that most nodes keep none. */
 const MAX_CHANNELS = 8;
@@ -55,6 +56,7 @@
         }
         const client = new configurationWire.ConfigurationPeerClient(address, this.channelCredentials, {
             "grpc.use_local_subchannel_pool": 1,
+            "grpc.ssl_target_name_override": PEER_DNS_NAME,
         });
         this.clients.set(address, client);
         return client;
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -9,6 +9,9 @@
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Age at which a connection is replaced, so that a certificate that was taken back is out of use, in milliseconds. */
+const MAX_CONNECTION_AGE_MS = 600_000;
+
 /** Service with its answers. */
 export interface GrpcService {
     readonly definition: ServiceDefinition;
@@ -27,6 +30,7 @@
     private readonly server = new Server({
         "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
         "grpc.so_reuseport": 0,
+        "grpc.max_connection_age_ms": MAX_CONNECTION_AGE_MS,
     });
 
     /** @param settings See {@linkcode GrpcServerSettings}. */
--- a/src/transport/grpc_services.ts
+++ b/src/transport/grpc_services.ts
@@ -19,9 +19,13 @@
 
 export { type FindOperator, OPERATOR_KEY_FIELD } from "./_grpc_calls.js";
 
-/** Returns the service of probes between daemons. */
+/** Returns the service of membership and dissemination between daemons. */
 export function peerService(handler: PeerHandler, gate: PeerGate): GrpcService {
-    const implementation: wire.PeerServer = { probe: gate.admit(request => handler.probe(request)) };
+    const implementation: wire.PeerServer = {
+        probe: gate.admit(request => handler.probe(request)),
+        relay: gate.admit(request => handler.relay(request)),
+        exchange: gate.admit(request => handler.exchange(request)),
+    };
     return { definition: wire.PeerService, implementation };
 }
 
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./certificate_files.js";
 export * from "./exchange.js";
 export * from "./grpc_claim_client.js";
 export * from "./grpc_client.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -4,15 +4,16 @@
  * @module
  */
 
-import { CallObserver, type KeyRules } from "../src/coordination/mod.js";
-import { ClaimDesk, EntryNode, type NodeSettings } from "../src/daemon/mod.js";
+import { CallObserver, GossipDissemination, type KeyRules, Membership } from "../src/coordination/mod.js";
+import { ClaimDesk, EntryNode, type NodeSettings, PeerDesk } from "../src/daemon/mod.js";
 import { type AnswerHead, AnswerWriter, CONFIGURATION_STREAM, type IncomingCall } from "../src/protocol/mod.js";
-import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { type Clock, type ConfigurationDocument, HybridClock, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
 import { type Deployment, toDocument, toFirstRecord } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
 import { ConfigurationPeerHub } from "./local_configuration_peers.js";
 import { DisseminationHub } from "./local_dissemination.js";
+import { LocalPeerNetwork } from "./local_peers.js";
 import { LogModel, type LogModelSettings } from "./log_model.js";
 import { ClaimHub, LinkedClaimClient, LinkedLog, LinkedService, NodeLink } from "./node_link.js";
 import { NodeLog } from "./node_log.js";
@@ -27,6 +28,9 @@
 /** Time after which a started fleet has read its configuration and its VM list, in milliseconds. */
 const WARM_UP_MS = 3_000;
 
+/** Distance of the memberships' seeds from those of the nodes. */
+const MEMBERSHIP_SEED_OFFSET = 500;
+
 /** Settings of an {@linkcode InProcessFleet}. */
 export interface InProcessFleetSettings {
     readonly deployment: Deployment;
@@ -49,6 +53,7 @@
     readonly services = new Map<string, ServiceModel>();
     readonly ledger = new EffectLedger();
     readonly hub = new DisseminationHub(this.clock);
+    readonly peers = new LocalPeerNetwork(this.clock);
     readonly log: LogModel;
     /** Ways of the nodes to the log, by node. */
     readonly nodeLogs = new Map<string, NodeLog>();
@@ -132,15 +137,18 @@
         const address = `127.0.0.1:${this.vms.length + 1}`;
         const nodeLog = new NodeLog(this.log, this.clock);
         const link = new NodeLink(address);
+        const vm: Vm = { id, role: VmRole.Entry, address, failureDomain, state: VmState.Live };
+        const clock = new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0);
         const node = new EntryNode({
             node: id,
             failureDomain,
-            clock: new SkewedClock(this.clock, this.settings.clockSkewsMs?.[index] ?? 0),
+            clock,
             random: new SeededRandom(seed * 1_000 + index),
             engine: new LocalEngines(this.engines),
             plainService: new LinkedService(link, new LocalServices(this.services)),
             log: new LinkedLog(link, nodeLog, this.clock),
             vmList: this.vmList,
+            membership: this.makeMembership(vm, clock),
             dissemination: this.hub.join(id),
             configurationPeers: this.configurationPeers.join(address),
             observer: new SilentObserver(),
@@ -148,7 +156,7 @@
             keyRules: this.settings.keyRules,
             ...this.settings.node,
         });
-        this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
+        this.vms.push(vm);
         this.nodes.push(node);
         this.links.push(link);
         this.claimHub.join(link, new ClaimDesk(node));
@@ -185,6 +193,24 @@
         }
     }
 
+    private makeMembership({ id: node, address, failureDomain }: Vm, clock: Clock): Membership {
+        const random = new SeededRandom((this.settings.seed ?? 1) * 1_000 + MEMBERSHIP_SEED_OFFSET + this.nodes.length);
+        const client = this.peers.connect(address);
+        const membership = new Membership({
+            node,
+            address,
+            failureDomain,
+            clock,
+            random,
+            client,
+            hybridClock: new HybridClock(clock),
+        });
+        // Values go through the hub; this one only carries news of members.
+        const dissemination = new GossipDissemination({ clock, random, membership });
+        this.peers.serve(address, new PeerDesk({ membership, dissemination, configurationVersion: () => -1 }));
+        return membership;
+    }
+
     private makeNodes(): void {
         for (const { failureDomain } of this.settings.deployment.entryVms) {
             this.addNode(failureDomain);
