Keep replies short when bytes are short

Replies now leave the reserve and drop the contacts when it is touched. The scenario on fresher values counted only values that had come; one that has not come yet now counts as the oldest, which is stricter. All nodes of a restart now stop a second before they start, since messages under way had hidden that the previous protocol's answer was not needed.

--- a/features/steps/dissemination_steps.ts
+++ b/features/steps/dissemination_steps.ts
@@ -79,11 +79,18 @@
     older: string,
 ) {
     const { dissemination, vm } = memberFleet(this).get(id);
+    const fleet = memberFleet(this);
+    const origins = [...fleet.processes.keys()].filter(each => each !== id && each.startsWith(`${vm.failureDomain}-`));
+    const keys = new Set(fleet.get(id).arrivals.map(value => value.key));
+    // A value that has not come yet is the oldest of all.
     const ages = (topic: string) => {
-        const near = dissemination.read(toTopic(topic)).filter(value => value.origin.startsWith(`${vm.failureDomain}-`));
-        return near.map(value => value.ageMs).sort((left, right) => left - right);
+        const values = dissemination.read(toTopic(topic));
+        const ageOf = (origin: string, key: string) => values.find(each => each.origin === origin && each.key === key)?.ageMs;
+        return origins.flatMap(origin => [...keys].map(key => ageOf(origin, key) ?? Infinity)).sort((left, right) =>
+            left - right
+        );
     };
-    const median = (values: readonly number[]) => values[Math.floor(values.length / 2)] ?? Infinity;
+    const median = (values: readonly number[]) => values[Math.floor(values.length / 2)];
     const [first, second] = [ages(fresher), ages(older)];
     assert.ok(median(first) < median(second), `Median ages are ${median(first)} and ${median(second)} ms.`);
 });
--- a/features/steps/membership_steps.ts
+++ b/features/steps/membership_steps.ts
@@ -17,6 +17,9 @@
 /** Time between two looks while a state is awaited, in milliseconds. */
 const LOOK_INTERVAL_MS = 100;
 
+/** Time between the end of all processes and their new start, in milliseconds. */
+const RESTART_GAP_MS = 1_000;
+
 /** Fleets that a scenario has started, in their order, with the bytes that they had sent when they were warm. */
 const started = new WeakMap<Scenario, WarmFleet[]>();
 
@@ -114,12 +117,12 @@
     memberFleet(this).network.cuts.clear();
 });
 
-When("all membership nodes restart at once", function(this: Scenario) {
-    restartAll(memberFleet(this), "");
+When("all membership nodes restart at once", async function(this: Scenario) {
+    await restartAll(memberFleet(this), "");
 });
 
-When("all membership nodes but {string} restart at once", function(this: Scenario, id: string) {
-    restartAll(memberFleet(this), id);
+When("all membership nodes but {string} restart at once", async function(this: Scenario, id: string) {
+    await restartAll(memberFleet(this), id);
 });
 
 When("{int} ms pass for the members", async function(this: Scenario, durationMs: number) {
@@ -224,11 +227,13 @@
     clock.resume();
 }
 
-function restartAll(fleet: MemberFleet, except: string): void {
+/** Ends the processes, lets messages under way get lost, and starts them again. */
+async function restartAll(fleet: MemberFleet, except: string): Promise<void> {
     const vms = [...fleet.processes.values()].map(({ vm }) => vm).filter(vm => vm.id !== except);
     for (const vm of vms) {
         fleet.kill(vm.id);
     }
+    await fleet.clock.advance(RESTART_GAP_MS);
     for (const vm of vms) {
         fleet.start(vm.id, vm.address);
     }
--- a/src/coordination/membership/gossip_dissemination.ts
+++ b/src/coordination/membership/gossip_dissemination.ts
@@ -163,11 +163,13 @@
             protocol: PEER_PROTOCOL_VERSION,
             failureDomain: membership.self.failureDomain,
             members: membership.newsFor(request.node),
-            contacts: this.contactsFor(request.failureDomain),
+            // Replies cannot be put off, so they are short when bytes are.
+            contacts: budget.available < RESERVE_BYTES ? [] : this.contactsFor(request.failureDomain),
             wanted,
             values: [] as wire.ValueRecord[],
         };
-        const room = Math.min(MAX_EXCHANGE_BYTES, budget.available) - wire.ExchangeReply.encode(reply).finish().length;
+        const room = Math.min(MAX_EXCHANGE_BYTES, budget.available - RESERVE_BYTES) -
+            wire.ExchangeReply.encode(reply).finish().length;
         const near = request.failureDomain === membership.self.failureDomain;
         reply.values = this.fill(newer, room, near ? this.store.hot : undefined);
         budget.charge(wire.ExchangeReply.encode(reply).finish().length);
@@ -307,12 +309,12 @@
     private async sendWanted(partner: Member, wanted: readonly number[]): Promise<void> {
         const { membership } = this.settings;
         const entries = wanted.map(name => this.store.get(name)).filter(entry => entry !== undefined);
-        if (entries.length === 0 || membership.budget.available < MIN_EXCHANGE_BYTES) {
+        const maxBytes = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available - RESERVE_BYTES);
+        if (entries.length === 0 || maxBytes < MIN_EXCHANGE_BYTES) {
             return;
         }
         const request = this.makeEmptyRequest(partner);
-        const room = Math.min(MAX_EXCHANGE_BYTES, membership.budget.available);
-        const values = this.fill(entries, room - wire.ExchangeRequest.encode(request).finish().length);
+        const values = this.fill(entries, maxBytes - wire.ExchangeRequest.encode(request).finish().length);
         this.takeMessage(await membership.client.exchange(partner.address, { ...request, values }, EXCHANGE_TIMEOUT_MS));
     }
 
