Show scheduling in the metrics; look prefixes up once for each decision; measure decisions

Change: holders of a waiting call's prefix are kept for 500 ms; a rank is skipped when no open window takes it; the subset is drawn only when the VM list was read anew; experiment "scheduling-decisions"; metrics of queues, sheds, windows, claims.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -21,6 +21,10 @@
         When the scheduling case "3x" runs for 14 s under both schedulers, seed 17
         Then every call that was shed has "Retry-After", and executed "no" unless it was sent before, long before its deadline
 
+    Scenario: the metrics show queues, sheds and windows with few labels
+        When the scheduling case "3x" runs for 8 s under both schedulers, seed 18
+        Then the metrics show sheds of "batch" and windows, in fewer than 100 series
+
     Scenario: a leaving backend server gets no new work 3 s after the VM list shows it
         Given the scheduling case "0.7x" with "language-model-6" leaving after 5 s
         When it runs for 12 s, seed 21
--- a/features/steps/scheduling_part_steps.ts
+++ b/features/steps/scheduling_part_steps.ts
@@ -18,8 +18,8 @@
     type WaitingCall,
 } from "../../src/coordination/mod.js";
 import { PREFIX_BLOCK_TOKENS, PrefixIndex, SeededRandom } from "../../src/state/mod.js";
+import { makeCall, makePool, makeServers, makeWaiting } from "../../standin/scheduling_parts.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
-import { makeCall, makePool, makeServers, makeWaiting } from "../support/scheduling_parts.js";
 import type { Scenario } from "../support/world.js";
 
 /** Tokens of the prompt whose prefix is held. */
--- a/features/steps/scheduling_run_steps.ts
+++ b/features/steps/scheduling_run_steps.ts
@@ -6,10 +6,13 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { Stay } from "../../measure/decision_history.js";
+import { Registry } from "prom-client";
+import type { RecordingScheduler, Stay } from "../../measure/decision_history.js";
 import { findInversions } from "../../measure/inversions.js";
 import { makeNaive, makeTiered, runSchedulingCase, SCHEDULING_CASES, type SchedulingCase } from "../../measure/scheduling.js";
 import type { CallOutcome, RunResult, TimedFault } from "../../measure/scheduling_run.js";
+import type { TieredScheduler } from "../../src/coordination/mod.js";
+import { watchScheduling } from "../../src/daemon/mod.js";
 import { VmState } from "../../src/state/mod.js";
 import { expectedAnswer } from "../../standin/engine_model.js";
 import type { Scenario } from "../support/world.js";
@@ -109,6 +112,24 @@
     },
 );
 
+Then("the metrics show sheds of {string} and windows, in fewer than {int} series", async function(
+    this: Scenario,
+    tier: string,
+    limit: number,
+) {
+    const [node] = currentOf(this).fleet.nodes;
+    const { inner } = node.scheduler as RecordingScheduler;
+    const registry = new Registry();
+    watchScheduling(registry, inner as TieredScheduler, rank => `tier-${rank}`);
+    const series = (await registry.metrics()).split("\n").filter(line => line !== "" && !line.startsWith("#"));
+    assert.ok(series.some(line => line.startsWith(`foxtailrail_calls_shed_total{tier="${tier}"`)));
+    assert.equal(
+        series.filter(line => line.startsWith("foxtailrail_window_tokens{")).length,
+        node.table.inPool("language-model").length,
+    );
+    assert.ok(series.length < limit, `${series.length} series`);
+});
+
 Then(
     "{string} was sent work before {int} s, and none after {int} s",
     function(this: Scenario, server: string, before: number, after: number) {
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -8,10 +8,12 @@
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
 import { schedulingExperiment } from "./scheduling.js";
+import { schedulingDecisionsExperiment } from "./scheduling_decisions.js";
 
 /** Experiments in the order in which the help lists them. */
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
     drainExperiment,
     schedulingExperiment,
+    schedulingDecisionsExperiment,
 ];
--- /dev/null
+++ b/measure/scheduling_decisions.ts
@@ -0,0 +1,164 @@
+/**
+ * Experiment on the time of one scheduling decision, with full tables.
+ *
+ * @module
+ */
+
+import { build, type Histogram } from "hdr-histogram-js";
+import { type Assignment, DispatchResult, type PoolScheduler, SchedulingCounts } from "../src/coordination/mod.js";
+import { EventRing, HybridClock, PrefixIndex, SeededRandom } from "../src/state/mod.js";
+import { makeCall, makePool, makeServers } from "../standin/scheduling_parts.js";
+import { VirtualClock } from "../standin/virtual_clock.js";
+import type { Experiment, Report } from "./experiment.js";
+
+/** Engines of the pool in each measurement. */
+const ENGINE_COUNTS = [10, 100, 500, 1_900];
+
+/** Calls that wait while decisions are measured. */
+const WAITING_CALLS = 9_900;
+
+/** Decisions before the measurement, while the code is compiled. */
+const WARM_UP_DECISIONS = 3_000;
+
+/** Decisions measured. */
+const DECISIONS = 10_000;
+
+/** Workspaces that the calls belong to. */
+const WORKSPACES = 800;
+
+/** Documents that prompts begin with, and blocks of each. */
+const DOCUMENTS = 500;
+const DOCUMENT_BLOCKS = 31;
+
+/** Nanoseconds in a microsecond, and microseconds in a millisecond. */
+const NS_PER_US = 1_000;
+const US_PER_MS = 1_000;
+
+/** Tiers of the calls. */
+const RANKS = 4;
+
+/** Times of the two kinds of decision. */
+interface DecisionTimes {
+    readonly engines: number;
+    readonly arrival: Histogram;
+    readonly dispatch: Histogram;
+}
+
+/** Time of a decision at arrival and of one at a release, from 10 to 1,900 engines. */
+export const schedulingDecisionsExperiment: Experiment = {
+    name: "scheduling-decisions",
+    summary: "Time of one scheduling decision with up to 1,900 engines and 10,000 waiting calls.",
+    run: async seed => {
+        const times: DecisionTimes[] = [];
+        for (const engines of ENGINE_COUNTS) {
+            times.push(await new DecisionBench(engines, seed).run());
+        }
+        return toReport(seed, times);
+    },
+};
+
+function toReport(seed: number, times: readonly DecisionTimes[]): Report {
+    const rows = times.map(({ engines, arrival, dispatch }) => ({
+        "engines": engines,
+        "arrival p50 us": toUs(arrival, 50),
+        "arrival p99 us": toUs(arrival, 99),
+        "release and dispatch p50 us": toUs(dispatch, 50),
+        "release and dispatch p99 us": toUs(dispatch, 99),
+    }));
+    const last = times[times.length - 1];
+    const slope = (toUs(last.dispatch, 99) - toUs(times[0].dispatch, 99)) / (last.engines - times[0].engines);
+    return {
+        scenario: "scheduling-decisions",
+        seed,
+        baseline: { note: "none: the naive scheduler decides nothing" },
+        current: { decisions: rows, "slope of release and dispatch p99, ns per engine": slope * NS_PER_US },
+        targets: [
+            { name: "arrival p99 with 1900 engines, us", measured: toUs(last.arrival, 99), comparison: "at most", bound: 200 },
+            {
+                name: "release and dispatch p99 with 1900 engines, us",
+                measured: toUs(last.dispatch, 99),
+                comparison: "at most",
+                bound: 200,
+            },
+        ],
+    };
+}
+
+/** Pool with full windows and a full queue, in which calls end and arrive in turn. */
+class DecisionBench {
+    private readonly clock = new VirtualClock();
+    private readonly random: SeededRandom;
+    private readonly pool: PoolScheduler;
+    private readonly running: Assignment[] = [];
+    private readonly arrival = build({ numberOfSignificantValueDigits: 3 });
+    private readonly dispatch = build({ numberOfSignificantValueDigits: 3 });
+    private count = 0;
+
+    constructor(private readonly engines: number, seed: number) {
+        this.random = new SeededRandom(seed);
+        const prefixes = new PrefixIndex(this.clock);
+        const servers = makeServers(engines);
+        for (let document = 0; document < DOCUMENTS; document++) {
+            prefixes.store(servers[this.random.below(engines)].vm.id, blocksOf(document));
+        }
+        const ring = new EventRing("entry-1", new HybridClock(this.clock), { maxEvents: 1_000 });
+        const observer = new SchedulingCounts(ring);
+        this.pool = makePool({ clock: this.clock, random: this.random, observer, servers, prefixes });
+    }
+
+    async run(): Promise<DecisionTimes> {
+        while (this.pool.queue.size < WAITING_CALLS) {
+            this.arrive();
+        }
+        await this.clock.advance(1);
+        for (let index = 0; index < WARM_UP_DECISIONS; index++) {
+            await this.turn();
+        }
+        this.arrival.reset();
+        this.dispatch.reset();
+        for (let index = 0; index < DECISIONS; index++) {
+            await this.turn();
+        }
+        return { engines: this.engines, arrival: this.arrival, dispatch: this.dispatch };
+    }
+
+    private async turn(): Promise<void> {
+        const [ended] = this.running.splice(this.random.below(this.running.length), 1);
+        const startMs = performance.now();
+        ended.release(DispatchResult.Whole);
+        record(this.dispatch, startMs);
+        while (this.pool.queue.size < WAITING_CALLS) {
+            this.arrive();
+        }
+        await this.clock.advance(1);
+    }
+
+    private arrive(): void {
+        this.count += 1;
+        const call = makeCall({
+            id: `call-${this.count}`,
+            rank: this.random.below(RANKS),
+            workspace: `workspace-${this.random.below(WORKSPACES)}`,
+            promptTokens: 2_000,
+            prefixBlocks: blocksOf(this.random.below(DOCUMENTS)),
+            nowMs: this.clock.now(),
+        });
+        const signal = new AbortController().signal;
+        const startMs = performance.now();
+        const assigned = this.pool.assign(call, { signal, excluded: new Set() });
+        record(this.arrival, startMs);
+        assigned.then(assignment => this.running.push(assignment), () => undefined);
+    }
+}
+
+function blocksOf(document: number): readonly string[] {
+    return Array.from({ length: DOCUMENT_BLOCKS }, (value, index) => `document-${document}-${index}`);
+}
+
+function record(histogram: Histogram, startMs: number): void {
+    histogram.recordValue(Math.max(1, Math.round((performance.now() - startMs) * US_PER_MS * NS_PER_US)));
+}
+
+function toUs(histogram: Histogram, percentile: number): number {
+    return histogram.getValueAtPercentile(percentile) / NS_PER_US;
+}
--- a/src/coordination/scheduling/pool_scheduler.ts
+++ b/src/coordination/scheduling/pool_scheduler.ts
@@ -8,12 +8,13 @@
 import type { Clock, LoadView, PrefixIndex, RandomSource } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, DispatchResult } from "../scheduler.js";
 import { DrainRate } from "./_drain_rate.js";
+import { latestStart } from "./_latest_start.js";
 import { Pressure } from "./_pressure.js";
 import { type AssignmentListener, TrackedAssignment } from "./_tracked_assignment.js";
 import { AdmissionClaims } from "./admission_claims.js";
 import { CallQueue } from "./call_queue.js";
 import type { CostModel } from "./cost_model.js";
-import { type SchedulingObserver, ShedReason } from "./scheduling_observer.js";
+import { type SchedulingObserver, SHED_TEXTS, ShedReason } from "./scheduling_observer.js";
 import { type ServerChoice, ServerSet } from "./server_set.js";
 import { OutstandingCall, type ServerWindow } from "./server_window.js";
 import { Shed } from "./shed.js";
@@ -230,6 +231,9 @@
             if (this.claims.isStopped(rank)) {
                 return false;
             }
+            if (!this.servers.mayTake(rank, nowMs)) {
+                return false;
+            }
             for (const waiting of tier.offered()) {
                 const choice = this.servers.choose(waiting, nowMs);
                 if (choice !== undefined) {
@@ -289,8 +293,9 @@
     private shed(waiting: WaitingCall, reason: ShedReason): void {
         this.queue.remove(waiting);
         this.settings.observer.recordShed(waiting, reason);
-        const detail =
-            `Pool "${this.settings.pool}" is overloaded for tier "${waiting.call.tier.name}": ${reason}. Try again later.`;
+        const detail = `Pool "${this.settings.pool}" is overloaded for tier "${waiting.call.tier.name}": ${
+            SHED_TEXTS[reason]
+        }. Try again.`;
         waiting.reject(new Shed(reason, detail, this.retryAfterMs(waiting)));
     }
 
@@ -358,24 +363,8 @@
     private makeWaiting(call: AcceptedCall, assign: AssignSettings): WaitingCall {
         const cost = this.settings.costs.expect(call, assign.heldTokens ?? 0);
         const arrivedAtMs = this.settings.clock.now();
-        const startByMs = this.startByMs(call, assign, cost.prefillTokens, cost.outputTokens);
-        return new WaitingCall({ call, assign, cost, arrivedAtMs, startByMs });
-    }
-
-    /** Returns the latest time at which the fastest backend server could still keep the promise. */
-    private startByMs(call: AcceptedCall, assign: AssignSettings, prefillTokens: number, outputTokens: number): number {
-        const [holder] = this.settings.prefixes.find(call.prefixBlocks ?? []);
-        const uncachedTokens = Math.max(1, prefillTokens - (holder?.tokens ?? 0));
-        let firstMs = Infinity;
-        let wholeMs = Infinity;
-        for (const { speed } of this.servers.all) {
-            const speedFirstMs = speed.firstTokenMs(uncachedTokens);
-            firstMs = Math.min(firstMs, speedFirstMs);
-            wholeMs = Math.min(wholeMs, speedFirstMs + outputTokens * speed.gapMs);
-        }
-        const { promise } = call.operation;
-        const promisesFirst = promise.firstTokenMs !== undefined && (assign.heldTokens ?? 0) === 0;
-        const firstBy = promisesFirst ? call.acceptedAtMs + (promise.firstTokenMs as number) - firstMs : Infinity;
-        return Math.min(firstBy, call.deadlineMs - wholeMs);
+        const holders = this.settings.prefixes.find(call.prefixBlocks ?? []);
+        const startByMs = latestStart(call, { assign, cost, holders, windows: this.servers.all });
+        return new WaitingCall({ call, assign, cost, arrivedAtMs, startByMs, holders });
     }
 }
--- a/src/coordination/scheduling/scheduling_observer.ts
+++ b/src/coordination/scheduling/scheduling_observer.ts
@@ -9,15 +9,23 @@
 /** Why a call was shed. */
 export enum ShedReason {
     /** Its wait would have broken its promise, as far as known at its arrival. */
-    Arrival = "its wait would break its promise",
+    Arrival = "arrival",
     /** It could no longer keep its promise. */
-    Late = "its promise can no longer be kept",
+    Late = "late",
     /** It gave way to a higher tier. */
-    HigherTier = "a higher tier needs the capacity",
+    HigherTier = "higherTier",
     /** The queue was full, and no lower tier waited. */
-    QueueFull = "the queue is full",
+    QueueFull = "queueFull",
 }
 
+/** Reasons as callers and the time line read them. */
+export const SHED_TEXTS: Readonly<Record<ShedReason, string>> = {
+    [ShedReason.Arrival]: "its wait would break its promise",
+    [ShedReason.Late]: "its promise can no longer be kept",
+    [ShedReason.HigherTier]: "a higher tier needs the capacity",
+    [ShedReason.QueueFull]: "the queue is full",
+};
+
 /** Is told of each decision. */
 export abstract class SchedulingObserver {
     /** A call was dispatched after a wait. */
--- a/src/coordination/scheduling/server_set.ts
+++ b/src/coordination/scheduling/server_set.ts
@@ -5,7 +5,14 @@
  */
 
 import { createHash } from "node:crypto";
-import { type BackendServer, type LoadView, type PrefixIndex, type RandomSource, reportedTokens } from "../../state/mod.js";
+import {
+    type BackendServer,
+    type LoadView,
+    type PrefixHolder,
+    type PrefixIndex,
+    type RandomSource,
+    reportedTokens,
+} from "../../state/mod.js";
 import { ServerWindow } from "./server_window.js";
 import type { WaitingCall } from "./waiting_call.js";
 
@@ -15,6 +22,9 @@
 /** Backend servers with room that are compared for one call. */
 const SAMPLE_SIZE = 8;
 
+/** Age at which the holders of a waiting call's prefix are looked up anew, in milliseconds. */
+const MAX_HOLDERS_AGE_MS = 500;
+
 /** Price of a prefill's time beside the expected first token: it takes the time from all calls behind it. */
 const PREFILL_PRICE = 2;
 
@@ -57,6 +67,7 @@
     private readonly open: ServerWindow[] = [];
     private readonly weights = new Map<string, string>();
     private fastestPrefillRate = 0;
+    private listed: readonly BackendServer[] | undefined;
 
     /** @param settings See {@linkcode ServerSetSettings}. */
     constructor(private readonly settings: ServerSetSettings) {}
@@ -78,6 +89,10 @@
 
     /** Brings the set into line with the backend servers of the pool. */
     replace(servers: readonly BackendServer[]): void {
+        if (servers === this.listed) {
+            return;
+        }
+        this.listed = servers;
         const chosen = new Set(this.drawSubset(servers));
         for (const [id, window] of this.windows) {
             if (!chosen.has(window.server)) {
@@ -131,10 +146,7 @@
      * @returns `undefined` when no backend server with room can keep the promise of a call that is not late yet.
      */
     choose(waiting: WaitingCall, nowMs: number): ServerChoice | undefined {
-        const holders = new Map<string, number>();
-        for (const { server, tokens } of this.settings.prefixes.find(waiting.call.prefixBlocks ?? [])) {
-            holders.set(server, tokens);
-        }
+        const holders = this.holdersOf(waiting, nowMs);
         const limitMs = waiting.late ? Infinity : firstTokenLimitMs(waiting, nowMs);
         let best: ServerChoice | undefined;
         let bestMs = Infinity;
@@ -143,7 +155,8 @@
             if (waiting.assign.excluded.has(id) || !window.takes(waiting.rank, nowMs)) {
                 continue;
             }
-            const cachedTokens = Math.min(holders.get(id) ?? 0, Math.max(0, waiting.cost.prefillTokens - 1));
+            const heldTokens = holders.find(holder => holder.server === id)?.tokens ?? 0;
+            const cachedTokens = Math.min(heldTokens, Math.max(0, waiting.cost.prefillTokens - 1));
             const uncachedTokens = waiting.cost.prefillTokens - cachedTokens;
             if (!waiting.late && this.isTooLong(window, uncachedTokens)) {
                 continue;
@@ -158,6 +171,19 @@
         return best;
     }
 
+    /** Whether a backend server with room may take calls of a rank; `true` also when too many have room to look at each. */
+    mayTake(rank: number, nowMs: number): boolean {
+        return this.open.length > SAMPLE_SIZE || this.open.some(window => window.takes(rank, nowMs));
+    }
+
+    private holdersOf(waiting: WaitingCall, nowMs: number): readonly PrefixHolder[] {
+        if (nowMs - waiting.holdersAtMs > MAX_HOLDERS_AGE_MS) {
+            waiting.holders = this.settings.prefixes.find(waiting.call.prefixBlocks ?? []);
+            waiting.holdersAtMs = nowMs;
+        }
+        return waiting.holders;
+    }
+
     private expectedFirstTokenMs(window: ServerWindow, uncachedTokens: number, nowMs: number): number {
         const othersTokens = reportedTokens(window.server, nowMs) + PEER_WORK_AHEAD * window.peerTokens;
         return window.firstTokenMs(uncachedTokens, nowMs) + window.speed.prefillMs(othersTokens);
@@ -168,7 +194,7 @@
             speed.tokensPerSecond * FASTER_FACTOR < this.fastestPrefillRate;
     }
 
-    private *candidates(holders: ReadonlyMap<string, number>): Iterable<ServerWindow> {
+    private *candidates(holders: readonly PrefixHolder[]): Iterable<ServerWindow> {
         if (this.open.length <= SAMPLE_SIZE) {
             yield* this.open;
             return;
@@ -176,8 +202,8 @@
         for (let count = 0; count < SAMPLE_SIZE; count++) {
             yield this.open[this.settings.random.below(this.open.length)];
         }
-        for (const id of holders.keys()) {
-            const window = this.windows.get(id);
+        for (const { server } of holders) {
+            const window = this.windows.get(server);
             if (window !== undefined && window.openIndex >= 0) {
                 yield window;
             }
@@ -201,6 +227,9 @@
         if (live.length <= MAX_SUBSET) {
             return live;
         }
+        if (this.weights.size > 2 * servers.length) {
+            this.weights.clear();
+        }
         const weighed = live.map(server => ({ server, weight: this.weightOf(server.vm.id) }));
         weighed.sort((left, right) => left.weight < right.weight ? -1 : 1);
         return weighed.slice(0, MAX_SUBSET).map(({ server }) => server);
--- a/src/coordination/scheduling/waiting_call.ts
+++ b/src/coordination/scheduling/waiting_call.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AcceptedCall, Refusal } from "../../protocol/mod.js";
+import type { PrefixHolder } from "../../state/mod.js";
 import type { Assignment, AssignSettings } from "../scheduler.js";
 import type { CallCost } from "./cost_model.js";
 
@@ -17,6 +18,8 @@
     readonly arrivedAtMs: number;
     /** Latest time of a dispatch that can keep the promise, in milliseconds since the Unix epoch. */
     readonly startByMs: number;
+    /** Backend servers that hold the beginning of the prompt. Defaults to none. */
+    readonly holders?: readonly PrefixHolder[];
 }
 
 /** Call in a queue, with the promise of its assignment. */
@@ -28,6 +31,10 @@
     readonly startByMs: number;
     /** Whether the call can no longer be dispatched in time. */
     late = false;
+    /** Backend servers that held the beginning of the prompt when they were last looked up. */
+    holders: readonly PrefixHolder[];
+    /** Time of that look-up, in milliseconds since the Unix epoch. */
+    holdersAtMs: number;
     /** Whether the call has left the queue. */
     isSettled = false;
     /** Resolves when the call may be dispatched; rejects when it is shed. */
@@ -42,6 +49,8 @@
         this.cost = settings.cost;
         this.arrivedAtMs = settings.arrivedAtMs;
         this.startByMs = settings.startByMs;
+        this.holders = settings.holders ?? [];
+        this.holdersAtMs = settings.arrivedAtMs;
         this.assigned = new Promise((resolve, reject) => {
             this.settle = resolve;
             this.fail = reject;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Logger } from "pino";
-import { SilentDissemination } from "../coordination/mod.js";
+import { SilentDissemination, TieredScheduler } from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
     GrpcServer,
@@ -24,6 +24,7 @@
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorDesk } from "./operator_desk.js";
 import { PeerDesk } from "./peer_desk.js";
+import { schedulingLimits, watchScheduling } from "./scheduling_metrics.js";
 import { isOperatorKey, type Settings } from "./settings.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
@@ -68,6 +69,9 @@
         });
         const limits = this.limits();
         this.metrics.watchLimits(limits);
+        if (this.node.scheduler instanceof TieredScheduler) {
+            watchScheduling(this.metrics.registry, this.node.scheduler, rank => tierName(this.node, rank));
+        }
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk(this.node),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
@@ -148,6 +152,7 @@
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
+            ...(this.node.scheduler instanceof TieredScheduler ? schedulingLimits(this.node.scheduler) : []),
         ];
     }
 
@@ -156,6 +161,10 @@
     }
 }
 
+function tierName(node: EntryNode, rank: number): string {
+    return node.view.current.document.tiers.find(tier => tier.rank === rank)?.name ?? `rank-${rank}`;
+}
+
 function splitAddress(address: string): [host: string, port: number] {
     const [host, port] = address.split(":");
     return [host, Number(port)];
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -7,4 +7,5 @@
 export * from "./daemon.js";
 export * from "./entry_node.js";
 export * from "./metrics.js";
+export * from "./scheduling_metrics.js";
 export * from "./settings.js";
--- /dev/null
+++ b/src/daemon/scheduling_metrics.ts
@@ -0,0 +1,124 @@
+/**
+ * Metrics of scheduling.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, type Registry } from "prom-client";
+import type { PoolScheduler, TieredScheduler } from "../coordination/mod.js";
+import { MAX_WAITING_BYTES, MAX_WAITING_CALLS } from "../coordination/mod.js";
+import type { LimitedQuantity } from "./metrics.js";
+
+/** Backend servers whose windows are shown for each pool; further ones are summed up as `other`. */
+const MAX_SHOWN_SERVERS = 48;
+
+/**
+ * Shows queues, sheds, windows and claims of a scheduler.
+ *
+ * @param registry Where the metrics go.
+ * @param scheduler Scheduler to read.
+ * @param tierName Returns the name of the tier of a rank.
+ */
+export function watchScheduling(registry: Registry, scheduler: TieredScheduler, tierName: (rank: number) => string): void {
+    watchQueues(registry, scheduler, tierName);
+    watchWindows(registry, scheduler);
+    watchCounts(registry, scheduler);
+}
+
+/** Returns the limits on waiting calls, over all pools of a node. */
+export function schedulingLimits(scheduler: TieredScheduler): readonly LimitedQuantity[] {
+    const largest = (read: (pool: PoolScheduler) => number) => Math.max(0, ...Array.from(scheduler.pools.values(), read));
+    return [
+        { name: "MAX_WAITING_CALLS", limit: MAX_WAITING_CALLS, read: () => largest(pool => pool.queue.size) },
+        { name: "MAX_WAITING_BYTES", limit: MAX_WAITING_BYTES, read: () => largest(pool => pool.queue.bytes) },
+    ];
+}
+
+function watchQueues(registry: Registry, scheduler: TieredScheduler, tierName: (rank: number) => string): void {
+    const waiting = new Gauge({
+        name: "foxtailrail_waiting_calls",
+        help: "Calls that wait for a backend server, by pool and tier.",
+        labelNames: ["pool", "tier"] as const,
+        registers: [registry],
+        collect: () => {
+            for (const [pool, { queue }] of scheduler.pools) {
+                for (const rank of queue.ranks) {
+                    waiting.set({ pool, tier: tierName(rank) }, queue.tier(rank).size);
+                }
+            }
+        },
+    });
+    const stopped = new Gauge({
+        name: "foxtailrail_tier_stopped",
+        help: "Whether a tier is stopped by an admission claim of this node or a peer, by pool.",
+        labelNames: ["pool", "tier"] as const,
+        registers: [registry],
+        collect: () => {
+            for (const [pool, { queue, claims }] of scheduler.pools) {
+                for (const rank of queue.ranks) {
+                    stopped.set({ pool, tier: tierName(rank) }, claims.isStopped(rank) ? 1 : 0);
+                }
+            }
+        },
+    });
+}
+
+function watchWindows(registry: Registry, scheduler: TieredScheduler): void {
+    const labelNames = ["pool", "server"] as const;
+    const limit = new Gauge({
+        name: "foxtailrail_window_tokens",
+        help: "Window of each backend server in this node's subset, in tokens; calls for plain services.",
+        labelNames,
+        registers: [registry],
+        collect: () => {
+            limit.reset();
+            outstanding.reset();
+            for (const [pool, { servers }] of scheduler.pools) {
+                for (const [index, window] of [...servers.all].entries()) {
+                    const server = index < MAX_SHOWN_SERVERS ? window.server.vm.id : "other";
+                    limit.inc({ pool, server }, window.limit);
+                    outstanding.inc({ pool, server }, window.outstandingTokens);
+                }
+            }
+        },
+    });
+    const outstanding = new Gauge({
+        name: "foxtailrail_outstanding_tokens",
+        help: "Work of this node outstanding at each backend server in its subset, in tokens; calls for plain services.",
+        labelNames,
+        registers: [registry],
+    });
+}
+
+function watchCounts(registry: Registry, scheduler: TieredScheduler): void {
+    const sheds = new Counter({
+        name: "foxtailrail_calls_shed_total",
+        help: "Calls shed, by tier and reason.",
+        labelNames: ["tier", "reason"] as const,
+        registers: [registry],
+        collect: () => {
+            sheds.reset();
+            for (const { tier, reason, count } of scheduler.counts.shedCounts) {
+                sheds.inc({ tier, reason }, count);
+            }
+        },
+    });
+    const ejections = new Counter({
+        name: "foxtailrail_ejections_total",
+        help: "Ejections of backend servers whose calls failed.",
+        registers: [registry],
+        collect: () => {
+            ejections.reset();
+            ejections.inc(scheduler.counts.ejections);
+        },
+    });
+    const stale = new Counter({
+        name: "foxtailrail_stale_prefixes_total",
+        help: "Answers of which less of the prompt was cached than the prefix index held.",
+        registers: [registry],
+        collect: () => {
+            stale.reset();
+            stale.inc(scheduler.counts.stalePrefixes);
+        },
+    });
+}
--- a/features/support/scheduling_parts.ts
+++ b/standin/scheduling_parts.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { CostModel, PoolScheduler, type SchedulingObserver, WaitingCall } from "../../src/coordination/mod.js";
-import type { AcceptedCall } from "../../src/protocol/mod.js";
+import { CostModel, PoolScheduler, type SchedulingObserver, WaitingCall } from "../src/coordination/mod.js";
+import type { AcceptedCall } from "../src/protocol/mod.js";
 import {
     BackendServer,
     type Clock,
@@ -15,7 +15,7 @@
     Semantics,
     VmRole,
     VmState,
-} from "../../src/state/mod.js";
+} from "../src/state/mod.js";
 
 /** Length of a call's deadline, in milliseconds. */
 const ANSWER_MS = 3_600_000;
