Split the pool's scheduler; test that the highest tier goes first

Cause: with the order of tiers reversed, all 34 scenarios still passed, since claims alone kept the order in the runs. Change: a table that fills a pool's windows and looks at what goes out first; the wait estimate and lagging calls are modules of their own.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -73,6 +73,18 @@
             | 10000   | 3    | 5    | 5    | 10000 |
             | 9990    | 3    | 5    | 0    | 9995  |
 
+    Scenario Outline: the highest tier goes first, whatever came before
+        Given a pool whose windows are full and <waiting> waiting calls of rank <rank>
+        When <more> calls of rank <later> arrive
+        And the windows of the pool have room again
+        Then the first <more> calls that were sent are of rank <first>
+
+        Examples:
+            | waiting | rank | more | later | first |
+            | 5       | 3    | 2    | 0     | 0     |
+            | 5       | 1    | 2    | 0     | 0     |
+            | 5       | 0    | 2    | 3     | 0     |
+
     Scenario Outline: the checker finds an inversion
         Given a call of rank <shed> that arrives at <arrives> and is <how> at <leaves>
         And a call of rank <other> that arrives at <arrived> and is "dispatched" at <left>
--- a/features/steps/scheduling_part_steps.ts
+++ b/features/steps/scheduling_part_steps.ts
@@ -37,14 +37,17 @@
     readonly stays: Stay[] = [];
     claims = new AdmissionClaims(this.clock);
     pool: PoolScheduler | undefined;
+    /** Work that fills the windows. */
+    filling: readonly OutstandingCall[] = [];
 }
 
-/** Observer that keeps what was shed and where calls went. */
+/** Observer that keeps what was shed and what was sent. */
 class KeepingObserver extends SchedulingObserver {
     readonly shed: WaitingCall[] = [];
+    readonly sent: WaitingCall[] = [];
 
-    override recordDispatch(): void {
-        // The assignment tells where the call went.
+    override recordDispatch(waiting: WaitingCall): void {
+        this.sent.push(waiting);
     }
 
     override recordShed(waiting: WaitingCall, reason: ShedReason): void {
@@ -121,7 +124,7 @@
         const own = parts(this);
         const pool = makePool({ clock: own.clock, random: new SeededRandom(1), observer: own.observer, servers: makeServers(1) });
         own.pool = pool;
-        fillWindows(pool, own.clock);
+        own.filling = fillWindows(pool, own.clock);
         sendCalls(own, count, rank);
         assert.equal(pool.queue.size, count);
     },
@@ -132,6 +135,22 @@
     await parts(this).clock.advance(1);
 });
 
+When("the windows of the pool have room again", async function(this: Scenario) {
+    const { pool, filling, clock } = parts(this);
+    for (const [index, window] of [...(pool?.servers.all ?? [])].entries()) {
+        window.remove(filling[index], false, clock.now());
+        pool?.servers.update(window);
+    }
+    pool?.tick();
+    await clock.advance(1);
+});
+
+Then("the first {int} calls that were sent are of rank {int}", function(this: Scenario, count: number, rank: number) {
+    const { sent } = parts(this).observer;
+    assert.ok(sent.length >= count, `${sent.length} calls were sent`);
+    assert.ok(sent.slice(0, count).every(waiting => waiting.rank === rank));
+});
+
 Then(
     "{int} calls of rank {int} and no others were shed, and {int} calls wait",
     function(this: Scenario, shed: number, rank: number, left: number) {
@@ -190,12 +209,14 @@
     return Array.from({ length: Math.floor(PROMPT_TOKENS / PREFIX_BLOCK_TOKENS) }, (value, index) => `block-${index}`);
 }
 
-function fillWindows(pool: PoolScheduler, clock: VirtualClock): void {
-    for (const window of pool.servers.all) {
+function fillWindows(pool: PoolScheduler, clock: VirtualClock): readonly OutstandingCall[] {
+    return Array.from(pool.servers.all, window => {
         const tokens = 2 * window.limit;
-        window.add(new OutstandingCall({ prefillTokens: tokens, outputTokens: 1, tokens }, 0, clock.now()));
+        const filling = new OutstandingCall({ prefillTokens: tokens, outputTokens: 1, tokens }, 0, clock.now());
+        window.add(filling);
         pool.servers.update(window);
-    }
+        return filling;
+    });
 }
 
 function sendCalls({ pool, clock }: Parts, count: number, rank: number): void {
--- a/src/coordination/scheduling/pool_scheduler.ts
+++ b/src/coordination/scheduling/pool_scheduler.ts
@@ -8,8 +8,10 @@
 import type { Clock, LoadView, PrefixIndex, RandomSource } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, DispatchResult } from "../scheduler.js";
 import { DrainRate } from "./_drain_rate.js";
+import { expectedWaitMs, retryAfterMs } from "./_expected_wait.js";
 import { latestStart } from "./_latest_start.js";
 import { Pressure } from "./_pressure.js";
+import { RunningCalls } from "./_running_calls.js";
 import { type AssignmentListener, TrackedAssignment } from "./_tracked_assignment.js";
 import { AdmissionClaims } from "./admission_claims.js";
 import { CallQueue } from "./call_queue.js";
@@ -35,18 +37,11 @@
 /** Part of the limits on waiting calls and bytes above which lower tiers are stopped. */
 const CLAIM_FILL_SHARE = 0.8;
 
-/** Time left to the first token below which a call at a stalled backend server is left there, in milliseconds. */
-const MIN_RETRY_LEFT_MS = 100;
-
-/** Shortest and longest time after which a caller that was shed may ask again, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 1_000;
-const MAX_RETRY_AFTER_MS = 30_000;
-
 /** Age at which a claim has lapsed for every rank, in milliseconds. */
 const MAX_CLAIM_AGE_MS = 15_000;
 
-/** Milliseconds in a second. */
-const MS_PER_SECOND = 1_000;
+/** Time after which a caller may ask again when the pool has no backend server, in milliseconds. */
+const NO_SERVER_RETRY_AFTER_MS = 1_000;
 
 /** Settings of a {@linkcode PoolScheduler}. */
 export interface PoolSchedulerSettings {
@@ -73,7 +68,7 @@
     readonly claims: AdmissionClaims;
     private readonly drain: DrainRate;
     private readonly pressure = new Pressure();
-    private readonly running = new Set<TrackedAssignment>();
+    private readonly running = new RunningCalls();
     /** Time of the last dispatch of each rank, in milliseconds since the Unix epoch. */
     private readonly dispatchedAtMs: number[] = [];
 
@@ -94,7 +89,7 @@
     async assign(call: AcceptedCall, assign: AssignSettings): Promise<Assignment> {
         if (!this.servers.hasServer(assign.excluded)) {
             const detail = `Pool "${this.settings.pool}" has no backend server that takes work. Try again.`;
-            throw new Refusal(RefusalType.NoBackendServer, detail, { retryAfterMs: MIN_RETRY_AFTER_MS });
+            throw new Refusal(RefusalType.NoBackendServer, detail, { retryAfterMs: NO_SERVER_RETRY_AFTER_MS });
         }
         const waiting = this.makeWaiting(call, assign);
         const onAbort = () => this.withdraw(waiting);
@@ -118,7 +113,7 @@
             window.peerTokens = this.settings.load.peerTokens(window.server.vm.id);
         }
         this.obeyClaims();
-        this.findOverdue(nowMs);
+        this.running.findLagging(nowMs);
         this.pump();
     }
 
@@ -191,7 +186,7 @@
     private checkArrival(waiting: WaitingCall): void {
         const { rank } = waiting;
         const slackMs = waiting.startByMs - this.settings.clock.now();
-        const waitMs = this.expectedWaitMs(waiting);
+        const waitMs = expectedWaitMs(waiting, this.queue, this.drain);
         if (waitMs > slackMs * CLAIM_WAIT_SHARE && this.pressure.recordSign(rank, this.settings.clock.now())) {
             this.stopBelow(rank);
         }
@@ -262,19 +257,6 @@
         waiting.resolve(assignment);
     }
 
-    /** Tells the holders of calls that lag while another backend server can still keep the promise. */
-    private findOverdue(nowMs: number): void {
-        for (const assignment of this.running) {
-            const { call, window, outstanding, isOverdue } = assignment;
-            const { firstTokenMs = Infinity } = call.operation.promise;
-            const dueMs = outstanding.started ? call.deadlineMs : Math.min(call.deadlineMs, call.acceptedAtMs + firstTokenMs);
-            if (!isOverdue && dueMs - nowMs > MIN_RETRY_LEFT_MS && window.isLagging(outstanding, call.deadlineMs, nowMs)) {
-                assignment.isOverdue = true;
-                assignment.onOverdue();
-            }
-        }
-    }
-
     /** Marks calls that can no longer be in time, and gives up those that no lower tier went ahead of. */
     private giveUpLate(): void {
         const nowMs = this.settings.clock.now();
@@ -296,7 +278,7 @@
         const detail = `Pool "${this.settings.pool}" is overloaded for tier "${waiting.call.tier.name}": ${
             SHED_TEXTS[reason]
         }. Try again.`;
-        waiting.reject(new Shed(reason, detail, this.retryAfterMs(waiting)));
+        waiting.reject(new Shed(reason, detail, retryAfterMs(waiting, this.queue, this.drain, this.settings.random)));
     }
 
     private withdraw(waiting: WaitingCall): void {
@@ -346,20 +328,6 @@
         return latest;
     }
 
-    private expectedWaitMs(waiting: WaitingCall): number {
-        const tier = this.queue.tier(waiting.rank);
-        const fairTokens = tier.tokensOf(waiting.workspace) * Math.max(1, tier.activeWorkspaces);
-        const ahead = this.queue.tokensAbove(waiting.rank) + Math.min(tier.tokens, fairTokens);
-        return ahead / this.drain.leftFor(waiting.rank) * MS_PER_SECOND;
-    }
-
-    private retryAfterMs(waiting: WaitingCall): number {
-        const tokens = this.queue.tokensAbove(waiting.rank) + this.queue.tier(waiting.rank).tokens;
-        const drainMs = tokens / this.drain.leftFor(waiting.rank) * MS_PER_SECOND;
-        const spread = 1 + this.settings.random.next();
-        return Math.min(MAX_RETRY_AFTER_MS, spread * Math.max(MIN_RETRY_AFTER_MS, drainMs));
-    }
-
     private makeWaiting(call: AcceptedCall, assign: AssignSettings): WaitingCall {
         const cost = this.settings.costs.expect(call, assign.heldTokens ?? 0);
         const arrivedAtMs = this.settings.clock.now();
