--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { claimsExperiment } from "./claims.js";
+import { configExperiment } from "./config.js";
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { proxyExperiment } from "./proxy.js";
@@ -13,7 +15,9 @@
 /** Experiments in the order in which the help lists them. */
 export const experiments: readonly Experiment[] = [
     proxyExperiment,
+    claimsExperiment,
     drainExperiment,
+    configExperiment,
     schedulingExperiment,
     schedulingDecisionsExperiment,
 ];
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,10 +5,25 @@
  */
 
 import type { Logger } from "pino";
-import { SilentDissemination, TieredScheduler } from "../coordination/mod.js";
+import {
+    MAX_KEPT_RECORDS,
+    MAX_KEYS,
+    MAX_REMEMBERED_CHANGES,
+    MAX_STORING_ENTRIES,
+    MAX_STREAMS,
+    SilentDissemination,
+    TieredScheduler,
+} from "../coordination/mod.js";
 import { type Clock, MAX_RING_EVENTS, Part, type RandomSource } from "../state/mod.js";
 import {
+    claimOperatorService,
+    claimPeerService,
+    configurationOperatorService,
+    configurationPeerService,
+    GrpcClaimClient,
+    GrpcConfigurationPeers,
     GrpcServer,
+    type GrpcService,
     HttpClient,
     HttpEngine,
     HttpLogService,
@@ -18,14 +33,20 @@
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
+    operatorService,
+    PeerGate,
+    peerService,
 } from "../transport/mod.js";
+import { ClaimDesk } from "./claim_desk.js";
+import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
+import { watchConfiguration } from "./configuration_metrics.js";
 import { EntryNode } from "./entry_node.js";
 import { logEvents } from "./event_log.js";
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorDesk } from "./operator_desk.js";
 import { PeerDesk } from "./peer_desk.js";
 import { schedulingLimits, watchScheduling } from "./scheduling_metrics.js";
-import { isOperatorKey, type Settings } from "./settings.js";
+import { findOperator, type Settings } from "./settings.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
 const DRAIN_POLL_MS = 20;
@@ -42,6 +63,8 @@
 export class Daemon {
     private readonly metrics = new Metrics();
     private readonly client = new HttpClient();
+    private readonly configurationPeers = new GrpcConfigurationPeers();
+    private readonly claimClient = new GrpcClaimClient();
     private readonly node: EntryNode;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
@@ -60,7 +83,9 @@
             log: new HttpLogService(this.client, settings.platform.log),
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             dissemination: new SilentDissemination(),
+            configurationPeers: this.configurationPeers,
             observer: this.metrics,
+            claimClient: this.claimClient,
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -72,11 +97,8 @@
         if (this.node.scheduler instanceof TieredScheduler) {
             watchScheduling(this.metrics.registry, this.node.scheduler, rank => tierName(this.node, rank));
         }
-        this.grpcServer = new GrpcServer({
-            peerHandler: new PeerDesk(this.node),
-            operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
-            isOperatorKey: key => isOperatorKey(settings, key),
-        });
+        watchConfiguration(this.metrics.registry, this.node);
+        this.grpcServer = new GrpcServer({ services: this.services(limits) });
     }
 
     /** Whether the node takes new work. */
@@ -116,11 +138,28 @@
         return left;
     }
 
+    private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
+        const { node } = this;
+        const gate = new PeerGate();
+        const claimDesk = new ClaimDesk(node);
+        const find = (key: string | undefined) => findOperator(this.parts.settings, key);
+        return [
+            peerService(new PeerDesk(node), gate),
+            claimPeerService(claimDesk, gate),
+            configurationPeerService(new ConfigurationPeerDesk(node), gate),
+            operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready }), find),
+            claimOperatorService(claimDesk, find),
+            configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+        ];
+    }
+
     private async stop(): Promise<void> {
         this.httpServer.close();
+        await this.node.stop();
         this.grpcServer.close();
+        this.configurationPeers.close();
+        this.claimClient.close();
         await this.client.close();
-        await this.node.stop();
     }
 
     private async operationsPage(path: string): Promise<OperationsPage | undefined> {
@@ -144,15 +183,24 @@
     }
 
     private whyNotReady(): string {
-        return this.draining ? "draining\n" : "no configuration yet\n";
+        return this.draining ? "draining\n" : `${this.node.follower.whyNotReady}\n`;
     }
 
     private limits(): readonly LimitedQuantity[] {
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keys },
+            { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
+            { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.store.size },
             { name: "MAX_RING_EVENTS", limit: MAX_RING_EVENTS, read: () => this.node.ring.size },
             ...(this.node.scheduler instanceof TieredScheduler ? schedulingLimits(this.node.scheduler) : []),
+            { name: "MAX_KEPT_RECORDS", limit: MAX_KEPT_RECORDS, read: () => this.node.follower.journal.kept.size },
+            {
+                name: "MAX_REMEMBERED_CHANGES",
+                limit: MAX_REMEMBERED_CHANGES,
+                read: () => this.node.follower.journal.history.size,
+            },
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -9,16 +9,27 @@
 import {
     type CallObserver,
     CallResolver,
+    ClaimGuard,
     ConfigurationFollower,
     Dispatcher,
-    LocalCallGuard,
+    NoClaimClient,
     PlatformWatch,
     RequestHandler,
     RetryBudget,
     type Scheduler,
     TieredScheduler,
 } from "../coordination/mod.js";
-import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import type {
+    ClaimClient,
+    ConfigurationPeers,
+    Dissemination,
+    Engine,
+    LogService,
+    Member,
+    MemberView,
+    PlainService,
+    VmList,
+} from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -28,6 +39,7 @@
     type RandomSource,
     type Vm,
     VmRole,
+    VmState,
 } from "../state/mod.js";
 
 /** What a node needs from outside. */
@@ -43,17 +55,27 @@
     readonly vmList: VmList;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
+    /** Configuration of other nodes. */
+    readonly configurationPeers: ConfigurationPeers;
     readonly observer: CallObserver;
+    /** Connections to the claim combiners of other nodes. Defaults to none. */
+    readonly claimClient?: ClaimClient;
+    /** Age beyond which a dated idempotency key is refused, in milliseconds. Defaults to 6 days. */
+    readonly claimHorizonMs?: number;
     /** Makes the scheduler of a node. Defaults to a {@linkcode TieredScheduler}. */
     readonly makeScheduler?: (node: EntryNode) => Scheduler;
 }
 
+/** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
+const CLAIM_FLUSH_LIMIT_MS = 5_000;
+
 /** State and coordination of one entry VM. */
-export class EntryNode {
-    readonly view = new ConfigurationView();
+export class EntryNode implements MemberView {
+    readonly view: ConfigurationView;
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
+    readonly guard: ClaimGuard;
     readonly scheduler: Scheduler;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
@@ -66,12 +88,31 @@
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
+        this.view = new ConfigurationView(clock);
         const { view, table } = this;
         this.hybridClock = new HybridClock(clock);
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
+        this.follower = new ConfigurationFollower({
+            clock,
+            random,
+            ring,
+            log: settings.log,
+            view,
+            dissemination: settings.dissemination,
+            peers: settings.configurationPeers,
+            entryVms: () => this.entryVms,
+        });
+        this.guard = new ClaimGuard({
+            node: settings.node,
+            clock,
+            ring,
+            log: settings.log,
+            members: this,
+            client: settings.claimClient ?? new NoClaimClient(),
+            horizonMs: settings.claimHorizonMs,
+        });
         const { node, dissemination } = settings;
         const scheduler = settings.makeScheduler?.(this) ??
             new TieredScheduler({ node, clock, random, table, view, dissemination, ring, engine });
@@ -80,7 +121,7 @@
             clock,
             ring,
             resolver: new CallResolver(view, clock),
-            guard: new LocalCallGuard(),
+            guard: this.guard,
             dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring }),
             engine,
             plainService,
@@ -90,7 +131,12 @@
 
     /** Whether the node has a configuration to serve by. */
     get configured(): boolean {
-        return this.view.current.version >= 0;
+        return this.follower.configured;
+    }
+
+    /** Entry VMs that take new work, this one included. */
+    get live(): readonly Member[] {
+        return this.entryVms.filter(vm => vm.state === VmState.Live);
     }
 
     /** Starts the tasks that follow the platform. */
@@ -105,6 +151,10 @@
 
     /** Ends the tasks. */
     async stop(): Promise<void> {
+        const limit = new AbortController();
+        void this.settings.clock.sleep(CLAIM_FLUSH_LIMIT_MS, limit.signal).then(() => limit.abort());
+        await this.guard.close(limit.signal);
+        limit.abort();
         this.stopped.abort();
         await Promise.all(this.tasks);
     }
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -4,22 +4,20 @@
  * @module
  */
 
-import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
-import type { OperatorHandler, PeerHandler } from "../protocol/mod.js";
-import { type TimelineFeed, wire } from "../protocol/mod.js";
+import { Server, ServerCredentials, type ServiceDefinition, type UntypedServiceImplementation } from "@grpc/grpc-js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
-/** Metadata field that carries the operator's key. */
-export const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
+/** Service with its answers. */
+export interface GrpcService {
+    readonly definition: ServiceDefinition;
+    readonly implementation: UntypedServiceImplementation;
+}
 
 /** Settings of a {@linkcode GrpcServer}. */
 export interface GrpcServerSettings {
-    readonly peerHandler: PeerHandler;
-    readonly operatorHandler: OperatorHandler;
-    /** Whether a key belongs to an operator. */
-    readonly isOperatorKey: (key: string | undefined) => boolean;
+    readonly services: readonly GrpcService[];
     /** Credentials of the server. Defaults to plain text. */
     readonly credentials?: ServerCredentials;
 }
@@ -33,8 +31,9 @@
 
     /** @param settings See {@linkcode GrpcServerSettings}. */
     constructor(private readonly settings: GrpcServerSettings) {
-        this.server.addService(wire.PeerService, this.peerImplementation());
-        this.server.addService(wire.OperatorService, this.operatorImplementation());
+        for (const { definition, implementation } of settings.services) {
+            this.server.addService(definition, implementation);
+        }
     }
 
     /** Starts to listen and returns the port. */
@@ -55,64 +54,4 @@
     close(): void {
         this.server.forceShutdown();
     }
-
-    private peerImplementation(): wire.PeerServer {
-        const { peerHandler } = this.settings;
-        return { probe: unary(request => peerHandler.probe(request)) };
-    }
-
-    private operatorImplementation(): wire.OperatorServer {
-        const { operatorHandler } = this.settings;
-        return {
-            readStatus: this.guarded(() => operatorHandler.readStatus()),
-            readConfiguration: this.guarded(() => operatorHandler.readConfiguration()),
-            changeConfiguration: this.guarded(request => operatorHandler.changeConfiguration(request)),
-            readTimeline: call => {
-                if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                    call.destroy(notAllowed() as Error);
-                    return;
-                }
-                const feed: TimelineFeed = {
-                    send: event => call.write(event),
-                    end: () => call.end(),
-                    onClose: listener => {
-                        call.on("cancelled", listener);
-                        call.on("close", listener);
-                    },
-                };
-                operatorHandler.readTimeline(call.request, feed);
-            },
-        };
-    }
-
-    private guarded<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-        const answerUnguarded = unary(answer);
-        return (call, callback) => {
-            if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                callback(notAllowed());
-                return;
-            }
-            answerUnguarded(call, callback);
-        };
-    }
-}
-
-function unary<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-    return (call, callback) => {
-        answer(call.request).then(
-            // The library's callback type has null for "no error".
-            // eslint-disable-next-line no-restricted-syntax
-            reply => callback(null, reply),
-            (error: unknown) => callback({ code: status.INTERNAL, details: String(error) }),
-        );
-    };
-}
-
-function operatorKey(metadata: Metadata): string | undefined {
-    return metadata.get(OPERATOR_KEY_FIELD)[0]?.toString();
-}
-
-function notAllowed(): Partial<ServiceError> {
-    const details = "Cannot answer: the call carries no operator's key; name a key file with --key-file.";
-    return Object.assign(new Error(details), { code: status.UNAUTHENTICATED, details, metadata: new Metadata() });
 }
