Merge evidence on versions over nodes and decide shares from it

Cause: no part of the system compared versions, so a bad one could take all traffic. Ruled out: Wald's SPRT on the failure rate (needs the rate beforehand; a slow platform blames the version); one likelihood ratio over the whole rollout (good attempts of the past hide a fault that begins later). Change: evidence per operation, engine class, load band and block of time; cumulative sums of conditional likelihood ratios (Fisher's noncentral hypergeometric distribution) with the old version on the same traffic as the control; the permitted share from the record, the time and the merged evidence; the experiment 'rollouts' beside a linear ramp.

--- /dev/null
+++ b/measure/rollouts.ts
@@ -0,0 +1,193 @@
+/**
+ * Experiment `rollouts`: good and bad versions under bursts and a platform slowdown.
+ *
+ * Decisions and evidence of eight nodes are the real ones; requests are synthetic outcomes at the interface of attempts.
+ *
+ * @module
+ */
+
+import { SeededRandom } from "../src/state/mod.js";
+import type { Experiment, Figures, Report, Target } from "./experiment.js";
+import { isBad, type RunResult } from "./rollout_run.js";
+import { ENGINE_CLASSES, OPERATIONS, type RolloutCase, SLOWDOWN_MS, VersionFault } from "./rollout_traffic.js";
+import { runCases } from "./rollout_worker.js";
+
+/** Good rollouts, and bad ones of each kind. */
+const GOOD_COUNT = 24;
+const BAD_COUNT_PER_FAULT = 4;
+
+/** Time from start to deadline, in milliseconds. */
+const LIFE_MS = 480_000;
+
+/** Calls a second, usually and with thin traffic. */
+const CALLS_PER_SECOND = 60;
+const THIN_CALLS_PER_SECOND = 1;
+
+/** One good rollout in this many has thin traffic. */
+const THIN_EVERY = 6;
+
+/** Bursts of each rollout. */
+const BURST_COUNT = 5;
+
+/** Time over which bursts are spread, as a factor of the time to the deadline. */
+const BURST_SPREAD = 1.3;
+
+/** Latest time at which a fault that comes later begins, as a factor of the time to the deadline. */
+const EARLIEST_FAULT_PART = 0.3;
+const FAULT_SPREAD_PART = 0.9;
+
+/** Bounds of the issue. */
+const MAX_EARLY_SHARE = 0.05;
+const MAX_WRONG_ROLLBACK_SHARE = 0.01;
+
+/** Compares the decisions on rollouts with a linear ramp and an error threshold. */
+export const rolloutExperiment: Experiment = {
+    name: "rollouts",
+    summary: "good versions done in time and bad ones taken back, beside a linear ramp with an error threshold",
+    async run(seed: number): Promise<Report> {
+        const cases = makeCases(seed);
+        const results = await runCases(cases);
+        const current = results.map(result => result.current);
+        const naive = results.map(result => result.naive);
+        return {
+            scenario: "rollouts",
+            seed,
+            baseline: describe(naive),
+            current: describe(current),
+            targets: findTargets(current),
+        };
+    },
+};
+
+function makeCases(seed: number): readonly RolloutCase[] {
+    const random = new SeededRandom(seed);
+    const cases: RolloutCase[] = [];
+    for (const fault of Object.values(VersionFault)) {
+        const count = fault === VersionFault.None ? GOOD_COUNT : BAD_COUNT_PER_FAULT;
+        for (let index = 0; index < count; index++) {
+            cases.push(makeCase(fault, index, seed * 10_000 + 2 * cases.length * 10 + index % 2, random));
+        }
+    }
+    return cases;
+}
+
+function makeCase(fault: VersionFault, index: number, seed: number, random: SeededRandom): RolloutCase {
+    const thin = fault === VersionFault.None && index % THIN_EVERY === THIN_EVERY - 1;
+    return {
+        seed,
+        fault,
+        lifeMs: LIFE_MS,
+        faultAtMs: LIFE_MS * (EARLIEST_FAULT_PART + FAULT_SPREAD_PART * random.next()),
+        callsPerSecond: thin ? THIN_CALLS_PER_SECOND : CALLS_PER_SECOND,
+        burstsAtMs: Array.from({ length: BURST_COUNT }, () => random.next() * LIFE_MS * BURST_SPREAD),
+        slowdownAtMs: index % 2 === 0 ? random.next() * LIFE_MS : undefined,
+        faultyOperation: OPERATIONS[random.below(OPERATIONS.length)].name,
+        faultyClass: ENGINE_CLASSES[random.below(ENGINE_CLASSES.length)].name,
+        logCut: fault === VersionFault.BadLater && index % 2 === 1,
+    };
+}
+
+function describe(results: readonly RunResult[]): Figures {
+    const good = results.filter(result => !isBad(result.tried));
+    const bad = results.filter(result => isBad(result.tried));
+    const wrong = good.filter(result => result.stoppedAtMs !== undefined);
+    return {
+        "good versions": good.length,
+        "good done in time": good.filter(isDoneInTime).length,
+        "good done in time on thin evidence (not counted as good)": good.filter(isDoneInTime).filter(isThin).length,
+        "wrong rollbacks": wrong.length,
+        "wrong rollbacks in the platform slowdown": wrong.filter(isInSlowdown).length,
+        "bad versions": bad.length,
+        "bad rolled back": bad.filter(result => result.stoppedAtMs !== undefined).length,
+        "evidence received, bytes/s a node, mean": mean(results.map(result => result.evidenceBytesPerSecond)),
+        "evidence received, bytes/s a node, highest": Math.max(...results.map(result => result.evidenceBytesPerSecond)),
+        "bad versions by fault": bad.map(describeBad),
+        "good versions taken back or late": good.filter(result => !isDoneInTime(result)).map(describeGood),
+        "thin evidence": good.filter(isThin).map(result => ({ seed: result.tried.seed, evidence: result.evidence })),
+    };
+}
+
+function describeGood(result: RunResult): Readonly<Record<string, number | string>> {
+    return {
+        seed: result.tried.seed,
+        "slowdown at, s": seconds(result.tried.slowdownAtMs),
+        "taken back at, s": seconds(result.stoppedAtMs),
+        "done at, s": seconds(result.doneAtMs),
+        reason: result.evidence,
+    };
+}
+
+function describeBad(result: RunResult): Readonly<Record<string, number | string>> {
+    const { faultAtMs, shownAtMs, stoppedAtMs, lastCallAtMs } = result;
+    return {
+        seed: result.tried.seed,
+        fault: result.tried.fault,
+        "log cut": result.tried.logCut ? "one domain" : "-",
+        "share at fault, %": percent(result.shareAtFault),
+        "highest share, %": percent(result.highestShare),
+        "fault at, s": seconds(faultAtMs),
+        "shown after, s": seconds(difference(shownAtMs, faultAtMs)),
+        "no traffic after, s": stoppedAtMs === undefined ? "never" : seconds(difference(lastCallAtMs, faultAtMs)),
+        "calls later than 3 s": result.lateCalls,
+    };
+}
+
+function findTargets(results: readonly RunResult[]): readonly Target[] {
+    const good = results.filter(result => !isBad(result.tried));
+    const bad = results.filter(result => isBad(result.tried));
+    const wrong = good.filter(result => result.stoppedAtMs !== undefined);
+    const early = bad.filter(({ tried: { fault } }) => fault !== VersionFault.BadLater && fault !== VersionFault.BadUnderLoad);
+    const later = bad.filter(result => !early.includes(result));
+    return [
+        atLeast("good done in time, share", good.filter(isDoneInTime).length / good.length, 1),
+        atLeast("bad rolled back, share", bad.filter(result => result.stoppedAtMs !== undefined).length / bad.length, 1),
+        atMost("highest share of one bad from the start, on one route or class", highestShare(early), MAX_EARLY_SHARE),
+        atMost("calls later than 3 s after a later fault shows", sum(later.map(result => result.lateCalls)), 0),
+        atMost("wrong rollbacks, share", wrong.length / good.length, MAX_WRONG_ROLLBACK_SHARE),
+        atMost("wrong rollbacks in the platform slowdown", wrong.filter(isInSlowdown).length, 0),
+    ];
+}
+
+function isDoneInTime(result: RunResult): boolean {
+    return result.stoppedAtMs === undefined && result.doneAtMs !== undefined && result.doneAtMs <= result.tried.lifeMs;
+}
+
+function isThin(result: RunResult): boolean {
+    return result.evidence.includes("too thin");
+}
+
+function isInSlowdown({ tried: { slowdownAtMs }, stoppedAtMs = Infinity }: RunResult): boolean {
+    return slowdownAtMs !== undefined && stoppedAtMs >= slowdownAtMs && stoppedAtMs <= slowdownAtMs + SLOWDOWN_MS;
+}
+
+function highestShare(results: readonly RunResult[]): number {
+    return Math.max(...results.map(result => result.highestShare));
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
+
+function mean(values: readonly number[]): number {
+    return sum(values) / values.length;
+}
+
+function difference(later: number | undefined, earlier: number | undefined): number | undefined {
+    return later === undefined || earlier === undefined ? undefined : later - earlier;
+}
+
+function seconds(durationMs: number | undefined): number | string {
+    return durationMs === undefined ? "-" : Math.round(durationMs / 100) / 10;
+}
+
+function percent(share: number): number {
+    return Math.round(share * 1_000) / 10;
+}
+
+function atLeast(name: string, measured: number, bound: number): Target {
+    return { name, measured, comparison: "at least", bound };
+}
+
+function atMost(name: string, measured: number, bound: number): Target {
+    return { name, measured, comparison: "at most", bound };
+}
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./attempt_observer.js";
 export * from "./call_guard.js";
 export * from "./call_observer.js";
 export * from "./call_resolver.js";
@@ -14,5 +15,7 @@
 export * from "./platform_watch.js";
 export * from "./request_handler.js";
 export * from "./retry_budget.js";
+export * from "./rollouts/mod.js";
 export * from "./scheduler.js";
 export * from "./silent_dissemination.js";
+export * from "./version_policy.js";
--- /dev/null
+++ b/src/coordination/rollouts/block_statistics.ts
@@ -0,0 +1,199 @@
+/**
+ * What one block of time says on a version: log-likelihood ratios by view and metric.
+ *
+ * @module
+ */
+
+import { type EvidenceBlock, LOAD_BAND_COUNT, type StratumEvidence } from "./evidence_slice.js";
+import { BUCKET_COUNT, countAbove, quantileBucket } from "./latency_histogram.js";
+import { logLikelihoodRatio, type OddsPair, type TwoByTwo } from "./sequential_test.js";
+
+/** Buckets by which the candidate may be slower; one is a factor of 1.1. */
+const TOLERATED_BUCKETS = 2;
+
+/** Latencies of the control for each one of the candidate from which no other load band is looked at. */
+const LEAST_CONTROL_RATIO = 4;
+
+/** Shares of both versions' attempts above which a latency counts as slow. */
+const SLOW_QUANTILES = [0.5, 0.9];
+
+/** Odds ratios for failed attempts. */
+const FAILURE_ODDS: readonly OddsPair[] = [{ tolerated: 1.5, bad: 4 }, { tolerated: 1.5, bad: 20 }];
+
+/** Odds ratios for slow attempts. */
+const SLOW_ODDS: readonly OddsPair[] = [{ tolerated: 1.5, bad: 4 }, { tolerated: 1.5, bad: 12 }];
+
+/** Place at which the ratios of each metric begin; each metric has one for each pair of odds. */
+const FAILURE_PLACE = 0;
+const FIRST_TOKEN_PLACE = FAILURE_PLACE + FAILURE_ODDS.length;
+const GAP_PLACE = FIRST_TOKEN_PLACE + SLOW_QUANTILES.length * SLOW_ODDS.length;
+
+/** Log-likelihood ratios that each view has. */
+export const RATIO_COUNT = GAP_PLACE + SLOW_QUANTILES.length * SLOW_ODDS.length;
+
+/** Metric that a log-likelihood ratio is about. */
+export enum Metric {
+    Failures = "failures",
+    FirstToken = "first token",
+    Gap = "gap between tokens",
+}
+
+/** Part of the traffic that is looked at on its own: an operation, an engine class, both, or all. */
+export interface View {
+    readonly operation: string | undefined;
+    readonly engineClass: string | undefined;
+}
+
+/** Ratios and counts of one view in one block. */
+export interface ViewStatistics {
+    readonly view: View;
+    /** Attempts on the candidate. */
+    attempts: number;
+    /** Attempts on both versions. */
+    total: number;
+    readonly ratios: Float64Array;
+}
+
+/** Returns the name of a view, by which views are told apart. */
+export function nameView(view: View): string {
+    const operation = view.operation === undefined ? "all operations" : `operation ${view.operation}`;
+    const engineClass = view.engineClass === undefined ? "all engine classes" : `engine class ${view.engineClass}`;
+    return `${operation}, ${engineClass}`;
+}
+
+/** Returns the metric that the ratio at a place is about. */
+export function metricAt(place: number): Metric {
+    if (place < FIRST_TOKEN_PLACE) {
+        return Metric.Failures;
+    }
+    return place < GAP_PLACE ? Metric.FirstToken : Metric.Gap;
+}
+
+/**
+ * Computes the statistics of a block; the ratios of a view are the sums of those of its strata.
+ *
+ * @param block Merged evidence.
+ * @returns Statistics by the view's name.
+ */
+export function computeStatistics(block: EvidenceBlock): ReadonlyMap<string, ViewStatistics> {
+    const views = new Map<string, ViewStatistics>();
+    for (const stratum of block.all) {
+        const ratios = computeRatios(stratum);
+        for (const view of viewsOf(stratum)) {
+            const name = nameView(view);
+            let statistics = views.get(name);
+            if (statistics === undefined) {
+                statistics = { view, attempts: 0, total: 0, ratios: new Float64Array(RATIO_COUNT) };
+                views.set(name, statistics);
+            }
+            statistics.attempts += stratum.candidate.count;
+            statistics.total += stratum.candidate.count + stratum.control.count;
+            for (let place = 0; place < RATIO_COUNT; place++) {
+                statistics.ratios[place] += ratios[place];
+            }
+        }
+    }
+    return views;
+}
+
+function viewsOf({ operation, engineClass }: StratumEvidence): readonly View[] {
+    return [
+        { operation, engineClass },
+        { operation, engineClass: undefined },
+        { operation: undefined, engineClass },
+        { operation: undefined, engineClass: undefined },
+    ];
+}
+
+function computeRatios({ candidate, control }: StratumEvidence): Float64Array {
+    const ratios = new Float64Array(RATIO_COUNT);
+    if (candidate.count === 0 || control.count === 0) {
+        return ratios;
+    }
+    // A version that fails only under load is not excused by that load, so failures are not divided by load band.
+    const failures: TwoByTwo = {
+        candidateCount: candidate.count,
+        candidateBad: candidate.failed,
+        controlCount: control.count,
+        controlBad: control.failed,
+    };
+    addRatios(ratios, FAILURE_PLACE, failures, FAILURE_ODDS);
+    for (let band = 0; band < LOAD_BAND_COUNT; band++) {
+        addSlowness(ratios, FIRST_TOKEN_PLACE, chooseComparison(candidate.firstToken, control.firstToken, band));
+        addSlowness(ratios, GAP_PLACE, chooseComparison(candidate.gap, control.gap, band));
+    }
+    return ratios;
+}
+
+/** Latencies that are compared. */
+interface Comparison {
+    readonly candidate: Uint32Array;
+    readonly control: Uint32Array;
+}
+
+/**
+ * Chooses what the candidate's latencies in a load band are compared with.
+ *
+ * While the candidate has few calls its backend servers are less loaded than the control's, so that the same band may hold no
+ * control at all; at less load a good candidate is at least as fast as the control, since load lengthens latencies by no less than
+ * was adjusted for. At more load no comparison is made.
+ */
+function chooseComparison(candidate: readonly Uint32Array[], control: readonly Uint32Array[], band: number): Comparison {
+    const same = { candidate: candidate[band], control: control[band] };
+    if (sum(control[band]) >= LEAST_CONTROL_RATIO * sum(candidate[band])) {
+        return same;
+    }
+    const more = new Uint32Array(BUCKET_COUNT);
+    for (const counts of control.slice(band + 1)) {
+        for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+            more[bucket] += counts[bucket];
+        }
+    }
+    return sum(more) > sum(control[band]) ?
+        { candidate: candidate[band], control: more } :
+        same;
+}
+
+function addSlowness(ratios: Float64Array, firstPlace: number, { candidate, control }: Comparison): void {
+    const candidateCount = sum(candidate);
+    const controlCount = sum(control);
+    if (candidateCount === 0 || controlCount === 0) {
+        return;
+    }
+    const pooled = pool(candidate, control);
+    let place = firstPlace;
+    for (const share of SLOW_QUANTILES) {
+        const bound = quantileBucket(pooled, candidateCount + controlCount, share);
+        const table: TwoByTwo = {
+            candidateCount,
+            candidateBad: countAbove(candidate, bound + TOLERATED_BUCKETS),
+            controlCount,
+            controlBad: countAbove(control, bound),
+        };
+        addRatios(ratios, place, table, SLOW_ODDS);
+        place += SLOW_ODDS.length;
+    }
+}
+
+/** Adds both histograms after the candidate's was made faster by what is tolerated. */
+function pool(candidate: Uint32Array, control: Uint32Array): Uint32Array {
+    const pooled = Uint32Array.from(control);
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+        pooled[Math.max(0, bucket - TOLERATED_BUCKETS)] += candidate[bucket];
+    }
+    return pooled;
+}
+
+function addRatios(ratios: Float64Array, firstPlace: number, table: TwoByTwo, odds: readonly OddsPair[]): void {
+    for (const [index, pair] of odds.entries()) {
+        ratios[firstPlace + index] += logLikelihoodRatio(table, pair);
+    }
+}
+
+function sum(counts: Uint32Array): number {
+    let total = 0;
+    for (const count of counts) {
+        total += count;
+    }
+    return total;
+}
--- /dev/null
+++ b/src/coordination/rollouts/evidence_codec.ts
@@ -0,0 +1,70 @@
+/**
+ * Evidence as nodes share it.
+ *
+ * @module
+ */
+
+import { rolloutWire } from "../../protocol/mod.js";
+import { type EvidenceCell, LOAD_BAND_COUNT, type NodeSlice } from "./evidence_slice.js";
+
+/** What one node says of one rollout. */
+export interface NodeReport {
+    /** Share of calls that the node sends to the version now. */
+    readonly share: number;
+    /** Time at which the node found the early evidence sufficient, in milliseconds since the Unix epoch; 0 before. */
+    readonly clearedAtMs: number;
+    /** Offset of the last record on the rollout that the node has read. */
+    readonly revision: number;
+    /** Whether the rollout is paused at that offset. */
+    readonly paused: boolean;
+    readonly slices: readonly NodeSlice[];
+}
+
+/** Writes a report; each operation and engine class stands in it once. */
+export function encodeReport(report: NodeReport): Uint8Array {
+    const places = new Map<string, number>();
+    const strata: rolloutWire.EvidenceStratum[] = [];
+    const toWire = (cell: EvidenceCell): rolloutWire.EvidenceCell => {
+        const name = `${cell.operation} ${cell.engineClass}`;
+        let stratum = places.get(name);
+        if (stratum === undefined) {
+            stratum = strata.length;
+            places.set(name, stratum);
+            strata.push({ operation: cell.operation, engineClass: cell.engineClass });
+        }
+        const { whole, failed, firstToken, gap } = cell;
+        return { stratum, arm: cell.loadBand * 2 + Number(cell.candidate), whole, failed, firstToken, gap };
+    };
+    const slices = report.slices.map(({ index, cells }) => ({ index, cells: cells.map(toWire) }));
+    return rolloutWire.RolloutEvidence.encode({ ...report, strata, slices }).finish();
+}
+
+/**
+ * Reads a report.
+ *
+ * @returns The report, or `undefined` when it is malformed.
+ */
+export function decodeReport(data: Uint8Array): NodeReport | undefined {
+    try {
+        const wire = rolloutWire.RolloutEvidence.decode(data);
+        const slices = wire.slices.map(({ index, cells }) => ({
+            index,
+            cells: cells.flatMap(cell => fromWire(cell, wire.strata)),
+        }));
+        return { ...wire, slices };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function fromWire(cell: rolloutWire.EvidenceCell, strata: readonly rolloutWire.EvidenceStratum[]): readonly EvidenceCell[] {
+    const stratum = strata.at(cell.stratum);
+    const loadBand = cell.arm >> 1;
+    if (stratum === undefined || loadBand >= LOAD_BAND_COUNT) {
+        return [];
+    }
+    const { whole, failed, firstToken, gap } = cell;
+    const candidate = cell.arm % 2 === 1;
+    return [{ ...stratum, loadBand, candidate, whole, failed, firstToken, gap }];
+}
--- /dev/null
+++ b/src/coordination/rollouts/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * Rollouts of versions: evidence, sequential test, permitted share, rollback.
+ *
+ * @module
+ */
+
+export * from "./block_statistics.js";
+export * from "./call_fraction.js";
+export * from "./evidence_codec.js";
+export * from "./evidence_monitor.js";
+export * from "./evidence_slice.js";
+export * from "./local_evidence.js";
+export * from "./peer_reports.js";
+export * from "./rollout_book.js";
+export * from "./rollout_controller.js";
+export * from "./rollout_journal.js";
+export * from "./rollout_manager.js";
+export * from "./sequential_test.js";
--- /dev/null
+++ b/src/coordination/rollouts/rollout_book.ts
@@ -0,0 +1,245 @@
+/**
+ * Rollouts as the records of the log make them.
+ *
+ * @module
+ */
+
+import { type RolloutRecord, RolloutRecordKind } from "../../protocol/mod.js";
+
+/** State of a rollout. */
+export enum RolloutPhase {
+    Running = "running",
+    Paused = "paused",
+    Done = "done",
+    RolledBack = "rolledBack",
+}
+
+/** Move of a pool's traffic to a new version by a deadline. */
+export interface Rollout {
+    readonly id: string;
+    readonly pool: string;
+    readonly version: string;
+    /** Version that serves the pool until then. */
+    readonly fromVersion: string;
+    readonly startMs: number;
+    readonly deadlineMs: number;
+    /** Backend servers that must run the version before it may have all traffic. */
+    readonly neededServers: number;
+    readonly author: string;
+    readonly phase: RolloutPhase;
+    /** Offset of the record that changed the rollout last. */
+    readonly revision: number;
+    /** Reason of the last change. */
+    readonly reason: string;
+    /** Why the deadline cannot be met; `undefined` as long as it can. */
+    readonly lateReason: string | undefined;
+}
+
+/** What a record did. */
+export type RecordOutcome =
+    | { readonly kind: "applied"; readonly rollout: Rollout | undefined }
+    | { readonly kind: "repeated" }
+    | { readonly kind: "refused"; readonly problem: string };
+
+/** Keeps the rollouts; the same records in the same order give the same state on every node. */
+export class RolloutBook {
+    private readonly rollouts = new Map<string, Rollout>();
+    private readonly outcomes = new Map<string, RecordOutcome>();
+    private readonly forbiddenVersions = new Map<string, Set<string>>();
+    private readonly versionsInForce = new Map<string, string>();
+    private readonly toldEvents = new Set<string>();
+
+    /** All rollouts, the oldest first. */
+    get all(): Iterable<Rollout> {
+        return this.rollouts.values();
+    }
+
+    /** Returns the rollout of that id. */
+    get(id: string): Rollout | undefined {
+        return this.rollouts.get(id);
+    }
+
+    /** Returns the last rollout of a pool. */
+    latest(pool: string): Rollout | undefined {
+        return [...this.rollouts.values()].filter(rollout => rollout.pool === pool).at(-1);
+    }
+
+    /** Returns the versions of a pool that were rolled back. */
+    forbidden(pool: string): ReadonlySet<string> {
+        return this.forbiddenVersions.get(pool) ?? new Set();
+    }
+
+    /** Returns the version that a rollout of the pool has brought into force last. */
+    inForce(pool: string): string | undefined {
+        return this.versionsInForce.get(pool);
+    }
+
+    /** Returns what became of the record of that id; `undefined` when it has not been read. */
+    outcome(recordId: string): RecordOutcome | undefined {
+        return this.outcomes.get(recordId);
+    }
+
+    /** Tells whether a webhook receiver has taken an event. */
+    isTold(eventId: string): boolean {
+        return this.toldEvents.has(eventId);
+    }
+
+    /** Returns the record that repeats what must outlast the log's retention. */
+    standing(): Pick<RolloutRecord & { readonly kind: RolloutRecordKind.Standing }, "forbidden" | "inForce"> {
+        const forbidden = [...this.forbiddenVersions].flatMap(([pool, versions]) =>
+            [...versions].map(version => ({ pool, version }))
+        );
+        return { forbidden, inForce: [...this.versionsInForce].map(([pool, version]) => ({ pool, version })) };
+    }
+
+    /**
+     * Applies a record. A record that was appended twice takes effect once.
+     *
+     * @param offset Offset of the record.
+     * @param record Record.
+     */
+    apply(offset: number, record: RolloutRecord): RecordOutcome {
+        if (this.outcomes.has(record.id)) {
+            return { kind: "repeated" };
+        }
+        const outcome = this.change(offset, record);
+        this.outcomes.set(record.id, outcome);
+        return outcome;
+    }
+
+    private change(offset: number, record: RolloutRecord): RecordOutcome {
+        switch (record.kind) {
+            case RolloutRecordKind.Started:
+                return this.start(offset, record);
+            case RolloutRecordKind.Told:
+                this.toldEvents.add(record.eventId);
+                return { kind: "applied", rollout: undefined };
+            case RolloutRecordKind.Standing:
+                return this.takeStanding(record);
+            default:
+                return this.changeRollout(offset, record);
+        }
+    }
+
+    private start(offset: number, record: RolloutRecord & { readonly kind: RolloutRecordKind.Started }): RecordOutcome {
+        const current = this.latest(record.pool);
+        if (current !== undefined && isUnderWay(current)) {
+            const remedy = "wait for its end or roll it back";
+            return refuse(`Pool "${record.pool}" has rollout ${current.id} to version "${current.version}" already; ${remedy}.`);
+        }
+        if (this.forbidden(record.pool).has(record.version)) {
+            const remedy = "give the mended version another name";
+            return refuse(`Version "${record.version}" of pool "${record.pool}" was rolled back; ${remedy}.`);
+        }
+        const { rollout: id, pool, version, fromVersion, startMs, deadlineMs, neededServers, author } = record;
+        const rollout: Rollout = {
+            ...{ id, pool, version, fromVersion, startMs, deadlineMs, neededServers, author },
+            phase: RolloutPhase.Running,
+            revision: offset,
+            reason: "",
+            lateReason: undefined,
+        };
+        return this.set(rollout);
+    }
+
+    private changeRollout(offset: number, record: ChangeRecord): RecordOutcome {
+        const rollout = this.rollouts.get(record.rollout);
+        if (rollout === undefined) {
+            return refuse(`No rollout has the id "${record.rollout}"; see "foxtailrail rollout list".`);
+        }
+        const problem = this.latest(rollout.pool) === rollout ?
+            findChangeProblem(rollout, record) :
+            `Pool "${rollout.pool}" has had a later rollout; change that one.`;
+        if (problem !== undefined) {
+            return refuse(problem);
+        }
+        const changed = changePhase(rollout, record, offset);
+        if (changed.phase === RolloutPhase.RolledBack) {
+            this.forbid(rollout.pool, rollout.version);
+            this.versionsInForce.set(rollout.pool, rollout.fromVersion);
+        }
+        if (changed.phase === RolloutPhase.Done) {
+            this.versionsInForce.set(rollout.pool, rollout.version);
+        }
+        return this.set(changed);
+    }
+
+    private takeStanding(record: RolloutRecord & { readonly kind: RolloutRecordKind.Standing }): RecordOutcome {
+        for (const { pool, version } of record.forbidden) {
+            this.forbid(pool, version);
+        }
+        for (const { pool, version } of record.inForce) {
+            if (!this.versionsInForce.has(pool) && !this.forbidden(pool).has(version)) {
+                this.versionsInForce.set(pool, version);
+            }
+        }
+        return { kind: "applied", rollout: undefined };
+    }
+
+    private forbid(pool: string, version: string): void {
+        const versions = this.forbiddenVersions.get(pool) ?? new Set();
+        this.forbiddenVersions.set(pool, versions.add(version));
+        if (this.versionsInForce.get(pool) === version) {
+            this.versionsInForce.delete(pool);
+        }
+    }
+
+    private set(rollout: Rollout): RecordOutcome {
+        this.rollouts.set(rollout.id, rollout);
+        return { kind: "applied", rollout };
+    }
+}
+
+/** Record that changes one rollout. */
+type ChangeRecord = RolloutRecord & {
+    readonly kind:
+        | RolloutRecordKind.Paused
+        | RolloutRecordKind.Resumed
+        | RolloutRecordKind.RolledBack
+        | RolloutRecordKind.Done
+        | RolloutRecordKind.Late;
+};
+
+/** Tells whether a rollout has neither finished nor been rolled back. */
+export function isUnderWay(rollout: Rollout): boolean {
+    return rollout.phase === RolloutPhase.Running || rollout.phase === RolloutPhase.Paused;
+}
+
+function findChangeProblem(rollout: Rollout, record: ChangeRecord): string | undefined {
+    const name = `Rollout ${rollout.id}`;
+    if (rollout.phase === RolloutPhase.RolledBack) {
+        return `${name} was rolled back: ${rollout.reason}; start another with a new version.`;
+    }
+    if (record.kind === RolloutRecordKind.RolledBack) {
+        return undefined;
+    }
+    if (rollout.phase === RolloutPhase.Done) {
+        return `${name} is done; it can only be rolled back.`;
+    }
+    if (record.kind !== RolloutRecordKind.Resumed) {
+        return undefined;
+    }
+    if (record.madeAgainst !== rollout.revision) {
+        return `${name} was changed at revision ${rollout.revision}; the resume was made against ${record.madeAgainst}. Look again.`;
+    }
+    return rollout.phase === RolloutPhase.Paused ? undefined : `${name} is not paused; there is nothing to resume.`;
+}
+
+function changePhase(rollout: Rollout, record: ChangeRecord, revision: number): Rollout {
+    switch (record.kind) {
+        case RolloutRecordKind.Paused:
+            return { ...rollout, revision, phase: RolloutPhase.Paused, reason: record.reason };
+        case RolloutRecordKind.Resumed:
+            return { ...rollout, revision, phase: RolloutPhase.Running, reason: "" };
+        case RolloutRecordKind.RolledBack:
+            return { ...rollout, revision, phase: RolloutPhase.RolledBack, reason: record.reason };
+        case RolloutRecordKind.Done:
+            return { ...rollout, revision, phase: RolloutPhase.Done, reason: record.evidence };
+        case RolloutRecordKind.Late:
+            return { ...rollout, lateReason: record.reason };
+    }
+}
+
+function refuse(problem: string): RecordOutcome {
+    return { kind: "refused", problem };
+}
--- /dev/null
+++ b/src/protocol/rollout_record.ts
@@ -0,0 +1,121 @@
+/**
+ * Records of the rollout stream in the log.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+/** Stream of the log that holds rollouts. */
+export const ROLLOUT_STREAM = "rollouts";
+
+/** Format of records that this release writes; records of later formats are skipped. */
+const RECORD_FORMAT = 1;
+
+/** Kind of a record. */
+export enum RolloutRecordKind {
+    Started = "started",
+    Paused = "paused",
+    Resumed = "resumed",
+    RolledBack = "rolledBack",
+    Done = "done",
+    Late = "late",
+    /** A webhook receiver took an event. */
+    Told = "told",
+    /** Versions in force and forbidden, repeated so that they outlast the log's retention. */
+    Standing = "standing",
+}
+
+const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be 1 to 63 lower-case letters, digits and hyphens");
+const versionSchema = z.string().regex(
+    /^[0-9A-Za-z][0-9A-Za-z.+_-]{0,62}$/,
+    "must be 1 to 63 letters, digits, dots, plus signs, hyphens and underscores",
+);
+const timeSchema = z.int().min(0);
+const textSchema = z.string().max(500);
+
+const common = {
+    format: z.literal(RECORD_FORMAT),
+    id: z.string().min(1),
+    author: z.string().min(1).max(200),
+};
+
+const poolVersionSchema = z.strictObject({ pool: nameSchema, version: versionSchema });
+
+const recordSchema = z.discriminatedUnion("kind", [
+    z.object({
+        ...common,
+        kind: z.literal(RolloutRecordKind.Started),
+        rollout: z.string().min(1),
+        pool: nameSchema,
+        version: versionSchema,
+        fromVersion: versionSchema,
+        startMs: timeSchema,
+        deadlineMs: timeSchema,
+        neededServers: z.int().min(0).max(100_000),
+    }),
+    z.object({ ...common, kind: z.literal(RolloutRecordKind.Paused), rollout: z.string().min(1), reason: textSchema }),
+    z.object({
+        ...common,
+        kind: z.literal(RolloutRecordKind.Resumed),
+        rollout: z.string().min(1),
+        madeAgainst: z.int().min(0),
+    }),
+    z.object({ ...common, kind: z.literal(RolloutRecordKind.RolledBack), rollout: z.string().min(1), reason: textSchema }),
+    z.object({ ...common, kind: z.literal(RolloutRecordKind.Done), rollout: z.string().min(1), evidence: textSchema }),
+    z.object({ ...common, kind: z.literal(RolloutRecordKind.Late), rollout: z.string().min(1), reason: textSchema }),
+    z.object({ ...common, kind: z.literal(RolloutRecordKind.Told), eventId: z.string().min(1) }),
+    z.object({
+        ...common,
+        kind: z.literal(RolloutRecordKind.Standing),
+        forbidden: z.array(poolVersionSchema),
+        inForce: z.array(poolVersionSchema),
+    }),
+]);
+
+/** Record of the rollout stream. */
+export type RolloutRecord = Readonly<z.infer<typeof recordSchema>>;
+
+/** Record without its format, as the writer makes it. */
+export type NewRolloutRecord = RolloutRecord extends infer Each ? Each extends unknown ? Omit<Each, "format"> : never : never;
+
+const startSchema = z.strictObject({
+    pool: nameSchema,
+    version: versionSchema,
+    author: z.string().min(1).max(200),
+    deadlineMs: timeSchema,
+});
+
+/**
+ * Finds what is wrong with the fields of a new rollout.
+ *
+ * @returns A sentence for each problem, which names the field, its value and what is allowed.
+ */
+export function findStartProblems(start: z.infer<typeof startSchema>): readonly string[] {
+    const result = startSchema.safeParse(start);
+    return result.success ? [] : result.error.issues.map(issue => {
+        const field = String(issue.path[0]);
+        const value = JSON.stringify(start[field as keyof typeof start]) ?? "missing";
+        return `Field "${field}" is wrong: ${issue.message}; its value is ${value}.`;
+    });
+}
+
+/** Writes a record for the log. */
+export function encodeRolloutRecord(record: NewRolloutRecord): Uint8Array {
+    return Buffer.from(JSON.stringify({ format: RECORD_FORMAT, ...record }));
+}
+
+/**
+ * Reads a record of the log.
+ *
+ * @returns The record, or `undefined` when it is malformed or of a later format; every node skips it alike.
+ */
+export function decodeRolloutRecord(data: Uint8Array): RolloutRecord | undefined {
+    try {
+        const result = recordSchema.safeParse(JSON.parse(Buffer.from(data).toString("utf8")));
+        return result.success ? result.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
