Drive rollouts from the log and by operators, and tell receivers of them

Ruled out: a leader among the nodes (nothing of ours may agree on one); rollouts inside the configuration document (each change of any workspace would race with them). Change: stream 'rollouts' with typed records and its follower; RolloutManager as the scheduler's VersionPolicy; a meter of attempts in the dispatcher; vetoes by dissemination; 'foxtailrail rollout'; webhook with a stable event id, nodes in turn. Conclusion: the path from an operator's order to the choice of a version is whole.

--- /dev/null
+++ b/src/cli/rollout_commands.ts
@@ -0,0 +1,228 @@
+/**
+ * Commands `foxtailrail rollout`.
+ *
+ * @module
+ */
+
+import { Command, Option, UsageError } from "clipanion";
+import { userInfo } from "node:os";
+import { setTimeout as sleep } from "node:timers/promises";
+import { rolloutWire } from "../protocol/mod.js";
+import type { OperatorClient } from "./operator_client.js";
+import { ExitCode, OperatorCommand } from "./operator_command.js";
+import { RolloutClient } from "./rollout_client.js";
+import { formatTable } from "./table.js";
+
+/** Category of the commands in the help. */
+const CATEGORY = "Rollouts";
+
+/** Time between two looks of `rollout watch`, in milliseconds. */
+const WATCH_INTERVAL_MS = 1_000;
+
+/** Units of a deadline that is given as a time from now, in milliseconds. */
+const UNIT_MS: Readonly<Record<string, number>> = { m: 60_000, h: 3_600_000, d: 86_400_000 };
+
+/** Command that calls one daemon about rollouts. */
+abstract class RolloutCommand extends OperatorCommand {
+    /** Does the command's work on rollouts. */
+    protected abstract runRollout(client: RolloutClient): Promise<ExitCode>;
+
+    protected override async run(client: OperatorClient): Promise<ExitCode> {
+        const rolloutClient = new RolloutClient(client.address, await this.readKey());
+        try {
+            return await this.runRollout(rolloutClient);
+        }
+        finally {
+            rolloutClient.close();
+        }
+    }
+
+    /** Prints the reply to a change. */
+    protected finish(reply: rolloutWire.ChangeRolloutReply, done: string): ExitCode {
+        const text = reply.accepted ? `Rollout ${reply.rollout} ${done}.\n` : reply.problems.map(each => `${each}\n`).join("");
+        this.print(reply, text);
+        return reply.accepted ? ExitCode.Done : ExitCode.Refused;
+    }
+}
+
+/** Starts a rollout. */
+export class RolloutStartCommand extends RolloutCommand {
+    static override paths = [["rollout", "start"]];
+    static override usage = Command.Usage({
+        category: CATEGORY,
+        description: "Moves a pool's traffic to a new version by a deadline.",
+        details: "The deadline is a time such as 2026-12-03T18:00:00Z, or a time from now such as 90m, 4h or 2d.",
+        examples: [["Move a pool in four hours", "foxtailrail rollout start --pool language-model --version 2.4 --deadline 4h"]],
+    });
+    pool = Option.String("--pool", { required: true, description: "Pool whose traffic moves." });
+    version = Option.String("--version", { required: true, description: "Version that backend servers report." });
+    deadline = Option.String("--deadline", { required: true, description: "Time by which all traffic must have moved." });
+    servers = Option.String("--servers", "0", {
+        description: "Backend servers that must run the version first. Defaults to as many as run the old one.",
+    });
+    author = Option.String("--author", userInfo().username, { description: "Operator. Defaults to the user's name." });
+
+    protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
+        const neededServers = Number(this.servers);
+        if (!Number.isInteger(neededServers) || neededServers < 0) {
+            throw new UsageError(`Option --servers is wrong: "${this.servers}" is no count; give a whole number from 0.`);
+        }
+        const { pool, version, author } = this;
+        const reply = await client.start({ pool, version, author, neededServers, deadlineMs: parseDeadline(this.deadline) });
+        return this.finish(reply, "was started");
+    }
+}
+
+/** Command that changes one rollout. */
+abstract class RolloutChangeCommand extends RolloutCommand {
+    rollout = Option.String({ name: "ROLLOUT" });
+    reason = Option.String("--reason", "", { description: "Why; it stands in the log." });
+    author = Option.String("--author", userInfo().username, { description: "Operator. Defaults to the user's name." });
+    revision = Option.String("--revision", "-1", {
+        description: "Revision that a resume is made against. Defaults to the one in force.",
+    });
+    protected abstract readonly order: rolloutWire.RolloutOrder;
+    protected abstract readonly done: string;
+
+    protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
+        const { rollout, reason, author, order } = this;
+        return this.finish(
+            await client.change({ rollout, reason, author, order, madeAgainst: Number(this.revision) }),
+            this.done,
+        );
+    }
+}
+
+/** Pauses a rollout. */
+export class RolloutPauseCommand extends RolloutChangeCommand {
+    static override paths = [["rollout", "pause"]];
+    static override usage = Command.Usage({ category: CATEGORY, description: "Keeps a rollout's share where it is." });
+    protected override readonly order = rolloutWire.RolloutOrder.PAUSE;
+    protected override readonly done = "is paused";
+}
+
+/** Resumes a rollout. */
+export class RolloutResumeCommand extends RolloutChangeCommand {
+    static override paths = [["rollout", "resume"]];
+    static override usage = Command.Usage({ category: CATEGORY, description: "Goes on with a paused rollout." });
+    protected override readonly order = rolloutWire.RolloutOrder.RESUME;
+    protected override readonly done = "goes on";
+}
+
+/** Rolls a rollout back. */
+export class RolloutRollbackCommand extends RolloutChangeCommand {
+    static override paths = [["rollout", "rollback"]];
+    static override usage = Command.Usage({
+        category: CATEGORY,
+        description: "Takes a version back for good.",
+        examples: [["Take a version back", "foxtailrail rollout rollback entry-1-m3x-1 --reason 'wrong totals on receipts'"]],
+    });
+    protected override readonly order = rolloutWire.RolloutOrder.ROLL_BACK;
+    protected override readonly done = "was rolled back";
+}
+
+/** Lists rollouts. */
+export class RolloutListCommand extends RolloutCommand {
+    static override paths = [["rollout", "list"]];
+    static override usage = Command.Usage({ category: CATEGORY, description: "Lists all rollouts." });
+
+    protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
+        const { rollouts } = await client.list();
+        const rows = rollouts.map(each => [
+            each.id,
+            each.pool,
+            each.version,
+            each.phase,
+            formatShare(each.share),
+            new Date(each.deadlineMs).toISOString(),
+            each.author,
+        ]);
+        this.print(rollouts, formatTable(["ROLLOUT", "POOL", "VERSION", "PHASE", "SHARE", "DEADLINE", "AUTHOR"], rows));
+        return ExitCode.Done;
+    }
+}
+
+/** Shows one rollout. */
+export class RolloutShowCommand extends RolloutCommand {
+    static override paths = [["rollout", "show"]];
+    static override usage = Command.Usage({ category: CATEGORY, description: "Shows one rollout with its evidence." });
+    rollout = Option.String({ name: "ROLLOUT" });
+
+    protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
+        const [found] = (await client.list(this.rollout)).rollouts;
+        if (found === undefined) {
+            this.context.stderr.write(`No rollout has the id "${this.rollout}"; see "foxtailrail rollout list".\n`);
+            return ExitCode.Refused;
+        }
+        this.print(found, formatRollout(found));
+        return ExitCode.Done;
+    }
+}
+
+/** Follows one rollout until its end. */
+export class RolloutWatchCommand extends RolloutCommand {
+    static override paths = [["rollout", "watch"]];
+    static override usage = Command.Usage({ category: CATEGORY, description: "Prints a rollout's progress until its end." });
+    rollout = Option.String({ name: "ROLLOUT" });
+
+    protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
+        let last = "";
+        for (;;) {
+            const [found] = (await client.list(this.rollout)).rollouts;
+            if (found === undefined) {
+                this.context.stderr.write(`No rollout has the id "${this.rollout}"; see "foxtailrail rollout list".\n`);
+                return ExitCode.Refused;
+            }
+            const line = formatProgress(found);
+            if (line !== last) {
+                this.print(found, `${line}\n`);
+                last = line;
+            }
+            if (found.phase === "done" || found.phase === "rolledBack") {
+                return found.phase === "done" ? ExitCode.Done : ExitCode.Refused;
+            }
+            await sleep(WATCH_INTERVAL_MS);
+        }
+    }
+}
+
+/** Reads a deadline: a time, or a time from now. */
+function parseDeadline(text: string): number {
+    const [, count, unit] = /^(\d+)([mhd])$/.exec(text) ?? [];
+    const atMs = unit === undefined ? Date.parse(text) : Date.now() + Number(count) * UNIT_MS[unit];
+    if (Number.isNaN(atMs)) {
+        throw new UsageError(`Option --deadline is wrong: "${text}" is no time; give one such as 2026-12-03T18:00:00Z or 4h.`);
+    }
+    return Math.floor(atMs);
+}
+
+function formatShare(share: number): string {
+    return `${(100 * share).toFixed(1)}%`;
+}
+
+function formatProgress(rollout: rolloutWire.RolloutStatus): string {
+    const hold = rollout.holdReason === "" ? "" : `; held: ${rollout.holdReason}`;
+    const late = rollout.lateReason === "" ? "" : `; late: ${rollout.lateReason}`;
+    const reason = rollout.reason === "" ? "" : `; ${rollout.reason}`;
+    return `${rollout.phase}, share ${formatShare(rollout.share)}, ${rollout.attempts} attempts seen${hold}${late}${reason}`;
+}
+
+function formatRollout(rollout: rolloutWire.RolloutStatus): string {
+    const rows = [
+        ["rollout", rollout.id],
+        ["pool", rollout.pool],
+        ["version", `${rollout.fromVersion} to ${rollout.version}`],
+        ["phase", rollout.phase],
+        ["share at this node", formatShare(rollout.share)],
+        ["held", rollout.holdReason || "-"],
+        ["late", rollout.lateReason || "-"],
+        ["reason", rollout.reason || "-"],
+        ["started", `${new Date(rollout.startMs).toISOString()} by ${rollout.author}`],
+        ["deadline", new Date(rollout.deadlineMs).toISOString()],
+        ["revision", String(rollout.revision)],
+        ["attempts seen", String(rollout.attempts)],
+        ["fewest attempts", `${rollout.thinnestAttempts} (${rollout.thinnestView || "nothing seen"})`],
+        ["test's level reached", formatShare(rollout.alarmRatio)],
+    ];
+    return formatTable(["FIELD", "VALUE"], rows);
+}
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -15,6 +15,7 @@
 } from "../protocol/mod.js";
 import { type EventRing, Part, Semantics } from "../state/mod.js";
 import type { CallScope } from "./_call_scope.js";
+import type { AttemptMeter } from "./attempt_meter.js";
 import type { CallPass } from "./call_guard.js";
 import type { RetryBudget } from "./retry_budget.js";
 import { type Assignment, DispatchResult, type Scheduler } from "./scheduler.js";
@@ -44,6 +45,8 @@
     readonly scheduler: Scheduler;
     readonly retryBudget: RetryBudget;
     readonly ring: EventRing;
+    /** Measures each attempt. Left out when nobody wants the figures. */
+    readonly attempts?: AttemptMeter;
 }
 
 /** Runs dispatches until one attempt succeeds or no further attempt is allowed. */
@@ -89,8 +92,9 @@
         }
     }
 
-    private async tryOnce(dispatch: Dispatch, assignment: Assignment): Promise<DispatchError | undefined> {
+    private async tryOnce(dispatch: Dispatch, assigned: Assignment): Promise<DispatchError | undefined> {
         const { scope, pass } = dispatch;
+        const assignment = this.settings.attempts?.measure(assigned, scope) ?? assigned;
         const peer = assignment.server.vm.id;
         if (!pass.tryDispatch()) {
             assignment.release(DispatchResult.Abandoned);
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./attempt_meter.js";
 export * from "./attempt_observer.js";
 export * from "./call_guard.js";
 export * from "./call_observer.js";
--- a/src/coordination/rollouts/rollout_controller.ts
+++ b/src/coordination/rollouts/rollout_controller.ts
@@ -187,6 +187,12 @@
             `${finding.metric} worse than on the old version (${nameView(finding.view)}; ${finding.attempts} attempts)`;
     }
 
+    /** Describes the operation or engine class with the fewest attempts. */
+    describeThinnest(): string {
+        const { thinnest } = this;
+        return thinnest === undefined ? "" : nameView(thinnest.view);
+    }
+
     /** Describes how much evidence the rollout rests on. */
     describeEvidence(): string {
         const { thinnest } = this;
--- /dev/null
+++ b/src/coordination/rollouts/rollout_desk.ts
@@ -0,0 +1,175 @@
+/**
+ * Answers to operators about rollouts.
+ *
+ * @module
+ */
+
+import {
+    findStartProblems,
+    type NewRolloutRecord,
+    RolloutOperatorHandler,
+    RolloutRecordKind,
+    rolloutWire,
+} from "../../protocol/mod.js";
+import type { BackendTable, Clock, ConfigurationView } from "../../state/mod.js";
+import { isUnderWay, type Rollout } from "./rollout_book.js";
+import type { RolloutFollower } from "./rollout_follower.js";
+import type { RolloutManager } from "./rollout_manager.js";
+
+/** Longest time to wait for the log, in milliseconds. */
+const COMMIT_TIMEOUT_MS = 12_000;
+
+/** Shortest time from start to deadline, in milliseconds. */
+const LEAST_LIFE_MS = 60_000;
+
+/** Settings of a {@linkcode RolloutDesk}. */
+export interface RolloutDeskSettings {
+    readonly node: string;
+    readonly clock: Clock;
+    readonly view: ConfigurationView;
+    readonly table: BackendTable;
+    readonly follower: RolloutFollower;
+    readonly manager: RolloutManager;
+}
+
+/** Takes operators' orders on rollouts to the log. */
+export class RolloutDesk extends RolloutOperatorHandler {
+    private orderCount = 0;
+
+    /** @param settings See {@linkcode RolloutDeskSettings}. */
+    constructor(private readonly settings: RolloutDeskSettings) {
+        super();
+    }
+
+    override async start(request: rolloutWire.StartRolloutRequest): Promise<rolloutWire.ChangeRolloutReply> {
+        const { clock } = this.settings;
+        const { pool, version, author, deadlineMs } = request;
+        const fromVersion = this.versionInForce(pool, version);
+        const problems = [
+            ...findStartProblems({ pool, version, author, deadlineMs }),
+            ...this.findPoolProblems(request, fromVersion),
+        ];
+        const id = this.nextId();
+        if (problems.length > 0 || fromVersion === undefined) {
+            return { accepted: false, rollout: "", problems };
+        }
+        const neededServers = request.neededServers || this.countServers(pool, fromVersion);
+        const startMs = Math.floor(clock.now());
+        const common = { pool, version, author, deadlineMs, neededServers, fromVersion, startMs };
+        return this.commit({ ...common, kind: RolloutRecordKind.Started, id, rollout: id });
+    }
+
+    override async change(request: rolloutWire.ChangeRolloutRequest): Promise<rolloutWire.ChangeRolloutReply> {
+        const { follower, manager } = this.settings;
+        const rollout = follower.book.get(request.rollout);
+        if (rollout === undefined) {
+            const problem =
+                `Field "rollout" is wrong: no rollout has the id "${request.rollout}"; see "foxtailrail rollout list".`;
+            return { accepted: false, rollout: request.rollout, problems: [problem] };
+        }
+        const common = { id: this.nextId(), author: request.author, rollout: rollout.id };
+        const reason = request.reason || "no reason given";
+        switch (request.order) {
+            case rolloutWire.RolloutOrder.PAUSE:
+                return this.commit({ ...common, kind: RolloutRecordKind.Paused, reason });
+            case rolloutWire.RolloutOrder.RESUME: {
+                const madeAgainst = request.madeAgainst < 0 ? rollout.revision : request.madeAgainst;
+                return this.commit({ ...common, kind: RolloutRecordKind.Resumed, madeAgainst });
+            }
+            default:
+                if (isStoppable(rollout, follower)) {
+                    manager.rollBack(rollout, request.author, reason);
+                }
+                return this.commit({ ...common, id: `${rollout.id}-rolledBack`, kind: RolloutRecordKind.RolledBack, reason });
+        }
+    }
+
+    override async list(request: rolloutWire.ListRolloutsRequest): Promise<rolloutWire.ListRolloutsReply> {
+        const rollouts = [...this.settings.follower.book.all]
+            .filter(rollout => request.rollout === "" || rollout.id === request.rollout)
+            .map(rollout => this.describe(rollout));
+        return { rollouts };
+    }
+
+    private describe(rollout: Rollout): rolloutWire.RolloutStatus {
+        const controller = this.settings.manager.controller(rollout.id);
+        const stopped = this.settings.manager.isStopped(rollout);
+        const { thinnest } = controller ?? {};
+        const { id, pool, version, fromVersion, startMs, deadlineMs, author, phase, revision, reason } = rollout;
+        return {
+            ...{ id, pool, version, fromVersion, startMs, deadlineMs, author, revision, reason },
+            phase: stopped ? "rolledBack" : phase,
+            lateReason: rollout.lateReason ?? "",
+            share: stopped ? 0 : controller?.share ?? Number(phase === "done"),
+            holdReason: controller?.holdReason ?? "",
+            attempts: controller?.attempts ?? 0,
+            thinnestAttempts: thinnest?.attempts ?? 0,
+            thinnestView: controller?.describeThinnest() ?? "",
+            alarmRatio: controller?.strongest?.alarmRatio ?? 0,
+        };
+    }
+
+    private async commit(record: NewRolloutRecord): Promise<rolloutWire.ChangeRolloutReply> {
+        const { clock, follower } = this.settings;
+        const timeout = new AbortController();
+        const done = new AbortController();
+        void clock.sleep(COMMIT_TIMEOUT_MS, done.signal).then(elapsed => elapsed && timeout.abort());
+        const outcome = await follower.commit(record, timeout.signal);
+        done.abort();
+        const rollout = "rollout" in record ? record.rollout : "";
+        if (outcome === undefined) {
+            const problem = `The log has not confirmed record ${record.id}; it can stand there all the same. Look again later.`;
+            return { accepted: false, rollout, problems: [problem] };
+        }
+        return outcome.kind === "refused" ?
+            { accepted: false, rollout, problems: [outcome.problem] } :
+            { accepted: true, rollout, problems: [] };
+    }
+
+    private findPoolProblems(
+        { pool, version, deadlineMs }: rolloutWire.StartRolloutRequest,
+        fromVersion: string | undefined,
+    ): readonly string[] {
+        const { clock, view } = this.settings;
+        const problems: string[] = [];
+        if (!view.current.document.pools.some(each => each.name === pool)) {
+            problems.push(`Field "pool" is wrong: no pool is named "${pool}"; add it to the configuration.`);
+        }
+        if (deadlineMs < clock.now() + LEAST_LIFE_MS) {
+            problems.push(
+                `Field "deadline" is wrong: ${
+                    new Date(deadlineMs).toISOString()
+                } is less than a minute ahead; give a later time.`,
+            );
+        }
+        if (fromVersion === undefined) {
+            problems.push(`Field "version" is wrong: no backend server of pool "${pool}" runs a version but "${version}".`);
+        }
+        return problems;
+    }
+
+    /** Returns the version that serves a pool: that of the last finished rollout, or the one most backend servers run. */
+    private versionInForce(pool: string, version: string): string | undefined {
+        const logged = this.settings.follower.book.inForce(pool);
+        if (logged !== undefined && logged !== version) {
+            return logged;
+        }
+        const versions = this.settings.table.inPool(pool).map(server => server.report?.version);
+        const others = [...new Set(versions)].filter(each => each !== undefined && each !== version);
+        const counted = others.map(each => ({ each, count: this.countServers(pool, each as string) }));
+        return counted.sort((left, right) => right.count - left.count)[0]?.each;
+    }
+
+    private countServers(pool: string, version: string): number {
+        return this.settings.table.inPool(pool).filter(server => server.takesWork && server.report?.version === version).length;
+    }
+
+    private nextId(): string {
+        this.orderCount += 1;
+        return `${this.settings.node}-${Math.floor(this.settings.clock.now()).toString(36)}-${this.orderCount}`;
+    }
+}
+
+function isStoppable(rollout: Rollout, follower: RolloutFollower): boolean {
+    return follower.book.latest(rollout.pool) === rollout && (isUnderWay(rollout) || rollout.phase === "done");
+}
--- /dev/null
+++ b/src/coordination/rollouts/rollout_follower.ts
@@ -0,0 +1,161 @@
+/**
+ * Following of the rollout stream in the platform's log.
+ *
+ * @module
+ */
+
+import { createAdapter } from "@most/adapter";
+import type { Stream } from "@most/types";
+import {
+    decodeRolloutRecord,
+    encodeRolloutRecord,
+    type LogRecord,
+    type LogService,
+    type NewRolloutRecord,
+    ROLLOUT_STREAM,
+    type RolloutRecord,
+    RolloutRecordKind,
+} from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part } from "../../state/mod.js";
+import { type RecordOutcome, type Rollout, RolloutBook } from "./rollout_book.js";
+import { RolloutJournal } from "./rollout_journal.js";
+
+/** Time that a read waits for a new record, in milliseconds. */
+const READ_WAIT_MS = 1_500;
+
+/** Time to wait after a failed call of the log, in milliseconds. */
+const RETRY_DELAY_MS = 500;
+
+/** Time to wait between looks at the book while a record lands, in milliseconds. */
+const LANDING_POLL_MS = 20;
+
+/** Longest time to wait for an appended record to be read back before it is appended again, in milliseconds. */
+const LANDING_TIMEOUT_MS = 5_000;
+
+/** Record that has been read, with what it did. */
+export interface ReadRecord {
+    readonly offset: number;
+    readonly record: RolloutRecord;
+    readonly rollout: Rollout | undefined;
+}
+
+/** Settings of a {@linkcode RolloutFollower}. */
+export interface RolloutFollowerSettings {
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly log: LogService;
+}
+
+/** Reads the rollout stream in the order of the log. */
+export class RolloutFollower extends RolloutJournal {
+    override readonly book = new RolloutBook();
+    override lastContactMs = 0;
+    /** Records as they take effect. */
+    readonly applied: Stream<ReadRecord>;
+    private readonly publish: (read: ReadRecord) => void;
+    private nextOffset = 0;
+
+    /** @param settings See {@linkcode RolloutFollowerSettings}. */
+    constructor(private readonly settings: RolloutFollowerSettings) {
+        super();
+        [this.publish, this.applied] = createAdapter<ReadRecord>();
+    }
+
+    /** Follows the stream until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { log, clock } = this.settings;
+        while (!signal.aborted) {
+            try {
+                const page = await log.read(ROLLOUT_STREAM, this.nextOffset, { waitMs: READ_WAIT_MS });
+                this.lastContactMs = clock.now();
+                for (const record of page.records) {
+                    this.take(record);
+                }
+            }
+            catch (error) {
+                this.note("readFailed", `${(error as Error).message}.`);
+                await clock.sleep(RETRY_DELAY_MS, signal);
+            }
+        }
+    }
+
+    override async commit(record: NewRolloutRecord, signal: AbortSignal): Promise<RecordOutcome | undefined> {
+        const { clock, log } = this.settings;
+        while (!signal.aborted) {
+            try {
+                await log.append(ROLLOUT_STREAM, encodeRolloutRecord(record));
+            }
+            catch (error) {
+                // The record can have landed all the same; its id keeps a second copy from taking effect.
+                this.note("appendFailed", `${(error as Error).message}.`);
+            }
+            const outcome = await this.awaitOutcome(record.id, signal);
+            if (outcome !== undefined) {
+                return outcome;
+            }
+            await clock.sleep(RETRY_DELAY_MS, signal);
+        }
+        return undefined;
+    }
+
+    private async awaitOutcome(recordId: string, signal: AbortSignal): Promise<RecordOutcome | undefined> {
+        const { clock } = this.settings;
+        const giveUpAtMs = clock.now() + LANDING_TIMEOUT_MS;
+        while (clock.now() < giveUpAtMs && !signal.aborted) {
+            const outcome = this.book.outcome(recordId);
+            if (outcome !== undefined) {
+                return outcome;
+            }
+            await clock.sleep(LANDING_POLL_MS, signal);
+        }
+        return undefined;
+    }
+
+    private take({ offset, data }: LogRecord): void {
+        this.nextOffset = offset + 1;
+        const record = decodeRolloutRecord(data);
+        if (record === undefined) {
+            this.note("skipped", `Record ${offset} is malformed or of a later format and was skipped.`);
+            return;
+        }
+        const outcome = this.book.apply(offset, record);
+        if (outcome.kind === "refused") {
+            this.note("conflict", `Record ${offset} by ${record.author} has no effect: ${outcome.problem}`);
+        }
+        if (outcome.kind === "applied") {
+            const { rollout } = outcome;
+            this.note(record.kind, describe(record, rollout));
+            this.publish({ offset, record, rollout });
+        }
+    }
+
+    private note(kind: string, text: string): void {
+        this.settings.ring.record({ part: Part.Rollout, kind, text });
+    }
+}
+
+function describe(record: RolloutRecord, rollout: Rollout | undefined): string {
+    if (record.kind === RolloutRecordKind.Told) {
+        return `A webhook receiver took event ${record.eventId}.`;
+    }
+    if (rollout === undefined) {
+        return "The versions in force and forbidden were repeated.";
+    }
+    const subject = `Rollout ${rollout.id} of pool ${rollout.pool} to version ${rollout.version}`;
+    switch (record.kind) {
+        case RolloutRecordKind.Started:
+            return `${subject} was started by ${record.author}.`;
+        case RolloutRecordKind.Paused:
+            return `${subject} was paused by ${record.author}: ${record.reason}.`;
+        case RolloutRecordKind.Resumed:
+            return `${subject} was resumed by ${record.author}.`;
+        case RolloutRecordKind.RolledBack:
+            return `${subject} was rolled back by ${record.author}: ${record.reason}.`;
+        case RolloutRecordKind.Done:
+            return `${subject} is done: ${record.evidence}.`;
+        case RolloutRecordKind.Late:
+            return `${subject} cannot meet its deadline: ${record.reason}.`;
+        case RolloutRecordKind.Standing:
+            return subject;
+    }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,6 +15,7 @@
     HttpPlainService,
     HttpServer,
     HttpVmList,
+    HttpWebhook,
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
     type OperationsPage,
@@ -60,6 +61,7 @@
             vmList: new HttpVmList(this.client, settings.platform.vmList),
             dissemination: new SilentDissemination(),
             observer: this.metrics,
+            webhook: settings.webhookUrl === undefined ? undefined : new HttpWebhook(settings.webhookUrl),
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -71,6 +73,7 @@
         this.grpcServer = new GrpcServer({
             peerHandler: new PeerDesk(this.node),
             operatorHandler: new OperatorDesk({ node: this.node, limits, isReady: () => this.ready }),
+            rolloutHandler: this.node.rolloutDesk,
             isOperatorKey: key => isOperatorKey(settings, key),
         });
     }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -7,6 +7,7 @@
 import { runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
 import {
+    AttemptMeter,
     type CallObserver,
     CallResolver,
     ConfigurationFollower,
@@ -16,8 +17,20 @@
     PlatformWatch,
     RequestHandler,
     RetryBudget,
+    RolloutDesk,
+    RolloutFollower,
+    RolloutManager,
+    RolloutNotifier,
 } from "../coordination/mod.js";
-import type { Dissemination, Engine, LogService, PlainService, VmList } from "../protocol/mod.js";
+import {
+    type Dissemination,
+    type Engine,
+    type LogService,
+    type PlainService,
+    SilentWebhook,
+    type VmList,
+    type Webhook,
+} from "../protocol/mod.js";
 import {
     BackendTable,
     type Clock,
@@ -43,6 +56,8 @@
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
     readonly observer: CallObserver;
+    /** Receiver of events about rollouts. Defaults to none. */
+    readonly webhook?: Webhook;
 }
 
 /** State and coordination of one entry VM. */
@@ -53,6 +68,10 @@
     readonly ring: EventRing;
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
+    readonly rolloutFollower: RolloutFollower;
+    readonly rollouts: RolloutManager;
+    readonly rolloutDesk: RolloutDesk;
+    private readonly notifier: RolloutNotifier;
     /** Entry VMs of the last VM list, this one included. */
     entryVms: readonly Vm[] = [];
     private readonly watch: PlatformWatch;
@@ -68,13 +87,26 @@
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
         this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
-        const scheduler = new LeastLoadedScheduler(table, random);
+        this.rolloutFollower = new RolloutFollower({ clock, ring, log: settings.log });
+        this.rollouts = this.makeRollouts();
+        const { rolloutFollower, rollouts } = this;
+        this.rolloutDesk = new RolloutDesk({
+            node: settings.node,
+            clock,
+            view,
+            table,
+            follower: rolloutFollower,
+            manager: rollouts,
+        });
+        this.notifier = this.makeNotifier();
+        const scheduler = new LeastLoadedScheduler(table, random, this.rollouts);
+        const attempts = new AttemptMeter(clock, this.rollouts.attempts);
         this.handler = new RequestHandler({
             clock,
             ring,
             resolver: new CallResolver(view, clock),
             guard: new LocalCallGuard(),
-            dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring }),
+            dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring, attempts }),
             engine,
             plainService,
             observer,
@@ -92,12 +124,37 @@
             this.entryVms = vms.filter(vm => vm.role === VmRole.Entry);
         };
         void runEffects(tap(keepEntryVms, this.watch.lists), newDefaultScheduler());
-        this.tasks = [this.follower.run(this.stopped.signal), this.watch.run(this.stopped.signal)];
+        const { signal } = this.stopped;
+        this.tasks = [
+            this.follower.run(signal),
+            this.watch.run(signal),
+            this.rolloutFollower.run(signal),
+            this.rollouts.run(signal),
+        ];
     }
 
     /** Ends the tasks. */
     async stop(): Promise<void> {
         this.stopped.abort();
+        this.notifier.stop();
         await Promise.all(this.tasks);
     }
+
+    private makeRollouts(): RolloutManager {
+        const { node, failureDomain, clock, random, dissemination } = this.settings;
+        const { ring, table } = this;
+        const journal = this.rolloutFollower;
+        const peers = () => this.otherEntryVms();
+        return new RolloutManager({ node, failureDomain, clock, random, ring, table, dissemination, journal, peers });
+    }
+
+    private makeNotifier(): RolloutNotifier {
+        const { node, clock, webhook = new SilentWebhook() } = this.settings;
+        const peers = () => this.otherEntryVms();
+        return new RolloutNotifier({ node, clock, ring: this.ring, follower: this.rolloutFollower, webhook, peers });
+    }
+
+    private otherEntryVms(): readonly Vm[] {
+        return this.entryVms.filter(vm => vm.id !== this.settings.node);
+    }
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -33,6 +33,8 @@
         balancerLagMs: z.int().min(0).max(60_000).default(DEFAULT_BALANCER_LAG_MS),
         limitMs: z.int().min(0).max(3_600_000).default(DEFAULT_DRAIN_LIMIT_MS),
     }).default({ balancerLagMs: DEFAULT_BALANCER_LAG_MS, limitMs: DEFAULT_DRAIN_LIMIT_MS }),
+    /** Receiver that is told when a rollout is done, rolled back or late. */
+    webhookUrl: z.url({ protocol: /^https?$/, error: "must be an http or https address" }).optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
 
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -5,8 +5,8 @@
  */
 
 import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
-import type { OperatorHandler, PeerHandler } from "../protocol/mod.js";
-import { type TimelineFeed, wire } from "../protocol/mod.js";
+import type { OperatorHandler, PeerHandler, RolloutOperatorHandler } from "../protocol/mod.js";
+import { rolloutWire, type TimelineFeed, wire } from "../protocol/mod.js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -18,6 +18,8 @@
 export interface GrpcServerSettings {
     readonly peerHandler: PeerHandler;
     readonly operatorHandler: OperatorHandler;
+    /** Answers operators about rollouts. Left out, such calls are unknown. */
+    readonly rolloutHandler?: RolloutOperatorHandler;
     /** Whether a key belongs to an operator. */
     readonly isOperatorKey: (key: string | undefined) => boolean;
     /** Credentials of the server. Defaults to plain text. */
@@ -35,6 +37,9 @@
     constructor(private readonly settings: GrpcServerSettings) {
         this.server.addService(wire.PeerService, this.peerImplementation());
         this.server.addService(wire.OperatorService, this.operatorImplementation());
+        if (settings.rolloutHandler !== undefined) {
+            this.server.addService(rolloutWire.RolloutOperatorService, this.rolloutImplementation(settings.rolloutHandler));
+        }
     }
 
     /** Starts to listen and returns the port. */
@@ -85,6 +90,14 @@
         };
     }
 
+    private rolloutImplementation(handler: RolloutOperatorHandler): rolloutWire.RolloutOperatorServer {
+        return {
+            startRollout: this.guarded(request => handler.start(request)),
+            changeRollout: this.guarded(request => handler.change(request)),
+            listRollouts: this.guarded(request => handler.list(request)),
+        };
+    }
+
     private guarded<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
         const answerUnguarded = unary(answer);
         return (call, callback) => {
--- /dev/null
+++ b/src/transport/http_webhook.ts
@@ -0,0 +1,36 @@
+/**
+ * Webhook receivers over HTTP.
+ *
+ * @module
+ */
+
+import { request } from "undici";
+import { Webhook, type WebhookEvent } from "../protocol/mod.js";
+
+/** Longest time to wait for the receiver, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 5_000;
+
+/** Lowest HTTP status that means that the event was not taken. */
+const FIRST_ERROR_STATUS = 300;
+
+/** Receiver that takes events as JSON by `POST`; the header `foxtailrail-event-id` repeats the stable id. */
+export class HttpWebhook extends Webhook {
+    /** @param url Address of the receiver. */
+    constructor(private readonly url: string) {
+        super();
+    }
+
+    override async deliver(event: WebhookEvent): Promise<void> {
+        const response = await request(this.url, {
+            method: "POST",
+            headers: { "content-type": "application/json", "foxtailrail-event-id": event.id },
+            body: JSON.stringify(event),
+            headersTimeout: ANSWER_TIMEOUT_MS,
+            bodyTimeout: ANSWER_TIMEOUT_MS,
+        });
+        await response.body.dump();
+        if (response.statusCode >= FIRST_ERROR_STATUS) {
+            throw new Error(`Cannot deliver event to ${this.url}: status ${response.statusCode}`);
+        }
+    }
+}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -11,3 +11,4 @@
 export * from "./http_plain_service.js";
 export * from "./http_platform.js";
 export * from "./http_server.js";
+export * from "./http_webhook.js";
--- a/standin/in_process_fleet.ts
+++ b/standin/in_process_fleet.ts
@@ -12,8 +12,10 @@
     CONFIGURATION_STREAM,
     encodeConfigurationRecord,
     type IncomingCall,
+    type Webhook,
 } from "../src/protocol/mod.js";
 import { type ConfigurationDocument, SeededRandom, type Vm, VmRole, VmState } from "../src/state/mod.js";
+import { CuttableLog } from "./cuttable_log.js";
 import { type Deployment, toDocument } from "./deployment.js";
 import { ENGINE_PROFILES, EngineModel } from "./engine_model.js";
 import { LocalEngines, LocalServices } from "./local_backends.js";
@@ -36,6 +38,8 @@
     readonly seed?: number;
     /** Settings of the log service. */
     readonly log?: LogModelSettings;
+    /** Receiver of events about rollouts. Defaults to none. */
+    readonly webhook?: Webhook;
 }
 
 /** Fleet in one process; every part is the real one but for engines, services and platform. */
@@ -46,6 +50,8 @@
     readonly ledger = new EffectLedger();
     readonly hub = new DisseminationHub(this.clock);
     readonly log: LogModel;
+    /** Connections of the nodes to the log, by node, which tests can cut. */
+    readonly logConnections = new Map<string, CuttableLog>();
     readonly vmList = new VmListModel(this.clock, VM_LIST_LAG_MS);
     readonly nodes: EntryNode[] = [];
     readonly document: ConfigurationDocument;
@@ -132,6 +138,8 @@
             const id = `entry-${index + 1}`;
             const address = `127.0.0.1:${this.vms.length + 1}`;
             this.vms.push({ id, role: VmRole.Entry, address, failureDomain, state: VmState.Live });
+            const log = new CuttableLog(this.log);
+            this.logConnections.set(id, log);
             this.nodes.push(
                 new EntryNode({
                     node: id,
@@ -140,7 +148,8 @@
                     random: new SeededRandom(seed * 1_000 + index),
                     engine: new LocalEngines(this.engines),
                     plainService: new LocalServices(this.services),
-                    log: this.log,
+                    log,
+                    webhook: this.settings.webhook,
                     vmList: this.vmList,
                     dissemination: this.hub.join(id),
                     observer: new SilentObserver(),
