Prove rollouts under cuts, races, lost answers and receivers that are down

Change: 31 scenarios on nodes with log, peers and engines of the stand-in; connections to the log that a test cuts node by node; a node that starts while the log is down hears of rollouts and rollbacks from its peers (it would have used every version before).

--- /dev/null
+++ b/features/steps/rollout_steps.ts
@@ -0,0 +1,431 @@
+/**
+ * Steps about rollouts in a fleet.
+ *
+ * @module
+ */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { RolloutPhase } from "../../src/coordination/mod.js";
+import type { EntryNode } from "../../src/daemon/mod.js";
+import { rolloutWire, Webhook, type WebhookEvent } from "../../src/protocol/mod.js";
+import { EngineVersionFault, runVersion } from "../../standin/version_fault.js";
+import type { Scenario } from "../support/world.js";
+
+/** Pool of the scenarios. */
+const POOL = "language-model";
+
+/** Time to the deadline of most scenarios, in milliseconds. */
+const LIFE_MS = 120_000;
+
+/** Calls whose versions are looked at, for each node. */
+const TRIED_CALLS = 500;
+
+/** Trouble in which the node that sends first does not live to see the receiver work again. */
+const FIRST_NODE_DIES = "is down while the first node dies";
+
+/** State of one scenario about rollouts. */
+interface RolloutScenario {
+    rollout: string;
+    replies: rolloutWire.ChangeRolloutReply[];
+    webhook: FaultyWebhook | undefined;
+    shareBefore: number;
+}
+
+const states = new WeakMap<Scenario, RolloutScenario>();
+
+Given(
+    "the {string} fleet with version {string} beside the old one",
+    async function(this: Scenario, example: string, version: string) {
+        await startFleet(this, example, version);
+    },
+);
+
+Given(
+    "the {string} fleet with version {string} beside the old one and a webhook receiver that {}",
+    async function(this: Scenario, example: string, version: string, trouble: string) {
+        const webhook = new FaultyWebhook(trouble);
+        await startFleet(this, example, version, webhook);
+    },
+);
+
+Given(
+    "the {string} fleet with version {string} that {} on half of the engines",
+    async function(this: Scenario, example: string, version: string, behaviour: string) {
+        await startFleet(this, example, version, undefined, behaviour as EngineVersionFault);
+    },
+);
+
+Given("a rollout to {string} that was paused", async function(this: Scenario, version: string) {
+    await startRollout(this, version);
+    await order(this, this.fleet.nodes[0], rolloutWire.RolloutOrder.PAUSE);
+});
+
+Given("a rollout to {string} that needs 30 more servers", async function(this: Scenario, version: string) {
+    await startRollout(this, version, { neededServers: 33 });
+});
+
+Given("a rollout to {string} that was rolled back", async function(this: Scenario, version: string) {
+    await startRollout(this, version);
+    await order(this, this.fleet.nodes[0], rolloutWire.RolloutOrder.ROLL_BACK);
+    if (stateOf(this).webhook?.trouble === FIRST_NODE_DIES) {
+        await this.fleet.clock.runUntil(this.fleet.nodes[0].stop());
+    }
+});
+
+Given("a rollout to {string} that has 3% of the calls", async function(this: Scenario, version: string) {
+    await startRollout(this, version);
+    await this.fleet.clock.advance(5_000);
+    for (const node of this.fleet.nodes) {
+        const share = countUses(node, version) / TRIED_CALLS;
+        assert.ok(share > 0 && share < 0.05, `${node.settings.node} sends ${share} of its calls to the version`);
+    }
+    stateOf(this).shareBefore = shareOf(this, lastNode(this));
+});
+
+Given("a rollout to {string} with a deadline of 100 seconds", async function(this: Scenario, version: string) {
+    await startRollout(this, version, { deadlineMs: this.fleet.clock.now() + 100_000 });
+});
+
+Given("the log loses its answers", function(this: Scenario) {
+    this.fleet.log.faults.loseAnswers = true;
+});
+
+When("an operator starts a rollout to {string}", async function(this: Scenario, version: string) {
+    stateOf(this).replies.push(await start(this, this.fleet.nodes[0], { version }));
+});
+
+When("an operator starts a rollout with {word} {string}", async function(this: Scenario, field: string, value: string) {
+    const change = field === "deadline" ? { deadlineMs: this.fleet.clock.now() - 1 } : { [field]: value };
+    stateOf(this).replies.push(await start(this, this.fleet.nodes[0], change));
+});
+
+When("two operators start rollouts of one pool on two nodes at once", async function(this: Scenario) {
+    const [first, second] = this.fleet.nodes;
+    const both = Promise.all([request(this, first, { author: "first" }), request(this, second, { author: "second" })]);
+    stateOf(this).replies.push(...await this.fleet.clock.runUntil(both));
+});
+
+When("one operator rolls it back while another resumes it on another node", async function(this: Scenario) {
+    const [first, second] = this.fleet.nodes;
+    const { rollout } = stateOf(this);
+    const common = { rollout, author: "operator", reason: "race", madeAgainst: -1 };
+    const both = Promise.all([
+        second.rolloutDesk.change({ ...common, order: rolloutWire.RolloutOrder.RESUME }),
+        first.rolloutDesk.change({ ...common, order: rolloutWire.RolloutOrder.ROLL_BACK }),
+    ]);
+    stateOf(this).replies.push(...await this.fleet.clock.runUntil(both));
+});
+
+When("an operator resumes it against an older revision", async function(this: Scenario) {
+    await order(this, this.fleet.nodes[1], rolloutWire.RolloutOrder.RESUME, 0);
+});
+
+When("an operator rolls the rollout back on the first node", function(this: Scenario) {
+    const { rollout } = stateOf(this);
+    const change = { rollout, author: "operator", reason: "wrong totals", madeAgainst: -1 };
+    void this.fleet.nodes[0].rolloutDesk.change({ ...change, order: rolloutWire.RolloutOrder.ROLL_BACK });
+});
+
+When(/^nothing else happens$/, () => undefined);
+
+When("the log goes down", function(this: Scenario) {
+    this.fleet.log.faults.down = true;
+});
+
+When(/^the last node is cut off from (the log|all others|everything)$/, function(this: Scenario, what: string) {
+    const { settings: { node } } = lastNode(this);
+    if (what !== "the log") {
+        this.fleet.hub.setIsolated(node, true);
+    }
+    const connection = this.fleet.logConnections.get(node);
+    if (what !== "all others" && connection !== undefined) {
+        connection.cut = true;
+    }
+});
+
+When("the last node is replaced while the log is down", async function(this: Scenario) {
+    this.fleet.log.faults.down = true;
+    await this.fleet.replaceNode(this.fleet.nodes.length - 1);
+});
+
+When("{int} seconds pass", async function(this: Scenario, seconds: number) {
+    await this.fleet.clock.advance(seconds * 1_000);
+});
+
+When("callers send {int} calls a second until the rollout ends", async function(this: Scenario, rate: number) {
+    const node = this.fleet.nodes[0];
+    const { rollout } = stateOf(this);
+    for (let elapsedMs = 0; elapsedMs < 100_000 && isOpen(node, rollout); elapsedMs += 1_000 / rate) {
+        sendCall(this);
+        await this.fleet.clock.advance(1_000 / rate);
+    }
+    await this.finishCalls();
+    await this.fleet.clock.advance(3_000);
+});
+
+Then(
+    "the rollout is refused and the problem names {string} and {string}",
+    function(this: Scenario, field: string, value: string) {
+        const reply = stateOf(this).replies.at(-1);
+        assert.equal(reply?.accepted, false);
+        const text = reply?.problems.join("\n").toLowerCase() ?? "";
+        assert.ok(text.includes(field), text);
+        assert.ok(value === "past" || text.includes(value.toLowerCase()), text);
+    },
+);
+
+Then("one rollout is under way on every node and the other operator is told of it", async function(this: Scenario) {
+    await this.fleet.clock.advance(3_000);
+    const { replies } = stateOf(this);
+    assert.deepEqual(replies.map(reply => reply.accepted).sort(), [false, true]);
+    const refused = replies.find(reply => !reply.accepted);
+    const accepted = replies.find(reply => reply.accepted);
+    assert.ok(refused?.problems[0].includes(accepted?.rollout ?? "none"), refused?.problems[0]);
+    for (const node of this.fleet.nodes) {
+        assert.deepEqual([...node.rolloutFollower.book.all].map(rollout => rollout.id), [accepted?.rollout]);
+    }
+});
+
+Then("the rollout is {string} on every node", async function(this: Scenario, phase: string) {
+    await this.fleet.clock.advance(3_000);
+    assertPhase(this, phase);
+});
+
+Then("the rollout is {string} on every node before its deadline", function(this: Scenario, phase: string) {
+    assertPhase(this, phase);
+    const { rollout } = stateOf(this);
+    const { deadlineMs = 0 } = this.fleet.nodes[0].rolloutFollower.book.get(rollout) ?? {};
+    assert.ok(this.fleet.clock.now() - 3_000 <= deadlineMs + 35_000);
+    const landed = this.fleet.nodes[0].ring.list().find(event => event.kind === phase);
+    assert.ok((landed?.time.wallMs ?? Infinity) <= deadlineMs, `${phase} came after the deadline`);
+});
+
+Then("no node sends a call to {string}", function(this: Scenario, version: string) {
+    assertUnused(this, version);
+});
+
+Then("{int} seconds later no node sends a call to {string}", async function(this: Scenario, seconds: number, version: string) {
+    await this.fleet.clock.advance(seconds * 1_000);
+    assertUnused(this, version);
+});
+
+Then(
+    "no node does so once everything is healed, and the rollout is {string} on every node",
+    async function(this: Scenario, phase: string) {
+        this.fleet.log.faults.down = false;
+        for (const node of this.fleet.nodes) {
+            this.fleet.hub.setIsolated(node.settings.node, false);
+            const connection = this.fleet.logConnections.get(node.settings.node);
+            if (connection !== undefined) {
+                connection.cut = false;
+            }
+        }
+        for (let second = 0; second < 25; second++) {
+            await this.fleet.clock.advance(1_000);
+            assertUnused(this, "2.0");
+        }
+        assertPhase(this, phase);
+    },
+);
+
+Then("the operator is told that the rollout has changed", function(this: Scenario) {
+    const reply = stateOf(this).replies.at(-1);
+    assert.equal(reply?.accepted, false);
+    assert.match(reply?.problems[0] ?? "", /was changed at revision 1; the resume was made against 0/);
+});
+
+Then("the operator is told that it was started", function(this: Scenario) {
+    assert.deepEqual(stateOf(this).replies.at(-1)?.problems, []);
+});
+
+Then("every node has {int} rollout", async function(this: Scenario, count: number) {
+    await this.fleet.clock.advance(3_000);
+    for (const node of this.fleet.nodes) {
+        assert.equal([...node.rolloutFollower.book.all].length, count);
+    }
+});
+
+Then("the last node has not raised its share", function(this: Scenario) {
+    const { shareBefore } = stateOf(this);
+    assert.ok(shareOf(this, lastNode(this)) <= shareBefore);
+    assert.ok(shareOf(this, this.fleet.nodes[0]) > shareBefore, "the other nodes raise theirs");
+});
+
+Then("the rollout is announced as late before its deadline, since {string}", function(this: Scenario, reason: string) {
+    for (const node of this.fleet.nodes) {
+        const rollout = node.rolloutFollower.book.get(stateOf(this).rollout);
+        assert.equal(rollout?.lateReason, reason);
+        assert.ok(this.fleet.clock.now() < (rollout?.deadlineMs ?? 0));
+        assert.ok(node.ring.list().some(event => event.kind === "late" && event.text.includes(reason)));
+    }
+});
+
+Then("the receiver has event {string} under one id", function(this: Scenario, kind: string) {
+    const { webhook, rollout } = stateOf(this);
+    const ids = new Set(webhook?.taken.map(event => event.id));
+    assert.deepEqual([...ids], [`${rollout}/${kind}`]);
+});
+
+Then("the log says that the receiver was told", function(this: Scenario) {
+    const { rollout } = stateOf(this);
+    for (const node of this.fleet.nodes.slice(1)) {
+        assert.ok(node.rolloutFollower.book.isTold(`${rollout}/rolledBack`));
+    }
+});
+
+Then("the engines with {string} get {word} of 30 further calls", async function(this: Scenario, version: string, count: string) {
+    const before = countRequests(this, version);
+    for (let call = 0; call < 30; call++) {
+        sendCall(this);
+    }
+    await this.finishCalls();
+    assert.equal(countRequests(this, version) - before, count === "all" ? 30 : 0);
+});
+
+/** Receiver that fails as a test says. */
+class FaultyWebhook extends Webhook {
+    readonly taken: WebhookEvent[] = [];
+    now: () => number = () => 0;
+    private failsSinceMs: number | undefined;
+
+    constructor(readonly trouble: string) {
+        super();
+    }
+
+    override async deliver(event: WebhookEvent): Promise<void> {
+        this.failsSinceMs ??= this.now();
+        const forMs = this.now() - this.failsSinceMs;
+        const downMs = this.trouble === "is down for 60 seconds" ? 60_000 : this.trouble === FIRST_NODE_DIES ? 3_000 : 0;
+        if (forMs < downMs) {
+            throw new Error("the connection was refused");
+        }
+        this.taken.push(event);
+        if (this.trouble === "loses its answers for 20 seconds" && forMs < 20_000) {
+            throw new Error("the answer was lost");
+        }
+    }
+}
+
+async function startFleet(
+    scenario: Scenario,
+    example: string,
+    version: string,
+    webhook?: FaultyWebhook,
+    fault = EngineVersionFault.None,
+): Promise<void> {
+    await scenario.startFleet(example, { webhook });
+    states.set(scenario, { rollout: "", replies: [], webhook, shareBefore: 0 });
+    const { clock } = scenario.fleet;
+    if (webhook !== undefined) {
+        webhook.now = () => clock.now();
+    }
+    const engines = [...scenario.fleet.engines.values()];
+    for (const [index, engine] of engines.entries()) {
+        if (index % 2 === 1) {
+            runVersion(engine, version, fault);
+        }
+    }
+    await clock.advance(3_000);
+}
+
+async function startRollout(
+    scenario: Scenario,
+    version: string,
+    change: Partial<rolloutWire.StartRolloutRequest> = {},
+): Promise<void> {
+    const reply = await start(scenario, scenario.fleet.nodes[0], { version, ...change });
+    assert.deepEqual(reply.problems, []);
+    stateOf(scenario).rollout = reply.rollout;
+    await scenario.fleet.clock.advance(100);
+}
+
+function start(
+    scenario: Scenario,
+    node: EntryNode,
+    change: Partial<rolloutWire.StartRolloutRequest>,
+): Promise<rolloutWire.ChangeRolloutReply> {
+    return scenario.fleet.clock.runUntil(request(scenario, node, change));
+}
+
+function request(
+    scenario: Scenario,
+    node: EntryNode,
+    change: Partial<rolloutWire.StartRolloutRequest>,
+): Promise<rolloutWire.ChangeRolloutReply> {
+    const deadlineMs = Math.floor(scenario.fleet.clock.now()) + LIFE_MS;
+    return node.rolloutDesk.start({ pool: POOL, version: "2.0", deadlineMs, author: "operator", neededServers: 0, ...change });
+}
+
+async function order(
+    scenario: Scenario,
+    node: EntryNode,
+    kind: rolloutWire.RolloutOrder,
+    madeAgainst = -1,
+): Promise<void> {
+    const { rollout, replies } = stateOf(scenario);
+    const change = { rollout, author: "operator", reason: "test", order: kind, madeAgainst };
+    replies.push(await scenario.fleet.clock.runUntil(node.rolloutDesk.change(change)));
+}
+
+function stateOf(scenario: Scenario): RolloutScenario {
+    const state = states.get(scenario);
+    if (state === undefined) {
+        throw new Error("Cannot use rollout: no step has started the fleet");
+    }
+    return state;
+}
+
+function lastNode(scenario: Scenario): EntryNode {
+    return scenario.fleet.nodes[scenario.fleet.nodes.length - 1];
+}
+
+function shareOf(scenario: Scenario, node: EntryNode): number {
+    return node.rollouts.controller(stateOf(scenario).rollout)?.share ?? 0;
+}
+
+function countUses(node: EntryNode, version: string): number {
+    let uses = 0;
+    for (let call = 0; call < TRIED_CALLS; call++) {
+        const query = { callId: `call-${call}`, operation: "dossier-summary", pool: POOL, retry: false };
+        const { preferred, forbidden } = node.rollouts.choose(query);
+        uses += Number(preferred[0] === version && !forbidden.has(version));
+    }
+    return uses;
+}
+
+function assertUnused(scenario: Scenario, version: string): void {
+    for (const node of scenario.fleet.nodes) {
+        assert.equal(countUses(node, version), 0, `${node.settings.node} sends calls to ${version}`);
+    }
+}
+
+function assertPhase(scenario: Scenario, phase: string): void {
+    const { rollout } = stateOf(scenario);
+    for (const node of scenario.fleet.nodes) {
+        assert.equal(node.rolloutFollower.book.get(rollout)?.phase, phase, node.settings.node);
+    }
+}
+
+function isOpen(node: EntryNode, rollout: string): boolean {
+    const phase = node.rolloutFollower.book.get(rollout)?.phase;
+    return phase === RolloutPhase.Running || phase === RolloutPhase.Paused;
+}
+
+function sendCall(scenario: Scenario): void {
+    const { fleet, answers, bodies } = scenario;
+    const messages = [{ role: "user", content: `Call ${answers.length}: summarise the dossier.` }];
+    const body = Buffer.from(JSON.stringify({ model: "default", max_tokens: 24, messages }));
+    const operationName = answers.length % 3 === 0 ? "eligibility-flag" : "dossier-summary";
+    bodies.push(body);
+    answers.push(fleet.send(fleet.nodes[answers.length % fleet.nodes.length], { body, operationName }));
+}
+
+function countRequests(scenario: Scenario, version: string): number {
+    const dispatched = new Set(
+        [...scenario.fleet.engines].filter(([, engine]) => engine.version === version).map(([id]) => id),
+    );
+    return scenario.fleet.nodes
+        .flatMap(node => node.ring.list())
+        .filter(event => event.kind === "dispatched" && dispatched.has(event.peer ?? "")).length;
+}
--- a/src/coordination/rollouts/evidence_codec.ts
+++ b/src/coordination/rollouts/evidence_codec.ts
@@ -18,6 +18,10 @@
     /** Whether the rollout is paused at that offset. */
     readonly paused: boolean;
     readonly slices: readonly NodeSlice[];
+    /** Versions that are compared, for nodes that have not read the log yet. */
+    readonly pool: string;
+    readonly version: string;
+    readonly fromVersion: string;
 }
 
 /** Writes a report; each operation and engine class stands in it once. */
--- a/src/coordination/rollouts/rollout_controller.ts
+++ b/src/coordination/rollouts/rollout_controller.ts
@@ -145,6 +145,9 @@
             revision: rollout.revision,
             paused: rollout.phase === RolloutPhase.Paused,
             slices: this.own,
+            pool: rollout.pool,
+            version: rollout.version,
+            fromVersion: rollout.fromVersion,
         };
     }
 
--- a/src/coordination/rollouts/rollout_manager.ts
+++ b/src/coordination/rollouts/rollout_manager.ts
@@ -69,6 +69,8 @@
     readonly attempts: AttemptObserver;
     private readonly driven = new Map<string, DrivenRollout>();
     private readonly vetoes = new Map<string, rolloutWire.RollbackVeto>();
+    /** Version that serves each pool according to peers, for rollouts that this node has not read. */
+    private readonly heardOf = new Map<string, string>();
     private readonly committing = new Set<string>();
     private readonly stopped = new AbortController();
 
@@ -95,6 +97,9 @@
             if (this.isWatched(rollout)) {
                 this.drive(rollout);
             }
+            else if (rollout.phase === RolloutPhase.RolledBack) {
+                this.repeatVeto(rollout);
+            }
         }
     }
 
@@ -108,7 +113,7 @@
         const forbidden = this.forbidden(query.pool);
         const rollout = book.latest(query.pool);
         if (rollout === undefined) {
-            const version = book.inForce(query.pool);
+            const version = book.inForce(query.pool) ?? this.heardOf.get(query.pool);
             return { preferred: version === undefined ? [] : [version], forbidden };
         }
         const { version, fromVersion } = rollout;
@@ -233,10 +238,20 @@
         }
         const report = decodeReport(value.data);
         if (report !== undefined) {
+            this.heardOf.set(report.pool, report.fromVersion);
             this.controller(value.key)?.take(value.origin, report, this.settings.clock.now() - value.ageMs);
         }
     }
 
+    /** Tells peers of a rollback in the log, so that a node which starts while the log is down hears of it. */
+    private repeatVeto({ id, pool, version, reason }: Rollout): void {
+        if (!this.vetoes.has(id)) {
+            const veto = { rollout: id, pool, version, reason };
+            this.vetoes.set(id, veto);
+            this.settings.dissemination.publish(Topic.RollbackVeto, id, rolloutWire.RollbackVeto.encode(veto).finish());
+        }
+    }
+
     private addVeto(veto: rolloutWire.RollbackVeto, author: string): void {
         if (this.vetoes.has(veto.rollout)) {
             return;
--- a/src/coordination/rollouts/share_schedule.ts
+++ b/src/coordination/rollouts/share_schedule.ts
@@ -19,7 +19,7 @@
 const FASTEST_RAMP_PART = 0.1;
 
 /** Part of that time that must be left after the fastest ramp, or the deadline counts as endangered. */
-const SLACK_PART = 0.1;
+const SLACK_PART = 0.2;
 
 /** Times of a rollout, in milliseconds since the Unix epoch. */
 export interface RolloutTimes {
--- a/src/protocol/gen/rollouts.ts
+++ b/src/protocol/gen/rollouts.ts
@@ -68,6 +68,10 @@
   readonly paused: boolean;
   readonly strata: readonly EvidenceStratum[];
   readonly slices: readonly EvidenceSlice[];
+  /** Versions that are compared, for nodes that have not read the log yet. */
+  readonly pool: string;
+  readonly version: string;
+  readonly fromVersion: string;
 }
 
 /** Version that no node may use any more. */
@@ -381,7 +385,17 @@
 };
 
 function createBaseRolloutEvidence(): RolloutEvidence {
-  return { share: 0, clearedAtMs: 0, revision: 0, paused: false, strata: [], slices: [] };
+  return {
+    share: 0,
+    clearedAtMs: 0,
+    revision: 0,
+    paused: false,
+    strata: [],
+    slices: [],
+    pool: "",
+    version: "",
+    fromVersion: "",
+  };
 }
 
 export const RolloutEvidence: MessageFns<RolloutEvidence> = {
@@ -404,6 +418,15 @@
     for (const v of message.slices) {
       EvidenceSlice.encode(v!, writer.uint32(50).fork()).join();
     }
+    if (message.pool !== "") {
+      writer.uint32(58).string(message.pool);
+    }
+    if (message.version !== "") {
+      writer.uint32(66).string(message.version);
+    }
+    if (message.fromVersion !== "") {
+      writer.uint32(74).string(message.fromVersion);
+    }
     return writer;
   },
 
@@ -468,6 +491,30 @@
             message.slices.push(EvidenceSlice.decode(reader, reader.uint32()));
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.pool = reader.string();
+            continue;
+          }
+          case 8: {
+            if (tag !== 66) {
+              break;
+            }
+
+            message.version = reader.string();
+            continue;
+          }
+          case 9: {
+            if (tag !== 74) {
+              break;
+            }
+
+            message.fromVersion = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
