Order engines under leases whose fencing number is their log offset

Cause: two nodes could order one group of engines at once, and a paused node could go on ordering after its time. Ruled out: fencing numbers alone (some engines ignore them); a lease checked once for a group of orders (a pause may fall between). Change: stream 'leases', a lease book that is a function of the log, a holder that checks its lease right before each order and waits out the holder before, orders that state the whole setup and are read back, a plan that shares the weight store's rate and keeps enough engines serving; the stand-in's order side with and without the fencing check; the adapter over HTTP. Before: no orders. Conclusion: the mechanism stands by itself; no rollout orders loads by itself yet.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -13,6 +13,7 @@
 export * from "./dispatcher.js";
 export * from "./least_loaded_scheduler.js";
 export * from "./local_call_guard.js";
+export * from "./orders/mod.js";
 export * from "./platform_watch.js";
 export * from "./request_handler.js";
 export * from "./retry_budget.js";
--- /dev/null
+++ b/src/coordination/orders/order_runner.ts
@@ -0,0 +1,151 @@
+/**
+ * Bringing of a group of engines to a wanted setup.
+ *
+ * @module
+ */
+
+import {
+    type EngineControl,
+    type EngineSetup,
+    type EngineState,
+    hasSetup,
+    OrderError,
+    OrderFault,
+    type WeightStore,
+} from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part, type Vm } from "../../state/mod.js";
+import { type LeaseHolder, LONGEST_ORDER_MS } from "./lease_holder.js";
+import { planLoads } from "./load_plan.js";
+
+/** Time between two looks at the engines, in milliseconds. */
+const LOOK_INTERVAL_MS = 1_000;
+
+/** What is wanted of a group. */
+export interface GroupGoal {
+    readonly servers: readonly Vm[];
+    /** Setup that every engine of the group shall have. */
+    readonly setup: EngineSetup;
+    readonly deadlineMs: number;
+    /** Bytes that an engine loads for it. */
+    readonly bytesPerLoad: number;
+    /** Engines of the group that must go on serving for the tiers' promises. */
+    readonly neededServing: number;
+}
+
+/** How the work on a goal ended. */
+export enum GoalResult {
+    /** Every engine reported the setup. */
+    Reached = "reached",
+    /** Another node holds the lease. */
+    LeaseLost = "leaseLost",
+    /** The signal was aborted. */
+    Stopped = "stopped",
+}
+
+/** Settings of an {@linkcode OrderRunner}. */
+export interface OrderRunnerSettings {
+    readonly clock: Clock;
+    readonly ring: EventRing;
+    readonly control: EngineControl;
+    readonly weightStore: WeightStore;
+    readonly lease: LeaseHolder;
+}
+
+/** Orders engines under a lease and reads back what they have become. */
+export class OrderRunner {
+    private announcedLate = false;
+
+    /** @param settings See {@linkcode OrderRunnerSettings}. */
+    constructor(private readonly settings: OrderRunnerSettings) {}
+
+    /**
+     * Brings a group to its goal.
+     *
+     * @param goal What is wanted.
+     * @param fencingNumber Fencing number of the lease.
+     * @param signal Ends the work when aborted.
+     */
+    async run(goal: GroupGoal, fencingNumber: number, signal: AbortSignal): Promise<GoalResult> {
+        while (!signal.aborted) {
+            const states = await this.readStates(goal);
+            if (goal.servers.every(vm => hasSetupNow(states.get(vm.id), goal.setup))) {
+                return GoalResult.Reached;
+            }
+            for (const vm of await this.chooseNext(goal, states)) {
+                if (!this.settings.lease.check()) {
+                    this.record("leaseLost", vm, `No order goes to ${vm.id}, since the lease has run out.`);
+                    return GoalResult.LeaseLost;
+                }
+                await this.order(vm, goal, fencingNumber);
+            }
+            await this.settings.clock.sleep(LOOK_INTERVAL_MS, signal);
+        }
+        return GoalResult.Stopped;
+    }
+
+    private async chooseNext(goal: GroupGoal, states: ReadonlyMap<string, EngineState>): Promise<readonly Vm[]> {
+        const { clock, weightStore } = this.settings;
+        const loading = goal.servers.filter(vm => states.get(vm.id)?.loading);
+        const waiting = goal.servers.filter(vm => isServing(states.get(vm.id)) && !hasSetupNow(states.get(vm.id), goal.setup));
+        const serving = goal.servers.filter(vm => isServing(states.get(vm.id))).length;
+        const store = await weightStore.readState();
+        const plan = planLoads({
+            remaining: waiting.length + loading.length,
+            bytesPerLoad: goal.bytesPerLoad,
+            bytesPerSecond: store.bytesPerSecond,
+            otherLoads: Math.max(0, store.activeLoads - loading.length),
+            leftMs: goal.deadlineMs - clock.now(),
+            serving: serving + loading.length,
+            neededServing: goal.neededServing,
+        });
+        if (!plan.meetsDeadline && !this.announcedLate) {
+            this.announcedLate = true;
+            const text = `The group cannot be loaded by its deadline: it takes ${Math.round(plan.expectedMs / 1_000)} s.`;
+            this.settings.ring.record({ part: Part.Order, kind: "late", text });
+        }
+        return waiting.slice(0, Math.max(0, plan.concurrent - loading.length));
+    }
+
+    private async order(vm: Vm, goal: GroupGoal, fencingNumber: number): Promise<void> {
+        const { clock, control } = this.settings;
+        const timeout = new AbortController();
+        const done = new AbortController();
+        void clock.sleep(LONGEST_ORDER_MS, done.signal).then(elapsed => elapsed && timeout.abort());
+        try {
+            await control.order(vm, { setup: goal.setup, fencingNumber }, timeout.signal);
+            this.record("ordered", vm, `${vm.id} was ordered to version ${goal.setup.version} under lease ${fencingNumber}.`);
+        }
+        catch (error) {
+            const fenced = error instanceof OrderError && error.fault === OrderFault.Fenced;
+            this.record(fenced ? "fenced" : "orderFailed", vm, `${(error as Error).message}.`);
+        }
+        finally {
+            done.abort();
+        }
+    }
+
+    private async readStates(goal: GroupGoal): Promise<ReadonlyMap<string, EngineState>> {
+        const states = new Map<string, EngineState>();
+        for (const vm of goal.servers) {
+            try {
+                states.set(vm.id, await this.settings.control.readState(vm));
+            }
+            catch (error) {
+                this.record("stateUnknown", vm, `${(error as Error).message}.`);
+            }
+        }
+        return states;
+    }
+
+    private record(kind: string, vm: Vm, text: string): void {
+        this.settings.ring.record({ part: Part.Order, kind, text, peer: vm.id });
+    }
+}
+
+function isServing(state: EngineState | undefined): boolean {
+    return state !== undefined && !state.loading;
+}
+
+function hasSetupNow(state: EngineState | undefined, setup: EngineSetup): boolean {
+    return state !== undefined && hasSetup(state, setup);
+}
--- a/src/coordination/rollouts/block_statistics.ts
+++ b/src/coordination/rollouts/block_statistics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type EvidenceBlock, LOAD_BAND_COUNT, type StratumEvidence } from "./evidence_slice.js";
+import { type EvidenceBlock, FIRST_LOADED_BAND, LOAD_BAND_COUNT, type StratumEvidence } from "./evidence_slice.js";
 import { BUCKET_COUNT, countAbove, quantileBucket } from "./latency_histogram.js";
 import { logLikelihoodRatio, type OddsPair, type TwoByTwo } from "./sequential_test.js";
 
@@ -38,10 +38,12 @@
     Gap = "gap between tokens",
 }
 
-/** Part of the traffic that is looked at on its own: an operation, an engine class, both, or all. */
+/** Part of the traffic that is looked at on its own: an operation, an engine class, both, all, or all on loaded servers. */
 export interface View {
     readonly operation: string | undefined;
     readonly engineClass: string | undefined;
+    /** Whether only latencies at loaded backend servers are looked at, so that good times at little load do not hide a fault. */
+    readonly underLoad: boolean;
 }
 
 /** Ratios and counts of one view in one block. */
@@ -58,7 +60,7 @@
 export function nameView(view: View): string {
     const operation = view.operation === undefined ? "all operations" : `operation ${view.operation}`;
     const engineClass = view.engineClass === undefined ? "all engine classes" : `engine class ${view.engineClass}`;
-    return `${operation}, ${engineClass}`;
+    return `${operation}, ${engineClass}${view.underLoad ? ", under load" : ""}`;
 }
 
 /** Returns the metric that the ratio at a place is about. */
@@ -78,7 +80,8 @@
 export function computeStatistics(block: EvidenceBlock): ReadonlyMap<string, ViewStatistics> {
     const views = new Map<string, ViewStatistics>();
     for (const stratum of block.all) {
-        const ratios = computeRatios(stratum);
+        const ratios = computeRatios(stratum, 0);
+        const loadedRatios = computeRatios(stratum, FIRST_LOADED_BAND);
         for (const view of viewsOf(stratum)) {
             const name = nameView(view);
             let statistics = views.get(name);
@@ -89,7 +92,7 @@
             statistics.attempts += stratum.candidate.count;
             statistics.total += stratum.candidate.count + stratum.control.count;
             for (let place = 0; place < RATIO_COUNT; place++) {
-                statistics.ratios[place] += ratios[place];
+                statistics.ratios[place] += (view.underLoad ? loadedRatios : ratios)[place];
             }
         }
     }
@@ -98,14 +101,15 @@
 
 function viewsOf({ operation, engineClass }: StratumEvidence): readonly View[] {
     return [
-        { operation, engineClass },
-        { operation, engineClass: undefined },
-        { operation: undefined, engineClass },
-        { operation: undefined, engineClass: undefined },
+        { operation, engineClass, underLoad: false },
+        { operation, engineClass: undefined, underLoad: false },
+        { operation: undefined, engineClass, underLoad: false },
+        { operation: undefined, engineClass: undefined, underLoad: false },
+        { operation: undefined, engineClass: undefined, underLoad: true },
     ];
 }
 
-function computeRatios({ candidate, control }: StratumEvidence): Float64Array {
+function computeRatios({ candidate, control }: StratumEvidence, firstBand: number): Float64Array {
     const ratios = new Float64Array(RATIO_COUNT);
     if (candidate.count === 0 || control.count === 0) {
         return ratios;
@@ -117,8 +121,10 @@
         controlCount: control.count,
         controlBad: control.failed,
     };
-    addRatios(ratios, FAILURE_PLACE, failures, FAILURE_ODDS);
-    for (let band = 0; band < LOAD_BAND_COUNT; band++) {
+    if (firstBand === 0) {
+        addRatios(ratios, FAILURE_PLACE, failures, FAILURE_ODDS);
+    }
+    for (let band = firstBand; band < LOAD_BAND_COUNT; band++) {
         addSlowness(ratios, FIRST_TOKEN_PLACE, chooseComparison(candidate.firstToken, control.firstToken, band));
         addSlowness(ratios, GAP_PLACE, chooseComparison(candidate.gap, control.gap, band));
     }
--- a/src/coordination/rollouts/evidence_monitor.ts
+++ b/src/coordination/rollouts/evidence_monitor.ts
@@ -34,7 +34,7 @@
  * blame a version.
  */
 const MAX_BLOCK_FAILURE_SHARE = 0.5;
-const MAX_BLOCK_SLOWNESS_SHARE = 0.3;
+const MAX_BLOCK_SLOWNESS_SHARE = 0.4;
 
 /** Age from which a block takes no more evidence, in milliseconds. */
 const FOLD_AGE_MS = 30_000;
--- a/src/coordination/rollouts/evidence_slice.ts
+++ b/src/coordination/rollouts/evidence_slice.ts
@@ -10,7 +10,10 @@
 export const SLICE_MS = 2_000;
 
 /** Bands of load that latencies are compared within. */
-export const LOAD_BAND_COUNT = 3;
+export const LOAD_BAND_COUNT = 5;
+
+/** First band in which backend servers count as loaded. */
+export const FIRST_LOADED_BAND = 2;
 
 /** Attempts of one node in one slice, on one version of one operation on one engine class in one load band. */
 export interface EvidenceCell {
--- a/src/coordination/rollouts/load_adjustment.ts
+++ b/src/coordination/rollouts/load_adjustment.ts
@@ -17,7 +17,7 @@
 
 /** Fewest latencies, by weight, and least sum of squared load differences for a fit. */
 const LEAST_WEIGHT = 60;
-const LEAST_SQUARES = 100;
+const LEAST_SQUARES = 1_500;
 
 /** Latencies above this factor of the last block's mean are left out of the fit: they come from a backend server's pause. */
 const OUTLIER_FACTOR = 2;
--- a/src/coordination/rollouts/local_evidence.ts
+++ b/src/coordination/rollouts/local_evidence.ts
@@ -20,7 +20,7 @@
 const LEAST_KEPT_SHARE = 0.1;
 
 /** Lowest server load of each load band after the first, in requests. */
-const BAND_BOUNDS = [6, 16];
+const BAND_BOUNDS = [6, 12, 20, 30];
 
 /** Versions that are compared. */
 export interface ComparedVersions {
--- a/src/coordination/rollouts/rollout_controller.ts
+++ b/src/coordination/rollouts/rollout_controller.ts
@@ -17,7 +17,7 @@
 import { approachShare, isEndangered, operationShare, plannedShare } from "./share_schedule.js";
 
 /** Attempts that each operation and each engine class needs before the ramp. */
-const CLEARED_ATTEMPTS = 100;
+const CLEARED_ATTEMPTS = 150;
 
 /** Statistic, as a share of the test's level, from which the share is not raised. */
 const HOLD_ALARM_RATIO = 0.4;
@@ -334,7 +334,7 @@
 }
 
 function isWhole({ view }: ViewFinding): boolean {
-    return view.operation === undefined && view.engineClass === undefined;
+    return !view.underLoad && view.operation === undefined && view.engineClass === undefined;
 }
 
 function isOperation({ view }: ViewFinding): boolean {
--- /dev/null
+++ b/src/transport/http_engine_control.ts
@@ -0,0 +1,72 @@
+/**
+ * Control of engines over HTTP.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { EngineControl, type EngineOrder, EngineRole, type EngineState, OrderError, OrderFault } from "../protocol/mod.js";
+import type { Vm } from "../state/mod.js";
+import type { HttpClient } from "./http_client.js";
+
+/** Longest time to wait for an engine's state, in milliseconds. */
+const STATE_TIMEOUT_MS = 1_000;
+
+/** Status of an order whose fencing number is too low. */
+const FENCED_STATUS = 412;
+
+const stateSchema = z.object({
+    model: z.string(),
+    version: z.string(),
+    adapters: z.array(z.string()),
+    role: z.enum(EngineRole),
+    loading: z.boolean(),
+});
+
+/** Engines that take orders by `PUT /setup` and report their state by `GET /setup`. */
+export class HttpEngineControl extends EngineControl {
+    /** @param client Connections. */
+    constructor(private readonly client: HttpClient) {
+        super();
+    }
+
+    override async order(vm: Vm, order: EngineOrder, signal: AbortSignal): Promise<void> {
+        const step = "order setup";
+        let statusCode: number;
+        try {
+            const response = await this.client.pool(vm.address).request({
+                method: "PUT",
+                path: "/setup",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(order),
+                signal,
+            });
+            await response.body.dump();
+            statusCode = response.statusCode;
+        }
+        catch (cause) {
+            throw new OrderError(step, vm.id, OrderFault.NoAnswer, cause);
+        }
+        if (statusCode === FENCED_STATUS) {
+            throw new OrderError(step, vm.id, OrderFault.Fenced);
+        }
+        if (statusCode !== 202) {
+            throw new OrderError(step, vm.id, OrderFault.NoAnswer, new Error(`status ${statusCode}`));
+        }
+    }
+
+    override async readState(vm: Vm): Promise<EngineState> {
+        try {
+            const response = await this.client.pool(vm.address).request({
+                method: "GET",
+                path: "/setup",
+                headersTimeout: STATE_TIMEOUT_MS,
+                bodyTimeout: STATE_TIMEOUT_MS,
+            });
+            return stateSchema.parse(await response.body.json());
+        }
+        catch (cause) {
+            throw new OrderError("read setup", vm.id, OrderFault.NoAnswer, cause);
+        }
+    }
+}
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -8,6 +8,7 @@
 export * from "./grpc_server.js";
 export * from "./http_client.js";
 export * from "./http_engine.js";
+export * from "./http_engine_control.js";
 export * from "./http_plain_service.js";
 export * from "./http_platform.js";
 export * from "./http_server.js";
--- a/standin/engine_server.ts
+++ b/standin/engine_server.ts
@@ -5,7 +5,9 @@
  */
 
 import type { Server } from "node:http";
+import type { EngineOrder } from "../src/protocol/mod.js";
 import type { EngineModel } from "./engine_model.js";
+import type { EngineOrders } from "./engine_orders.js";
 import { sendJson, serveStandIn, setFaults, type StandInRequest } from "./stand_in_server.js";
 
 /** Id that crossed answers carry. */
@@ -16,8 +18,9 @@
  *
  * @param port Port to listen on.
  * @param model Engine.
+ * @param orders Order side of the engine, behind `GET /setup` and `PUT /setup`. Left out, the engine takes no orders.
  */
-export function serveEngine(port: number, model: EngineModel): Promise<Server> {
+export function serveEngine(port: number, model: EngineModel, orders?: EngineOrders): Promise<Server> {
     return serveStandIn(port, async request => {
         switch (`${request.method} ${request.url.pathname}`) {
             case "POST /v1/generate":
@@ -28,6 +31,13 @@
                 return sendJson(request.response, model.counts);
             case "POST /faults":
                 return setFaults(request, model.faults);
+            case "GET /setup":
+                return sendJson(request.response, orders?.state);
+            case "PUT /setup": {
+                const taken = orders?.take(JSON.parse(request.body.toString("utf8")) as EngineOrder);
+                request.response.writeHead(taken === true ? 202 : 412).end();
+                return;
+            }
             default:
                 request.response.writeHead(404).end();
         }
