Prove operators' key, webhook and engine control over the wire

Cause: the adapters of rollouts and orders were not run by any test. Before: untested. Conclusion: calls without the key reach no desk; a receiver that answers 302 or 500 counts as not told.

--- /dev/null
+++ b/features/steps/rollout_transport_steps.ts
@@ -0,0 +1,277 @@
+/**
+ * Steps about rollouts and orders over HTTP and gRPC.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { OperatorError, RolloutClient } from "../../src/cli/mod.js";
+import {
+    EngineRole,
+    type EngineState,
+    OperatorHandler,
+    OrderError,
+    PeerHandler,
+    RolloutOperatorHandler,
+    rolloutWire,
+    type wire,
+} from "../../src/protocol/mod.js";
+import { SystemClock, type Vm, VmRole, VmState } from "../../src/state/mod.js";
+import { GrpcServer, HttpClient, HttpEngineControl, HttpWebhook } from "../../src/transport/mod.js";
+import { ENGINE_PROFILES, EngineModel } from "../../standin/engine_model.js";
+import { EngineOrders } from "../../standin/engine_orders.js";
+import { serveEngine } from "../../standin/engine_server.js";
+import { WeightStoreModel } from "../../standin/weight_store_model.js";
+import type { Scenario } from "../support/world.js";
+
+/** Bytes of a load and rate of the weight store, so that a load ends within one look. */
+const BYTES_PER_LOAD = 1;
+const BYTES_PER_SECOND = 1_000;
+
+/** Time between two reads of an engine's setup, in milliseconds, and reads until a load counts as failed. */
+const READ_INTERVAL_MS = 50;
+const MAX_READS = 100;
+
+/** State of one scenario. */
+interface TransportScenario {
+    readonly desk: CountingDesk;
+    readonly closers: (() => void | Promise<void>)[];
+    address: string;
+    error: unknown;
+    received: { readonly header: string; readonly body: string }[];
+    control: HttpEngineControl | undefined;
+    vm: Vm | undefined;
+}
+
+const states = new WeakMap<Scenario, TransportScenario>();
+
+Given("a daemon's server whose operators have the key {string}", async function(this: Scenario, key: string) {
+    const state = begin(this);
+    const server = new GrpcServer({
+        peerHandler: new UnusedPeerHandler(),
+        operatorHandler: new UnusedOperatorHandler(),
+        rolloutHandler: state.desk,
+        isOperatorKey: given => given === key,
+    });
+    state.address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
+    state.closers.push(() => server.close());
+});
+
+When(
+    /^an operator (lists rollouts|starts a rollout|changes a rollout) with (?:no key|key "([^"]*)")$/,
+    async function(this: Scenario, call: string, key: string | undefined) {
+        const state = stateOf(this);
+        const client = new RolloutClient(state.address, key);
+        try {
+            await callDesk(client, call);
+        }
+        catch (error) {
+            state.error = error;
+        }
+        finally {
+            client.close();
+        }
+    },
+);
+
+Then(
+    /^the call is (answered|refused), and the rollout desk has got (\d+) calls$/,
+    function(this: Scenario, outcome: string, count: string) {
+        const { error, desk } = stateOf(this);
+        assert.equal(error instanceof OperatorError && error.refused, outcome === "refused", String(error));
+        assert.equal(desk.calls, Number(count));
+    },
+);
+
+Given("a webhook receiver over HTTP that answers {int}", async function(this: Scenario, status: number) {
+    const state = begin(this);
+    const server = createServer((message, response) => {
+        void readBody(message).then(body => {
+            state.received.push({ header: String(message.headers["foxtailrail-event-id"]), body });
+            response.writeHead(status).end();
+        });
+    });
+    state.address = await listen(server);
+    state.closers.push(() => close(server));
+});
+
+When("event {string} is delivered to it", async function(this: Scenario, id: string) {
+    const state = stateOf(this);
+    const webhook = new HttpWebhook(`http://${state.address}/events`);
+    try {
+        await webhook.deliver({ id, kind: "done", rollout: "r1", pool: "p", version: "2.0", reason: "" });
+    }
+    catch (error) {
+        state.error = error;
+    }
+});
+
+Then(
+    /^the receiver got the id "([^"]*)" in header and body, and the delivery (succeeds|fails)$/,
+    function(this: Scenario, id: string, outcome: string) {
+        const { received: [received], error } = stateOf(this);
+        assert.equal(received.header, id);
+        assert.equal((JSON.parse(received.body) as { readonly id: string }).id, id);
+        assert.equal(error === undefined, outcome === "succeeds");
+    },
+);
+
+Given("an engine over HTTP that checks fencing numbers", async function(this: Scenario) {
+    const state = begin(this);
+    const clock = new SystemClock();
+    const engine = new EngineModel(clock, ENGINE_PROFILES.fast);
+    const weightStore = new WeightStoreModel(clock, BYTES_PER_SECOND);
+    const orders = new EngineOrders({ clock, engine, weightStore, bytesPerLoad: BYTES_PER_LOAD, checksFencing: true });
+    const server = await serveEngine(0, engine, orders);
+    const client = new HttpClient();
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    state.vm = { id: "engine-1", role: VmRole.Backend, address, failureDomain: "a", state: VmState.Live };
+    state.control = new HttpEngineControl(client);
+    state.closers.push(() => client.close(), () => close(server));
+});
+
+When(
+    "it is ordered to version {string} under lease {int} and to version {string} under lease {int}",
+    async function(this: Scenario, first: string, firstLease: number, second: string, secondLease: number) {
+        await giveOrder(this, first, firstLease);
+        await giveOrder(this, second, secondLease).catch((error: unknown) => {
+            stateOf(this).error = error;
+        });
+    },
+);
+
+Then("the second order is refused as {string}", function(this: Scenario, fault: string) {
+    const { error } = stateOf(this);
+    assert.ok(error instanceof OrderError && error.fault === fault, String(error));
+});
+
+Then("the engine's setup reads back as version {string}", async function(this: Scenario, version: string) {
+    const { control, vm } = stateOf(this);
+    let state: EngineState | undefined;
+    for (let read = 0; read < MAX_READS && state?.version !== version; read++) {
+        state = await control?.readState(vm as Vm);
+        await new SystemClock().sleep(READ_INTERVAL_MS);
+    }
+    assert.equal(state?.version, version);
+});
+
+After(async function(this: Scenario) {
+    for (const closer of states.get(this)?.closers ?? []) {
+        await closer();
+    }
+});
+
+/** Counts the calls that reach it. */
+class CountingDesk extends RolloutOperatorHandler {
+    calls = 0;
+
+    override start(): Promise<rolloutWire.ChangeRolloutReply> {
+        return this.change();
+    }
+
+    override async change(): Promise<rolloutWire.ChangeRolloutReply> {
+        this.calls += 1;
+        return { accepted: true, rollout: "r1", problems: [] };
+    }
+
+    override async list(): Promise<rolloutWire.ListRolloutsReply> {
+        this.calls += 1;
+        return { rollouts: [] };
+    }
+}
+
+/** Is never called. */
+class UnusedPeerHandler extends PeerHandler {
+    override probe(): Promise<wire.ProbeReply> {
+        return Promise.reject(new Error("Cannot probe: not part of the scenario"));
+    }
+}
+
+/** Is never called. */
+class UnusedOperatorHandler extends OperatorHandler {
+    override readStatus(): Promise<wire.StatusReply> {
+        return Promise.reject(new Error("Cannot read status: not part of the scenario"));
+    }
+
+    override readConfiguration(): Promise<wire.ConfigurationReply> {
+        return Promise.reject(new Error("Cannot read configuration: not part of the scenario"));
+    }
+
+    override changeConfiguration(): Promise<wire.ChangeConfigurationReply> {
+        return Promise.reject(new Error("Cannot change configuration: not part of the scenario"));
+    }
+
+    override readTimeline(): void {
+        throw new Error("Cannot read time line: not part of the scenario");
+    }
+}
+
+function begin(scenario: Scenario): TransportScenario {
+    const state: TransportScenario = {
+        desk: new CountingDesk(),
+        closers: [],
+        address: "",
+        error: undefined,
+        received: [],
+        control: undefined,
+        vm: undefined,
+    };
+    states.set(scenario, state);
+    return state;
+}
+
+function stateOf(scenario: Scenario): TransportScenario {
+    const state = states.get(scenario);
+    if (state === undefined) {
+        throw new Error("Cannot use server: no step has started it");
+    }
+    return state;
+}
+
+async function callDesk(client: RolloutClient, call: string): Promise<void> {
+    switch (call) {
+        case "lists rollouts":
+            await client.list();
+            return;
+        case "starts a rollout":
+            await client.start({ pool: "p", version: "2.0", deadlineMs: 0, author: "a", neededServers: 0 });
+            return;
+        default:
+            await client.change({
+                rollout: "r1",
+                order: rolloutWire.RolloutOrder.PAUSE,
+                author: "a",
+                reason: "",
+                madeAgainst: -1,
+            });
+    }
+}
+
+function giveOrder(scenario: Scenario, version: string, fencingNumber: number): Promise<void> {
+    const { control, vm } = stateOf(scenario);
+    const setup = { model: "default", version, adapters: [], role: EngineRole.Both };
+    return (control as HttpEngineControl).order(vm as Vm, { setup, fencingNumber }, new AbortController().signal);
+}
+
+async function readBody(message: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+async function listen(server: Server): Promise<string> {
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function close(server: Server): void {
+    server.closeAllConnections();
+    server.close();
+}
