--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -82,7 +82,7 @@
         Given the "rastro-sul" fleet with version "2.0" beside the old one
         And a rollout to "2.0" that has 3% of the calls
         When the last node is cut off from all others
-        And 90 seconds pass
+        And the rollout has 90 more seconds
         Then the last node has not raised its share
 
     Scenario: a version that was taken back is not started again
@@ -94,7 +94,7 @@
     Scenario Outline: a deadline that can't be met is announced early with its reason
         Given the "rastro-sul" fleet with version "2.0" beside the old one
         And a rollout to "2.0" that <trouble>
-        When 90 seconds pass
+        When the rollout has 90 more seconds
         Then the rollout is announced as late before its deadline, since "<reason>"
 
         Examples:
@@ -105,7 +105,7 @@
     Scenario Outline: the receiver is told, once or with an id by which it can tell a repeat
         Given the "rastro-sul" fleet with version "2.0" beside the old one and a webhook receiver that <trouble>
         And a rollout to "2.0" that was rolled back
-        When 120 seconds pass
+        When the rollout has 120 more seconds
         Then the receiver has event "rolledBack" under one id
         And the log says that the receiver was told
 
--- a/features/steps/rollout_steps.ts
+++ b/features/steps/rollout_steps.ts
@@ -138,9 +138,9 @@
     if (what !== "the log") {
         this.fleet.hub.setIsolated(node, true);
     }
-    const connection = this.fleet.logConnections.get(node);
+    const connection = this.fleet.nodeLogs.get(node);
     if (what !== "all others" && connection !== undefined) {
-        connection.cut = true;
+        connection.faults.cut = true;
     }
 });
 
@@ -149,7 +149,7 @@
     await this.fleet.replaceNode(this.fleet.nodes.length - 1);
 });
 
-When("{int} seconds pass", async function(this: Scenario, seconds: number) {
+When("the rollout has {int} more seconds", async function(this: Scenario, seconds: number) {
     await this.fleet.clock.advance(seconds * 1_000);
 });
 
@@ -216,9 +216,9 @@
         this.fleet.log.faults.down = false;
         for (const node of this.fleet.nodes) {
             this.fleet.hub.setIsolated(node.settings.node, false);
-            const connection = this.fleet.logConnections.get(node.settings.node);
+            const connection = this.fleet.nodeLogs.get(node.settings.node);
             if (connection !== undefined) {
-                connection.cut = false;
+                connection.faults.cut = false;
             }
         }
         for (let second = 0; second < 25; second++) {
--- a/features/steps/rollout_transport_steps.ts
+++ b/features/steps/rollout_transport_steps.ts
@@ -10,6 +10,8 @@
 import type { AddressInfo } from "node:net";
 import { OperatorError, RolloutClient } from "../../src/cli/mod.js";
 import {
+    ConfigurationOperatorHandler,
+    ConfigurationPeerHandler,
     EngineRole,
     type EngineState,
     OperatorHandler,
@@ -54,7 +56,9 @@
         peerHandler: new UnusedPeerHandler(),
         operatorHandler: new UnusedOperatorHandler(),
         rolloutHandler: state.desk,
-        isOperatorKey: given => given === key,
+        configurationPeerHandler: new UnusedConfigurationPeerHandler(),
+        configurationOperatorHandler: new UnusedConfigurationOperatorHandler(),
+        findOperator: given => given === key ? "operator" : undefined,
     });
     state.address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
     state.closers.push(() => server.close());
@@ -196,16 +200,26 @@
         return Promise.reject(new Error("Cannot read status: not part of the scenario"));
     }
 
-    override readConfiguration(): Promise<wire.ConfigurationReply> {
-        return Promise.reject(new Error("Cannot read configuration: not part of the scenario"));
+    override readTimeline(): void {
+        throw new Error("Cannot read time line: not part of the scenario");
     }
+}
 
-    override changeConfiguration(): Promise<wire.ChangeConfigurationReply> {
-        return Promise.reject(new Error("Cannot change configuration: not part of the scenario"));
+/** Is never called. */
+class UnusedConfigurationPeerHandler extends ConfigurationPeerHandler {
+    override fetchConfiguration(): Promise<never> {
+        return Promise.reject(new Error("Cannot fetch configuration: not part of the scenario"));
+    }
+}
+
+/** Is never called. */
+class UnusedConfigurationOperatorHandler extends ConfigurationOperatorHandler {
+    override readConfiguration(): Promise<never> {
+        return Promise.reject(new Error("Cannot read configuration: not part of the scenario"));
     }
 
-    override readTimeline(): void {
-        throw new Error("Cannot read time line: not part of the scenario");
+    override changeConfiguration(): Promise<never> {
+        return Promise.reject(new Error("Cannot change configuration: not part of the scenario"));
     }
 }
 
--- a/measure/rollout_run.ts
+++ b/measure/rollout_run.ts
@@ -9,11 +9,11 @@
     callFraction,
     EvidenceMonitor,
     LocalEvidence,
-    type RecordOutcome,
     RolloutBook,
     RolloutJournal,
     RolloutManager,
     RolloutPhase,
+    type RolloutRecordOutcome,
     STEP_INTERVAL_MS,
 } from "../src/coordination/mod.js";
 import { decodeRolloutRecord, encodeRolloutRecord, type NewRolloutRecord, RolloutRecordKind } from "../src/protocol/mod.js";
@@ -376,7 +376,7 @@
         }
     }
 
-    override async commit(record: NewRolloutRecord): Promise<RecordOutcome | undefined> {
+    override async commit(record: NewRolloutRecord): Promise<RolloutRecordOutcome | undefined> {
         if (this.cut) {
             return undefined;
         }
--- a/src/cli/rollout_commands.ts
+++ b/src/cli/rollout_commands.ts
@@ -5,7 +5,6 @@
  */
 
 import { Command, Option, UsageError } from "clipanion";
-import { userInfo } from "node:os";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rolloutWire } from "../protocol/mod.js";
 import type { OperatorClient } from "./operator_client.js";
@@ -60,15 +59,14 @@
     servers = Option.String("--servers", "0", {
         description: "Backend servers that must run the version first. Defaults to as many as run the old one.",
     });
-    author = Option.String("--author", userInfo().username, { description: "Operator. Defaults to the user's name." });
 
     protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
         const neededServers = Number(this.servers);
         if (!Number.isInteger(neededServers) || neededServers < 0) {
             throw new UsageError(`Option --servers is wrong: "${this.servers}" is no count; give a whole number from 0.`);
         }
-        const { pool, version, author } = this;
-        const reply = await client.start({ pool, version, author, neededServers, deadlineMs: parseDeadline(this.deadline) });
+        const { pool, version } = this;
+        const reply = await client.start({ pool, version, neededServers, author: "", deadlineMs: parseDeadline(this.deadline) });
         return this.finish(reply, "was started");
     }
 }
@@ -77,7 +75,6 @@
 abstract class RolloutChangeCommand extends RolloutCommand {
     rollout = Option.String({ name: "ROLLOUT" });
     reason = Option.String("--reason", "", { description: "Why; it stands in the log." });
-    author = Option.String("--author", userInfo().username, { description: "Operator. Defaults to the user's name." });
     revision = Option.String("--revision", "-1", {
         description: "Revision that a resume is made against. Defaults to the one in force.",
     });
@@ -85,9 +82,9 @@
     protected abstract readonly done: string;
 
     protected override async runRollout(client: RolloutClient): Promise<ExitCode> {
-        const { rollout, reason, author, order } = this;
+        const { rollout, reason, order } = this;
         return this.finish(
-            await client.change({ rollout, reason, author, order, madeAgainst: Number(this.revision) }),
+            await client.change({ rollout, reason, order, author: "", madeAgainst: Number(this.revision) }),
             this.done,
         );
     }
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -9,7 +9,7 @@
 export * from "./call_guard.js";
 export * from "./call_observer.js";
 export * from "./call_resolver.js";
-export * from "./configuration_follower.js";
+export * from "./configuration/mod.js";
 export * from "./dispatcher.js";
 export * from "./least_loaded_scheduler.js";
 export * from "./local_call_guard.js";
--- a/src/coordination/rollouts/load_adjustment.ts
+++ b/src/coordination/rollouts/load_adjustment.ts
@@ -15,9 +15,12 @@
 /** Factor by which earlier blocks lose weight with each new one. */
 const BLOCK_DECAY = 0.95;
 
-/** Fewest latencies, by weight, and least sum of squared load differences for a fit. */
+/** Fewest latencies, by weight, for a fit. */
 const LEAST_WEIGHT = 60;
-const LEAST_SQUARES = 1_500;
+
+/** Least sum of squared load differences for a fit: first-token times scatter more than gaps between tokens. */
+export const FIRST_TOKEN_LEAST_SQUARES = 1_500;
+export const GAP_LEAST_SQUARES = 400;
 
 /** Latencies above this factor of the last block's mean are left out of the fit: they come from a backend server's pause. */
 const OUTLIER_FACTOR = 2;
@@ -44,6 +47,9 @@
     private meanLoad = 0;
     private meanLatency = 0;
 
+    /** @param leastSquares Least sum of squared load differences for a fit. */
+    constructor(private readonly leastSquares: number) {}
+
     /**
      * Takes a latency of the old version.
      *
@@ -74,7 +80,7 @@
      * @param load Requests at the backend server at dispatch.
      */
     factor(load: number): number {
-        if (this.weight < LEAST_WEIGHT || this.squares < LEAST_SQUARES) {
+        if (this.weight < LEAST_WEIGHT || this.squares < this.leastSquares) {
             return 1;
         }
         const slope = Math.max(0, this.covariance / this.squares);
--- a/src/coordination/rollouts/local_evidence.ts
+++ b/src/coordination/rollouts/local_evidence.ts
@@ -8,7 +8,7 @@
 import type { AttemptFigures } from "../attempt_observer.js";
 import { type EvidenceCell, type NodeSlice, SLICE_MS } from "./evidence_slice.js";
 import { bucketOf } from "./latency_histogram.js";
-import { LoadAdjustment } from "./load_adjustment.js";
+import { FIRST_TOKEN_LEAST_SQUARES, GAP_LEAST_SQUARES, LoadAdjustment } from "./load_adjustment.js";
 
 /** Time for which a slice that has ended is shared on, in milliseconds. */
 const SHARED_AFTER_END_MS = 3_000;
@@ -98,7 +98,8 @@
         }
         let adjustment = this.adjustments.get(name);
         if (adjustment === undefined) {
-            adjustment = new LoadAdjustment();
+            const isGap = name === figures.engineClass;
+            adjustment = new LoadAdjustment(isGap ? GAP_LEAST_SQUARES : FIRST_TOKEN_LEAST_SQUARES);
             this.adjustments.set(name, adjustment);
         }
         if (figures.version === this.versions.control) {
--- a/src/coordination/rollouts/rollout_book.ts
+++ b/src/coordination/rollouts/rollout_book.ts
@@ -36,7 +36,7 @@
 }
 
 /** What a record did. */
-export type RecordOutcome =
+export type RolloutRecordOutcome =
     | { readonly kind: "applied"; readonly rollout: Rollout | undefined }
     | { readonly kind: "repeated" }
     | { readonly kind: "refused"; readonly problem: string };
@@ -44,7 +44,7 @@
 /** Keeps the rollouts; the same records in the same order give the same state on every node. */
 export class RolloutBook {
     private readonly rollouts = new Map<string, Rollout>();
-    private readonly outcomes = new Map<string, RecordOutcome>();
+    private readonly outcomes = new Map<string, RolloutRecordOutcome>();
     private readonly forbiddenVersions = new Map<string, Set<string>>();
     private readonly versionsInForce = new Map<string, string>();
     private readonly toldEvents = new Set<string>();
@@ -75,7 +75,7 @@
     }
 
     /** Returns what became of the record of that id; `undefined` when it has not been read. */
-    outcome(recordId: string): RecordOutcome | undefined {
+    outcome(recordId: string): RolloutRecordOutcome | undefined {
         return this.outcomes.get(recordId);
     }
 
@@ -98,7 +98,7 @@
      * @param offset Offset of the record.
      * @param record Record.
      */
-    apply(offset: number, record: RolloutRecord): RecordOutcome {
+    apply(offset: number, record: RolloutRecord): RolloutRecordOutcome {
         if (this.outcomes.has(record.id)) {
             return { kind: "repeated" };
         }
@@ -107,7 +107,7 @@
         return outcome;
     }
 
-    private change(offset: number, record: RolloutRecord): RecordOutcome {
+    private change(offset: number, record: RolloutRecord): RolloutRecordOutcome {
         switch (record.kind) {
             case RolloutRecordKind.Started:
                 return this.start(offset, record);
@@ -121,7 +121,7 @@
         }
     }
 
-    private start(offset: number, record: RolloutRecord & { readonly kind: RolloutRecordKind.Started }): RecordOutcome {
+    private start(offset: number, record: RolloutRecord & { readonly kind: RolloutRecordKind.Started }): RolloutRecordOutcome {
         const current = this.latest(record.pool);
         if (current !== undefined && isUnderWay(current)) {
             const remedy = "wait for its end or roll it back";
@@ -142,7 +142,7 @@
         return this.set(rollout);
     }
 
-    private changeRollout(offset: number, record: ChangeRecord): RecordOutcome {
+    private changeRollout(offset: number, record: ChangeRecord): RolloutRecordOutcome {
         const rollout = this.rollouts.get(record.rollout);
         if (rollout === undefined) {
             return refuse(`No rollout has the id "${record.rollout}"; see "foxtailrail rollout list".`);
@@ -164,7 +164,7 @@
         return this.set(changed);
     }
 
-    private takeStanding(record: RolloutRecord & { readonly kind: RolloutRecordKind.Standing }): RecordOutcome {
+    private takeStanding(record: RolloutRecord & { readonly kind: RolloutRecordKind.Standing }): RolloutRecordOutcome {
         for (const { pool, version } of record.forbidden) {
             this.forbid(pool, version);
         }
@@ -184,7 +184,7 @@
         }
     }
 
-    private set(rollout: Rollout): RecordOutcome {
+    private set(rollout: Rollout): RolloutRecordOutcome {
         this.rollouts.set(rollout.id, rollout);
         return { kind: "applied", rollout };
     }
@@ -240,6 +240,6 @@
     }
 }
 
-function refuse(problem: string): RecordOutcome {
+function refuse(problem: string): RolloutRecordOutcome {
     return { kind: "refused", problem };
 }
--- a/src/coordination/rollouts/rollout_follower.ts
+++ b/src/coordination/rollouts/rollout_follower.ts
@@ -17,12 +17,17 @@
     RolloutRecordKind,
 } from "../../protocol/mod.js";
 import { type Clock, type EventRing, Part } from "../../state/mod.js";
-import { type RecordOutcome, type Rollout, RolloutBook } from "./rollout_book.js";
+import { withinTime } from "../configuration/mod.js";
+import { type Rollout, RolloutBook, type RolloutRecordOutcome } from "./rollout_book.js";
 import { RolloutJournal } from "./rollout_journal.js";
 
 /** Time that a read waits for a new record, in milliseconds. */
 const READ_WAIT_MS = 1_500;
 
+/** Times after which a read and an append without an answer are given up, in milliseconds. */
+const READ_LIMIT_MS = READ_WAIT_MS + 10_000;
+const APPEND_LIMIT_MS = 5_000;
+
 /** Time to wait after a failed call of the log, in milliseconds. */
 const RETRY_DELAY_MS = 500;
 
@@ -66,7 +71,9 @@
         const { log, clock } = this.settings;
         while (!signal.aborted) {
             try {
-                const page = await log.read(ROLLOUT_STREAM, this.nextOffset, { waitMs: READ_WAIT_MS });
+                const read = log.read(ROLLOUT_STREAM, this.nextOffset, { waitMs: READ_WAIT_MS });
+                const step = `read stream ${ROLLOUT_STREAM}`;
+                const page = await withinTime(read, { clock, signal, step, limitMs: READ_LIMIT_MS });
                 this.lastContactMs = clock.now();
                 for (const record of page.records) {
                     this.take(record);
@@ -79,11 +86,13 @@
         }
     }
 
-    override async commit(record: NewRolloutRecord, signal: AbortSignal): Promise<RecordOutcome | undefined> {
+    override async commit(record: NewRolloutRecord, signal: AbortSignal): Promise<RolloutRecordOutcome | undefined> {
         const { clock, log } = this.settings;
         while (!signal.aborted) {
             try {
-                await log.append(ROLLOUT_STREAM, encodeRolloutRecord(record));
+                const append = log.append(ROLLOUT_STREAM, encodeRolloutRecord(record));
+                const step = `append to stream ${ROLLOUT_STREAM}`;
+                await withinTime(append, { clock, signal, step, limitMs: APPEND_LIMIT_MS });
             }
             catch (error) {
                 // The record can have landed all the same; its id keeps a second copy from taking effect.
@@ -98,7 +107,7 @@
         return undefined;
     }
 
-    private async awaitOutcome(recordId: string, signal: AbortSignal): Promise<RecordOutcome | undefined> {
+    private async awaitOutcome(recordId: string, signal: AbortSignal): Promise<RolloutRecordOutcome | undefined> {
         const { clock } = this.settings;
         const giveUpAtMs = clock.now() + LANDING_TIMEOUT_MS;
         while (clock.now() < giveUpAtMs && !signal.aborted) {
--- a/src/coordination/rollouts/rollout_journal.ts
+++ b/src/coordination/rollouts/rollout_journal.ts
@@ -5,7 +5,7 @@
  */
 
 import type { NewRolloutRecord } from "../../protocol/mod.js";
-import type { RecordOutcome, RolloutBook } from "./rollout_book.js";
+import type { RolloutBook, RolloutRecordOutcome } from "./rollout_book.js";
 
 /** Reads and extends the rollout stream. */
 export abstract class RolloutJournal {
@@ -22,5 +22,5 @@
      * @param signal Ends the attempts when aborted.
      * @returns What became of the record, or `undefined` when the signal ended the attempts.
      */
-    abstract commit(record: NewRolloutRecord, signal: AbortSignal): Promise<RecordOutcome | undefined>;
+    abstract commit(record: NewRolloutRecord, signal: AbortSignal): Promise<RolloutRecordOutcome | undefined>;
 }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -23,6 +23,7 @@
     RolloutNotifier,
 } from "../coordination/mod.js";
 import {
+    type ConfigurationPeers,
     type Dissemination,
     type Engine,
     type LogService,
@@ -55,6 +56,8 @@
     readonly vmList: VmList;
     /** Values shared with other nodes. */
     readonly dissemination: Dissemination;
+    /** Configuration of other nodes. */
+    readonly configurationPeers: ConfigurationPeers;
     readonly observer: CallObserver;
     /** Receiver of events about rollouts. Defaults to none. */
     readonly webhook?: Webhook;
@@ -62,7 +65,7 @@
 
 /** State and coordination of one entry VM. */
 export class EntryNode {
-    readonly view = new ConfigurationView();
+    readonly view: ConfigurationView;
     readonly table = new BackendTable();
     readonly hybridClock: HybridClock;
     readonly ring: EventRing;
@@ -81,12 +84,22 @@
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
         const { clock, random, engine, plainService, observer } = settings;
+        this.view = new ConfigurationView(clock);
         const { view, table } = this;
         this.hybridClock = new HybridClock(clock);
         this.ring = new EventRing(settings.node, this.hybridClock);
         const { ring } = this;
         this.watch = new PlatformWatch({ clock, ring, vmList: settings.vmList, engine, table });
-        this.follower = new ConfigurationFollower({ clock, ring, log: settings.log, view });
+        this.follower = new ConfigurationFollower({
+            clock,
+            random,
+            ring,
+            log: settings.log,
+            view,
+            dissemination: settings.dissemination,
+            peers: settings.configurationPeers,
+            entryVms: () => this.entryVms,
+        });
         this.rolloutFollower = new RolloutFollower({ clock, ring, log: settings.log });
         this.rollouts = this.makeRollouts();
         const { rolloutFollower, rollouts } = this;
@@ -115,7 +128,7 @@
 
     /** Whether the node has a configuration to serve by. */
     get configured(): boolean {
-        return this.view.current.version >= 0;
+        return this.follower.configured;
     }
 
     /** Starts the tasks that follow the platform. */
--- a/src/daemon/event_log.ts
+++ b/src/daemon/event_log.ts
@@ -17,9 +17,15 @@
  */
 export function logEvents(ring: EventRing, logger: Logger): void {
     const write = (event: TimelineEvent) => {
+        if (event.requestId !== undefined && !logger.isLevelEnabled("debug")) {
+            return;
+        }
         const fields = { part: event.part, kind: event.kind, requestId: event.requestId, peer: event.peer };
         const line = `${event.part}: ${event.text}`;
-        if (event.requestId === undefined) {
+        if (event.warning) {
+            logger.warn(fields, line);
+        }
+        else if (event.requestId === undefined) {
             logger.info(fields, line);
         }
         else {
--- a/src/protocol/gen/rollouts.ts
+++ b/src/protocol/gen/rollouts.ts
@@ -86,6 +86,7 @@
   readonly pool: string;
   readonly version: string;
   readonly deadlineMs: number;
+  /** Operator; the daemon sets it to the owner of the key. */
   readonly author: string;
   /** Backend servers that must run the version before it may have all traffic; 0 for as many as run the old one now. */
   readonly neededServers: number;
@@ -94,6 +95,7 @@
 export interface ChangeRolloutRequest {
   readonly rollout: string;
   readonly order: RolloutOrder;
+  /** Operator; the daemon sets it to the owner of the key. */
   readonly author: string;
   readonly reason: string;
   /** Revision that a resume was made against; -1 for the one in force at this node. */
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -6,11 +6,15 @@
 
 export * from "./call.js";
 export * from "./chat_completion.js";
+export * from "./configuration_check.js";
+export * from "./configuration_peers.js";
 export * from "./configuration_record.js";
+export * from "./configuration_snapshot.js";
 export * from "./dissemination.js";
 export * from "./engine.js";
 export * from "./engine_control.js";
 export * from "./errors.js";
+export * as configurationWire from "./gen/configuration.js";
 export * as wire from "./gen/peer.js";
 export * as rolloutWire from "./gen/rollouts.js";
 export * from "./lease_record.js";
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -4,24 +4,32 @@
  * @module
  */
 
-import { type handleUnaryCall, Metadata, Server, ServerCredentials, type ServiceError, status } from "@grpc/grpc-js";
-import type { OperatorHandler, PeerHandler, RolloutOperatorHandler } from "../protocol/mod.js";
-import { rolloutWire, type TimelineFeed, wire } from "../protocol/mod.js";
+import { Server, ServerCredentials, type ServerWritableStream } from "@grpc/grpc-js";
+import type {
+    ConfigurationOperatorHandler,
+    ConfigurationPeerHandler,
+    OperatorHandler,
+    PeerHandler,
+    RolloutOperatorHandler,
+} from "../protocol/mod.js";
+import { configurationWire, rolloutWire, type TimelineFeed, wire } from "../protocol/mod.js";
+import { type FindOperator, guarded, notAllowed, operatorKey, unary } from "./_grpc_calls.js";
+
+export { OPERATOR_KEY_FIELD } from "./_grpc_calls.js";
 
 /** Largest message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
-/** Metadata field that carries the operator's key. */
-export const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
-
 /** Settings of a {@linkcode GrpcServer}. */
 export interface GrpcServerSettings {
     readonly peerHandler: PeerHandler;
     readonly operatorHandler: OperatorHandler;
+    readonly configurationPeerHandler: ConfigurationPeerHandler;
+    readonly configurationOperatorHandler: ConfigurationOperatorHandler;
     /** Answers operators about rollouts. Left out, such calls are unknown. */
     readonly rolloutHandler?: RolloutOperatorHandler;
-    /** Whether a key belongs to an operator. */
-    readonly isOperatorKey: (key: string | undefined) => boolean;
+    /** Finds the operator who owns a key. */
+    readonly findOperator: FindOperator;
     /** Credentials of the server. Defaults to plain text. */
     readonly credentials?: ServerCredentials;
 }
@@ -37,6 +45,8 @@
     constructor(private readonly settings: GrpcServerSettings) {
         this.server.addService(wire.PeerService, this.peerImplementation());
         this.server.addService(wire.OperatorService, this.operatorImplementation());
+        this.server.addService(configurationWire.ConfigurationPeerService, this.configurationPeerImplementation());
+        this.server.addService(configurationWire.ConfigurationOperatorService, this.configurationOperatorImplementation());
         if (settings.rolloutHandler !== undefined) {
             this.server.addService(rolloutWire.RolloutOperatorService, this.rolloutImplementation(settings.rolloutHandler));
         }
@@ -67,65 +77,50 @@
     }
 
     private operatorImplementation(): wire.OperatorServer {
-        const { operatorHandler } = this.settings;
+        const { operatorHandler, findOperator } = this.settings;
         return {
-            readStatus: this.guarded(() => operatorHandler.readStatus()),
-            readConfiguration: this.guarded(() => operatorHandler.readConfiguration()),
-            changeConfiguration: this.guarded(request => operatorHandler.changeConfiguration(request)),
+            readStatus: guarded(findOperator, () => operatorHandler.readStatus()),
             readTimeline: call => {
-                if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                    call.destroy(notAllowed() as Error);
+                if (findOperator(operatorKey(call.metadata)) === undefined) {
+                    call.emit("error", notAllowed());
                     return;
                 }
-                const feed: TimelineFeed = {
-                    send: event => call.write(event),
-                    end: () => call.end(),
-                    onClose: listener => {
-                        call.on("cancelled", listener);
-                        call.on("close", listener);
-                    },
-                };
-                operatorHandler.readTimeline(call.request, feed);
+                operatorHandler.readTimeline(call.request, toFeed(call));
             },
         };
     }
 
-    private rolloutImplementation(handler: RolloutOperatorHandler): rolloutWire.RolloutOperatorServer {
+    private configurationPeerImplementation(): configurationWire.ConfigurationPeerServer {
+        const { configurationPeerHandler } = this.settings;
+        return { fetch: unary(request => configurationPeerHandler.fetchConfiguration(request)) };
+    }
+
+    private configurationOperatorImplementation(): configurationWire.ConfigurationOperatorServer {
+        const { configurationOperatorHandler: handler, findOperator } = this.settings;
         return {
-            startRollout: this.guarded(request => handler.start(request)),
-            changeRollout: this.guarded(request => handler.change(request)),
-            listRollouts: this.guarded(request => handler.list(request)),
+            readConfiguration: guarded(findOperator, () => handler.readConfiguration()),
+            changeConfiguration: guarded(findOperator, (request, operator) => handler.changeConfiguration(request, operator)),
         };
     }
 
-    private guarded<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-        const answerUnguarded = unary(answer);
-        return (call, callback) => {
-            if (!this.settings.isOperatorKey(operatorKey(call.metadata))) {
-                callback(notAllowed());
-                return;
-            }
-            answerUnguarded(call, callback);
+    private rolloutImplementation(handler: RolloutOperatorHandler): rolloutWire.RolloutOperatorServer {
+        const { findOperator } = this.settings;
+        return {
+            startRollout: guarded(findOperator, (request, operator) => handler.start({ ...request, author: operator })),
+            changeRollout: guarded(findOperator, (request, operator) => handler.change({ ...request, author: operator })),
+            listRollouts: guarded(findOperator, request => handler.list(request)),
         };
     }
 }
 
-function unary<Request, Reply>(answer: (request: Request) => Promise<Reply>): handleUnaryCall<Request, Reply> {
-    return (call, callback) => {
-        answer(call.request).then(
-            // The library's callback type has null for "no error".
-            // eslint-disable-next-line no-restricted-syntax
-            reply => callback(null, reply),
-            (error: unknown) => callback({ code: status.INTERNAL, details: String(error) }),
-        );
+function toFeed(call: ServerWritableStream<wire.ReadTimelineRequest, wire.EventRecord>): TimelineFeed {
+    return {
+        send: event => call.write(event),
+        end: () => call.end(),
+        onDrain: listener => call.on("drain", listener),
+        onClose: listener => {
+            call.on("cancelled", listener);
+            call.on("close", listener);
+        },
     };
 }
-
-function operatorKey(metadata: Metadata): string | undefined {
-    return metadata.get(OPERATOR_KEY_FIELD)[0]?.toString();
-}
-
-function notAllowed(): Partial<ServiceError> {
-    const details = "Cannot answer: the call carries no operator's key; name a key file with --key-file.";
-    return Object.assign(new Error(details), { code: status.UNAUTHENTICATED, details, metadata: new Metadata() });
-}
