--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -10,6 +10,7 @@
 import type { Experiment } from "./experiment.js";
 import { membershipExperiment } from "./membership.js";
 import { proxyExperiment } from "./proxy.js";
+import { rolloutExperiment } from "./rollouts.js";
 import { schedulingExperiment } from "./scheduling.js";
 import { schedulingDecisionsExperiment } from "./scheduling_decisions.js";
 
@@ -22,4 +23,5 @@
     configExperiment,
     schedulingExperiment,
     schedulingDecisionsExperiment,
+    rolloutExperiment,
 ];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,6 +17,15 @@
 } from "./item_commands.js";
 import { ExitCode } from "./operator_command.js";
 import { RequestListCommand } from "./request_list_command.js";
+import {
+    RolloutListCommand,
+    RolloutPauseCommand,
+    RolloutResumeCommand,
+    RolloutRollbackCommand,
+    RolloutShowCommand,
+    RolloutStartCommand,
+    RolloutWatchCommand,
+} from "./rollout_commands.js";
 import { SendCommand } from "./send_command.js";
 import { StatusCommand } from "./status_command.js";
 import { TimelineCommand } from "./timeline_command.js";
@@ -37,6 +46,13 @@
     WorkspaceRemoveCommand,
     TierListCommand,
     TierSetCommand,
+    RolloutStartCommand,
+    RolloutWatchCommand,
+    RolloutPauseCommand,
+    RolloutResumeCommand,
+    RolloutRollbackCommand,
+    RolloutListCommand,
+    RolloutShowCommand,
     SendCommand,
     RequestListCommand,
 ];
--- a/src/coordination/configuration/mod.ts
+++ b/src/coordination/configuration/mod.ts
@@ -6,6 +6,7 @@
 
 export { MAX_REMEMBERED_CHANGES } from "./_change_history.js";
 export { MAX_KEPT_RECORDS } from "./_kept_records.js";
+export { withinTime } from "./_time_limit.js";
 export * from "./change_outcome.js";
 export * from "./configuration_changer.js";
 export * from "./configuration_follower.js";
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -15,6 +15,7 @@
 } from "../protocol/mod.js";
 import { type EventRing, Part, Semantics } from "../state/mod.js";
 import type { CallScope } from "./_call_scope.js";
+import type { AttemptMeter } from "./attempt_meter.js";
 import { type CallPass, DispatchRight } from "./call_guard.js";
 import type { RetryBudget } from "./retry_budget.js";
 import { type Assignment, DispatchResult, type Scheduler } from "./scheduler.js";
@@ -46,6 +47,8 @@
     readonly scheduler: Scheduler;
     readonly retryBudget: RetryBudget;
     readonly ring: EventRing;
+    /** Measures each attempt. Left out when nobody wants the figures. */
+    readonly attempts?: AttemptMeter;
 }
 
 /** Runs dispatches until one attempt succeeds or no further attempt is allowed. */
@@ -135,10 +138,11 @@
 
     private async tryOnce(
         dispatch: Dispatch,
-        assignment: Assignment,
+        assigned: Assignment,
         overdue: AbortSignal,
     ): Promise<DispatchError | undefined> {
         const { scope } = dispatch;
+        const assignment = this.settings.attempts?.measure(assigned, scope) ?? assigned;
         const peer = assignment.server.vm.id;
         this.record(scope.call, peer, "dispatched", `Call was sent to ${peer}.`);
         try {
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export * from "./attempt_meter.js";
+export * from "./attempt_observer.js";
 export * from "./call_guard.js";
 export * from "./call_observer.js";
 export * from "./call_resolver.js";
@@ -11,9 +13,12 @@
 export * from "./configuration/mod.js";
 export * from "./dispatcher.js";
 export * from "./membership/mod.js";
+export * from "./orders/mod.js";
 export * from "./platform_watch.js";
 export * from "./request_handler.js";
 export * from "./retry_budget.js";
+export * from "./rollouts/mod.js";
 export * from "./scheduler.js";
 export * from "./scheduling/mod.js";
 export * from "./silent_dissemination.js";
+export * from "./version_policy.js";
--- a/src/coordination/scheduling/pool_scheduler.ts
+++ b/src/coordination/scheduling/pool_scheduler.ts
@@ -7,6 +7,7 @@
 import { type AcceptedCall, type EngineEnd, Refusal, RefusalType } from "../../protocol/mod.js";
 import type { Clock, LoadView, PrefixIndex, RandomSource } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, DispatchResult } from "../scheduler.js";
+import { AnyVersion, type VersionPolicy } from "../version_policy.js";
 import { DrainRate } from "./_drain_rate.js";
 import { expectedWaitMs, retryAfterMs } from "./_expected_wait.js";
 import { latestStart } from "./_latest_start.js";
@@ -54,6 +55,8 @@
     readonly costs: CostModel;
     readonly prefixes: PrefixIndex;
     readonly load: LoadView;
+    /** Chooses the version of each call. Defaults to any version. */
+    readonly versions?: VersionPolicy;
     readonly observer: SchedulingObserver;
     /** Returns the ranks with operations on the pool, the highest first. */
     readonly ranks: () => readonly number[];
@@ -74,8 +77,8 @@
 
     /** @param settings See {@linkcode PoolSchedulerSettings}. */
     constructor(private readonly settings: PoolSchedulerSettings) {
-        const { clock, node, random, prefixes, load, isService } = settings;
-        this.servers = new ServerSet({ node, random, prefixes, load, isService });
+        const { clock, node, random, prefixes, load, isService, versions = new AnyVersion() } = settings;
+        this.servers = new ServerSet({ node, random, prefixes, load, isService, versions });
         this.claims = new AdmissionClaims(clock);
         this.drain = new DrainRate(clock.now());
     }
@@ -87,7 +90,7 @@
 
     /** Waits until the call may be dispatched, or sheds it. */
     async assign(call: AcceptedCall, assign: AssignSettings): Promise<Assignment> {
-        if (!this.servers.hasServer(assign.excluded)) {
+        if (!this.servers.hasServer(assign.excluded) || !this.servers.hasAllowedServer(call, assign.excluded)) {
             const detail = `Pool "${this.settings.pool}" has no backend server that takes work. Try again.`;
             throw new Refusal(RefusalType.NoBackendServer, detail, { retryAfterMs: NO_SERVER_RETRY_AFTER_MS });
         }
@@ -236,7 +239,6 @@
                     return true;
                 }
             }
-            if (process.env.STRICT) { return false; }
         }
         return false;
     }
--- a/src/coordination/scheduling/server_set.ts
+++ b/src/coordination/scheduling/server_set.ts
@@ -5,6 +5,7 @@
  */
 
 import { createHash } from "node:crypto";
+import type { AcceptedCall } from "../../protocol/mod.js";
 import {
     type BackendServer,
     type LoadView,
@@ -13,6 +14,7 @@
     type RandomSource,
     reportedTokens,
 } from "../../state/mod.js";
+import { selectByVersion, type VersionPolicy } from "../version_policy.js";
 import { ServerWindow } from "./server_window.js";
 import type { WaitingCall } from "./waiting_call.js";
 
@@ -46,6 +48,8 @@
     readonly load: LoadView;
     /** Whether the pool is one of plain services. */
     readonly isService: boolean;
+    /** Chooses the version of each call. */
+    readonly versions: VersionPolicy;
 }
 
 /** Choice of a backend server for one call. */
@@ -130,6 +134,11 @@
         return false;
     }
 
+    /** Whether any backend server that the versions leave for a call takes work, now or later. */
+    hasAllowedServer(call: AcceptedCall, excluded: ReadonlySet<string>): boolean {
+        return this.selectAllowed(call, excluded)?.size !== 0;
+    }
+
     /** Finds the fastest backend server anew. */
     measureFastest(): void {
         this.fastestPrefillRate = 0;
@@ -147,11 +156,15 @@
      */
     choose(waiting: WaitingCall, nowMs: number): ServerChoice | undefined {
         const holders = this.holdersOf(waiting, nowMs);
+        const allowed = this.selectAllowed(waiting.call, waiting.assign.excluded);
         const limitMs = waiting.late ? Infinity : firstTokenLimitMs(waiting, nowMs);
         let best: ServerChoice | undefined;
         let bestMs = Infinity;
-        for (const window of this.candidates(holders)) {
+        for (const window of allowed === undefined ? this.candidates(holders) : this.open) {
             const { id } = window.server.vm;
+            if (allowed?.has(window.server) === false) {
+                continue;
+            }
             if (waiting.assign.excluded.has(id) || !window.takes(waiting.rank, nowMs)) {
                 continue;
             }
@@ -176,6 +189,23 @@
         return this.open.length > SAMPLE_SIZE || this.open.some(window => window.takes(rank, nowMs));
     }
 
+    /** Returns the backend servers that the versions leave for a call; `undefined` when versions make no difference. */
+    private selectAllowed(call: AcceptedCall, excluded: ReadonlySet<string>): ReadonlySet<BackendServer> | undefined {
+        const { name, pool } = call.operation;
+        const query = { callId: call.incoming.id, operation: name, pool, retry: excluded.size > 0 };
+        const choice = this.settings.versions.choose(query);
+        if (choice.preferred.length === 0 && choice.forbidden.size === 0) {
+            return undefined;
+        }
+        const ready: BackendServer[] = [];
+        for (const [id, { server }] of this.windows) {
+            if (server.takesWork && !excluded.has(id)) {
+                ready.push(server);
+            }
+        }
+        return new Set(selectByVersion(ready, choice));
+    }
+
     private holdersOf(waiting: WaitingCall, nowMs: number): readonly PrefixHolder[] {
         if (nowMs - waiting.holdersAtMs > MAX_HOLDERS_AGE_MS) {
             waiting.holders = this.settings.prefixes.find(waiting.call.prefixBlocks ?? []);
--- a/src/coordination/scheduling/tiered_scheduler.ts
+++ b/src/coordination/scheduling/tiered_scheduler.ts
@@ -27,6 +27,7 @@
     type RandomSource,
 } from "../../state/mod.js";
 import { type Assignment, type AssignSettings, Scheduler } from "../scheduler.js";
+import { AnyVersion, type VersionPolicy } from "../version_policy.js";
 import { CacheFollower } from "./cache_follower.js";
 import { CostModel } from "./cost_model.js";
 import { PoolScheduler } from "./pool_scheduler.js";
@@ -56,6 +57,8 @@
     readonly ring: EventRing;
     /** Connection to engines, whose cache events are followed. */
     readonly engine: Engine;
+    /** Chooses the version of each call. Defaults to any version. */
+    readonly versions?: VersionPolicy;
 }
 
 /**
@@ -130,7 +133,7 @@
         if (known !== undefined) {
             return known;
         }
-        const { node, clock, random, table, view } = this.settings;
+        const { node, clock, random, table, view, versions = new AnyVersion() } = this.settings;
         const isService = view.current.document.pools.find(pool => pool.name === name)?.kind === PoolKind.Service;
         const pool = new PoolScheduler({
             pool: name,
@@ -141,6 +144,7 @@
             costs: this.costs,
             prefixes: this.prefixes,
             load: this.load,
+            versions,
             observer: this.counts,
             ranks: () => this.ranksOf(name),
             onClaim: () => this.publishClaims(name),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -34,6 +34,7 @@
     HttpPlainService,
     HttpServer,
     HttpVmList,
+    HttpWebhook,
     MAX_CALLER_CONNECTIONS,
     MAX_HELD_BODY_BYTES,
     MAX_PEER_CHANNELS,
@@ -41,6 +42,7 @@
     operatorService,
     PeerGate,
     peerService,
+    rolloutOperatorService,
 } from "../transport/mod.js";
 import { ClaimDesk } from "./claim_desk.js";
 import { ConfigurationOperatorDesk, ConfigurationPeerDesk } from "./configuration_desk.js";
@@ -113,6 +115,7 @@
             observer: this.metrics,
             claimClient: this.claimClient,
             keyRules: settings.claims,
+            webhook: settings.webhookUrl === undefined ? undefined : new HttpWebhook(settings.webhookUrl),
         });
         this.httpServer = new HttpServer({
             node: settings.node,
@@ -188,6 +191,7 @@
             operatorService(new OperatorDesk({ node, limits, isReady: () => this.ready, certificateExpiresAtMs }), find),
             claimOperatorService(claimDesk, find),
             configurationOperatorService(new ConfigurationOperatorDesk(node), find),
+            rolloutOperatorService(node.rolloutDesk, find),
         ];
     }
 
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -7,6 +7,7 @@
 import { runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
 import {
+    AttemptMeter,
     type CallObserver,
     CallResolver,
     ClaimGuard,
@@ -19,19 +20,25 @@
     PlatformWatch,
     RequestHandler,
     RetryBudget,
+    RolloutDesk,
+    RolloutFollower,
+    RolloutManager,
+    RolloutNotifier,
     type Scheduler,
     TieredScheduler,
 } from "../coordination/mod.js";
-import type {
-    ClaimClient,
-    ConfigurationPeers,
-    Dissemination,
-    Engine,
-    LogService,
-    Member,
-    MemberView,
-    PlainService,
-    VmList,
+import {
+    type ClaimClient,
+    type ConfigurationPeers,
+    type Dissemination,
+    type Engine,
+    type LogService,
+    type Member,
+    type MemberView,
+    type PlainService,
+    SilentWebhook,
+    type VmList,
+    type Webhook,
 } from "../protocol/mod.js";
 import {
     BackendTable,
@@ -70,6 +77,8 @@
     readonly keyRules?: KeyRules;
     /** Makes the scheduler of a node. Defaults to a {@linkcode TieredScheduler}. */
     readonly makeScheduler?: (node: EntryNode) => Scheduler;
+    /** Receiver of events about rollouts. Defaults to none. */
+    readonly webhook?: Webhook;
 }
 
 /** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
@@ -86,6 +95,10 @@
     readonly handler: RequestHandler;
     readonly follower: ConfigurationFollower;
     readonly membership: Membership;
+    readonly rolloutFollower: RolloutFollower;
+    readonly rollouts: RolloutManager;
+    readonly rolloutDesk: RolloutDesk;
+    private readonly notifier: RolloutNotifier;
     /** Entry VMs of the last VM list, this one included. */
     entryVms: readonly Vm[] = [];
     private readonly watch: PlatformWatch;
@@ -121,16 +134,29 @@
             client: settings.claimClient ?? new NoClaimClient(),
             keyRules: settings.keyRules,
         });
+        this.rolloutFollower = new RolloutFollower({ clock, ring, log: settings.log });
+        this.rollouts = this.makeRollouts();
+        const { rolloutFollower, rollouts } = this;
+        this.rolloutDesk = new RolloutDesk({
+            node: settings.node,
+            clock,
+            view,
+            table,
+            follower: rolloutFollower,
+            manager: rollouts,
+        });
+        this.notifier = this.makeNotifier();
         const { node, dissemination } = settings;
         const scheduler = settings.makeScheduler?.(this) ??
-            new TieredScheduler({ node, clock, random, table, view, dissemination, ring, engine });
+            new TieredScheduler({ node, clock, random, table, view, dissemination, ring, engine, versions: rollouts });
         this.scheduler = scheduler;
+        const attempts = new AttemptMeter(clock, rollouts.attempts);
         this.handler = new RequestHandler({
             clock,
             ring,
             resolver: new CallResolver(view, clock),
             guard: this.guard,
-            dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring }),
+            dispatcher: new Dispatcher({ scheduler, retryBudget: new RetryBudget(clock), ring, attempts }),
             engine,
             plainService,
             observer,
@@ -158,7 +184,14 @@
         void runEffects(tap(takeList, watch.lists), scheduler);
         void runEffects(tap(member => recordMember(ring, member), membership.changes), scheduler);
         const { signal } = this.stopped;
-        this.tasks = [this.follower.run(signal), watch.run(signal), membership.run(signal), this.scheduler.run(signal)];
+        this.tasks = [
+            this.follower.run(signal),
+            watch.run(signal),
+            membership.run(signal),
+            this.scheduler.run(signal),
+            this.rolloutFollower.run(signal),
+            this.rollouts.run(signal),
+        ];
     }
 
     /** Waits, within bounds, until the outcomes of calls stand in the log. */
@@ -172,8 +205,27 @@
     /** Ends the tasks. */
     async stop(): Promise<void> {
         this.stopped.abort();
+        this.notifier.stop();
         await Promise.all(this.tasks);
     }
+
+    private makeRollouts(): RolloutManager {
+        const { node, failureDomain, clock, random, dissemination } = this.settings;
+        const { ring, table } = this;
+        const journal = this.rolloutFollower;
+        const peers = () => this.otherEntryVms();
+        return new RolloutManager({ node, failureDomain, clock, random, ring, table, dissemination, journal, peers });
+    }
+
+    private makeNotifier(): RolloutNotifier {
+        const { node, clock, webhook = new SilentWebhook() } = this.settings;
+        const peers = () => this.otherEntryVms();
+        return new RolloutNotifier({ node, clock, ring: this.ring, follower: this.rolloutFollower, webhook, peers });
+    }
+
+    private otherEntryVms(): readonly Vm[] {
+        return this.entryVms.filter(vm => vm.id !== this.settings.node);
+    }
 }
 
 function recordMember(ring: EventRing, { id, failureDomain, state }: GroupMember): void {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -52,6 +52,8 @@
         keyHorizonMs: z.int().min(60_000).default(DEFAULT_KEY_HORIZON_MS),
         requireDatedKeys: z.boolean().default(false),
     }).default({ keyHorizonMs: DEFAULT_KEY_HORIZON_MS, requireDatedKeys: false }),
+    /** Receiver that is told when a rollout is done, rolled back or late. */
+    webhookUrl: z.url({ protocol: /^https?$/, error: "must be an http or https address" }).optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 });
 
--- a/src/transport/grpc_services.ts
+++ b/src/transport/grpc_services.ts
@@ -11,8 +11,9 @@
     ConfigurationPeerHandler,
     OperatorHandler,
     PeerHandler,
+    RolloutOperatorHandler,
 } from "../protocol/mod.js";
-import { claimWire, configurationWire, type TimelineFeed, wire } from "../protocol/mod.js";
+import { claimWire, configurationWire, rolloutWire, type TimelineFeed, wire } from "../protocol/mod.js";
 import { type FindOperator, guarded, notAllowed, operatorKey } from "./_grpc_calls.js";
 import type { GrpcService } from "./grpc_server.js";
 import type { PeerGate } from "./peer_gate.js";
@@ -75,6 +76,16 @@
     return { definition: claimWire.ClaimOperatorService, implementation };
 }
 
+/** Returns the service of rollouts to operators. */
+export function rolloutOperatorService(handler: RolloutOperatorHandler, findOperator: FindOperator): GrpcService {
+    const implementation: rolloutWire.RolloutOperatorServer = {
+        startRollout: guarded(findOperator, (request, operator) => handler.start({ ...request, author: operator })),
+        changeRollout: guarded(findOperator, (request, operator) => handler.change({ ...request, author: operator })),
+        listRollouts: guarded(findOperator, request => handler.list(request)),
+    };
+    return { definition: rolloutWire.RolloutOperatorService, implementation };
+}
+
 function toFeed(call: ServerWritableStream<wire.ReadTimelineRequest, wire.EventRecord>): TimelineFeed {
     return {
         send: event => call.write(event),
