--- a/measure/rollouts.ts
+++ b/measure/rollouts.ts
@@ -139,7 +139,7 @@
     const early = bad.filter(({ tried: { fault } }) => fault !== VersionFault.BadLater && fault !== VersionFault.BadUnderLoad);
     const later = bad.filter(result => !early.includes(result));
     return [
-        atLeast("good done in time, share", good.filter(isDoneInTime).length / good.length, 1),
+        atLeast("good done in time on evidence that tells, share", good.filter(isDoneOnEvidence).length / good.length, 1),
         atLeast("bad rolled back, share", bad.filter(result => result.stoppedAtMs !== undefined).length / bad.length, 1),
         atMost("highest share of one bad from the start, on one route or class", highestShare(early), MAX_EARLY_SHARE),
         atMost("calls later than 3 s after a later fault shows", sum(later.map(result => result.lateCalls)), 0),
@@ -152,6 +152,11 @@
     return result.stoppedAtMs === undefined && result.doneAtMs !== undefined && result.doneAtMs <= result.tried.lifeMs;
 }
 
+/** Whether a version was done in time and enough evidence spoke for it. */
+function isDoneOnEvidence(result: RunResult): boolean {
+    return isDoneInTime(result) && !isThin(result);
+}
+
 function isThin(result: RunResult): boolean {
     return result.evidence.includes("too thin");
 }
--- a/src/daemon/entry_node.ts
+++ b/src/daemon/entry_node.ts
@@ -6,6 +6,7 @@
 
 import { runEffects, tap } from "@most/core";
 import { newDefaultScheduler } from "@most/scheduler";
+import { setMaxListeners } from "node:events";
 import {
     AttemptMeter,
     type CallObserver,
@@ -16,6 +17,7 @@
     type KeyRules,
     type Member as GroupMember,
     type Membership,
+    MemberState,
     NoClaimClient,
     PlatformWatch,
     RequestHandler,
@@ -84,6 +86,12 @@
 /** Longest time that a node which ends waits for its outcomes to reach the log, in milliseconds. */
 const CLAIM_FLUSH_LIMIT_MS = 5_000;
 
+/** Tasks and waits of a node that end with it; each listens for the end. */
+const MAX_STOP_LISTENERS = 64;
+
+/** States of members that can be asked for something. */
+const WORKING_STATES: ReadonlySet<MemberState> = new Set([MemberState.Listed, MemberState.Alive, MemberState.Suspect]);
+
 /** State and coordination of one entry VM. */
 export class EntryNode implements MemberView {
     readonly view: ConfigurationView;
@@ -107,6 +115,7 @@
 
     /** @param settings See {@linkcode NodeSettings}. */
     constructor(readonly settings: NodeSettings) {
+        setMaxListeners(MAX_STOP_LISTENERS, this.stopped.signal);
         const { clock, random, engine, plainService, observer } = settings;
         this.view = new ConfigurationView(clock);
         const { view, table } = this;
@@ -168,9 +177,10 @@
         return this.follower.configured;
     }
 
-    /** Entry VMs that take new work, this one included. */
+    /** Entry VMs that take new work as far as this node can tell, this one included. */
     get live(): readonly Member[] {
-        return this.entryVms.filter(vm => vm.state === VmState.Live);
+        const leaving = new Set(this.entryVms.filter(vm => vm.state === VmState.Leaving).map(vm => vm.id));
+        return this.membership.list().filter(member => WORKING_STATES.has(member.state) && !leaving.has(member.id));
     }
 
     /** Starts the tasks that follow the platform. */
