--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-old-space-size=160
 /**
  * Program `foxtailraild`.
  *
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -21,6 +21,9 @@
 /** Program of a daemon. */
 const DAEMON_PROGRAM = fileURLToPath(new URL("../src/daemon/main.js", import.meta.url));
 
+/** Options of Node for a daemon; the same as in the first line of its program. */
+const DAEMON_NODE_OPTIONS = ["--max-old-space-size=160"];
+
 /** Stand-ins of the platform. */
 const PLATFORM_KINDS = ["log", "vm-list", "weight-store"] as const;
 
@@ -204,7 +207,7 @@
     }
 
     private runDaemon(node: string, settingsFile: string): FleetProcess {
-        return new FleetProcess(node, [DAEMON_PROGRAM, "--settings", settingsFile]);
+        return new FleetProcess(node, [...DAEMON_NODE_OPTIONS, DAEMON_PROGRAM, "--settings", settingsFile]);
     }
 
     private takeAddress(): string {
