--- a/features/steps/operator_access_steps.ts
+++ b/features/steps/operator_access_steps.ts
@@ -268,7 +268,7 @@
 }
 
 function readOperators(operators: string): Settings {
-    return parseSettings(`${SETTINGS}operators: ${operators}\n`, "test.yaml");
+    return parseSettings(`${SETTINGS}tls: { plainText: true }\noperators: ${operators}\n`, "test.yaml");
 }
 
 async function callSide(scenario: Scenario, client: OperatorClient, call: string): Promise<void> {
--- a/src/coordination/membership/_prober.ts
+++ b/src/coordination/membership/_prober.ts
@@ -19,16 +19,16 @@
 const OVERRUN_TOLERANCE_MS = 200;
 
 /** Members of the same failure domain that are asked to probe in this node's place. */
-const NEAR_HELPERS = 2;
+const NEAR_RELAYS = 2;
 
 /** Members of other failure domains that are asked to probe in this node's place. */
-const FAR_HELPERS = 1;
+const FAR_RELAYS = 1;
 
 /** How a probe ended. */
 export enum ProbeResult {
-    /** The member answered, here or to a helper. */
+    /** The member answered, here or to a relay. */
     Reached = "reached",
-    /** Neither this node nor its helpers reached the member. */
+    /** Neither this node nor its relays reached the member. */
     Failed = "failed",
     /** This node was itself too slow to tell. */
     Void = "void",
@@ -46,18 +46,18 @@
     readonly others: () => readonly Member[];
     /** Makes the request to a member. */
     readonly request: (member: Member) => wire.ProbeRequest;
-    /** Takes the answer of a member, or of a helper that reached it. */
+    /** Takes the answer of a member, or of a relay that reached it. */
     readonly onAnswer: (member: Member, reply: wire.ProbeReply | wire.RelayReply) => void;
-    /** Hears that a helper answered, whatever it found. */
-    readonly onHelp: () => void;
+    /** Hears that a relay answered, whatever it found. */
+    readonly onRelayAnswer: () => void;
 }
 
-/** Probes members after SWIM: directly first, then through helpers. */
+/** Probes members after SWIM: directly first, then through relays. */
 export class Prober {
     /** @param settings See {@linkcode ProberSettings}. */
     constructor(private readonly settings: ProberSettings) {}
 
-    /** Probes a member directly and through helpers. */
+    /** Probes a member directly and through relays. */
     async probe(member: Member): Promise<ProbeResult> {
         const { clock, health } = this.settings;
         const startedAtMs = clock.now();
@@ -66,7 +66,7 @@
             health.improve();
             return ProbeResult.Reached;
         }
-        if (await this.probeThroughHelpers(member)) {
+        if (await this.probeThroughRelays(member)) {
             return ProbeResult.Reached;
         }
         const allowedMs = (PROBE_TIMEOUT_MS + RELAY_TIMEOUT_MS) * factor + OVERRUN_TOLERANCE_MS;
@@ -92,22 +92,22 @@
         }
     }
 
-    private async probeThroughHelpers(member: Member): Promise<boolean> {
-        const helpers = this.pickHelpers(member);
-        const answers = await Promise.all(helpers.map(helper => this.probeThrough(helper, member)));
-        if (helpers.length > 0 && answers.every(answer => answer === undefined)) {
-            // A healthy helper says even that it did not reach the member; see Lifeguard (2018), section 4.1.
+    private async probeThroughRelays(member: Member): Promise<boolean> {
+        const relays = this.pickRelays(member);
+        const answers = await Promise.all(relays.map(relay => this.probeThrough(relay, member)));
+        if (relays.length > 0 && answers.every(answer => answer === undefined)) {
+            // A healthy relay says even that it did not reach the member; see Lifeguard (2018), section 4.1.
             this.settings.health.worsen();
         }
         return answers.some(answer => answer?.reached);
     }
 
-    private async probeThrough(helper: Member, member: Member): Promise<wire.RelayReply | undefined> {
-        const { client, health, self, onAnswer, onHelp } = this.settings;
+    private async probeThrough(relay: Member, member: Member): Promise<wire.RelayReply | undefined> {
+        const { client, health, self, onAnswer, onRelayAnswer } = this.settings;
         const request = { node: self().id, target: member.id, address: member.address };
         try {
-            const reply = await client.relay(helper.address, request, RELAY_TIMEOUT_MS * health.factor);
-            onHelp();
+            const reply = await client.relay(relay.address, request, RELAY_TIMEOUT_MS * health.factor);
+            onRelayAnswer();
             if (reply.reached) {
                 onAnswer(member, reply);
             }
@@ -119,12 +119,12 @@
         }
     }
 
-    private pickHelpers(target: Member): readonly Member[] {
+    private pickRelays(target: Member): readonly Member[] {
         const { others, self } = this.settings;
-        const able = others().filter(member => member.id !== target.id && member.protocol > 0 && canHelp(member));
+        const able = others().filter(member => member.id !== target.id && member.protocol > 0 && canRelay(member));
         const near = able.filter(member => member.failureDomain === self().failureDomain);
         const far = able.filter(member => member.failureDomain !== self().failureDomain);
-        return [...this.pick(near, NEAR_HELPERS), ...this.pick(far, FAR_HELPERS)];
+        return [...this.pick(near, NEAR_RELAYS), ...this.pick(far, FAR_RELAYS)];
     }
 
     private pick(members: Member[], count: number): readonly Member[] {
@@ -136,7 +136,7 @@
     }
 }
 
-function canHelp(member: Member): boolean {
+function canRelay(member: Member): boolean {
     return !isRemoved(member) && member.state !== MemberState.Suspect && member.state !== MemberState.Unreachable;
 }
 
--- a/src/coordination/membership/membership.ts
+++ b/src/coordination/membership/membership.ts
@@ -128,7 +128,7 @@
             others: () => this.others,
             request: member => this.makeProbe(member),
             onAnswer: (member, reply) => this.takeAnswer(member, reply),
-            onHelp: () => this.noteAnswer(),
+            onRelayAnswer: () => this.noteAnswer(),
         });
     }
 
