Take out names that nothing uses

Ruled out: giving them a use: a draining node answers calls until its sockets close, and surplus connections are closed unread. Before and after: serving, settings and caller_interface features pass; compiler and linter clean. Conclusion: none but fewer names.

--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -20,5 +20,4 @@
 export * from "./rollouts/mod.js";
 export * from "./scheduler.js";
 export * from "./scheduling/mod.js";
-export * from "./silent_dissemination.js";
 export * from "./version_policy.js";
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -15,7 +15,6 @@
 /** Step of a dispatch at which an error arose. */
 export enum DispatchStep {
     Connect = "connect",
-    Send = "send",
     AwaitHead = "awaitHead",
     AwaitFirstToken = "awaitFirstToken",
     ReadBody = "readBody",
--- a/src/protocol/refusal.ts
+++ b/src/protocol/refusal.ts
@@ -23,11 +23,9 @@
     KeyExpired = "key-expired",
     InProgress = "in-progress",
     AlreadyDispatched = "already-dispatched",
-    Draining = "draining",
     NotReady = "not-ready",
     CallerGone = "caller-gone",
     LogUnavailable = "log-unavailable",
-    TooManyConnections = "too-many-connections",
 }
 
 /** HTTP status of each type of refusal. */
@@ -45,11 +43,9 @@
     [RefusalType.KeyExpired]: 422,
     [RefusalType.InProgress]: 409,
     [RefusalType.AlreadyDispatched]: 409,
-    [RefusalType.Draining]: 503,
     [RefusalType.NotReady]: 503,
     [RefusalType.CallerGone]: 499,
     [RefusalType.LogUnavailable]: 503,
-    [RefusalType.TooManyConnections]: 503,
 };
 
 /** Settings of a {@linkcode Refusal}. */
