Name the operator's key field once

Cause: the command line and the server each had the metadata field's name, so a change of one would have locked operators out. Ruled out: joining the three gRPC channel maps (probes, claims, configuration) in the same step: they differ in options, and that wants a whole run of the tests. Change: the command line takes the server's constant. Behaviour is the same. Before and after: operator_access and rollout_transport 23 passed, 0 failed; compiler, linter of src/cli and formatter clean. Conclusion: one name, one place.

--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -6,10 +6,7 @@
 
 import { type ChannelCredentials, credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
 import { claimWire, configurationWire, rolloutWire, wire } from "../protocol/mod.js";
-import { PEER_DNS_NAME } from "../transport/mod.js";
-
-/** Metadata field that carries the operator's key. */
-const OPERATOR_KEY_FIELD = "foxtailrail-operator-key";
+import { OPERATOR_KEY_FIELD, PEER_DNS_NAME } from "../transport/mod.js";
 
 /** Longest time to wait for an answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 20_000;
