--- /dev/null
+++ b/features/steps/local_fleet_steps.ts
@@ -0,0 +1,180 @@
+/**
+ * Steps about a fleet of separate processes.
+ *
+ * @module
+ */
+
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { type Dispatcher, request } from "undici";
+import { type Deployment, readDeployment } from "../../standin/deployment.js";
+import { expectedAnswer } from "../../standin/engine_model.js";
+import { type FleetDaemon, LocalFleet } from "../../standin/local_fleet.js";
+import { answerText, type SampleResult, sendSample } from "../../standin/sample.js";
+import type { Scenario } from "../support/world.js";
+
+/** Program of the operators' command line. */
+const CLI_PROGRAM = "dist/src/cli/main.js";
+
+/** Body of a call whose answer takes a while. */
+const LONG_BODY = Buffer.from(JSON.stringify({
+    model: "default",
+    stream: true,
+    max_tokens: 120,
+    messages: [{ role: "user", content: "Summarise the long dossier." }],
+}));
+
+/** Time for an answer that no machine exceeds, in milliseconds. */
+const PATIENT_ANSWER_MS = 600_000;
+
+/** Result of a run of the command line. */
+interface RunResult {
+    readonly code: number | undefined;
+    readonly output: string;
+}
+
+/** What the steps of one scenario share. */
+class FleetBench {
+    sample: readonly SampleResult[] = [];
+    answer: Dispatcher.ResponseData | undefined;
+    exited: Promise<number | undefined> | undefined;
+
+    constructor(readonly fleet: LocalFleet, readonly deployment: Deployment) {}
+
+    get daemon(): FleetDaemon {
+        return this.fleet.daemons[0];
+    }
+
+    /** Sends the long call to the first daemon. */
+    send(signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
+        return request(`http://${this.daemon.callers}/v1/chat/completions`, {
+            method: "POST",
+            headers: {
+                authorization: `Bearer ${this.deployment.workspaces[0].key}`,
+                "content-type": "application/json",
+                "foxtailrail-operation": "dossier-summary",
+            },
+            body: LONG_BODY,
+            signal,
+        });
+    }
+}
+
+const benches = new WeakMap<Scenario, FleetBench>();
+
+function benchOf(scenario: Scenario): FleetBench {
+    const bench = benches.get(scenario);
+    assert.ok(bench !== undefined);
+    return bench;
+}
+
+After(async function(this: Scenario) {
+    await benches.get(this)?.fleet.stop();
+});
+
+Given("a local fleet of processes", async function(this: Scenario) {
+    const deployment = withPatience(await readDeployment("examples/rastro-sul.yaml"));
+    const fleet = new LocalFleet({ deployment, operatorKey: "operator" });
+    benches.set(this, new FleetBench(fleet, deployment));
+    await fleet.start();
+});
+
+Given("a streamed answer has begun at the first daemon", async function(this: Scenario) {
+    const bench = benchOf(this);
+    bench.answer = await bench.send();
+    assert.equal(bench.answer.statusCode, 200);
+});
+
+Given("all engines hang", async function(this: Scenario) {
+    const engines = benchOf(this).fleet.backends.filter(backend => backend.vm.pool === "language-model");
+    for (const engine of engines) {
+        const response = await request(`http://${engine.vm.address}/faults`, {
+            method: "POST",
+            body: JSON.stringify({ hang: true }),
+        });
+        await response.body.dump();
+    }
+});
+
+Given("a call without an answer waits at the first daemon", async function(this: Scenario) {
+    const bench = benchOf(this);
+    // The daemon ends with the call unanswered, which breaks its connection.
+    bench.send().catch(() => undefined);
+    for (let active = 0; active === 0;) {
+        const response = await request(`http://${bench.daemon.callers}/metrics`);
+        const text = await response.body.text();
+        active = Number(/foxtailrail_calls_accepted_total\{[^}]*\} (\d+)/.exec(text)?.[1] ?? 0);
+    }
+});
+
+When("the sample is sent", async function(this: Scenario) {
+    const bench = benchOf(this);
+    bench.sample = await sendSample(bench.fleet, bench.deployment);
+});
+
+When("the first daemon gets SIGTERM", function(this: Scenario) {
+    const bench = benchOf(this);
+    bench.exited = bench.daemon.process.end("SIGTERM");
+});
+
+Then("every call of the sample gets its whole answer", function(this: Scenario) {
+    const { sample } = benchOf(this);
+    assert.ok(sample.length > 0);
+    assert.deepEqual(sample.filter(result => !result.whole), []);
+});
+
+Then("the first daemon is not ready but still takes a call", async function(this: Scenario) {
+    const { daemon, deployment } = benchOf(this);
+    let status = 200;
+    while (status === 200) {
+        const ready = await request(`http://${daemon.callers}/readyz`);
+        await ready.body.dump();
+        status = ready.statusCode;
+    }
+    assert.equal(status, 503);
+    const lookup = await request(`http://${daemon.callers}/v1/services/case-management/status`, {
+        headers: { authorization: `Bearer ${deployment.workspaces[0].key}` },
+    });
+    await lookup.body.dump();
+    assert.equal(lookup.statusCode, 200);
+});
+
+Then("the streamed answer comes whole", async function(this: Scenario) {
+    const text = await benchOf(this).answer?.body.text();
+    assert.equal(answerText(text ?? "", "streamed"), expectedAnswer(LONG_BODY));
+});
+
+Then("the first daemon exits with {int}", async function(this: Scenario, code: number) {
+    assert.equal(await benchOf(this).exited, code);
+});
+
+Then("each command ends with its code and prints its text", async function(this: Scenario, table: DataTable) {
+    const bench = benchOf(this);
+    for (const { command, code, text } of table.hashes()) {
+        const run = await runCli(bench, command.split(" "));
+        assert.equal(run.code, Number(code), `${command}: ${run.output}`);
+        assert.ok(run.output.includes(text), `${command}: ${run.output}`);
+    }
+});
+
+/** Gives every operation a promise that a busy machine keeps too, so that the verdict does not depend on speed. */
+function withPatience(deployment: Deployment): Deployment {
+    const operations = (deployment.configuration.operations as readonly object[])
+        .map(operation => ({ ...operation, promise: { answerMs: PATIENT_ANSWER_MS } }));
+    return { ...deployment, configuration: { ...deployment.configuration, operations } };
+}
+
+function runCli(bench: FleetBench, args: readonly string[]): Promise<RunResult> {
+    const environment = { ...process.env, FOXTAILRAIL_ADDRESS: bench.daemon.peers, FOXTAILRAIL_KEY_FILE: bench.fleet.keyFile };
+    const child = spawn(process.execPath, [CLI_PROGRAM, ...args], { env: environment, stdio: ["ignore", "pipe", "pipe"] });
+    let output = "";
+    const collect = (chunk: Buffer) => {
+        output += chunk.toString("utf8");
+    };
+    child.stdout.on("data", collect);
+    child.stderr.on("data", collect);
+    return new Promise(resolve => {
+        child.once("close", code => resolve({ code: code ?? undefined, output }));
+    });
+}
--- /dev/null
+++ b/measure/drain.ts
@@ -0,0 +1,259 @@
+/**
+ * Experiment: all daemons are restarted one by one under load.
+ *
+ * @module
+ */
+
+import { request } from "undici";
+import { readDeployment } from "../standin/deployment.js";
+import { expectedAnswer } from "../standin/engine_model.js";
+import { type FleetDaemon, LocalFleet } from "../standin/local_fleet.js";
+import { answerText } from "../standin/sample.js";
+import type { Experiment, Report } from "./experiment.js";
+
+/** Callers that send one call after the other. */
+const CALLERS = 24;
+
+/** Most tokens of a model answer. */
+const MAX_TOKENS = 120;
+
+/** Time after which the balancer looks again at a daemon's readiness, in milliseconds. */
+const BALANCER_INTERVAL_MS = 50;
+
+/** Time of load before the first restart and after the last, in milliseconds. */
+const SETTLE_MS = 1_000;
+
+/** Deployment that is restarted. */
+const DEPLOYMENT = "examples/rastro-sul.yaml";
+
+/** Counts over all callers. */
+interface Tally {
+    sent: number;
+    whole: number;
+    /** Answers that broke off. */
+    cut: number;
+    /** Calls refused with `executed: "no"`; the caller can send them again. */
+    refusedNotRun: number;
+    /** Calls refused otherwise. */
+    refusedOtherwise: number;
+    /** Connections that were refused; the balancer had not yet seen the daemon leave. */
+    notConnected: number;
+}
+
+/** Balancer of the platform, as far as it matters here: sends to daemons that were ready at its last look. */
+class Balancer {
+    private ready: readonly FleetDaemon[];
+    private turn = 0;
+
+    constructor(private readonly daemons: readonly FleetDaemon[]) {
+        this.ready = daemons;
+    }
+
+    /** Looks at the readiness of all daemons until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const ready = await Promise.all(this.daemons.map(isReady));
+            this.ready = this.daemons.filter((daemon, index) => ready[index]);
+            await sleep(BALANCER_INTERVAL_MS);
+        }
+    }
+
+    /** Returns the daemon for the next call. */
+    next(): FleetDaemon {
+        this.turn += 1;
+        return this.ready[this.turn % this.ready.length];
+    }
+}
+
+/** Restarts daemons one by one under load: with a drain, and as the naive way to compare with, by killing them. */
+export const drainExperiment: Experiment = {
+    name: "drain",
+    summary: "rolling restart under load: nothing cut, lost or doubled",
+    run: async seed => {
+        const baseline = await restartAll("SIGKILL");
+        const current = await restartAll("SIGTERM");
+        return toReport(seed, baseline, current);
+    },
+};
+
+/** Result of one rolling restart. */
+interface RestartResult {
+    readonly tally: Tally;
+    /** Largest number of effects of one run-once key. */
+    readonly maxEffects: number;
+    /** Run-once calls that were answered and took no effect. */
+    readonly lostEffects: number;
+    /** Exit codes of the daemons that were restarted, other than 0. */
+    readonly badExits: number;
+}
+
+async function restartAll(signal: NodeJS.Signals): Promise<RestartResult> {
+    const deployment = await readDeployment(DEPLOYMENT);
+    const fleet = new LocalFleet({ deployment, operatorKey: "operator" });
+    const stopped = new AbortController();
+    const tally: Tally = { sent: 0, whole: 0, cut: 0, refusedNotRun: 0, refusedOtherwise: 0, notConnected: 0 };
+    const answeredKeys: string[] = [];
+    let badExits = 0;
+    try {
+        await fleet.start();
+        const balancer = new Balancer(fleet.daemons);
+        const tasks = [balancer.run(stopped.signal)];
+        for (let index = 0; index < CALLERS; index++) {
+            const { key } = deployment.workspaces[index % deployment.workspaces.length];
+            tasks.push(runCaller({ name: `caller-${index}`, key, balancer, tally, answeredKeys, signal: stopped.signal }));
+        }
+        await sleep(SETTLE_MS);
+        for (const daemon of fleet.daemons) {
+            const code = await daemon.process.end(signal);
+            badExits += code === 0 ? 0 : 1;
+            await fleet.restart(daemon);
+            await sleep(BALANCER_INTERVAL_MS * 2);
+        }
+        await sleep(SETTLE_MS);
+        stopped.abort();
+        await Promise.all(tasks);
+        const effects = await readEffects(fleet);
+        const lostEffects = answeredKeys.filter(key => (effects.get(key) ?? 0) === 0).length;
+        return { tally, badExits, lostEffects, maxEffects: Math.max(0, ...effects.values()) };
+    }
+    finally {
+        stopped.abort();
+        await fleet.stop();
+    }
+}
+
+/** Caller that sends calls until the signal is aborted. */
+interface Caller {
+    readonly name: string;
+    readonly key: string;
+    readonly balancer: Balancer;
+    readonly tally: Tally;
+    readonly answeredKeys: string[];
+    readonly signal: AbortSignal;
+}
+
+async function runCaller(caller: Caller): Promise<void> {
+    for (let count = 0; !caller.signal.aborted; count++) {
+        const key = `${caller.name}-${count}`;
+        const filing = count % 3 === 2;
+        caller.tally.sent += 1;
+        try {
+            await (filing ? sendFiling(caller, key) : sendChat(caller, key));
+        }
+        catch (error) {
+            const code = (error as { readonly code?: string }).code;
+            if (code === "ECONNREFUSED") {
+                caller.tally.notConnected += 1;
+            }
+            else {
+                caller.tally.cut += 1;
+            }
+        }
+    }
+}
+
+async function sendChat(caller: Caller, key: string): Promise<void> {
+    const messages = [{ role: "user", content: `Summarise dossier ${key}.` }];
+    const body = Buffer.from(JSON.stringify({ model: "default", stream: true, max_tokens: MAX_TOKENS, messages }));
+    const response = await request(`http://${caller.balancer.next().callers}/v1/chat/completions`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${caller.key}`,
+            "content-type": "application/json",
+            "foxtailrail-operation": "dossier-summary",
+        },
+        body,
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) {
+        countRefusal(caller.tally, text);
+        return;
+    }
+    if (answerText(text, "streamed") === expectedAnswer(body)) {
+        caller.tally.whole += 1;
+        return;
+    }
+    caller.tally.cut += 1;
+}
+
+async function sendFiling(caller: Caller, key: string): Promise<void> {
+    const response = await request(`http://${caller.balancer.next().callers}/v1/services/case-management/claims`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${caller.key}`, "content-type": "application/json", "idempotency-key": key },
+        body: JSON.stringify({ claim: key }),
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) {
+        countRefusal(caller.tally, text);
+        return;
+    }
+    caller.answeredKeys.push(key);
+    caller.tally.whole += 1;
+}
+
+function countRefusal(tally: Tally, text: string): void {
+    if ((JSON.parse(text) as { readonly executed?: string }).executed === "no") {
+        tally.refusedNotRun += 1;
+        return;
+    }
+    tally.refusedOtherwise += 1;
+}
+
+async function readEffects(fleet: LocalFleet): Promise<ReadonlyMap<string, number>> {
+    const effects = new Map<string, number>();
+    for (const backend of fleet.backends) {
+        if (backend.vm.pool !== "case-management") {
+            continue;
+        }
+        const response = await request(`http://${backend.vm.address}/effects`);
+        const { counts } = await response.body.json() as { readonly counts: Readonly<Record<string, number>> };
+        for (const [key, count] of Object.entries(counts)) {
+            effects.set(key, (effects.get(key) ?? 0) + count);
+        }
+    }
+    return effects;
+}
+
+function toReport(seed: number, baseline: RestartResult, current: RestartResult): Report {
+    return {
+        scenario: "drain",
+        seed,
+        baseline: { way: "SIGKILL", ...describe(baseline) },
+        current: { way: "SIGTERM", ...describe(current) },
+        targets: [
+            { name: "answers cut", measured: current.tally.cut, comparison: "at most", bound: 0 },
+            {
+                name: "calls lost: refused, not connected, or answered without effect",
+                measured: current.tally.refusedNotRun + current.tally.refusedOtherwise + current.tally.notConnected +
+                    current.lostEffects,
+                comparison: "at most",
+                bound: 0,
+            },
+            { name: "largest number of effects of one key", measured: current.maxEffects, comparison: "at most", bound: 1 },
+            { name: "daemons that did not exit with 0", measured: current.badExits, comparison: "at most", bound: 0 },
+            { name: "calls sent", measured: current.tally.sent, comparison: "at least", bound: 1 },
+        ],
+    };
+}
+
+function describe(result: RestartResult): Readonly<Record<string, number>> {
+    const { tally, maxEffects, lostEffects, badExits } = result;
+    return { ...tally, maxEffects, lostEffects, badExits };
+}
+
+async function isReady(daemon: FleetDaemon): Promise<boolean> {
+    try {
+        const response = await request(`http://${daemon.callers}/readyz`);
+        await response.body.dump();
+        return response.statusCode === 200;
+    }
+    catch {
+        return false;
+    }
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+        setTimeout(resolve, durationMs);
+    });
+}
--- a/standin/service_model.ts
+++ b/standin/service_model.ts
@@ -38,9 +38,9 @@
         return [...this.effects.values()].reduce((sum, count) => sum + count, 0);
     }
 
-    /** Returns the largest count of any key; 0 when there is none. */
-    get maxCount(): number {
-        return Math.max(0, ...this.effects.values());
+    /** Returns how often each key took effect. */
+    counts(): Readonly<Record<string, number>> {
+        return Object.fromEntries(this.effects);
     }
 }
 
--- a/standin/service_server.ts
+++ b/standin/service_server.ts
@@ -21,7 +21,7 @@
             case "GET /load":
                 return sendJson(request.response, idleReport());
             case "GET /effects":
-                return sendJson(request.response, { requests: model.requests, maxCount: model.ledger.maxCount });
+                return sendJson(request.response, { requests: model.requests, counts: model.ledger.counts() });
             case "POST /faults":
                 return setFaults(request, model.faults);
             default:
