--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,7 +21,10 @@
                     regex: `^(\\.\\./)+(${forbidden.join("|")})/`,
                     message: `Layer "${layer}" does not import this layer; see docs/ARCHITECTURE.md.`,
                 },
-                { regex: "^(\\.\\./)+[^/.]+/(?!mod\\.js$|gen/)", message: "A folder is imported by its mod.js only." },
+                {
+                    regex: "^(\\.\\./)+[^/.]+/(?!(?:[^/.]+/)*mod\\.js$|gen/)",
+                    message: "A folder is imported by its mod.js only.",
+                },
                 { regex: "standin|features|measure", message: "The product imports no stand-in, test or experiment." },
             ],
         }],
--- /dev/null
+++ b/src/coordination/relay/log_health.ts
@@ -0,0 +1,82 @@
+/**
+ * Whether the platform's log answers this node.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../state/relay/mod.js";
+
+/** Time without an answer after which entries may have lapsed for the log's own reasons, in milliseconds. */
+const OUTAGE_MS = 1_000;
+
+/** Time after an outage in which servers that live have registered again, in milliseconds; the platform states about 2 s. */
+const RETURN_MS = 2_200;
+
+/** Receives the changes of a log's health. */
+export interface LogHealthObserver {
+    /** The log stopped answering. */
+    onLost(topic: string, error: unknown): void;
+    /** The log answers again, after a silence in milliseconds. */
+    onRegained(topic: string, silentMs: number): void;
+}
+
+/** Remembers, for each topic, when the log last answered. */
+export class LogHealth {
+    private readonly failingSinceMs = new Map<string, number>();
+    private doubtfulUntilMs = 0;
+
+    /**
+     * @param clock Clock that dates answers.
+     * @param observer Told of losses and returns.
+     */
+    constructor(private readonly clock: Clock, private readonly observer: LogHealthObserver) {}
+
+    /** Whether every topic was answered when last asked. */
+    get isAnswering(): boolean {
+        return this.failingSinceMs.size === 0;
+    }
+
+    /**
+     * Whether an entry that vanishes now may only have lapsed while the log was away.
+     */
+    get isDoubtful(): boolean {
+        return this.clock.now() < this.doubtfulUntilMs || this.hasOutage();
+    }
+
+    /** Time until which entries that have lapsed may return, in milliseconds since the Unix epoch. */
+    get returnDeadlineMs(): number {
+        return this.hasOutage() ? this.clock.now() + RETURN_MS : this.doubtfulUntilMs;
+    }
+
+    /** Records that the log answered. */
+    recordAnswer(topic: string): void {
+        const sinceMs = this.failingSinceMs.get(topic);
+        if (sinceMs === undefined) {
+            return;
+        }
+        this.failingSinceMs.delete(topic);
+        const silentMs = this.clock.now() - sinceMs;
+        if (silentMs >= OUTAGE_MS) {
+            this.doubtfulUntilMs = this.clock.now() + RETURN_MS;
+        }
+        this.observer.onRegained(topic, silentMs);
+    }
+
+    /** Records that the log failed to answer. */
+    recordFailure(topic: string, error: unknown): void {
+        if (!this.failingSinceMs.has(topic)) {
+            this.failingSinceMs.set(topic, this.clock.now());
+            this.observer.onLost(topic, error);
+        }
+    }
+
+    private hasOutage(): boolean {
+        const now = this.clock.now();
+        for (const sinceMs of this.failingSinceMs.values()) {
+            if (now - sinceMs >= OUTAGE_MS) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/coordination/relay/mod.ts
@@ -0,0 +1,24 @@
+/**
+ * Decisions of the relay of opaque calls.
+ *
+ * @module
+ */
+
+export { RetryBudget } from "../retry_budget.js";
+export * from "./call_record.js";
+export * from "./event_cutter.js";
+export * from "./log_health.js";
+export * from "./node_directory.js";
+export * from "./patience.js";
+export * from "./peer_reporter.js";
+export * from "./peer_table.js";
+export * from "./placement.js";
+export * from "./relay_handler.js";
+export * from "./relayed_call.js";
+export * from "./server_catalog.js";
+export * from "./server_pool.js";
+export * from "./server_state.js";
+export * from "./service_scheduler.js";
+export * from "./topic_follower.js";
+export * from "./waiting_calls.js";
+export * from "./workspace_quota.js";
--- /dev/null
+++ b/src/coordination/relay/patience.ts
@@ -0,0 +1,69 @@
+/**
+ * How long a call waits for a backend server and when its caller is asked to come back.
+ *
+ * Answers the load of bursts that exceed the engines' places for seconds: calls that can still be in time go first, late ones
+ * wait for gaps, and whoever cannot be served soon is told so at once.
+ *
+ * @module
+ */
+
+import type { RandomSource, RelayRoute } from "../../state/relay/mod.js";
+
+/** Part of the objective that may pass before a call is sent; the rest is for the answer itself. */
+const IN_TIME_FRACTION = 0.8;
+
+/** Longest wait of a late call as a multiple of its objective. */
+const LATE_FACTOR = 3;
+
+/** Longest wait of any call, in milliseconds; callers of streams leave after about 2 s without an event. */
+const MAX_WAIT_MS = 1_300;
+
+/** Part of the time left that a call may wait. */
+const MAX_WAIT_FRACTION = 0.35;
+
+/** Shortest time after which a refused caller is asked to return, in milliseconds. */
+const MIN_RETURN_MS = 300;
+
+/** Part of the time left after which a refused caller returns at the latest; callers take no more than a third. */
+const MAX_RETURN_FRACTION = 0.32;
+
+/** Time that a call which returns needs to be served, in milliseconds. */
+const SERVING_RESERVE_MS = 600;
+
+/** When a call stops being in time, and when it is given up. */
+export interface Patience {
+    /** Sent later than this, the call is late; in milliseconds since the Unix epoch. */
+    readonly inTimeUntilMs: number;
+    /** Not sent by then, the call is refused; in milliseconds since the Unix epoch. */
+    readonly giveUpAtMs: number;
+}
+
+/**
+ * Decides how long a call waits.
+ *
+ * @param route Route of the call.
+ * @param arrivedAtMs Arrival, in milliseconds since the Unix epoch.
+ * @param deadlineMs Time that the caller waits from the arrival on, in milliseconds.
+ */
+export function decidePatience(route: RelayRoute, arrivedAtMs: number, deadlineMs: number): Patience {
+    const waitMs = Math.min(LATE_FACTOR * route.objectiveMs, MAX_WAIT_MS, deadlineMs * MAX_WAIT_FRACTION);
+    return {
+        inTimeUntilMs: arrivedAtMs + IN_TIME_FRACTION * route.objectiveMs,
+        giveUpAtMs: arrivedAtMs + waitMs,
+    };
+}
+
+/**
+ * Decides when a refused caller is to come back. Returns are spread, so that those who were refused together do not meet again.
+ *
+ * @param leftMs Time that the caller still waits, in milliseconds.
+ * @param random Source of the spread.
+ * @returns Time in milliseconds, or `undefined` when coming back makes no sense.
+ */
+export function decideReturn(leftMs: number, random: RandomSource): number | undefined {
+    const latestMs = Math.min(leftMs * MAX_RETURN_FRACTION, leftMs - SERVING_RESERVE_MS);
+    if (latestMs < MIN_RETURN_MS) {
+        return undefined;
+    }
+    return MIN_RETURN_MS + random.next() * (latestMs - MIN_RETURN_MS);
+}
--- /dev/null
+++ b/src/coordination/relay/peer_reporter.ts
@@ -0,0 +1,120 @@
+/**
+ * Reports of this node's calls to its peers, and what theirs mean here.
+ *
+ * @module
+ */
+
+import { hashKey, type PeerLink, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
+import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
+import type { NodeDirectory } from "./node_directory.js";
+import type { PeerTable } from "./peer_table.js";
+import type { ServerPool } from "./server_pool.js";
+import type { WorkspaceQuota } from "./workspace_quota.js";
+
+/** Time between reports to a small fleet, in milliseconds. */
+const REPORT_INTERVAL_MS = 200;
+
+/** Most datagrams that a node sends a second; beyond it, reports come less often. */
+const MAX_DATAGRAMS_PER_SECOND = 60;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Settings of a {@linkcode PeerReporter}. */
+export interface PeerReporterSettings {
+    readonly node: string;
+    readonly startedAtMs: number;
+    readonly clock: Clock;
+    readonly link: PeerLink;
+    readonly directory: NodeDirectory;
+    readonly peers: PeerTable;
+    readonly pool: ServerPool;
+    readonly quota: WorkspaceQuota;
+    /** Address at which peers reach this node. */
+    readonly address: () => string;
+    readonly workspaces: () => Iterable<RelayWorkspace>;
+    readonly versionCounts: () => readonly VersionCount[];
+    readonly isLeaving: () => boolean;
+    /** Told after peers' figures have changed. */
+    readonly onChange: () => void;
+    /** Told of a peer that is heard for the first time, or again after a restart. */
+    readonly onPeer: (report: PeerReport) => void;
+    readonly onPeerGone: (report: PeerReport) => void;
+}
+
+/** Sends reports at intervals and applies those that come in. */
+export class PeerReporter {
+    private sequence = 0;
+    private readonly incarnations = new Map<string, string>();
+
+    /** @param settings See {@linkcode PeerReporterSettings}. */
+    constructor(private readonly settings: PeerReporterSettings) {}
+
+    /** Reports until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const addresses = [...this.settings.directory.peers()];
+            this.settings.link.send(this.makeReport(), addresses);
+            this.expire();
+            const pauseMs = Math.max(REPORT_INTERVAL_MS, addresses.length * MS_PER_SECOND / MAX_DATAGRAMS_PER_SECOND);
+            await this.settings.clock.sleep(pauseMs, signal);
+        }
+    }
+
+    /** Takes a peer's report. */
+    take(report: PeerReport): void {
+        const { node, peers, directory, quota, workspaces } = this.settings;
+        if (report.node === node || !peers.take(report)) {
+            return;
+        }
+        directory.learn(report.node, report.address);
+        const incarnation = `${report.node}@${report.startedAtMs}`;
+        if (this.incarnations.get(report.node) !== incarnation) {
+            this.incarnations.set(report.node, incarnation);
+            this.settings.onPeer(report);
+        }
+        const totals = new Map(report.workspaceKeys.map((key, index) => [key, report.workspaceTokens[index] ?? 0]));
+        for (const workspace of workspaces()) {
+            const total = totals.get(hashKey(workspace.name));
+            if (total !== undefined) {
+                quota.takePeerTotal(workspace, incarnation, total);
+            }
+        }
+        this.applyPeerCalls();
+    }
+
+    private expire(): void {
+        for (const gone of this.settings.peers.expire()) {
+            this.settings.quota.forgetPeer(`${gone.node}@${gone.startedAtMs}`);
+            this.incarnations.delete(gone.node);
+            this.settings.onPeerGone(gone);
+        }
+        this.applyPeerCalls();
+    }
+
+    private applyPeerCalls(): void {
+        for (const state of this.settings.pool.all()) {
+            state.peerCalls = this.settings.peers.callsAt(hashKey(state.server.id));
+        }
+        this.settings.onChange();
+    }
+
+    private makeReport(): PeerReport {
+        const { node, startedAtMs, pool, quota, address, versionCounts, isLeaving } = this.settings;
+        const busy = [...pool.all()].filter(state => state.ownCalls > 0);
+        const totals = [...quota.ownTotals()];
+        this.sequence += 1;
+        return {
+            node,
+            startedAtMs,
+            sequence: this.sequence,
+            address: address(),
+            serverKeys: busy.map(state => hashKey(state.server.id)),
+            serverCalls: busy.map(state => state.ownCalls),
+            workspaceKeys: totals.map(([name]) => hashKey(name)),
+            workspaceTokens: totals.map(([, tokens]) => tokens),
+            versions: [...versionCounts()],
+            leaving: isLeaving(),
+        };
+    }
+}
--- /dev/null
+++ b/src/coordination/relay/placement.ts
@@ -0,0 +1,98 @@
+/**
+ * Choice of the backend server for one call.
+ *
+ * Answers unlike engines whose speeds differ several times over: a call goes where its first event comes soonest, as long as a
+ * place is free there.
+ *
+ * @module
+ */
+
+import type { ServerState } from "./server_state.js";
+
+/** Cost of crossing failure domains, in milliseconds of delay; bytes between domains are dear. */
+const CROSS_DOMAIN_MS = 25;
+
+/** Weight of the time that a stream occupies its place against the time to its first event. */
+const OCCUPANCY_WEIGHT = 0.05;
+
+/** Share of bad calls from which on a server gets new calls only as trials. */
+const MAX_BAD_SHARE = 0.5;
+
+/** Delay that a wholly bad server is worth, in milliseconds; spreads calls away from a server that fails some. */
+const BAD_SHARE_MS = 400;
+
+/** Spread of equally good choices, so that nodes that know the same do not all choose the same; in milliseconds. */
+const SPREAD_MS = 6;
+
+/** What is placed. */
+export interface PlacedCall {
+    readonly promptTokens: number;
+    /** Events that the answer is expected to have. */
+    readonly expectedEvents: number;
+    /** Failure domain of the node. */
+    readonly failureDomain: string;
+    /** Servers to which the call was sent before. */
+    readonly excluded: ReadonlySet<string>;
+    /** Server that holds the call's prompt in its cache, as far as is known. */
+    readonly cachedAt: string | undefined;
+}
+
+/** Choice among servers. */
+export interface PlacementChoice {
+    readonly server: ServerState;
+    /** Whether the call tries out a server that has not worked of late. */
+    readonly isTrial: boolean;
+}
+
+/**
+ * Chooses a server with a free place.
+ *
+ * @param servers Servers of the service that may be chosen.
+ * @param call What is placed.
+ * @param spread Random number from 0 to 1 for each server.
+ * @returns `undefined` when no place is free.
+ */
+export function choosePlace(
+    servers: readonly ServerState[],
+    call: PlacedCall,
+    spread: () => number,
+): PlacementChoice | undefined {
+    const isWorseThanHalf = judgeAll(servers);
+    let best: PlacementChoice | undefined;
+    let bestCost = Infinity;
+    for (const server of servers) {
+        if (call.excluded.has(server.server.id) || server.isBarred || server.allCalls >= server.server.slots) {
+            continue;
+        }
+        const isDoubtful = server.isSilent || server.badShare >= MAX_BAD_SHARE && !isWorseThanHalf;
+        if (isDoubtful) {
+            if (server.isTrialDue && best === undefined) {
+                best = { server, isTrial: true };
+            }
+            continue;
+        }
+        const cost = placeCost(server, call) + spread() * SPREAD_MS;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = { server, isTrial: false };
+        }
+    }
+    return best;
+}
+
+/** @returns Whether so many servers fail that the fault is not theirs alone and none is worth avoiding. */
+function judgeAll(servers: readonly ServerState[]): boolean {
+    let bad = 0;
+    for (const server of servers) {
+        bad += server.badShare >= MAX_BAD_SHARE ? 1 : 0;
+    }
+    return bad * 2 > servers.length;
+}
+
+function placeCost(server: ServerState, call: PlacedCall): number {
+    const isCached = call.cachedAt === server.server.id;
+    const firstEventMs = server.expectedFirstEventMs(isCached ? 0 : call.promptTokens);
+    const occupiedMs = call.expectedEvents * server.msPerEvent;
+    const domainMs = server.server.failureDomain === call.failureDomain ? 0 : CROSS_DOMAIN_MS;
+    return firstEventMs + occupiedMs * OCCUPANCY_WEIGHT + domainMs + server.badShare * BAD_SHARE_MS;
+}
--- /dev/null
+++ b/src/coordination/relay/server_pool.ts
@@ -0,0 +1,76 @@
+/**
+ * Backend servers of all services with what this node has learned of them.
+ *
+ * @module
+ */
+
+import { type Clock, type RelayServer, ServerProfile } from "../../state/relay/mod.js";
+import { ServerState } from "./server_state.js";
+
+/** Time for one prompt token at a server that nobody has measured yet, in milliseconds; a large accelerator reads 100 a ms. */
+const FIRST_MS_PER_PROMPT_TOKEN = 0.01;
+
+/** Time between events at a server that nobody has measured yet, in milliseconds. */
+const FIRST_MS_PER_EVENT = 25;
+
+/** Keeps the state of each server by service. */
+export class ServerPool {
+    private readonly states = new Map<string, ServerState>();
+    private readonly services = new Map<string, ServerState[]>();
+    private readonly profiles = new Map<string, ServerProfile>();
+
+    /** @param clock Clock that dates calls. */
+    constructor(private readonly clock: Clock) {}
+
+    /** Takes a new server or a new report of a known one. */
+    put(server: RelayServer): void {
+        const state = this.states.get(server.id);
+        if (state !== undefined && state.server.startedAtMs === server.startedAtMs && state.server.service === server.service) {
+            state.server = server;
+            return;
+        }
+        this.remove(server.id);
+        const added = new ServerState(server, this.profile(server.service), this.clock);
+        this.states.set(server.id, added);
+        this.services.set(server.service, [...this.listed(server.service), added]);
+    }
+
+    /** Removes a server. Calls under way there go on. */
+    remove(id: string): void {
+        const state = this.states.get(id);
+        if (state === undefined) {
+            return;
+        }
+        this.states.delete(id);
+        const { service } = state.server;
+        this.services.set(service, this.listed(service).filter(other => other !== state));
+    }
+
+    /** State of a server. */
+    find(id: string): ServerState | undefined {
+        return this.states.get(id);
+    }
+
+    /** All servers. */
+    all(): Iterable<ServerState> {
+        return this.states.values();
+    }
+
+    /** Servers of a service that take new calls. */
+    open(service: string): readonly ServerState[] {
+        return this.listed(service).filter(state => !state.server.isDraining);
+    }
+
+    private listed(service: string): readonly ServerState[] {
+        return this.services.get(service) ?? [];
+    }
+
+    private profile(service: string): ServerProfile {
+        let profile = this.profiles.get(service);
+        if (profile === undefined) {
+            profile = new ServerProfile(FIRST_MS_PER_PROMPT_TOKEN, FIRST_MS_PER_EVENT);
+            this.profiles.set(service, profile);
+        }
+        return profile;
+    }
+}
--- /dev/null
+++ b/src/coordination/relay/service_scheduler.ts
@@ -0,0 +1,225 @@
+/**
+ * Queue of one service's calls and their way to its backend servers.
+ *
+ * Engines know no priorities and serve in order of arrival, so calls wait here, and no engine is sent more than it runs at once.
+ *
+ * @module
+ */
+
+import type { Clock, RandomSource, RelayRoute, RelayServer } from "../../state/relay/mod.js";
+import { type Patience } from "./patience.js";
+import { choosePlace, type PlacedCall } from "./placement.js";
+import { CallOutcome, type CallUnderWay, type ServerState } from "./server_state.js";
+import { compareWaiting } from "./waiting_calls.js";
+
+/** Call that asks for a place. */
+export interface PlaceRequest {
+    readonly id: string;
+    readonly route: RelayRoute;
+    readonly workspaceRank: number;
+    readonly arrivedAtMs: number;
+    readonly patience: Patience;
+    readonly promptTokens: number;
+    readonly expectedEvents: number;
+    /** Last part of the prompt, which later calls may share. */
+    readonly partId: string | undefined;
+    readonly excluded: ReadonlySet<string>;
+    /** Ends the wait when aborted. */
+    readonly signal: AbortSignal;
+}
+
+/** Why a call got no place. */
+export enum NoPlaceReason {
+    /** Its time to wait ran out. */
+    Overdue = "overdue",
+    /** Its caller left, or its deadline came. */
+    Ended = "ended",
+}
+
+/** Call that was given up while it waited; it has not run. */
+export class NoPlaceError extends Error {
+    override readonly name = "NoPlaceError";
+
+    /**
+     * @param service Service whose place was asked for.
+     * @param reason Why there was none.
+     */
+    constructor(readonly service: string, readonly reason: NoPlaceReason) {
+        super(`Cannot place a call of service ${service}: ${reason}`);
+    }
+}
+
+/** Place at a server; given back when the call ends. */
+export class Place {
+    /**
+     * @param state Server that the place is at.
+     * @param underWay Call as the server's figures know it.
+     * @param onRelease Told when the place is free.
+     */
+    constructor(readonly state: ServerState, private readonly underWay: CallUnderWay, private readonly onRelease: () => void) {}
+
+    /** Server that the place is at. */
+    get server(): RelayServer {
+        return this.state.server;
+    }
+
+    /** Records the first event of a stream or the whole of a plain answer. */
+    recordFirstEvent(): void {
+        this.state.recordFirstEvent(this.underWay);
+    }
+
+    /** Records further events of a stream. */
+    recordEvents(count: number): void {
+        this.state.recordEvents(this.underWay, count);
+    }
+
+    /** Gives the place back; only the first call counts. */
+    release(outcome: CallOutcome): void {
+        this.state.finish(this.underWay, outcome);
+        this.onRelease();
+    }
+}
+
+/** Call in the queue. */
+interface Waiting {
+    readonly request: PlaceRequest;
+    readonly workspaceRank: number;
+    readonly routeRank: number;
+    readonly inTimeUntilMs: number;
+    readonly arrivedAtMs: number;
+    readonly resolve: (place: Place) => void;
+    readonly reject: (error: NoPlaceError) => void;
+}
+
+/** Settings of a {@linkcode ServiceScheduler}. */
+export interface ServiceSchedulerSettings {
+    readonly service: string;
+    readonly failureDomain: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Servers that may be chosen for a call, by its id; they differ while a service moves to another version. */
+    readonly candidates: (callId: string) => readonly ServerState[];
+}
+
+/** Time for which an engine is expected to keep a prompt in its cache, in milliseconds. */
+const CACHED_FOR_MS = 10_000;
+
+/** Prompts whose server is remembered. */
+const MAX_REMEMBERED_PARTS = 2_000;
+
+/** Server that read a prompt. */
+interface CachedPart {
+    readonly server: string;
+    readonly atMs: number;
+}
+
+/** Gives places to calls by rank as they come free. */
+export class ServiceScheduler {
+    private waiting: Waiting[] = [];
+    private readonly cachedParts = new Map<string, CachedPart>();
+
+    /** @param settings See {@linkcode ServiceSchedulerSettings}. */
+    constructor(private readonly settings: ServiceSchedulerSettings) {}
+
+    /** Calls that wait. */
+    get waitingCalls(): number {
+        return this.waiting.length;
+    }
+
+    /**
+     * Waits for a place.
+     *
+     * @throws {NoPlaceError} When there was none in time.
+     */
+    assign(request: PlaceRequest): Promise<Place> {
+        if (this.waiting.length === 0) {
+            const place = this.tryPlace(request);
+            if (place !== undefined) {
+                return Promise.resolve(place);
+            }
+        }
+        return new Promise((resolve, reject) => {
+            const waiting: Waiting = {
+                request,
+                workspaceRank: request.workspaceRank,
+                routeRank: request.route.rank,
+                inTimeUntilMs: request.patience.inTimeUntilMs,
+                arrivedAtMs: request.arrivedAtMs,
+                resolve,
+                reject,
+            };
+            this.waiting.push(waiting);
+            request.signal.addEventListener("abort", () => this.giveUp(waiting, NoPlaceReason.Ended), { once: true });
+            this.serve();
+        });
+    }
+
+    /** Serves waiting calls as far as places are free, and gives up those that are overdue. */
+    serve(): void {
+        if (this.waiting.length === 0) {
+            return;
+        }
+        const now = this.settings.clock.now();
+        this.waiting.sort((left, right) => compareWaiting(left, right, now));
+        const left: Waiting[] = [];
+        let isFull = false;
+        for (const waiting of this.waiting) {
+            if (waiting.request.patience.giveUpAtMs <= now) {
+                waiting.reject(new NoPlaceError(this.settings.service, NoPlaceReason.Overdue));
+                continue;
+            }
+            const place = isFull ? undefined : this.tryPlace(waiting.request);
+            if (place === undefined) {
+                isFull ||= waiting.request.excluded.size === 0;
+                left.push(waiting);
+                continue;
+            }
+            waiting.resolve(place);
+        }
+        this.waiting = left;
+    }
+
+    private giveUp(waiting: Waiting, reason: NoPlaceReason): void {
+        const index = this.waiting.indexOf(waiting);
+        if (index >= 0) {
+            this.waiting.splice(index, 1);
+            waiting.reject(new NoPlaceError(this.settings.service, reason));
+        }
+    }
+
+    private tryPlace(request: PlaceRequest): Place | undefined {
+        const call: PlacedCall = {
+            promptTokens: request.promptTokens,
+            expectedEvents: request.expectedEvents,
+            failureDomain: this.settings.failureDomain,
+            excluded: request.excluded,
+            cachedAt: this.findCached(request.partId),
+        };
+        const choice = choosePlace(this.settings.candidates(request.id), call, () => this.settings.random.next());
+        if (choice === undefined) {
+            return undefined;
+        }
+        if (choice.isTrial) {
+            choice.server.recordTrial();
+        }
+        this.rememberPart(request.partId, choice.server);
+        return new Place(choice.server, choice.server.start(request.promptTokens), () => this.serve());
+    }
+
+    private findCached(partId: string | undefined): string | undefined {
+        const cached = partId === undefined ? undefined : this.cachedParts.get(partId);
+        return cached !== undefined && this.settings.clock.now() - cached.atMs < CACHED_FOR_MS ? cached.server : undefined;
+    }
+
+    private rememberPart(partId: string | undefined, state: ServerState): void {
+        if (partId === undefined) {
+            return;
+        }
+        this.cachedParts.delete(partId);
+        this.cachedParts.set(partId, { server: state.server.id, atMs: this.settings.clock.now() });
+        if (this.cachedParts.size > MAX_REMEMBERED_PARTS) {
+            const [oldest] = this.cachedParts.keys();
+            this.cachedParts.delete(oldest ?? "");
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/relay/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The daemon of a relay node.
+ *
+ * @module
+ */
+
+export * from "./relay_log.js";
+export * from "./relay_node.js";
+export * from "./relay_settings.js";
--- /dev/null
+++ b/src/daemon/relay/relay_node.ts
@@ -0,0 +1,383 @@
+/**
+ * One relay node: its connections, what it follows and how it starts and ends.
+ *
+ * @module
+ */
+
+import type { Logger } from "pino";
+import {
+    LogHealth,
+    NodeDirectory,
+    PeerReporter,
+    PeerTable,
+    RelayHandler,
+    RetryBudget,
+    ServerCatalog,
+    ServerPool,
+    ServiceScheduler,
+    TopicFollower,
+    WorkspaceQuota,
+} from "../../coordination/relay/mod.js";
+import type { KeyedLog, KeyedRecord, RelayHeaders } from "../../protocol/relay/mod.js";
+import type { Clock, RandomSource, RelayConfiguration, RelayServer, RelayWorkspace } from "../../state/relay/mod.js";
+import { CallerServer, HttpClient, HttpRelayClient, PeerSocket, StatusServer } from "../../transport/relay/mod.js";
+import { RelayLog } from "./relay_log.js";
+import type { RelaySettings } from "./relay_settings.js";
+
+/** Interval at which queues and lapsed entries are looked at even if nothing happens, in milliseconds. */
+const TICK_MS = 20;
+
+/** Time for which the log holds a read of the configuration, in milliseconds; a silent connection is found soon after. */
+const CONFIGURATION_WAIT_MS = 1_500;
+
+/** Pause between reads of the servers' entries, in milliseconds; a leaving server gets no calls after about this long. */
+const SERVER_PAUSE_MS = 600;
+
+/** Time kept between the end of a drain and the kill by the platform, in milliseconds. */
+const DRAIN_RESERVE_MS = 600;
+
+/** Interval at which a leaving node looks whether its calls have ended, in milliseconds. */
+const DRAIN_CHECK_MS = 50;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Part of the fleet's retry allowance that is used; the rest covers calls that nodes don't know of. */
+const RETRY_RESERVE = 0.8;
+
+/** Nodes over which the fleet's allowance of retries without calls is divided. */
+const RETRY_SHARERS = 12;
+
+/** Changes of the configuration or of the registered servers that a record stands for. */
+export interface RecordReader {
+    /** Topic of the operator's records. */
+    readonly operatorTopic: string;
+    /** Topic of the servers' entries. */
+    readonly serverTopic: string;
+    /** Reads a configuration; `undefined` when the record is another one. */
+    readConfiguration(record: KeyedRecord): RelayConfiguration | undefined;
+    /** Reads a server's entry; a sentence when it names no server to use. */
+    readServer(record: KeyedRecord): RelayServer | string;
+    /** Id of the server whose entry a record is. */
+    serverId(record: KeyedRecord): string;
+}
+
+/** What a {@linkcode RelayNode} is built from. */
+export interface RelayNodeParts {
+    readonly settings: RelaySettings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly log: KeyedLog;
+    readonly records: RecordReader;
+    readonly headers: RelayHeaders;
+}
+
+/** Serves callers until it is drained. */
+export class RelayNode {
+    private readonly stopped = new AbortController();
+    private readonly startedAtMs: number;
+    private readonly http = new HttpClient();
+    private readonly relayLog: RelayLog;
+    private readonly health: LogHealth;
+    private readonly pool: ServerPool;
+    private readonly catalog: ServerCatalog;
+    private readonly peers: PeerTable;
+    private readonly quota: WorkspaceQuota;
+    private readonly directory: NodeDirectory;
+    private readonly reporter: PeerReporter;
+    private readonly client: HttpRelayClient;
+    private readonly callers: CallerServer;
+    private readonly readiness: StatusServer;
+    private readonly peerSocket: PeerSocket;
+    private readonly schedulers = new Map<string, ServiceScheduler>();
+    private readonly budgets = new Map<string, RetryBudget>();
+    private configuration: RelayConfiguration | undefined;
+    private workspaces: ReadonlySet<RelayWorkspace> = new Set();
+    private drainSettings: RelaySettings["drain"];
+    private hasServers = false;
+    private isLeaving = false;
+
+    /** @param parts See {@linkcode RelayNodeParts}. */
+    constructor(private readonly parts: RelayNodeParts) {
+        const { settings, clock, random, logger, headers } = parts;
+        this.startedAtMs = clock.now();
+        this.drainSettings = settings.drain;
+        this.relayLog = new RelayLog({
+            logger,
+            clock,
+            linesPerSecond: settings.logLinesPerSecond,
+            onRecord: () => undefined,
+        });
+        this.health = new LogHealth(clock, {
+            onLost: (topic, error) => this.relayLog.tell("log: lost", { topic, error: String(error) }),
+            onRegained: (topic, silentMs) => this.relayLog.tell("log: regained", { topic, silentMs: Math.round(silentMs) }),
+        });
+        this.pool = new ServerPool(clock);
+        this.catalog = new ServerCatalog(clock, this.health, {
+            onServer: server => this.takeServer(server),
+            onGone: (server, reason) => this.dropServer(server, reason),
+        });
+        this.peers = new PeerTable(clock);
+        this.quota = new WorkspaceQuota({
+            clock,
+            isFirstStart: settings.isFirstStart,
+            unheardShare: () => this.peers.unheardShare(),
+        });
+        this.directory = new NodeDirectory({
+            log: parts.log,
+            clock,
+            node: settings.node,
+            address: settings.listen.peers,
+            onProblem: text => this.relayLog.tell(`peers: ${text}`),
+        });
+        this.peerSocket = new PeerSocket(
+            report => this.reporter.take(report),
+            text => this.relayLog.note("", "report lost", { reason: text }),
+        );
+        this.reporter = new PeerReporter({
+            node: settings.node,
+            startedAtMs: this.startedAtMs,
+            clock,
+            link: this.peerSocket,
+            directory: this.directory,
+            peers: this.peers,
+            pool: this.pool,
+            quota: this.quota,
+            address: () => settings.listen.peers,
+            workspaces: () => this.workspaces,
+            versionCounts: () => [],
+            isLeaving: () => this.isLeaving,
+            onChange: () => this.serveQueues(),
+            onPeer: report => this.relayLog.tell("peers: seen", { peer: report.node, address: report.address }),
+            onPeerGone: report => this.relayLog.tell("peers: gone", { peer: report.node }),
+        });
+        this.client = new HttpRelayClient(this.http, headers);
+        const handler = new RelayHandler({
+            clock,
+            random,
+            quota: this.quota,
+            recorder: this.relayLog,
+            configuration: () => this.configuration,
+            relay: {
+                client: this.client,
+                scheduler: service => this.scheduler(service),
+                retryBudget: service => this.budget(service),
+            },
+        });
+        this.callers = new CallerServer({
+            clock,
+            headers,
+            receive: (call, answer) => handler.handle(call, answer),
+            onError: error =>
+                logger.error({ error: String(error), stack: (error as Error).stack }, "call: failed inside the node"),
+        });
+        this.readiness = new StatusServer(
+            new Map([["/-/ready", () => this.describeReadiness()]]),
+            error => logger.error({ error: String(error) }, "readiness: failed"),
+        );
+    }
+
+    /** Whether the node can serve callers and is not about to leave. */
+    get isReady(): boolean {
+        return this.configuration !== undefined && this.hasServers && !this.isLeaving;
+    }
+
+    /** Opens the ports and starts to follow the platform. */
+    async start(): Promise<void> {
+        const { listen } = this.parts.settings;
+        await this.readiness.listen(...splitAddress(listen.readiness));
+        await this.callers.listen(...splitAddress(listen.callers));
+        await this.peerSocket.listen(...splitAddress(listen.peers));
+        this.relayLog.tell("node: started", { listen });
+        for (const task of [this.followOperator(), this.followServers(), this.meetPeers(), this.tick()]) {
+            task.catch((error: unknown) => {
+                this.parts.logger.fatal({ error: String(error), stack: (error as Error).stack }, "node: task failed");
+                process.exitCode = 1;
+                process.exit();
+            });
+        }
+    }
+
+    /** Puts settings in force that may change while the node runs: the bounds of its drain and of its log. */
+    takeSettings(settings: RelaySettings): void {
+        this.drainSettings = settings.drain;
+        this.relayLog.setLinesPerSecond(settings.logLinesPerSecond);
+        this.relayLog.tell("node: settings reloaded", { drain: settings.drain, logLinesPerSecond: settings.logLinesPerSecond });
+    }
+
+    /** Leaves without cutting a call: says that it is not ready, waits for callers to move on and for calls to end. */
+    async drain(): Promise<void> {
+        const { clock } = this.parts;
+        const { graceSeconds, balancerLagMs } = this.drainSettings;
+        const startedMs = clock.now();
+        this.isLeaving = true;
+        this.callers.startClosing();
+        this.relayLog.tell("node: leaving", { openCalls: this.callers.openCalls });
+        await clock.sleep(balancerLagMs);
+        this.callers.stopListening();
+        const endMs = startedMs + graceSeconds * MS_PER_SECOND - DRAIN_RESERVE_MS;
+        while (this.callers.openCalls > 0 && clock.now() < endMs) {
+            await clock.sleep(DRAIN_CHECK_MS);
+        }
+        this.stopped.abort();
+        this.relayLog.tell("node: stopped", { openCalls: this.callers.openCalls });
+        this.callers.closeAll();
+        this.readiness.close();
+        this.peerSocket.close();
+        await this.http.close();
+    }
+
+    private followOperator(): Promise<void> {
+        const { records } = this.parts;
+        const take = (list: readonly KeyedRecord[]) => {
+            for (const record of list) {
+                this.takeOperatorRecord(record);
+            }
+        };
+        return this.follow(records.operatorTopic, { waitMs: CONFIGURATION_WAIT_MS, pauseMs: 0, onAll: take, onRecords: take });
+    }
+
+    private followServers(): Promise<void> {
+        const { records } = this.parts;
+        return this.follow(records.serverTopic, {
+            waitMs: 0,
+            pauseMs: SERVER_PAUSE_MS,
+            onAll: list => {
+                this.catalog.replaceAll(list.flatMap(record => this.readServer(record) ?? []));
+                this.hasServers = true;
+            },
+            onRecords: list => {
+                for (const record of list) {
+                    this.takeServerRecord(record);
+                }
+            },
+        });
+    }
+
+    private follow(
+        topic: string,
+        settings: Pick<ConstructorParameters<typeof TopicFollower>[0], "waitMs" | "pauseMs" | "onAll" | "onRecords">,
+    ): Promise<void> {
+        const { log, clock } = this.parts;
+        return new TopicFollower({ log, clock, topic, health: this.health, ...settings }).run(this.stopped.signal);
+    }
+
+    private async meetPeers(): Promise<void> {
+        await this.directory.run(this.stopped.signal);
+        await this.reporter.run(this.stopped.signal);
+    }
+
+    private async tick(): Promise<void> {
+        while (await this.parts.clock.sleep(TICK_MS, this.stopped.signal)) {
+            this.catalog.expire();
+            this.serveQueues();
+        }
+    }
+
+    private takeOperatorRecord(record: KeyedRecord): void {
+        let next: RelayConfiguration | undefined;
+        try {
+            next = this.parts.records.readConfiguration(record);
+        }
+        catch (error) {
+            this.parts.logger.error(
+                { key: record.key, offset: record.offset, error: String(error) },
+                "configuration: unreadable",
+            );
+            return;
+        }
+        if (next === undefined || this.configuration !== undefined && next.version <= this.configuration.version) {
+            return;
+        }
+        this.relayLog.tell("configuration: in force", {
+            version: next.version,
+            before: this.configuration?.version,
+            routes: next.routes.routes.length,
+        });
+        this.configuration = next;
+        this.workspaces = new Set(next.workspaceByKey.values());
+        this.callers.setLimits(next.limits);
+    }
+
+    private takeServerRecord(record: KeyedRecord): void {
+        if (record.value === undefined) {
+            this.catalog.drop(this.parts.records.serverId(record));
+            return;
+        }
+        const server = this.readServer(record);
+        if (server !== undefined) {
+            this.catalog.put(server);
+        }
+    }
+
+    private readServer(record: KeyedRecord): RelayServer | undefined {
+        const server = this.parts.records.readServer(record);
+        if (typeof server === "string") {
+            this.relayLog.note("", "server entry ignored", { key: record.key, reason: server });
+            return undefined;
+        }
+        return server;
+    }
+
+    private takeServer(server: RelayServer): void {
+        const known = this.pool.find(server.id)?.server;
+        if (known === undefined || known.isDraining !== server.isDraining) {
+            this.relayLog.tell("server: seen", { ...server });
+        }
+        this.pool.put(server);
+        this.serveQueues();
+    }
+
+    private dropServer(server: RelayServer, reason: string): void {
+        this.relayLog.tell("server: gone", { id: server.id, service: server.service, reason });
+        this.pool.remove(server.id);
+        this.client.retain(new Set([...this.pool.all()].map(state => state.server.address)));
+    }
+
+    private serveQueues(): void {
+        for (const scheduler of this.schedulers.values()) {
+            scheduler.serve();
+        }
+    }
+
+    private scheduler(service: string): ServiceScheduler {
+        let scheduler = this.schedulers.get(service);
+        if (scheduler === undefined) {
+            const { clock, random, settings } = this.parts;
+            scheduler = new ServiceScheduler({
+                service,
+                failureDomain: settings.failureDomain,
+                clock,
+                random,
+                candidates: () => this.pool.open(service),
+            });
+            this.schedulers.set(service, scheduler);
+        }
+        return scheduler;
+    }
+
+    private budget(service: string): RetryBudget {
+        let budget = this.budgets.get(service);
+        if (budget === undefined) {
+            const { fraction, windowSeconds, slackCalls } = this.parts.settings.retries;
+            budget = new RetryBudget(this.parts.clock, {
+                retryFraction: fraction * RETRY_RESERVE,
+                windowMs: windowSeconds * MS_PER_SECOND,
+                floorRetries: Math.floor(slackCalls * RETRY_RESERVE / RETRY_SHARERS),
+            });
+            this.budgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    private describeReadiness(): { status: number; contentType: string; text: string } {
+        const status = this.isReady ? 200 : 503;
+        return { status, contentType: "text/plain", text: this.isReady ? "ready\n" : "not ready\n" };
+    }
+}
+
+function splitAddress(address: string): [string, number] {
+    const [host, port] = address.split(":");
+    return [host ?? "", Number(port)];
+}
--- /dev/null
+++ b/src/protocol/relay/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Abstract connections and messages of the relay of opaque calls.
+ *
+ * @module
+ */
+
+export { describeCause, DispatchStep, Executed, PlatformError } from "../errors.js";
+export { PeerReport, type VersionCount } from "../gen/relay.js";
+export { describeIssue } from "../schema_problem.js";
+export * from "./key_hash.js";
+export * from "./keyed_log.js";
+export * from "./peer_link.js";
+export * from "./relay_answer.js";
+export * from "./relay_call.js";
+export * from "./relay_client.js";
--- /dev/null
+++ b/src/state/relay/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * State of the relay of opaque calls.
+ *
+ * @module
+ */
+
+export { type Clock, SystemClock } from "../clock.js";
+export { Semantics } from "../configuration.js";
+export { type RandomSource, SeededRandom } from "../random.js";
+export * from "./relay_configuration.js";
+export * from "./relay_route.js";
+export * from "./relay_server.js";
--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher, Pool } from "undici";
-import { DispatchStep } from "../protocol/mod.js";
+import { DispatchStep } from "../protocol/relay/mod.js";
 
 /** Bytes of an answer that wait for their reader before the connection is paused. */
 const MAX_QUEUED_BYTES = 256 * 1024;
@@ -15,7 +15,8 @@
 export interface ExchangeRequest {
     readonly method: string;
     readonly path: string;
-    readonly headers: Readonly<Record<string, string>>;
+    /** Names with values, or a flat list of both in the order of the wire. */
+    readonly headers: Readonly<Record<string, string>> | string[];
     readonly body?: Buffer;
 }
 
--- /dev/null
+++ b/src/transport/relay/caller_server.ts
@@ -0,0 +1,152 @@
+/**
+ * HTTP/1.1 server for callers of opaque calls.
+ *
+ * @module
+ */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { OwnAnswer, RelayCall, RelayHeaders } from "../../protocol/relay/mod.js";
+import type { CallerLimits, Clock } from "../../state/relay/mod.js";
+import { HttpRelayAnswer } from "./http_relay_answer.js";
+
+/** Largest head that is read before the configuration says how large it may be, in bytes. */
+const MAX_HEAD_BYTES = 65_536;
+
+/** Interval at which connections are checked for overdue heads, in milliseconds. */
+const CONNECTION_CHECK_MS = 500;
+
+/** Connections that the kernel accepts ahead of the process. */
+const LISTEN_BACKLOG = 1_024;
+
+/** Limits until the first configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+};
+
+/** Receives each call that was read whole. */
+export type CallReceiver = (call: RelayCall, answer: HttpRelayAnswer) => Promise<void>;
+
+/** Settings of a {@linkcode CallerServer}. */
+export interface CallerServerSettings {
+    readonly clock: Clock;
+    readonly headers: RelayHeaders;
+    readonly receive: CallReceiver;
+    /** Told of errors that no call explains. */
+    readonly onError: (error: unknown) => void;
+}
+
+/** Reads calls within the limits and hands each one on when it is whole. */
+export class CallerServer {
+    /** Calls that have no final answer yet. */
+    openCalls = 0;
+    private readonly server: Server;
+    private limits = FIRST_LIMITS;
+    private isClosing = false;
+
+    /** @param settings See {@linkcode CallerServerSettings}. */
+    constructor(private readonly settings: CallerServerSettings) {
+        this.server = createServer({
+            maxHeaderSize: MAX_HEAD_BYTES,
+            requestTimeout: 0,
+            connectionsCheckingInterval: CONNECTION_CHECK_MS,
+            noDelay: true,
+        });
+        this.server.on("request", (request, response) => this.takeCall(request, response));
+        this.setLimits(FIRST_LIMITS);
+    }
+
+    /** Puts the limits of a configuration in force. */
+    setLimits(limits: CallerLimits): void {
+        this.limits = limits;
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.server.headersTimeout = limits.headerTimeoutMs;
+    }
+
+    /** Opens the port. */
+    async listen(host: string, port: number): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
+        });
+    }
+
+    /** Port that is open. */
+    get port(): number {
+        const address = this.server.address();
+        return typeof address === "object" && address ? address.port : 0;
+    }
+
+    /** Asks callers to leave: each further answer closes its connection. */
+    startClosing(): void {
+        this.isClosing = true;
+    }
+
+    /** Closes the port and idle connections; calls under way go on. */
+    stopListening(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Closes all connections at once. */
+    closeAll(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private takeCall(request: IncomingMessage, response: ServerResponse): void {
+        const callerGone = new AbortController();
+        const answer = new HttpRelayAnswer(response, () => this.isClosing);
+        this.openCalls += 1;
+        response.on("close", () => {
+            this.openCalls -= 1;
+            if (!response.writableFinished) {
+                callerGone.abort();
+            }
+        });
+        request.on("error", () => callerGone.abort());
+        const head = this.settings.headers.readCall(request.rawHeaders);
+        if (typeof head === "string") {
+            refuse(request, answer, { status: 400, text: head });
+            return;
+        }
+        const chunks: Buffer[] = [];
+        let size = 0;
+        request.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > this.limits.maxBodyBytes) {
+                chunks.length = 0;
+                refuse(request, answer, { status: 413, text: `The body is larger than ${this.limits.maxBodyBytes} bytes.` });
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.on("end", () => {
+            if (answer.isStarted || callerGone.signal.aborted) {
+                return;
+            }
+            const call = {
+                head,
+                method: request.method ?? "GET",
+                target: request.url ?? "/",
+                body: chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks),
+                arrivedAtMs: this.settings.clock.now(),
+                callerGone: callerGone.signal,
+            };
+            this.settings.receive(call, answer).catch((error: unknown) => {
+                this.settings.onError(error);
+                answer.breakOff();
+            });
+        });
+    }
+}
+
+function refuse(request: IncomingMessage, answer: HttpRelayAnswer, own: OwnAnswer): void {
+    if (!answer.isStarted) {
+        answer.closeAfterwards();
+        answer.sendOwn(own);
+        request.resume();
+    }
+}
--- /dev/null
+++ b/src/transport/relay/http_relay_answer.ts
@@ -0,0 +1,84 @@
+/**
+ * Answers to callers over HTTP/1.1.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import { type HeaderList, type OwnAnswer, RelayAnswer } from "../../protocol/relay/mod.js";
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Writes one answer. */
+export class HttpRelayAnswer extends RelayAnswer {
+    private mustClose = false;
+
+    /**
+     * @param response Response of the HTTP server.
+     * @param isClosing Whether the node is about to leave, so that the connection ends with this answer.
+     */
+    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+        super();
+        response.sendDate = false;
+    }
+
+    override get isStarted(): boolean {
+        return this.response.headersSent;
+    }
+
+    /** Closes the connection after this answer. */
+    closeAfterwards(): void {
+        this.mustClose = true;
+    }
+
+    override sendWhole(status: number, headers: HeaderList, body: Buffer): void {
+        this.writeHead(status, [...headers, "content-length", String(body.length)]);
+        this.response.end(body);
+    }
+
+    override start(status: number, headers: HeaderList): void {
+        this.writeHead(status, [...headers]);
+        this.response.flushHeaders();
+    }
+
+    override async write(chunk: Buffer): Promise<void> {
+        if (this.response.destroyed || this.response.write(chunk)) {
+            return;
+        }
+        await new Promise<void>(resolve => {
+            const done = () => {
+                this.response.off("drain", done);
+                this.response.off("close", done);
+                resolve();
+            };
+            this.response.on("drain", done);
+            this.response.on("close", done);
+        });
+    }
+
+    override end(): void {
+        this.response.end();
+    }
+
+    override breakOff(): void {
+        this.response.destroy();
+    }
+
+    override sendOwn({ status, text, retryAfterMs }: OwnAnswer): void {
+        const body = Buffer.from(`${JSON.stringify({ error: text })}\n`);
+        const headers = ["content-type", "application/json", "content-length", String(body.length)];
+        if (retryAfterMs !== undefined) {
+            headers.push("retry-after", (retryAfterMs / MS_PER_SECOND).toFixed(2));
+        }
+        this.writeHead(status, headers);
+        this.response.end(body);
+    }
+
+    private writeHead(status: number, headers: string[]): void {
+        if (this.mustClose || this.isClosing()) {
+            headers.push("connection", "close");
+        }
+        this.response.writeHead(status, headers);
+    }
+}
--- /dev/null
+++ b/src/transport/relay/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * HTTP and datagrams of the relay of opaque calls.
+ *
+ * @module
+ */
+
+export { HttpClient } from "../http_client.js";
+export * from "./caller_server.js";
+export * from "./http_relay_answer.js";
+export * from "./http_relay_client.js";
+export * from "./peer_socket.js";
+export * from "./status_server.js";
