Tell resets from ends of answers without a length; close callers' connections while leaving

The HTTP library takes an answer without a length as whole when its connection is reset, and a reset right behind the last bytes reaches the program as an end of stream. A write at the end fails after a reset and not after an end. LOST: a stream whose head was written before SIGTERM kept its connection, on which a further call came 5 s later.

--- a/src/transport/exchange.ts
+++ b/src/transport/exchange.ts
@@ -4,13 +4,26 @@
  * @module
  */
 
+import { channel } from "node:diagnostics_channel";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import type { Dispatcher, Pool } from "undici";
 import { DispatchStep } from "../protocol/relay/mod.js";
 
 /** Bytes of an answer that wait for their reader before the connection is paused. */
 const MAX_QUEUED_BYTES = 256 * 1024;
 
+/** Empty line that is sent to find out whether a connection was reset; RFC 9112, section 2.2, lets servers ignore it. */
+const RESET_PROBE = "\r\n";
+
+/** Takes the socket of the request that is being written; the library names it in its next message. */
+let takeSocket: ((socket: Socket) => void) | undefined;
+
+channel("undici:client:sendHeaders").subscribe(message => {
+    takeSocket?.((message as { readonly socket: Socket }).socket);
+    takeSocket = undefined;
+});
+
 /** Request of an exchange. */
 export interface ExchangeRequest {
     readonly method: string;
@@ -30,7 +43,9 @@
     private readonly chunks: Buffer[] = [];
     private queuedBytes = 0;
     private ended = false;
+    private isUnframed = false;
     private error: Error | undefined;
+    private socket: Socket | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private wake: () => void = () => undefined;
     private readonly onAbort = () => this.cancel(this.signal.reason as Error);
@@ -121,6 +136,9 @@
         }
         this.controller = controller;
         this.step = DispatchStep.AwaitHead;
+        takeSocket = socket => {
+            this.socket = socket;
+        };
     }
 
     private takeHead(status: number, headers: IncomingHttpHeaders): void {
@@ -130,6 +148,9 @@
         this.status = status;
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
+        if (headers["content-length"] === undefined && headers["transfer-encoding"] === undefined) {
+            this.probeEnd();
+        }
         this.wake();
     }
 
@@ -143,7 +164,21 @@
         this.wake();
     }
 
+    /**
+     * Makes a reset show. Where the length of an answer is unknown, it ends with its connection, and a reset that arrives right
+     * behind the last bytes is reported as such an end; only a write fails then.
+     */
+    private probeEnd(): void {
+        const { socket } = this;
+        this.isUnframed = true;
+        socket?.prependOnceListener("end", () => socket.write(RESET_PROBE));
+    }
+
     private finish(): void {
+        if (this.isUnframed && this.socket?.errored) {
+            this.fail(new Error("the connection was reset within an answer without a length"));
+            return;
+        }
         this.ended = true;
         this.release();
     }
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -31,7 +31,7 @@
         if (pool === undefined) {
             pool = new Pool(`http://${address}`, {
                 connections: MAX_CONNECTIONS_PER_ADDRESS,
-                connect: { timeout: CONNECT_TIMEOUT_MS },
+                connect: { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true },
                 pipelining: 1,
                 bodyTimeout: 0,
                 headersTimeout: 0,
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -18,6 +18,9 @@
 /** Connections that the kernel accepts ahead of the process. */
 const LISTEN_BACKLOG = 1_024;
 
+/** Time after which a caller of a leaving node may come back, in milliseconds; another node takes the call. */
+const LEAVING_RETRY_MS = 10;
+
 /** Limits until the first configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -45,6 +48,7 @@
     private readonly server: Server;
     private limits = FIRST_LIMITS;
     private isClosing = false;
+    private isClosed = false;
 
     /** @param settings See {@linkcode CallerServerSettings}. */
     constructor(private readonly settings: CallerServerSettings) {
@@ -84,8 +88,9 @@
         this.isClosing = true;
     }
 
-    /** Closes the port and idle connections; calls under way go on. */
+    /** Closes the port and idle connections; calls under way go on, and no further ones are taken. */
     stopListening(): void {
+        this.isClosed = true;
         this.server.close();
         this.server.closeIdleConnections();
     }
@@ -100,6 +105,11 @@
         const callerGone = new AbortController();
         const answer = new HttpRelayAnswer(response, () => this.isClosing);
         this.openCalls += 1;
+        response.on("finish", () => {
+            if (this.isClosing) {
+                request.socket.destroySoon();
+            }
+        });
         response.on("close", () => {
             this.openCalls -= 1;
             if (!response.writableFinished) {
@@ -107,6 +117,10 @@
             }
         });
         request.on("error", () => callerGone.abort());
+        if (this.isClosed) {
+            refuse(request, answer, { status: 503, text: "The node is leaving.", retryAfterMs: LEAVING_RETRY_MS });
+            return;
+        }
         const head = this.settings.headers.readCall(request.rawHeaders);
         if (typeof head === "string") {
             refuse(request, answer, { status: 400, text: head });
