--- /dev/null
+++ b/features/relay_decisions.feature
@@ -0,0 +1,133 @@
+Feature: Decisions of the relay
+    Each decision is code of its own that no network is needed for.
+
+    Scenario Outline: the longest prefix of a host wins
+        Given routes of "a.example" for "/", "/x/" and "/x/y/"
+        Then a call of "<host>" for "<path>" takes the route "<route>"
+
+        Examples:
+            | host           | path    | route |
+            | a.example      | /z      | /     |
+            | a.example      | /x/1    | /x/   |
+            | A.Example:8080 | /x/y/1  | /x/y/ |
+            | a.example      | /x/y    | /x/   |
+            | b.example      | /x/     | none  |
+
+    Scenario: a waiting call that can be in time goes first, then the rank of its workspace, then that of its route, then arrival
+        Given these waiting calls at 1000 ms
+            | call            | workspace | route | in time until | arrived |
+            | late top        | 0         | 0     | 900           | 500     |
+            | later top       | 0         | 0     | 950           | 550     |
+            | low             | 0         | 2     | 1500          | 700     |
+            | top             | 0         | 0     | 1400          | 900     |
+            | top before      | 0         | 0     | 1300          | 800     |
+            | other workspace | 1         | 0     | 1300          | 600     |
+        Then they are served in the order "top before, top, low, other workspace, later top, late top"
+
+    Scenario Outline: a call waits as long as it can still be served and its caller is still there
+        When a call with an objective of <objective> ms and a deadline of <deadline> ms arrives
+        Then it is in time for <in time> ms and given up after <given up> ms
+
+        Examples:
+            | objective | deadline | in time | given up |
+            | 500       | 15000    | 400     | 1300     |
+            | 300       | 12000    | 240     | 900      |
+            | 300       | 1000     | 240     | 350      |
+
+    Scenario Outline: refused callers come back spread over the time that they still have
+        When 100 callers with <left> ms left are refused
+        Then they return after <earliest> ms to <latest> ms, and not together
+
+        Examples:
+            | left  | earliest | latest |
+            | 15000 | 300      | 4800   |
+            | 2000  | 300      | 640    |
+
+    Scenario: a caller who has no time left is not asked to come back
+        When 5 callers with 700 ms left are refused
+        Then they are not asked to come back
+
+    Scenario: a call goes where its first event comes soonest and a place is free
+        Given these servers
+            | server | domain | slots | calls | peers | ms per 1000 tokens |
+            | slow   | here   | 10    | 0     | 0     | 40                 |
+            | fast   | here   | 10    | 0     | 0     | 5                  |
+            | full   | here   | 4     | 2     | 2     | 1                  |
+        Then a call of 6000 tokens goes to "fast"
+        And a call of 6000 tokens that was sent to "fast" before goes to "slow"
+
+    Scenario: calls stay in their failure domain while servers there are as good
+        Given these servers
+            | server | domain | slots | calls | peers | ms per 1000 tokens |
+            | near   | here   | 10    | 0     | 0     | 10                 |
+            | far    | there  | 10    | 0     | 0     | 9                  |
+        Then a call of 1000 tokens goes to "near"
+
+    Scenario: a server that fails its calls gets no more than trials, unless most servers fail
+        Given these servers
+            | server | domain | slots | calls | peers | ms per 1000 tokens |
+            | bad    | here   | 10    | 0     | 0     | 1                  |
+            | good   | here   | 10    | 0     | 0     | 20                 |
+            | other  | here   | 10    | 0     | 0     | 20                 |
+        When 6 calls at "bad" fail
+        Then a call of 1000 tokens goes to "good" or "other"
+        When 6 calls at "good" fail
+        And 6 calls at "other" fail
+        Then a call of 1000 tokens goes to "bad"
+
+    Scenario: a server that owes an answer and says nothing gets no more calls
+        Given these servers
+            | server | domain | slots | calls | peers | ms per 1000 tokens |
+            | dark   | here   | 10    | 1     | 0     | 1                  |
+            | good   | here   | 10    | 0     | 0     | 20                 |
+        When 900 ms pass
+        Then a call of 1000 tokens goes to "good"
+
+    Scenario Outline: the quota of a workspace holds over all nodes whatever the age of their reports
+        Given <nodes> nodes that report to each other every <interval> ms and a quota of 1000 tokens a second with a burst of 1000
+        When a workspace asks for <asked> tokens a second for 20 s, <spread>
+        Then in no 8 s more than <most> tokens are let through
+        And at least <least> tokens are let through in all
+
+        Examples:
+            | nodes | interval | asked | spread                | most  | least |
+            | 6     | 200      | 900   | evenly over the nodes | 9000  | 17900 |
+            | 6     | 200      | 7500  | evenly over the nodes | 10500 | 19000 |
+            | 6     | 200      | 7500  | all at one node       | 10500 | 19000 |
+            | 9     | 300      | 7500  | evenly over the nodes | 10500 | 19000 |
+
+    Scenario: nodes that cannot hear each other keep the quota together
+        Given 6 nodes of which 2 are cut off from the others and a quota of 1000 tokens a second with a burst of 1000
+        When a workspace asks for 7500 tokens a second for 12 s, evenly over the nodes
+        Then in no 8 s more than 10500 tokens are let through
+
+    Scenario Outline: an entry that vanishes <when> means that the server is gone <then>
+        Given a catalog with the server "s"
+        When the entry of "s" vanishes <when>
+        Then the server is <then>
+
+        Examples:
+            | when                                                 | then                     |
+            | while the log answers                                | gone at once             |
+            | in an outage of the log and does not return          | gone 2.2 s after the end |
+            | in an outage of the log and returns 1.9 s after      | kept                     |
+
+    Scenario: reports of an earlier incarnation change nothing
+        Given a catalog with the server "s"
+        When reports come with these starts and numbers
+            | start | number | state    |
+            | 2000  | 1      | ready    |
+            | 1000  | 9      | draining |
+            | 2000  | 3      | draining |
+            | 2000  | 2      | ready    |
+        Then the server "s" has start 2000 and is draining
+
+    Scenario Outline: events are passed on whole, however their bytes arrive
+        When a stream of events arrives in pieces of <size> bytes and breaks within the last event
+        Then 3 whole events are passed on unchanged, and the last id is "3"
+
+        Examples:
+            | size |
+            | 1    |
+            | 7    |
+            | 1000 |
--- /dev/null
+++ b/features/steps/relay_decision_steps.ts
@@ -0,0 +1,416 @@
+/**
+ * Steps about the decisions of the relay, under a virtual clock.
+ *
+ * @module
+ */
+
+import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import {
+    CallOutcome,
+    choosePlace,
+    compareWaiting,
+    decidePatience,
+    decideReturn,
+    EventCutter,
+    LogHealth,
+    type Patience,
+    ServerCatalog,
+    ServerState,
+    type WaitingOrder,
+    WorkspaceQuota,
+} from "../../src/coordination/relay/mod.js";
+import {
+    type RelayRoute,
+    type RelayServer,
+    RouteTable,
+    SeededRandom,
+    Semantics,
+    ServerProfile,
+} from "../../src/state/relay/mod.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
+import type { Scenario } from "../support/world.js";
+
+/** Window over which a quota is judged, in milliseconds. */
+const QUOTA_WINDOW_MS = 8_000;
+
+/** Tokens of one call of the quota scenarios. */
+const TOKENS_PER_CALL = 20;
+
+/** Interval at which the quota scenarios send calls, in milliseconds. */
+const STEP_MS = 10;
+
+/** Time without an answer that makes an outage, in milliseconds. */
+const OUTAGE_MS = 4_000;
+
+/** State of a scenario of this file. */
+interface DecisionScenario extends Scenario {
+    clock: VirtualClock;
+    routes: RouteTable;
+    waiting: readonly (WaitingOrder & { readonly call: string })[];
+    waitingAtMs: number;
+    patience: Patience;
+    returns: readonly (number | undefined)[];
+    servers: Map<string, ServerState>;
+    nodes: WorkspaceQuota[];
+    cutNodes: number;
+    reportIntervalMs: number;
+    quota: { readonly rate: number; readonly burst: number };
+    passed: { readonly atMs: number; readonly tokens: number }[];
+    health: LogHealth;
+    catalog: ServerCatalog;
+    goneAtMs: number | undefined;
+    returnedAtMs: number;
+    passedOn: Buffer;
+    passedOnCount: number;
+    cutter: EventCutter;
+}
+
+function makeRoute(pathPrefix: string, objectiveMs = 500): RelayRoute {
+    return {
+        name: pathPrefix,
+        host: "a.example",
+        pathPrefix,
+        semantics: Semantics.Repeatable,
+        isStream: false,
+        isResumable: false,
+        timeoutMs: 15_000,
+        objectiveMs,
+        maxPauseMs: undefined,
+        rank: 0,
+        shares: [{ service: "s", weight: 1 }],
+        maxAttempts: 2,
+        isPublic: false,
+    };
+}
+
+function makeServer(id: string, changes: Partial<RelayServer> = {}): RelayServer {
+    return {
+        id,
+        service: "s",
+        address: "127.0.0.1:1",
+        failureDomain: "here",
+        version: "v1",
+        slots: 10,
+        isDraining: false,
+        startedAtMs: 1_000,
+        sequence: 1,
+        ...changes,
+    };
+}
+
+Given("routes of {string} for {string}, {string} and {string}", function(
+    this: DecisionScenario,
+    host: string,
+    first: string,
+    second: string,
+    third: string,
+) {
+    assert.equal(host, "a.example");
+    this.routes = new RouteTable([first, second, third].map(prefix => makeRoute(prefix)));
+});
+
+Then("a call of {string} for {string} takes the route {string}", function(
+    this: DecisionScenario,
+    host: string,
+    path: string,
+    route: string,
+) {
+    assert.equal(this.routes.find(host, path)?.name ?? "none", route);
+});
+
+Given("these waiting calls at {int} ms", function(this: DecisionScenario, atMs: number, table: DataTable) {
+    this.waitingAtMs = atMs;
+    this.waiting = table.hashes().map(row => ({
+        call: row["call"] ?? "",
+        workspaceRank: Number(row["workspace"]),
+        routeRank: Number(row["route"]),
+        inTimeUntilMs: Number(row["in time until"]),
+        arrivedAtMs: Number(row["arrived"]),
+    }));
+});
+
+Then("they are served in the order {string}", function(this: DecisionScenario, order: string) {
+    const sorted = [...this.waiting].sort((left, right) => compareWaiting(left, right, this.waitingAtMs));
+    assert.equal(sorted.map(waiting => waiting.call).join(", "), order);
+});
+
+When("a call with an objective of {int} ms and a deadline of {int} ms arrives", function(
+    this: DecisionScenario,
+    objectiveMs: number,
+    deadlineMs: number,
+) {
+    this.patience = decidePatience(makeRoute("/", objectiveMs), 0, deadlineMs);
+});
+
+Then("it is in time for {int} ms and given up after {int} ms", function(
+    this: DecisionScenario,
+    inTimeMs: number,
+    giveUpMs: number,
+) {
+    assert.deepEqual(this.patience, { inTimeUntilMs: inTimeMs, giveUpAtMs: giveUpMs });
+});
+
+When("{int} callers with {int} ms left are refused", function(this: DecisionScenario, count: number, leftMs: number) {
+    const random = new SeededRandom(3);
+    this.returns = Array.from({ length: count }, () => decideReturn(leftMs, random));
+});
+
+Then("they return after {int} ms to {int} ms, and not together", function(
+    this: DecisionScenario,
+    earliestMs: number,
+    latestMs: number,
+) {
+    const times = this.returns.map(time => time ?? -1).sort((left, right) => left - right);
+    assert(times.every(time => time >= earliestMs && time <= latestMs));
+    const spanMs = latestMs - earliestMs;
+    for (let quarter = 0; quarter < 4; quarter += 1) {
+        const fromMs = earliestMs + quarter * spanMs / 4;
+        const inQuarter = times.filter(time => time >= fromMs && time < fromMs + spanMs / 4).length;
+        assert(inQuarter >= 10, `${inQuarter} of 100 return in quarter ${quarter}`);
+    }
+});
+
+Then("they are not asked to come back", function(this: DecisionScenario) {
+    assert(this.returns.every(time => time === undefined));
+});
+
+Given("these servers", function(this: DecisionScenario, table: DataTable) {
+    this.clock = new VirtualClock();
+    this.servers = new Map(
+        table.hashes().map(row => {
+            const server = makeServer(row["server"] ?? "", {
+                failureDomain: row["domain"] ?? "",
+                slots: Number(row["slots"]),
+            });
+            const state = new ServerState(server, new ServerProfile(Number(row["ms per 1000 tokens"]) / 1_000, 20), this.clock);
+            state.peerCalls = Number(row["peers"]);
+            for (let call = 0; call < Number(row["calls"]); call += 1) {
+                state.start(10);
+            }
+            return [server.id, state];
+        }),
+    );
+});
+
+When("{int} calls at {string} fail", function(this: DecisionScenario, count: number, id: string) {
+    const state = this.servers.get(id);
+    for (let call = 0; call < count; call += 1) {
+        state?.finish(state.start(10), CallOutcome.Bad);
+    }
+});
+
+When("{int} ms pass", async function(this: DecisionScenario, durationMs: number) {
+    await this.clock.advance(durationMs);
+});
+
+function place(scenario: DecisionScenario, promptTokens: number, excluded: readonly string[]): string | undefined {
+    const call = {
+        promptTokens,
+        expectedEvents: 10,
+        failureDomain: "here",
+        excluded: new Set(excluded),
+        cachedAt: undefined,
+    };
+    return choosePlace([...scenario.servers.values()], call, () => 0.5)?.server.server.id;
+}
+
+Then(/^a call of (\d+) tokens goes to "(\w+)"(?: or "(\w+)")?$/, function(
+    this: DecisionScenario,
+    tokens: string,
+    id: string,
+    other: string | undefined,
+) {
+    const chosen = place(this, Number(tokens), []);
+    assert(chosen === id || chosen === other, `it goes to ${chosen}`);
+});
+
+Then("a call of {int} tokens that was sent to {string} before goes to {string}", function(
+    this: DecisionScenario,
+    tokens: number,
+    before: string,
+    id: string,
+) {
+    assert.equal(place(this, tokens, [before]), id);
+});
+
+Given(
+    "{int} nodes that report to each other every {int} ms and a quota of {int} tokens a second with a burst of {int}",
+    function(this: DecisionScenario, nodes: number, intervalMs: number, rate: number, burst: number) {
+        startQuota(this, { nodes, cutNodes: 0, intervalMs, rate, burst });
+    },
+);
+
+Given(
+    "{int} nodes of which {int} are cut off from the others and a quota of {int} tokens a second with a burst of {int}",
+    function(this: DecisionScenario, nodes: number, cutNodes: number, rate: number, burst: number) {
+        startQuota(this, { nodes, cutNodes, intervalMs: 200, rate, burst });
+    },
+);
+
+/** Nodes of a quota scenario. */
+interface QuotaFleet {
+    readonly nodes: number;
+    readonly cutNodes: number;
+    readonly intervalMs: number;
+    readonly rate: number;
+    readonly burst: number;
+}
+
+function startQuota(scenario: DecisionScenario, { nodes, cutNodes, intervalMs, rate, burst }: QuotaFleet): void {
+    scenario.clock = new VirtualClock();
+    scenario.cutNodes = cutNodes;
+    scenario.reportIntervalMs = intervalMs;
+    scenario.quota = { rate, burst };
+    scenario.passed = [];
+    scenario.nodes = Array.from({ length: nodes }, (unused, index) => {
+        const heard = index < cutNodes ? cutNodes : nodes - cutNodes;
+        return new WorkspaceQuota({ clock: scenario.clock, isFirstStart: true, unheardShare: () => 1 - heard / nodes });
+    });
+}
+
+When(
+    /^a workspace asks for (\d+) tokens a second for (\d+) s, (evenly over the nodes|all at one node)$/,
+    async function(this: DecisionScenario, asked: string, seconds: string, spread: string) {
+        const workspace = {
+            name: "w",
+            rank: 0,
+            tokensPerSecond: this.quota.rate,
+            burstTokens: this.quota.burst,
+            tokensOfPlainCall: 1,
+        };
+        const random = new SeededRandom(5);
+        const startMs = this.clock.now();
+        let owed = 0;
+        for (let step = 0; step * STEP_MS < Number(seconds) * 1_000; step += 1) {
+            for (owed += Number(asked) * STEP_MS / 1_000; owed >= TOKENS_PER_CALL; owed -= TOKENS_PER_CALL) {
+                const node = this.nodes[spread === "all at one node" ? 0 : random.below(this.nodes.length)];
+                if (node?.take(workspace, TOKENS_PER_CALL) === 0) {
+                    this.passed.push({ atMs: this.clock.now() - startMs, tokens: TOKENS_PER_CALL });
+                }
+            }
+            for (const [index, node] of this.nodes.entries()) {
+                if ((step + index * 3) % (this.reportIntervalMs / STEP_MS) !== 0) {
+                    continue;
+                }
+                const total = [...node.ownTotals()][0]?.[1] ?? 0;
+                for (const [otherIndex, other] of this.nodes.entries()) {
+                    if (other !== node && index < this.cutNodes === otherIndex < this.cutNodes) {
+                        other.takePeerTotal(workspace, `node-${index}`, total);
+                    }
+                }
+            }
+            await this.clock.advance(STEP_MS);
+        }
+    },
+);
+
+Then("in no 8 s more than {int} tokens are let through", function(this: DecisionScenario, most: number) {
+    for (const { atMs: fromMs } of this.passed) {
+        let tokens = 0;
+        for (const passed of this.passed) {
+            tokens += passed.atMs >= fromMs && passed.atMs < fromMs + QUOTA_WINDOW_MS ? passed.tokens : 0;
+        }
+        assert(tokens <= most, `${tokens} tokens from ${fromMs} ms on`);
+    }
+});
+
+Then("at least {int} tokens are let through in all", function(this: DecisionScenario, least: number) {
+    const tokens = this.passed.reduce((sum, passed) => sum + passed.tokens, 0);
+    assert(tokens >= least, `${tokens} tokens`);
+});
+
+Given("a catalog with the server {string}", function(this: DecisionScenario, id: string) {
+    this.clock = new VirtualClock();
+    this.goneAtMs = undefined;
+    this.health = new LogHealth(this.clock, { onLost: () => undefined, onRegained: () => undefined });
+    this.catalog = new ServerCatalog(this.clock, this.health, {
+        onServer: () => undefined,
+        onGone: () => {
+            this.goneAtMs = this.clock.now();
+        },
+    });
+    this.catalog.put(makeServer(id));
+});
+
+When("the entry of {string} vanishes while the log answers", function(this: DecisionScenario, id: string) {
+    this.returnedAtMs = this.clock.now();
+    this.catalog.drop(id);
+});
+
+When(/^the entry of "(\w+)" vanishes in an outage of the log and (does not return|returns 1\.9 s after)$/, async function(
+    this: DecisionScenario,
+    id: string,
+    what: string,
+) {
+    this.health.recordFailure("servers", new Error("refused"));
+    await this.clock.advance(OUTAGE_MS);
+    this.health.recordAnswer("servers");
+    this.returnedAtMs = this.clock.now();
+    this.catalog.drop(id);
+    for (let step = 0; step < 40; step += 1) {
+        await this.clock.advance(100);
+        if (what !== "does not return" && this.clock.now() - this.returnedAtMs === 1_900) {
+            this.catalog.put(makeServer(id, { sequence: 2 }));
+        }
+        this.catalog.expire();
+    }
+});
+
+Then("the server is gone at once", function(this: DecisionScenario) {
+    assert.equal(this.goneAtMs, this.returnedAtMs);
+});
+
+Then("the server is gone 2.2 s after the end", function(this: DecisionScenario) {
+    assert.equal((this.goneAtMs ?? 0) - this.returnedAtMs, 2_200);
+});
+
+Then("the server is kept", function(this: DecisionScenario) {
+    assert.equal(this.goneAtMs, undefined);
+});
+
+When("reports come with these starts and numbers", function(this: DecisionScenario, table: DataTable) {
+    for (const row of table.hashes()) {
+        this.catalog.put(makeServer("s", {
+            startedAtMs: Number(row["start"]),
+            sequence: Number(row["number"]),
+            isDraining: row["state"] === "draining",
+        }));
+    }
+});
+
+Then("the server {string} has start {int} and is draining", function(this: DecisionScenario, id: string, start: number) {
+    const server = [...this.catalog.list()].find(candidate => candidate.id === id);
+    assert.equal(server?.startedAtMs, start);
+    assert.equal(server.isDraining, true);
+});
+
+/** Stream whose last event is not whole. */
+const BROKEN_STREAM = "id: 1\ndata: a\n\nweight-versions: 2\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+When("a stream of events arrives in pieces of {int} bytes and breaks within the last event", function(
+    this: DecisionScenario,
+    size: number,
+) {
+    const data = Buffer.from(`${BROKEN_STREAM}id: 4\ndata`);
+    this.cutter = new EventCutter();
+    const parts: Buffer[] = [];
+    this.passedOnCount = 0;
+    for (let at = 0; at < data.length; at += size) {
+        const { bytes, count } = this.cutter.take(data.subarray(at, at + size));
+        parts.push(Buffer.from(bytes));
+        this.passedOnCount += count;
+    }
+    this.passedOn = Buffer.concat(parts);
+});
+
+Then("{int} whole events are passed on unchanged, and the last id is {string}", function(
+    this: DecisionScenario,
+    count: number,
+    id: string,
+) {
+    assert.equal(this.passedOnCount, count);
+    assert.equal(this.passedOn.toString(), BROKEN_STREAM);
+    assert.equal(this.cutter.lastEventId, id);
+    assert(this.cutter.hasPartialEvent);
+});
--- /dev/null
+++ b/features/steps/relay_steps.ts
@@ -0,0 +1,308 @@
+/**
+ * Steps about the relay of opaque calls, end to end on loopback.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { EngineBehaviour, EngineServer, eventText, PLAIN_BODY } from "../../platform/standin/engine_server.js";
+import { type CallerAnswer, PATHS, RelayWorld, waitFor } from "../support/relay_world.js";
+import type { Scenario } from "../support/world.js";
+
+/** Body that is larger than the configuration allows. */
+const LARGE_BODY = "x".repeat(30_000);
+
+/** State of a scenario of this file. */
+interface RelayScenario extends Scenario {
+    relay: RelayWorld;
+    relayAnswers: CallerAnswer[];
+    wasReadyWhileDrained: boolean;
+}
+
+After(async function(this: RelayScenario) {
+    await this.relay?.stop();
+});
+
+Given(
+    /^a relay( of streams)? with one server that (.+) and one that (.+)$/,
+    async function(this: RelayScenario, streams: string | undefined, first: string, second: string) {
+        this.relay = new RelayWorld();
+        this.relayAnswers = [];
+        const engines = [first, second].map((behaviour, index) => {
+            const engine = new EngineServer(`engine-${index + 1}`);
+            engine.behaviour = behaviour as EngineBehaviour;
+            engine.isStream = Boolean(streams);
+            return engine;
+        });
+        await this.relay.start(engines);
+    },
+);
+
+Given("a relay whose store is down", async function(this: RelayScenario) {
+    this.relay = new RelayWorld();
+    this.relayAnswers = [];
+    await this.relay.start([], true);
+});
+
+Given("calls take {int} ms", function(this: RelayScenario, workMs: number) {
+    for (const engine of this.relay.engines) {
+        engine.workMs = workMs;
+    }
+});
+
+When("a {string} call is sent to the faulty server first", async function(this: RelayScenario, kind: string) {
+    const [faulty, sound] = this.relay.engines;
+    assert(faulty !== undefined && sound !== undefined);
+    const behaviour = faulty.behaviour;
+    for (let attempt = 0; attempt < 50; attempt += 1) {
+        const before = faulty.received.length;
+        const answer = await this.relay.send({ path: PATHS[kind] ?? "" });
+        if (faulty.received.length > before) {
+            this.relayAnswers = [answer];
+            return;
+        }
+        sound.received.length = 0;
+    }
+    throw new Error(`Cannot send a call to the server that ${behaviour} first: 50 calls went to the other one`);
+});
+
+When(/^an? "(\w+)" call is sent$/, async function(this: RelayScenario, kind: string) {
+    this.relayAnswers = [await this.relay.send({ path: PATHS[kind] ?? "" })];
+});
+
+When("an {string} call is sent on a route of 300 ms", async function(this: RelayScenario, kind: string) {
+    assert.equal(kind, "unsafe");
+    this.relayAnswers = [await this.relay.send({ path: PATHS["short"] ?? "" })];
+});
+
+When(
+    "an {string} call is sent and its caller leaves after {int} ms",
+    async function(this: RelayScenario, kind: string, leaveAfterMs: number) {
+        this.relayAnswers = [await this.relay.send({ path: PATHS[kind] ?? "", leaveAfterMs })];
+    },
+);
+
+When("{int} {string} calls are sent one after the other", async function(this: RelayScenario, count: number, kind: string) {
+    for (let call = 0; call < count; call += 1) {
+        this.relayAnswers.push(await this.relay.send({ path: PATHS[kind] ?? "" }));
+    }
+});
+
+When("a relayed call has headers of its own that the node must not pass on", async function(this: RelayScenario) {
+    this.relayAnswers = [
+        await this.relay.send({
+            path: "/unsafe/a%20b//c?x=1&y",
+            method: "PUT",
+            body: "whole body",
+            headers: {
+                "Connection": "close, X-Hop",
+                "X-Hop": "1",
+                "X-End": "2",
+                "Tenant": "forged",
+                "Expect-Instance": "forged",
+                "Hold": "forged",
+                "Pin-Ms": "9",
+                "Kv-From": "forged",
+                "Kv-Backup": "forged",
+                "Model": "m",
+                "Token-Usage": "10,20",
+            },
+        }),
+    ];
+});
+
+When(/^a relayed call with (.+) is sent$/, async function(this: RelayScenario, trait: string) {
+    const path = PATHS["unsafe"] ?? "";
+    switch (trait) {
+        case "an unknown host":
+            this.relayAnswers = [await this.relay.send({ path, headers: { Host: "other.example" } })];
+            return;
+        case "an unknown path":
+            this.relayAnswers = [await this.relay.send({ path: "/unknown/x" })];
+            return;
+        case "an unknown key":
+            this.relayAnswers = [await this.relay.send({ path, headers: { "Api-Key": "unknown" } })];
+            return;
+        case "no key":
+            this.relayAnswers = [await this.relay.send({ path, headers: { "Api-Key": [] } })];
+            return;
+        case "no id":
+            this.relayAnswers = [await this.relay.send({ path, headers: { "Request-Id": [] } })];
+            return;
+        case "two ids":
+            this.relayAnswers = [await this.relay.send({ path, headers: { "Request-Id": ["one", "two"] } })];
+            return;
+        case "too large a body":
+            this.relayAnswers = [await this.relay.send({ path, body: LARGE_BODY })];
+            return;
+        default:
+            throw new Error(`Cannot send a call with "${trait}": it is unknown`);
+    }
+});
+
+When("the configuration takes the caller's key away", function(this: RelayScenario) {
+    this.relay.configure({ keys: ["another-key"] });
+});
+
+When("an older configuration comes again", async function(this: RelayScenario) {
+    this.relay.configure({ version: 2 });
+    await new Promise(resolve => setTimeout(resolve, 200));
+});
+
+When(
+    "the store deletes its history while the configuration takes the caller's key away",
+    function(this: RelayScenario) {
+        this.relay.store.isDown = true;
+        this.relay.configure({ keys: ["another-key"] });
+        this.relay.store.compact("keyed.op");
+        this.relay.store.isDown = false;
+    },
+);
+
+When("the first server reports that it is leaving", function(this: RelayScenario) {
+    const [engine] = this.relay.engines;
+    this.relay.store.put("keyed.servers", engine?.id ?? "", engine?.entry("service", { State: "draining", Sequence: 2 }));
+});
+
+When("entries of other writers come that cannot be read", function(this: RelayScenario) {
+    const entries: readonly [string, unknown][] = [
+        ["bad-1", "not json"],
+        ["bad-2", { Service: "service" }],
+        ["bad-3", { ...this.relay.engines[0]?.entry("service"), Slots: "many" }],
+        ["bad-4", { ...this.relay.engines[0]?.entry("service"), State: "unheard of" }],
+        ["bad-5", { ...this.relay.engines[0]?.entry("service"), born: 1.5 }],
+        ["bad-6", "\u0000\u0001"],
+    ];
+    for (const [key, value] of entries) {
+        this.relay.store.put("keyed.servers", key, value);
+    }
+});
+
+When(
+    "the node is drained while {int} {string} calls are under way on kept connections",
+    async function(this: RelayScenario, count: number, kind: string) {
+        const agent = new Agent({ keepAlive: true });
+        await this.relay.send({ path: PATHS[kind] ?? "", agent });
+        const sent = Array.from({ length: count }, () => this.relay.send({ path: PATHS[kind] ?? "", agent }));
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const drained = this.relay.node.drain();
+        this.wasReadyWhileDrained = this.relay.node.isReady;
+        this.relayAnswers = await Promise.all(sent);
+        await drained;
+        agent.destroy();
+    },
+);
+
+Then(
+    "the caller gets status {int}, and the servers have received the call {int} times",
+    function(this: RelayScenario, status: number, times: number) {
+        const [answer] = this.relayAnswers;
+        assert.equal(answer?.status, status, answer?.body);
+        assert.equal(this.relay.engines.reduce((sum, engine) => sum + engine.received.length, 0), times);
+        if (status === 200) {
+            assert.equal(answer.body, PLAIN_BODY);
+            assert.equal(answer.headers["response-seal"], "seal");
+            assert(answer.isWhole);
+        }
+        if (status === 502) {
+            assert.equal(answer.headers["response-seal"], undefined);
+        }
+    },
+);
+
+Then("the server receives the method, path, query, body and headers of the caller", function(this: RelayScenario) {
+    const call = this.relay.engines.flatMap(engine => engine.received)[0];
+    assert.equal(call?.startLine, "PUT /unsafe/a%20b//c?x=1&y HTTP/1.1");
+    assert.equal(call.body, "whole body");
+    assert.equal(call.headers.get("x-end"), "2");
+    assert.equal(call.headers.get("model"), "m");
+    assert.equal(call.headers.get("token-usage"), "10,20");
+    assert.equal(call.headers.get("host"), "app.example");
+});
+
+Then(
+    "the server receives the workspace, its own id and the time left, and neither the key nor headers that only nodes set",
+    function(this: RelayScenario) {
+        const engine = this.relay.engines.find(candidate => candidate.received.length > 0);
+        const headers = engine?.received[0]?.headers;
+        assert.equal(headers?.get("tenant"), "clinic");
+        assert.equal(headers.get("expect-instance"), engine?.id);
+        const leftMs = Number(headers.get("deadline-ms"));
+        assert(leftMs > 4_000 && leftMs <= 5_000, `time left is ${leftMs}`);
+        for (const name of ["api-key", "x-hop", "hold", "pin-ms", "kv-from", "kv-backup"]) {
+            assert.equal(headers.get(name), undefined, name);
+        }
+    },
+);
+
+Then("each relayed caller gets its own answer", function(this: RelayScenario) {
+    for (const answer of this.relayAnswers) {
+        assert.equal(answer.status, 200);
+        assert.equal(answer.body, PLAIN_BODY);
+        assert(answer.isWhole);
+    }
+});
+
+Then(
+    "the caller gets events 1 to {int}, each once, and the stream is {word}( off)",
+    function(this: RelayScenario, events: number, end: string) {
+        const [answer] = this.relayAnswers;
+        const expected = Array.from({ length: events }, (unused, index) => eventText(index + 1)).join("");
+        assert.equal(answer?.body, expected);
+        assert.equal(answer.isWhole, end === "whole");
+    },
+);
+
+Then("the caller gets status {int} and a time to come back", function(this: RelayScenario, status: number) {
+    const [answer] = this.relayAnswers;
+    assert.equal(answer?.status, status);
+    assert(Number(answer.headers["retry-after"]) > 0);
+});
+
+Then("the node is not ready", async function(this: RelayScenario) {
+    const response = await fetch(`http://${this.relay.node.readinessAddress}/-/ready`);
+    assert.equal(response.status, 503);
+});
+
+Then(
+    "the caller gets status {int} after {int} ms to {int} ms",
+    function(this: RelayScenario, status: number, leastMs: number, mostMs: number) {
+        const [answer] = this.relayAnswers;
+        assert.equal(answer?.status, status);
+        assert(answer.elapsedMs >= leastMs && answer.elapsedMs <= mostMs, `it took ${answer.elapsedMs} ms`);
+    },
+);
+
+Then("the server's connection is closed within {int} ms", async function(this: RelayScenario, limitMs: number) {
+    await waitFor("a server was abandoned", () => this.relay.engines.some(engine => engine.abandoned > 0), limitMs);
+});
+
+Then("a {string} call gets status {int} within {int} ms", async function(
+    this: RelayScenario,
+    kind: string,
+    status: number,
+    limitMs: number,
+) {
+    const check = async () => (await this.relay.send({ path: PATHS[kind] ?? "" })).status === status;
+    await waitFor(`a ${kind} call gets ${status}`, check, limitMs);
+});
+
+Then("a {string} call still gets status {int}", async function(this: RelayScenario, kind: string, status: number) {
+    assert.equal((await this.relay.send({ path: PATHS[kind] ?? "" })).status, status);
+});
+
+Then("within {int} ms no further call reaches it", async function(this: RelayScenario, limitMs: number) {
+    await new Promise(resolve => setTimeout(resolve, limitMs));
+    const [engine] = this.relay.engines;
+    const before = engine?.received.length;
+    for (let call = 0; call < 20; call += 1) {
+        assert.equal((await this.relay.send({ path: PATHS["safe"] ?? "" })).status, 200);
+    }
+    assert.equal(engine?.received.length, before);
+});
+
+Then("the node was not ready while it was drained", function(this: RelayScenario) {
+    assert.equal(this.wasReadyWhileDrained, false);
+});
--- /dev/null
+++ b/features/support/relay_world.ts
@@ -0,0 +1,214 @@
+/**
+ * A relay node on loopback with stand-ins of the platform's store and engines.
+ *
+ * @module
+ */
+
+import { type Agent, type IncomingMessage, request } from "node:http";
+import { pino } from "pino";
+import { HttpKeyedLog, PlatformHeaders, PlatformRecords } from "../../platform/mod.js";
+import { EngineServer } from "../../platform/standin/engine_server.js";
+import { StoreServer } from "../../platform/standin/store_server.js";
+import { parseRelaySettings, RelayNode } from "../../src/daemon/relay/mod.js";
+import { SeededRandom, SystemClock } from "../../src/state/relay/mod.js";
+
+/** Host of all routes. */
+const HOST = "app.example";
+
+/** Key of the caller's workspace. */
+const KEY = "key-1";
+
+/** Longest wait for something to come true, in milliseconds. */
+const WAIT_MS = 5_000;
+
+/** Interval at which it is looked for, in milliseconds. */
+const POLL_MS = 10;
+
+/** Answer as a caller saw it. */
+export interface CallerAnswer {
+    /** 0 when the connection ended without one. */
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    readonly isWhole: boolean;
+    readonly elapsedMs: number;
+}
+
+/** Call of a test. */
+export interface CallerCall {
+    readonly id?: string;
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string | string[]>>;
+    readonly body?: string;
+    /** Time after which the caller leaves, in milliseconds. */
+    readonly leaveAfterMs?: number;
+    readonly agent?: Agent;
+}
+
+/** Path of each kind of call. */
+export const PATHS: Readonly<Record<string, string>> = {
+    "safe": "/safe/x",
+    "unsafe": "/unsafe/x",
+    "stream": "/stream/x",
+    "resumable stream": "/resumable/x",
+    "short": "/short/x",
+};
+
+let lastId = 0;
+
+/** Store, engines and one node. */
+export class RelayWorld {
+    readonly store = new StoreServer();
+    readonly engines: EngineServer[] = [];
+    private started: RelayNode | undefined;
+    private version = 1;
+
+    /** Node under test. */
+    get node(): RelayNode {
+        if (this.started === undefined) {
+            throw new Error("Cannot use node: no step has started it");
+        }
+        return this.started;
+    }
+
+    /** Starts everything; the node has read its configuration and servers when this resolves, unless the store is down. */
+    async start(engines: readonly EngineServer[], isStoreDown = false): Promise<void> {
+        await this.store.start();
+        this.store.isDown = isStoreDown;
+        for (const engine of engines) {
+            await engine.start();
+            this.engines.push(engine);
+            this.store.put("keyed.servers", engine.id, engine.entry("service"));
+        }
+        this.configure();
+        this.started = new RelayNode({
+            settings: parseRelaySettings(settingsText(this.store.address), "test.yaml"),
+            clock: new SystemClock(),
+            random: new SeededRandom(1),
+            logger: pino({ level: "silent" }),
+            log: new HttpKeyedLog(this.store.address),
+            records: new PlatformRecords(),
+            headers: new PlatformHeaders(),
+        });
+        await this.node.start();
+        if (!isStoreDown) {
+            await waitFor("the node is ready", () => this.node.isReady);
+        }
+    }
+
+    /** Writes a configuration. */
+    configure(settings: { readonly keys?: readonly string[]; readonly version?: number } = {}): void {
+        this.version += 2;
+        this.store.put("keyed.op", "config", makeConfiguration(settings.version ?? this.version, settings.keys ?? [KEY]));
+    }
+
+    /** Sends a call and reads its answer. */
+    send(call: CallerCall): Promise<CallerAnswer> {
+        lastId += 1;
+        const [host, port] = this.node.callerAddress.split(":");
+        const startedMs = performance.now();
+        return new Promise(resolve => {
+            const finish = (response: IncomingMessage | undefined, body: string, isWhole: boolean) => {
+                resolve({
+                    status: response?.statusCode ?? 0,
+                    headers: response?.headers ?? {},
+                    body,
+                    isWhole,
+                    elapsedMs: performance.now() - startedMs,
+                });
+            };
+            const outgoing = request({
+                host,
+                port: Number(port),
+                path: call.path,
+                method: call.method ?? "POST",
+                agent: call.agent,
+                headers: {
+                    "Host": HOST,
+                    "Request-Id": call.id ?? `call-${lastId}`,
+                    "Api-Key": KEY,
+                    "Deadline-Ms": "5000",
+                    ...call.headers,
+                },
+            }, response => {
+                let body = "";
+                response.on("data", chunk => body += String(chunk));
+                response.on("close", () => finish(response, body, response.complete));
+            });
+            outgoing.on("error", () => finish(undefined, "", false));
+            outgoing.end(call.body ?? (call.method === "GET" ? undefined : "body"));
+            if (call.leaveAfterMs !== undefined) {
+                setTimeout(() => outgoing.destroy(), call.leaveAfterMs);
+            }
+        });
+    }
+
+    /** Stops everything. */
+    async stop(): Promise<void> {
+        for (const engine of this.engines) {
+            engine.close();
+        }
+        if (this.started?.isLeaving === false) {
+            await this.started.drain();
+        }
+        this.store.close();
+    }
+}
+
+/**
+ * Waits until a condition holds.
+ *
+ * @throws {Error} When it does not within 5 s.
+ */
+export async function waitFor(what: string, condition: () => boolean | Promise<boolean>, limitMs = WAIT_MS): Promise<void> {
+    const untilMs = performance.now() + limitMs;
+    while (!await condition()) {
+        if (performance.now() > untilMs) {
+            throw new Error(`Cannot see that ${what} within ${limitMs} ms`);
+        }
+        await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+}
+
+function settingsText(store: string): string {
+    return `
+node: entry-1
+failureDomain: zone-a
+listen: { callers: "127.0.0.1:0", readiness: "127.0.0.1:0", peers: "127.0.0.1:0" }
+log: ${store}
+isFirstStart: true
+drain: { graceSeconds: 3, balancerLagMs: 50 }
+retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
+rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+`;
+}
+
+function makeConfiguration(version: number, keys: readonly string[]): unknown {
+    const route = (name: string, kind: string, changes: Readonly<Record<string, unknown>> = {}) => ({
+        Name: name,
+        Host: HOST,
+        PathPrefix: `/${name}/`,
+        Kind: kind,
+        TimeoutMs: 5_000,
+        TargetLatencyMs: 500,
+        Priority: 0,
+        Service: "service",
+        MaxAttempts: kind === "safe" ? 2 : 1,
+        Public: false,
+        ...changes,
+    });
+    return {
+        Version: version,
+        Routes: [
+            route("safe", "safe"),
+            route("unsafe", "unsafe"),
+            route("short", "unsafe", { TimeoutMs: 300 }),
+            route("stream", "streaming", { Resumable: false, GapTargetMs: 300 }),
+            route("resumable", "streaming", { Resumable: true, GapTargetMs: 300, MaxAttempts: 2 }),
+        ],
+        Services: [{ Name: "service", HealthPath: "/health", MaxConnections: 100, Protocol: "h1", Tls: false }],
+        Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 20_000, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
+        Tenants: [{ Name: "clinic", ApiKeys: keys, Priority: 1, RatePerS: 0, Burst: 0 }],
+    };
+}
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -22,7 +22,7 @@
     readonly clock: Clock;
     readonly node: string;
     /** Address at which peers reach this node. */
-    readonly address: string;
+    readonly address: () => string;
     /** Told of what could not be read or written. */
     readonly onProblem: (text: string) => void;
 }
@@ -73,7 +73,7 @@
 
     private async register(): Promise<void> {
         const { log, node, address } = this.settings;
-        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address })));
+        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address: address() })));
     }
 
     private takeRecord(record: KeyedRecord): void {
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -114,10 +114,8 @@
     async run(): Promise<boolean> {
         const { call, route } = this.admitted;
         const limitMs = Math.min(route.timeoutMs, this.admitted.deadlineMs);
-        const timer = setTimeout(() => {
-            this.isTimeOver = true;
-            this.ended.abort(TIME_OVER);
-        }, Math.max(0, call.arrivedAtMs + limitMs - this.settings.clock.now()));
+        const isDone = new AbortController();
+        void this.endLater(call.arrivedAtMs + limitMs, isDone.signal);
         const onGone = () => this.ended.abort(call.callerGone.reason);
         call.callerGone.addEventListener("abort", onGone, { once: true });
         if (call.callerGone.aborted) {
@@ -128,12 +126,19 @@
             await this.serve();
         }
         finally {
-            clearTimeout(timer);
+            isDone.abort();
             call.callerGone.removeEventListener("abort", onGone);
         }
         return this.mayHaveRun;
     }
 
+    private async endLater(endMs: number, isDone: AbortSignal): Promise<void> {
+        if (await this.settings.clock.sleep(Math.max(0, endMs - this.settings.clock.now()), isDone)) {
+            this.isTimeOver = true;
+            this.ended.abort(TIME_OVER);
+        }
+    }
+
     private async serve(): Promise<void> {
         for (;;) {
             let place: Place;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -9,7 +9,7 @@
 import type { Clock, RandomSource, RelayRoute, RelayServer } from "../../state/relay/mod.js";
 import type { Patience } from "./patience.js";
 import { choosePlace, type PlacedCall } from "./placement.js";
-import type { CallOutcome} from "./server_state.js";
+import type { CallOutcome } from "./server_state.js";
 import { type CallUnderWay, type ServerState } from "./server_state.js";
 import { compareWaiting } from "./waiting_calls.js";
 
--- a/src/coordination/relay/workspace_quota.ts
+++ b/src/coordination/relay/workspace_quota.ts
@@ -130,7 +130,7 @@
         const heardShare = 1 - this.settings.unheardShare();
         const gained = (now - bucket.filledAtMs) / MS_PER_SECOND * (workspace.tokensPerSecond ?? 0) * heardShare;
         bucket.workspace = workspace;
-        bucket.levelTokens = Math.min(workspace.burstTokens, bucket.levelTokens + gained);
+        bucket.levelTokens = Math.min(workspace.burstTokens * heardShare, bucket.levelTokens + gained);
         bucket.filledAtMs = now;
         return bucket;
     }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -96,7 +96,7 @@
     private workspaces: ReadonlySet<RelayWorkspace> = new Set();
     private drainSettings: RelaySettings["drain"];
     private hasServers = false;
-    private isLeaving = false;
+    private leaving = false;
 
     /** @param parts See {@linkcode RelayNodeParts}. */
     constructor(private readonly parts: RelayNodeParts) {
@@ -128,7 +128,7 @@
             log: parts.log,
             clock,
             node: settings.node,
-            address: settings.listen.peers,
+            address: () => this.peerSocket.address,
             onProblem: text => this.relayLog.tell(`peers: ${text}`),
         });
         this.peerSocket = new PeerSocket(
@@ -144,10 +144,10 @@
             peers: this.peers,
             pool: this.pool,
             quota: this.quota,
-            address: () => settings.listen.peers,
+            address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             versionCounts: () => [],
-            isLeaving: () => this.isLeaving,
+            isLeaving: () => this.leaving,
             onChange: () => this.serveQueues(),
             onPeer: report => this.relayLog.tell("peers: seen", { peer: report.node, address: report.address }),
             onPeerGone: report => this.relayLog.tell("peers: gone", { peer: report.node }),
@@ -178,9 +178,24 @@
         );
     }
 
+    /** Whether the node has been asked to leave. */
+    get isLeaving(): boolean {
+        return this.leaving;
+    }
+
     /** Whether the node can serve callers and is not about to leave. */
     get isReady(): boolean {
-        return this.configuration !== undefined && this.hasServers && !this.isLeaving;
+        return this.configuration !== undefined && this.hasServers && !this.leaving;
+    }
+
+    /** Address for callers, once the node has started. */
+    get callerAddress(): string {
+        return `${splitAddress(this.parts.settings.listen.callers)[0]}:${this.callers.port}`;
+    }
+
+    /** Address for the balancer, once the node has started. */
+    get readinessAddress(): string {
+        return `${splitAddress(this.parts.settings.listen.readiness)[0]}:${this.readiness.port}`;
     }
 
     /** Opens the ports and starts to follow the platform. */
@@ -211,7 +226,7 @@
         const { clock } = this.parts;
         const { graceSeconds, balancerLagMs } = this.drainSettings;
         const startedMs = clock.now();
-        this.isLeaving = true;
+        this.leaving = true;
         this.callers.startClosing();
         this.relayLog.tell("node: leaving", { openCalls: this.callers.openCalls });
         await clock.sleep(balancerLagMs);
