--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -7,7 +7,8 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
-import { EngineBehaviour, EngineServer, eventText, PLAIN_BODY } from "../../platform/standin/engine_server.js";
+import type { EngineBehaviour } from "../../platform/standin/engine_server.js";
+import { EngineServer, eventText, PLAIN_BODY } from "../../platform/standin/engine_server.js";
 import { type CallerAnswer, PATHS, RelayWorld, waitFor } from "../support/relay_world.js";
 import type { Scenario } from "../support/world.js";
 
--- a/features/support/relay_world.ts
+++ b/features/support/relay_world.ts
@@ -7,7 +7,7 @@
 import { type Agent, type IncomingMessage, request } from "node:http";
 import { pino } from "pino";
 import { HttpKeyedLog, PlatformHeaders, PlatformRecords } from "../../platform/mod.js";
-import { EngineServer } from "../../platform/standin/engine_server.js";
+import type { EngineServer } from "../../platform/standin/engine_server.js";
 import { StoreServer } from "../../platform/standin/store_server.js";
 import { parseRelaySettings, RelayNode } from "../../src/daemon/relay/mod.js";
 import { SeededRandom, SystemClock } from "../../src/state/relay/mod.js";
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -20,5 +20,8 @@
 export * from "./server_state.js";
 export * from "./service_scheduler.js";
 export * from "./topic_follower.js";
+export * from "./version_evidence.js";
+export * from "./version_move.js";
+export * from "./version_moves.js";
 export * from "./waiting_calls.js";
 export * from "./workspace_quota.js";
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -20,7 +20,7 @@
 import { type CallRecorder, type CallTimes, RelayOutcome } from "./call_record.js";
 import { EventCutter } from "./event_cutter.js";
 import { decidePatience, decideReturn } from "./patience.js";
-import { CallOutcome } from "./server_state.js";
+import { CallOutcome, type ServerState } from "./server_state.js";
 import { NoPlaceError, NoPlaceReason, type Place, type ServiceScheduler } from "./service_scheduler.js";
 
 /** Statuses by which a backend server says that a call did not run, when it says so in a header too. */
@@ -58,6 +58,8 @@
     readonly client: RelayClient;
     readonly scheduler: (service: string) => ServiceScheduler;
     readonly retryBudget: (service: string) => RetryBudget;
+    /** Told of each call that ended at a server; bad ones failed or took several times as long as expected. */
+    readonly onServerCall: (state: ServerState, isBad: boolean) => void;
 }
 
 /** Call with what its admission decided. */
@@ -218,6 +220,9 @@
         finally {
             answer.cancel();
             place.release(outcome);
+            if (outcome !== CallOutcome.Neutral) {
+                this.settings.onServerCall(place.state, outcome === CallOutcome.Bad || place.wasSlow);
+            }
         }
     }
 
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -47,6 +47,8 @@
     readonly tokensAhead: number;
     hasFirstEvent: boolean;
     lastEventAtMs: number;
+    /** Time to the first event against that of a typical server of the service; 0 while there is none. */
+    slowness: number;
 }
 
 /** Outcome with its time. */
@@ -107,6 +109,7 @@
             tokensAhead: this.promptTokensAhead,
             hasFirstEvent: false,
             lastEventAtMs: now,
+            slowness: 0,
         };
         this.calls.add(call);
         return call;
@@ -124,6 +127,7 @@
         this.promptTokensAhead -= call.promptTokens;
         const measured = (now - call.sentAtMs) / (FIXED_PROMPT_TOKENS + call.tokensAhead);
         this.msPerPromptToken += (measured - this.msPerPromptToken) * AVERAGE_WEIGHT;
+        call.slowness = measured / this.profile.msPerPromptToken;
         this.profile.learnPromptSpeed(measured);
     }
 
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -13,6 +13,9 @@
 import { type CallUnderWay, type ServerState } from "./server_state.js";
 import { compareWaiting } from "./waiting_calls.js";
 
+/** Expected times to the first event from which on a call counts as slow; healthy engines differ less than this. */
+const SLOW_FACTOR = 3.5;
+
 /** Call that asks for a place. */
 export interface PlaceRequest {
     readonly id: string;
@@ -64,6 +67,11 @@
         return this.state.server;
     }
 
+    /** Whether the first event took several times as long as a typical server of the service takes. */
+    get wasSlow(): boolean {
+        return this.underWay.slowness > SLOW_FACTOR;
+    }
+
     /** Records the first event of a stream or the whole of a plain answer. */
     recordFirstEvent(): void {
         this.state.recordFirstEvent(this.underWay);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "pino";
 import {
     LogHealth,
+    type MoveRecords,
     NodeDirectory,
     PeerReporter,
     PeerTable,
@@ -16,10 +17,18 @@
     ServerPool,
     ServiceScheduler,
     TopicFollower,
+    VersionMoves,
     WorkspaceQuota,
 } from "../../coordination/relay/mod.js";
 import type { KeyedLog, KeyedRecord, RelayHeaders } from "../../protocol/relay/mod.js";
-import type { Clock, RandomSource, RelayConfiguration, RelayServer, RelayWorkspace } from "../../state/relay/mod.js";
+import type {
+    Clock,
+    RandomSource,
+    RelayConfiguration,
+    RelayServer,
+    RelayWorkspace,
+    VersionOrder,
+} from "../../state/relay/mod.js";
 import { CallerServer, HttpClient, HttpRelayClient, PeerSocket, StatusServer } from "../../transport/relay/mod.js";
 import { RelayLog } from "./relay_log.js";
 import type { RelaySettings } from "./relay_settings.js";
@@ -49,13 +58,15 @@
 const RETRY_SHARERS = 12;
 
 /** Changes of the configuration or of the registered servers that a record stands for. */
-export interface RecordReader {
+export interface RecordReader extends MoveRecords {
     /** Topic of the operator's records. */
     readonly operatorTopic: string;
     /** Topic of the servers' entries. */
     readonly serverTopic: string;
     /** Reads a configuration; `undefined` when the record is another one. */
     readConfiguration(record: KeyedRecord): RelayConfiguration | undefined;
+    /** Reads an order to move a service to another version; `undefined` when the record is another one. */
+    readOrder(record: KeyedRecord): VersionOrder | undefined;
     /** Reads a server's entry; a sentence when it names no server to use. */
     readServer(record: KeyedRecord): RelayServer | string;
     /** Id of the server whose entry a record is. */
@@ -86,6 +97,7 @@
     private readonly quota: WorkspaceQuota;
     private readonly directory: NodeDirectory;
     private readonly reporter: PeerReporter;
+    private readonly moves: VersionMoves;
     private readonly client: HttpRelayClient;
     private readonly callers: CallerServer;
     private readonly readiness: StatusServer;
@@ -131,6 +143,14 @@
             address: () => this.peerSocket.address,
             onProblem: text => this.relayLog.tell(`peers: ${text}`),
         });
+        this.moves = new VersionMoves({
+            clock,
+            log: parts.log,
+            records: parts.records,
+            bounds: settings.rollouts,
+            peerCounts: () => this.peers.reports().flatMap(report => report.versions),
+            onChange: (text, detail) => this.relayLog.tell(text, detail),
+        });
         this.peerSocket = new PeerSocket(
             report => this.reporter.take(report),
             text => this.relayLog.note("", "report lost", { reason: text }),
@@ -146,7 +166,7 @@
             quota: this.quota,
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
-            versionCounts: () => [],
+            versionCounts: () => this.moves.evidence.counts(),
             isLeaving: () => this.leaving,
             onChange: () => this.serveQueues(),
             onPeer: report => this.relayLog.tell("peers: seen", { peer: report.node, address: report.address }),
@@ -162,6 +182,7 @@
             relay: {
                 client: this.client,
                 scheduler: service => this.scheduler(service),
+                onServerCall: (state, isBad) => this.moves.recordCall(state, isBad),
                 retryBudget: service => this.budget(service),
             },
         });
@@ -205,7 +226,15 @@
         await this.callers.listen(...splitAddress(listen.callers));
         await this.peerSocket.listen(...splitAddress(listen.peers));
         this.relayLog.tell("node: started", { listen });
-        for (const task of [this.followOperator(), this.followServers(), this.meetPeers(), this.tick()]) {
+        for (
+            const task of [
+                this.followOperator(),
+                this.followServers(),
+                this.meetPeers(),
+                this.tick(),
+                this.moves.run(this.stopped.signal),
+            ]
+        ) {
             task.catch((error: unknown) => {
                 this.parts.logger.fatal({ error: String(error), stack: (error as Error).stack }, "node: task failed");
                 process.exitCode = 1;
@@ -293,6 +322,10 @@
     private takeOperatorRecord(record: KeyedRecord): void {
         let next: RelayConfiguration | undefined;
         try {
+            const order = this.parts.records.readOrder(record);
+            if (order !== undefined) {
+                this.moves.takeOrder(order, record.offset);
+            }
             next = this.parts.records.readConfiguration(record);
         }
         catch (error) {
@@ -365,7 +398,7 @@
                 failureDomain: settings.failureDomain,
                 clock,
                 random,
-                candidates: () => this.pool.open(service),
+                candidates: callId => this.moves.candidates(service, this.pool.open(service), callId),
             });
             this.schedulers.set(service, scheduler);
         }
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -37,7 +37,6 @@
   readonly isTarget: boolean;
   readonly calls: number;
   readonly bad: number;
-  readonly totalRatio: number;
 }
 
 function createBasePeerReport(): PeerReport {
@@ -253,7 +252,7 @@
 };
 
 function createBaseVersionCount(): VersionCount {
-  return { serviceKey: 0, order: 0, isTarget: false, calls: 0, bad: 0, totalRatio: 0 };
+  return { serviceKey: 0, order: 0, isTarget: false, calls: 0, bad: 0 };
 }
 
 export const VersionCount: MessageFns<VersionCount> = {
@@ -273,9 +272,6 @@
     if (message.bad !== 0) {
       writer.uint32(40).uint32(message.bad);
     }
-    if (message.totalRatio !== 0) {
-      writer.uint32(49).double(message.totalRatio);
-    }
     return writer;
   },
 
@@ -332,14 +328,6 @@
             message.bad = reader.uint32();
             continue;
           }
-          case 6: {
-            if (tag !== 49) {
-              break;
-            }
-
-            message.totalRatio = reader.double();
-            continue;
-          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
