Spend less on peers and on the store in large fleets

Sums are kept as reports come; reports go often to the failure domain and rarely beyond; servers are read at half the time in which a leaving one must be left alone.

--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -183,8 +183,8 @@
                 failureDomain: row["domain"] ?? "",
                 slots: Number(row["slots"]),
             });
-            const state = new ServerState(server, new ServerProfile(Number(row["ms per 1000 tokens"]) / 1_000, 20), this.clock);
-            state.peerCalls = Number(row["peers"]);
+            const profile = new ServerProfile(Number(row["ms per 1000 tokens"]) / 1_000, 20);
+            const state = new ServerState(server, profile, this.clock, () => Number(row["peers"]));
             for (let call = 0; call < Number(row["calls"]); call += 1) {
                 state.start(10);
             }
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -14,13 +14,17 @@
 /** Pause after a call of the log that failed, in milliseconds. */
 const RETRY_PAUSE_MS = 1_000;
 
-const entrySchema = z.object({ address: z.string() });
+const entrySchema = z.object({ address: z.string(), failureDomain: z.string() });
+
+/** Where a node is. */
+export type NodeEntry = z.infer<typeof entrySchema>;
 
 /** Settings of a {@linkcode NodeDirectory}. */
 export interface NodeDirectorySettings {
     readonly log: KeyedLog;
     readonly clock: Clock;
     readonly node: string;
+    readonly failureDomain: string;
     /** Address at which peers reach this node. */
     readonly address: () => string;
     /** Told of what could not be read or written. */
@@ -32,7 +36,7 @@
  * nothing is polled.
  */
 export class NodeDirectory {
-    private readonly addresses = new Map<string, string>();
+    private readonly entries = new Map<string, NodeEntry>();
 
     /** @param settings See {@linkcode NodeDirectorySettings}. */
     constructor(private readonly settings: NodeDirectorySettings) {}
@@ -59,30 +63,38 @@
         }
     }
 
-    /** Learns a node's address from its report. */
-    learn(node: string, address: string): void {
+    /** Learns from a node's report where it is. */
+    learn(node: string, entry: NodeEntry): void {
         if (node !== this.settings.node) {
-            this.addresses.set(node, address);
+            this.entries.set(node, entry);
         }
     }
 
-    /** Addresses of all other nodes that are known. */
-    peers(): Iterable<string> {
-        return this.addresses.values();
+    /** Addresses of the other nodes of this failure domain. */
+    near(): readonly string[] {
+        return this.addresses(entry => entry.failureDomain === this.settings.failureDomain);
+    }
+
+    /** Addresses of the nodes of other failure domains. */
+    far(): readonly string[] {
+        return this.addresses(entry => entry.failureDomain !== this.settings.failureDomain);
+    }
+
+    private addresses(isWanted: (entry: NodeEntry) => boolean): readonly string[] {
+        return [...this.entries.values()].filter(isWanted).map(entry => entry.address);
     }
 
     private async register(): Promise<void> {
-        const { log, node, address } = this.settings;
-        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address: address() })));
+        const { log, node, failureDomain, address } = this.settings;
+        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address: address(), failureDomain })));
     }
 
     private takeRecord(record: KeyedRecord): void {
-        if (record.value === undefined || this.addresses.has(record.key)) {
+        if (record.value === undefined || this.entries.has(record.key)) {
             return;
         }
         try {
-            const { address } = entrySchema.parse(JSON.parse(Buffer.from(record.value).toString("utf8")));
-            this.learn(record.key, address);
+            this.learn(record.key, entrySchema.parse(JSON.parse(Buffer.from(record.value).toString("utf8"))));
         }
         catch (cause) {
             this.settings.onProblem(`Cannot read the entry of node ${record.key}: ${describeCause(cause)}`);
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -11,11 +11,14 @@
 import type { ServerPool } from "./server_pool.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
 
-/** Time between reports to a small fleet, in milliseconds. */
+/** Time between reports to a small fleet, in milliseconds; a tenth of a typical call's time at an engine. */
 const REPORT_INTERVAL_MS = 200;
 
-/** Most datagrams that a node sends a second; beyond it, reports come less often. */
-const MAX_DATAGRAMS_PER_SECOND = 60;
+/** Most datagrams a second to nodes of the same failure domain, which compete for the same servers first. */
+const MAX_NEAR_PER_SECOND = 50;
+
+/** Most datagrams a second to nodes of other failure domains, to which bytes are dear. */
+const MAX_FAR_PER_SECOND = 40;
 
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
@@ -23,6 +26,7 @@
 /** Settings of a {@linkcode PeerReporter}. */
 export interface PeerReporterSettings {
     readonly node: string;
+    readonly failureDomain: string;
     readonly startedAtMs: number;
     readonly clock: Clock;
     readonly link: PeerLink;
@@ -52,11 +56,24 @@
 
     /** Reports until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([
+            this.reportTo(() => this.settings.directory.near(), MAX_NEAR_PER_SECOND, signal),
+            this.reportTo(() => this.settings.directory.far(), MAX_FAR_PER_SECOND, signal),
+        ]);
+    }
+
+    private async reportTo(
+        list: () => readonly string[],
+        maxPerSecond: number,
+        signal: AbortSignal,
+    ): Promise<void> {
         while (!signal.aborted) {
-            const addresses = [...this.settings.directory.peers()];
-            this.settings.link.send(this.makeReport(), addresses);
+            const addresses = list();
+            if (addresses.length > 0) {
+                this.settings.link.send(this.makeReport(), addresses);
+            }
             this.expire();
-            const pauseMs = Math.max(REPORT_INTERVAL_MS, addresses.length * MS_PER_SECOND / MAX_DATAGRAMS_PER_SECOND);
+            const pauseMs = Math.max(REPORT_INTERVAL_MS, addresses.length * MS_PER_SECOND / maxPerSecond);
             await this.settings.clock.sleep(pauseMs, signal);
         }
     }
@@ -67,7 +84,7 @@
         if (report.node === node || !peers.take(report)) {
             return;
         }
-        directory.learn(report.node, report.address);
+        directory.learn(report.node, { address: report.address, failureDomain: report.failureDomain });
         const incarnation = `${report.node}@${report.startedAtMs}`;
         if (this.incarnations.get(report.node) !== incarnation) {
             this.incarnations.set(report.node, incarnation);
@@ -80,7 +97,7 @@
                 quota.takePeerTotal(workspace, incarnation, total);
             }
         }
-        this.applyPeerCalls();
+        this.settings.onChange();
     }
 
     private expire(): void {
@@ -89,23 +106,16 @@
             this.incarnations.delete(gone.node);
             this.settings.onPeerGone(gone);
         }
-        this.applyPeerCalls();
-    }
-
-    private applyPeerCalls(): void {
-        for (const state of this.settings.pool.all()) {
-            state.peerCalls = this.settings.peers.callsAt(hashKey(state.server.id));
-        }
-        this.settings.onChange();
     }
 
     private makeReport(): PeerReport {
-        const { node, startedAtMs, pool, quota, address, versionCounts, isLeaving } = this.settings;
+        const { node, failureDomain, startedAtMs, pool, quota, address, versionCounts, isLeaving } = this.settings;
         const busy = [...pool.all()].filter(state => state.ownCalls > 0);
         const totals = [...quota.ownTotals()];
         this.sequence += 1;
         return {
             node,
+            failureDomain,
             startedAtMs,
             sequence: this.sequence,
             address: address(),
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -7,8 +7,8 @@
 import type { PeerReport } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 
-/** Age of a report beyond which its node's calls count no more, in milliseconds; a node reports several times a second. */
-const REPORT_AGE_MS = 1_500;
+/** Age of a report beyond which its node's calls count no more, in milliseconds; the slowest reports come every 1.7 s. */
+const REPORT_AGE_MS = 2_500;
 
 /** Silence after which a node is taken as gone and its share of quotas falls to the others, in milliseconds. */
 const GONE_AFTER_MS = 15_000;
@@ -18,11 +18,15 @@
     readonly report: PeerReport;
     readonly serverCalls: ReadonlyMap<number, number>;
     readonly heardAtMs: number;
+    /** Whether the calls are part of the sums. */
+    isCounted: boolean;
 }
 
 /** Keeps the newest report of each peer. */
 export class PeerTable {
     private readonly peers = new Map<string, PeerEntry>();
+    /** Calls of all peers by server. */
+    private readonly callSums = new Map<number, number>();
 
     /** @param clock Clock that dates reports. */
     constructor(private readonly clock: Clock) {}
@@ -33,25 +37,22 @@
      * @returns Whether it is newer than what is known.
      */
     take(report: PeerReport): boolean {
-        const known = this.peers.get(report.node)?.report;
-        if (known !== undefined && !isNewer(report, known)) {
+        const known = this.peers.get(report.node);
+        if (known !== undefined && !isNewer(report, known.report)) {
             return false;
         }
+        if (known !== undefined) {
+            this.uncount(known);
+        }
         const serverCalls = new Map(report.serverKeys.map((key, index) => [key, report.serverCalls[index] ?? 0]));
-        this.peers.set(report.node, { report, serverCalls, heardAtMs: this.clock.now() });
+        this.addCalls(serverCalls, 1);
+        this.peers.set(report.node, { report, serverCalls, heardAtMs: this.clock.now(), isCounted: true });
         return true;
     }
 
     /** Calls that other nodes have under way at a server. */
     callsAt(serverKey: number): number {
-        const fromMs = this.clock.now() - REPORT_AGE_MS;
-        let calls = 0;
-        for (const peer of this.peers.values()) {
-            if (peer.heardAtMs >= fromMs) {
-                calls += peer.serverCalls.get(serverKey) ?? 0;
-            }
-        }
-        return calls;
+        return this.callSums.get(serverKey) ?? 0;
     }
 
     /** Newest reports of all peers that are not gone. */
@@ -69,18 +70,40 @@
         return unheard / (this.peers.size + 1);
     }
 
-    /** Removes peers that are gone and returns their reports. */
+    /** Leaves calls of silent peers out of the sums, removes peers that are gone and returns their reports. */
     expire(): readonly PeerReport[] {
-        const fromMs = this.clock.now() - GONE_AFTER_MS;
+        const now = this.clock.now();
         const gone: PeerReport[] = [];
         for (const [node, peer] of this.peers) {
-            if (peer.heardAtMs < fromMs) {
+            if (peer.heardAtMs < now - REPORT_AGE_MS) {
+                this.uncount(peer);
+            }
+            if (peer.heardAtMs < now - GONE_AFTER_MS) {
                 this.peers.delete(node);
                 gone.push(peer.report);
             }
         }
         return gone;
     }
+
+    private uncount(peer: PeerEntry): void {
+        if (peer.isCounted) {
+            peer.isCounted = false;
+            this.addCalls(peer.serverCalls, -1);
+        }
+    }
+
+    private addCalls(serverCalls: ReadonlyMap<number, number>, sign: 1 | -1): void {
+        for (const [key, calls] of serverCalls) {
+            const sum = (this.callSums.get(key) ?? 0) + sign * calls;
+            if (sum === 0) {
+                this.callSums.delete(key);
+            }
+            else {
+                this.callSums.set(key, sum);
+            }
+        }
+    }
 }
 
 function isNewer(report: PeerReport, known: PeerReport): boolean {
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+import { hashKey } from "../../protocol/relay/mod.js";
 import { type Clock, type RelayServer, ServerProfile } from "../../state/relay/mod.js";
+import type { PeerTable } from "./peer_table.js";
 import { ServerState } from "./server_state.js";
 
 /** Time for one prompt token at a server that nobody has measured yet, in milliseconds; a large accelerator reads 100 a ms. */
@@ -19,8 +21,11 @@
     private readonly services = new Map<string, ServerState[]>();
     private readonly profiles = new Map<string, ServerProfile>();
 
-    /** @param clock Clock that dates calls. */
-    constructor(private readonly clock: Clock) {}
+    /**
+     * @param clock Clock that dates calls.
+     * @param peers Calls that other nodes have under way.
+     */
+    constructor(private readonly clock: Clock, private readonly peers: PeerTable) {}
 
     /** Takes a new server or a new report of a known one. */
     put(server: RelayServer): void {
@@ -30,7 +35,8 @@
             return;
         }
         this.remove(server.id);
-        const added = new ServerState(server, this.profile(server.service), this.clock);
+        const key = hashKey(server.id);
+        const added = new ServerState(server, this.profile(server.service), this.clock, () => this.peers.callsAt(key));
         this.states.set(server.id, added);
         this.services.set(server.service, [...this.listed(server.service), added]);
     }
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -59,8 +59,6 @@
 
 /** Learns the speed of one server and watches whether it works. */
 export class ServerState {
-    /** Calls of other nodes under way, as they last reported. */
-    peerCalls = 0;
     /** Prompt tokens of own calls that have no first event yet. */
     promptTokensAhead = 0;
     private readonly calls = new Set<CallUnderWay>();
@@ -73,8 +71,14 @@
      * @param server Registration.
      * @param profile Speeds that stand for a server until its own are known; learned by all servers of a service together.
      * @param clock Clock that dates calls.
+     * @param countPeerCalls Returns the calls that other nodes have under way at the server.
      */
-    constructor(public server: RelayServer, private readonly profile: ServerProfile, private readonly clock: Clock) {
+    constructor(
+        public server: RelayServer,
+        private readonly profile: ServerProfile,
+        private readonly clock: Clock,
+        private readonly countPeerCalls: () => number,
+    ) {
         this.msPerPromptToken = profile.msPerPromptToken;
         this.msPerEvent = profile.msPerEvent;
     }
@@ -91,7 +95,7 @@
 
     /** Calls under way as far as is known. */
     get allCalls(): number {
-        return this.calls.size + this.peerCalls;
+        return this.calls.size + this.countPeerCalls();
     }
 
     /** Time from sending a call to its first event, in milliseconds. */
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -34,13 +34,13 @@
 import type { RelaySettings } from "./relay_settings.js";
 
 /** Interval at which queues and lapsed entries are looked at even if nothing happens, in milliseconds. */
-const TICK_MS = 20;
+const TICK_MS = 40;
 
 /** Time for which the log holds a read of the configuration, in milliseconds; a silent connection is found soon after. */
-const CONFIGURATION_WAIT_MS = 1_500;
+const CONFIGURATION_WAIT_MS = 2_500;
 
-/** Pause between reads of the servers' entries, in milliseconds; a leaving server gets no calls after about this long. */
-const SERVER_PAUSE_MS = 600;
+/** Part of the time in which a leaving server must get no more calls that passes between reads of the servers' entries. */
+const SERVER_PAUSE_FRACTION = 0.5;
 
 /** Time kept between the end of a drain and the kill by the platform, in milliseconds. */
 const DRAIN_RESERVE_MS = 600;
@@ -125,12 +125,12 @@
             onLost: (topic, error) => this.relayLog.tell("log: lost", { topic, error: String(error) }),
             onRegained: (topic, silentMs) => this.relayLog.tell("log: regained", { topic, silentMs: Math.round(silentMs) }),
         });
-        this.pool = new ServerPool(clock);
         this.catalog = new ServerCatalog(clock, this.health, {
             onServer: server => this.takeServer(server),
             onGone: (server, reason) => this.dropServer(server, reason),
         });
         this.peers = new PeerTable(clock);
+        this.pool = new ServerPool(clock, this.peers);
         this.quota = new WorkspaceQuota({
             clock,
             isFirstStart: settings.isFirstStart,
@@ -140,6 +140,7 @@
             log: parts.log,
             clock,
             node: settings.node,
+            failureDomain: settings.failureDomain,
             address: () => this.peerSocket.address,
             onProblem: text => this.relayLog.tell(`peers: ${text}`),
         });
@@ -157,6 +158,7 @@
         );
         this.reporter = new PeerReporter({
             node: settings.node,
+            failureDomain: settings.failureDomain,
             startedAtMs: this.startedAtMs,
             clock,
             link: this.peerSocket,
@@ -286,7 +288,7 @@
         const { records } = this.parts;
         return this.follow(records.serverTopic, {
             waitMs: 0,
-            pauseMs: SERVER_PAUSE_MS,
+            pauseMs: this.parts.settings.servers.leaveMs * SERVER_PAUSE_FRACTION,
             onAll: list => {
                 this.catalog.replaceAll(list.flatMap(record => this.readServer(record) ?? []));
                 this.hasServers = true;
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -41,6 +41,10 @@
         graceSeconds: z.number().min(1),
         balancerLagMs: z.int().min(0).default(DEFAULT_BALANCER_LAG_MS),
     }),
+    servers: z.strictObject({
+        /** Time from a server's notice until it must get no more calls, in milliseconds. */
+        leaveMs: z.int().min(100),
+    }),
     /** Retries that all nodes together may send to a service. */
     retries: z.strictObject({
         fraction: z.number().min(0).max(1),
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -27,6 +27,7 @@
   readonly workspaceTokens: readonly number[];
   readonly versions: readonly VersionCount[];
   readonly leaving: boolean;
+  readonly failureDomain: string;
 }
 
 /** Calls of one version of a service's backend servers since the order to move to it. */
@@ -51,6 +52,7 @@
     workspaceTokens: [],
     versions: [],
     leaving: false,
+    failureDomain: "",
   };
 }
 
@@ -102,6 +104,9 @@
     if (message.leaving !== false) {
       writer.uint32(80).bool(message.leaving);
     }
+    if (message.failureDomain !== "") {
+      writer.uint32(90).string(message.failureDomain);
+    }
     return writer;
   },
 
@@ -238,6 +243,14 @@
             message.leaving = reader.bool();
             continue;
           }
+          case 11: {
+            if (tag !== 90) {
+              break;
+            }
+
+            message.failureDomain = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
