--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -13,16 +13,17 @@
             | a.example      | /x/y    | /x/   |
             | b.example      | /x/     | none  |
 
-    Scenario: a waiting call that can be in time goes first, then the rank of its workspace, then that of its route, then arrival
+    Scenario: late calls go last unless their callers have come back; then workspace, route, time and arrival decide
         Given these waiting calls at 1000 ms
-            | call            | workspace | route | in time until | arrived |
-            | late top        | 0         | 0     | 900           | 500     |
-            | later top       | 0         | 0     | 950           | 550     |
-            | low             | 0         | 2     | 1500          | 700     |
-            | top             | 0         | 0     | 1400          | 900     |
-            | top before      | 0         | 0     | 1300          | 800     |
-            | other workspace | 1         | 0     | 1300          | 600     |
-        Then they are served in the order "top before, top, low, other workspace, later top, late top"
+            | call            | workspace | route | in time until | arrived | returned |
+            | late top        | 0         | 0     | 900           | 500     | no       |
+            | later top       | 0         | 0     | 950           | 550     | no       |
+            | low             | 0         | 2     | 1500          | 700     | no       |
+            | top             | 0         | 0     | 1400          | 900     | no       |
+            | top before      | 0         | 0     | 1300          | 800     | no       |
+            | top again       | 0         | 0     | -3000         | 950     | yes      |
+            | other workspace | 1         | 0     | 1300          | 600     | no       |
+        Then they are served in the order "top before, top, top again, low, other workspace, later top, late top"
 
     Scenario Outline: a call waits as long as it can still be served and its caller is still there
         When a call with an objective of <objective> ms and a deadline of <deadline> ms arrives
@@ -33,6 +34,7 @@
             | 500       | 15000    | 400     | 1300     |
             | 300       | 12000    | 240     | 900      |
             | 300       | 1000     | 240     | 350      |
+            | 300       | 900      | 140     | 540      |
 
     Scenario Outline: refused callers come back spread over the time that they still have
         When 100 callers with <left> ms left are refused
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -37,6 +37,9 @@
 /** Tokens of one call of the quota scenarios. */
 const TOKENS_PER_CALL = 20;
 
+/** Time that callers of the patience scenarios usually wait, in milliseconds. */
+const USUAL_DEADLINE_MS = 1_000;
+
 /** Interval at which the quota scenarios send calls, in milliseconds. */
 const STEP_MS = 10;
 
@@ -127,6 +130,7 @@
         routeRank: Number(row["route"]),
         inTimeUntilMs: Number(row["in time until"]),
         arrivedAtMs: Number(row["arrived"]),
+        hasReturned: row["returned"] === "yes",
     }));
 });
 
@@ -140,7 +144,8 @@
     objectiveMs: number,
     deadlineMs: number,
 ) {
-    this.patience = decidePatience(makeRoute("/", objectiveMs), 0, deadlineMs);
+    const question = { arrivedAtMs: 0, deadlineMs, usualDeadlineMs: Math.max(deadlineMs, USUAL_DEADLINE_MS) };
+    this.patience = decidePatience(makeRoute("/", objectiveMs), question);
 });
 
 Then("it is in time for {int} ms and given up after {int} ms", function(
@@ -148,7 +153,8 @@
     inTimeMs: number,
     giveUpMs: number,
 ) {
-    assert.deepEqual(this.patience, { inTimeUntilMs: inTimeMs, giveUpAtMs: giveUpMs });
+    const { inTimeUntilMs, giveUpAtMs } = this.patience;
+    assert.deepEqual({ inTimeUntilMs, giveUpAtMs }, { inTimeUntilMs: inTimeMs, giveUpAtMs: giveUpMs });
 });
 
 When("{int} callers with {int} ms left are refused", function(this: DecisionScenario, count: number, leftMs: number) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import { Builtins, Cli, type Command } from "clipanion";
 import { ConfigApplyCommand, ConfigDiffCommand, ConfigExplainCommand, ConfigShowCommand } from "./config_commands.js";
 import { ExceptionAddCommand, ExceptionListCommand, ExceptionRemoveCommand } from "./exception_commands.js";
+import { ExplainCommand } from "./explain_command.js";
 import {
     TierListCommand,
     TierSetCommand,
@@ -55,6 +56,7 @@
     RolloutShowCommand,
     SendCommand,
     RequestListCommand,
+    ExplainCommand,
 ];
 
 const cli = new Cli({ binaryName: "foxtailrail", binaryLabel: "foxtailrail operators' command line" });
--- a/src/coordination/relay/patience.ts
+++ b/src/coordination/relay/patience.ts
@@ -30,25 +30,52 @@
 /** Time that a call which returns needs to be served, in milliseconds. */
 const SERVING_RESERVE_MS = 600;
 
+/** Longest wait of a call whose caller was refused before, in milliseconds; it is not asked to return again. */
+const MAX_RETURNED_WAIT_MS = 1_800;
+
+/** Part of the time left that a call whose caller was refused before may wait. */
+const RETURNED_WAIT_FRACTION = 0.6;
+
+/** Part of a route's usual deadline below which a caller has come back. */
+const RETURNED_DEADLINE_FRACTION = 0.97;
+
 /** When a call stops being in time, and when it is given up. */
 export interface Patience {
+    /** Whether its caller was refused before and has come back as it was asked to. */
+    readonly hasReturned: boolean;
     /** Sent later than this, the call is late; in milliseconds since the Unix epoch. */
     readonly inTimeUntilMs: number;
     /** Not sent by then, the call is refused; in milliseconds since the Unix epoch. */
     readonly giveUpAtMs: number;
 }
 
+/** Call whose patience is decided. */
+export interface PatienceQuestion {
+    /** Arrival, in milliseconds since the Unix epoch. */
+    readonly arrivedAtMs: number;
+    /** Time that the caller waits from the arrival on, in milliseconds. */
+    readonly deadlineMs: number;
+    /** Time that callers of the route usually wait from their first attempt on, in milliseconds. */
+    readonly usualDeadlineMs: number;
+}
+
 /**
- * Decides how long a call waits.
+ * Decides how long a call waits. The objective counts from the caller's first attempt, which is seen by the deadline: whoever
+ * comes back has less of it left than is usual.
  *
  * @param route Route of the call.
- * @param arrivedAtMs Arrival, in milliseconds since the Unix epoch.
- * @param deadlineMs Time that the caller waits from the arrival on, in milliseconds.
+ * @param question See {@linkcode PatienceQuestion}.
  */
-export function decidePatience(route: RelayRoute, arrivedAtMs: number, deadlineMs: number): Patience {
-    const waitMs = Math.min(LATE_FACTOR * route.objectiveMs, MAX_WAIT_MS, deadlineMs * MAX_WAIT_FRACTION);
+export function decidePatience(route: RelayRoute, question: PatienceQuestion): Patience {
+    const { arrivedAtMs, deadlineMs, usualDeadlineMs } = question;
+    const hasReturned = deadlineMs < usualDeadlineMs * RETURNED_DEADLINE_FRACTION;
+    const firstAttemptMs = arrivedAtMs - Math.max(0, usualDeadlineMs - deadlineMs);
+    const waitMs = hasReturned ?
+        Math.min(MAX_RETURNED_WAIT_MS, deadlineMs * RETURNED_WAIT_FRACTION) :
+        Math.min(LATE_FACTOR * route.objectiveMs, MAX_WAIT_MS, deadlineMs * MAX_WAIT_FRACTION);
     return {
-        inTimeUntilMs: arrivedAtMs + IN_TIME_FRACTION * route.objectiveMs,
+        hasReturned,
+        inTimeUntilMs: firstAttemptMs + IN_TIME_FRACTION * route.objectiveMs,
         giveUpAtMs: arrivedAtMs + waitMs,
     };
 }
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -55,6 +55,16 @@
         return this.callSums.get(serverKey) ?? 0;
     }
 
+    /** Peers that were heard lately. */
+    get heardPeers(): number {
+        const fromMs = this.clock.now() - REPORT_AGE_MS;
+        let heard = 0;
+        for (const peer of this.peers.values()) {
+            heard += peer.heardAtMs >= fromMs ? 1 : 0;
+        }
+        return heard;
+    }
+
     /** Newest reports of all peers that are not gone. */
     reports(): readonly PeerReport[] {
         return [...this.peers.values()].map(peer => peer.report);
--- a/src/coordination/relay/relay_handler.ts
+++ b/src/coordination/relay/relay_handler.ts
@@ -16,6 +16,9 @@
 /** Time that a caller waits if it doesn't say, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
+/** Factor by which a route's usual deadline shrinks with each shorter one, so that it follows changes. */
+const DEADLINE_DECAY = 0.9998;
+
 /** Path of a call without its query. */
 const PATH = /^[^?]*/;
 
@@ -49,6 +52,8 @@
 
 /** Takes calls from callers and answers each once. */
 export class RelayHandler {
+    private readonly usualDeadlines = new Map<string, number>();
+
     /** @param settings See {@linkcode RelayHandlerSettings}. */
     constructor(private readonly settings: RelayHandlerSettings) {}
 
@@ -62,13 +67,15 @@
         }
         const { route, workspace, tokens } = admission;
         const { clock, random, recorder, relay, quota } = this.settings;
+        const deadlineMs = call.head.deadlineMs ?? DEFAULT_DEADLINE_MS;
         const relayed = new RelayedCall({ ...relay, clock, random, recorder }, {
             call,
             answer,
             route,
             workspace,
             service: chooseService(route.shares, random),
-            deadlineMs: call.head.deadlineMs ?? DEFAULT_DEADLINE_MS,
+            deadlineMs,
+            usualDeadlineMs: this.learnDeadline(route.name, deadlineMs),
             configurationVersion: configuration?.version ?? 0,
         });
         const hasRun = await relayed.run();
@@ -77,6 +84,14 @@
         }
     }
 
+    /** @returns The longest time that callers of a route have waited lately, in milliseconds. */
+    private learnDeadline(route: string, deadlineMs: number): number {
+        const known = this.usualDeadlines.get(route) ?? 0;
+        const usual = Math.max(deadlineMs, known * DEADLINE_DECAY);
+        this.usualDeadlines.set(route, usual);
+        return usual;
+    }
+
     private admit(call: RelayCall, configuration: RelayConfiguration | undefined): Admitted | Refused {
         if (configuration === undefined) {
             return { status: 503, text: "The node has no configuration yet.", retryAfterMs: NO_CONFIGURATION_RETRY_MS };
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -35,6 +35,9 @@
 /** Places looked for after a server refused the call, beyond the attempts that may run it. */
 const MAX_REFUSALS = 2;
 
+/** Places looked for after servers that could not be reached; they received nothing, so no budget is charged. */
+const MAX_UNREACHED = 6;
+
 /** Time for which a server at whose address another one answers gets no calls, in milliseconds; its entry vanishes within it. */
 const MISDIRECTED_BAR_MS = 10_000;
 
@@ -71,6 +74,8 @@
     readonly service: string;
     /** Time that the caller waits from the arrival on, in milliseconds. */
     readonly deadlineMs: number;
+    /** Time that callers of the route usually wait from their first attempt on, in milliseconds. */
+    readonly usualDeadlineMs: number;
     readonly configurationVersion: number;
 }
 
@@ -96,6 +101,8 @@
     private readonly cutter = new EventCutter();
     private attempts = 0;
     private refusals = 0;
+    private unreached = 0;
+    private wasReached = true;
     private mayHaveRun = false;
     private isTimeOver = false;
     private isAnswered = false;
@@ -167,14 +174,18 @@
     private awaitPlace(): Promise<Place> {
         const { call, route, workspace, service, deadlineMs } = this.admitted;
         const { head } = call;
-        const waitsFromMs = this.mayHaveRun ? this.settings.clock.now() : call.arrivedAtMs;
+        const waited = this.mayHaveRun ? this.elapsedMs() : 0;
         const outputTokens = head.outputEstimate ?? head.size?.maxOutput ?? 0;
         return this.settings.scheduler(service).assign({
             id: head.id,
             route,
             workspaceRank: workspace?.rank ?? 0,
             arrivedAtMs: call.arrivedAtMs,
-            patience: decidePatience(route, waitsFromMs, deadlineMs),
+            patience: decidePatience(route, {
+                arrivedAtMs: call.arrivedAtMs + waited,
+                deadlineMs: deadlineMs - waited,
+                usualDeadlineMs: this.admitted.usualDeadlineMs,
+            }),
             promptTokens: head.size?.prompt ?? 0,
             expectedEvents: outputTokens / TOKENS_PER_EVENT,
             partId: head.parts.at(-1)?.id,
@@ -187,6 +198,7 @@
     private async tryAt(place: Place): Promise<boolean> {
         const { call, route, workspace } = this.admitted;
         const serverId = place.server.id;
+        this.wasReached = true;
         this.servers.push(serverId);
         this.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
@@ -296,7 +308,8 @@
         this.exclude(place, error.message);
         if (error.fault === AttemptFault.NotRun) {
             this.attempts -= 1;
-            this.refusals += 1;
+            this.unreached += 1;
+            this.wasReached = false;
             if (!this.ended.signal.aborted) {
                 place.state.bar(UNREACHABLE_BAR_MS);
             }
@@ -321,6 +334,9 @@
         if (this.ended.signal.aborted || deadlineMs - this.elapsedMs() < MIN_ATTEMPT_MS) {
             return false;
         }
+        if (!this.wasReached) {
+            return this.unreached <= MAX_UNREACHED;
+        }
         const budget = this.settings.retryBudget(service);
         if (!this.mayHaveRun) {
             return this.refusals <= MAX_REFUSALS && budget.tryRetry();
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -67,6 +67,13 @@
         return this.listed(service).filter(state => !state.server.isDraining);
     }
 
+    /** Adds up a figure of the servers of each service. */
+    countByService(figure: (state: ServerState) => number): readonly (readonly [string, number])[] {
+        return [...this.services].map(([service, states]) => {
+            return [service, states.reduce((sum, state) => sum + figure(state), 0)];
+        });
+    }
+
     private listed(service: string): readonly ServerState[] {
         return this.services.get(service) ?? [];
     }
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -96,6 +96,7 @@
     readonly routeRank: number;
     readonly inTimeUntilMs: number;
     readonly arrivedAtMs: number;
+    readonly hasReturned: boolean;
     readonly resolve: (place: Place) => void;
     readonly reject: (error: NoPlaceError) => void;
 }
@@ -154,6 +155,7 @@
                 routeRank: request.route.rank,
                 inTimeUntilMs: request.patience.inTimeUntilMs,
                 arrivedAtMs: request.arrivedAtMs,
+                hasReturned: request.patience.hasReturned,
                 resolve,
                 reject,
             };
--- a/src/coordination/relay/waiting_calls.ts
+++ b/src/coordination/relay/waiting_calls.ts
@@ -12,11 +12,14 @@
     readonly routeRank: number;
     readonly inTimeUntilMs: number;
     readonly arrivedAtMs: number;
+    /** Whether the caller was refused before and has come back as it was asked to. */
+    readonly hasReturned: boolean;
 }
 
 /**
- * Compares two waiting calls: those that can be in time before late ones, then by rank of the workspace and of the route, then
- * by arrival. Among late calls the newest goes first, since its caller is the least likely to leave before it is answered.
+ * Compares two waiting calls: late ones go last, unless their callers were refused before and have come back; then by rank of
+ * the workspace and of the route; then those that can be in time, then by arrival. Among late calls the newest goes first, since
+ * its caller is the least likely to leave before it is answered.
  *
  * @param nowMs Time of the comparison, in milliseconds since the Unix epoch.
  * @returns Negative when `left` goes first.
@@ -24,14 +27,9 @@
 export function compareWaiting(left: WaitingOrder, right: WaitingOrder, nowMs: number): number {
     const isLeftLate = left.inTimeUntilMs < nowMs;
     const isRightLate = right.inTimeUntilMs < nowMs;
-    if (isLeftLate !== isRightLate) {
-        return isLeftLate ? 1 : -1;
-    }
-    if (left.workspaceRank !== right.workspaceRank) {
-        return left.workspaceRank - right.workspaceRank;
-    }
-    if (left.routeRank !== right.routeRank) {
-        return left.routeRank - right.routeRank;
-    }
-    return isLeftLate ? right.arrivedAtMs - left.arrivedAtMs : left.arrivedAtMs - right.arrivedAtMs;
+    return Number(isLeftLate && !left.hasReturned) - Number(isRightLate && !right.hasReturned) ||
+        left.workspaceRank - right.workspaceRank ||
+        left.routeRank - right.routeRank ||
+        Number(isLeftLate) - Number(isRightLate) ||
+        (isLeftLate ? right.arrivedAtMs - left.arrivedAtMs : left.arrivedAtMs - right.arrivedAtMs);
 }
--- a/src/daemon/relay/mod.ts
+++ b/src/daemon/relay/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from "./relay_log.js";
+export * from "./relay_metrics.js";
 export * from "./relay_node.js";
 export * from "./relay_settings.js";
--- a/src/daemon/relay/relay_log.ts
+++ b/src/daemon/relay/relay_log.ts
@@ -30,6 +30,7 @@
     private secondStartMs = 0;
     private linesInSecond = 0;
     private dropped = 0;
+    private droppedSinceStart = 0;
     private linesPerSecond: number;
 
     /** @param settings See {@linkcode RelayLogSettings}. */
@@ -38,6 +39,11 @@
         this.linesPerSecond = settings.linesPerSecond;
     }
 
+    /** Lines that were dropped since the start. */
+    get droppedLines(): number {
+        return this.droppedSinceStart;
+    }
+
     /** Changes the lines a second at most. */
     setLinesPerSecond(linesPerSecond: number): void {
         this.linesPerSecond = linesPerSecond;
@@ -87,6 +93,7 @@
         }
         if (this.linesInSecond >= this.linesPerSecond) {
             this.dropped += 1;
+            this.droppedSinceStart += 1;
             return false;
         }
         this.linesInSecond += 1;
--- /dev/null
+++ b/src/daemon/relay/relay_metrics.ts
@@ -0,0 +1,113 @@
+/**
+ * Counters and latency histograms of a relay node.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CallRecord } from "../../coordination/relay/mod.js";
+
+/** Bounds of the latency histograms, in seconds: from a plain call's time to the longest stream. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.3, 2, 5, 15];
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Values that are read when the metrics are asked for. */
+export interface RelayGauges {
+    /** Calls that wait for a place, by service. */
+    readonly waitingCalls: () => Iterable<readonly [string, number]>;
+    /** Own calls at backend servers, by service. */
+    readonly sentCalls: () => Iterable<readonly [string, number]>;
+    /** Backend servers that take calls, by service. */
+    readonly openServers: () => Iterable<readonly [string, number]>;
+    readonly peers: () => number;
+    readonly configurationVersion: () => number;
+    readonly isLogAnswering: () => boolean;
+    /** Log lines that were dropped since the start. */
+    readonly droppedLines: () => number;
+}
+
+/** Collects the figures of one node. */
+export class RelayMetrics {
+    private readonly registry = new Registry();
+    private readonly calls: Counter<"service" | "rank" | "outcome" | "status">;
+    private readonly stages: Histogram<"service" | "rank" | "stage">;
+
+    /** @param gauges See {@linkcode RelayGauges}. */
+    constructor(gauges: RelayGauges) {
+        const registers = [this.registry];
+        this.calls = new Counter({
+            name: "foxtailrail_relay_calls_total",
+            help: "Calls that ended, by how.",
+            labelNames: ["service", "rank", "outcome", "status"],
+            registers,
+        });
+        this.stages = new Histogram({
+            name: "foxtailrail_relay_stage_seconds",
+            help: "Time from the arrival of a call to the end of a stage.",
+            labelNames: ["service", "rank", "stage"],
+            buckets: LATENCY_BUCKETS,
+            registers,
+        });
+        this.addGauge("waiting_calls", "Calls that wait for a place.", gauges.waitingCalls);
+        this.addGauge("sent_calls", "Calls of this node at backend servers.", gauges.sentCalls);
+        this.addGauge("open_servers", "Backend servers that take calls.", gauges.openServers);
+        this.addValue("peers", "Nodes that are heard.", gauges.peers);
+        this.addValue("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
+        this.addValue("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
+        this.addValue("dropped_log_lines", "Log lines dropped since the start.", gauges.droppedLines);
+        this.addValue("resident_bytes", "Memory of the process.", () => process.memoryUsage.rss());
+    }
+
+    /** Counts a call that ended. */
+    record({ route, outcome, status, times }: CallRecord): void {
+        const labels = { service: route?.shares[0]?.service ?? "none", rank: String(route?.rank ?? "none") };
+        this.calls.inc({ ...labels, outcome, status: String(status) });
+        this.observe({ ...labels, stage: "sent" }, times.sentMs);
+        this.observe({ ...labels, stage: "first" }, times.firstMs);
+        this.observe({ ...labels, stage: "end" }, times.endMs);
+    }
+
+    /** Content type of {@linkcode text}. */
+    get contentType(): string {
+        return this.registry.contentType;
+    }
+
+    /** Figures in Prometheus' text format. */
+    text(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    private observe(labels: { service: string; rank: string; stage: string }, ms: number | undefined): void {
+        if (ms !== undefined) {
+            this.stages.observe(labels, ms / MS_PER_SECOND);
+        }
+    }
+
+    private addGauge(name: string, help: string, read: () => Iterable<readonly [string, number]>): void {
+        new Gauge({
+            name: `foxtailrail_relay_${name}`,
+            help,
+            labelNames: ["service"],
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                for (const [service, value] of read()) {
+                    this.set({ service }, value);
+                }
+            },
+        });
+    }
+
+    private addValue(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name: `foxtailrail_relay_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -31,6 +31,7 @@
 } from "../../state/relay/mod.js";
 import { CallerServer, HttpClient, HttpRelayClient, PeerSocket, StatusServer } from "../../transport/relay/mod.js";
 import { RelayLog } from "./relay_log.js";
+import { RelayMetrics } from "./relay_metrics.js";
 import type { RelaySettings } from "./relay_settings.js";
 
 /** Interval at which queues and lapsed entries are looked at even if nothing happens, in milliseconds. */
@@ -90,6 +91,8 @@
     private readonly startedAtMs: number;
     private readonly http = new HttpClient();
     private readonly relayLog: RelayLog;
+    private readonly metrics: RelayMetrics;
+    private readonly metricsServer: StatusServer;
     private readonly health: LogHealth;
     private readonly pool: ServerPool;
     private readonly catalog: ServerCatalog;
@@ -119,7 +122,7 @@
             logger,
             clock,
             linesPerSecond: settings.logLinesPerSecond,
-            onRecord: () => undefined,
+            onRecord: record => this.metrics.record(record),
         });
         this.health = new LogHealth(clock, {
             onLost: (topic, error) => this.relayLog.tell("log: lost", { topic, error: String(error) }),
@@ -195,12 +198,31 @@
             onError: error =>
                 logger.error({ error: String(error), stack: (error as Error).stack }, "call: failed inside the node"),
         });
+        this.metrics = this.makeMetrics();
+        this.metricsServer = new StatusServer(
+            new Map([["/metrics", async () => {
+                return { status: 200, contentType: this.metrics.contentType, text: await this.metrics.text() };
+            }]]),
+            error => logger.error({ error: String(error) }, "metrics: failed"),
+        );
         this.readiness = new StatusServer(
             new Map([["/-/ready", () => this.describeReadiness()]]),
             error => logger.error({ error: String(error) }, "readiness: failed"),
         );
     }
 
+    private makeMetrics(): RelayMetrics {
+        return new RelayMetrics({
+            waitingCalls: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.waitingCalls]),
+            sentCalls: () => this.pool.countByService(state => state.ownCalls),
+            openServers: () => this.pool.countByService(state => state.server.isDraining ? 0 : 1),
+            peers: () => this.peers.heardPeers,
+            configurationVersion: () => this.configuration?.version ?? 0,
+            isLogAnswering: () => this.health.isAnswering,
+            droppedLines: () => this.relayLog.droppedLines,
+        });
+    }
+
     /** Whether the node has been asked to leave. */
     get isLeaving(): boolean {
         return this.leaving;
@@ -225,6 +247,9 @@
     async start(): Promise<void> {
         const { listen } = this.parts.settings;
         await this.readiness.listen(...splitAddress(listen.readiness));
+        if (listen.metrics !== undefined) {
+            await this.metricsServer.listen(...splitAddress(listen.metrics));
+        }
         await this.callers.listen(...splitAddress(listen.callers));
         await this.peerSocket.listen(...splitAddress(listen.peers));
         this.relayLog.tell("node: started", { listen });
@@ -270,6 +295,7 @@
         this.relayLog.tell("node: stopped", { openCalls: this.callers.openCalls });
         this.callers.closeAll();
         this.readiness.close();
+        this.metricsServer.close();
         this.peerSocket.close();
         await this.http.close();
     }
