--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -13,7 +13,7 @@
             | a.example      | /x/y    | /x/   |
             | b.example      | /x/     | none  |
 
-    Scenario: late calls go last unless their callers have come back; then workspace, route, time and arrival decide
+    Scenario: calls in time go first, then those whose callers have come back; then workspace, route and arrival decide
         Given these waiting calls at 1000 ms
             | call            | workspace | route | in time until | arrived | returned |
             | late top        | 0         | 0     | 900           | 500     | no       |
@@ -23,7 +23,7 @@
             | top before      | 0         | 0     | 1300          | 800     | no       |
             | top again       | 0         | 0     | -3000         | 950     | yes      |
             | other workspace | 1         | 0     | 1300          | 600     | no       |
-        Then they are served in the order "top before, top, top again, low, other workspace, later top, late top"
+        Then they are served in the order "top before, top, low, other workspace, top again, later top, late top"
 
     Scenario Outline: a call waits as long as it can still be served and its caller is still there
         When a call with an objective of <objective> ms and a deadline of <deadline> ms arrives
@@ -31,8 +31,8 @@
 
         Examples:
             | objective | deadline | in time | given up |
-            | 500       | 15000    | 400     | 1300     |
-            | 300       | 12000    | 240     | 900      |
+            | 500       | 15000    | 400     | 800      |
+            | 300       | 12000    | 240     | 480      |
             | 300       | 1000     | 240     | 350      |
             | 300       | 900      | 140     | 540      |
 
@@ -42,8 +42,8 @@
 
         Examples:
             | left  | earliest | latest |
-            | 15000 | 300      | 4800   |
-            | 2000  | 300      | 640    |
+            | 15000 | 2400     | 4800   |
+            | 2000  | 320      | 640    |
 
     Scenario: a caller who has no time left is not asked to come back
         When 5 callers with 700 ms left are refused
@@ -133,3 +133,21 @@
             | 1    |
             | 7    |
             | 1000 |
+
+    Scenario Outline: a version on trial <what>
+        Given a move of 14000 ms after <elapsed> ms, with <bad> of <target> calls bad at the new version and <bad before> of <before> at the present one
+        Then its state is "<state>" and its share <share>
+
+        Examples:
+            | what                             | elapsed | target | bad | before | bad before | state      | share |
+            | gets little at first             | 500     | 0      | 0   | 60     | 2          | running    | 0.04  |
+            | is not judged by a few calls     | 2000    | 9      | 9   | 200    | 2          | running    | 0.04  |
+            | is rolled back when it fails     | 3000    | 15     | 6   | 400    | 4          | rolledBack | 0     |
+            | is kept when all versions fail   | 3000    | 15     | 6   | 400    | 150        | running    | 0.04  |
+            | gets all calls in the end        | 12950   | 80     | 2   | 2000   | 40         | completed  | 1     |
+            | gets all calls when few come     | 12000   | 10     | 0   | 200    | 0          | running    | 1     |
+            | is rolled back even in the end   | 13900   | 80     | 40  | 2000   | 40         | rolledBack | 0     |
+
+    Scenario: a version that turns bad at any time stays within the calls that it may get
+        When a version that turns bad after every tenth of a move is moved to at 130 calls a second
+        Then it never gets more than a tenth of the calls and 50
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -10,10 +10,12 @@
     CallOutcome,
     choosePlace,
     compareWaiting,
+    decideMove,
     decidePatience,
     decideReturn,
     EventCutter,
     LogHealth,
+    type MoveDecision,
     type Patience,
     ServerCatalog,
     ServerState,
@@ -67,6 +69,8 @@
     passedOn: Buffer;
     passedOnCount: number;
     cutter: EventCutter;
+    decision: MoveDecision;
+    moveCalls: { readonly target: number; readonly all: number }[];
 }
 
 function makeRoute(pathPrefix: string, objectiveMs = 500): RelayRoute {
@@ -420,3 +424,51 @@
     assert.equal(this.cutter.lastEventId, id);
     assert(this.cutter.hasPartialEvent);
 });
+
+/** Bounds of the moves of these scenarios. */
+const MOVE_BOUNDS = { maxShare: 0.1, slackCalls: 50 };
+
+Given(
+    "a move of {int} ms after {int} ms, with {int} of {int} calls bad at the new version and {int} of {int} at the present one",
+    function(
+        this: DecisionScenario,
+        durationMs: number,
+        elapsedMs: number,
+        bad: number,
+        calls: number,
+        badBefore: number,
+        callsBefore: number,
+    ) {
+        const evidence = { target: { calls, bad }, present: { calls: callsBefore, bad: badBefore } };
+        this.decision = decideMove(evidence, { elapsedMs, durationMs }, MOVE_BOUNDS);
+    },
+);
+
+Then("its state is {string} and its share {float}", function(this: DecisionScenario, state: string, share: number) {
+    assert.equal(this.decision.state, state);
+    assert(Math.abs(this.decision.share - share) < 1e-9, `its share is ${this.decision.share}`);
+});
+
+When("a version that turns bad after every tenth of a move is moved to at 130 calls a second", function(this: DecisionScenario) {
+    const durationMs = 12_000;
+    const stepMs = 250;
+    this.moveCalls = [];
+    for (let tenth = 0; tenth <= 10; tenth += 1) {
+        const target = { calls: 0, bad: 0 };
+        const present = { calls: 0, bad: 0 };
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+            const { share } = decideMove({ target, present }, { elapsedMs, durationMs }, MOVE_BOUNDS);
+            const calls = 130 * stepMs / 1_000;
+            target.calls += calls * share;
+            present.calls += calls * (1 - share);
+            target.bad += elapsedMs >= durationMs * tenth / 10 ? calls * share / 2 : 0;
+        }
+        this.moveCalls.push({ target: target.calls, all: target.calls + present.calls });
+    }
+});
+
+Then("it never gets more than a tenth of the calls and 50", function(this: DecisionScenario) {
+    for (const { target, all } of this.moveCalls) {
+        assert(target <= all * MOVE_BOUNDS.maxShare + MOVE_BOUNDS.slackCalls, `${target} of ${all} calls`);
+    }
+});
--- a/src/coordination/relay/patience.ts
+++ b/src/coordination/relay/patience.ts
@@ -13,7 +13,7 @@
 const IN_TIME_FRACTION = 0.8;
 
 /** Longest wait of a late call as a multiple of its objective. */
-const LATE_FACTOR = 3;
+const LATE_FACTOR = 1.6;
 
 /** Longest wait of any call, in milliseconds; callers of streams leave after about 2 s without an event. */
 const MAX_WAIT_MS = 1_300;
@@ -24,6 +24,9 @@
 /** Shortest time after which a refused caller is asked to return, in milliseconds. */
 const MIN_RETURN_MS = 300;
 
+/** Part of the latest return before which nobody returns; most bursts have passed by then. */
+const EARLIEST_RETURN_FRACTION = 0.5;
+
 /** Part of the time left after which a refused caller returns at the latest; callers take no more than a third. */
 const MAX_RETURN_FRACTION = 0.32;
 
@@ -92,5 +95,6 @@
     if (latestMs < MIN_RETURN_MS) {
         return undefined;
     }
-    return MIN_RETURN_MS + random.next() * (latestMs - MIN_RETURN_MS);
+    const earliestMs = Math.max(MIN_RETURN_MS, latestMs * EARLIEST_RETURN_FRACTION);
+    return earliestMs + random.next() * (latestMs - earliestMs);
 }
--- a/src/coordination/relay/version_move.ts
+++ b/src/coordination/relay/version_move.ts
@@ -11,7 +11,7 @@
 import type { MoveEvidence } from "./version_evidence.js";
 
 /** Part of the largest allowed share that a version on trial gets; leaves calls for the move itself. */
-const TRIAL_FRACTION = 0.5;
+const TRIAL_FRACTION = 0.4;
 
 /** Part of the calls allowed at most that is planned with; the rest covers calls that are counted late. */
 const PLANNED_FRACTION = 0.85;
@@ -26,7 +26,7 @@
 const BAD_EXCESS = 0.12;
 
 /** Time before the deadline at which the move is declared done, in milliseconds; time to write it and to try again. */
-const COMPLETE_BEFORE_MS = 700;
+const COMPLETE_BEFORE_MS = 1_100;
 
 /** Bounds of a move. */
 export interface MoveBounds {
--- a/src/coordination/relay/waiting_calls.ts
+++ b/src/coordination/relay/waiting_calls.ts
@@ -17,19 +17,24 @@
 }
 
 /**
- * Compares two waiting calls: late ones go last, unless their callers were refused before and have come back; then by rank of
- * the workspace and of the route; then those that can be in time, then by arrival. Among late calls the newest goes first, since
- * its caller is the least likely to leave before it is answered.
+ * Compares two waiting calls: those that can be in time first, then late ones whose callers were refused before and have come
+ * back, then other late ones; then by rank of the workspace and of the route; then by arrival. Among late calls the newest goes
+ * first, since its caller is the least likely to leave before it is answered.
  *
  * @param nowMs Time of the comparison, in milliseconds since the Unix epoch.
  * @returns Negative when `left` goes first.
  */
 export function compareWaiting(left: WaitingOrder, right: WaitingOrder, nowMs: number): number {
-    const isLeftLate = left.inTimeUntilMs < nowMs;
-    const isRightLate = right.inTimeUntilMs < nowMs;
-    return Number(isLeftLate && !left.hasReturned) - Number(isRightLate && !right.hasReturned) ||
+    const isLate = left.inTimeUntilMs < nowMs;
+    return lateness(left, nowMs) - lateness(right, nowMs) ||
         left.workspaceRank - right.workspaceRank ||
         left.routeRank - right.routeRank ||
-        Number(isLeftLate) - Number(isRightLate) ||
-        (isLeftLate ? right.arrivedAtMs - left.arrivedAtMs : left.arrivedAtMs - right.arrivedAtMs);
+        (isLate ? right.arrivedAtMs - left.arrivedAtMs : left.arrivedAtMs - right.arrivedAtMs);
+}
+
+function lateness(call: WaitingOrder, nowMs: number): number {
+    if (call.inTimeUntilMs >= nowMs) {
+        return 0;
+    }
+    return call.hasReturned ? 1 : 2;
 }
