--- a/src/coordination/relay/call_record.ts
+++ b/src/coordination/relay/call_record.ts
@@ -30,6 +30,19 @@
     endMs: number;
 }
 
+/** Place that a call got, with what decided it. */
+export interface PlaceRecord {
+    readonly server: string;
+    /** Time to the first event that was expected, in milliseconds. */
+    readonly expectedMs: number;
+    /** Calls of this node at the server, this one included. */
+    readonly ownCalls: number;
+    /** Calls of other nodes at the server as they last reported. */
+    readonly peerCalls: number;
+    /** Time that the call had waited, in milliseconds. */
+    readonly waitedMs: number;
+}
+
 /** Call that ended. */
 export interface CallRecord {
     readonly call: RelayCall;
@@ -41,7 +54,8 @@
     readonly status: number;
     /** Sentence that says why the outcome was not `Answered`. */
     readonly reason: string;
-    readonly servers: readonly string[];
+    /** Places of the call's attempts, in order. */
+    readonly places: readonly PlaceRecord[];
     readonly times: CallTimes;
 }
 
--- a/src/coordination/relay/relay_handler.ts
+++ b/src/coordination/relay/relay_handler.ts
@@ -132,7 +132,7 @@
             outcome: RelayOutcome.Refused,
             status: refused.status,
             reason: refused.text,
-            servers: [],
+            places: [],
             times: { sentMs: undefined, firstMs: undefined, endMs: this.settings.clock.now() - call.arrivedAtMs },
         });
     }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -17,7 +17,7 @@
 } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, type RelayWorkspace, Semantics } from "../../state/relay/mod.js";
 import type { RetryBudget } from "../retry_budget.js";
-import { type CallRecorder, type CallTimes, RelayOutcome } from "./call_record.js";
+import { type CallRecorder, type CallTimes, type PlaceRecord, RelayOutcome } from "./call_record.js";
 import { EventCutter } from "./event_cutter.js";
 import { decidePatience, decideReturn } from "./patience.js";
 import { CallOutcome, type ServerState } from "./server_state.js";
@@ -92,7 +92,7 @@
 export class RelayedCall {
     private readonly ended = new AbortController();
     private readonly excluded = new Set<string>();
-    private readonly servers: string[] = [];
+    private readonly places: PlaceRecord[] = [];
     private readonly times: { -readonly [Step in keyof CallTimes]: CallTimes[Step] } = {
         sentMs: undefined,
         firstMs: undefined,
@@ -199,7 +199,7 @@
         const { call, route, workspace } = this.admitted;
         const serverId = place.server.id;
         this.wasReached = true;
-        this.servers.push(serverId);
+        this.places.push({ ...place.record, waitedMs: Math.round(this.elapsedMs()) });
         this.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
         const answer = this.settings.client.send(place.server, call, {
@@ -325,7 +325,7 @@
         this.settings.recorder.note(this.admitted.call.head.id, "attempt failed", {
             server: place.server.id,
             reason,
-            elapsedMs: this.elapsedMs(),
+            elapsedMs: Math.round(this.elapsedMs()),
         });
     }
 
@@ -351,6 +351,11 @@
             this.fail();
             return;
         }
+        const { head } = this.admitted.call;
+        this.settings.recorder.note(head.id, "got no place", {
+            ...this.settings.scheduler(this.admitted.service).describeLoad(head.id),
+            elapsedMs: Math.round(this.elapsedMs()),
+        });
         this.refuse("No backend server is free in time; the call has not run.");
     }
 
@@ -409,7 +414,7 @@
             outcome,
             status,
             reason,
-            servers: this.servers,
+            places: this.places,
             times: this.times,
         });
     }
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Clock, RandomSource, RelayRoute, RelayServer } from "../../state/relay/mod.js";
+import type { PlaceRecord } from "./call_record.js";
 import type { Patience } from "./patience.js";
 import { choosePlace, type PlacedCall } from "./placement.js";
 import type { CallOutcome } from "./server_state.js";
@@ -58,9 +59,22 @@
     /**
      * @param state Server that the place is at.
      * @param underWay Call as the server's figures know it.
+     * @param expectedMs Time to the first event that is expected, in milliseconds.
      * @param onRelease Told when the place is free.
      */
-    constructor(readonly state: ServerState, private readonly underWay: CallUnderWay, private readonly onRelease: () => void) {}
+    constructor(
+        readonly state: ServerState,
+        private readonly underWay: CallUnderWay,
+        private readonly expectedMs: number,
+        private readonly onRelease: () => void,
+    ) {}
+
+    /** What decided the place. */
+    get record(): Omit<PlaceRecord, "waitedMs"> {
+        const { state, expectedMs } = this;
+        const { ownCalls, allCalls } = state;
+        return { server: state.server.id, expectedMs: Math.round(expectedMs), ownCalls, peerCalls: allCalls - ownCalls };
+    }
 
     /** Server that the place is at. */
     get server(): RelayServer {
@@ -136,6 +150,19 @@
         return this.waiting.length;
     }
 
+    /** Describes the load as a call finds it: calls that wait, servers that may take it, their places and calls. */
+    describeLoad(callId: string): Readonly<Record<string, unknown>> {
+        const servers = this.settings.candidates(callId);
+        return {
+            service: this.settings.service,
+            waitingCalls: this.waiting.length,
+            servers: servers.length,
+            places: servers.reduce((sum, state) => sum + state.server.slots, 0),
+            calls: servers.reduce((sum, state) => sum + state.allCalls, 0),
+            doubtfulServers: servers.filter(state => state.isSilent || state.isBarred).length,
+        };
+    }
+
     /**
      * Waits for a place.
      *
@@ -214,7 +241,8 @@
             choice.server.recordTrial();
         }
         this.rememberPart(request.partId, choice.server);
-        return new Place(choice.server, choice.server.start(request.promptTokens), () => this.serve());
+        const expectedMs = choice.server.expectedFirstEventMs(request.promptTokens);
+        return new Place(choice.server, choice.server.start(request.promptTokens), expectedMs, () => this.serve());
     }
 
     private findCached(partId: string | undefined): string | undefined {
