--- a/features/steps/settings_steps.ts
+++ b/features/steps/settings_steps.ts
@@ -14,7 +14,7 @@
 import { parseSettings, type Settings } from "../../src/daemon/mod.js";
 import type { Scenario } from "../support/world.js";
 
-/** Example settings, which the reference in docs/OPERATING.md shows too. */
+/** Example settings, which the reference in docs/OPERATIONS.md shows too. */
 const EXAMPLE_FILE = "examples/entry-1.yaml";
 
 /** Result of reading settings. */
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -10,7 +10,7 @@
 import { CertificateFiles } from "../transport/mod.js";
 import { OperatorClient, OperatorError } from "./operator_client.js";
 
-/** Exit codes; docs/OPERATING.md lists them. */
+/** Exit codes; docs/OPERATIONS.md lists them. */
 export enum ExitCode {
     Done = 0,
     Refused = 1,
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -34,6 +34,9 @@
 import { RelayMetrics } from "./relay_metrics.js";
 import type { RelaySettings } from "./relay_settings.js";
 
+/** Time to wait for a connection to a backend server, in milliseconds; shorter than the second after which a lost opening packet is repeated. */
+const CONNECT_TIMEOUT_MS = 250;
+
 /** Interval at which queues and lapsed entries are looked at even if nothing happens, in milliseconds. */
 const TICK_MS = 40;
 
@@ -89,7 +92,7 @@
 export class RelayNode {
     private readonly stopped = new AbortController();
     private readonly startedAtMs: number;
-    private readonly http = new HttpClient();
+    private readonly http = new HttpClient(CONNECT_TIMEOUT_MS);
     private readonly relayLog: RelayLog;
     private readonly metrics: RelayMetrics;
     private readonly metricsServer: StatusServer;
--- a/src/protocol/gen/configuration.ts
+++ b/src/protocol/gen/configuration.ts
@@ -64,7 +64,7 @@
 
 export interface ReadConfigurationReply {
   readonly version: number;
-  /** Configuration as it stands in the log, as JSON text in the shape of docs/OPERATING.md. */
+  /** Configuration as it stands in the log, as JSON text in the shape of docs/OPERATIONS.md. */
   readonly document: string;
   /** Time of the daemon in milliseconds since the Unix epoch, by which exceptions have ended or not. */
   readonly wallMs: number;
@@ -73,7 +73,7 @@
 export interface ChangeConfigurationRequest {
   /** Version the changes were made against; they are refused when another change came first. */
   readonly madeAgainst: number;
-  /** Changes as JSON text, in the shape of docs/OPERATING.md. */
+  /** Changes as JSON text, in the shape of docs/OPERATIONS.md. */
   readonly changes: string;
   /** Id chosen by the caller; asking again with the same id never applies the changes twice. */
   readonly id: string;
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -9,8 +9,8 @@
 /** Connections kept to one address. */
 const MAX_CONNECTIONS_PER_ADDRESS = 256;
 
-/** Time to wait for a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1_000;
+/** Time to wait for a connection if the caller doesn't say, in milliseconds. */
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
 /** Error codes of connections that never came about, so that no byte of a request was sent. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -25,13 +25,16 @@
 export class HttpClient {
     private readonly pools = new Map<string, Pool>();
 
+    /** @param connectTimeoutMs Time to wait for a connection, in milliseconds. Defaults to 1,000. */
+    constructor(private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS) {}
+
     /** Returns the connections to an address. */
     pool(address: string): Pool {
         let pool = this.pools.get(address);
         if (pool === undefined) {
             pool = new Pool(`http://${address}`, {
                 connections: MAX_CONNECTIONS_PER_ADDRESS,
-                connect: { timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true },
+                connect: { timeout: this.connectTimeoutMs, allowHalfOpen: true },
                 pipelining: 1,
                 bodyTimeout: 0,
                 headersTimeout: 0,
