Drop a vanished server at once when the log was away for this node alone

Ruled out: late reads (the entry was read in time). Peers now tell for how long the log has answered them; if it did all the while, no entry has lapsed.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -113,6 +113,7 @@
             | while the log answers                                | gone at once             |
             | in an outage of the log and does not return          | gone 2.2 s after the end |
             | in an outage of the log and returns 1.9 s after      | kept                     |
+            | in an outage of this node alone and does not return  | gone at once             |
 
     Scenario: reports of an earlier incarnation change nothing
         Given a catalog with the server "s"
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -348,24 +348,30 @@
     this.catalog.drop(id);
 });
 
-When(/^the entry of "(\w+)" vanishes in an outage of the log and (does not return|returns 1\.9 s after)$/, async function(
-    this: DecisionScenario,
-    id: string,
-    what: string,
-) {
-    this.health.recordFailure("servers", new Error("refused"));
-    await this.clock.advance(OUTAGE_MS);
-    this.health.recordAnswer("servers");
-    this.returnedAtMs = this.clock.now();
-    this.catalog.drop(id);
-    for (let step = 0; step < 40; step += 1) {
-        await this.clock.advance(100);
-        if (what !== "does not return" && this.clock.now() - this.returnedAtMs === 1_900) {
-            this.catalog.put(makeServer(id, { sequence: 2 }));
+When(
+    /^the entry of "(\w+)" vanishes in an outage of (the log|this node alone) and (does not return|returns 1\.9 s after)$/,
+    async function(
+        this: DecisionScenario,
+        id: string,
+        whose: string,
+        what: string,
+    ) {
+        const startMs = this.clock.now();
+        this.health.peerSteadyMs = () => whose === "the log" ? 0 : 60_000 + this.clock.now() - startMs;
+        this.health.recordFailure("servers", new Error("refused"));
+        await this.clock.advance(OUTAGE_MS);
+        this.health.recordAnswer("servers");
+        this.returnedAtMs = this.clock.now();
+        this.catalog.drop(id);
+        for (let step = 0; step < 40; step += 1) {
+            await this.clock.advance(100);
+            if (what !== "does not return" && this.clock.now() - this.returnedAtMs === 1_900) {
+                this.catalog.put(makeServer(id, { sequence: 2 }));
+            }
+            this.catalog.expire();
         }
-        this.catalog.expire();
-    }
-});
+    },
+);
 
 Then("the server is gone at once", function(this: DecisionScenario) {
     assert.equal(this.goneAtMs, this.returnedAtMs);
--- a/src/coordination/relay/log_health.ts
+++ b/src/coordination/relay/log_health.ts
@@ -24,12 +24,27 @@
 export class LogHealth {
     private readonly failingSinceMs = new Map<string, number>();
     private doubtfulUntilMs = 0;
+    private outageStartMs = 0;
+    private steadySinceMs: number;
 
     /**
      * @param clock Clock that dates answers.
      * @param observer Told of losses and returns.
      */
-    constructor(private readonly clock: Clock, private readonly observer: LogHealthObserver) {}
+    constructor(private readonly clock: Clock, private readonly observer: LogHealthObserver) {
+        this.steadySinceMs = clock.now();
+    }
+
+    /**
+     * Source of what peers say: the longest time for which the log has answered one of them without an outage, in milliseconds.
+     * A log that answered others all the while has dropped no entries by itself.
+     */
+    peerSteadyMs: () => number = () => 0;
+
+    /** Time for which the log has answered this node without an outage, in milliseconds; 0 in an outage. */
+    get steadyMs(): number {
+        return this.hasOutage() ? 0 : this.clock.now() - this.steadySinceMs;
+    }
 
     /** Whether every topic was answered when last asked. */
     get isAnswering(): boolean {
@@ -40,7 +55,8 @@
      * Whether an entry that vanishes now may only have lapsed while the log was away.
      */
     get isDoubtful(): boolean {
-        return this.clock.now() < this.doubtfulUntilMs || this.hasOutage();
+        const now = this.clock.now();
+        return (now < this.doubtfulUntilMs || this.hasOutage()) && this.peerSteadyMs() < now - this.outageStartMs;
     }
 
     /** Time until which entries that have lapsed may return, in milliseconds since the Unix epoch. */
@@ -58,6 +74,8 @@
         const silentMs = this.clock.now() - sinceMs;
         if (silentMs >= OUTAGE_MS) {
             this.doubtfulUntilMs = this.clock.now() + RETURN_MS;
+            this.outageStartMs = sinceMs;
+            this.steadySinceMs = this.clock.now();
         }
         this.observer.onRegained(topic, silentMs);
     }
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -39,6 +39,8 @@
     readonly workspaces: () => Iterable<RelayWorkspace>;
     readonly versionCounts: () => readonly VersionCount[];
     readonly isLeaving: () => boolean;
+    /** Time for which the platform's log has answered without an outage, in milliseconds. */
+    readonly logSteadyMs: () => number;
     /** Told after peers' figures have changed. */
     readonly onChange: () => void;
     /** Told of a peer that is heard for the first time, or again after a restart. */
@@ -109,7 +111,7 @@
     }
 
     private makeReport(): PeerReport {
-        const { node, failureDomain, startedAtMs, pool, quota, address, versionCounts, isLeaving } = this.settings;
+        const { node, failureDomain, startedAtMs, pool, quota, address, versionCounts, isLeaving, logSteadyMs } = this.settings;
         const busy = [...pool.all()].filter(state => state.ownCalls > 0);
         const totals = [...quota.ownTotals()];
         this.sequence += 1;
@@ -125,6 +127,7 @@
             workspaceTokens: totals.map(([, tokens]) => tokens),
             versions: [...versionCounts()],
             leaving: isLeaving(),
+            logSteadyMs: Math.round(logSteadyMs()),
         };
     }
 }
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -65,6 +65,19 @@
         return heard;
     }
 
+    /** Longest time for which the platform's log has answered a peer without an outage, in milliseconds. */
+    get longestLogSteadyMs(): number {
+        const now = this.clock.now();
+        let longest = 0;
+        for (const { report, heardAtMs } of this.peers.values()) {
+            const ageMs = now - heardAtMs;
+            if (ageMs <= REPORT_AGE_MS && report.logSteadyMs > 0) {
+                longest = Math.max(longest, report.logSteadyMs + ageMs);
+            }
+        }
+        return longest;
+    }
+
     /** Newest reports of all peers that are not gone. */
     reports(): readonly PeerReport[] {
         return [...this.peers.values()].map(peer => peer.report);
--- a/src/coordination/relay/server_catalog.ts
+++ b/src/coordination/relay/server_catalog.ts
@@ -88,11 +88,11 @@
         }
     }
 
-    /** Removes servers whose entries lapsed and did not return in time; called several times a second. */
+    /** Removes servers whose entries lapsed and did not return in time, or have not lapsed after all; called several times a second. */
     expire(): void {
         const now = this.clock.now();
         for (const [id, deadlineMs] of this.lapseDeadlines) {
-            if (now < deadlineMs || !this.health.isAnswering) {
+            if (this.health.isDoubtful && (now < deadlineMs || !this.health.isAnswering)) {
                 continue;
             }
             this.lapseDeadlines.delete(id);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -136,6 +136,7 @@
             onGone: (server, reason) => this.dropServer(server, reason),
         });
         this.peers = new PeerTable(clock);
+        this.health.peerSteadyMs = () => this.peers.longestLogSteadyMs;
         this.pool = new ServerPool(clock, this.peers);
         this.quota = new WorkspaceQuota({
             clock,
@@ -176,6 +177,7 @@
             workspaces: () => this.workspaces,
             versionCounts: () => this.moves.evidence.counts(),
             isLeaving: () => this.leaving,
+            logSteadyMs: () => this.health.steadyMs,
             onChange: () => this.serveQueues(),
             onPeer: report => this.relayLog.tell("peers: seen", { peer: report.node, address: report.address }),
             onPeerGone: report => this.relayLog.tell("peers: gone", { peer: report.node }),
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -28,6 +28,8 @@
   readonly versions: readonly VersionCount[];
   readonly leaving: boolean;
   readonly failureDomain: string;
+  /** Time for which the platform's log has answered without an outage, in milliseconds; 0 in an outage. */
+  readonly logSteadyMs: number;
 }
 
 /** Calls of one version of a service's backend servers since the order to move to it. */
@@ -53,6 +55,7 @@
     versions: [],
     leaving: false,
     failureDomain: "",
+    logSteadyMs: 0,
   };
 }
 
@@ -107,6 +110,9 @@
     if (message.failureDomain !== "") {
       writer.uint32(90).string(message.failureDomain);
     }
+    if (message.logSteadyMs !== 0) {
+      writer.uint32(97).double(message.logSteadyMs);
+    }
     return writer;
   },
 
@@ -251,6 +257,14 @@
             message.failureDomain = reader.string();
             continue;
           }
+          case 12: {
+            if (tag !== 97) {
+              break;
+            }
+
+            message.logSteadyMs = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
