--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -87,7 +87,7 @@
             return;
         }
         directory.learn(report.node, { address: report.address, failureDomain: report.failureDomain });
-        const incarnation = `${report.node}@${report.startedAtMs}`;
+        const incarnation = incarnationOf(report);
         if (this.incarnations.get(report.node) !== incarnation) {
             this.incarnations.set(report.node, incarnation);
             this.settings.onPeer(report);
@@ -104,7 +104,7 @@
 
     private expire(): void {
         for (const gone of this.settings.peers.expire()) {
-            this.settings.quota.forgetPeer(`${gone.node}@${gone.startedAtMs}`);
+            this.settings.quota.forgetPeer(incarnationOf(gone));
             this.incarnations.delete(gone.node);
             this.settings.onPeerGone(gone);
         }
@@ -131,3 +131,8 @@
         };
     }
 }
+
+/** @returns Name of a node and its start, so that counts of a node that started again begin anew. */
+function incarnationOf(report: PeerReport): string {
+    return `${report.node}@${report.startedAtMs}`;
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -54,6 +54,7 @@
 import { PeerDesk } from "./peer_desk.js";
 import { schedulingLimits, watchScheduling } from "./scheduling_metrics.js";
 import { findOperator, type Settings } from "./settings.js";
+import { splitAddress } from "./settings_file.js";
 
 /** Time between two looks at the number of calls while draining, in milliseconds. */
 const DRAIN_POLL_MS = 20;
@@ -269,8 +270,3 @@
 function tierName(node: EntryNode, rank: number): string {
     return node.view.current.document.tiers.find(tier => tier.rank === rank)?.name ?? `rank-${rank}`;
 }
-
-function splitAddress(address: string): [host: string, port: number] {
-    const [host, port] = address.split(":");
-    return [host, Number(port)];
-}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -10,7 +10,8 @@
 import { SeededRandom, SystemClock } from "../state/mod.js";
 import { CertificateError } from "../transport/mod.js";
 import { Daemon } from "./daemon.js";
-import { readSettings, SettingsError } from "./settings.js";
+import { readSettings } from "./settings.js";
+import { SettingsError } from "./settings_file.js";
 
 /** Exit code when the settings are wrong. */
 const EXIT_BAD_SETTINGS = 2;
--- a/src/daemon/mod.ts
+++ b/src/daemon/mod.ts
@@ -13,4 +13,5 @@
 export * from "./peer_desk.js";
 export * from "./scheduling_metrics.js";
 export * from "./settings.js";
+export { SettingsError } from "./settings_file.js";
 export * from "./timeline_sender.js";
--- a/src/daemon/relay/mod.ts
+++ b/src/daemon/relay/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export { SettingsError } from "../settings_file.js";
 export * from "./log_follower.js";
 export * from "./record_reader.js";
 export * from "./relay_log.js";
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -21,6 +21,7 @@
 import type { KeyedLog, RelayHeaders } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer, RelayWorkspace } from "../../state/relay/mod.js";
 import { CallerServer, HttpClient, HttpRelayClient, PeerSocket, StatusServer } from "../../transport/relay/mod.js";
+import { splitAddress } from "../settings_file.js";
 import { LogFollower } from "./log_follower.js";
 import type { RecordReader } from "./record_reader.js";
 import { RelayLog } from "./relay_log.js";
@@ -356,8 +357,3 @@
         return { status, contentType: "text/plain", text: this.isReady ? "ready\n" : "not ready\n" };
     }
 }
-
-function splitAddress(address: string): [string, number] {
-    const [host, port] = address.split(":");
-    return [host ?? "", Number(port)];
-}
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -5,9 +5,9 @@
  */
 
 import { readFileSync } from "node:fs";
-import { parseDocument } from "yaml";
 import { z } from "zod";
-import { describeCause, describeIssue } from "../../protocol/relay/mod.js";
+import { describeCause } from "../../protocol/relay/mod.js";
+import { addressSchema, parseSettingsFile, SettingsError } from "../settings_file.js";
 
 /** Log lines that a node writes a second at most; a heavy day's failures fit, at about a hundredth of a core. */
 const DEFAULT_LOG_LINES_PER_SECOND = 60;
@@ -15,11 +15,6 @@
 /** Time that a leaving node goes on taking calls while the balancer still sends it new connections, in milliseconds. */
 const DEFAULT_BALANCER_LAG_MS = 2_500;
 
-const addressSchema = z.string().regex(
-    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
-    "must be an IP number and a port, such as 127.0.0.1:7001",
-);
-
 const settingsSchema = z.strictObject({
     node: z.string().min(1),
     failureDomain: z.string().min(1),
@@ -66,23 +61,10 @@
 /** Settings of a relay node. */
 export type RelaySettings = z.infer<typeof settingsSchema>;
 
-/** Settings file that is wrong; every problem is named. */
-export class RelaySettingsError extends Error {
-    override readonly name = "RelaySettingsError";
-
-    /**
-     * @param file Path of the file.
-     * @param problems Sentences, each of which names the field, its value and what is allowed.
-     */
-    constructor(readonly file: string, readonly problems: readonly string[]) {
-        super(`Cannot read settings ${file}:\n${problems.map(problem => `  ${problem}`).join("\n")}`);
-    }
-}
-
 /**
  * Reads and checks a settings file.
  *
- * @throws {RelaySettingsError} When the file cannot be read or holds a wrong setting.
+ * @throws {SettingsError} When the file cannot be read or holds a wrong setting.
  */
 export function readRelaySettings(file: string): RelaySettings {
     let text: string;
@@ -90,7 +72,7 @@
         text = readFileSync(file, "utf8");
     }
     catch (cause) {
-        throw new RelaySettingsError(file, [describeCause(cause)]);
+        throw new SettingsError(file, [describeCause(cause)]);
     }
     return parseRelaySettings(text, file);
 }
@@ -100,17 +82,8 @@
  *
  * @param text YAML.
  * @param file Name of the file for errors.
- * @throws {RelaySettingsError} When a setting is wrong.
+ * @throws {SettingsError} When a setting is wrong.
  */
 export function parseRelaySettings(text: string, file: string): RelaySettings {
-    const document = parseDocument(text);
-    if (document.errors.length > 0) {
-        throw new RelaySettingsError(file, document.errors.map(error => error.message));
-    }
-    const value: unknown = document.toJS();
-    const result = settingsSchema.safeParse(value);
-    if (!result.success) {
-        throw new RelaySettingsError(file, result.error.issues.map(issue => describeIssue(issue, "settings", value).text));
-    }
-    return result.data;
+    return parseSettingsFile(settingsSchema, text, file);
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -6,9 +6,8 @@
 
 import { createHash } from "node:crypto";
 import { readFile } from "node:fs/promises";
-import { parseDocument } from "yaml";
 import { z } from "zod";
-import { describeIssue } from "../protocol/mod.js";
+import { addressSchema, parseSettingsFile, SettingsError } from "./settings_file.js";
 
 /** Time for which a leaving node goes on serving while the balancer still sends it calls, in milliseconds. */
 const DEFAULT_BALANCER_LAG_MS = 3_000;
@@ -19,11 +18,6 @@
 /** Age beyond which a dated idempotency key is refused, in milliseconds; less than the log's retention by the error of clocks. */
 const DEFAULT_KEY_HORIZON_MS = 6 * 86_400_000;
 
-const addressSchema = z.string().regex(
-    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
-    "must be an IP number and a port, such as 127.0.0.1:7001",
-);
-
 const tlsSchema = z.union([
     z.strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1), caFile: z.string().min(1) }),
     z.strictObject({ plainText: z.literal(true) }),
@@ -60,19 +54,6 @@
 /** Settings of a daemon. */
 export type Settings = z.infer<typeof settingsSchema>;
 
-/** Settings file that is wrong; every problem is named. */
-export class SettingsError extends Error {
-    override readonly name = "SettingsError";
-
-    /**
-     * @param file Path of the file.
-     * @param problems Sentences, each of which names the field, its value and what is allowed.
-     */
-    constructor(readonly file: string, readonly problems: readonly string[]) {
-        super(`Cannot read settings ${file}:\n${problems.map(problem => `  ${problem}`).join("\n")}`);
-    }
-}
-
 /**
  * Reads and checks a settings file.
  *
@@ -98,16 +79,7 @@
  * @throws {SettingsError} When the text holds a wrong setting.
  */
 export function parseSettings(text: string, file: string): Settings {
-    const document = parseDocument(text);
-    if (document.errors.length > 0) {
-        throw new SettingsError(file, document.errors.map(error => error.message));
-    }
-    const value: unknown = document.toJS();
-    const result = settingsSchema.safeParse(value);
-    if (!result.success) {
-        throw new SettingsError(file, result.error.issues.map(issue => describeIssue(issue, "settings", value).text));
-    }
-    return result.data;
+    return parseSettingsFile(settingsSchema, text, file);
 }
 
 /**
