Report by way of one node in each failure domain once a fleet is large

Cause: with 91 nodes each sent and received 90 reports a second; figures of other failure domains were 1.7 s old, longer than most calls, and the reports cost more than the calls. Ruled out: slower reports to all (older figures), bytes (small beside the datagrams). Change: beyond 16 nodes a node reports to the strongest node of its domain that answers, which answers with the sum of the fleet; aggregators exchange the sums of their domains. No election; a silent aggregator is replaced within 1 s.

--- /dev/null
+++ b/features/steps/relay_report_steps.ts
@@ -0,0 +1,349 @@
+/**
+ * Steps about the reports that relay nodes send each other, with in-memory links under a virtual clock.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { setMaxListeners } from "node:events";
+import { NodeDirectory, PeerReporter, PeerTable, ServerPool, WorkspaceQuota } from "../../src/coordination/relay/mod.js";
+import {
+    hashKey,
+    type KeyedLog,
+    type KeyedPage,
+    type KeyedRecord,
+    PeerLink,
+    PeerReport,
+    type ReportReceiver,
+} from "../../src/protocol/relay/mod.js";
+import { type RelayServer, type RelayWorkspace, SeededRandom } from "../../src/state/relay/mod.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
+import type { Scenario } from "../support/world.js";
+
+/** Servers at which the nodes have calls. */
+const SERVERS = 5;
+
+/** Most calls of one node at one server. */
+const MAX_CALLS = 4;
+
+/** Time that a datagram takes, in milliseconds. */
+const DELAY_MS = 2;
+
+/** Part of the datagrams that are lost. */
+const LOSS = 0.01;
+
+/** Time that nodes which stop stay away, in milliseconds. */
+const AWAY_MS = 3_000;
+
+/** Window over which a quota is judged, in milliseconds. */
+const QUOTA_WINDOW_MS = 8_000;
+
+/** Interval at which calls of the quota scenarios arrive at each node, in milliseconds. */
+const QUOTA_STEP_MS = 50;
+
+/** One node with the parts that reports concern. */
+interface ReportingNode {
+    readonly name: string;
+    readonly address: string;
+    readonly failureDomain: string;
+    readonly peers: PeerTable;
+    readonly pool: ServerPool;
+    readonly quota: WorkspaceQuota;
+    readonly reporter: PeerReporter;
+    readonly calls: (() => void)[];
+    isStopped: boolean;
+    sent: number;
+}
+
+/** State of a scenario of this file. */
+interface ReportScenario extends Scenario {
+    clock: VirtualClock;
+    reportingNodes: ReportingNode[];
+    reportsEnd: AbortController;
+    cutDomain: string | undefined;
+    fleetRandom: SeededRandom;
+    measuredMs: number;
+    fleetWorkspace: RelayWorkspace;
+    letThrough: { readonly atMs: number; readonly tokens: number }[];
+}
+
+/** Log in memory that holds the nodes' addresses. */
+class AddressLog implements Pick<KeyedLog, "readNewest" | "append"> {
+    private readonly records: KeyedRecord[] = [];
+
+    readNewest(): Promise<KeyedPage> {
+        return Promise.resolve({ records: this.records, endOffset: this.records.length });
+    }
+
+    append(topic: string, key: string, value: Uint8Array): Promise<void> {
+        assert.equal(topic, "keyed.nodes");
+        this.records.push({ key, value, offset: this.records.length });
+        return Promise.resolve();
+    }
+}
+
+/** Delivers reports between the nodes of a scenario. */
+class ScenarioLink extends PeerLink {
+    constructor(private readonly scenario: ReportScenario, private readonly sender: () => ReportingNode) {
+        super();
+    }
+
+    override send(report: PeerReport, receivers: Iterable<ReportReceiver>): void {
+        const { clock, reportingNodes, fleetRandom } = this.scenario;
+        const sender = this.sender();
+        for (const { address, ownPart } of receivers) {
+            const receiver = reportingNodes.find(node => node.address === address);
+            sender.sent += 1;
+            if (receiver === undefined || fleetRandom.next() < LOSS) {
+                continue;
+            }
+            const bytes = PeerReport.encode({ ...report, ownPart }).finish();
+            void clock.sleep(DELAY_MS).then(() => {
+                if (!receiver.isStopped && !sender.isStopped && this.isReachable(sender, receiver)) {
+                    receiver.reporter.take(PeerReport.decode(bytes));
+                }
+            });
+        }
+    }
+
+    private isReachable(sender: ReportingNode, receiver: ReportingNode): boolean {
+        const { cutDomain } = this.scenario;
+        return sender.failureDomain === cutDomain === (receiver.failureDomain === cutDomain);
+    }
+}
+
+function makeServer(index: number): RelayServer {
+    return {
+        id: `server-${index}`,
+        service: "s",
+        address: `127.0.0.1:${index}`,
+        failureDomain: "domain-0",
+        version: "v1",
+        slots: 10_000,
+        isDraining: false,
+        startedAtMs: 1,
+        sequence: 1,
+    };
+}
+
+function startNode(scenario: ReportScenario, index: number, log: KeyedLog): ReportingNode {
+    const { clock } = scenario;
+    const peers = new PeerTable(clock);
+    const pool = new ServerPool(clock, peers);
+    for (let server = 0; server < SERVERS; server += 1) {
+        pool.put(makeServer(server));
+    }
+    const quota = new WorkspaceQuota({ clock, isFirstStart: true, unheardShare: () => peers.unheardShare() });
+    const name = `node-${index}`;
+    const address = `127.0.0.1:${10_000 + index}`;
+    const failureDomain = `domain-${index % 4}`;
+    const cores = index < 8 ? 1.35 : 0.324;
+    const directory = new NodeDirectory({
+        log,
+        clock,
+        node: name,
+        failureDomain,
+        cores,
+        address: () => address,
+        onProblem: text => assert.fail(text),
+    });
+    const reporter = new PeerReporter({
+        node: name,
+        failureDomain,
+        cores,
+        startedAtMs: clock.now(),
+        clock,
+        link: new ScenarioLink(scenario, () => node),
+        directory,
+        peers,
+        pool,
+        quota,
+        address: () => address,
+        workspaces: () => [scenario.fleetWorkspace],
+        versionCounts: () => [],
+        isLeaving: () => false,
+        logSteadyMs: () => 1_000,
+        onChange: () => undefined,
+        onPeer: () => undefined,
+        onPeerGone: () => undefined,
+    });
+    const node: ReportingNode = {
+        name,
+        address,
+        failureDomain,
+        peers,
+        pool,
+        quota,
+        reporter,
+        calls: [],
+        isStopped: false,
+        sent: 0,
+    };
+    void clock.sleep(scenario.fleetRandom.next() * 300)
+        .then(() => directory.meet(scenario.reportsEnd.signal))
+        .then(() => Promise.all([directory.follow(scenario.reportsEnd.signal), reporter.run(scenario.reportsEnd.signal)]));
+    return node;
+}
+
+/** Replaces the calls of each node by others. */
+function changeCalls(scenario: ReportScenario): void {
+    for (const node of scenario.reportingNodes) {
+        for (const end of node.calls.splice(0)) {
+            end();
+        }
+        for (const state of node.pool.all()) {
+            const count = Math.floor(scenario.fleetRandom.next() * (MAX_CALLS + 1));
+            for (let call = 0; call < count; call += 1) {
+                const underWay = state.start(0);
+                node.calls.push(() => state.finish(underWay, "neutral" as Parameters<typeof state.finish>[1]));
+            }
+        }
+    }
+}
+
+function assertCounts(scenario: ReportScenario, isCounted: (node: ReportingNode, other: ReportingNode) => boolean): void {
+    for (const node of scenario.reportingNodes) {
+        for (const state of node.pool.all()) {
+            let expected = 0;
+            for (const other of scenario.reportingNodes) {
+                const calls = other.pool.find(state.server.id)?.ownCalls ?? 0;
+                expected += other !== node && isCounted(node, other) ? calls : 0;
+            }
+            const counted = node.peers.callsAt(hashKey(state.server.id));
+            assert.equal(counted, expected, `${node.name} counts at ${state.server.id}`);
+        }
+    }
+}
+
+Given("{int} relay nodes in 4 failure domains that report to each other", function(this: ReportScenario, count: number) {
+    this.clock = new VirtualClock();
+    this.reportsEnd = new AbortController();
+    setMaxListeners(0, this.reportsEnd.signal);
+    this.cutDomain = undefined;
+    this.fleetRandom = new SeededRandom(count);
+    this.fleetWorkspace = {
+        name: "w",
+        rank: 0,
+        tokensPerSecond: undefined,
+        burstTokens: 0,
+        tokensOfPlainCall: 0,
+    };
+    this.letThrough = [];
+    const log = new AddressLog() as unknown as KeyedLog;
+    this.reportingNodes = [];
+    for (let index = 0; index < count; index += 1) {
+        this.reportingNodes.push(startNode(this, index, log));
+    }
+});
+
+Given("a quota of {int} tokens a second with a burst of {int}", function(this: ReportScenario, rate: number, burst: number) {
+    this.fleetWorkspace = { ...this.fleetWorkspace, tokensPerSecond: rate, burstTokens: burst };
+});
+
+When(/^each node has (?:other )?calls at every server for (\d+) (m?s)$/, async function(
+    this: ReportScenario,
+    duration: string,
+    unit: string,
+) {
+    changeCalls(this);
+    for (const node of this.reportingNodes) {
+        node.sent = 0;
+    }
+    this.measuredMs = Number(duration) * (unit === "s" ? 1_000 : 1);
+    await this.clock.advance(this.measuredMs);
+});
+
+When(/^the nodes that add up reports stop( and start again later)?$/, async function(this: ReportScenario, again?: string) {
+    // The strongest nodes are asked first.
+    const strongest = this.reportingNodes.slice(0, 8);
+    for (const node of strongest) {
+        node.isStopped = true;
+    }
+    if (again !== undefined) {
+        await this.clock.advance(AWAY_MS);
+        for (const node of strongest) {
+            node.isStopped = false;
+        }
+        await this.clock.advance(AWAY_MS * 20);
+        return;
+    }
+    for (const node of strongest) {
+        for (const end of node.calls.splice(0)) {
+            end();
+        }
+    }
+    this.reportingNodes.splice(0, strongest.length);
+});
+
+When("one failure domain is cut off for {int} s", async function(this: ReportScenario, seconds: number) {
+    this.cutDomain = "domain-1";
+    changeCalls(this);
+    await this.clock.advance(seconds * 1_000);
+});
+
+When("the cut heals and {int} s pass", async function(this: ReportScenario, seconds: number) {
+    this.cutDomain = undefined;
+    await this.clock.advance(seconds * 1_000);
+});
+
+When("a workspace asks for {int} tokens a second at all nodes for {int} s", async function(
+    this: ReportScenario,
+    asked: number,
+    seconds: number,
+) {
+    await this.clock.advance(2_000);
+    const tokens = asked * QUOTA_STEP_MS / 1_000 / this.reportingNodes.length;
+    for (let elapsedMs = 0; elapsedMs < seconds * 1_000; elapsedMs += QUOTA_STEP_MS) {
+        for (const node of this.reportingNodes) {
+            if (node.quota.take(this.fleetWorkspace, tokens) === 0) {
+                this.letThrough.push({ atMs: this.clock.now(), tokens });
+            }
+        }
+        await this.clock.advance(QUOTA_STEP_MS);
+    }
+});
+
+Then("each node counts the calls of all others", function(this: ReportScenario) {
+    assertCounts(this, () => true);
+});
+
+Then("each node counts the calls of all others that it can reach", function(this: ReportScenario) {
+    assertCounts(this, (node, other) => node.failureDomain === this.cutDomain === (other.failureDomain === this.cutDomain));
+});
+
+Then("no node sends more than {int} reports a second, and all of them no more than {int}", function(
+    this: ReportScenario,
+    most: number,
+    mostOfAll: number,
+) {
+    const seconds = this.measuredMs / 1_000;
+    let all = 0;
+    for (const node of this.reportingNodes) {
+        assert(node.sent <= most * seconds, `${node.name} sent ${node.sent / seconds} a second`);
+        all += node.sent;
+    }
+    assert(all <= mostOfAll * seconds, `all sent ${all / seconds} a second`);
+});
+
+Then("in no 8 s more than {int} tokens are let through at all nodes", function(this: ReportScenario, most: number) {
+    let fromIndex = 0;
+    let sum = 0;
+    for (const { atMs, tokens } of this.letThrough) {
+        sum += tokens;
+        while ((this.letThrough[fromIndex]?.atMs ?? atMs) <= atMs - QUOTA_WINDOW_MS) {
+            sum -= this.letThrough[fromIndex]?.tokens ?? 0;
+            fromIndex += 1;
+        }
+        assert(sum <= most, `${sum} tokens in the 8 s up to ${atMs} ms`);
+    }
+});
+
+Then("at least {int} tokens are let through at all nodes", function(this: ReportScenario, least: number) {
+    const sum = this.letThrough.reduce((total, { tokens }) => total + tokens, 0);
+    assert(sum >= least, `${sum} tokens`);
+});
+
+After(function(this: ReportScenario) {
+    this.reportsEnd?.abort();
+});
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -5,10 +5,12 @@
  */
 
 export { RetryBudget } from "../retry_budget.js";
+export * from "./aggregator_choice.js";
 export * from "./call_record.js";
 export * from "./event_cutter.js";
 export * from "./final_answer.js";
 export * from "./log_health.js";
+export * from "./mesh_exchange.js";
 export * from "./node_directory.js";
 export * from "./patience.js";
 export * from "./peer_reporter.js";
@@ -16,11 +18,14 @@
 export * from "./placement.js";
 export * from "./relay_handler.js";
 export * from "./relayed_call.js";
+export * from "./report_exchange.js";
+export * from "./report_sums.js";
 export * from "./server_catalog.js";
 export * from "./server_pool.js";
 export * from "./server_state.js";
 export * from "./service_scheduler.js";
 export * from "./topic_follower.js";
+export * from "./tree_exchange.js";
 export * from "./version_evidence.js";
 export * from "./version_move.js";
 export * from "./version_moves.js";
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { describeCause, type KeyedLog, type KeyedRecord } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
+import type { AggregatorCandidate } from "./aggregator_choice.js";
 
 /** Topic in which the nodes keep their addresses. */
 const NODE_TOPIC = "keyed.nodes";
@@ -14,7 +15,20 @@
 /** Pause after a call of the log that failed, in milliseconds. */
 const RETRY_PAUSE_MS = 1_000;
 
-const entrySchema = z.object({ address: z.string(), failureDomain: z.string() });
+/** Times after the start at which the other nodes are read again, in milliseconds; nodes that start together register late. */
+const READ_AGAIN_MS = [1_500, 5_000];
+
+/** Interval at which the other nodes are read after that, in milliseconds. */
+const READ_INTERVAL_MS = 30_000;
+
+/** Processors of a node that does not tell them, as a number of cores. */
+const DEFAULT_CORES = 1;
+
+const entrySchema = z.object({
+    address: z.string(),
+    failureDomain: z.string(),
+    cores: z.number().default(DEFAULT_CORES),
+});
 
 /** Where a node is. */
 export type NodeEntry = z.infer<typeof entrySchema>;
@@ -25,24 +39,28 @@
     readonly clock: Clock;
     readonly node: string;
     readonly failureDomain: string;
+    /** Processors of this node, as a number of cores. */
+    readonly cores: number;
     /** Address at which peers reach this node. */
     readonly address: () => string;
     /** Told of what could not be read or written. */
     readonly onProblem: (text: string) => void;
 }
 
-/**
- * Writes this node's address once and reads those of the others once. A node that starts later is learned from its reports, so
- * nothing is polled.
- */
+/** Writes this node's address once and reads those of the others now and then; between reads, they are learned from reports. */
 export class NodeDirectory {
     private readonly entries = new Map<string, NodeEntry>();
 
     /** @param settings See {@linkcode NodeDirectorySettings}. */
     constructor(private readonly settings: NodeDirectorySettings) {}
 
+    /** Nodes that are known, without this one. */
+    get size(): number {
+        return this.entries.size;
+    }
+
     /** Registers this node and learns of the others; tries until the log answers. */
-    async run(signal: AbortSignal): Promise<void> {
+    async meet(signal: AbortSignal): Promise<void> {
         let isRegistered = false;
         while (!signal.aborted) {
             try {
@@ -50,10 +68,7 @@
                     await this.register();
                     isRegistered = true;
                 }
-                const page = await this.settings.log.readNewest(NODE_TOPIC);
-                for (const record of page.records) {
-                    this.takeRecord(record);
-                }
+                await this.read();
                 return;
             }
             catch (cause) {
@@ -63,6 +78,19 @@
         }
     }
 
+    /** Reads the others again until the signal is aborted. */
+    async follow(signal: AbortSignal): Promise<void> {
+        const pauses = READ_AGAIN_MS.map((atMs, index) => atMs - (READ_AGAIN_MS[index - 1] ?? 0));
+        while (await this.settings.clock.sleep(pauses.shift() ?? READ_INTERVAL_MS, signal)) {
+            try {
+                await this.read();
+            }
+            catch (cause) {
+                this.settings.onProblem(describeCause(cause));
+            }
+        }
+    }
+
     /** Learns from a node's report where it is. */
     learn(node: string, entry: NodeEntry): void {
         if (node !== this.settings.node) {
@@ -80,17 +108,48 @@
         return this.addresses(entry => entry.failureDomain !== this.settings.failureDomain);
     }
 
+    /** Failure domains of all nodes. */
+    failureDomains(): ReadonlySet<string> {
+        const domains = new Set([this.settings.failureDomain]);
+        for (const { failureDomain } of this.entries.values()) {
+            domains.add(failureDomain);
+        }
+        return domains;
+    }
+
+    /** Nodes of a failure domain, this one included. */
+    candidates(failureDomain: string): readonly AggregatorCandidate[] {
+        const candidates: AggregatorCandidate[] = [];
+        if (failureDomain === this.settings.failureDomain) {
+            const { node, address, cores } = this.settings;
+            candidates.push({ node, address: address(), cores });
+        }
+        for (const [node, entry] of this.entries) {
+            if (entry.failureDomain === failureDomain) {
+                candidates.push({ node, ...entry });
+            }
+        }
+        return candidates;
+    }
+
+    private async read(): Promise<void> {
+        const page = await this.settings.log.readNewest(NODE_TOPIC);
+        for (const record of page.records) {
+            this.takeRecord(record);
+        }
+    }
+
     private addresses(isWanted: (entry: NodeEntry) => boolean): readonly string[] {
         return [...this.entries.values()].filter(isWanted).map(entry => entry.address);
     }
 
     private async register(): Promise<void> {
-        const { log, node, failureDomain, address } = this.settings;
-        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address: address(), failureDomain })));
+        const { log, node, failureDomain, cores, address } = this.settings;
+        await log.append(NODE_TOPIC, node, Buffer.from(JSON.stringify({ address: address(), failureDomain, cores })));
     }
 
     private takeRecord(record: KeyedRecord): void {
-        if (record.value === undefined || this.entries.has(record.key)) {
+        if (record.value === undefined) {
             return;
         }
         try {
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -4,29 +4,28 @@
  * @module
  */
 
-import { hashKey, type PeerLink, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
+import { EMPTY_REPORT, hashKey, type PeerLink, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
+import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
 import type { PeerTable } from "./peer_table.js";
+import type { ReportExchange } from "./report_exchange.js";
 import type { ServerPool } from "./server_pool.js";
+import { TreeExchange } from "./tree_exchange.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
 
-/** Time between reports to a small fleet, in milliseconds; a tenth of a typical call's time at an engine. */
+/** Time between reports, in milliseconds; a tenth of a typical call's time at an engine. */
 const REPORT_INTERVAL_MS = 200;
 
-/** Most datagrams a second to nodes of the same failure domain, which compete for the same servers first. */
-const MAX_NEAR_PER_SECOND = 50;
-
-/** Most datagrams a second to nodes of other failure domains, to which bytes are dear. */
-const MAX_FAR_PER_SECOND = 40;
-
-/** Milliseconds in a second. */
-const MS_PER_SECOND = 1_000;
+/** Peers up to which every node reports to every other; 16 nodes exchange no more than 1,200 reports a second. */
+const MAX_MESH_PEERS = 15;
 
 /** Settings of a {@linkcode PeerReporter}. */
 export interface PeerReporterSettings {
     readonly node: string;
     readonly failureDomain: string;
+    /** Processors of this node, as a number of cores. */
+    readonly cores: number;
     readonly startedAtMs: number;
     readonly clock: Clock;
     readonly link: PeerLink;
@@ -51,42 +50,45 @@
 /** Sends reports at intervals and applies those that come in. */
 export class PeerReporter {
     private sequence = 0;
+    private exchange: ReportExchange;
     private readonly incarnations = new Map<string, string>();
 
     /** @param settings See {@linkcode PeerReporterSettings}. */
-    constructor(private readonly settings: PeerReporterSettings) {}
+    constructor(private readonly settings: PeerReporterSettings) {
+        this.exchange = new MeshExchange(settings.clock, settings.directory);
+    }
 
     /** Reports until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
-        await Promise.all([
-            this.reportTo(() => this.settings.directory.near(), MAX_NEAR_PER_SECOND, signal),
-            this.reportTo(() => this.settings.directory.far(), MAX_FAR_PER_SECOND, signal),
-        ]);
-    }
-
-    private async reportTo(
-        list: () => readonly string[],
-        maxPerSecond: number,
-        signal: AbortSignal,
-    ): Promise<void> {
         while (!signal.aborted) {
-            const addresses = list();
-            if (addresses.length > 0) {
-                this.settings.link.send(this.makeReport(), addresses);
+            this.adaptToSize();
+            for (const { report, receivers } of this.exchange.send(this.makeReport())) {
+                this.settings.link.send(report, receivers);
             }
+            this.forgetReplaced();
             this.expire();
-            const pauseMs = Math.max(REPORT_INTERVAL_MS, addresses.length * MS_PER_SECOND / maxPerSecond);
-            await this.settings.clock.sleep(pauseMs, signal);
+            await this.settings.clock.sleep(REPORT_INTERVAL_MS, signal);
         }
     }
 
     /** Takes a peer's report. */
     take(report: PeerReport): void {
-        const { node, peers, directory, quota, workspaces } = this.settings;
-        if (report.node === node || !peers.take(report)) {
+        if (report.node === this.settings.node) {
+            return;
+        }
+        const { address, failureDomain, cores } = report;
+        this.settings.directory.learn(report.node, { address, failureDomain, cores });
+        for (const counted of this.exchange.take(report)) {
+            this.count(counted);
+        }
+        this.forgetReplaced();
+    }
+
+    private count(report: PeerReport): void {
+        const { peers, quota, workspaces } = this.settings;
+        if (!peers.take(report)) {
             return;
         }
-        directory.learn(report.node, { address: report.address, failureDomain: report.failureDomain });
         const incarnation = incarnationOf(report);
         if (this.incarnations.get(report.node) !== incarnation) {
             this.incarnations.set(report.node, incarnation);
@@ -102,6 +104,32 @@
         this.settings.onChange();
     }
 
+    /** Changes to reports by way of aggregators once the fleet is large. */
+    private adaptToSize(): void {
+        const { node, failureDomain, clock, directory, peers } = this.settings;
+        if (directory.size <= MAX_MESH_PEERS || !(this.exchange instanceof MeshExchange)) {
+            return;
+        }
+        this.exchange = new TreeExchange({ node, failureDomain, clock, directory });
+        for (const report of peers.reports()) {
+            this.forget(report.node);
+        }
+    }
+
+    private forgetReplaced(): void {
+        for (const node of this.exchange.takeReplaced()) {
+            this.forget(node);
+        }
+    }
+
+    private forget(node: string): void {
+        const report = this.settings.peers.drop(node);
+        if (report !== undefined) {
+            this.settings.quota.forgetPeer(incarnationOf(report));
+            this.incarnations.delete(node);
+        }
+    }
+
     private expire(): void {
         for (const gone of this.settings.peers.expire()) {
             this.settings.quota.forgetPeer(incarnationOf(gone));
@@ -111,13 +139,16 @@
     }
 
     private makeReport(): PeerReport {
-        const { node, failureDomain, startedAtMs, pool, quota, address, versionCounts, isLeaving, logSteadyMs } = this.settings;
+        const { node, failureDomain, cores, startedAtMs, pool, quota, address, versionCounts, isLeaving, logSteadyMs } =
+            this.settings;
         const busy = [...pool.all()].filter(state => state.ownCalls > 0);
         const totals = [...quota.ownTotals()];
         this.sequence += 1;
         return {
+            ...EMPTY_REPORT,
             node,
             failureDomain,
+            cores,
             startedAtMs,
             sequence: this.sequence,
             address: address(),
@@ -128,11 +159,12 @@
             versions: [...versionCounts()],
             leaving: isLeaving(),
             logSteadyMs: Math.round(logSteadyMs()),
+            heardNodes: 1,
         };
     }
 }
 
-/** @returns Name of a node and its start, so that counts of a node that started again begin anew. */
-function incarnationOf(report: PeerReport): string {
-    return `${report.node}@${report.startedAtMs}`;
+/** @returns Name of a node, its start and whose figures it reports, so that counts which start again begin anew. */
+function incarnationOf({ node, startedAtMs, scope }: PeerReport): string {
+    return `${node}@${startedAtMs}/${scope}`;
 }
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -8,10 +8,10 @@
 import type { Clock } from "../../state/relay/mod.js";
 
 /** Age of a report beyond which its node's calls count no more, in milliseconds; the slowest reports come every 1.7 s. */
-const REPORT_AGE_MS = 2_500;
+export const REPORT_AGE_MS = 2_500;
 
 /** Silence after which a node is taken as gone and its share of quotas falls to the others, in milliseconds. */
-const GONE_AFTER_MS = 15_000;
+export const GONE_AFTER_MS = 15_000;
 
 /** Last report of a node. */
 interface PeerEntry {
@@ -55,12 +55,12 @@
         return this.callSums.get(serverKey) ?? 0;
     }
 
-    /** Peers that were heard lately. */
+    /** Peers that were heard lately, directly or as part of a sum. */
     get heardPeers(): number {
         const fromMs = this.clock.now() - REPORT_AGE_MS;
         let heard = 0;
         for (const peer of this.peers.values()) {
-            heard += peer.heardAtMs >= fromMs ? 1 : 0;
+            heard += peer.heardAtMs >= fromMs ? peer.report.heardNodes : 0;
         }
         return heard;
     }
@@ -87,10 +87,28 @@
     unheardShare(): number {
         const fromMs = this.clock.now() - REPORT_AGE_MS;
         let unheard = 0;
-        for (const peer of this.peers.values()) {
-            unheard += peer.heardAtMs < fromMs && !peer.report.leaving ? 1 : 0;
+        let all = 1;
+        for (const { report, heardAtMs } of this.peers.values()) {
+            const { heardNodes, silentNodes, leaving } = report;
+            all += heardNodes + silentNodes;
+            unheard += silentNodes + (heardAtMs < fromMs && !leaving ? heardNodes : 0);
+        }
+        return unheard / all;
+    }
+
+    /**
+     * Removes a peer whose figures another report now holds.
+     *
+     * @returns Its newest report, if it was known.
+     */
+    drop(node: string): PeerReport | undefined {
+        const peer = this.peers.get(node);
+        if (peer === undefined) {
+            return undefined;
         }
-        return unheard / (this.peers.size + 1);
+        this.uncount(peer);
+        this.peers.delete(node);
+        return peer.report;
     }
 
     /** Leaves calls of silent peers out of the sums, removes peers that are gone and returns their reports. */
--- /dev/null
+++ b/src/coordination/relay/report_sums.ts
@@ -0,0 +1,208 @@
+/**
+ * Sums of the reports of several nodes.
+ *
+ * @module
+ */
+
+import { EMPTY_REPORT, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
+import type { Clock } from "../../state/relay/mod.js";
+import { GONE_AFTER_MS, REPORT_AGE_MS } from "./peer_table.js";
+
+/** Newest report of one sender. */
+interface Member {
+    readonly report: PeerReport;
+    readonly heardAtMs: number;
+    /** Tokens by workspace that the sender had counted before it was first heard. */
+    readonly baseTokens: ReadonlyMap<number, number>;
+}
+
+/** Figures that are added up into a report. */
+type Figures = Pick<
+    PeerReport,
+    | "serverKeys"
+    | "serverCalls"
+    | "workspaceKeys"
+    | "workspaceTokens"
+    | "versions"
+    | "heardNodes"
+    | "silentNodes"
+    | "logSteadyMs"
+>;
+
+/**
+ * Adds up the newest report of each sender. Tokens of a sender count from its first report on and stay in the sum when it goes, so
+ * that the sum never falls.
+ */
+export class ReportSums {
+    private readonly members = new Map<string, Member>();
+    private readonly tokensOfGone = new Map<number, number>();
+
+    /** @param clock Clock that dates reports. */
+    constructor(private readonly clock: Clock) {}
+
+    /** Whether a sender has reported lately. */
+    isHeard(key: string): boolean {
+        const member = this.members.get(key);
+        return member !== undefined && this.isFresh(member);
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param key Name under which the sender's figures are kept; one sender at a time.
+     */
+    take(key: string, report: PeerReport): void {
+        const known = this.members.get(key);
+        const isSame = known !== undefined && isSameSender(known.report, report);
+        if (isSame && report.sequence <= known.report.sequence) {
+            return;
+        }
+        if (known !== undefined && !isSame) {
+            this.remove(key);
+        }
+        const baseTokens = isSame ? known.baseTokens : tokensOf(report);
+        this.members.set(key, { report, heardAtMs: this.clock.now(), baseTokens });
+    }
+
+    /** Newest reports of all senders. */
+    reports(): readonly PeerReport[] {
+        return [...this.members.values()].map(member => member.report);
+    }
+
+    /** Removes senders that have been silent for long; their tokens stay in the sum. */
+    expire(): void {
+        const fromMs = this.clock.now() - GONE_AFTER_MS;
+        for (const [key, member] of this.members) {
+            if (member.heardAtMs < fromMs) {
+                this.remove(key);
+            }
+        }
+    }
+
+    /** Part of the sum that comes from one sender. */
+    partOf(key: string): PeerReport | undefined {
+        const member = this.members.get(key);
+        if (member === undefined) {
+            return undefined;
+        }
+        const { report } = member;
+        const tokens = countedTokens(member);
+        return {
+            ...EMPTY_REPORT,
+            serverKeys: this.isFresh(member) ? report.serverKeys : [],
+            serverCalls: this.isFresh(member) ? report.serverCalls : [],
+            workspaceKeys: [...tokens.keys()],
+            workspaceTokens: [...tokens.values()],
+            versions: report.versions,
+            heardNodes: this.isFresh(member) ? 1 : 0,
+        };
+    }
+
+    /** Adds up what is known. */
+    sum(): Figures {
+        const calls = new Map<number, number>();
+        const tokens = new Map(this.tokensOfGone);
+        const versions = new Map<string, VersionCount>();
+        let heardNodes = 0;
+        let silentNodes = 0;
+        let logSteadyMs = 0;
+        for (const member of this.members.values()) {
+            const { report } = member;
+            addAll(tokens, countedTokens(member));
+            addVersions(versions, report.versions);
+            const nodes = Math.max(1, report.heardNodes);
+            if (!this.isFresh(member)) {
+                silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
+                continue;
+            }
+            addAll(calls, callsOf(report));
+            heardNodes += nodes;
+            silentNodes += report.silentNodes;
+            logSteadyMs = Math.max(logSteadyMs, report.logSteadyMs);
+        }
+        return {
+            serverKeys: [...calls.keys()],
+            serverCalls: [...calls.values()],
+            workspaceKeys: [...tokens.keys()],
+            workspaceTokens: [...tokens.values()],
+            versions: [...versions.values()],
+            heardNodes,
+            silentNodes,
+            logSteadyMs,
+        };
+    }
+
+    private isFresh(member: Member): boolean {
+        return member.heardAtMs >= this.clock.now() - REPORT_AGE_MS;
+    }
+
+    private remove(key: string): void {
+        const member = this.members.get(key);
+        if (member !== undefined) {
+            addAll(this.tokensOfGone, countedTokens(member));
+            this.members.delete(key);
+        }
+    }
+}
+
+/** Takes the receiver's own part out of a report of its fleet. */
+export function withoutOwnPart(report: PeerReport): PeerReport {
+    const { ownPart } = report;
+    if (ownPart === undefined) {
+        return report;
+    }
+    const calls = callsOf(report);
+    const tokens = tokensOf(report);
+    const versions = new Map<string, VersionCount>();
+    addAll(calls, callsOf(ownPart), -1);
+    addAll(tokens, tokensOf(ownPart), -1);
+    addVersions(versions, report.versions);
+    addVersions(versions, ownPart.versions, -1);
+    return {
+        ...report,
+        serverKeys: [...calls.keys()],
+        serverCalls: [...calls.values()],
+        workspaceKeys: [...tokens.keys()],
+        workspaceTokens: [...tokens.values()],
+        versions: [...versions.values()],
+        heardNodes: report.heardNodes - ownPart.heardNodes,
+        ownPart: undefined,
+    };
+}
+
+/** @returns Whether two reports come from the same start of the same node. */
+function isSameSender(left: PeerReport, right: PeerReport): boolean {
+    return left.node === right.node && left.startedAtMs === right.startedAtMs;
+}
+
+function callsOf(report: PeerReport): Map<number, number> {
+    return new Map(report.serverKeys.map((key, index) => [key, report.serverCalls[index] ?? 0]));
+}
+
+function tokensOf(report: PeerReport): Map<number, number> {
+    return new Map(report.workspaceKeys.map((key, index) => [key, report.workspaceTokens[index] ?? 0]));
+}
+
+function countedTokens({ report, baseTokens }: Member): Map<number, number> {
+    const tokens = tokensOf(report);
+    addAll(tokens, baseTokens, -1);
+    return tokens;
+}
+
+function addAll(sums: Map<number, number>, figures: ReadonlyMap<number, number>, sign: 1 | -1 = 1): void {
+    for (const [key, figure] of figures) {
+        sums.set(key, (sums.get(key) ?? 0) + sign * figure);
+    }
+}
+
+function addVersions(sums: Map<string, VersionCount>, versions: readonly VersionCount[], sign: 1 | -1 = 1): void {
+    for (const count of versions) {
+        const key = `${count.serviceKey} ${count.order} ${count.isTarget}`;
+        const sum = sums.get(key);
+        sums.set(key, {
+            ...count,
+            calls: (sum?.calls ?? 0) + sign * count.calls,
+            bad: (sum?.bad ?? 0) + sign * count.bad,
+        });
+    }
+}
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -119,6 +119,7 @@
             clock,
             node: settings.node,
             failureDomain: settings.failureDomain,
+            cores: settings.processor.cores * settings.processor.share,
             address: () => this.peerSocket.address,
             onProblem: text => this.relayLog.tell(`peers: ${text}`),
         });
@@ -151,6 +152,7 @@
         this.reporter = new PeerReporter({
             node: settings.node,
             failureDomain: settings.failureDomain,
+            cores: settings.processor.cores * settings.processor.share,
             startedAtMs: this.startedAtMs,
             clock,
             link: this.peerSocket,
@@ -290,8 +292,8 @@
     }
 
     private async meetPeers(): Promise<void> {
-        await this.directory.run(this.stopped.signal);
-        await this.reporter.run(this.stopped.signal);
+        await this.directory.meet(this.stopped.signal);
+        await Promise.all([this.directory.follow(this.stopped.signal), this.reporter.run(this.stopped.signal)]);
     }
 
     private async tick(): Promise<void> {
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -27,6 +27,12 @@
         /** Metrics for the collector; left out when none asks. */
         metrics: addressSchema.optional(),
     }),
+    /** Processors that the node may use; the strongest node of a failure domain adds up the reports of the others. */
+    processor: z.strictObject({
+        cores: z.number().min(0.01),
+        /** Part of each core's time that the node gets, from 0 to 1. */
+        share: z.number().min(0.01).max(1),
+    }).default({ cores: 1, share: 1 }),
     /** Address of the platform's log. */
     log: addressSchema,
     /** Whether the whole system starts for the first time. */
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -11,6 +11,17 @@
 
 export const protobufFileName = "relay.proto";
 
+/** Nodes whose figures a report holds. */
+export enum ReportScope {
+  /** NODE - The sender alone. */
+  NODE = 0,
+  /** DOMAIN - All nodes of the sender's failure domain that report to it. */
+  DOMAIN = 1,
+  /** FLEET - All nodes that the sender knows of. */
+  FLEET = 2,
+  UNRECOGNIZED = -1,
+}
+
 /** What a node tells its peers several times a second. Counts run from the node's start, so that a lost report does no harm. */
 export interface PeerReport {
   readonly node: string;
@@ -30,6 +41,15 @@
   readonly failureDomain: string;
   /** Time for which the platform's log has answered without an outage, in milliseconds; 0 in an outage. */
   readonly logSteadyMs: number;
+  readonly scope: ReportScope;
+  /** Nodes that the figures hold. */
+  readonly heardNodes: number;
+  /** Nodes that have fallen silent of late and may still serve callers. */
+  readonly silentNodes: number;
+  /** Processors of the sender, as a number of cores. */
+  readonly cores: number;
+  /** Part of the figures that is the receiver's own, in reports of a fleet. */
+  readonly ownPart: PeerReport | undefined;
 }
 
 /** Calls of one version of a service's backend servers since the order to move to it. */
@@ -56,6 +76,11 @@
     leaving: false,
     failureDomain: "",
     logSteadyMs: 0,
+    scope: 0,
+    heardNodes: 0,
+    silentNodes: 0,
+    cores: 0,
+    ownPart: undefined,
   };
 }
 
@@ -113,6 +138,21 @@
     if (message.logSteadyMs !== 0) {
       writer.uint32(97).double(message.logSteadyMs);
     }
+    if (message.scope !== 0) {
+      writer.uint32(104).int32(message.scope);
+    }
+    if (message.heardNodes !== 0) {
+      writer.uint32(112).uint32(message.heardNodes);
+    }
+    if (message.silentNodes !== 0) {
+      writer.uint32(120).uint32(message.silentNodes);
+    }
+    if (message.cores !== 0) {
+      writer.uint32(129).double(message.cores);
+    }
+    if (message.ownPart !== undefined) {
+      PeerReport.encode(message.ownPart, writer.uint32(138).fork()).join();
+    }
     return writer;
   },
 
@@ -265,6 +305,46 @@
             message.logSteadyMs = reader.double();
             continue;
           }
+          case 13: {
+            if (tag !== 104) {
+              break;
+            }
+
+            message.scope = reader.int32() as any;
+            continue;
+          }
+          case 14: {
+            if (tag !== 112) {
+              break;
+            }
+
+            message.heardNodes = reader.uint32();
+            continue;
+          }
+          case 15: {
+            if (tag !== 120) {
+              break;
+            }
+
+            message.silentNodes = reader.uint32();
+            continue;
+          }
+          case 16: {
+            if (tag !== 129) {
+              break;
+            }
+
+            message.cores = reader.double();
+            continue;
+          }
+          case 17: {
+            if (tag !== 138) {
+              break;
+            }
+
+            message.ownPart = PeerReport.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -5,8 +5,9 @@
  */
 
 export { describeCause, DispatchStep, Executed, PlatformError } from "../errors.js";
-export { PeerReport, type VersionCount } from "../gen/relay.js";
+export { PeerReport, ReportScope, type VersionCount } from "../gen/relay.js";
 export { describeIssue } from "../schema_problem.js";
+export * from "./empty_report.js";
 export * from "./key_hash.js";
 export * from "./keyed_log.js";
 export * from "./peer_link.js";
--- a/src/protocol/relay/peer_link.ts
+++ b/src/protocol/relay/peer_link.ts
@@ -6,8 +6,15 @@
 
 import type { PeerReport } from "../gen/relay.js";
 
+/** Node to which a report is sent. */
+export interface ReportReceiver {
+    readonly address: string;
+    /** Part of the figures that is the receiver's own. */
+    readonly ownPart?: PeerReport;
+}
+
 /** Sends reports to peers without waiting for an answer. */
 export abstract class PeerLink {
-    /** Sends a report to each address. */
-    abstract send(report: PeerReport, addresses: Iterable<string>): void;
+    /** Sends a report to each receiver. */
+    abstract send(report: PeerReport, receivers: Iterable<ReportReceiver>): void;
 }
--- a/src/transport/relay/peer_socket.ts
+++ b/src/transport/relay/peer_socket.ts
@@ -7,7 +7,7 @@
  */
 
 import { createSocket, type Socket } from "node:dgram";
-import { describeCause, PeerLink, PeerReport } from "../../protocol/relay/mod.js";
+import { describeCause, EMPTY_REPORT, PeerLink, PeerReport, type ReportReceiver } from "../../protocol/relay/mod.js";
 
 /** Sends and receives reports over UDP. */
 export class PeerSocket extends PeerLink {
@@ -44,10 +44,14 @@
         return `${address}:${port}`;
     }
 
-    override send(report: PeerReport, addresses: Iterable<string>): void {
-        const data = PeerReport.encode(report).finish();
-        for (const address of addresses) {
+    override send(report: PeerReport, receivers: Iterable<ReportReceiver>): void {
+        const shared = PeerReport.encode(report).finish();
+        for (const { address, ownPart } of receivers) {
             const [host, port] = address.split(":");
+            // Fields of one message may be encoded apart from each other.
+            const data = ownPart === undefined ?
+                shared :
+                [shared, PeerReport.encode({ ...EMPTY_REPORT, ownPart }).finish()];
             this.socket.send(data, Number(port), host, error => {
                 if (error) {
                     this.onError(`Cannot send a report to ${address}: ${error.message}`);
