--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -9,6 +9,7 @@
 import { drainExperiment } from "./drain.js";
 import type { Experiment } from "./experiment.js";
 import { membershipExperiment } from "./membership.js";
+import { placementExperiment } from "./placement.js";
 import { proxyExperiment } from "./proxy.js";
 import { rolloutExperiment } from "./rollouts.js";
 import { schedulingExperiment } from "./scheduling.js";
@@ -24,4 +25,5 @@
     schedulingExperiment,
     schedulingDecisionsExperiment,
     rolloutExperiment,
+    placementExperiment,
 ];
--- /dev/null
+++ b/measure/relay_run.ts
@@ -0,0 +1,377 @@
+/**
+ * Plays calls over a fleet of relay nodes and engines with the relay's own decisions, without a network.
+ *
+ * @module
+ */
+
+import {
+    CallOutcome,
+    decidePatience,
+    decideReturn,
+    NoPlaceError,
+    PeerTable,
+    type Place,
+    ServerPool,
+    ServiceScheduler,
+} from "../src/coordination/relay/mod.js";
+import { EMPTY_REPORT, hashKey } from "../src/protocol/relay/mod.js";
+import { type Clock, type RandomSource, type RelayRoute, SeededRandom, Semantics } from "../src/state/relay/mod.js";
+import { SlotEngine } from "../standin/slot_engine.js";
+import { type CallKind, makeCalls, type RelayCase, type WorkloadCall } from "./relay_workload.js";
+
+/** Time for which calls arrive, in milliseconds. */
+const DURATION_MS = 24_000;
+
+/** Calls that arrive before this time are not counted, in milliseconds: nodes learn the engines' speeds. */
+const WARM_UP_MS = 3_000;
+
+/** Interval of the nodes' reports, and of the look at their queues, in milliseconds. */
+const REPORT_INTERVAL_MS = 200;
+
+/** Interval at which nodes look at their queues, in milliseconds. */
+const TICK_MS = 40;
+
+/** Time to an engine and back, in milliseconds. */
+const ROUND_TRIP_MS = 3;
+
+/** Speeds of the engines, in turn. */
+const SPEEDS = [0.55, 1, 2.8];
+
+/** Time without an event after which a caller leaves, as a multiple of the objective and of the longest pause, and at least. */
+const LEAVE_OBJECTIVES = 4;
+const LEAVE_PAUSES = 8;
+const LEAVE_MS = 2_000;
+
+/** What callers of one kind got. */
+export interface KindFigures {
+    calls: number;
+    inTime: number;
+    late: number;
+    refused: number;
+    failed: number;
+    worth: number;
+    earned: number;
+}
+
+/** Figures of one run. */
+export interface RelayFigures {
+    readonly kinds: ReadonlyMap<string, KindFigures>;
+    /** Worth earned against worth owed. */
+    readonly earned: number;
+    /** Share of calls that were served at all. */
+    readonly served: number;
+    /** Part of the engines' slots that were taken on average. */
+    readonly busy: number;
+}
+
+/** Clock that the run moves. */
+class RunClock implements Clock {
+    nowMs = 0;
+
+    now(): number {
+        return this.nowMs;
+    }
+
+    sleep(): Promise<boolean> {
+        throw new Error("Cannot sleep: the run moves this clock by events");
+    }
+}
+
+/** Something that happens at a time. */
+interface RunEvent {
+    readonly atMs: number;
+    readonly run: () => void;
+}
+
+/** Node with what it knows. */
+interface RunNode {
+    readonly peers: PeerTable;
+    readonly pool: ServerPool;
+    readonly scheduler: ServiceScheduler;
+    /** Calls at each engine as they were at the last report. */
+    reported: readonly number[];
+}
+
+/** Plays one case. */
+export class RelayRun {
+    private readonly clock = new RunClock();
+    private readonly random: RandomSource;
+    private readonly engines: SlotEngine[] = [];
+    private readonly nodes: RunNode[] = [];
+    private readonly events = new Map<number, RunEvent[]>();
+    private readonly kinds = new Map<string, KindFigures>();
+    private readonly routes = new Map<CallKind, RelayRoute>();
+    private sequence = 0;
+    private busySum = 0;
+    private ticks = 0;
+
+    /**
+     * @param relayCase Fleet and calls.
+     * @param seed Seed of all random numbers.
+     */
+    constructor(private readonly relayCase: RelayCase, seed: number) {
+        this.random = new SeededRandom(seed);
+        const { engines, nodes, kinds } = relayCase;
+        for (let index = 0; index < engines; index += 1) {
+            this.engines.push(new SlotEngine({ ...relayCase, queue: 66, speed: SPEEDS[index % SPEEDS.length] ?? 1 }));
+        }
+        for (let index = 0; index < nodes; index += 1) {
+            this.nodes.push(this.makeNode(index));
+        }
+        for (const kind of kinds) {
+            this.routes.set(kind, makeRoute(kind));
+            this.kinds.set(kind.name, { calls: 0, inTime: 0, late: 0, refused: 0, failed: 0, worth: 0, earned: 0 });
+        }
+    }
+
+    /** Plays the case to its end. */
+    async play(): Promise<RelayFigures> {
+        for (const call of makeCalls(this.relayCase, DURATION_MS, this.random)) {
+            this.at(call.atMs, () => this.arrive(call, call.atMs, false));
+            if (call.atMs >= WARM_UP_MS) {
+                const figures = this.figuresOf(call);
+                figures.calls += 1;
+                figures.worth += call.worth;
+            }
+        }
+        const lastMs = DURATION_MS + Math.max(...this.relayCase.kinds.map(kind => kind.deadlineMs));
+        for (let ms = 0; ms <= lastMs; ms += 1) {
+            await this.playMillisecond(ms);
+        }
+        return this.sum();
+    }
+
+    private async playMillisecond(ms: number): Promise<void> {
+        this.clock.nowMs = ms;
+        for (const engine of this.engines) {
+            engine.advance(ms);
+        }
+        const due = this.events.get(ms);
+        if (due !== undefined) {
+            this.events.delete(ms);
+            for (const event of due) {
+                event.run();
+            }
+        }
+        if (ms % TICK_MS === 0) {
+            for (const node of this.nodes) {
+                node.scheduler.serve();
+            }
+        }
+        if (ms % REPORT_INTERVAL_MS === 0) {
+            this.report();
+        }
+        await Promise.resolve();
+        await Promise.resolve();
+    }
+
+    private at(atMs: number, run: () => void): void {
+        const ms = Math.max(Math.ceil(atMs), this.clock.nowMs + 1);
+        const list = this.events.get(ms) ?? [];
+        list.push({ atMs, run });
+        this.events.set(ms, list);
+    }
+
+    private makeNode(index: number): RunNode {
+        const peers = new PeerTable(this.clock);
+        const pool = new ServerPool(this.clock, peers);
+        for (const [engine, { profile }] of this.engines.entries()) {
+            pool.put({
+                id: `engine-${engine}`,
+                service: "llm",
+                address: `127.0.0.1:${engine}`,
+                failureDomain: `domain-${engine % 4}`,
+                version: "v1",
+                slots: profile.slots,
+                isDraining: false,
+                startedAtMs: 1,
+                sequence: 1,
+            });
+        }
+        const scheduler = new ServiceScheduler({
+            service: "llm",
+            failureDomain: `domain-${index % 4}`,
+            clock: this.clock,
+            random: this.random,
+            candidates: () => pool.open("llm"),
+        });
+        return { peers, pool, scheduler, reported: [] };
+    }
+
+    /** Tells each node what the others had under way some time ago. */
+    private report(): void {
+        this.sequence += 1;
+        const { sequence } = this;
+        const own = this.nodes.map(node =>
+            this.engines.map((_engine, index) => node.pool.find(`engine-${index}`)?.ownCalls ?? 0)
+        );
+        const sums = this.engines.map((_engine, index) => own.reduce((sum, calls) => sum + (calls[index] ?? 0), 0));
+        for (const [index, node] of this.nodes.entries()) {
+            const spreadMs = (this.random.next() - 0.5) * REPORT_INTERVAL_MS;
+            this.at(this.clock.nowMs + Math.max(1, this.relayCase.reportAgeMs - REPORT_INTERVAL_MS / 2 + spreadMs), () => {
+                node.peers.take({
+                    ...EMPTY_REPORT,
+                    node: "fleet",
+                    sequence,
+                    heardNodes: this.nodes.length - 1,
+                    serverKeys: this.engines.map((_engine, engine) => hashKey(`engine-${engine}`)),
+                    serverCalls: sums.map((sum, engine) => sum - (own[index]?.[engine] ?? 0)),
+                });
+                node.scheduler.serve();
+            });
+        }
+        if (this.clock.nowMs >= WARM_UP_MS && this.clock.nowMs < DURATION_MS) {
+            this.ticks += 1;
+            this.busySum += this.engines.reduce((sum, engine) => sum + engine.runningCalls, 0);
+        }
+    }
+
+    private arrive(call: WorkloadCall, firstAtMs: number, hasReturned: boolean): void {
+        const { kind } = call;
+        const now = this.clock.nowMs;
+        const route = this.routes.get(kind) ?? makeRoute(kind);
+        const leftMs = firstAtMs + kind.deadlineMs - now;
+        const node = this.nodes[hasReturned ? this.random.below(this.nodes.length) : call.node];
+        const ended = new AbortController();
+        const assigned = node?.scheduler.assign({
+            id: String(call.id),
+            route,
+            workspaceRank: 0,
+            arrivedAtMs: now,
+            patience: decidePatience(route, { arrivedAtMs: now, deadlineMs: leftMs, usualDeadlineMs: kind.deadlineMs }),
+            promptTokens: call.promptTokens,
+            expectedEvents: call.outputEstimate / this.relayCase.tokensPerEvent,
+            partId: undefined,
+            excluded: new Set(),
+            signal: ended.signal,
+        });
+        assigned?.then(
+            place => this.send(call, place, firstAtMs),
+            error => {
+                if (!(error instanceof NoPlaceError)) {
+                    throw error;
+                }
+                this.refuse(call, firstAtMs, hasReturned);
+            },
+        );
+    }
+
+    private refuse(call: WorkloadCall, firstAtMs: number, hasReturned: boolean): void {
+        const leftMs = firstAtMs + call.kind.deadlineMs - this.clock.nowMs;
+        const returnMs = hasReturned ? undefined : decideReturn(leftMs, this.random);
+        if (returnMs !== undefined) {
+            this.at(this.clock.nowMs + returnMs, () => this.arrive(call, firstAtMs, true));
+            return;
+        }
+        if (call.atMs >= WARM_UP_MS) {
+            this.figuresOf(call).refused += 1;
+        }
+    }
+
+    private send(call: WorkloadCall, place: Place, firstAtMs: number): void {
+        const { kind } = call;
+        const { tokensPerEvent } = this.relayCase;
+        const engine = this.engines[Number(place.server.id.slice("engine-".length))];
+        let firstMs = Infinity;
+        let isOver = false;
+        const finish = (outcome: CallOutcome) => {
+            isOver = true;
+            place.release(outcome);
+        };
+        this.at(this.clock.nowMs + ROUND_TRIP_MS, () => {
+            const stop = engine?.start(this.clock.nowMs, {
+                promptTokens: call.promptTokens,
+                outputTokens: call.outputTokens,
+                onFirst: () => {
+                    firstMs = this.clock.nowMs - firstAtMs;
+                    place.recordFirstEvent();
+                },
+                onEnd: longestPauseMs => {
+                    place.recordEvents(Math.max(1, call.outputTokens / tokensPerEvent - 1));
+                    finish(CallOutcome.Good);
+                    this.count(call, firstMs <= kind.objectiveMs && longestPauseMs <= kind.maxPauseMs);
+                },
+            });
+            const leave = () => {
+                if (!isOver) {
+                    stop?.();
+                    finish(CallOutcome.Neutral);
+                    this.fail(call);
+                }
+            };
+            if (stop === undefined) {
+                leave();
+                return;
+            }
+            const patienceMs = Math.max(LEAVE_MS, LEAVE_OBJECTIVES * kind.objectiveMs, LEAVE_PAUSES * kind.maxPauseMs);
+            this.at(this.clock.nowMs + patienceMs, () => {
+                if (firstMs === Infinity) {
+                    leave();
+                }
+            });
+            this.at(firstAtMs + kind.deadlineMs, leave);
+        });
+    }
+
+    private count(call: WorkloadCall, isInTime: boolean): void {
+        if (call.atMs < WARM_UP_MS) {
+            return;
+        }
+        const figures = this.figuresOf(call);
+        figures.inTime += isInTime ? 1 : 0;
+        figures.late += isInTime ? 0 : 1;
+        figures.earned += isInTime ? call.worth : call.lateWorth;
+    }
+
+    private fail(call: WorkloadCall): void {
+        if (call.atMs >= WARM_UP_MS) {
+            this.figuresOf(call).failed += 1;
+        }
+    }
+
+    private figuresOf(call: WorkloadCall): KindFigures {
+        const figures = this.kinds.get(call.kind.name);
+        if (figures === undefined) {
+            throw new RangeError(`Cannot count call ${call.id}: kind ${call.kind.name} is unknown`);
+        }
+        return figures;
+    }
+
+    private sum(): RelayFigures {
+        let worth = 0;
+        let earned = 0;
+        let calls = 0;
+        let served = 0;
+        for (const figures of this.kinds.values()) {
+            worth += figures.worth;
+            earned += figures.earned;
+            calls += figures.calls;
+            served += figures.inTime + figures.late;
+        }
+        const slots = this.engines.length * this.relayCase.slots;
+        return {
+            kinds: this.kinds,
+            earned: earned / worth,
+            served: served / calls,
+            busy: this.busySum / this.ticks / slots,
+        };
+    }
+}
+
+function makeRoute(kind: CallKind): RelayRoute {
+    return {
+        name: kind.name,
+        host: "app.example",
+        pathPrefix: `/${kind.name}/`,
+        semantics: Semantics.DispatchOnce,
+        isStream: true,
+        isResumable: false,
+        timeoutMs: kind.deadlineMs,
+        objectiveMs: kind.objectiveMs,
+        maxPauseMs: kind.maxPauseMs,
+        rank: kind.rank,
+        shares: [{ service: "llm", weight: 1 }],
+        maxAttempts: 1,
+        isPublic: false,
+    };
+}
