Take only a node's part of the free places; newest call in time first; ten reports a second in large fleets

Cause: 91 nodes that all saw the same free place filled it at once, so engines held twice their slots and calls were late there, where no rank counts; calls in time were served by age, so all came late; long answers went to slow engines and missed their deadlines. Change: an allotment of places by the node's part of the fleet's demand (admission gate), reported with the calls; newest first among calls in time; the chance to finish in time as part of the price of a server; spread of 1 ms for each node; reports every 100 ms by way of aggregators. The expectations of the order of waiting calls and of the time for which they are in time are the new ones, as strict as before.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -13,7 +13,7 @@
             | a.example      | /x/y    | /x/   |
             | b.example      | /x/     | none  |
 
-    Scenario: calls in time go first, then those whose callers have come back; then workspace, route and arrival decide
+    Scenario: calls in time go first, then those whose callers have come back; then workspace and route decide, then the newest
         Given these waiting calls at 1000 ms
             | call            | workspace | route | in time until | arrived | returned |
             | late top        | 0         | 0     | 900           | 500     | no       |
@@ -23,7 +23,7 @@
             | top before      | 0         | 0     | 1300          | 800     | no       |
             | top again       | 0         | 0     | -3000         | 950     | yes      |
             | other workspace | 1         | 0     | 1300          | 600     | no       |
-        Then they are served in the order "top before, top, low, other workspace, top again, later top, late top"
+        Then they are served in the order "top, top before, low, other workspace, top again, later top, late top"
 
     Scenario Outline: a call waits as long as it can still be served and its caller is still there
         When a call with an objective of <objective> ms and a deadline of <deadline> ms arrives
@@ -31,10 +31,10 @@
 
         Examples:
             | objective | deadline | in time | given up |
-            | 500       | 15000    | 400     | 800      |
-            | 300       | 12000    | 240     | 480      |
-            | 300       | 1000     | 240     | 350      |
-            | 300       | 900      | 140     | 540      |
+            | 500       | 15000    | 300     | 800      |
+            | 300       | 12000    | 180     | 480      |
+            | 300       | 1000     | 180     | 350      |
+            | 300       | 900      | 80      | 540      |
 
     Scenario Outline: refused callers come back spread over the time that they still have
         When 100 callers with <left> ms left are refused
--- a/features/relay_reports.feature
+++ b/features/relay_reports.feature
@@ -11,7 +11,7 @@
             | nodes | sent | all  |
             | 6     | 30   | 180  |
             | 16    | 75   | 1200 |
-            | 91    | 150  | 1200 |
+            | 91    | 300  | 2400 |
 
     Scenario Outline: calls that begin and end are known everywhere within <within> ms
         Given <nodes> relay nodes in 4 failure domains that report to each other
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -193,7 +193,7 @@
                 failureDomain: row["domain"] ?? "",
                 slots: Number(row["slots"]),
             });
-            const profile = new ServerProfile(Number(row["ms per 1000 tokens"]) / 1_000, 20);
+            const profile = new ServerProfile(Number(row["ms per 1000 tokens"]) / 1_000, 20, 500);
             const state = new ServerState(server, profile, this.clock, () => Number(row["peers"]));
             for (let call = 0; call < Number(row["calls"]); call += 1) {
                 state.start(10);
@@ -221,8 +221,9 @@
         failureDomain: "here",
         excluded: new Set(excluded),
         cachedAt: undefined,
+        leftMs: 10_000,
     };
-    return choosePlace([...scenario.servers.values()], call, () => 0.5)?.server.server.id;
+    return choosePlace([...scenario.servers.values()], call, { nodes: 6, next: () => 0.5 })?.server.server.id;
 }
 
 Then(/^a call of (\d+) tokens goes to "(\w+)"(?: or "(\w+)")?$/, function(
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -162,6 +162,7 @@
         address: () => address,
         workspaces: () => [scenario.fleetWorkspace],
         versionCounts: () => [],
+        demands: () => [],
         isLeaving: () => false,
         logSteadyMs: () => 1_000,
         onChange: () => undefined,
--- /dev/null
+++ b/src/coordination/relay/admission_gate.ts
@@ -0,0 +1,119 @@
+/**
+ * Share of the free places that one of many nodes may take.
+ *
+ * Answers bursts that many nodes see at once: what they know of each other is a fraction of a second old, so if each of them took
+ * every place that looks free, calls would pile up at the engines, which know no priorities.
+ *
+ * @module
+ */
+
+import type { RandomSource } from "../../state/relay/mod.js";
+
+/** Time between two allotments, in milliseconds; that of the nodes' reports. */
+const ALLOT_INTERVAL_MS = 200;
+
+/** Age of what nodes know of each other, in milliseconds: two reports of 200 ms on the way through an aggregator. */
+const KNOWLEDGE_AGE_MS = 400;
+
+/** Part of the places that is given out; the rest covers places that are taken by calls not reported yet. */
+const ALLOTTED_FRACTION = 0.6;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Calls of a service that ask for places. */
+export interface Demand {
+    /** Waiting calls that can still be in time. */
+    readonly inTimeCalls: number;
+    /** Waiting calls that are late. */
+    readonly lateCalls: number;
+    /** Calls that arrive in time. */
+    readonly arrivalsPerSecond: number;
+}
+
+/** Places of one server that come free. */
+export interface ServerCapacity {
+    readonly slots: number;
+    /** Calls under way there, as far as is known. */
+    readonly calls: number;
+    /** Time that a call takes there, in milliseconds. */
+    readonly callMs: number;
+}
+
+/** Places that this node may take until the next allotment. */
+interface Allotment {
+    inTime: number;
+    late: number;
+}
+
+/**
+ * Takes part of the fleet's places for this node: as large as its part of the fleet's demand, calls in time first. What calls in
+ * time have not used goes to late ones in the next interval.
+ */
+export class AdmissionGate {
+    private allotment: Allotment = { inTime: Infinity, late: Infinity };
+    private allottedAtMs = -Infinity;
+
+    /** @param random Source for rounding, so that small parts are not lost. */
+    constructor(private readonly random: RandomSource) {}
+
+    /** Whether the next allotment is due. */
+    isDue(nowMs: number): boolean {
+        return nowMs - this.allottedAtMs >= ALLOT_INTERVAL_MS;
+    }
+
+    /**
+     * Allots places until the next time.
+     *
+     * @param nowMs Time in milliseconds.
+     * @param own Demand of this node.
+     * @param peers Demand of all other nodes.
+     * @param servers Servers that take calls.
+     */
+    allot(nowMs: number, own: Demand, peers: Demand, servers: Iterable<ServerCapacity>): void {
+        this.allottedAtMs = nowMs;
+        const places = ALLOTTED_FRACTION * countPlaces(servers);
+        const ownInTime = inTimeDemand(own);
+        const allInTime = ownInTime + inTimeDemand(peers);
+        const allLate = own.lateCalls + peers.lateCalls;
+        const unused = this.allotment.inTime === Infinity ? 0 : this.allotment.inTime;
+        this.allotment = {
+            inTime: this.allotTo(ownInTime, places / allInTime),
+            late: this.allotTo(own.lateCalls, (places - allInTime) / allLate) + unused,
+        };
+    }
+
+    /** Whether a call may take a place. */
+    isOpen(isLate: boolean): boolean {
+        return (isLate ? this.allotment.late : this.allotment.inTime) > 0;
+    }
+
+    /** Counts a call that took a place. */
+    recordPlaced(isLate: boolean): void {
+        this.allotment[isLate ? "late" : "inTime"] -= 1;
+    }
+
+    private allotTo(demand: number, share: number): number {
+        // Also without any demand there is no limit: the share is then infinite or not a number.
+        if (!(share < 1)) {
+            return Infinity;
+        }
+        const places = Math.max(0, share) * demand * ALLOT_INTERVAL_MS / KNOWLEDGE_AGE_MS;
+        const whole = Math.floor(places);
+        return whole + (this.random.next() < places - whole ? 1 : 0);
+    }
+}
+
+/** @returns Calls in time that ask for places while what is known grows old. */
+function inTimeDemand({ inTimeCalls, arrivalsPerSecond }: Demand): number {
+    return inTimeCalls + arrivalsPerSecond * KNOWLEDGE_AGE_MS / MS_PER_SECOND;
+}
+
+/** @returns Places that are free or come free while what is known grows old, if all are taken. */
+function countPlaces(servers: Iterable<ServerCapacity>): number {
+    let places = 0;
+    for (const { slots, calls, callMs } of servers) {
+        places += Math.max(0, slots - calls + slots * KNOWLEDGE_AGE_MS / callMs);
+    }
+    return places;
+}
--- a/src/coordination/relay/mesh_exchange.ts
+++ b/src/coordination/relay/mesh_exchange.ts
@@ -9,6 +9,9 @@
 import type { NodeDirectory } from "./node_directory.js";
 import { type OutgoingReport, ReportExchange } from "./report_exchange.js";
 
+/** Time between reports, in milliseconds; a tenth of a typical call's time at an engine. */
+const INTERVAL_MS = 200;
+
 /** Most datagrams a second to nodes of other failure domains, to which bytes are dear. */
 const MAX_FAR_PER_SECOND = 40;
 
@@ -17,6 +20,7 @@
 
 /** Sends this node's report to all: each time within the failure domain, more rarely to others. */
 export class MeshExchange extends ReportExchange {
+    override readonly intervalMs = INTERVAL_MS;
     private farSentAtMs = 0;
 
     /**
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -5,7 +5,9 @@
  */
 
 export { RetryBudget } from "../retry_budget.js";
+export * from "./admission_gate.js";
 export * from "./aggregator_choice.js";
+export * from "./arrival_rate.js";
 export * from "./call_record.js";
 export * from "./event_cutter.js";
 export * from "./final_answer.js";
--- a/src/coordination/relay/patience.ts
+++ b/src/coordination/relay/patience.ts
@@ -9,8 +9,8 @@
 
 import type { RandomSource, RelayRoute } from "../../state/relay/mod.js";
 
-/** Part of the objective that may pass before a call is sent; the rest is for the answer itself. */
-const IN_TIME_FRACTION = 0.8;
+/** Part of the objective that may pass before a call is sent; the rest is for reading its prompt at a busy engine. */
+const IN_TIME_FRACTION = 0.6;
 
 /** Longest wait of a late call as a multiple of its objective. */
 const LATE_FACTOR = 1.6;
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -6,6 +6,7 @@
 
 import { EMPTY_REPORT, hashKey, type PeerLink, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
+import type { Demand } from "./admission_gate.js";
 import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
 import type { PeerTable } from "./peer_table.js";
@@ -14,9 +15,6 @@
 import { TreeExchange } from "./tree_exchange.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
 
-/** Time between reports, in milliseconds; a tenth of a typical call's time at an engine. */
-const REPORT_INTERVAL_MS = 200;
-
 /** Peers up to which every node reports to every other; 16 nodes exchange no more than 1,200 reports a second. */
 const MAX_MESH_PEERS = 15;
 
@@ -37,6 +35,8 @@
     readonly address: () => string;
     readonly workspaces: () => Iterable<RelayWorkspace>;
     readonly versionCounts: () => readonly VersionCount[];
+    /** Calls that ask for places, by service. */
+    readonly demands: () => Iterable<readonly [string, Demand]>;
     readonly isLeaving: () => boolean;
     /** Time for which the platform's log has answered without an outage, in milliseconds. */
     readonly logSteadyMs: () => number;
@@ -67,7 +67,7 @@
             }
             this.forgetReplaced();
             this.expire();
-            await this.settings.clock.sleep(REPORT_INTERVAL_MS, signal);
+            await this.settings.clock.sleep(this.exchange.intervalMs, signal);
         }
     }
 
@@ -157,6 +157,7 @@
             workspaceKeys: totals.map(([name]) => hashKey(name)),
             workspaceTokens: totals.map(([, tokens]) => tokens),
             versions: [...versionCounts()],
+            demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
             leaving: isLeaving(),
             logSteadyMs: Math.round(logSteadyMs()),
             heardNodes: 1,
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -6,6 +6,7 @@
 
 import type { PeerReport } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
+import type { Demand } from "./admission_gate.js";
 
 /** Age of a report beyond which its node's calls count no more, in milliseconds; the slowest reports come every 1.7 s. */
 export const REPORT_AGE_MS = 2_500;
@@ -78,6 +79,20 @@
         return longest;
     }
 
+    /** Calls of a service that wait or arrive at other nodes. */
+    demandOf(serviceKey: number): Demand {
+        let inTimeCalls = 0;
+        let lateCalls = 0;
+        let arrivalsPerSecond = 0;
+        for (const peer of this.peers.values()) {
+            const demand = peer.isCounted ? peer.report.demands.find(each => each.serviceKey === serviceKey) : undefined;
+            inTimeCalls += demand?.inTimeCalls ?? 0;
+            lateCalls += demand?.lateCalls ?? 0;
+            arrivalsPerSecond += demand?.arrivalsPerSecond ?? 0;
+        }
+        return { inTimeCalls, lateCalls, arrivalsPerSecond };
+    }
+
     /** Newest reports of all peers that are not gone. */
     reports(): readonly PeerReport[] {
         return [...this.peers.values()].map(peer => peer.report);
--- a/src/coordination/relay/placement.ts
+++ b/src/coordination/relay/placement.ts
@@ -21,8 +21,17 @@
 /** Delay that a wholly bad server is worth, in milliseconds; spreads calls away from a server that fails some. */
 const BAD_SHARE_MS = 400;
 
-/** Spread of equally good choices, so that nodes that know the same do not all choose the same; in milliseconds. */
-const SPREAD_MS = 6;
+/** Spread of choices for each node of the fleet, in milliseconds, so that nodes that know the same do not all choose the same. */
+const SPREAD_MS_PER_NODE = 1;
+
+/** Largest spread, in milliseconds; servers that differ by more are not equally good. */
+const MAX_SPREAD_MS = 100;
+
+/** Delay that an answer which surely comes after its deadline is worth, in milliseconds. */
+const UNFINISHED_MS = 1_000;
+
+/** Slope of the chance to finish over the logarithm of the time needed; callers' estimates err by half on average. */
+const ESTIMATE_SCALE = 0.28;
 
 /** What is placed. */
 export interface PlacedCall {
@@ -35,6 +44,16 @@
     readonly excluded: ReadonlySet<string>;
     /** Server that holds the call's prompt in its cache, as far as is known. */
     readonly cachedAt: string | undefined;
+    /** Time that the caller still waits, in milliseconds. */
+    readonly leftMs: number;
+}
+
+/** Spread of choices among nodes that know the same. */
+export interface PlacementSpread {
+    /** Nodes that send calls, this one included. */
+    readonly nodes: number;
+    /** Returns a random number from 0 to 1. */
+    readonly next: () => number;
 }
 
 /** Choice among servers. */
@@ -49,15 +68,16 @@
  *
  * @param servers Servers of the service that may be chosen.
  * @param call What is placed.
- * @param spread Random number from 0 to 1 for each server.
+ * @param spread See {@linkcode PlacementSpread}.
  * @returns `undefined` when no place is free.
  */
 export function choosePlace(
     servers: readonly ServerState[],
     call: PlacedCall,
-    spread: () => number,
+    spread: PlacementSpread,
 ): PlacementChoice | undefined {
     const isWorseThanHalf = judgeAll(servers);
+    const spreadMs = Math.min(MAX_SPREAD_MS, spread.nodes * SPREAD_MS_PER_NODE);
     let best: PlacementChoice | undefined;
     let bestCost = Infinity;
     for (const server of servers) {
@@ -71,7 +91,7 @@
             }
             continue;
         }
-        const cost = placeCost(server, call) + spread() * SPREAD_MS;
+        const cost = placeCost(server, call) + spread.next() * spreadMs;
         if (cost < bestCost) {
             bestCost = cost;
             best = { server, isTrial: false };
@@ -94,5 +114,14 @@
     const firstEventMs = server.expectedFirstEventMs(isCached ? 0 : call.promptTokens);
     const occupiedMs = call.expectedEvents * server.msPerEvent;
     const domainMs = server.server.failureDomain === call.failureDomain ? 0 : CROSS_DOMAIN_MS;
-    return firstEventMs + occupiedMs * OCCUPANCY_WEIGHT + domainMs + server.badShare * BAD_SHARE_MS;
+    const unfinishedMs = UNFINISHED_MS * missChance((firstEventMs + occupiedMs) / call.leftMs);
+    return firstEventMs + occupiedMs * OCCUPANCY_WEIGHT + unfinishedMs + domainMs + server.badShare * BAD_SHARE_MS;
+}
+
+/**
+ * @param needed Time that an answer is expected to need against the time that its caller waits.
+ * @returns Chance that it comes after the deadline, from 0 to 1.
+ */
+function missChance(needed: number): number {
+    return needed > 0 ? 1 / (1 + needed ** (-1 / ESTIMATE_SCALE)) : 0;
 }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -146,6 +146,7 @@
             route,
             workspaceRank: workspace?.rank ?? 0,
             arrivedAtMs: call.arrivedAtMs,
+            deadlineAtMs: call.arrivedAtMs + deadlineMs,
             patience: decidePatience(route, {
                 arrivedAtMs: call.arrivedAtMs + waited,
                 deadlineMs: deadlineMs - waited,
--- a/src/coordination/relay/report_exchange.ts
+++ b/src/coordination/relay/report_exchange.ts
@@ -14,6 +14,9 @@
 
 /** Way in which reports travel. */
 export abstract class ReportExchange {
+    /** Time between reports, in milliseconds. */
+    abstract readonly intervalMs: number;
+
     /**
      * Takes a report that came in.
      *
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { EMPTY_REPORT, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
+import { EMPTY_REPORT, type PeerReport, type ServiceDemand, type VersionCount } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import { GONE_AFTER_MS, REPORT_AGE_MS } from "./peer_table.js";
 
@@ -24,6 +24,7 @@
     | "workspaceKeys"
     | "workspaceTokens"
     | "versions"
+    | "demands"
     | "heardNodes"
     | "silentNodes"
     | "logSteadyMs"
@@ -94,6 +95,7 @@
             workspaceKeys: [...tokens.keys()],
             workspaceTokens: [...tokens.values()],
             versions: report.versions,
+            demands: this.isFresh(member) ? report.demands : [],
             heardNodes: this.isFresh(member) ? 1 : 0,
         };
     }
@@ -103,6 +105,7 @@
         const calls = new Map<number, number>();
         const tokens = new Map(this.tokensOfGone);
         const versions = new Map<string, VersionCount>();
+        const demands = new Map<number, ServiceDemand>();
         let heardNodes = 0;
         let silentNodes = 0;
         let logSteadyMs = 0;
@@ -116,6 +119,7 @@
                 continue;
             }
             addAll(calls, callsOf(report));
+            addDemands(demands, report.demands);
             heardNodes += nodes;
             silentNodes += report.silentNodes;
             logSteadyMs = Math.max(logSteadyMs, report.logSteadyMs);
@@ -126,6 +130,7 @@
             workspaceKeys: [...tokens.keys()],
             workspaceTokens: [...tokens.values()],
             versions: [...versions.values()],
+            demands: [...demands.values()],
             heardNodes,
             silentNodes,
             logSteadyMs,
@@ -154,6 +159,9 @@
     const calls = callsOf(report);
     const tokens = tokensOf(report);
     const versions = new Map<string, VersionCount>();
+    const demands = new Map<number, ServiceDemand>();
+    addDemands(demands, report.demands);
+    addDemands(demands, ownPart.demands, -1);
     addAll(calls, callsOf(ownPart), -1);
     addAll(tokens, tokensOf(ownPart), -1);
     addVersions(versions, report.versions);
@@ -165,6 +173,7 @@
         workspaceKeys: [...tokens.keys()],
         workspaceTokens: [...tokens.values()],
         versions: [...versions.values()],
+        demands: [...demands.values()],
         heardNodes: report.heardNodes - ownPart.heardNodes,
         ownPart: undefined,
     };
@@ -206,3 +215,15 @@
         });
     }
 }
+
+function addDemands(sums: Map<number, ServiceDemand>, demands: readonly ServiceDemand[], sign: 1 | -1 = 1): void {
+    for (const demand of demands) {
+        const sum = sums.get(demand.serviceKey);
+        sums.set(demand.serviceKey, {
+            serviceKey: demand.serviceKey,
+            inTimeCalls: (sum?.inTimeCalls ?? 0) + sign * demand.inTimeCalls,
+            lateCalls: (sum?.lateCalls ?? 0) + sign * demand.lateCalls,
+            arrivalsPerSecond: (sum?.arrivalsPerSecond ?? 0) + sign * demand.arrivalsPerSecond,
+        });
+    }
+}
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -15,6 +15,9 @@
 /** Time between events at a server that nobody has measured yet, in milliseconds. */
 const FIRST_MS_PER_EVENT = 25;
 
+/** Time of a call at a server that nobody has measured yet, in milliseconds; about a hundred tokens. */
+const FIRST_CALL_MS = 500;
+
 /** Keeps the state of each server by service. */
 export class ServerPool {
     private readonly states = new Map<string, ServerState>();
@@ -81,7 +84,7 @@
     private profile(service: string): ServerProfile {
         let profile = this.profiles.get(service);
         if (profile === undefined) {
-            profile = new ServerProfile(FIRST_MS_PER_PROMPT_TOKEN, FIRST_MS_PER_EVENT);
+            profile = new ServerProfile(FIRST_MS_PER_PROMPT_TOKEN, FIRST_MS_PER_EVENT, FIRST_CALL_MS);
             this.profiles.set(service, profile);
         }
         return profile;
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -88,6 +88,11 @@
     /** Time between events of a stream, in milliseconds. */
     msPerEvent: number;
 
+    /** Time that a call takes, in milliseconds: that at a typical server, by the time between events. */
+    get callMs(): number {
+        return this.profile.callMs * this.msPerEvent / this.profile.msPerEvent;
+    }
+
     /** Own calls under way. */
     get ownCalls(): number {
         return this.calls.size;
@@ -142,6 +147,7 @@
         if (count > 0) {
             const measured = (now - call.lastEventAtMs) / count;
             this.msPerEvent += (measured - this.msPerEvent) * AVERAGE_WEIGHT / 4;
+            this.profile.learnEventTime(measured);
             call.lastEventAtMs = now;
         }
     }
@@ -154,6 +160,9 @@
         if (!call.hasFirstEvent) {
             this.promptTokensAhead -= call.promptTokens;
         }
+        if (outcome === CallOutcome.Good) {
+            this.profile.learnCallTime(this.clock.now() - call.sentAtMs);
+        }
         if (outcome !== CallOutcome.Neutral) {
             this.outcomes.push({ atMs: this.clock.now(), isBad: outcome === CallOutcome.Bad });
             if (this.outcomes.length > MAX_OUTCOMES) {
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -7,6 +7,8 @@
  */
 
 import type { Clock, RandomSource, RelayRoute, RelayServer } from "../../state/relay/mod.js";
+import { AdmissionGate, type Demand, type ServerCapacity } from "./admission_gate.js";
+import { ArrivalRate } from "./arrival_rate.js";
 import type { PlaceRecord } from "./call_record.js";
 import type { Patience } from "./patience.js";
 import { choosePlace, type PlacedCall } from "./placement.js";
@@ -23,6 +25,8 @@
     readonly route: RelayRoute;
     readonly workspaceRank: number;
     readonly arrivedAtMs: number;
+    /** Time until which the caller waits, in milliseconds since the Unix epoch. */
+    readonly deadlineAtMs: number;
     readonly patience: Patience;
     readonly promptTokens: number;
     readonly expectedEvents: number;
@@ -123,6 +127,12 @@
     readonly random: RandomSource;
     /** Servers that may be chosen for a call, by its id; they differ while a service moves to another version. */
     readonly candidates: (callId: string) => readonly ServerState[];
+    /** Servers that take new calls. */
+    readonly openServers: () => readonly ServerState[];
+    /** Calls of the service that wait or arrive at other nodes. */
+    readonly peerDemand: () => Demand;
+    /** Nodes that send calls, this one included. */
+    readonly nodes: () => number;
 }
 
 /** Time for which an engine is expected to keep a prompt in its cache, in milliseconds. */
@@ -141,15 +151,31 @@
 export class ServiceScheduler {
     private waiting: Waiting[] = [];
     private readonly cachedParts = new Map<string, CachedPart>();
+    private readonly arrivals: ArrivalRate;
+    private readonly gate: AdmissionGate;
 
     /** @param settings See {@linkcode ServiceSchedulerSettings}. */
-    constructor(private readonly settings: ServiceSchedulerSettings) {}
+    constructor(private readonly settings: ServiceSchedulerSettings) {
+        this.arrivals = new ArrivalRate(settings.clock);
+        this.gate = new AdmissionGate(settings.random);
+    }
 
     /** Calls that wait. */
     get waitingCalls(): number {
         return this.waiting.length;
     }
 
+    /** Calls that ask for places. */
+    get demand(): Demand {
+        const now = this.settings.clock.now();
+        let inTimeCalls = 0;
+        for (const { inTimeUntilMs } of this.waiting) {
+            inTimeCalls += inTimeUntilMs >= now ? 1 : 0;
+        }
+        const lateCalls = this.waiting.length - inTimeCalls;
+        return { inTimeCalls, lateCalls, arrivalsPerSecond: this.arrivals.perSecond };
+    }
+
     /** Describes the load as a call finds it: calls that wait, servers that may take it, their places and calls. */
     describeLoad(callId: string): Readonly<Record<string, unknown>> {
         const servers = this.settings.candidates(callId);
@@ -169,6 +195,10 @@
      * @throws {NoPlaceError} When there was none in time.
      */
     assign(request: PlaceRequest): Promise<Place> {
+        if (request.patience.inTimeUntilMs >= this.settings.clock.now()) {
+            this.arrivals.record();
+        }
+        this.allot();
         if (this.waiting.length === 0) {
             const place = this.tryPlace(request);
             if (place !== undefined) {
@@ -197,6 +227,7 @@
         if (this.waiting.length === 0) {
             return;
         }
+        this.allot();
         const now = this.settings.clock.now();
         this.waiting.sort((left, right) => compareWaiting(left, right, now));
         const left: Waiting[] = [];
@@ -206,9 +237,10 @@
                 waiting.reject(new NoPlaceError(this.settings.service, NoPlaceReason.Overdue));
                 continue;
             }
-            const place = isFull ? undefined : this.tryPlace(waiting.request);
+            const isOpen: boolean = !isFull && this.gate.isOpen(waiting.inTimeUntilMs < now);
+            const place = isOpen ? this.tryPlace(waiting.request) : undefined;
             if (place === undefined) {
-                isFull ||= waiting.request.excluded.size === 0;
+                isFull ||= isOpen && waiting.request.excluded.size === 0;
                 left.push(waiting);
                 continue;
             }
@@ -225,21 +257,38 @@
         }
     }
 
+    private allot(): void {
+        const { clock, peerDemand, openServers } = this.settings;
+        const now = clock.now();
+        if (this.gate.isDue(now)) {
+            this.gate.allot(now, this.demand, peerDemand(), openServers().filter(isWorking).map(toCapacity));
+        }
+    }
+
     private tryPlace(request: PlaceRequest): Place | undefined {
+        const { clock, failureDomain, nodes, random } = this.settings;
+        const now = clock.now();
+        const isLate = request.patience.inTimeUntilMs < now;
+        if (!this.gate.isOpen(isLate)) {
+            return undefined;
+        }
         const call: PlacedCall = {
             promptTokens: request.promptTokens,
             expectedEvents: request.expectedEvents,
-            failureDomain: this.settings.failureDomain,
+            failureDomain,
             excluded: request.excluded,
             cachedAt: this.findCached(request.partId),
+            leftMs: request.deadlineAtMs - now,
         };
-        const choice = choosePlace(this.settings.candidates(request.id), call, () => this.settings.random.next());
+        const spread = { nodes: nodes(), next: () => random.next() };
+        const choice = choosePlace(this.settings.candidates(request.id), call, spread);
         if (choice === undefined) {
             return undefined;
         }
         if (choice.isTrial) {
             choice.server.recordTrial();
         }
+        this.gate.recordPlaced(isLate);
         this.rememberPart(request.partId, choice.server);
         const expectedMs = choice.server.expectedFirstEventMs(request.promptTokens);
         return new Place(choice.server, choice.server.start(request.promptTokens), expectedMs, () => this.serve());
@@ -262,3 +311,12 @@
         }
     }
 }
+
+/** @returns Whether new calls may be sent to a server. */
+function isWorking(state: ServerState): boolean {
+    return !state.isBarred && !state.isSilent;
+}
+
+function toCapacity({ server, allCalls, callMs }: ServerState): ServerCapacity {
+    return { slots: server.slots, calls: allCalls, callMs };
+}
--- a/src/coordination/relay/tree_exchange.ts
+++ b/src/coordination/relay/tree_exchange.ts
@@ -14,6 +14,9 @@
 import { type OutgoingReport, ReportExchange } from "./report_exchange.js";
 import { ReportSums, withoutOwnPart } from "./report_sums.js";
 
+/** Time between reports, in milliseconds; a figure passes two or three of them, and a place is taken again within tens. */
+const INTERVAL_MS = 100;
+
 /** Name under which sums of the own failure domain are kept among those of all. */
 const OWN_DOMAIN = "";
 
@@ -30,6 +33,7 @@
  * the sums of their domains. A node aggregates as soon as it chooses itself or is sent a report.
  */
 export class TreeExchange extends ReportExchange {
+    override readonly intervalMs = INTERVAL_MS;
     private readonly chooser: AggregatorChooser;
     private readonly members: ReportSums;
     private readonly memberAddresses = new Map<string, string>();
--- a/src/coordination/relay/waiting_calls.ts
+++ b/src/coordination/relay/waiting_calls.ts
@@ -18,18 +18,17 @@
 
 /**
  * Compares two waiting calls: those that can be in time first, then late ones whose callers were refused before and have come
- * back, then other late ones; then by rank of the workspace and of the route; then by arrival. Among late calls the newest goes
- * first, since its caller is the least likely to leave before it is answered.
+ * back, then other late ones; then by rank of the workspace and of the route; then the newest first. When not all can be served,
+ * the newest is the most likely to be in time, and its caller the least likely to leave; served by age, all would be late.
  *
  * @param nowMs Time of the comparison, in milliseconds since the Unix epoch.
  * @returns Negative when `left` goes first.
  */
 export function compareWaiting(left: WaitingOrder, right: WaitingOrder, nowMs: number): number {
-    const isLate = left.inTimeUntilMs < nowMs;
     return lateness(left, nowMs) - lateness(right, nowMs) ||
         left.workspaceRank - right.workspaceRank ||
         left.routeRank - right.routeRank ||
-        (isLate ? right.arrivedAtMs - left.arrivedAtMs : left.arrivedAtMs - right.arrivedAtMs);
+        right.arrivedAtMs - left.arrivedAtMs;
 }
 
 function lateness(call: WaitingOrder, nowMs: number): number {
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -18,7 +18,7 @@
     VersionMoves,
     WorkspaceQuota,
 } from "../../coordination/relay/mod.js";
-import type { KeyedLog, RelayHeaders } from "../../protocol/relay/mod.js";
+import { hashKey, type KeyedLog, type RelayHeaders } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer, RelayWorkspace } from "../../state/relay/mod.js";
 import { CallerServer, HttpClient, HttpRelayClient, PeerSocket, StatusServer } from "../../transport/relay/mod.js";
 import { splitAddress } from "../settings_file.js";
@@ -162,6 +162,7 @@
             quota: this.quota,
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
+            demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
             versionCounts: () => this.moves.evidence.counts(),
             isLeaving: () => this.leaving,
             logSteadyMs: () => this.health.steadyMs,
@@ -328,11 +329,15 @@
         let scheduler = this.schedulers.get(service);
         if (scheduler === undefined) {
             const { clock, random, settings } = this.parts;
+            const key = hashKey(service);
             scheduler = new ServiceScheduler({
                 service,
                 failureDomain: settings.failureDomain,
                 clock,
                 random,
+                openServers: () => this.pool.open(service),
+                peerDemand: () => this.peers.demandOf(key),
+                nodes: () => this.peers.heardPeers + 1,
                 candidates: callId => this.moves.candidates(service, this.pool.open(service), callId),
             });
             this.schedulers.set(service, scheduler);
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -50,6 +50,16 @@
   readonly cores: number;
   /** Part of the figures that is the receiver's own, in reports of a fleet. */
   readonly ownPart: PeerReport | undefined;
+  readonly demands: readonly ServiceDemand[];
+}
+
+/** Calls of one service that ask for places. */
+export interface ServiceDemand {
+  readonly serviceKey: number;
+  /** Waiting calls that can still be in time, and those that are late. */
+  readonly inTimeCalls: number;
+  readonly lateCalls: number;
+  readonly arrivalsPerSecond: number;
 }
 
 /** Calls of one version of a service's backend servers since the order to move to it. */
@@ -81,6 +91,7 @@
     silentNodes: 0,
     cores: 0,
     ownPart: undefined,
+    demands: [],
   };
 }
 
@@ -153,6 +164,9 @@
     if (message.ownPart !== undefined) {
       PeerReport.encode(message.ownPart, writer.uint32(138).fork()).join();
     }
+    for (const v of message.demands) {
+      ServiceDemand.encode(v!, writer.uint32(146).fork()).join();
+    }
     return writer;
   },
 
@@ -345,6 +359,93 @@
             message.ownPart = PeerReport.decode(reader, reader.uint32());
             continue;
           }
+          case 18: {
+            if (tag !== 146) {
+              break;
+            }
+
+            message.demands.push(ServiceDemand.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseServiceDemand(): ServiceDemand {
+  return { serviceKey: 0, inTimeCalls: 0, lateCalls: 0, arrivalsPerSecond: 0 };
+}
+
+export const ServiceDemand: MessageFns<ServiceDemand> = {
+  encode(message: ServiceDemand, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.serviceKey !== 0) {
+      writer.uint32(13).fixed32(message.serviceKey);
+    }
+    if (message.inTimeCalls !== 0) {
+      writer.uint32(16).uint32(message.inTimeCalls);
+    }
+    if (message.lateCalls !== 0) {
+      writer.uint32(24).uint32(message.lateCalls);
+    }
+    if (message.arrivalsPerSecond !== 0) {
+      writer.uint32(32).uint32(message.arrivalsPerSecond);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ServiceDemand {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseServiceDemand() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 13) {
+              break;
+            }
+
+            message.serviceKey = reader.fixed32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.inTimeCalls = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.lateCalls = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.arrivalsPerSecond = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/state/relay/relay_server.ts
+++ b/src/state/relay/relay_server.ts
@@ -41,13 +41,27 @@
 /** Weight of the newest figure in the averages over all servers of a service. */
 const PROFILE_WEIGHT = 0.02;
 
+/** Weight of the newest time between events in the average over all servers of a service; events are many. */
+const EVENT_WEIGHT = 0.005;
+
 /** Speed of a typical server of a service, which stands for one that has not been measured yet. */
 export class ServerProfile {
     /**
      * @param msPerPromptToken Time for one prompt token, in milliseconds.
      * @param msPerEvent Time between events of a stream, in milliseconds.
+     * @param callMs Time that a call takes, in milliseconds.
      */
-    constructor(public msPerPromptToken: number, public msPerEvent: number) {}
+    constructor(public msPerPromptToken: number, public msPerEvent: number, public callMs: number) {}
+
+    /** Takes a measured time between events, in milliseconds. */
+    learnEventTime(msPerEvent: number): void {
+        this.msPerEvent += (msPerEvent - this.msPerEvent) * EVENT_WEIGHT;
+    }
+
+    /** Takes a measured time of a call, in milliseconds. */
+    learnCallTime(callMs: number): void {
+        this.callMs += (callMs - this.callMs) * PROFILE_WEIGHT;
+    }
 
     /** Takes a measured time for one prompt token, in milliseconds. */
     learnPromptSpeed(msPerPromptToken: number): void {
--- a/standin/slot_engine.ts
+++ b/standin/slot_engine.ts
@@ -47,14 +47,22 @@
     private readonly waiting: EngineRun[] = [];
     private updatedAtMs = 0;
 
-    /** @param profile Performance. */
-    constructor(readonly profile: SlotEngineProfile) {}
+    /**
+     * @param id Name of the engine.
+     * @param profile Performance.
+     */
+    constructor(readonly id: string, readonly profile: SlotEngineProfile) {}
 
     /** Calls that run. */
     get runningCalls(): number {
         return this.running.length;
     }
 
+    /** Calls that run or wait. */
+    get allCalls(): number {
+        return this.running.length + this.waiting.length;
+    }
+
     /**
      * Takes a call.
      *
