--- a/measure/relay_run.ts
+++ b/measure/relay_run.ts
@@ -223,6 +223,7 @@
             candidates: () => pool.open(SERVICE),
             openServers: () => pool.open(SERVICE),
             peerDemand: () => peers.demandOf(hashKey(SERVICE)),
+            reportIntervalMs: () => this.relayCase.reportIntervalMs,
             nodes: () => this.relayCase.nodes,
         });
         return { peers, pool, scheduler };
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -9,11 +9,8 @@
 
 import type { RandomSource } from "../../state/relay/mod.js";
 
-/** Time between two allotments, in milliseconds; that of the nodes' reports. */
-const ALLOT_INTERVAL_MS = 200;
-
-/** Age of what nodes know of each other, in milliseconds: two reports of 200 ms on the way through an aggregator. */
-const KNOWLEDGE_AGE_MS = 400;
+/** Reports in which what nodes know of each other grows old: one on its way, one until the next. */
+const KNOWLEDGE_AGE_REPORTS = 2;
 
 /** Part of the places that is given out; the rest covers places that are taken by calls not reported yet. */
 const ALLOTTED_FRACTION = 0.6;
@@ -54,12 +51,15 @@
     private allotment: Allotment = { inTime: Infinity, late: Infinity };
     private allottedAtMs = -Infinity;
 
-    /** @param random Source for rounding, so that small parts are not lost. */
-    constructor(private readonly random: RandomSource) {}
+    /**
+     * @param random Source for rounding, so that small parts are not lost.
+     * @param reportIntervalMs Returns the time between the nodes' reports, in milliseconds; places are allotted as often.
+     */
+    constructor(private readonly random: RandomSource, private readonly reportIntervalMs: () => number) {}
 
     /** Whether the next allotment is due. */
     isDue(nowMs: number): boolean {
-        return nowMs - this.allottedAtMs >= ALLOT_INTERVAL_MS;
+        return nowMs - this.allottedAtMs >= this.reportIntervalMs();
     }
 
     /**
@@ -72,9 +72,10 @@
      */
     allot(nowMs: number, own: Demand, peers: Demand, servers: Iterable<ServerCapacity>): void {
         this.allottedAtMs = nowMs;
-        const places = ALLOTTED_FRACTION * countPlaces(servers);
-        const ownInTime = inTimeDemand(own);
-        const allInTime = ownInTime + inTimeDemand(peers);
+        const ageMs = KNOWLEDGE_AGE_REPORTS * this.reportIntervalMs();
+        const places = ALLOTTED_FRACTION * countPlaces(servers, ageMs);
+        const ownInTime = inTimeDemand(own, ageMs);
+        const allInTime = ownInTime + inTimeDemand(peers, ageMs);
         const allLate = own.lateCalls + peers.lateCalls;
         const unused = this.allotment.inTime === Infinity ? 0 : this.allotment.inTime;
         this.allotment = {
@@ -98,22 +99,22 @@
         if (!(share < 1)) {
             return Infinity;
         }
-        const places = Math.max(0, share) * demand * ALLOT_INTERVAL_MS / KNOWLEDGE_AGE_MS;
+        const places = Math.max(0, share) * demand / KNOWLEDGE_AGE_REPORTS;
         const whole = Math.floor(places);
         return whole + (this.random.next() < places - whole ? 1 : 0);
     }
 }
 
 /** @returns Calls in time that ask for places while what is known grows old. */
-function inTimeDemand({ inTimeCalls, arrivalsPerSecond }: Demand): number {
-    return inTimeCalls + arrivalsPerSecond * KNOWLEDGE_AGE_MS / MS_PER_SECOND;
+function inTimeDemand({ inTimeCalls, arrivalsPerSecond }: Demand, ageMs: number): number {
+    return inTimeCalls + arrivalsPerSecond * ageMs / MS_PER_SECOND;
 }
 
 /** @returns Places that are free or come free while what is known grows old, if all are taken. */
-function countPlaces(servers: Iterable<ServerCapacity>): number {
+function countPlaces(servers: Iterable<ServerCapacity>, ageMs: number): number {
     let places = 0;
     for (const { slots, calls, callMs } of servers) {
-        places += Math.max(0, slots - calls + slots * KNOWLEDGE_AGE_MS / callMs);
+        places += Math.max(0, slots - calls + slots * ageMs / callMs);
     }
     return places;
 }
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -58,6 +58,11 @@
         this.exchange = new MeshExchange(settings.clock, settings.directory);
     }
 
+    /** Time between reports, in milliseconds. */
+    get intervalMs(): number {
+        return this.exchange.intervalMs;
+    }
+
     /** Reports until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -131,6 +131,8 @@
     readonly openServers: () => readonly ServerState[];
     /** Calls of the service that wait or arrive at other nodes. */
     readonly peerDemand: () => Demand;
+    /** Time between the nodes' reports, in milliseconds. */
+    readonly reportIntervalMs: () => number;
     /** Nodes that send calls, this one included. */
     readonly nodes: () => number;
 }
@@ -157,7 +159,7 @@
     /** @param settings See {@linkcode ServiceSchedulerSettings}. */
     constructor(private readonly settings: ServiceSchedulerSettings) {
         this.arrivals = new ArrivalRate(settings.clock);
-        this.gate = new AdmissionGate(settings.random);
+        this.gate = new AdmissionGate(settings.random, settings.reportIntervalMs);
     }
 
     /** Calls that wait. */
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -337,6 +337,7 @@
                 random,
                 openServers: () => this.pool.open(service),
                 peerDemand: () => this.peers.demandOf(key),
+                reportIntervalMs: () => this.reporter.intervalMs,
                 nodes: () => this.peers.heardPeers + 1,
                 candidates: callId => this.moves.candidates(service, this.pool.open(service), callId),
             });
