--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -152,3 +152,20 @@
     Scenario: a version that turns bad at any time stays within the calls that it may get
         When a version that turns bad after every tenth of a move is moved to at 130 calls a second
         Then it never gets more than a tenth of the calls and 50
+
+    Scenario Outline: a node takes <case>
+        Given <servers> servers of <slots> places that hold <taken> calls of <call ms> ms
+        When this node has <own> and the other nodes <others> calls in time, and <own rate> and <other rate> arrive each second
+        Then this node may take <most> places until the next report
+
+        Examples:
+            | case                                   | servers | slots | taken | call ms | own | others | own rate | other rate | most     |
+            | any place while there are enough       | 4       | 10    | 10    | 500     | 1   | 10     | 5        | 50         | any      |
+            | any place that short calls soon leave  | 5       | 6     | 4     | 20      | 1   | 10     | 4        | 190        | any      |
+            | its part when all ask for the same     | 4       | 10    | 36    | 500     | 4   | 36     | 0        | 0          | 1 or 2   |
+            | most places if it has most calls       | 4       | 10    | 36    | 500     | 36  | 4      | 0        | 0          | 9 to 11  |
+            | none that late calls of others leave   | 4       | 10    | 40    | 50000   | 1   | 500    | 0        | 0          | 0 or 1   |
+
+    Scenario: the first measured time of a call replaces the guess
+        When calls of 40 ms are measured at a service whose calls were taken to last 20 ms
+        Then calls are expected to last 40 ms from the first one on
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -7,6 +7,7 @@
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import {
+    AdmissionGate,
     CallOutcome,
     choosePlace,
     compareWaiting,
@@ -17,6 +18,7 @@
     LogHealth,
     type MoveDecision,
     type Patience,
+    type ServerCapacity,
     ServerCatalog,
     ServerState,
     type WaitingOrder,
@@ -48,6 +50,12 @@
 /** Time without an answer that makes an outage, in milliseconds. */
 const OUTAGE_MS = 4_000;
 
+/** Interval of the reports of the gate scenarios, in milliseconds. */
+const REPORT_INTERVAL_MS = 200;
+
+/** Calls that no allotment reaches. */
+const MANY_CALLS = 1_000;
+
 /** State of a scenario of this file. */
 interface DecisionScenario extends Scenario {
     clock: VirtualClock;
@@ -70,6 +78,9 @@
     passedOnCount: number;
     cutter: EventCutter;
     decision: MoveDecision;
+    capacities: readonly ServerCapacity[];
+    gate: AdmissionGate;
+    profile: ServerProfile;
     moveCalls: { readonly target: number; readonly all: number }[];
 }
 
@@ -479,3 +490,53 @@
         assert(target <= all * MOVE_BOUNDS.maxShare + MOVE_BOUNDS.slackCalls, `${target} of ${all} calls`);
     }
 });
+
+Given(
+    "{int} servers of {int} places that hold {int} calls of {int} ms",
+    function(this: DecisionScenario, servers: number, slots: number, taken: number, callMs: number) {
+        this.capacities = Array.from({ length: servers }, () => ({ slots, calls: taken / servers, callMs }));
+    },
+);
+
+When(
+    "this node has {int} and the other nodes {int} calls in time, and {int} and {int} arrive each second",
+    function(this: DecisionScenario, own: number, others: number, ownRate: number, otherRate: number) {
+        this.gate = new AdmissionGate(new SeededRandom(1), () => REPORT_INTERVAL_MS);
+        this.gate.allot(
+            0,
+            { inTimeCalls: own, lateCalls: 0, arrivalsPerSecond: ownRate },
+            { inTimeCalls: others, lateCalls: 0, arrivalsPerSecond: otherRate },
+            this.capacities,
+        );
+    },
+);
+
+Then(/^this node may take (any|\d+)(?: (?:or|to) (\d+))? places until the next report$/, function(
+    this: DecisionScenario,
+    least: string,
+    most: string | undefined,
+) {
+    let taken = 0;
+    while (taken < MANY_CALLS && this.gate.isOpen(false)) {
+        this.gate.recordPlaced(false);
+        taken += 1;
+    }
+    if (least === "any") {
+        assert.equal(taken, MANY_CALLS);
+        return;
+    }
+    assert(taken >= Number(least) && taken <= Number(most ?? least), `${taken} places`);
+});
+
+When("calls of {int} ms are measured at a service whose calls were taken to last {int} ms", function(
+    this: DecisionScenario,
+    measuredMs: number,
+    guessMs: number,
+) {
+    this.profile = new ServerProfile(0.01, 25, guessMs);
+    this.profile.learnCallTime(measuredMs);
+});
+
+Then("calls are expected to last {int} ms from the first one on", function(this: DecisionScenario, callMs: number) {
+    assert.equal(this.profile.callMs, callMs);
+});
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -15,8 +15,8 @@
 /** Time between events at a server that nobody has measured yet, in milliseconds. */
 const FIRST_MS_PER_EVENT = 25;
 
-/** Time of a call at a server that nobody has measured yet, in milliseconds; about a hundred tokens. */
-const FIRST_CALL_MS = 500;
+/** Time of a call at a server that nobody has measured yet, in milliseconds; short, so that no call waits for an allotment until then. */
+const FIRST_CALL_MS = 20;
 
 /** Keeps the state of each server by service. */
 export class ServerPool {
--- a/src/state/relay/relay_server.ts
+++ b/src/state/relay/relay_server.ts
@@ -53,14 +53,17 @@
      */
     constructor(public msPerPromptToken: number, public msPerEvent: number, public callMs: number) {}
 
+    private measuredCalls = 0;
+
     /** Takes a measured time between events, in milliseconds. */
     learnEventTime(msPerEvent: number): void {
         this.msPerEvent += (msPerEvent - this.msPerEvent) * EVENT_WEIGHT;
     }
 
-    /** Takes a measured time of a call, in milliseconds. */
+    /** Takes a measured time of a call, in milliseconds; the first ones count by their number, so that a guess is soon replaced. */
     learnCallTime(callMs: number): void {
-        this.callMs += (callMs - this.callMs) * PROFILE_WEIGHT;
+        this.measuredCalls += 1;
+        this.callMs += (callMs - this.callMs) * Math.max(PROFILE_WEIGHT, 1 / this.measuredCalls);
     }
 
     /** Takes a measured time for one prompt token, in milliseconds. */
