--- a/measure/relay_run.ts
+++ b/measure/relay_run.ts
@@ -221,7 +221,7 @@
             clock: this.clock,
             random: this.random,
             candidates: () => pool.open(SERVICE),
-            openServers: () => pool.open(SERVICE),
+            mainServers: () => pool.open(SERVICE),
             peerDemand: () => peers.demandOf(hashKey(SERVICE)),
             reportIntervalMs: () => this.relayCase.reportIntervalMs,
             nodes: () => this.relayCase.nodes,
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -84,6 +84,15 @@
         };
     }
 
+    /** Describes what decides whether calls may take places, for logs; `undefined` stands for no limit. */
+    describe(): Readonly<Record<string, number | undefined>> {
+        const { inTime, late } = this.allotment;
+        return {
+            allottedInTime: Number.isFinite(inTime) ? inTime : undefined,
+            allottedLate: Number.isFinite(late) ? late : undefined,
+        };
+    }
+
     /** Whether a call may take a place. */
     isOpen(isLate: boolean): boolean {
         return (isLate ? this.allotment.late : this.allotment.inTime) > 0;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -127,8 +127,8 @@
     readonly random: RandomSource;
     /** Servers that may be chosen for a call, by its id; they differ while a service moves to another version. */
     readonly candidates: (callId: string) => readonly ServerState[];
-    /** Servers that take new calls. */
-    readonly openServers: () => readonly ServerState[];
+    /** Servers that take most of the calls. */
+    readonly mainServers: () => readonly ServerState[];
     /** Calls of the service that wait or arrive at other nodes. */
     readonly peerDemand: () => Demand;
     /** Time between the nodes' reports, in milliseconds. */
@@ -187,6 +187,8 @@
             servers: servers.length,
             places: servers.reduce((sum, state) => sum + state.server.slots, 0),
             calls: servers.reduce((sum, state) => sum + state.allCalls, 0),
+            ...this.gate.describe(),
+            peerDemand: this.settings.peerDemand(),
             doubtfulServers: servers.filter(state => state.isSilent || state.isBarred).length,
         };
     }
@@ -260,10 +262,10 @@
     }
 
     private allot(): void {
-        const { clock, peerDemand, openServers } = this.settings;
+        const { clock, peerDemand, mainServers } = this.settings;
         const now = clock.now();
         if (this.gate.isDue(now)) {
-            this.gate.allot(now, this.demand, peerDemand(), openServers().filter(isWorking).map(toCapacity));
+            this.gate.allot(now, this.demand, peerDemand(), mainServers().filter(isWorking).map(toCapacity));
         }
     }
 
--- a/src/coordination/relay/version_moves.ts
+++ b/src/coordination/relay/version_moves.ts
@@ -26,6 +26,9 @@
 /** Interval at which the log is asked for the state of moves under way, in milliseconds. */
 const STATE_INTERVAL_MS = 750;
 
+/** Share of the calls from which on a version takes most of them. */
+const MAIN_SHARE = 0.5;
+
 /** Calls are divided by a number from 0 to this one. */
 const HASH_RANGE = 0x1_0000_0000;
 
@@ -127,6 +130,17 @@
         return move.state === VersionOrderState.Completed || !isTarget ? servers : [];
     }
 
+    /** Returns the servers that take most of a service's calls: those of one version while it moves to another. */
+    mainServers(service: string, servers: readonly ServerState[]): readonly ServerState[] {
+        const move = this.moves.get(service);
+        if (move === undefined) {
+            return servers;
+        }
+        const isTarget = move.share >= MAIN_SHARE;
+        const main = servers.filter(({ server }) => (server.version === move.order.version) === isTarget);
+        return main.length > 0 ? main : servers;
+    }
+
     /** Counts a call that ended at a server. */
     recordCall(state: ServerState, isBad: boolean): void {
         const { service, version } = state.server;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -335,7 +335,7 @@
                 failureDomain: settings.failureDomain,
                 clock,
                 random,
-                openServers: () => this.pool.open(service),
+                mainServers: () => this.moves.mainServers(service, this.pool.open(service)),
                 peerDemand: () => this.peers.demandOf(key),
                 reportIntervalMs: () => this.reporter.intervalMs,
                 nodes: () => this.peers.heardPeers + 1,
