--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -18,8 +18,9 @@
 import { EventCutter } from "./event_cutter.js";
 import { type AdmittedCall, CallState, FinalAnswer, NOT_RUN_STATUSES, TIME_OVER } from "./final_answer.js";
 import { decidePatience } from "./patience.js";
+import { NoPlaceError, NoPlaceReason, type Place } from "./place.js";
 import { CallOutcome, type ServerState } from "./server_state.js";
-import { NoPlaceError, NoPlaceReason, type Place, type ServiceScheduler } from "./service_scheduler.js";
+import type { ServiceScheduler } from "./service_scheduler.js";
 
 /** Status of a server that is not the one that was addressed. */
 const MISDIRECTED = 421;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -6,107 +6,15 @@
  * @module
  */
 
-import type { Clock, RandomSource, RelayRoute, RelayServer } from "../../state/relay/mod.js";
+import type { Clock, RandomSource } from "../../state/relay/mod.js";
 import { AdmissionGate, type Demand, type ServerCapacity } from "./admission_gate.js";
 import { ArrivalRate } from "./arrival_rate.js";
-import type { PlaceRecord } from "./call_record.js";
-import type { Patience } from "./patience.js";
+import { NoPlaceError, NoPlaceReason, Place, type PlaceRequest } from "./place.js";
 import { choosePlace, type PlacedCall } from "./placement.js";
-import type { CallOutcome } from "./server_state.js";
-import { type CallUnderWay, type ServerState } from "./server_state.js";
+import { PromptLocations } from "./prompt_locations.js";
+import type { ServerState } from "./server_state.js";
 import { compareWaiting } from "./waiting_calls.js";
 
-/** Expected times to the first event from which on a call counts as slow; healthy engines differ less than this. */
-const SLOW_FACTOR = 3.5;
-
-/** Call that asks for a place. */
-export interface PlaceRequest {
-    readonly id: string;
-    readonly route: RelayRoute;
-    readonly workspaceRank: number;
-    readonly arrivedAtMs: number;
-    /** Time until which the caller waits, in milliseconds since the Unix epoch. */
-    readonly deadlineAtMs: number;
-    readonly patience: Patience;
-    readonly promptTokens: number;
-    readonly expectedEvents: number;
-    /** Last part of the prompt, which later calls may share. */
-    readonly partId: string | undefined;
-    readonly excluded: ReadonlySet<string>;
-    /** Ends the wait when aborted. */
-    readonly signal: AbortSignal;
-}
-
-/** Why a call got no place. */
-export enum NoPlaceReason {
-    /** Its time to wait ran out. */
-    Overdue = "overdue",
-    /** Its caller left, or its deadline came. */
-    Ended = "ended",
-}
-
-/** Call that was given up while it waited; it has not run. */
-export class NoPlaceError extends Error {
-    override readonly name = "NoPlaceError";
-
-    /**
-     * @param service Service whose place was asked for.
-     * @param reason Why there was none.
-     */
-    constructor(readonly service: string, readonly reason: NoPlaceReason) {
-        super(`Cannot place a call of service ${service}: ${reason}`);
-    }
-}
-
-/** Place at a server; given back when the call ends. */
-export class Place {
-    /**
-     * @param state Server that the place is at.
-     * @param underWay Call as the server's figures know it.
-     * @param expectedMs Time to the first event that is expected, in milliseconds.
-     * @param onRelease Told when the place is free.
-     */
-    constructor(
-        readonly state: ServerState,
-        private readonly underWay: CallUnderWay,
-        private readonly expectedMs: number,
-        private readonly onRelease: () => void,
-    ) {}
-
-    /** What decided the place. */
-    get record(): Omit<PlaceRecord, "waitedMs"> {
-        const { state, expectedMs } = this;
-        const { ownCalls, allCalls } = state;
-        return { server: state.server.id, expectedMs: Math.round(expectedMs), ownCalls, peerCalls: allCalls - ownCalls };
-    }
-
-    /** Server that the place is at. */
-    get server(): RelayServer {
-        return this.state.server;
-    }
-
-    /** Whether the first event took several times as long as a typical server of the service takes. */
-    get wasSlow(): boolean {
-        return this.underWay.slowness > SLOW_FACTOR;
-    }
-
-    /** Records the first event of a stream or the whole of a plain answer. */
-    recordFirstEvent(): void {
-        this.state.recordFirstEvent(this.underWay);
-    }
-
-    /** Records further events of a stream. */
-    recordEvents(count: number): void {
-        this.state.recordEvents(this.underWay, count);
-    }
-
-    /** Gives the place back; only the first call counts. */
-    release(outcome: CallOutcome): void {
-        this.state.finish(this.underWay, outcome);
-        this.onRelease();
-    }
-}
-
 /** Call in the queue. */
 interface Waiting {
     readonly request: PlaceRequest;
@@ -137,27 +45,16 @@
     readonly nodes: () => number;
 }
 
-/** Time for which an engine is expected to keep a prompt in its cache, in milliseconds. */
-const CACHED_FOR_MS = 10_000;
-
-/** Prompts whose server is remembered. */
-const MAX_REMEMBERED_PARTS = 2_000;
-
-/** Server that read a prompt. */
-interface CachedPart {
-    readonly server: string;
-    readonly atMs: number;
-}
-
 /** Gives places to calls by rank as they come free. */
 export class ServiceScheduler {
     private waiting: Waiting[] = [];
-    private readonly cachedParts = new Map<string, CachedPart>();
+    private readonly prompts: PromptLocations;
     private readonly arrivals: ArrivalRate;
     private readonly gate: AdmissionGate;
 
     /** @param settings See {@linkcode ServiceSchedulerSettings}. */
     constructor(private readonly settings: ServiceSchedulerSettings) {
+        this.prompts = new PromptLocations(settings.clock);
         this.arrivals = new ArrivalRate(settings.clock);
         this.gate = new AdmissionGate(settings.random, settings.reportIntervalMs);
     }
@@ -281,7 +178,7 @@
             expectedEvents: request.expectedEvents,
             failureDomain,
             excluded: request.excluded,
-            cachedAt: this.findCached(request.partId),
+            cachedAt: this.prompts.find(request.partId),
             leftMs: request.deadlineAtMs - now,
         };
         const spread = { nodes: nodes(), next: () => random.next() };
@@ -293,27 +190,10 @@
             choice.server.recordTrial();
         }
         this.gate.recordPlaced(isLate);
-        this.rememberPart(request.partId, choice.server);
+        this.prompts.record(request.partId, choice.server.server.id);
         const expectedMs = choice.server.expectedFirstEventMs(request.promptTokens);
         return new Place(choice.server, choice.server.start(request.promptTokens), expectedMs, () => this.serve());
     }
-
-    private findCached(partId: string | undefined): string | undefined {
-        const cached = partId === undefined ? undefined : this.cachedParts.get(partId);
-        return cached !== undefined && this.settings.clock.now() - cached.atMs < CACHED_FOR_MS ? cached.server : undefined;
-    }
-
-    private rememberPart(partId: string | undefined, state: ServerState): void {
-        if (partId === undefined) {
-            return;
-        }
-        this.cachedParts.delete(partId);
-        this.cachedParts.set(partId, { server: state.server.id, atMs: this.settings.clock.now() });
-        if (this.cachedParts.size > MAX_REMEMBERED_PARTS) {
-            const [oldest] = this.cachedParts.keys();
-            this.cachedParts.delete(oldest ?? "");
-        }
-    }
 }
 
 /** @returns Whether new calls may be sent to a server. */
