--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -169,3 +169,15 @@
     Scenario: the first measured time of a call replaces the guess
         When calls of 40 ms are measured at a service whose calls were taken to last 20 ms
         Then calls are expected to last 40 ms from the first one on
+
+    Scenario Outline: a late call is refused <when>
+        Given one server whose 100 places are taken
+        And other nodes with <others> calls in time
+        When a call with an objective of 500 ms and a deadline of 15000 ms waits for a place, <returned>
+        Then it is refused after <refused> ms
+
+        Examples:
+            | when                                               | others | returned             | refused |
+            | at once while calls in time ask for all places     | 100    | for the first time   | 320     |
+            | when its patience ends while late calls are served | 0      | for the first time   | 800     |
+            | later when its caller has come back already        | 100    | for the second time  | 1800    |
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -21,6 +21,7 @@
     type ServerCapacity,
     ServerCatalog,
     ServerState,
+    ServiceScheduler,
     type WaitingOrder,
     WorkspaceQuota,
 } from "../../src/coordination/relay/mod.js";
@@ -53,6 +54,12 @@
 /** Interval of the reports of the gate scenarios, in milliseconds. */
 const REPORT_INTERVAL_MS = 200;
 
+/** Interval at which the queue scenarios look at the queue, in milliseconds. */
+const TICK_MS = 40;
+
+/** Longest time for which the queue scenarios wait, in milliseconds. */
+const LONGEST_WAIT_MS = 3_000;
+
 /** Calls that no allotment reaches. */
 const MANY_CALLS = 1_000;
 
@@ -80,6 +87,9 @@
     decision: MoveDecision;
     capacities: readonly ServerCapacity[];
     gate: AdmissionGate;
+    scheduler: ServiceScheduler;
+    othersInTime: number;
+    refusedAfterMs: number | undefined;
     profile: ServerProfile;
     moveCalls: { readonly target: number; readonly all: number }[];
 }
@@ -540,3 +550,61 @@
 Then("calls are expected to last {int} ms from the first one on", function(this: DecisionScenario, callMs: number) {
     assert.equal(this.profile.callMs, callMs);
 });
+
+Given("one server whose 100 places are taken", function(this: DecisionScenario) {
+    this.clock = new VirtualClock();
+    const profile = new ServerProfile(0.01, 25, 500);
+    const state = new ServerState(makeServer("only", { slots: 100 }), profile, this.clock, () => 100);
+    this.scheduler = new ServiceScheduler({
+        service: "s",
+        failureDomain: "here",
+        clock: this.clock,
+        random: new SeededRandom(1),
+        candidates: () => [state],
+        mainServers: () => [state],
+        peerDemand: () => ({ inTimeCalls: this.othersInTime, lateCalls: 0, arrivalsPerSecond: 0 }),
+        reportIntervalMs: () => REPORT_INTERVAL_MS,
+        nodes: () => 6,
+    });
+});
+
+Given("other nodes with {int} calls in time", function(this: DecisionScenario, count: number) {
+    this.othersInTime = count;
+});
+
+When(
+    /^a call with an objective of (\d+) ms and a deadline of (\d+) ms waits for a place, for the (first|second) time$/,
+    async function(this: DecisionScenario, objective: string, deadline: string, time: string) {
+        const route = makeRoute("/", Number(objective));
+        const arrivedAtMs = this.clock.now();
+        const deadlineMs = Number(deadline) * (time === "first" ? 1 : 0.7);
+        this.refusedAfterMs = undefined;
+        this.scheduler.assign({
+            id: "call",
+            route,
+            workspaceRank: 0,
+            arrivedAtMs,
+            deadlineAtMs: arrivedAtMs + deadlineMs,
+            patience: decidePatience(route, { arrivedAtMs, deadlineMs, usualDeadlineMs: Number(deadline) }),
+            promptTokens: 100,
+            expectedEvents: 10,
+            partId: undefined,
+            excluded: new Set(),
+            signal: new AbortController().signal,
+        }).then(
+            () => assert.fail("the call got a place"),
+            () => {
+                this.refusedAfterMs = this.clock.now() - arrivedAtMs;
+            },
+        );
+        for (let waitedMs = 0; waitedMs < LONGEST_WAIT_MS; waitedMs += TICK_MS) {
+            await this.clock.advance(TICK_MS);
+            this.scheduler.serve();
+            await Promise.resolve();
+        }
+    },
+);
+
+Then("it is refused after {int} ms", function(this: DecisionScenario, refusedAfterMs: number) {
+    assert.equal(this.refusedAfterMs, refusedAfterMs);
+});
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -50,6 +50,7 @@
 export class AdmissionGate {
     private allotment: Allotment = { inTime: Infinity, late: Infinity };
     private allottedAtMs = -Infinity;
+    private hasNoneLeft = false;
 
     /**
      * @param random Source for rounding, so that small parts are not lost.
@@ -77,6 +78,7 @@
         const ownInTime = inTimeDemand(own, ageMs);
         const allInTime = ownInTime + inTimeDemand(peers, ageMs);
         const allLate = own.lateCalls + peers.lateCalls;
+        this.hasNoneLeft = places <= allInTime;
         const unused = this.allotment.inTime === Infinity ? 0 : this.allotment.inTime;
         this.allotment = {
             inTime: this.allotTo(ownInTime, places / allInTime),
@@ -84,6 +86,11 @@
         };
     }
 
+    /** Whether calls in time ask for all places, so that late ones get none. */
+    get isClosedToLate(): boolean {
+        return this.hasNoneLeft;
+    }
+
     /** Describes what decides whether calls may take places, for logs; `undefined` stands for no limit. */
     describe(): Readonly<Record<string, number | undefined>> {
         const { inTime, late } = this.allotment;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -134,7 +134,7 @@
         const left: Waiting[] = [];
         let isFull = false;
         for (const waiting of this.waiting) {
-            if (waiting.request.patience.giveUpAtMs <= now) {
+            if (this.isHopeless(waiting, now)) {
                 waiting.reject(new NoPlaceError(this.settings.service, NoPlaceReason.Overdue));
                 continue;
             }
@@ -150,6 +150,12 @@
         this.waiting = left;
     }
 
+    /** @returns Whether a call has waited too long, or is late while no late calls are served and its caller may come back. */
+    private isHopeless(waiting: Waiting, nowMs: number): boolean {
+        return waiting.request.patience.giveUpAtMs <= nowMs ||
+            this.gate.isClosedToLate && !waiting.hasReturned && waiting.inTimeUntilMs < nowMs;
+    }
+
     private giveUp(waiting: Waiting, reason: NoPlaceReason): void {
         const index = this.waiting.indexOf(waiting);
         if (index >= 0) {
