--- /dev/null
+++ b/features/steps/relay_program_steps.ts
@@ -0,0 +1,139 @@
+/**
+ * Steps about the program of a relay node, run as a process of its own.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { Agent, request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { StoreServer } from "../../platform/standin/store_server.js";
+import { awaitReady, findPorts } from "../../standin/fleet_process.js";
+import type { Scenario } from "../support/world.js";
+
+/** Lines a second that the program may write; more than the test causes. */
+const LINES_PER_SECOND = 100_000;
+
+/** Bytes in a kilobyte and a megabyte. */
+const KILOBYTE = 1_024;
+
+/** State of a scenario of this file. */
+interface ProgramScenario extends Scenario {
+    programStore: StoreServer;
+    programFolder: string;
+    program: ChildProcess;
+    /** Exit code; Node gives `null` after a signal. */
+    programEnd: Promise<number | null>;
+    programPort: number;
+    longestMs: number;
+    toldAtMs: number;
+}
+
+Given("a relay program whose log nobody reads", async function(this: ProgramScenario) {
+    this.programStore = new StoreServer();
+    await this.programStore.start();
+    this.programStore.put("keyed.op", "config", {
+        Version: 1,
+        Routes: [],
+        Services: [],
+        Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 1_000_000, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
+        Tenants: [],
+    });
+    const [callers = 0, readiness = 0, peers = 0] = await findPorts(3, 0);
+    this.programPort = callers;
+    this.programFolder = await mkdtemp(join(tmpdir(), "relay-program-"));
+    const file = join(this.programFolder, "settings.yaml");
+    await writeFile(
+        file,
+        `
+node: entry-1
+failureDomain: zone-a
+listen: { callers: "127.0.0.1:${callers}", readiness: "127.0.0.1:${readiness}", peers: "127.0.0.1:${peers}" }
+log: ${this.programStore.address}
+isFirstStart: true
+drain: { graceSeconds: 3, balancerLagMs: 50 }
+servers: { leaveMs: 2000 }
+retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
+rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+logLinesPerSecond: ${LINES_PER_SECOND}
+`,
+    );
+    const program = spawn(process.execPath, ["dist/platform/main.js"], {
+        env: { ...process.env, FOXTAILRAIL_CONFIG: file },
+        stdio: ["ignore", "pipe", "ignore"],
+    });
+    // Nothing reads the pipe, so it fills up and stays full.
+    program.stdout.pause();
+    this.program = program;
+    this.programEnd = new Promise(resolve => {
+        program.once("exit", resolve);
+    });
+    await awaitReady(`http://127.0.0.1:${readiness}/-/ready`);
+});
+
+When("{int} calls that each write a line are sent, {int} at a time", async function(
+    this: ProgramScenario,
+    count: number,
+    parallel: number,
+) {
+    const agent = new Agent({ keepAlive: true, maxSockets: parallel });
+    let sent = 0;
+    this.longestMs = 0;
+    const sendAll = async () => {
+        while (sent < count) {
+            sent += 1;
+            this.longestMs = Math.max(this.longestMs, await sendUnknown(this.programPort, sent, agent));
+        }
+    };
+    await Promise.all(Array.from({ length: parallel }, sendAll));
+    agent.destroy();
+});
+
+/** Sends a call that no route takes and returns the time until its answer, in milliseconds. */
+function sendUnknown(port: number, id: number, agent: Agent): Promise<number> {
+    const startedMs = performance.now();
+    return new Promise((resolve, reject) => {
+        const headers = { "Host": "nobody.example", "Request-Id": `call-${id}` };
+        const call = request({ host: "127.0.0.1", port, path: "/x/", agent, headers }, response => {
+            assert.equal(response.statusCode, 404);
+            response.resume();
+            response.on("end", () => resolve(performance.now() - startedMs));
+        });
+        call.on("error", reject);
+        call.end();
+    });
+}
+
+Then("each of them is answered within {int} ms", function(this: ProgramScenario, mostMs: number) {
+    assert(this.longestMs <= mostMs, `one took ${this.longestMs} ms`);
+});
+
+Then("the program holds less than {int} MB", async function(this: ProgramScenario, most: number) {
+    const status = await readFile(`/proc/${this.program.pid}/status`, "utf8");
+    const kilobytes = Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]);
+    assert(kilobytes / KILOBYTE < most, `${kilobytes} kB`);
+});
+
+When("the relay program is told to leave", function(this: ProgramScenario) {
+    this.toldAtMs = performance.now();
+    this.program.kill("SIGTERM");
+});
+
+Then("it ends within {int} ms with code {int}", async function(this: ProgramScenario, mostMs: number, code: number) {
+    const timeout = new Promise<string>(resolve => setTimeout(resolve, mostMs, "still running").unref());
+    assert.equal(await Promise.race([this.programEnd, timeout]), code);
+});
+
+After(async function(this: ProgramScenario) {
+    if (this.program === undefined) {
+        return;
+    }
+    this.program.kill("SIGKILL");
+    await this.programEnd;
+    this.programStore.close();
+    await rm(this.programFolder, { recursive: true });
+});
