--- a/measure/relay_workload.ts
+++ b/measure/relay_workload.ts
@@ -118,6 +118,9 @@
     return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
 }
 
+/** Longest pause of a stream in time, in milliseconds. */
+const MAX_PAUSE_MS = 300;
+
 const EXTRACT_PROMPT: LongTail = { mean: 690, sigma: 0.9, most: 3_310 };
 const DOSSIER_PROMPT: LongTail = { mean: 6_670, sigma: 1, most: 54_600 };
 const FLAG_PROMPT: LongTail = { mean: 1_860, sigma: 1, most: 6_870 };
@@ -126,10 +129,9 @@
     const [dossiers = 0, extracts = 0, flags = 0] = perSecond;
     const tails = events.map(mean => ({ mean, sigma, most: 10 * mean }));
     const [dossierEvents, extractEvents, flagEvents] = tails;
-    const base = { maxPauseMs: 300 };
     return [
         {
-            ...base,
+            maxPauseMs: MAX_PAUSE_MS,
             name: "dossier",
             rank: 0,
             perSecond: dossiers,
@@ -141,7 +143,7 @@
             events: dossierEvents ?? DOSSIER_PROMPT,
         },
         {
-            ...base,
+            maxPauseMs: MAX_PAUSE_MS,
             name: "extract",
             rank: 1,
             perSecond: extracts,
@@ -153,7 +155,7 @@
             events: extractEvents ?? DOSSIER_PROMPT,
         },
         {
-            ...base,
+            maxPauseMs: MAX_PAUSE_MS,
             name: "flag",
             rank: 2,
             perSecond: flags,
@@ -177,54 +179,34 @@
     return atMs >= 14_000 && atMs < 16_500 ? 2.1 : 1;
 }
 
-/** Cases: fleets of 91 and 6 nodes, calm and with bursts. */
+/** Large fleet: reports by way of aggregators. */
+const LARGE_FLEET: Omit<RelayCase, "name" | "load"> = {
+    ...ENGINE,
+    nodes: 91,
+    engines: 42,
+    slots: 11,
+    tokensPerEvent: 9,
+    reportAgeMs: 200,
+    reportIntervalMs: 100,
+    kinds: makeKinds([125, 115, 254], [42, 32, 2.5], 1.4),
+};
+
+/** Small fleet: each node reports to every other. */
+const SMALL_FLEET: Omit<RelayCase, "name" | "load"> = {
+    ...ENGINE,
+    nodes: 6,
+    engines: 6,
+    slots: 19,
+    tokensPerEvent: 5,
+    reportAgeMs: 200,
+    reportIntervalMs: 200,
+    kinds: makeKinds([22.5, 31.7, 38.6], [76, 58, 4.5], 1.2),
+};
+
+/** Fleets of 91 and 6 nodes, calm and with bursts. */
 export const RELAY_CASES: readonly RelayCase[] = [
-    {
-        ...ENGINE,
-        name: "91 nodes, calm",
-        nodes: 91,
-        engines: 42,
-        slots: 11,
-        tokensPerEvent: 9,
-        reportAgeMs: 200,
-        reportIntervalMs: 100,
-        kinds: makeKinds([125, 115, 254], [42, 32, 2.5], 1.4),
-        load: () => 1,
-    },
-    {
-        ...ENGINE,
-        name: "91 nodes, bursts",
-        nodes: 91,
-        engines: 42,
-        slots: 11,
-        tokensPerEvent: 9,
-        reportAgeMs: 200,
-        reportIntervalMs: 100,
-        kinds: makeKinds([125, 115, 254], [42, 32, 2.5], 1.4),
-        load: burstLoad,
-    },
-    {
-        ...ENGINE,
-        name: "6 nodes, calm",
-        nodes: 6,
-        engines: 6,
-        slots: 19,
-        tokensPerEvent: 5,
-        reportAgeMs: 200,
-        reportIntervalMs: 200,
-        kinds: makeKinds([22.5, 31.7, 38.6], [76, 58, 4.5], 1.2),
-        load: () => 1,
-    },
-    {
-        ...ENGINE,
-        name: "6 nodes, bursts",
-        nodes: 6,
-        engines: 6,
-        slots: 19,
-        tokensPerEvent: 5,
-        reportAgeMs: 200,
-        reportIntervalMs: 200,
-        kinds: makeKinds([22.5, 31.7, 38.6], [76, 58, 4.5], 1.2),
-        load: burstLoad,
-    },
+    { ...LARGE_FLEET, name: "91 nodes, calm", load: () => 1 },
+    { ...LARGE_FLEET, name: "91 nodes, bursts", load: burstLoad },
+    { ...SMALL_FLEET, name: "6 nodes, calm", load: () => 1 },
+    { ...SMALL_FLEET, name: "6 nodes, bursts", load: burstLoad },
 ];
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -134,7 +134,7 @@
         const left: Waiting[] = [];
         let isFull = false;
         for (const waiting of this.waiting) {
-            if (this.isHopeless(waiting, now)) {
+            if (this.isToBeRefused(waiting, now)) {
                 waiting.reject(new NoPlaceError(this.settings.service, NoPlaceReason.Overdue));
                 continue;
             }
@@ -151,7 +151,7 @@
     }
 
     /** @returns Whether a call has waited too long, or is late while no late calls are served and its caller may come back. */
-    private isHopeless(waiting: Waiting, nowMs: number): boolean {
+    private isToBeRefused(waiting: Waiting, nowMs: number): boolean {
         return waiting.request.patience.giveUpAtMs <= nowMs ||
             this.gate.isClosedToLate && !waiting.hasReturned && waiting.inTimeUntilMs < nowMs;
     }
