Read the figures of reports and add up demands in one place each

The table of peers, the reporter and the sums each took a report's calls or tokens apart, and the table of peers and the experiment each added up demands.

--- a/measure/relay_run.ts
+++ b/measure/relay_run.ts
@@ -8,14 +8,14 @@
     CallOutcome,
     decidePatience,
     decideReturn,
-    type Demand,
     NoPlaceError,
     PeerTable,
     type Place,
     ServerPool,
     ServiceScheduler,
+    sumDemands,
 } from "../src/coordination/relay/mod.js";
-import { EMPTY_REPORT, hashKey, type ServiceDemand } from "../src/protocol/relay/mod.js";
+import { EMPTY_REPORT, hashKey } from "../src/protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, SeededRandom, Semantics } from "../src/state/relay/mod.js";
 import { SlotEngine } from "../standin/slot_engine.js";
 import { type CallKind, makeCalls, type RelayCase, type WorkloadCall } from "./relay_workload.js";
@@ -245,7 +245,10 @@
                     node: "fleet",
                     sequence,
                     heardNodes: this.nodes.length - 1,
-                    demands: [sumDemands([...demands.slice(0, index), ...demands.slice(index + 1)])],
+                    demands: [{
+                        serviceKey: hashKey(SERVICE),
+                        ...sumDemands([...demands.slice(0, index), ...demands.slice(index + 1)]),
+                    }],
                     serverKeys: this.engines.map(engine => hashKey(engine.id)),
                     serverCalls: sums.map((sum, engine) => sum - (own[index]?.[engine] ?? 0)),
                 });
@@ -391,18 +394,6 @@
     }
 }
 
-function sumDemands(demands: readonly Demand[]): ServiceDemand {
-    let inTimeCalls = 0;
-    let lateCalls = 0;
-    let arrivalsPerSecond = 0;
-    for (const demand of demands) {
-        inTimeCalls += demand.inTimeCalls;
-        lateCalls += demand.lateCalls;
-        arrivalsPerSecond += demand.arrivalsPerSecond;
-    }
-    return { serviceKey: hashKey(SERVICE), inTimeCalls, lateCalls, arrivalsPerSecond };
-}
-
 function makeRoute(kind: CallKind): RelayRoute {
     return {
         name: kind.name,
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -28,6 +28,19 @@
     readonly arrivalsPerSecond: number;
 }
 
+/** Adds up demands of the same service. */
+export function sumDemands(demands: Iterable<Demand>): Demand {
+    let inTimeCalls = 0;
+    let lateCalls = 0;
+    let arrivalsPerSecond = 0;
+    for (const demand of demands) {
+        inTimeCalls += demand.inTimeCalls;
+        lateCalls += demand.lateCalls;
+        arrivalsPerSecond += demand.arrivalsPerSecond;
+    }
+    return { inTimeCalls, lateCalls, arrivalsPerSecond };
+}
+
 /** Places of one server that come free. */
 export interface ServerCapacity {
     readonly slots: number;
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { EMPTY_REPORT, hashKey, type PeerLink, type PeerReport, type VersionCount } from "../../protocol/relay/mod.js";
+import { EMPTY_REPORT, hashKey, type PeerLink, type PeerReport, tokensOf, type VersionCount } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
 import type { Demand } from "./admission_gate.js";
 import { MeshExchange } from "./mesh_exchange.js";
@@ -99,7 +99,7 @@
             this.incarnations.set(report.node, incarnation);
             this.settings.onPeer(report);
         }
-        const totals = new Map(report.workspaceKeys.map((key, index) => [key, report.workspaceTokens[index] ?? 0]));
+        const totals = tokensOf(report);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
             if (total !== undefined) {
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import type { PeerReport } from "../../protocol/relay/mod.js";
+import { callsOf, type PeerReport } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
-import type { Demand } from "./admission_gate.js";
+import { type Demand, sumDemands } from "./admission_gate.js";
 
 /** Age of a report beyond which its node's calls count no more, in milliseconds; the slowest reports come every 1.7 s. */
 export const REPORT_AGE_MS = 2_500;
@@ -45,7 +45,7 @@
         if (known !== undefined) {
             this.uncount(known);
         }
-        const serverCalls = new Map(report.serverKeys.map((key, index) => [key, report.serverCalls[index] ?? 0]));
+        const serverCalls = callsOf(report);
         this.addCalls(serverCalls, 1);
         this.peers.set(report.node, { report, serverCalls, heardAtMs: this.clock.now(), isCounted: true });
         return true;
@@ -81,16 +81,8 @@
 
     /** Calls of a service that wait or arrive at other nodes. */
     demandOf(serviceKey: number): Demand {
-        let inTimeCalls = 0;
-        let lateCalls = 0;
-        let arrivalsPerSecond = 0;
-        for (const peer of this.peers.values()) {
-            const demand = peer.isCounted ? peer.report.demands.find(each => each.serviceKey === serviceKey) : undefined;
-            inTimeCalls += demand?.inTimeCalls ?? 0;
-            lateCalls += demand?.lateCalls ?? 0;
-            arrivalsPerSecond += demand?.arrivalsPerSecond ?? 0;
-        }
-        return { inTimeCalls, lateCalls, arrivalsPerSecond };
+        const counted = [...this.peers.values()].filter(peer => peer.isCounted);
+        return sumDemands(counted.flatMap(({ report }) => report.demands.filter(demand => demand.serviceKey === serviceKey)));
     }
 
     /** Newest reports of all peers that are not gone. */
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -4,7 +4,14 @@
  * @module
  */
 
-import { EMPTY_REPORT, type PeerReport, type ServiceDemand, type VersionCount } from "../../protocol/relay/mod.js";
+import {
+    callsOf,
+    EMPTY_REPORT,
+    type PeerReport,
+    type ServiceDemand,
+    tokensOf,
+    type VersionCount,
+} from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import { GONE_AFTER_MS, REPORT_AGE_MS } from "./peer_table.js";
 
@@ -184,14 +191,6 @@
     return left.node === right.node && left.startedAtMs === right.startedAtMs;
 }
 
-function callsOf(report: PeerReport): Map<number, number> {
-    return new Map(report.serverKeys.map((key, index) => [key, report.serverCalls[index] ?? 0]));
-}
-
-function tokensOf(report: PeerReport): Map<number, number> {
-    return new Map(report.workspaceKeys.map((key, index) => [key, report.workspaceTokens[index] ?? 0]));
-}
-
 function countedTokens({ report, baseTokens }: Member): Map<number, number> {
     const tokens = tokensOf(report);
     addAll(tokens, baseTokens, -1);
