Log and measure the reads of the platform's log

The line that says which configuration is in force now gives the offset of its record and how long the read that returned it was open; an answer that is ignored because it is older leaves a line; a histogram holds the duration of reads by topic and outcome. Together they tell a lost answer, a read that was held and a node that read late apart, which the incident's logs could not.

--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -30,6 +30,7 @@
 export * from "./service_scheduler.js";
 export * from "./slot_reservation.js";
 export * from "./topic_follower.js";
+export * from "./topic_read.js";
 export * from "./tree_exchange.js";
 export * from "./version_call_counter.js";
 export * from "./version_rollouts.js";
--- a/src/daemon/relay/log_follower.ts
+++ b/src/daemon/relay/log_follower.ts
@@ -9,6 +9,8 @@
     type ServerCatalog,
     TopicFollower,
     type TopicFollowerSettings,
+    type TopicRead,
+    TopicReadOutcome,
     type VersionRollouts,
 } from "../../coordination/relay/mod.js";
 import type { KeyedLog, KeyedRecord } from "../../protocol/relay/mod.js";
@@ -33,6 +35,8 @@
     readonly relayLog: RelayLog;
     /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
     readonly leaveMs: number;
+    /** Called after each read of a topic. */
+    readonly onRead: (read: TopicRead) => void;
     /** Called with each configuration that comes into force. */
     readonly onConfiguration: (configuration: RelayConfiguration) => void;
 }
@@ -62,9 +66,9 @@
 
     private followOperatorRecords(signal: AbortSignal): Promise<void> {
         const { records } = this.settings;
-        const applyRecords = (list: readonly KeyedRecord[]) => {
+        const applyRecords = (list: readonly KeyedRecord[], read: TopicRead) => {
             for (const record of list) {
-                this.applyOperatorRecord(record);
+                this.applyOperatorRecord(record, read);
             }
         };
         return this.follow(
@@ -97,10 +101,19 @@
         signal: AbortSignal,
     ): Promise<void> {
         const { log, clock, health } = this.settings;
-        return new TopicFollower({ log, clock, topic, health, ...options }).run(signal);
+        const onRead = (read: TopicRead) => this.handleRead(read);
+        return new TopicFollower({ log, clock, topic, health, onRead, ...options }).run(signal);
     }
 
-    private applyOperatorRecord(record: KeyedRecord): void {
+    private handleRead(read: TopicRead): void {
+        this.settings.onRead(read);
+        if (read.outcome === TopicReadOutcome.Outdated || read.outcome === TopicReadOutcome.Compacted) {
+            const { topic, outcome, durationMs, endOffset } = read;
+            this.settings.relayLog.warn(`log: read was ${outcome}`, { topic, readMs: Math.round(durationMs), endOffset });
+        }
+    }
+
+    private applyOperatorRecord(record: KeyedRecord, read: TopicRead): void {
         let next: RelayConfiguration | undefined;
         try {
             const order = this.settings.records.decodeOrder(record);
@@ -121,6 +134,8 @@
             version: next.version,
             before: this.current?.version,
             routes: next.routes.routes.length,
+            offset: record.offset,
+            readMs: Math.round(read.durationMs),
         });
         this.current = next;
         this.settings.onConfiguration(next);
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -5,7 +5,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CallRecord } from "../../coordination/relay/mod.js";
+import type { CallRecord, TopicRead } from "../../coordination/relay/mod.js";
 
 /** Bucket bounds of the latency histograms, in seconds: from the duration of a call that is not a stream to that of the longest stream. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.3, 2, 5, 15];
@@ -33,6 +33,7 @@
     private readonly registry = new Registry();
     private readonly calls: Counter<"service" | "rank" | "outcome" | "status">;
     private readonly stages: Histogram<"service" | "rank" | "stage">;
+    private readonly reads: Histogram<"topic" | "outcome">;
 
     /** @param gauges See {@linkcode RelayGauges}. */
     constructor(gauges: RelayGauges) {
@@ -50,6 +51,13 @@
             buckets: LATENCY_BUCKETS_S,
             registers,
         });
+        this.reads = new Histogram({
+            name: "foxtailrail_relay_log_read_seconds",
+            help: "Time from sending a read of the platform's log to its answer or failure.",
+            labelNames: ["topic", "outcome"],
+            buckets: LATENCY_BUCKETS_S,
+            registers,
+        });
         this.addServiceGauge("waiting_calls", "Calls that wait for a place.", gauges.waitingCalls);
         this.addServiceGauge("sent_calls", "Calls of this node at backend servers.", gauges.sentCalls);
         this.addServiceGauge("open_servers", "Backend servers that take calls.", gauges.openServers);
@@ -69,6 +77,11 @@
         this.observe({ ...labels, stage: "end" }, times.endMs);
     }
 
+    /** Records a completed read of a topic of the platform's log. */
+    recordRead({ topic, outcome, durationMs }: TopicRead): void {
+        this.reads.observe({ topic, outcome }, durationMs / MS_PER_SECOND);
+    }
+
     /** Content type of {@linkcode text}. */
     get contentType(): string {
         return this.registry.contentType;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -140,6 +140,7 @@
             rollouts: this.rollouts,
             relayLog: this.relayLog,
             leaveMs: settings.servers.leaveMs,
+            onRead: read => this.metrics.recordRead(read),
             onConfiguration: configuration => {
                 this.workspaces = new Set(configuration.workspaceByKey.values());
                 this.callerServer.setLimits(configuration.limits);
