--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -191,7 +191,8 @@
 `;
 }
 
-function makeConfiguration(version: number, keys: readonly string[]): unknown {
+/** Returns a configuration in the platform's format that admits the given keys. */
+export function makeConfiguration(version: number, keys: readonly string[]): unknown {
     const route = (name: string, kind: string, changes: Readonly<Record<string, unknown>> = {}) => ({
         Name: name,
         Host: HOST,
