Read the configuration twice within the time in which it must be in force

Cause: a node read the operator's records by long polls of 2,500 ms and relied on the log to answer when a record arrives. The log sometimes holds a read to the end of its wait all the same: in a trial that logged the wire, a read was sent at 462.667 s, other nodes had the record at 462.724 s, and the answer with the record came at 465.175 s, 2,508 ms after the read. No answer was lost and no node was late. The wait alone was longer than the bound.

The wait is now half of the time in which a configuration must be in force, which comes from the platform's settings, so that the record is read in time also if no wake-up arrives.

--- a/features/steps/log_following_steps.ts
+++ b/features/steps/log_following_steps.ts
@@ -99,6 +99,7 @@
             onChange: () => undefined,
         }),
         relayLog: new RelayLog({ logger: pino({ level: "silent" }), clock, linesPerSecond: 1, onCallEnded: () => undefined }),
+        applyMs: APPLY_MS,
         leaveMs: APPLY_MS,
         onRead: () => undefined,
         onConfiguration: () => undefined,
--- a/features/steps/relay_program_steps.ts
+++ b/features/steps/relay_program_steps.ts
@@ -56,6 +56,7 @@
 log: ${this.programStore.address}
 isFirstStart: true
 drain: { graceSeconds: 3, balancerLagMs: 50 }
+configuration: { applyMs: 2000 }
 servers: { leaveMs: 2000 }
 retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
 rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -185,6 +185,7 @@
 log: ${store}
 isFirstStart: true
 drain: { graceSeconds: 3, balancerLagMs: 50 }
+configuration: { applyMs: 2000 }
 servers: { leaveMs: 2000 }
 retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
 rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
--- a/src/daemon/relay/log_follower.ts
+++ b/src/daemon/relay/log_follower.ts
@@ -18,11 +18,11 @@
 import type { RecordReader } from "./record_reader.js";
 import type { RelayLog } from "./relay_log.js";
 
-/** Long-poll timeout of configuration reads, in milliseconds; short, so that a dead connection is detected soon. */
-const CONFIGURATION_POLL_TIMEOUT_MS = 2_500;
-
-/** Interval between reads of the servers' entries, as a fraction of the time in which calls to a leaving server must stop. */
-const SERVER_POLL_INTERVAL_FRACTION = 0.5;
+/**
+ * Time from one answer to the next, as a fraction of the time in which a record must be applied. Applies to long polls too: the log
+ * may hold a read until the end of its wait although a record has arrived.
+ */
+const READ_INTERVAL_FRACTION = 0.5;
 
 /** Settings of a {@linkcode LogFollower}. */
 export interface LogFollowerSettings {
@@ -33,6 +33,8 @@
     readonly catalog: ServerCatalog;
     readonly rollouts: VersionRollouts;
     readonly relayLog: RelayLog;
+    /** Time from the writing of a configuration until it must be in force, in milliseconds. */
+    readonly applyMs: number;
     /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
     readonly leaveMs: number;
     /** Called after each read of a topic. */
@@ -65,7 +67,8 @@
     }
 
     private followOperatorRecords(signal: AbortSignal): Promise<void> {
-        const { records } = this.settings;
+        const { records, applyMs } = this.settings;
+        const waitMs = applyMs * READ_INTERVAL_FRACTION;
         const applyRecords = (list: readonly KeyedRecord[], read: TopicRead) => {
             for (const record of list) {
                 this.applyOperatorRecord(record, read);
@@ -73,7 +76,7 @@
         };
         return this.follow(
             records.operatorTopic,
-            { waitMs: CONFIGURATION_POLL_TIMEOUT_MS, pollDelayMs: 0, onSnapshot: applyRecords, onRecords: applyRecords },
+            { waitMs, pollDelayMs: 0, onSnapshot: applyRecords, onRecords: applyRecords },
             signal,
         );
     }
@@ -82,7 +85,7 @@
         const { records } = this.settings;
         return this.follow(records.serverTopic, {
             waitMs: 0,
-            pollDelayMs: this.settings.leaveMs * SERVER_POLL_INTERVAL_FRACTION,
+            pollDelayMs: this.settings.leaveMs * READ_INTERVAL_FRACTION,
             onSnapshot: list => {
                 this.settings.catalog.replaceAll(list.flatMap(record => this.decodeServer(record) ?? []));
                 this.serversLoaded = true;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -139,6 +139,7 @@
             catalog: this.catalog,
             rollouts: this.rollouts,
             relayLog: this.relayLog,
+            applyMs: settings.configuration.applyMs,
             leaveMs: settings.servers.leaveMs,
             onRead: read => this.metrics.recordRead(read),
             onConfiguration: configuration => {
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -42,6 +42,10 @@
         graceSeconds: z.number().min(1),
         balancerLagMs: z.int().min(0).default(DEFAULT_BALANCER_LAG_MS),
     }),
+    configuration: z.strictObject({
+        /** Time from the writing of a configuration until it must be in force, in milliseconds. */
+        applyMs: z.int().min(100),
+    }),
     servers: z.strictObject({
         /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
         leaveMs: z.int().min(100),
