Continue after the platform's log was restored from an older copy

A store that comes back from an older copy raises its era and gives out offsets again. Servers whose entries the copy lacks counted as gone; a rollout's state and a node's address were lost.

The adapter hands on the era of each answer. An older configuration is still ignored. A decided rollout keeps its state and continues under its order's new offset, and orders that had been replaced are not executed again. Nodes write again what only they wrote: each its address, one of them the start and state of a rollout, spread over 1 to 2 s. Log lines and counters tell each of these.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -102,6 +102,16 @@
         When the store compacts its history while the configuration revokes the caller's key
         Then a "safe" call gets status 401 within 1500 ms
 
+    Scenario: a node whose store came back from an older copy keeps its configuration and follows the next one
+        Given a relay with one server that answers and one that answers
+        And the store is copied
+        When the configuration revokes the caller's key in 4 versions
+        Then a "safe" call gets status 401 within 1000 ms
+        When the store comes back from the copy
+        Then a "safe" call still gets status 401
+        When the configuration admits the caller's key again
+        Then a "safe" call gets status 200 within 2000 ms
+
     Scenario: a draining node interrupts no call
         Given a relay with one server that answers and one that answers
         And calls take 400 ms
--- a/features/steps/log_following_steps.ts
+++ b/features/steps/log_following_steps.ts
@@ -6,34 +6,18 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { pino } from "pino";
-import { PlatformRecords } from "../../platform/mod.js";
-import { EngineServer } from "../../platform/standin/engine_server.js";
-import { LogHealth, ServerCatalog, VersionRollouts } from "../../src/coordination/relay/mod.js";
-import { LogFollower, RelayLog } from "../../src/daemon/relay/mod.js";
-import { SeededRandom } from "../../src/state/relay/mod.js";
 import { KeyedLogModel } from "../../standin/keyed_log_model.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
+import { FollowingNode, makeServerEntry } from "../support/following_node.js";
 import { makeConfiguration } from "../support/relay_fixture.js";
 import type { Scenario } from "../support/world.js";
 
-/** Time in which a node must act on a record, in milliseconds; the platform's bound. */
-const APPLY_MS = 2_000;
-
 /** Distance between the moments at which a record is written, in milliseconds. */
 const MOMENT_INTERVAL_MS = 50;
 
 /** Time after which a record counts as never acted on, in milliseconds. */
 const GIVE_UP_MS = 10_000;
 
-/** Node that follows a log under a virtual clock. */
-interface FollowingNode {
-    readonly clock: VirtualClock;
-    readonly log: KeyedLogModel;
-    readonly follower: LogFollower;
-    readonly catalog: ServerCatalog;
-}
-
 /** Record whose effect on a node is measured. */
 interface ObservedChange {
     /** Writes what the node knows before the change. */
@@ -75,7 +59,7 @@
 const leavingServer: ObservedChange = {
     prepare: log => log.put("keyed.servers", "s", makeServerEntry("ready", 1)),
     write: log => log.put("keyed.servers", "s", makeServerEntry("draining", 2)),
-    isApplied: node => [...node.catalog.list()].some(server => server.isDraining),
+    isApplied: node => node.serverState("s") === "draining",
 };
 
 Given("a platform's log where {}", function(this: FollowingScenario, fault: string) {
@@ -110,16 +94,15 @@
 ): Promise<number[]> {
     const delaysMs: number[] = [];
     for (let moment = 0; moment < count; moment += 1) {
-        const stopped = new AbortController();
-        const node = makeNode();
+        const clock = new VirtualClock();
+        const node = new FollowingNode(new KeyedLogModel(clock), clock, 1);
         change.prepare(node.log);
-        const running = node.follower.run(stopped.signal);
+        node.start();
         await node.clock.advance(MOMENT_INTERVAL_MS * (moment + 1));
         applyFault(node.log);
         change.write(node.log);
         delaysMs.push(await measureDelay(node.clock, () => change.isApplied(node)));
-        stopped.abort();
-        await node.clock.runUntil(running);
+        await node.stop();
     }
     return delaysMs;
 }
@@ -132,37 +115,3 @@
     }
     return clock.now() - startMs;
 }
-
-function makeServerEntry(state: string, sequence: number): Readonly<Record<string, unknown>> {
-    return new EngineServer("s").serverEntry("service", { State: state, Sequence: sequence });
-}
-
-function makeNode(): FollowingNode {
-    const clock = new VirtualClock();
-    const log = new KeyedLogModel(clock);
-    const records = new PlatformRecords();
-    const health = new LogHealth(clock, { onLost: () => undefined, onRegained: () => undefined });
-    const catalog = new ServerCatalog(clock, health, { onServerUpdated: () => undefined, onServerRemoved: () => undefined });
-    const follower = new LogFollower({
-        log,
-        clock,
-        random: new SeededRandom(1),
-        records,
-        health,
-        catalog,
-        rollouts: new VersionRollouts({
-            clock,
-            log,
-            records,
-            bounds: { maxShare: 0.1, slackCalls: 50 },
-            peerCounts: () => [],
-            onChange: () => undefined,
-        }),
-        relayLog: new RelayLog({ logger: pino({ level: "silent" }), clock, linesPerSecond: 1, onCallEnded: () => undefined }),
-        applyMs: APPLY_MS,
-        leaveMs: APPLY_MS,
-        onRead: () => undefined,
-        onConfiguration: () => undefined,
-    });
-    return { clock, log, follower, catalog };
-}
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -74,13 +74,13 @@
     private readonly records: KeyedRecord[] = [];
 
     readNewest(): Promise<KeyedPage> {
-        return Promise.resolve({ records: this.records, endOffset: this.records.length });
+        return Promise.resolve({ records: this.records, endOffset: this.records.length, era: 0 });
     }
 
-    append(topic: string, key: string, value: Uint8Array): Promise<void> {
+    append(topic: string, key: string, value: Uint8Array): Promise<number> {
         assert.equal(topic, "keyed.nodes");
         this.records.push({ key, value, offset: this.records.length });
-        return Promise.resolve();
+        return Promise.resolve(0);
     }
 }
 
@@ -143,11 +143,13 @@
     const directory = new NodeDirectory({
         log,
         clock,
+        random: scenario.fleetRandom,
         node: name,
         failureDomain,
         cores,
         address: () => address,
         onError: text => assert.fail(text),
+        onRewrite: topic => assert.fail(topic),
     });
     const reporter = new PeerReporter({
         node: name,
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -162,6 +162,25 @@
     },
 );
 
+Given("the store is copied", function(this: RelayScenario) {
+    this.relay.store.copy();
+});
+
+When("the configuration revokes the caller's key in {int} versions", function(this: RelayScenario, count: number) {
+    for (let written = 0; written < count; written += 1) {
+        this.relay.configure({ keys: ["another-key"] });
+    }
+});
+
+When("the store comes back from the copy", async function(this: RelayScenario) {
+    this.relay.store.restore();
+    await new Promise(resolve => setTimeout(resolve, 1_500));
+});
+
+When("the configuration admits the caller's key again", function(this: RelayScenario) {
+    this.relay.configure();
+});
+
 When("the first server reports that it is draining", function(this: RelayScenario) {
     const [engine] = this.relay.engines;
     this.relay.store.put("keyed.servers", engine?.id ?? "", engine?.serverEntry("service", { State: "draining", Sequence: 2 }));
--- /dev/null
+++ b/features/support/following_node.ts
@@ -0,0 +1,130 @@
+/**
+ * Node that follows a model of the platform's log under a virtual clock.
+ *
+ * @module
+ */
+
+import { pino } from "pino";
+import { PlatformRecords } from "../../platform/mod.js";
+import { EngineServer } from "../../platform/standin/engine_server.js";
+import { EraGuardedLog, LogHealth, NodeDirectory, ServerCatalog, VersionRollouts } from "../../src/coordination/relay/mod.js";
+import { LogFollower, RelayLog } from "../../src/daemon/relay/mod.js";
+import { hashKey } from "../../src/protocol/relay/mod.js";
+import { SeededRandom } from "../../src/state/relay/mod.js";
+import type { KeyedLogModel } from "../../standin/keyed_log_model.js";
+import type { VirtualClock } from "../../standin/virtual_clock.js";
+
+/** Time in which a node must act on a record, in milliseconds; the platform's bound. */
+export const APPLY_MS = 2_000;
+
+/** Interval at which removed servers are checked, in milliseconds. */
+const EXPIRY_INTERVAL_MS = 40;
+
+/** Parts of a relay node that depend on the platform's log. */
+export class FollowingNode {
+    readonly follower: LogFollower;
+    readonly catalog: ServerCatalog;
+    readonly rollouts: VersionRollouts;
+    readonly directory: NodeDirectory;
+    /** Times at which the node registered again, in milliseconds since the Unix epoch. */
+    readonly rejoinedAtMs: number[] = [];
+    /** Versions of the configurations that came into force, in order. */
+    readonly versions: number[] = [];
+    /** Versions whose rollouts the node started, in order. */
+    readonly startedRollouts: unknown[] = [];
+    /** Number of changes of the log's era that the node has seen. */
+    eraChanges = 0;
+    private readonly stopped = new AbortController();
+    private running: Promise<unknown> = Promise.resolve();
+
+    /**
+     * @param log Log that the node follows.
+     * @param clock Clock of the node and the log.
+     * @param name Number of the node, from which the seed of its random numbers is derived.
+     */
+    constructor(readonly log: KeyedLogModel, readonly clock: VirtualClock, name: number) {
+        const records = new PlatformRecords();
+        const random = new SeededRandom(hashKey(`node-${name}`));
+        const health = new LogHealth(clock, { onLost: () => undefined, onRegained: () => undefined });
+        const guardedLog = new EraGuardedLog(log, () => {
+            this.eraChanges += 1;
+            health.recordRestore();
+            this.rollouts.handleNewEra();
+            void this.directory.rejoin(this.stopped.signal);
+        });
+        this.catalog = new ServerCatalog(clock, health, { onServerUpdated: () => undefined, onServerRemoved: () => undefined });
+        this.rollouts = new VersionRollouts({
+            clock,
+            random,
+            log: guardedLog,
+            records,
+            bounds: { maxShare: 0.1, slackCalls: 50 },
+            peerCounts: () => [],
+            onChange: (text, detail) => {
+                if (text === "rollout: ordered") {
+                    this.startedRollouts.push(detail["version"]);
+                }
+            },
+            onRewrite: () => undefined,
+        });
+        this.directory = new NodeDirectory({
+            log: guardedLog,
+            clock,
+            random,
+            node: `node-${name}`,
+            failureDomain: "here",
+            cores: 1,
+            address: () => `127.0.0.1:${name}`,
+            onError: () => undefined,
+            onRewrite: () => this.rejoinedAtMs.push(clock.now()),
+        });
+        this.follower = new LogFollower({
+            log: guardedLog,
+            clock,
+            random,
+            records,
+            health,
+            catalog: this.catalog,
+            rollouts: this.rollouts,
+            relayLog: new RelayLog({ logger: pino({ level: "silent" }), clock, linesPerSecond: 1, onCallEnded: () => undefined }),
+            applyMs: APPLY_MS,
+            leaveMs: APPLY_MS,
+            onRead: () => undefined,
+            onConfiguration: configuration => this.versions.push(configuration.version),
+        });
+    }
+
+    /** Starts to follow the log. */
+    start(): void {
+        const { signal } = this.stopped;
+        this.running = Promise.all([
+            this.follower.run(signal),
+            this.rollouts.run(signal),
+            this.directory.join(signal),
+            this.expire(signal),
+        ]);
+    }
+
+    /** Stops and waits for all tasks. */
+    async stop(): Promise<void> {
+        this.stopped.abort();
+        await this.clock.runUntil(this.running);
+    }
+
+    /** State of a server as the node sees it: `ready`, `draining` or `gone`. */
+    serverState(id: string): string {
+        const server = [...this.catalog.list()].find(candidate => candidate.id === id);
+        return server === undefined ? "gone" : server.isDraining ? "draining" : "ready";
+    }
+
+    private async expire(signal: AbortSignal): Promise<void> {
+        while (await this.clock.sleep(EXPIRY_INTERVAL_MS, signal)) {
+            this.catalog.expire();
+        }
+    }
+}
+
+/** Returns the entry of a server in the platform's format. */
+export function makeServerEntry(state: string, sequence: number): Readonly<Record<string, unknown>> {
+    return new EngineServer("s").serverEntry("service", { State: state, Sequence: sequence });
+}
--- a/src/coordination/relay/log_health.ts
+++ b/src/coordination/relay/log_health.ts
@@ -26,6 +26,7 @@
     private uncertainUntilMs = 0;
     private outageStartMs = 0;
     private steadySinceMs: number;
+    private restoredUntilMs = 0;
 
     /**
      * @param clock Clock that timestamps results.
@@ -51,17 +52,30 @@
         return this.failingSinceMs.size === 0;
     }
 
+    /** Whether the log has just been restored from an older copy, and servers may not have registered again. */
+    get isRestoring(): boolean {
+        return this.clock.now() < this.restoredUntilMs;
+    }
+
     /**
-     * Whether an entry that is removed now may merely have expired because the log was unavailable.
+     * Whether an entry that is removed now may merely have expired because the log was unavailable, or be missing from the copy from
+     * which it was restored.
      */
     get isRemovalUncertain(): boolean {
         const now = this.clock.now();
-        return (now < this.uncertainUntilMs || this.hasOutage()) && this.peerSteadyMs() < now - this.outageStartMs;
+        return this.isRestoring ||
+            (now < this.uncertainUntilMs || this.hasOutage()) && this.peerSteadyMs() < now - this.outageStartMs;
     }
 
     /** Time by which expired entries should be registered again, in milliseconds since the Unix epoch. */
     get reregistrationDeadlineMs(): number {
-        return this.hasOutage() ? this.clock.now() + REREGISTRATION_MS : this.uncertainUntilMs;
+        const deadlineMs = this.hasOutage() ? this.clock.now() + REREGISTRATION_MS : this.uncertainUntilMs;
+        return Math.max(deadlineMs, this.restoredUntilMs);
+    }
+
+    /** Records that the log has been restored from an older copy. */
+    recordRestore(): void {
+        this.restoredUntilMs = this.clock.now() + REREGISTRATION_MS;
     }
 
     /** Records a successful read of a topic. */
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -10,6 +10,7 @@
 export * from "./arrival_rate.js";
 export * from "./call_priority.js";
 export * from "./call_record.js";
+export * from "./era_guarded_log.js";
 export * from "./event_stream_splitter.js";
 export * from "./final_answer.js";
 export * from "./log_health.js";
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import { describeCause, type KeyedLog, type KeyedRecord } from "../../protocol/relay/mod.js";
-import type { Clock } from "../../state/relay/mod.js";
+import type { Clock, RandomSource } from "../../state/relay/mod.js";
 import type { AggregatorCandidate } from "./aggregator_selector.js";
 
 /** Topic with the address of each node. */
@@ -21,6 +21,9 @@
 /** Refresh interval after the early refreshes, in milliseconds. */
 const REFRESH_INTERVAL_MS = 30_000;
 
+/** Time over which nodes spread their registrations after the log was restored from an older copy, in milliseconds. */
+const REJOIN_SPREAD_MS = 2_000;
+
 /** CPU capacity assumed for a node that does not state it, in cores. */
 const DEFAULT_CORES = 1;
 
@@ -37,6 +40,7 @@
 export interface NodeDirectorySettings {
     readonly log: KeyedLog;
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly node: string;
     readonly failureDomain: string;
     /** CPU capacity of this node, in cores. */
@@ -45,6 +49,8 @@
     readonly address: () => string;
     /** Called with a description of each failed read or write. */
     readonly onError: (text: string) => void;
+    /** Called when this node's entry was missing after a restore of the log and has been written again. */
+    readonly onRewrite: (topic: string) => void;
 }
 
 /** Registers this node's address once and refreshes those of the others periodically; reports update them between refreshes. */
@@ -78,6 +84,25 @@
         }
     }
 
+    /** Registers this node again if the log was restored from a copy without its entry; retries until the log answers. */
+    async rejoin(signal: AbortSignal): Promise<void> {
+        const { clock, random, onError, onRewrite } = this.settings;
+        let delayMs = random.next() * REJOIN_SPREAD_MS;
+        while (await clock.sleep(delayMs, signal)) {
+            delayMs = RETRY_DELAY_MS;
+            try {
+                if (!await this.refresh()) {
+                    await this.register();
+                    onRewrite(NODE_TOPIC);
+                }
+                return;
+            }
+            catch (cause) {
+                onError(describeCause(cause));
+            }
+        }
+    }
+
     /** Refreshes the entries of the other nodes until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         const delays = EARLY_REFRESH_TIMES_MS.map((atMs, index) => atMs - (EARLY_REFRESH_TIMES_MS[index - 1] ?? 0));
@@ -132,11 +157,13 @@
         return candidates;
     }
 
-    private async refresh(): Promise<void> {
+    /** @returns Whether the log holds an entry of this node. */
+    private async refresh(): Promise<boolean> {
         const page = await this.settings.log.readNewest(NODE_TOPIC);
         for (const record of page.records) {
             this.applyRecord(record);
         }
+        return page.records.some(record => record.key === this.settings.node);
     }
 
     private addressesWhere(predicate: (entry: NodeEntry) => boolean): readonly string[] {
--- a/src/coordination/relay/server_catalog.ts
+++ b/src/coordination/relay/server_catalog.ts
@@ -49,7 +49,7 @@
     /** Stores a server's report unless a newer one is known. */
     put(server: RelayServer): void {
         const last = this.lastReports.get(server.id);
-        if (last !== undefined && isOlder(server, last)) {
+        if (last !== undefined && (isOlder(server, last) || this.isRestoredEntry(server, last))) {
             return;
         }
         this.lastReports.set(server.id, server);
@@ -101,11 +101,18 @@
             this.removalDeadlines.delete(id);
             const server = this.servers.get(id);
             if (server !== undefined) {
-                this.remove(server, "its entry expired during an outage of the log and was not registered again");
+                const isOverdue = now >= deadlineMs;
+                this.remove(server, isOverdue ? "it did not register again in time" : "its entry was removed");
             }
         }
     }
 
+    /** Whether an entry is that of a server which was removed before the log was restored from an older copy. */
+    private isRestoredEntry(server: RelayServer, last: ReportVersion): boolean {
+        const isSameReport = server.startedAtMs === last.startedAtMs && server.sequence === last.sequence;
+        return this.health.isRestoring && isSameReport && !this.servers.has(server.id);
+    }
+
     private remove(server: RelayServer, reason: string): void {
         this.servers.delete(server.id);
         this.observer.onServerRemoved(server, reason);
--- a/src/coordination/relay/topic_follower.ts
+++ b/src/coordination/relay/topic_follower.ts
@@ -4,11 +4,18 @@
  * @module
  */
 
-import { CompactedError, type KeyedLog, type KeyedPage, type KeyedRecord } from "../../protocol/relay/mod.js";
+import {
+    CompactedError,
+    type KeyedLog,
+    type KeyedPage,
+    type KeyedRecord,
+    type LogPosition,
+    OutdatedEraError,
+} from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource } from "../../state/relay/mod.js";
 import type { LogHealth } from "./log_health.js";
 import { ReadTiming } from "./read_timing.js";
-import { type TopicRead, TopicReadOutcome } from "./topic_read.js";
+import { type TopicRead, TopicReadOutcome, type TopicRestart } from "./topic_read.js";
 
 /** Settings of a {@linkcode TopicFollower}. */
 export interface TopicFollowerSettings {
@@ -27,11 +34,17 @@
     readonly onRecords: (records: readonly KeyedRecord[], read: TopicRead) => void;
     /** Called after each read, before its records are passed on. */
     readonly onRead: (read: TopicRead) => void;
+    /** Called before the snapshot of a new era is passed on. */
+    readonly onRestart: (restart: TopicRestart) => void;
 }
 
-/** Reads a snapshot of the topic, then the records appended to it. Ignores answers that end before an offset already seen. */
+/**
+ * Reads a snapshot of the topic, then the records appended to it. Ignores answers that end before an offset already seen in the same
+ * era, and starts again from a snapshot when the era changes.
+ */
 export class TopicFollower {
-    private endOffset: number | undefined;
+    /** End of the topic as last read; `undefined` before the first snapshot. */
+    private end: LogPosition | undefined;
     private hasSnapshot = false;
     private readonly timing: ReadTiming;
 
@@ -60,11 +73,12 @@
         const { clock, health, topic, isLongPoll } = this.settings;
         const sentMs = clock.now();
         try {
-            if (!await this.poll(sentMs)) {
+            const outcome = await this.poll(sentMs);
+            if (outcome === TopicReadOutcome.Outdated) {
                 return this.timing.recordFailure();
             }
             health.recordSuccess(topic);
-            return isLongPoll ? 0 : this.timing.intervalMs;
+            return isLongPoll || outcome === TopicReadOutcome.NewEra ? 0 : this.timing.intervalMs;
         }
         catch (error) {
             if (error instanceof CompactedError) {
@@ -73,54 +87,69 @@
                 this.hasSnapshot = false;
                 return 0;
             }
+            if (error instanceof OutdatedEraError) {
+                this.recordRead(sentMs, TopicReadOutcome.Outdated);
+                return this.timing.recordFailure();
+            }
             this.recordRead(sentMs, TopicReadOutcome.Failed);
             health.recordFailure(topic, error);
             return this.timing.recordFailure();
         }
     }
 
-    /** @returns Whether the log's answer was at least as new as the last one. */
-    private async poll(sentMs: number): Promise<boolean> {
+    private async poll(sentMs: number): Promise<TopicReadOutcome> {
         const { clock, log, topic } = this.settings;
-        const { waitMs, timing } = this;
+        const { end, waitMs, timing } = this;
         const { answerTimeoutMs } = timing;
-        if (!this.hasSnapshot || this.endOffset === undefined) {
+        if (!this.hasSnapshot || end === undefined) {
             return this.applySnapshot(await log.readNewest(topic, { answerTimeoutMs }), sentMs);
         }
-        const page = await log.read(topic, this.endOffset, { waitMs, answerTimeoutMs });
-        if (page.endOffset < this.endOffset) {
-            this.recordRead(sentMs, TopicReadOutcome.Outdated, page.endOffset);
-            return false;
-        }
+        const page = await log.read(topic, end.offset, { waitMs, answerTimeoutMs });
         timing.recordAnswer(Math.max(0, clock.now() - sentMs - waitMs));
-        this.endOffset = Math.max(this.endOffset, nextOffset(page, this.endOffset));
+        if (page.era !== end.era) {
+            this.hasSnapshot = false;
+            return this.recordRead(sentMs, TopicReadOutcome.NewEra, endOf(page)).outcome;
+        }
+        if (page.endOffset < end.offset) {
+            return this.recordRead(sentMs, TopicReadOutcome.Outdated, endOf(page)).outcome;
+        }
+        this.end = { era: end.era, offset: Math.max(end.offset, nextOffset(page, end.offset)) };
         if (page.records.length === 0) {
-            this.recordRead(sentMs, TopicReadOutcome.Empty, page.endOffset);
-            return true;
+            return this.recordRead(sentMs, TopicReadOutcome.Empty, endOf(page)).outcome;
         }
-        this.settings.onRecords(page.records, this.recordRead(sentMs, TopicReadOutcome.Records, page.endOffset));
-        return true;
+        const read = this.recordRead(sentMs, TopicReadOutcome.Records, endOf(page));
+        this.settings.onRecords(page.records, read);
+        return read.outcome;
     }
 
-    private applySnapshot(page: KeyedPage, sentMs: number): boolean {
-        if (this.endOffset !== undefined && page.endOffset < this.endOffset) {
-            this.recordRead(sentMs, TopicReadOutcome.Outdated, page.endOffset);
-            return false;
+    private applySnapshot(page: KeyedPage, sentMs: number): TopicReadOutcome {
+        const before = this.end;
+        const after = endOf(page);
+        if (before !== undefined && before.era === after.era && after.offset < before.offset) {
+            return this.recordRead(sentMs, TopicReadOutcome.Outdated, after).outcome;
         }
-        this.endOffset = page.endOffset;
+        this.end = after;
         this.hasSnapshot = true;
-        this.settings.onSnapshot(page.records, this.recordRead(sentMs, TopicReadOutcome.Records, page.endOffset));
-        return true;
+        if (before !== undefined && before.era !== after.era) {
+            this.settings.onRestart({ topic: this.settings.topic, before, after });
+        }
+        const read = this.recordRead(sentMs, TopicReadOutcome.Records, after);
+        this.settings.onSnapshot(page.records, read);
+        return read.outcome;
     }
 
-    private recordRead(sentMs: number, outcome: TopicReadOutcome, endOffset?: number): TopicRead {
+    private recordRead(sentMs: number, outcome: TopicReadOutcome, end?: LogPosition): TopicRead {
         const { clock, topic, onRead } = this.settings;
-        const read = { topic, outcome, durationMs: clock.now() - sentMs, endOffset };
+        const read = { topic, outcome, durationMs: clock.now() - sentMs, end };
         onRead(read);
         return read;
     }
 }
 
+function endOf(page: KeyedPage): LogPosition {
+    return { era: page.era, offset: page.endOffset };
+}
+
 function nextOffset(page: KeyedPage, fromOffset: number): number {
     const last = page.records.at(-1);
     return last === undefined ? fromOffset : last.offset + 1;
--- a/src/coordination/relay/version_call_counter.ts
+++ b/src/coordination/relay/version_call_counter.ts
@@ -24,7 +24,7 @@
 /** Counts of this node for one rollout. */
 interface OwnCounts {
     readonly serviceKey: number;
-    readonly order: number;
+    order: number;
     readonly target: { calls: number; bad: number };
     readonly present: { calls: number; bad: number };
 }
@@ -45,6 +45,14 @@
         }
     }
 
+    /** Keeps the counts of a service for its order under another number, after the order was written again. */
+    renumber(service: string, order: number): void {
+        const counts = this.ownCounts.get(service);
+        if (counts !== undefined) {
+            counts.order = order;
+        }
+    }
+
     /** Discards the counts of a service. */
     stop(service: string): void {
         this.ownCounts.delete(service);
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -10,9 +10,10 @@
     hashKey,
     type KeyedLog,
     type KeyedRecord,
+    type LogPosition,
     type VersionCount,
 } from "../../protocol/relay/mod.js";
-import { type Clock, type VersionOrder, VersionOrderState } from "../../state/relay/mod.js";
+import { type Clock, type RandomSource, type VersionOrder, VersionOrderState } from "../../state/relay/mod.js";
 import { decideRollout, type RolloutBounds } from "./rollout_decision.js";
 import type { ServerState } from "./server_state.js";
 import { VersionCallCounter } from "./version_call_counter.js";
@@ -26,6 +27,12 @@
 /** Minimum interval between reads of the rollout states from the log, in milliseconds. */
 const STATE_READ_INTERVAL_MS = 750;
 
+/** Time over which nodes spread the writes after the log was restored from an older copy, in milliseconds. */
+const RESTORE_SPREAD_MS = 1_000;
+
+/** Number of superseded orders of a service that are remembered. */
+const MAX_SUPERSEDED_ORDERS = 8;
+
 /** Share of the calls from which the new version counts as the main one. */
 const MAJORITY_SHARE = 0.5;
 
@@ -52,6 +59,7 @@
 /** Settings of {@linkcode VersionRollouts}. */
 export interface VersionRolloutsSettings {
     readonly clock: Clock;
+    readonly random: RandomSource;
     readonly log: KeyedLog;
     readonly records: RolloutRecordFormat;
     readonly bounds: RolloutBounds;
@@ -59,13 +67,15 @@
     readonly peerCounts: () => Iterable<VersionCount>;
     /** Called with a log message for each order, change of share or state, and failed access to the log. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
+    /** Called when a record that was missing after a restore of the log has been written again. */
+    readonly onRewrite: (topic: string) => void;
 }
 
 /** Rollout of one service. */
 interface VersionRollout {
     readonly order: VersionOrder;
-    /** Offset of the order in the log. */
-    readonly offset: number;
+    /** Place of the order in the log. */
+    position: LogPosition;
     startedAtMs: number;
     /** Whether the log holds the start time. */
     isStartKnown: boolean;
@@ -74,6 +84,8 @@
     state: VersionOrderState;
     /** State recorded in the log. */
     storedState: VersionOrderState | undefined;
+    /** Whether the log has been restored from an older copy since the order was first seen. */
+    isRestored: boolean;
 }
 
 /** Executes rollout orders: splits calls between versions and writes the states to the log. */
@@ -81,34 +93,63 @@
     /** Call outcomes by version. */
     readonly callCounter = new VersionCallCounter();
     private readonly rollouts = new Map<string, VersionRollout>();
+    /** Orders that later ones replaced, by service; a restored log may contain them again. */
+    private readonly supersededOrders = new Map<string, readonly VersionOrder[]>();
     private statesReadAtMs = 0;
+    private pausedUntilMs = 0;
 
     /** @param settings See {@linkcode VersionRolloutsSettings}. */
     constructor(private readonly settings: VersionRolloutsSettings) {}
 
-    /** Starts the rollout of an order unless a later order is known; `offset` is that of its record. */
-    applyOrder(order: VersionOrder, offset: number): void {
-        if ((this.rollouts.get(order.service)?.offset ?? -1) >= offset) {
+    /** Starts the rollout of an order unless this or a later order is known; `position` is that of its record. */
+    applyOrder(order: VersionOrder, position: LogPosition): void {
+        const known = this.rollouts.get(order.service);
+        if (known !== undefined && !isLater(position, known.position)) {
             return;
         }
+        if (known !== undefined && position.era > known.position.era) {
+            if (isSameOrder(order, known.order)) {
+                this.moveRollout(known, position);
+                return;
+            }
+            if (this.supersededOrders.get(order.service)?.some(superseded => isSameOrder(superseded, order))) {
+                return;
+            }
+        }
+        if (known !== undefined) {
+            const superseded = [...(this.supersededOrders.get(order.service) ?? []), known.order];
+            this.supersededOrders.set(order.service, superseded.slice(-MAX_SUPERSEDED_ORDERS));
+        }
         this.rollouts.set(order.service, {
             order,
-            offset,
+            position,
             startedAtMs: this.settings.clock.now(),
             isStartKnown: false,
             share: 0,
             state: VersionOrderState.Running,
             storedState: undefined,
+            isRestored: false,
         });
-        this.callCounter.start(order.service, offset);
-        this.settings.onChange("rollout: ordered", { ...order, offset });
+        this.callCounter.start(order.service, position.offset);
+        this.settings.onChange("rollout: ordered", { ...order, ...position });
+    }
+
+    /** Verifies and restores the records of all rollouts after the log was restored from an older copy. */
+    handleNewEra(): void {
+        this.pausedUntilMs = this.settings.clock.now() + this.settings.random.next() * RESTORE_SPREAD_MS;
+        this.statesReadAtMs = 0;
+        for (const rollout of this.rollouts.values()) {
+            rollout.isStartKnown = false;
+            rollout.storedState = undefined;
+            rollout.isRestored = true;
+        }
     }
 
     /** Advances active rollouts until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
             for (const rollout of this.rollouts.values()) {
-                if (!hasFinalState(rollout)) {
+                if (this.settings.clock.now() >= this.pausedUntilMs && !hasStoredFinalState(rollout)) {
                     await this.advance(rollout);
                 }
             }
@@ -153,26 +194,28 @@
         }
     }
 
+    /** Continues a rollout whose order was written again in a new era of the log. */
+    private moveRollout(rollout: VersionRollout, position: LogPosition): void {
+        rollout.position = position;
+        rollout.isStartKnown = false;
+        this.callCounter.renumber(rollout.order.service, position.offset);
+        this.settings.onChange("rollout: order written again", { ...rollout.order, ...position, state: rollout.state });
+    }
+
     private async advance(rollout: VersionRollout): Promise<void> {
-        const { clock, bounds, onChange } = this.settings;
+        const { onChange } = this.settings;
         try {
             if (!rollout.isStartKnown) {
                 await this.agreeOnStart(rollout);
             }
             await this.readStates();
-            if (hasFinalState(rollout)) {
+            if (hasStoredFinalState(rollout)) {
                 return;
             }
-            const { service, version, durationMs } = rollout.order;
-            const tallies = this.callCounter.sum(service, this.settings.peerCounts());
-            const elapsedMs = clock.now() - rollout.startedAtMs;
-            const decision = decideRollout(tallies, { elapsedMs, durationMs }, bounds);
-            if (decision.share !== rollout.share || decision.state !== rollout.state) {
-                onChange("rollout: decided", { service, version, ...decision, elapsedMs: Math.round(elapsedMs), ...tallies });
+            if (!isFinal(rollout.state)) {
+                this.decide(rollout);
             }
-            rollout.share = decision.share;
-            rollout.state = decision.state;
-            if (rollout.storedState !== decision.state) {
+            if (rollout.storedState !== rollout.state) {
                 await this.writeState(rollout);
             }
         }
@@ -181,20 +224,35 @@
         }
     }
 
+    private decide(rollout: VersionRollout): void {
+        const { clock, bounds, onChange } = this.settings;
+        const { service, version, durationMs } = rollout.order;
+        const tallies = this.callCounter.sum(service, this.settings.peerCounts());
+        const elapsedMs = clock.now() - rollout.startedAtMs;
+        const decision = decideRollout(tallies, { elapsedMs, durationMs }, bounds);
+        if (decision.share !== rollout.share || decision.state !== rollout.state) {
+            onChange("rollout: decided", { service, version, ...decision, elapsedMs: Math.round(elapsedMs), ...tallies });
+        }
+        rollout.share = decision.share;
+        rollout.state = decision.state;
+    }
+
     /** Agrees with the other nodes on the time at which the first of them saw the order. */
     private async agreeOnStart(rollout: VersionRollout): Promise<void> {
         const { log } = this.settings;
         const page = await log.readNewest(START_TOPIC);
         const known = page.records.find(record => record.key === rollout.order.service);
         const start = known?.value === undefined ? undefined : parseStart(known.value);
-        if (start?.offset === rollout.offset) {
+        if (start?.offset === rollout.position.offset && start.era === rollout.position.era) {
             rollout.startedAtMs = Math.min(rollout.startedAtMs, start.startedAtMs);
             rollout.isStartKnown = true;
             return;
         }
-        const value = Buffer.from(JSON.stringify({ offset: rollout.offset, startedAtMs: rollout.startedAtMs }));
+        const value = Buffer.from(JSON.stringify({ ...rollout.position, startedAtMs: rollout.startedAtMs }));
         try {
-            await log.append(START_TOPIC, rollout.order.service, value, page.endOffset);
+            if (await log.append(START_TOPIC, rollout.order.service, value, page.endOffset) !== page.era) {
+                return;
+            }
         }
         catch (error) {
             if (!(error instanceof AppendConflictError)) {
@@ -203,6 +261,9 @@
             return;
         }
         rollout.isStartKnown = true;
+        if (rollout.isRestored) {
+            this.settings.onRewrite(START_TOPIC);
+        }
     }
 
     private async readStates(): Promise<void> {
@@ -237,13 +298,15 @@
         for (const record of page.records) {
             this.applyState(records.decodeState(record));
         }
-        if (rollout.storedState === rollout.state || hasFinalState(rollout)) {
+        if (rollout.storedState === rollout.state || hasStoredFinalState(rollout)) {
             return;
         }
         const { service, version } = rollout.order;
         const { key, value } = records.encodeState({ service, version, state: rollout.state });
         try {
-            await log.append(records.stateTopic, key, value, page.endOffset);
+            if (await log.append(records.stateTopic, key, value, page.endOffset) !== page.era) {
+                return;
+            }
         }
         catch (error) {
             if (error instanceof AppendConflictError) {
@@ -252,16 +315,39 @@
             throw error;
         }
         rollout.storedState = rollout.state;
+        if (rollout.isRestored) {
+            this.settings.onRewrite(records.stateTopic);
+        }
         onChange("rollout: state written", { service, version, state: rollout.state });
     }
 }
 
 /** @returns Whether the log holds a final state. */
-function hasFinalState(rollout: VersionRollout): boolean {
-    return rollout.storedState === VersionOrderState.Completed || rollout.storedState === VersionOrderState.RolledBack;
+function hasStoredFinalState(rollout: VersionRollout): boolean {
+    return rollout.storedState !== undefined && isFinal(rollout.storedState);
+}
+
+function isFinal(state: VersionOrderState): boolean {
+    return state !== VersionOrderState.Running;
+}
+
+function isLater(position: LogPosition, known: LogPosition): boolean {
+    return position.era === known.era ? position.offset > known.offset : position.era > known.era;
+}
+
+function isSameOrder(left: VersionOrder, right: VersionOrder): boolean {
+    return left.service === right.service && left.version === right.version && left.durationMs === right.durationMs;
+}
+
+/** Recorded start of a rollout. */
+interface RolloutStart {
+    readonly offset: unknown;
+    readonly era: unknown;
+    readonly startedAtMs: number;
 }
 
-function parseStart(value: Uint8Array): { readonly offset?: unknown; readonly startedAtMs: number } | undefined {
-    const start = JSON.parse(Buffer.from(value).toString("utf8")) as { offset?: unknown; startedAtMs?: unknown };
-    return typeof start.startedAtMs === "number" ? { offset: start.offset, startedAtMs: start.startedAtMs } : undefined;
+function parseStart(value: Uint8Array): RolloutStart | undefined {
+    const start = JSON.parse(Buffer.from(value).toString("utf8")) as { offset?: unknown; era?: unknown; startedAtMs?: unknown };
+    const { offset, era, startedAtMs } = start;
+    return typeof startedAtMs === "number" ? { offset, era, startedAtMs } : undefined;
 }
--- a/src/daemon/relay/log_follower.ts
+++ b/src/daemon/relay/log_follower.ts
@@ -11,6 +11,7 @@
     type TopicFollowerSettings,
     type TopicRead,
     TopicReadOutcome,
+    type TopicRestart,
     type VersionRollouts,
 } from "../../coordination/relay/mod.js";
 import type { KeyedLog, KeyedRecord } from "../../protocol/relay/mod.js";
@@ -99,14 +100,15 @@
     ): Promise<void> {
         const { log, clock, random, health } = this.settings;
         const onRead = (read: TopicRead) => this.handleRead(read);
-        return new TopicFollower({ log, clock, random, topic, health, onRead, ...options }).run(signal);
+        const onRestart = (restart: TopicRestart) => this.settings.relayLog.warn("log: read again in a new era", { ...restart });
+        return new TopicFollower({ log, clock, random, topic, health, onRead, onRestart, ...options }).run(signal);
     }
 
     private handleRead(read: TopicRead): void {
         this.settings.onRead(read);
         if (read.outcome === TopicReadOutcome.Outdated || read.outcome === TopicReadOutcome.Compacted) {
-            const { topic, outcome, durationMs, endOffset } = read;
-            this.settings.relayLog.warn(`log: read was ${outcome}`, { topic, readMs: Math.round(durationMs), endOffset });
+            const { topic, outcome, durationMs, end } = read;
+            this.settings.relayLog.warn(`log: read was ${outcome}`, { topic, readMs: Math.round(durationMs), end });
         }
     }
 
@@ -115,7 +117,7 @@
         try {
             const order = this.settings.records.decodeOrder(record);
             if (order !== undefined) {
-                this.settings.rollouts.applyOrder(order, record.offset);
+                this.settings.rollouts.applyOrder(order, { era: read.end?.era ?? 0, offset: record.offset });
             }
             next = this.settings.records.decodeConfiguration(record);
         }
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -34,6 +34,8 @@
     private readonly calls: Counter<"service" | "rank" | "outcome" | "status">;
     private readonly stages: Histogram<"service" | "rank" | "stage">;
     private readonly reads: Histogram<"topic" | "outcome">;
+    private readonly restores: Counter;
+    private readonly rewrites: Counter<"topic">;
 
     /** @param gauges See {@linkcode RelayGauges}. */
     constructor(gauges: RelayGauges) {
@@ -58,6 +60,17 @@
             buckets: LATENCY_BUCKETS_S,
             registers,
         });
+        this.restores = new Counter({
+            name: "foxtailrail_relay_log_restores_total",
+            help: "Times that the platform's log was restored from an older copy.",
+            registers,
+        });
+        this.rewrites = new Counter({
+            name: "foxtailrail_relay_log_rewrites_total",
+            help: "Records that were missing after a restore of the platform's log and were written again.",
+            labelNames: ["topic"],
+            registers,
+        });
         this.addServiceGauge("waiting_calls", "Calls that wait for a place.", gauges.waitingCalls);
         this.addServiceGauge("sent_calls", "Calls of this node at backend servers.", gauges.sentCalls);
         this.addServiceGauge("open_servers", "Backend servers that take calls.", gauges.openServers);
@@ -82,6 +95,16 @@
         this.reads.observe({ topic, outcome }, durationMs / MS_PER_SECOND);
     }
 
+    /** Records that the platform's log was restored from an older copy. */
+    recordRestore(): void {
+        this.restores.inc();
+    }
+
+    /** Records that a record was written again after a restore. */
+    recordRewrite(topic: string): void {
+        this.rewrites.inc({ topic });
+    }
+
     /** Content type of {@linkcode text}. */
     get contentType(): string {
         return this.registry.contentType;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -6,6 +6,8 @@
 
 import type { Logger } from "pino";
 import {
+    type EraChange,
+    EraGuardedLog,
     LogHealth,
     NodeDirectory,
     PeerReporter,
@@ -68,6 +70,7 @@
     private readonly relayLog: RelayLog;
     private readonly metrics: RelayMetrics;
     private readonly metricsServer: StatusServer;
+    private readonly log: EraGuardedLog;
     private readonly logHealth: LogHealth;
     private readonly pool: ServerPool;
     private readonly catalog: ServerCatalog;
@@ -98,6 +101,7 @@
             linesPerSecond: settings.logLinesPerSecond,
             onCallEnded: record => this.metrics.record(record),
         });
+        this.log = new EraGuardedLog(dependencies.log, change => this.handleNewEra(change));
         this.logHealth = new LogHealth(clock, {
             onLost: (topic, error) => this.relayLog.info("log: lost", { topic, error: String(error) }),
             onRegained: (topic, silentMs) => this.relayLog.info("log: regained", { topic, silentMs: Math.round(silentMs) }),
@@ -115,24 +119,28 @@
             unreachableShare: () => this.peers.unreachableShare(),
         });
         this.directory = new NodeDirectory({
-            log: dependencies.log,
+            log: this.log,
             clock,
+            random,
             node: settings.node,
             failureDomain: settings.failureDomain,
             cores: settings.processor.cores * settings.processor.share,
             address: () => this.peerSocket.address,
             onError: text => this.relayLog.info(`peers: ${text}`),
+            onRewrite: topic => this.recordRewrite(topic),
         });
         this.rollouts = new VersionRollouts({
             clock,
-            log: dependencies.log,
+            random,
+            log: this.log,
             records: dependencies.records,
             bounds: settings.rollouts,
             peerCounts: () => this.peers.reports().flatMap(report => report.versions),
             onChange: (text, detail) => this.relayLog.info(text, detail),
+            onRewrite: topic => this.recordRewrite(topic),
         });
         this.follower = new LogFollower({
-            log: dependencies.log,
+            log: this.log,
             clock,
             random,
             records: dependencies.records,
@@ -298,6 +306,20 @@
         await this.httpClient.close();
     }
 
+    /** Prepares for records that are missing because the log was restored from an older copy. */
+    private handleNewEra({ before, after }: EraChange): void {
+        this.relayLog.warn("log: restored from an older copy", { eraBefore: before, era: after });
+        this.metrics.recordRestore();
+        this.logHealth.recordRestore();
+        this.rollouts.handleNewEra();
+        void this.directory.rejoin(this.stopped.signal);
+    }
+
+    private recordRewrite(topic: string): void {
+        this.relayLog.info("log: record written again", { topic });
+        this.metrics.recordRewrite(topic);
+    }
+
     private async joinPeers(): Promise<void> {
         await this.directory.join(this.stopped.signal);
         await Promise.all([this.directory.run(this.stopped.signal), this.reporter.run(this.stopped.signal)]);
--- a/src/protocol/relay/keyed_log.ts
+++ b/src/protocol/relay/keyed_log.ts
@@ -12,11 +12,20 @@
     readonly offset: number;
 }
 
+/** Place in a topic. Offsets of different eras cannot be compared, because a restored log gives out offsets again. */
+export interface LogPosition {
+    /** Era of the log, which increases each time it is restored from an older copy. */
+    readonly era: number;
+    readonly offset: number;
+}
+
 /** Records of a compacted topic and the end of the topic at the time of the read. */
 export interface KeyedPage {
     readonly records: readonly KeyedRecord[];
     /** Offset that the next appended record will get. */
     readonly endOffset: number;
+    /** Era of the log that answered. */
+    readonly era: number;
 }
 
 /** Failure of a read from an offset whose records the log no longer retains. */
@@ -42,6 +51,20 @@
     }
 }
 
+/** Failure of a call that was answered from an earlier era of the log than one already seen. */
+export class OutdatedEraError extends Error {
+    override readonly name = "OutdatedEraError";
+
+    /**
+     * @param step Operation that failed, such as `read topic nodes`.
+     * @param era Era of the answer.
+     * @param newestEra Newest era seen.
+     */
+    constructor(readonly step: string, readonly era: number, readonly newestEra: number) {
+        super(`Cannot ${step}: the answer is of era ${era}, and the log has reached era ${newestEra}`);
+    }
+}
+
 /** Settings of a read of the newest records. */
 export interface NewestReadSettings {
     /** Time for the log to answer each request, in milliseconds; the client has a default. */
@@ -75,8 +98,9 @@
      * Appends a record, which becomes the newest of its key.
      *
      * @param endOffset Expected end offset of the topic; omitted for an unconditional append.
+     * @returns Era in which the record was appended.
      * @throws {AppendConflictError} When the topic ends at another offset.
      * @throws {PlatformError} When no answer was received; the record may have been appended nevertheless.
      */
-    abstract append(topic: string, key: string, value: Uint8Array, endOffset?: number): Promise<void>;
+    abstract append(topic: string, key: string, value: Uint8Array, endOffset?: number): Promise<number>;
 }
