Keep reconciling engines through an outage of the weight store

A failed read of the weight store ended the reconciliation of a group with an error, and its engines stayed between two versions until the next holder of the lease. Noted by reading. The reconciler now records the outage, sends no order without knowing the loads, and reads again in the next pass.

The new scenario failed before with that error; engine_orders: 14 passed.

--- a/features/engine_orders.feature
+++ b/features/engine_orders.feature
@@ -38,6 +38,13 @@
             | check  | 30    | 0        |
             | ignore | 30    | 1        |
 
+    Scenario: an outage of the weight store does not end the reconciliation
+        Given 6 engines that check fencing numbers
+        And the weight store is down for the next 10 seconds
+        When a node orders version "2.0" with 4 engines required to serve and 200 seconds to the deadline
+        Then all engines are at version "2.0"
+        And the outage of the weight store is recorded
+
     Scenario Outline: model loads leave enough engines serving and bandwidth of the weight store to others
         Given 6 engines that check fencing numbers
         And <others> model loads of others at the weight store
--- a/features/steps/engine_order_steps.ts
+++ b/features/steps/engine_order_steps.ts
@@ -135,6 +135,18 @@
     }
 });
 
+Given("the weight store is down for the next {int} seconds", function(this: Scenario, seconds: number) {
+    const { clock, weightStore } = scenarioOf(this);
+    weightStore.isDown = true;
+    void clock.sleep(seconds * 1_000).then(() => {
+        weightStore.isDown = false;
+    });
+});
+
+Then("the outage of the weight store is recorded", function(this: Scenario) {
+    assert(scenarioOf(this).ring.list().some(event => event.kind === "loadsUnknown"));
+});
+
 When("two nodes request the lease of the group at once", async function(this: Scenario) {
     const scenario = scenarioOf(this);
     const { signal } = scenario.abortController;
--- a/src/coordination/orders/engine_reconciler.ts
+++ b/src/coordination/orders/engine_reconciler.ts
@@ -12,6 +12,7 @@
     OrderError,
     OrderFault,
     type WeightStore,
+    type WeightStoreState,
 } from "../../protocol/mod.js";
 import { type Clock, type EventRing, Part, type Vm } from "../../state/mod.js";
 import { type LeaseHolder, MAX_ORDER_MS } from "./lease_holder.js";
@@ -84,11 +85,14 @@
     }
 
     private async chooseNext(goal: GroupGoal, states: ReadonlyMap<string, EngineState>): Promise<readonly Vm[]> {
-        const { clock, weightStore } = this.settings;
+        const { clock } = this.settings;
         const loading = goal.servers.filter(vm => states.get(vm.id)?.loading);
         const waiting = goal.servers.filter(vm => isServing(states.get(vm.id)) && !matchesSetup(states.get(vm.id), goal.setup));
         const serving = goal.servers.filter(vm => isServing(states.get(vm.id))).length;
-        const store = await weightStore.readState();
+        const store = await this.readLoads();
+        if (store === undefined) {
+            return [];
+        }
         const plan = planLoads({
             remainingLoads: waiting.length + loading.length,
             bytesPerLoad: goal.bytesPerLoad,
@@ -106,6 +110,18 @@
         return waiting.slice(0, Math.max(0, plan.concurrency - loading.length));
     }
 
+    /** @returns The loads at the weight store, or `undefined` if it did not answer. */
+    private async readLoads(): Promise<WeightStoreState | undefined> {
+        try {
+            return await this.settings.weightStore.readState();
+        }
+        catch (error) {
+            const text = `No order is sent before the weight store answers: ${(error as Error).message}.`;
+            this.settings.ring.record({ part: Part.Order, kind: "loadsUnknown", text, warning: true });
+            return undefined;
+        }
+    }
+
     private async sendOrder(vm: Vm, goal: GroupGoal, fencingNumber: number): Promise<void> {
         const { clock, control } = this.settings;
         const timeout = new AbortController();
--- a/standin/weight_store_model.ts
+++ b/standin/weight_store_model.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { WeightStore, type WeightStoreState } from "../src/protocol/mod.js";
+import { Executed, PlatformError, WeightStore, type WeightStoreState } from "../src/protocol/mod.js";
 import type { Clock } from "../src/state/mod.js";
 
 /** Simulation step at which the bandwidth share of a load is recomputed, in milliseconds. */
@@ -12,6 +12,8 @@
 
 /** Simulated weight store, used in process by tests and served over HTTP by a stand-in process. */
 export class WeightStoreModel extends WeightStore {
+    /** Whether reads of the state fail. */
+    isDown = false;
     private activeLoads = 0;
 
     /**
@@ -23,6 +25,9 @@
     }
 
     override async readState(): Promise<WeightStoreState> {
+        if (this.isDown) {
+            throw new PlatformError("read the state", "weight store", Executed.No, new Error("the store is down"));
+        }
         return { bytesPerSecond: this.bytesPerSecond, activeLoads: this.activeLoads };
     }
 
