--- a/features/configuration_retention.feature
+++ b/features/configuration_retention.feature
@@ -28,6 +28,11 @@
         When 6 hours pass for the configuration nodes
         Then 5 to 8 snapshots were written
 
+    Scenario: a node that is stopped before it writes a due snapshot writes none
+        Given 1 configuration nodes on a log that retains records for 12 hours
+        When the node is stopped 61 s after its start, and 15 minutes pass
+        Then the log holds no snapshot
+
     Scenario Outline: two concurrent snapshot writers do no harm
         When 1 hours pass for the configuration nodes without a further snapshot
         And two configuration nodes write a snapshot at once, <order>
--- a/features/steps/configuration_retention_steps.ts
+++ b/features/steps/configuration_retention_steps.ts
@@ -47,6 +47,19 @@
     },
 );
 
+When("the node is stopped {int} s after its start, and 15 minutes pass", async function(this: Scenario, seconds: number) {
+    const fleet = fleetOf(this);
+    await fleet.clock.advance(seconds * 1_000 - CHANGE_PROPAGATION_MS);
+    await stopAllNodes(fleet);
+    await fleet.clock.advance(MS_PER_HOUR / 4);
+});
+
+Then("the log holds no snapshot", async function(this: Scenario) {
+    const fleet = fleetOf(this);
+    const page = await fleet.clock.runUntil(fleet.log.read(SNAPSHOT_STREAM, 0));
+    assert.equal(page.records.length, 0);
+});
+
 Given("one of them sets tier {string} to rank {int}", async function(this: Scenario, tier: string, rank: number) {
     const fleet = fleetOf(this);
     const [node] = fleet.nodes;
--- a/src/coordination/configuration/_timeout.ts
+++ b/src/coordination/configuration/_timeout.ts
@@ -6,7 +6,17 @@
 
 import type { Clock } from "../../state/mod.js";
 
-/** Thrown when a call did not complete within its timeout or was aborted. */
+/** Thrown when the wait for a call was aborted. */
+export class AbortedError extends Error {
+    override readonly name = "AbortedError";
+
+    /** @param step Description of the call, such as `read stream configuration`. */
+    constructor(readonly step: string) {
+        super(`Cannot ${step}: the wait was aborted`);
+    }
+}
+
+/** Thrown when a call did not complete within its timeout. */
 export class TimeoutError extends Error {
     override readonly name = "TimeoutError";
 
@@ -34,16 +44,21 @@
  *
  * @param call Call in progress; a result that arrives after the timeout is discarded.
  * @param settings See {@linkcode TimeoutSettings}.
- * @throws {TimeoutError} When the timeout has elapsed or the signal was aborted.
+ * @throws {TimeoutError} When the timeout has elapsed.
+ * @throws {AbortedError} When the signal was aborted, also before the call.
  */
 export async function withTimeout<Value>(call: Promise<Value>, settings: TimeoutSettings): Promise<Value> {
     const { clock, step, timeoutMs, signal } = settings;
+    if (signal.aborted) {
+        call.catch(() => undefined);
+        throw new AbortedError(step);
+    }
     const settled = new AbortController();
     const stop = () => settled.abort();
     signal.addEventListener("abort", stop, { once: true });
     try {
-        const expiry = clock.sleep(timeoutMs, settled.signal).then((): Value => {
-            throw new TimeoutError(step, timeoutMs);
+        const expiry = clock.sleep(timeoutMs, settled.signal).then((hasElapsed): Value => {
+            throw hasElapsed ? new TimeoutError(step, timeoutMs) : new AbortedError(step);
         });
         // The promise that loses the race is ignored; the handlers prevent an unhandled rejection.
         expiry.catch(() => undefined);
--- a/src/coordination/configuration/snapshot_store.ts
+++ b/src/coordination/configuration/snapshot_store.ts
@@ -95,12 +95,17 @@
             if (!canRead() || !this.isDue()) {
                 continue;
             }
-            await clock.sleep(Math.floor(random.next() * MAX_WRITE_JITTER_MS), signal);
+            if (!await clock.sleep(Math.floor(random.next() * MAX_WRITE_JITTER_MS), signal)) {
+                return;
+            }
             try {
                 await this.readLatest(signal);
                 await this.writeIfDue();
             }
             catch (error) {
+                if (signal.aborted) {
+                    return;
+                }
                 this.recordEvent("snapshotFailed", `${(error as Error).message}.`, true);
             }
         }
