Continue a claim stream after an unexpected error

An error other than the log's own ended a claim stream's loop while it counted as running, so that no claim of that stream was ever committed again and calls with keys failed until the node restarted; the rejection was not handled either. Noted by reading. The loop now records the error as a warning, retries after its usual delay, and gives up with the callers' waits.

--- a/features/claim_log.feature
+++ b/features/claim_log.feature
@@ -109,6 +109,12 @@
         And the caller asks again at node 2
         Then the caller gets the same answer as before
 
+    Scenario: an unexpected error of an append does not stop a claim stream
+        Given a claim stream whose next append fails with an unexpected error
+        When attempt "b" claims the new key
+        Then the claim's verdict is "OWNED" and the log holds 1 records
+        And the unexpected error is recorded as a warning
+
     Scenario Outline: a node that has reached its key limit
         Given a claim stream of a node at its key limit that holds the claim of attempt "a"
         When attempt "<attempt>" claims the <key> key
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -10,7 +10,7 @@
 import { ClaimIndex, ClaimStream, rankMembers, STREAM_PERIOD_MS, toClaimKey } from "../../src/coordination/mod.js";
 import { ClaimService } from "../../src/daemon/mod.js";
 import { ClaimHandler, claimWire, type IncomingCall } from "../../src/protocol/mod.js";
-import { VmState } from "../../src/state/mod.js";
+import { EventRing, HybridClock, VmState } from "../../src/state/mod.js";
 import { claimOperatorService, claimPeerService, GrpcClaimClient, GrpcServer, PeerAuthorizer } from "../../src/transport/mod.js";
 import { LogModel } from "../../standin/log_model.js";
 import { LinkPoint } from "../../standin/node_link.js";
@@ -44,6 +44,7 @@
     readonly clock: VirtualClock;
     readonly log: LogModel;
     readonly stream: ClaimStream;
+    readonly ring: EventRing;
     verdict: claimWire.ClaimVerdict | undefined;
 }
 
@@ -254,14 +255,24 @@
     async function(this: Scenario, attempt: string) {
         const clock = new VirtualClock();
         const log = new LogModel(clock);
+        const ring = new EventRing("node", new HybridClock(clock));
         let isFull = false;
-        const stream = new ClaimStream({ clock, log, stream: "claims-undated-0", isFull: () => isFull });
+        const stream = new ClaimStream({ clock, ring, log, stream: "claims-undated-0", isFull: () => isFull });
         await clock.runUntil(stream.submit(parseEntry(`claim ${attempt}`), clock.now() + OUTCOME_COMMIT_WAIT_MS));
         isFull = true;
-        fullStreamFixtures.set(this, { clock, log, stream, verdict: undefined });
+        fullStreamFixtures.set(this, { clock, log, stream, ring, verdict: undefined });
     },
 );
 
+Given("a claim stream whose next append fails with an unexpected error", function(this: Scenario) {
+    const clock = new VirtualClock();
+    const log = new LogModel(clock);
+    log.faults.nextAppendError = new RangeError("unexpected");
+    const ring = new EventRing("node", new HybridClock(clock));
+    const stream = new ClaimStream({ clock, ring, log, stream: "claims-undated-0" });
+    fullStreamFixtures.set(this, { clock, log, stream, ring, verdict: undefined });
+});
+
 When("attempt {string} claims the {word} key", async function(this: Scenario, attempt: string, key: string) {
     const node = fullStreamFixtures.get(this) as FullStreamFixture;
     const known = parseEntry(`claim ${attempt}`);
@@ -278,6 +289,11 @@
     },
 );
 
+Then("the unexpected error is recorded as a warning", function(this: Scenario) {
+    const { ring } = fullStreamFixtures.get(this) as FullStreamFixture;
+    assert(ring.list().some(event => event.kind === "commitFailed" && event.warning));
+});
+
 When("a filing is sent to node 1, another to node 2, and one still runs at node 3", async function(this: Scenario) {
     sendCall(this, 1, { path: FILING_PATH, idempotencyKey: "filing of node 1" });
     sendCall(this, 2, { path: FILING_PATH, idempotencyKey: "filing of node 2" });
--- a/src/coordination/claims/claim_stream.ts
+++ b/src/coordination/claims/claim_stream.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { claimWire, Executed, type LogService, PlatformError } from "../../protocol/mod.js";
-import type { Clock } from "../../state/mod.js";
+import { claimWire, describeCause, Executed, type LogService, PlatformError } from "../../protocol/mod.js";
+import { type Clock, type EventRing, Part } from "../../state/mod.js";
 import { ClaimIndex, createVerdict } from "./claim_index.js";
 import { isDatedStream } from "./claim_key.js";
 
@@ -39,6 +39,7 @@
 /** Settings of a {@linkcode ClaimStream}. */
 export interface ClaimStreamSettings {
     readonly clock: Clock;
+    readonly ring: EventRing;
     readonly log: LogService;
     /** Name of the stream in the log. */
     readonly stream: string;
@@ -151,7 +152,7 @@
 
     /** Commits batches until the queue is empty. */
     private async run(): Promise<void> {
-        const { clock } = this.settings;
+        const { clock, ring, stream } = this.settings;
         while (this.queue.length > 0) {
             await this.awaitAppendInterval();
             try {
@@ -159,7 +160,8 @@
             }
             catch (error) {
                 if (!(error instanceof PlatformError)) {
-                    throw error;
+                    const text = `Cannot commit to stream ${stream}: ${describeCause(error)}`;
+                    ring.record({ part: Part.Claim, kind: "commitFailed", text, warning: true });
                 }
                 this.isLogReachable = false;
                 await clock.sleep(RETRY_DELAY_MS);
--- a/src/coordination/claims/claim_streams.ts
+++ b/src/coordination/claims/claim_streams.ts
@@ -5,7 +5,7 @@
  */
 
 import type { LogService } from "../../protocol/mod.js";
-import type { Clock } from "../../state/mod.js";
+import type { Clock, EventRing } from "../../state/mod.js";
 import { isDatedStream, UNDATED_STREAM_COUNT } from "./claim_key.js";
 import { ClaimStream } from "./claim_stream.js";
 
@@ -24,6 +24,7 @@
 /** Settings of a {@linkcode ClaimStreams}. */
 export interface ClaimStreamsSettings {
     readonly clock: Clock;
+    readonly ring: EventRing;
     readonly log: LogService;
 }
 
--- a/src/coordination/claims/unknown_calls.ts
+++ b/src/coordination/claims/unknown_calls.ts
@@ -5,7 +5,7 @@
  */
 
 import type { claimWire, LogService, MemberView } from "../../protocol/mod.js";
-import type { Clock } from "../../state/mod.js";
+import type { Clock, EventRing } from "../../state/mod.js";
 import type { OpenClaim } from "./claim_index.js";
 import { datedStream, STREAM_PERIOD_MS, UNDATED_STREAM_COUNT, undatedStream } from "./claim_key.js";
 import { ClaimStream } from "./claim_stream.js";
@@ -19,6 +19,7 @@
 /** Settings of an {@linkcode UnknownCalls}. */
 export interface UnknownCallsSettings {
     readonly clock: Clock;
+    readonly ring: EventRing;
     readonly log: LogService;
     readonly members: MemberView;
 }
--- a/src/daemon/claim_service.ts
+++ b/src/daemon/claim_service.ts
@@ -18,7 +18,7 @@
     /** @param node Node whose claim streams and log are used. */
     constructor(private readonly node: EntryNode) {
         super();
-        this.unknownCalls = new UnknownCalls({ ...node.settings, members: node });
+        this.unknownCalls = new UnknownCalls({ ...node.settings, ring: node.ring, members: node });
     }
 
     override async commit({ stream, entry, waitMs }: claimWire.CommitClaimRequest): Promise<claimWire.ClaimVerdict> {
--- a/standin/log_model.ts
+++ b/standin/log_model.ts
@@ -19,6 +19,8 @@
     down: boolean;
     /** Appends take effect, but their answers are lost. */
     loseAnswers: boolean;
+    /** Error that the next append throws without taking effect. */
+    nextAppendError?: Error;
 }
 
 /** Settings of a {@linkcode LogModel}. */
@@ -71,6 +73,11 @@
         this.nextAppendAtMs = Math.max(nowMs, this.nextAppendAtMs + 1_000 / this.appendsPerSecond);
         await this.clock.sleep(this.nextAppendAtMs - nowMs + this.callMs);
         this.checkAvailable(`append to stream ${stream}`);
+        const { nextAppendError } = this.faults;
+        if (nextAppendError !== undefined) {
+            this.faults.nextAppendError = undefined;
+            throw nextAppendError;
+        }
         const stored = this.stream(stream);
         const offset = stored.endOffset;
         stored.endOffset += 1;
