Refuse calls whose headers exceed the configured limit

limits.maxHeaderBytes of the configuration was read and enforced nowhere; only the HTTP parser's limit of 64 KiB applied. Noted by reading. Such a call is now answered with 431, as one with too large a body is with 413.

The new case failed before (the call was served); relay: 40 passed, 0 failed.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -63,6 +63,7 @@
             | no id            | 400    |
             | two ids          | 400    |
             | too large a body | 413    |
+            | too large a head | 431    |
 
     Scenario: a node without a configuration refuses calls and asks to retry
         Given a relay whose store is down
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -15,6 +15,9 @@
 /** Body that is larger than the configuration allows. */
 const OVERSIZED_BODY = "x".repeat(30_000);
 
+/** Header that is larger than the configuration allows. */
+const OVERSIZED_HEADER = "x".repeat(17_000);
+
 /** State of a scenario of this file. */
 interface RelayScenario extends Scenario {
     relay: RelayFixture;
@@ -138,6 +141,9 @@
         case "too large a body":
             this.relayAnswers = [await this.relay.send({ path, body: OVERSIZED_BODY })];
             return;
+        case "too large a head":
+            this.relayAnswers = [await this.relay.send({ path, headers: { "Large-Header": OVERSIZED_HEADER } })];
+            return;
         default:
             throw new Error(`Cannot send a call with "${trait}": the trait is unknown`);
     }
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -121,6 +121,10 @@
             refuse(request, answer, { status: 503, text: "The node is leaving.", retryAfterMs: DRAINING_RETRY_AFTER_MS });
             return;
         }
+        if (headerBytes(request.rawHeaders) > this.limits.maxHeaderBytes) {
+            refuse(request, answer, { status: 431, text: `The headers are larger than ${this.limits.maxHeaderBytes} bytes.` });
+            return;
+        }
         const head = this.settings.headers.readCall(request.rawHeaders);
         if (typeof head === "string") {
             refuse(request, answer, { status: 400, text: head });
@@ -157,6 +161,12 @@
     }
 }
 
+/** Returns the size of headers on the wire, given as a flat list of names and values, in bytes. */
+function headerBytes(rawHeaders: readonly string[]): number {
+    // Each name is followed by a colon and a space, each value by CRLF; the HTTP parser decodes headers as Latin-1.
+    return rawHeaders.reduce((bytes, text) => bytes + text.length + 2, 0);
+}
+
 function refuse(request: IncomingMessage, answer: HttpRelayAnswer, localAnswer: LocalAnswer): void {
     if (!answer.isStarted) {
         answer.closeAfterwards();
