--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -19,6 +19,8 @@
             | no other state            | exception add tiers/desk/rank 5                       | a valid key | 2    | --reason is missing     |
             | no other state            | exception add tiers/desk/rank 5 --reason x --for soon | a valid key | 2    | such as 2h              |
             | no other state            | tier set batch                                        | a valid key | 2    | Not enough positional   |
+            | no other state            | rollout resume r --revision abc                       | a valid key | 2    | give a whole number     |
+            | no other state            | explain 17 --log missing.log                          | a valid key | 2    | Cannot read missing.log |
             | no other state            | tier set batch 5 --address 127.0.0.1:1                | a valid key | 3    | 127.0.0.1:1             |
             | no other state            | tier set batch 5                                      | wrong-key   | 4    | no operator's key       |
             | no other state            | timeline                                              | wrong-key   | 4    | no operator's key       |
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Command, Option, UsageError } from "clipanion";
+import { Command, Option } from "clipanion";
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
 import { ExitCode } from "./operator_command.js";
@@ -43,11 +43,16 @@
 
     override async execute(): Promise<number> {
         if (this.logs.length === 0) {
-            throw new UsageError("Option --log is missing; give at least one log file.");
+            return this.failUsage("Option --log is missing; give at least one log file.");
         }
         const lines: LogLine[] = [];
         for (const file of this.logs) {
-            lines.push(...await readLogLines(file, this.id));
+            try {
+                lines.push(...await readLogLines(file, this.id));
+            }
+            catch (error) {
+                return this.failUsage(`Cannot read ${file}: ${(error as Error).message}; give a log file of a node.`);
+            }
         }
         const relatedLines = selectRelatedLines(lines, this.id);
         if (relatedLines.length === 0) {
@@ -61,6 +66,11 @@
         }
         return ExitCode.Success;
     }
+
+    private failUsage(text: string): ExitCode {
+        this.context.stderr.write(`${text}\n`);
+        return ExitCode.Usage;
+    }
 }
 
 /** Reads the lines of a call and the lines about the node itself. */
--- a/src/cli/rollout_commands.ts
+++ b/src/cli/rollout_commands.ts
@@ -86,10 +86,11 @@
 
     protected override async run(client: OperatorClient): Promise<ExitCode> {
         const { rollout, reason, order } = this;
-        return this.printReply(
-            await client.changeRollout({ rollout, reason, order, author: "", madeAgainst: Number(this.revision) }),
-            this.resultText,
-        );
+        const madeAgainst = Number(this.revision);
+        if (!Number.isInteger(madeAgainst)) {
+            throw new UsageError(`Option --revision is "${this.revision}"; give a whole number.`);
+        }
+        return this.printReply(await client.changeRollout({ rollout, reason, order, author: "", madeAgainst }), this.resultText);
     }
 }
 
