--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../../state/relay/mod.js";
 import { type Demand, sumDemands } from "./admission_gate.js";
 
-/** Age of a report above which its calls are no longer summed, in milliseconds; the slowest reports arrive every 1.7 s. */
+/** Age of a report above which its calls are no longer summed, in milliseconds; several lost datagrams do not reach it. */
 export const MAX_REPORT_AGE_MS = 2_500;
 
 /** Time without a report after which a node is removed and its share of quotas goes to the others, in milliseconds. */
