Read engines' event streams with any line end of the standard

The parser of engines' streams split events at LF only, so a stream with CRLF or CR line ends delivered no event and failed at its end.

--- a/features/caller_interface.feature
+++ b/features/caller_interface.feature
@@ -61,6 +61,19 @@
             | service | drops the connection in the body      | broken      | unknown  |
             | service | never answers                         | cancelled   | unknown  |
 
+    Scenario Outline: an engine's stream whose lines end with <ending> is read in chunks of <bytes> bytes
+        Given a backend server over HTTP that streams two tokens with lines ending with <ending> in chunks of <bytes> bytes
+        When the adapter for "engine" reads the stream to its end
+        Then it gets 2 tokens and the end
+
+        Examples:
+            | ending | bytes |
+            | LF     | 1     |
+            | CRLF   | 1000  |
+            | CRLF   | 1     |
+            | CR     | 1000  |
+            | CR     | 1     |
+
     Scenario: swapped answers of a backend server are never delivered to the wrong caller
         Given a backend server over HTTP that swaps the answers of every two requests
         When 20 requests are sent to it at the same time
--- a/features/steps/caller_interface_steps.ts
+++ b/features/steps/caller_interface_steps.ts
@@ -54,6 +54,7 @@
     readonly sockets: Socket[] = [];
     readonly replies: string[] = [];
     readonly errors: unknown[] = [];
+    eventKinds: readonly string[] = [];
 
     /** Starts the HTTP server under test with a handler. */
     async startServer(handler: ScriptedHandler): Promise<void> {
@@ -217,6 +218,15 @@
     fixture.errors.push(await sendBackendRequest(fixture, kind, "request-1", AbortSignal.timeout(CANCEL_AFTER_MS)));
 });
 
+When('the adapter for "engine" reads the stream to its end', async function(this: Scenario) {
+    const fixture = fixtureOf(this);
+    fixture.eventKinds = await readEventKinds(fixture, AbortSignal.timeout(CANCEL_AFTER_MS));
+});
+
+Then("it gets 2 tokens and the end", function(this: Scenario) {
+    assert.deepEqual(fixtureOf(this).eventKinds, ["token", "token", "end"]);
+});
+
 When("{int} requests are sent to it at the same time", async function(this: Scenario, count: number) {
     const fixture = fixtureOf(this);
     const sends = Array.from({ length: count }, (value, index) => {
@@ -316,11 +326,38 @@
     }
 }
 
+/** Line ends of server-sent events. */
+const LINE_ENDS: Readonly<Record<string, string>> = { LF: "\n", CRLF: "\r\n", CR: "\r" };
+
+/** Streams two tokens and the end with the given line ends, in chunks of the given size. */
+async function streamTokens(
+    response: ServerResponse,
+    id: string,
+    format: { readonly ending: string; readonly chunkBytes: number },
+) {
+    const events = [
+        { id, token: { index: 0, text: "t" } },
+        { id, token: { index: 1, text: "t" } },
+        { id, end: { finishReason: "stop", cachedTokens: 0, promptTokens: 1, outputTokens: 2 } },
+    ];
+    const lineEnd = LINE_ENDS[format.ending] ?? "";
+    const text = events.map(event => `data: ${JSON.stringify(event)}${lineEnd}${lineEnd}`).join("");
+    response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": id });
+    for (let position = 0; position < text.length; position += format.chunkBytes) {
+        await new Promise(resolve => response.write(text.slice(position, position + format.chunkBytes), resolve));
+    }
+}
+
 function makeFaultyBackend(fault: string): (request: IncomingMessage, response: ServerResponse) => void {
     const pending: ServerResponse[] = [];
     return (request, response) => {
         const id = String(request.headers["x-request-id"]);
         const stream = { "content-type": "text/event-stream", "x-request-id": id };
+        const format = /^streams two tokens with lines ending with (\w+) in chunks of (\d+) bytes$/.exec(fault) ?? undefined;
+        if (format !== undefined) {
+            void streamTokens(response, id, { ending: format[1] ?? "", chunkBytes: Number(format[2]) });
+            return;
+        }
         const token = (index: number) => `data: ${JSON.stringify({ id, token: { index, text: "t" } })}\n\n`;
         switch (fault) {
             case "closes after the request line":
@@ -367,15 +404,19 @@
     second.end("answer");
 }
 
-/** Sends one request; returns its error, or `undefined` when it was answered completely. */
-async function sendBackendRequest(fixture: HttpFixture, kind: string, id: string, signal: AbortSignal): Promise<unknown> {
-    const vm: Vm = {
+function backendVm(fixture: HttpFixture): Vm {
+    return {
         id: "backend-1",
         role: VmRole.Backend,
         address: `127.0.0.1:${fixture.backendPort}`,
         failureDomain: "sul-a",
         state: VmState.Live,
     };
+}
+
+/** Sends one request; returns its error, or `undefined` when it was answered completely. */
+async function sendBackendRequest(fixture: HttpFixture, kind: string, id: string, signal: AbortSignal): Promise<unknown> {
+    const vm = backendVm(fixture);
     try {
         if (kind === "service") {
             const request = {
@@ -401,6 +442,16 @@
     }
 }
 
+/** Reads an engine's stream; returns the kinds of its events. */
+async function readEventKinds(fixture: HttpFixture, signal: AbortSignal): Promise<readonly string[]> {
+    const request = { id: "call-1", body: Buffer.from("{}"), fromToken: 0 };
+    const kinds: string[] = [];
+    for await (const event of new HttpEngine(fixture.client).generate(backendVm(fixture), request, signal)) {
+        kinds.push(event.kind);
+    }
+    return kinds;
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
     const timeoutAtMs = Date.now() + CONDITION_TIMEOUT_MS;
     while (!condition()) {
--- a/src/transport/_event_stream_parser.ts
+++ b/src/transport/_event_stream_parser.ts
@@ -1,8 +1,7 @@
 /**
  * Incremental parser of server-sent events.
  *
- * Follows the HTML standard, section 9.2.6 "Interpreting an event stream", but reads only the `data` field and
- * expects lines to end with LF.
+ * Follows the HTML standard, section 9.2.6 "Interpreting an event stream", but reads only the `data` field.
  *
  * @module
  */
@@ -14,6 +13,8 @@
 export class EventStreamParser {
     private readonly decoder = new TextDecoder();
     private partialEvent = "";
+    /** Whether the last chunk ended with CR, so that an LF at the start of the next one belongs to the same line end. */
+    private endsWithCarriageReturn = false;
 
     /**
      * Appends a chunk of the stream.
@@ -22,13 +23,24 @@
      * @throws {RangeError} If an incomplete event is longer than 1,048,576 characters.
      */
     push(chunk: Uint8Array): readonly string[] {
-        const events = (this.partialEvent + this.decoder.decode(chunk, { stream: true })).split("\n\n");
+        const events = (this.partialEvent + this.readText(chunk)).split("\n\n");
         this.partialEvent = events.pop() ?? "";
         if (this.partialEvent.length > MAX_EVENT_LENGTH) {
             throw new RangeError(`Cannot read event: it is longer than ${MAX_EVENT_LENGTH} characters`);
         }
         return events.map(parseEventData);
     }
+
+    /** Decodes a chunk and replaces each line end by LF. */
+    private readText(chunk: Uint8Array): string {
+        const text = this.decoder.decode(chunk, { stream: true });
+        if (text === "") {
+            return "";
+        }
+        const start = this.endsWithCarriageReturn && text.startsWith("\n") ? 1 : 0;
+        this.endsWithCarriageReturn = text.endsWith("\r");
+        return text.slice(start).replaceAll(/\r\n?/g, "\n");
+    }
 }
 
 function parseEventData(event: string): string {
