Check each certificate of a CA file

Only the first certificate of a CA file was parsed, so a file whose second one is broken came into use on a reload, and peers of that authority were refused later without a reason. Noted by reading. Each certificate is parsed now, and the error names its position; the last valid set stays in use.

--- a/features/peer_security.feature
+++ b/features/peer_security.feature
@@ -44,6 +44,7 @@
             | hold no certificate        | it holds no certificate in PEM |
             | hold the key of "operator" | it is not the key of           |
             | are gone                   | no such file                   |
+            | name a broken second CA    | its certificate 2 is broken    |
 
     Scenario Outline: settings must configure either TLS or plain text
         When settings with <tls> are read
--- a/features/steps/peer_security_steps.ts
+++ b/features/steps/peer_security_steps.ts
@@ -7,7 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { credentials } from "@grpc/grpc-js";
 import assert from "node:assert/strict";
-import { copyFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { appendFile, copyFile, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { parseSettings, SettingsError } from "../../src/daemon/mod.js";
@@ -25,6 +25,9 @@
 /** Folder of the test certificates; `make.sh` in it records how they were generated. */
 const CERTIFICATES_FOLDER = "features/fixtures/tls";
 
+/** Certificate that cannot be parsed. */
+const BROKEN_CERTIFICATE = "-----BEGIN CERTIFICATE-----\nYnJva2Vu\n-----END CERTIFICATE-----\n";
+
 /** Timeout of one probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 10_000;
 
@@ -109,28 +112,34 @@
     serverOf(this).certificateFiles.reload();
 });
 
-When(/^the server's certificate files (hold no certificate|hold the key of "operator"|are gone)$/, async function(
-    this: Scenario,
-    fault: string,
-) {
-    const { folder, certificateFiles } = serverOf(this);
-    switch (fault) {
-        case "hold no certificate":
-            await writeFile(join(folder, "own.crt"), "half a file");
-            break;
-        case "are gone":
-            await rm(join(folder, "own.crt"));
-            break;
-        default:
-            await copyFile(join(CERTIFICATES_FOLDER, "operator.key"), join(folder, "own.key"));
-    }
-    try {
-        certificateFiles.reload();
-    }
-    catch (error) {
-        serverOf(this).lastError = error;
-    }
-});
+When(
+    /^the server's certificate files (hold no certificate|hold the key of "operator"|are gone|name a broken second CA)$/,
+    async function(
+        this: Scenario,
+        fault: string,
+    ) {
+        const { folder, certificateFiles } = serverOf(this);
+        switch (fault) {
+            case "hold no certificate":
+                await writeFile(join(folder, "own.crt"), "half a file");
+                break;
+            case "name a broken second CA":
+                await appendFile(join(folder, "ca.crt"), BROKEN_CERTIFICATE);
+                break;
+            case "are gone":
+                await rm(join(folder, "own.crt"));
+                break;
+            default:
+                await copyFile(join(CERTIFICATES_FOLDER, "operator.key"), join(folder, "own.key"));
+        }
+        try {
+            certificateFiles.reload();
+        }
+        catch (error) {
+            serverOf(this).lastError = error;
+        }
+    },
+);
 
 When(/^settings with (.*) are read$/, async function(this: Scenario, tls: string) {
     const text = [
--- a/src/transport/certificate_files.ts
+++ b/src/transport/certificate_files.ts
@@ -16,6 +16,9 @@
 /** Interval at which the files are checked for changes, in milliseconds. */
 const POLL_INTERVAL_MS = 5_000;
 
+/** Certificate in PEM. */
+const CERTIFICATE_PATTERN = /-----BEGIN ((?:X509 |TRUSTED )?CERTIFICATE)-----[^]*?-----END \1-----/g;
+
 /** Names of the certificate files of a client or server. */
 export interface CertificateFileNames {
     /** Certificate in PEM format. */
@@ -152,8 +155,8 @@
     const certificate = readPemFile(names.certificateFile);
     const privateKey = readPemFile(names.keyFile);
     const caCertificate = readPemFile(names.caFile);
-    const parsed = parseCertificate(names.certificateFile, certificate);
-    parseCertificate(names.caFile, caCertificate);
+    const [parsed] = parseCertificates(names.certificateFile, certificate);
+    parseCertificates(names.caFile, caCertificate);
     if (!matchesPrivateKey(parsed, names.keyFile, privateKey)) {
         throw new CertificateError(names.keyFile, `it is not the key of ${names.certificateFile}`);
     }
@@ -169,12 +172,22 @@
     }
 }
 
-function parseCertificate(file: string, pem: Buffer): X509Certificate {
+/** Parses all certificates of a file, of which there must be at least one. */
+function parseCertificates(file: string, pem: Buffer): readonly [X509Certificate, ...X509Certificate[]] {
+    const blocks = pem.toString("latin1").match(CERTIFICATE_PATTERN) ?? [];
+    const [first, ...others] = blocks.map((block, index) => parseCertificate(file, block, index + 1));
+    if (first === undefined) {
+        throw new CertificateError(file, "it holds no certificate in PEM");
+    }
+    return [first, ...others];
+}
+
+function parseCertificate(file: string, block: string, position: number): X509Certificate {
     try {
-        return new X509Certificate(pem);
+        return new X509Certificate(block);
     }
-    catch {
-        throw new CertificateError(file, "it holds no certificate in PEM");
+    catch (error) {
+        throw new CertificateError(file, `its certificate ${position} is broken: ${(error as Error).message}`);
     }
 }
 
