Say that a call may have run when the lookup of its key is not answered

A caller whose filing had been answered, and who asked again at another node while the log was down and no backend server accepted work, was told that the call had not run; it may then send it under another key, and a filing is submitted twice. A lookup that the log did not answer in 50 ms counted as not executed. Only an answered lookup that finds the key unused counts so now. Noted by reading.

--- a/features/claim_log.feature
+++ b/features/claim_log.feature
@@ -46,9 +46,10 @@
         Then the caller gets refusal 503 "no-backend-server", executed "<executed>"
 
         Examples:
-            | past           | executed |
-            | was answered   | unknown  |
-            | was never sent | no       |
+            | past                                  | executed |
+            | was answered                          | unknown  |
+            | was answered before the log went down | unknown  |
+            | was never sent                        | no       |
 
     Scenario: calls that need no claim are served while the log is down
         Given the "rastro-sul" fleet
--- a/features/steps/claim_log_steps.ts
+++ b/features/steps/claim_log_steps.ts
@@ -110,11 +110,15 @@
     resumeAllNodes(this);
 });
 
-Given(/^a filing that (was answered|was never sent)$/, async function(this: Scenario, past: string) {
-    if (past === "was answered") {
-        await sendCallAndWait(this, 1, { path: FILING_PATH, idempotencyKey: "filing" });
-    }
-});
+Given(
+    /^a filing that (was answered|was answered before the log went down|was never sent)$/,
+    async function(this: Scenario, past: string) {
+        if (past !== "was never sent") {
+            await sendCallAndWait(this, 1, { path: FILING_PATH, idempotencyKey: "filing" });
+        }
+        this.fleet.log.faults.down = past === "was answered before the log went down";
+    },
+);
 
 Given("no backend server accepts work", async function(this: Scenario) {
     for (const id of this.fleet.services.keys()) {
--- a/src/coordination/claims/claim_permit.ts
+++ b/src/coordination/claims/claim_permit.ts
@@ -161,10 +161,9 @@
         const { router, clock, key } = this.settings;
         const entry = this.toEntry(ClaimEntryKind.CLAIM_ENTRY_KIND_LOOKUP);
         const { kind } = await router.commit(key.stream, entry, clock.now() + LOOKUP_TIMEOUT_MS);
-        const mayBeExecuted = kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_HELD ||
-            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_RECORDED ||
-            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_EXPIRED;
-        return mayBeExecuted ? Executed.Unknown : Executed.No;
+        const isKnownNotExecuted = kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_UNCLAIMED ||
+            kind === ClaimVerdictKind.CLAIM_VERDICT_KIND_CONFLICT;
+        return isKnownNotExecuted ? Executed.No : Executed.Unknown;
     }
 
     private isOwnerRunning({ owner, deadlineMs }: claimWire.ClaimVerdict): boolean {
