Reset the connection of a call that is given up

Cause: the node had given the call up at its deadline, but closed the connection gracefully. The kernel keeps bytes that are not acknowledged and went on retransmitting the request until the partition had healed. The node's log has one failed connection attempt of this call and nothing after it.

A cancelled exchange now resets its connection, upon which the kernel discards what it still holds.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -81,6 +81,16 @@
         When an "unsafe" call is sent and its caller disconnects after 100 ms
         Then the server's connection is closed within 300 ms
 
+    Scenario Outline: the connection of a call that is given up is reset, so that no held bytes reach the server later
+        Given a relay with one server that hangs and one that hangs
+        When <end>
+        Then the server's connection is reset within 300 ms
+
+        Examples:
+            | end                                                               |
+            | an "unsafe" call is sent and its caller disconnects after 100 ms  |
+            | a "short" call is sent                                            |
+
     Scenario: a revoked key is refused, also when an older configuration is written again
         Given a relay with one server that answers and one that answers
         When the configuration revokes the caller's key
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -305,6 +305,10 @@
     await waitFor("a server's connection is closed", () => this.relay.engines.some(engine => engine.abandonedCalls > 0), limitMs);
 });
 
+Then("the server's connection is reset within {int} ms", async function(this: RelayScenario, limitMs: number) {
+    await waitFor("a connection is reset", () => this.relay.engines.some(engine => engine.resetConnections > 0), limitMs);
+});
+
 Then("a {string} call gets status {int} within {int} ms", async function(
     this: RelayScenario,
     kind: string,
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -121,10 +121,12 @@
         }
     }
 
-    /** Cancels the exchange unless its answer is complete or it has failed. */
+    /** Cancels the exchange and resets its connection, unless its answer is complete or it has failed. */
     cancel(reason: Error): void {
         if (!this.ended && this.error === undefined) {
             this.fail(reason);
+            // After a graceful close, the kernel goes on retransmitting a request that a partition holds up.
+            this.socket?.resetAndDestroy();
             this.controller?.abort(reason);
         }
     }
