Keep the start of a rollout that an earlier release recorded

Since the start of a rollout is recorded with the era of its order, a node of this release did not recognise a start that a node of the last one had written, and counted the deadline from its own start: an upgrade in the middle of a rollout would have missed it. A record without an era now counts as one of era 0, which is that of a log that does not state its era.

The new case failed before (still running at the deadline); log_restore: 15 passed, 0 failed.

--- a/features/log_restore.feature
+++ b/features/log_restore.feature
@@ -49,3 +49,7 @@
         Given 3 nodes whose addresses are missing from the copy
         When the log is restored
         Then each node registers again once, at least 50 ms apart
+
+    Scenario: the start of a rollout that an earlier release recorded without an era is kept
+        Given 3 nodes that start 59 s after the recorded start of a rollout of 60 s
+        Then the rollout is completed within 3000 ms
--- a/features/steps/log_restore_steps.ts
+++ b/features/steps/log_restore_steps.ts
@@ -53,6 +53,21 @@
     await this.clock.advance(SETTLE_MS);
 });
 
+Given("3 nodes that start 59 s after the recorded start of a rollout of 60 s", function(this: RestoreScenario) {
+    createNodes(this, NODE_COUNT);
+    orderRollout(this, "v2");
+    this.platformLog.put("keyed.moves", "service", { offset: 0, startedAtMs: this.clock.now() - 59_000 });
+    for (const node of this.nodes) {
+        node.start();
+    }
+});
+
+Then("the rollout is completed within {int} ms", async function(this: RestoreScenario, limitMs: number) {
+    await this.clock.advance(limitMs);
+    const [state] = this.platformLog.values("keyed.status", ROLLOUT_KEY).slice(-1);
+    assert.deepEqual(state, { State: "completed", Target: "v2" });
+});
+
 Given("3 nodes whose addresses are missing from the copy", async function(this: RestoreScenario) {
     startNodes(this, NODE_COUNT);
     await this.clock.advance(SETTLE_MS);
@@ -232,15 +247,19 @@
 );
 
 function startNodes(scenario: RestoreScenario, count: number): void {
+    createNodes(scenario, count);
+    for (const node of scenario.nodes) {
+        node.start();
+    }
+}
+
+function createNodes(scenario: RestoreScenario, count: number): void {
     scenario.clock = new VirtualClock();
     scenario.platformLog = new KeyedLogModel(scenario.clock);
     scenario.nodes = Array.from(
         { length: count },
         (unused, index) => new FollowingNode(scenario.platformLog, scenario.clock, index + 1),
     );
-    for (const node of scenario.nodes) {
-        node.start();
-    }
 }
 
 async function restoreLog(scenario: RestoreScenario): Promise<void> {
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -27,6 +27,9 @@
 /** Minimum interval between reads of the rollout states from the log, in milliseconds. */
 const STATE_READ_INTERVAL_MS = 750;
 
+/** Era of records that do not state one. */
+const DEFAULT_ERA = 0;
+
 /** Time over which nodes spread the writes after the log was restored from an older copy, in milliseconds. */
 const RESTORE_SPREAD_MS = 1_000;
 
@@ -349,5 +352,5 @@
 function parseStart(value: Uint8Array): RolloutStart | undefined {
     const start = JSON.parse(Buffer.from(value).toString("utf8")) as { offset?: unknown; era?: unknown; startedAtMs?: unknown };
     const { offset, era, startedAtMs } = start;
-    return typeof startedAtMs === "number" ? { offset, era, startedAtMs } : undefined;
+    return typeof startedAtMs === "number" ? { offset, era: era ?? DEFAULT_ERA, startedAtMs } : undefined;
 }
--- a/standin/keyed_log_model.ts
+++ b/standin/keyed_log_model.ts
@@ -23,8 +23,8 @@
 /** Default time for an answer, in milliseconds; that of the client of the platform's log. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
-/** Era before the first restore. */
-const FIRST_ERA = 1;
+/** Era before the first restore, as of a log that does not state its era. */
+const FIRST_ERA = 0;
 
 /** Topic of a {@linkcode KeyedLogModel}. */
 interface ModelTopic {
