--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -16,6 +16,7 @@
 export * from "./log_health.js";
 export * from "./mesh_exchange.js";
 export * from "./node_directory.js";
+export * from "./order_history.js";
 export * from "./peer_reporter.js";
 export * from "./peer_table.js";
 export * from "./placement.js";
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -14,6 +14,7 @@
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type VersionOrder, VersionOrderState } from "../../state/relay/mod.js";
+import { OrderChange, OrderHistory } from "./order_history.js";
 import { decideRollout, type RolloutBounds } from "./rollout_decision.js";
 import type { ServerState } from "./server_state.js";
 import { VersionCallCounter } from "./version_call_counter.js";
@@ -33,9 +34,6 @@
 /** Time over which nodes spread the writes after the log was restored from an older copy, in milliseconds. */
 const RESTORE_SPREAD_MS = 1_000;
 
-/** Number of superseded orders of a service that are remembered. */
-const MAX_SUPERSEDED_ORDERS = 8;
-
 /** Share of the calls from which the new version counts as the main one. */
 const MAJORITY_SHARE = 0.5;
 
@@ -96,8 +94,7 @@
     /** Call outcomes by version. */
     readonly callCounter = new VersionCallCounter();
     private readonly rollouts = new Map<string, VersionRollout>();
-    /** Orders that later ones replaced, by service; a restored log may contain them again. */
-    private readonly supersededOrders = new Map<string, readonly VersionOrder[]>();
+    private readonly orders = new OrderHistory();
     private statesReadAtMs = 0;
     private pausedUntilMs = 0;
 
@@ -106,22 +103,13 @@
 
     /** Starts the rollout of an order unless this or a later order is known; `position` is that of its record. */
     applyOrder(order: VersionOrder, position: LogPosition): void {
+        const change = this.orders.record(order, position);
         const known = this.rollouts.get(order.service);
-        if (known !== undefined && !isLater(position, known.position)) {
-            return;
-        }
-        if (known !== undefined && position.era > known.position.era) {
-            if (isSameOrder(order, known.order)) {
-                this.moveRollout(known, position);
-                return;
-            }
-            if (this.supersededOrders.get(order.service)?.some(superseded => isSameOrder(superseded, order))) {
-                return;
-            }
+        if (change === OrderChange.Moved && known !== undefined) {
+            this.moveRollout(known, position);
         }
-        if (known !== undefined) {
-            const superseded = [...(this.supersededOrders.get(order.service) ?? []), known.order];
-            this.supersededOrders.set(order.service, superseded.slice(-MAX_SUPERSEDED_ORDERS));
+        if (change !== OrderChange.New) {
+            return;
         }
         this.rollouts.set(order.service, {
             order,
@@ -334,14 +322,6 @@
     return state !== VersionOrderState.Running;
 }
 
-function isLater(position: LogPosition, known: LogPosition): boolean {
-    return position.era === known.era ? position.offset > known.offset : position.era > known.era;
-}
-
-function isSameOrder(left: VersionOrder, right: VersionOrder): boolean {
-    return left.service === right.service && left.version === right.version && left.durationMs === right.durationMs;
-}
-
 /** Recorded start of a rollout. */
 interface RolloutStart {
     readonly offset: unknown;
