Move the sequential test of versions into a folder that the relay can load

The platform's path decides rollouts by a rule of its own. To feed the tested one from both paths, evidence, statistics and monitor move to coordination/evidence, and the lengths of slices and blocks, which fit rollouts of minutes, become parameters with the same values. No behaviour changes.

--- a/src/coordination/rollouts/evidence_monitor.ts
+++ b/src/coordination/evidence/evidence_monitor.ts
@@ -22,18 +22,32 @@
 /** Maximum probability of a false alarm over the whole duration of a rollout. */
 export const FALSE_ALARM_PROBABILITY = 0.005;
 
-/** Minimum duration for which the false alarm bound is computed, in milliseconds; a longer rollout uses its own duration. */
-const MIN_DURATION_MS = 3_600_000;
+/** Times that a test uses, in milliseconds. */
+export interface EvidenceTiming {
+    /** Length of a slice, the unit of time in which nodes share evidence. */
+    readonly sliceMs: number;
+    /** Length of a block, within which both versions are compared; a multiple of the slice, long enough for several attempts. */
+    readonly blockMs: number;
+    /** Age at which a block is closed and accepts no more evidence. */
+    readonly closeAgeMs: number;
+    /** Minimum duration for which the false alarm bound is computed; a longer rollout uses its own duration. */
+    readonly minDurationMs: number;
+    /** Looks at a block while its evidence arrives; each look counts as a test. */
+    readonly looksPerBlock: number;
+}
 
-/** Length of a block, within which both versions are compared, in milliseconds: long enough for several candidate attempts. */
-const BLOCK_MS = 10_000;
+/** Times of rollouts that last minutes to hours. */
+const LONG_ROLLOUT_TIMING: EvidenceTiming = {
+    sliceMs: SLICE_MS,
+    blockMs: 10_000,
+    closeAgeMs: 30_000,
+    minDurationMs: 3_600_000,
+    looksPerBlock: 20,
+};
 
 /** Number of views assumed in the threshold that limits the contribution of a block. */
 const EXPECTED_VIEWS = 16;
 
-/** Looks at a block while its evidence arrives; each look counts as a test. */
-const LOOKS_PER_BLOCK = 20;
-
 /**
  * Maximum contribution of one block to a statistic, as a share of the alarm threshold.
  *
@@ -43,9 +57,6 @@
 const MAX_BLOCK_FAILURE_SHARE = 0.5;
 const MAX_BLOCK_SLOWNESS_SHARE = 0.4;
 
-/** Age at which a block is closed and accepts no more evidence, in milliseconds. */
-const BLOCK_CLOSE_AGE_MS = 30_000;
-
 /** Result of the test on one view of the traffic. */
 export interface ViewFinding {
     readonly view: TrafficView;
@@ -90,9 +101,15 @@
     /**
      * @param durationMs Planned duration of the rollout, in milliseconds.
      * @param onClose Called with the evidence of each block that is closed.
+     * @param timing Times of the test. Defaults to those of rollouts that last minutes to hours.
      */
-    constructor(durationMs: number, private readonly onClose: (block: EvidenceBlock) => void = () => undefined) {
-        this.looks = Math.max(durationMs, MIN_DURATION_MS) / BLOCK_MS * LOOKS_PER_BLOCK;
+    constructor(
+        durationMs: number,
+        private readonly onClose: (block: EvidenceBlock) => void = () => undefined,
+        private readonly timing: EvidenceTiming = LONG_ROLLOUT_TIMING,
+    ) {
+        const { minDurationMs, blockMs, looksPerBlock } = timing;
+        this.looks = Math.max(durationMs, minDurationMs) / blockMs * looksPerBlock;
     }
 
     /**
@@ -102,8 +119,9 @@
      * @param slices Slices with all attempts of the node so far.
      */
     put(origin: string, slices: readonly NodeSlice[]): void {
+        const { sliceMs, blockMs } = this.timing;
         for (const slice of slices) {
-            const index = Math.floor(slice.index * SLICE_MS / BLOCK_MS);
+            const index = Math.floor(slice.index * sliceMs / blockMs);
             if (index < this.firstOpenIndex) {
                 continue;
             }
@@ -145,7 +163,7 @@
     }
 
     private closeBlocks(nowMs: number): void {
-        const firstOpenIndex = Math.floor((nowMs - BLOCK_CLOSE_AGE_MS) / BLOCK_MS);
+        const firstOpenIndex = Math.floor((nowMs - this.timing.closeAgeMs) / this.timing.blockMs);
         if (firstOpenIndex <= this.firstOpenIndex) {
             return;
         }
--- a/src/coordination/mod.ts
+++ b/src/coordination/mod.ts
@@ -12,6 +12,7 @@
 export * from "./configuration/mod.js";
 export * from "./dispatch_guard.js";
 export * from "./dispatcher.js";
+export * from "./evidence/mod.js";
 export * from "./membership/mod.js";
 export * from "./orders/mod.js";
 export * from "./platform_watcher.js";
--- a/src/coordination/rollouts/baseline_comparator.ts
+++ b/src/coordination/rollouts/baseline_comparator.ts
@@ -7,8 +7,14 @@
  * @module
  */
 
-import { type EvidenceBlock, LOAD_BAND_COUNT, type StratumEvidence } from "./evidence_slice.js";
-import { BUCKET_COUNT, countAbove, quantileBucket } from "./latency_histogram.js";
+import {
+    BUCKET_COUNT,
+    countAbove,
+    type EvidenceBlock,
+    LOAD_BAND_COUNT,
+    quantileBucket,
+    type StratumEvidence,
+} from "../evidence/mod.js";
 
 /** Number of most recent blocks that are compared with the baseline. */
 const COMPARED_BLOCKS = 2;
--- a/src/coordination/rollouts/evidence_codec.ts
+++ b/src/coordination/rollouts/evidence_codec.ts
@@ -5,7 +5,7 @@
  */
 
 import { rolloutWire } from "../../protocol/mod.js";
-import { type EvidenceCell, LOAD_BAND_COUNT, type NodeSlice } from "./evidence_slice.js";
+import { type EvidenceCell, LOAD_BAND_COUNT, type NodeSlice } from "../evidence/mod.js";
 
 /** Report of one node on one rollout. */
 export interface NodeReport {
--- a/src/coordination/rollouts/local_evidence.ts
+++ b/src/coordination/rollouts/local_evidence.ts
@@ -6,8 +6,7 @@
 
 import type { RandomSource } from "../../state/mod.js";
 import type { AttemptResult } from "../attempt_observer.js";
-import { type EvidenceCell, type NodeSlice, SLICE_MS } from "./evidence_slice.js";
-import { bucketOf } from "./latency_histogram.js";
+import { bucketOf, type EvidenceCell, type NodeSlice, SLICE_MS } from "../evidence/mod.js";
 import { FIRST_TOKEN_MIN_LOAD_SQUARES, GAP_MIN_LOAD_SQUARES, LoadAdjustment } from "./load_adjustment.js";
 
 /** Time for which a slice is still shared after its end, in milliseconds. */
--- a/src/coordination/rollouts/mod.ts
+++ b/src/coordination/rollouts/mod.ts
@@ -4,11 +4,8 @@
  * @module
  */
 
-export * from "./block_statistics.js";
 export * from "./call_fraction.js";
 export * from "./evidence_codec.js";
-export * from "./evidence_monitor.js";
-export * from "./evidence_slice.js";
 export * from "./local_evidence.js";
 export * from "./peer_reports.js";
 export * from "./rollout_controller.js";
@@ -18,4 +15,3 @@
 export * from "./rollout_notifier.js";
 export * from "./rollout_operator_service.js";
 export * from "./rollout_registry.js";
-export * from "./sequential_test.js";
--- a/src/coordination/rollouts/rollout_controller.ts
+++ b/src/coordination/rollouts/rollout_controller.ts
@@ -6,11 +6,9 @@
 
 import type { RandomSource } from "../../state/mod.js";
 import type { AttemptResult } from "../attempt_observer.js";
+import { EvidenceMonitor, type NodeSlice, type ViewFinding, viewName } from "../evidence/mod.js";
 import { BaselineComparator } from "./baseline_comparator.js";
-import { viewName } from "./block_statistics.js";
 import type { NodeReport } from "./evidence_codec.js";
-import { EvidenceMonitor, type ViewFinding } from "./evidence_monitor.js";
-import type { NodeSlice } from "./evidence_slice.js";
 import { LocalEvidence } from "./local_evidence.js";
 import { type Peer, PeerReports } from "./peer_reports.js";
 import { isActive, type Rollout, RolloutPhase } from "./rollout_registry.js";
