--- /dev/null
+++ b/standin/engine_behavior_model.ts
@@ -0,0 +1,222 @@
+/**
+ * Model of backend servers that answer opaque calls, for tests under a virtual clock.
+ *
+ * @module
+ */
+
+import {
+    type AnswerHead,
+    AttemptAnswer,
+    AttemptError,
+    AttemptFault,
+    type AttemptHead,
+    type RelayCall,
+    RelayClient,
+} from "../src/protocol/relay/mod.js";
+import type { Clock, RandomSource, RelayServer } from "../src/state/relay/mod.js";
+
+/** Time that a message takes between a node and a server, in milliseconds. */
+const ONE_WAY_MS = 1;
+
+/** Time until a server answers with an error, in milliseconds. */
+const ERROR_MS = 20;
+
+/** Growth of a call's times with each other call at the server. */
+const GROWTH_PER_CALL = 0.15;
+
+/** Status of a server's own error. */
+const ERROR_STATUS = 500;
+
+/** Error with which a connection to a server that ended is closed. */
+const CLOSED = new Error("other side closed");
+
+/** Behaviour of the servers of one version, which a test may change at any time. */
+export interface VersionBehavior {
+    /** Fraction of calls that are answered with an error. */
+    failureShare: number;
+    /** Factor of the time to the first event. */
+    firstEventFactor: number;
+    /** Factor of the time between events. */
+    intervalFactor: number;
+}
+
+/** Backend server in the model. */
+export class ModelServer {
+    /** Time at which the server accepts calls again, in milliseconds since the Unix epoch. */
+    downUntilMs = 0;
+    /** Attempts that have been received, in order. */
+    readonly attempts: ModelAttempt[] = [];
+    private readonly running = new Set<ModelAnswer>();
+
+    /**
+     * @param registration Entry of the server.
+     * @param intervalMs Time between two events of a stream without load, in milliseconds.
+     * @param behavior Behaviour of the server's version.
+     */
+    constructor(readonly registration: RelayServer, readonly intervalMs: number, readonly behavior: VersionBehavior) {}
+
+    /** Calls that the server runs. */
+    get runningCalls(): number {
+        return this.running.size;
+    }
+
+    /** Adds an answer to the running ones. */
+    start(answer: ModelAnswer): void {
+        this.running.add(answer);
+    }
+
+    /** Removes an answer that has ended. */
+    finish(answer: ModelAnswer): void {
+        this.running.delete(answer);
+    }
+
+    /** Ends the server and closes all its connections; it accepts calls again at a time in milliseconds since the Unix epoch. */
+    crash(untilMs: number): void {
+        this.downUntilMs = untilMs;
+        for (const answer of this.running) {
+            answer.fail(CLOSED);
+        }
+        this.running.clear();
+    }
+}
+
+/** Attempt as a server received it. */
+export interface ModelAttempt {
+    readonly call: RelayCall;
+    readonly atMs: number;
+    readonly server: ModelServer;
+    /** Time at which the answer turned out bad: an error, or several times slower than the server; `undefined` if it did not. */
+    badAtMs: number | undefined;
+}
+
+/** Settings of a {@linkcode ModelClient}. */
+export interface ModelClientSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly servers: ReadonlyMap<string, ModelServer>;
+    /** Whether the node reaches a server now. */
+    readonly isReachable: (server: ModelServer) => boolean;
+    /** Number of events of a call's answer; 0 for an answer that is not a stream. */
+    readonly eventsOf: (call: RelayCall) => number;
+    /** Whether a server that begins to answer the call crashes, and for how long, in milliseconds; 0 for a sound call. */
+    readonly crashMs: (call: RelayCall) => number;
+}
+
+/** Sends calls to servers of the model. */
+export class ModelClient extends RelayClient {
+    /** @param settings See {@linkcode ModelClientSettings}. */
+    constructor(private readonly settings: ModelClientSettings) {
+        super();
+    }
+
+    override send(server: RelayServer, call: RelayCall, attempt: AttemptHead, signal: AbortSignal): AttemptAnswer {
+        return new ModelAnswer(this.settings, this.settings.servers.get(server.id), call, signal);
+    }
+
+    override retain(): void {
+        // The model keeps no connections.
+    }
+}
+
+/** Answer of a server of the model. */
+class ModelAnswer extends AttemptAnswer {
+    private readonly stopped = new AbortController();
+    private failure: unknown;
+    private events = 0;
+    private attempt: ModelAttempt | undefined;
+
+    constructor(
+        private readonly settings: ModelClientSettings,
+        private readonly server: ModelServer | undefined,
+        private readonly call: RelayCall,
+        private readonly signal: AbortSignal,
+    ) {
+        super();
+        signal.addEventListener("abort", () => this.stopped.abort(), { once: true });
+    }
+
+    override async awaitHead(): Promise<AnswerHead> {
+        const { clock, random, isReachable, crashMs, eventsOf } = this.settings;
+        const { server, call } = this;
+        await this.wait(2 * ONE_WAY_MS);
+        if (server === undefined || !isReachable(server) || clock.now() < server.downUntilMs) {
+            throw new AttemptError(AttemptFault.NotRun, server?.registration.id ?? "", "connect", new Error("ECONNREFUSED"));
+        }
+        if (server.runningCalls >= server.registration.slots) {
+            return makeHead(call, 503, true);
+        }
+        this.attempt = { call, atMs: clock.now(), server, badAtMs: undefined };
+        server.attempts.push(this.attempt);
+        server.start(this);
+        const { behavior } = server;
+        if (random.next() < behavior.failureShare) {
+            await this.wait(ERROR_MS);
+            this.attempt.badAtMs = clock.now();
+            server.finish(this);
+            return makeHead(call, ERROR_STATUS, false);
+        }
+        if (behavior.firstEventFactor > 2 || behavior.intervalFactor > 2 && eventsOf(call) > 1) {
+            void clock.sleep(server.intervalMs * 12).then(() => this.attempt && (this.attempt.badAtMs = clock.now()));
+        }
+        await this.wait(4 * server.intervalMs * behavior.firstEventFactor * this.loadFactor);
+        const durationMs = crashMs(call);
+        if (durationMs > 0) {
+            server.crash(clock.now() + durationMs);
+            await this.wait(ONE_WAY_MS);
+        }
+        return makeHead(call, 200, false);
+    }
+
+    override async next(): Promise<Buffer | undefined> {
+        const { server } = this;
+        const total = this.settings.eventsOf(this.call);
+        if (server === undefined || this.events >= Math.max(1, total) || this.attempt?.server.runningCalls === 0) {
+            server?.finish(this);
+            return undefined;
+        }
+        if (this.events > 0) {
+            await this.wait(server.intervalMs * server.behavior.intervalFactor * this.loadFactor);
+        }
+        this.events += 1;
+        return Buffer.from(total === 0 ? "answer" : `id: ${this.events}\ndata: x\n\n`);
+    }
+
+    override cancel(): void {
+        this.server?.finish(this);
+        this.stopped.abort();
+    }
+
+    /** Breaks the answer off. */
+    fail(cause: unknown): void {
+        this.failure = cause;
+        this.stopped.abort();
+    }
+
+    private get loadFactor(): number {
+        return 1 + GROWTH_PER_CALL * Math.max(0, (this.server?.runningCalls ?? 1) - 1);
+    }
+
+    private async wait(durationMs: number): Promise<void> {
+        await this.settings.clock.sleep(durationMs, this.stopped.signal);
+        const id = this.server?.registration.id ?? "";
+        if (this.failure !== undefined) {
+            throw new AttemptError(AttemptFault.Unknown, id, "read the answer", this.failure);
+        }
+        if (this.signal.aborted) {
+            this.server?.finish(this);
+            throw new AttemptError(AttemptFault.Cancelled, id, "read the answer", this.signal.reason);
+        }
+    }
+}
+
+function makeHead(call: RelayCall, status: number, isNotExecuted: boolean): AnswerHead {
+    return {
+        status,
+        callId: call.head.id,
+        isSealed: true,
+        isNotExecuted,
+        isEncoded: false,
+        load: undefined,
+        endToEnd: [],
+    };
+}
--- /dev/null
+++ b/standin/relay_fleet_model.ts
@@ -0,0 +1,513 @@
+/**
+ * Fleet of relay nodes before modelled backend servers, with the product's decisions and reports, under a virtual clock.
+ *
+ * @module
+ */
+
+import {
+    NodeDirectory,
+    PeerReporter,
+    PeerTable,
+    RelayHandler,
+    RetryBudget,
+    type RolloutRecordFormat,
+    type RolloutStateRecord,
+    ServerPool,
+    ServiceScheduler,
+    VersionRollouts,
+    WorkspaceQuota,
+} from "../src/coordination/relay/mod.js";
+import {
+    Executed,
+    hashKey,
+    KeyedLog,
+    type KeyedPage,
+    type KeyedReadSettings,
+    type NewestReadSettings,
+    PeerLink,
+    PeerReport,
+    PlatformError,
+    type PromptPart,
+    RelayAnswer,
+    type RelayCall,
+    type ReportReceiver,
+} from "../src/protocol/relay/mod.js";
+import { type RelayRoute, RouteTable, SeededRandom, Semantics, type VersionOrder } from "../src/state/relay/mod.js";
+import { type ModelAttempt, ModelClient, ModelServer, type VersionBehavior } from "./engine_behavior_model.js";
+import { KeyedLogModel } from "./keyed_log_model.js";
+import { VirtualClock } from "./virtual_clock.js";
+
+/** Service of all calls. */
+export const FLEET_SERVICE = "service";
+
+/** Host of all calls. */
+const HOST = "app.example";
+
+/** Time that a datagram takes between nodes, in milliseconds. */
+const DATAGRAM_MS = 2;
+
+/** Interval at which nodes dispatch waiting calls, in milliseconds. */
+const MAINTENANCE_MS = 40;
+
+/** Longest time for which a caller waits for an event, in milliseconds. */
+const CALLER_PATIENCE_MS = 3_200;
+
+/** Window of the retry budget, in milliseconds. */
+const RETRY_WINDOW_MS = 10_000;
+
+/** Topic of the rollout states. */
+const STATE_TOPIC = "keyed.status";
+
+/** Kind of calls in the model. */
+export interface ModelTraffic {
+    readonly callsPerSecond: number;
+    /** Most events of an answer; 0 for answers that are not streams. */
+    readonly mostEvents: number;
+    readonly promptTokens: number;
+    readonly deadlineMs: number;
+    /** Time between events of each server of a version without load, in milliseconds. */
+    readonly intervalsMs: readonly number[];
+    readonly slots: number;
+}
+
+/** Outcome of a call as its caller saw it. */
+export interface ModelOutcome {
+    readonly call: RelayCall;
+    /** Status; 0 when the connection ended without a complete answer. */
+    readonly status: number;
+    readonly isComplete: boolean;
+}
+
+/** Node of the fleet. */
+interface FleetNode {
+    readonly name: string;
+    readonly peers: PeerTable;
+    readonly pool: ServerPool;
+    readonly scheduler: ServiceScheduler;
+    readonly rollouts: VersionRollouts;
+    readonly reporter: PeerReporter;
+    readonly handler: RelayHandler;
+    readonly log: SeveredLog;
+    readonly stopped: AbortController;
+}
+
+/** Log as one node reaches it. */
+class SeveredLog extends KeyedLog {
+    /** Whether the node reaches the log. */
+    isReachable = true;
+
+    constructor(private readonly log: KeyedLogModel, private readonly clock: VirtualClock) {
+        super();
+    }
+
+    override async readNewest(topic: string, settings?: NewestReadSettings): Promise<KeyedPage> {
+        await this.check(`read ${topic}`);
+        return this.log.readNewest(topic, settings);
+    }
+
+    override async read(topic: string, fromOffset: number, settings?: KeyedReadSettings): Promise<KeyedPage> {
+        await this.check(`read ${topic}`);
+        return this.log.read(topic, fromOffset, settings);
+    }
+
+    override async append(topic: string, key: string, value: Uint8Array, endOffset?: number): Promise<number> {
+        await this.check(`append to ${topic}`);
+        return this.log.append(topic, key, value, endOffset);
+    }
+
+    private async check(step: string): Promise<void> {
+        if (!this.isReachable) {
+            await this.clock.sleep(1_000);
+            throw new PlatformError(step, "model", Executed.No, new Error("timeout"));
+        }
+    }
+}
+
+/** Delivers the reports of one node. */
+class ModelLink extends PeerLink {
+    constructor(private readonly fleet: RelayFleetModel, private readonly sender: string) {
+        super();
+    }
+
+    override send(report: PeerReport, receivers: Iterable<ReportReceiver>): void {
+        const bytes = PeerReport.encode(report).finish();
+        for (const { address } of receivers) {
+            void this.fleet.clock.sleep(DATAGRAM_MS).then(() => this.fleet.deliver(this.sender, address, bytes));
+        }
+    }
+}
+
+/** Answer that records what the caller gets. */
+class ModelCaller extends RelayAnswer {
+    readonly gone = new AbortController();
+    isStarted = false;
+    private lastEventAtMs: number;
+    private isEnded = false;
+
+    constructor(
+        private readonly clock: VirtualClock,
+        private readonly onEnd: (status: number, isComplete: boolean) => void,
+    ) {
+        super();
+        this.lastEventAtMs = clock.now();
+        void this.watch();
+    }
+
+    override sendComplete(status: number): void {
+        this.finish(status, true);
+    }
+
+    override start(): void {
+        this.isStarted = true;
+        this.lastEventAtMs = this.clock.now();
+    }
+
+    override write(): Promise<void> {
+        this.lastEventAtMs = this.clock.now();
+        return Promise.resolve();
+    }
+
+    override end(): void {
+        this.finish(200, true);
+    }
+
+    override abort(): void {
+        this.finish(0, false);
+    }
+
+    override sendLocal({ status }: { readonly status: number }): void {
+        this.finish(status, true);
+    }
+
+    private finish(status: number, isComplete: boolean): void {
+        if (!this.isEnded) {
+            this.isEnded = true;
+            this.onEnd(status, isComplete);
+        }
+    }
+
+    private async watch(): Promise<void> {
+        while (!this.isEnded) {
+            const leftMs = this.lastEventAtMs + CALLER_PATIENCE_MS - this.clock.now();
+            if (leftMs <= 0) {
+                this.gone.abort();
+                return;
+            }
+            await this.clock.sleep(leftMs);
+        }
+    }
+}
+
+/** Format of the rollout states in the model's log. */
+const STATE_FORMAT: RolloutRecordFormat = {
+    stateTopic: STATE_TOPIC,
+    decodeState: record => JSON.parse(Buffer.from(record.value ?? []).toString("utf8")) as RolloutStateRecord,
+    encodeState: record => ({ key: record.service, value: Buffer.from(JSON.stringify(record)) }),
+};
+
+/** Nodes, servers and callers. */
+export class RelayFleetModel {
+    readonly clock = new VirtualClock();
+    readonly random: SeededRandom;
+    readonly log = new KeyedLogModel(this.clock);
+    readonly servers = new Map<string, ModelServer>();
+    readonly outcomes: ModelOutcome[] = [];
+    /** Names of nodes without connections to the others. */
+    readonly isolatedNodes = new Set<string>();
+    /** Behaviour of each version's servers. */
+    readonly behaviors = new Map<string, VersionBehavior>();
+    /** Returns the prompt parts of the next call. */
+    partsOf: () => readonly PromptPart[] = () => [];
+    /** Returns how long a server that begins to answer a call is down, in milliseconds; 0 for a sound call. */
+    crashMs: (call: RelayCall) => number = () => 0;
+    /** Factor of the number of calls. */
+    trafficFactor = 1;
+    private readonly nodes: FleetNode[] = [];
+    private readonly route: RelayRoute;
+    private readonly stopped = new AbortController();
+    private orders: { readonly order: VersionOrder; readonly offset: number }[] = [];
+    private lastCall = 0;
+
+    /**
+     * @param traffic Kind of calls.
+     * @param nodeCount Number of nodes.
+     * @param seed Seed of all random numbers.
+     * @param isResumable Whether broken streams may be resumed elsewhere.
+     */
+    constructor(readonly traffic: ModelTraffic, private readonly nodeCount: number, seed: number, isResumable = false) {
+        this.random = new SeededRandom(seed);
+        this.route = {
+            name: "route",
+            host: HOST,
+            pathPrefix: "/",
+            semantics: traffic.mostEvents > 0 ? Semantics.DispatchOnce : Semantics.Repeatable,
+            isStream: traffic.mostEvents > 0,
+            isResumable,
+            timeoutMs: traffic.deadlineMs,
+            objectiveMs: 500,
+            maxPauseMs: 400,
+            rank: 0,
+            shares: [{ service: FLEET_SERVICE, weight: 1 }],
+            maxAttempts: 3,
+            isPublic: true,
+        };
+        for (let index = 0; index < nodeCount; index += 1) {
+            this.startNode(index);
+        }
+    }
+
+    /** Adds the servers of a version. */
+    addVersion(version: string): void {
+        const behavior: VersionBehavior = { failureShare: 0, firstEventFactor: 1, intervalFactor: 1 };
+        this.behaviors.set(version, behavior);
+        for (const [index, intervalMs] of this.traffic.intervalsMs.entries()) {
+            const id = `${version}-${index}`;
+            const registration = {
+                id,
+                service: FLEET_SERVICE,
+                address: id,
+                failureDomain: `domain-${index % 4}`,
+                version,
+                slots: this.traffic.slots,
+                isDraining: false,
+                startedAtMs: this.clock.now(),
+                sequence: 1,
+            };
+            this.servers.set(id, new ModelServer(registration, intervalMs, behavior));
+        }
+        for (const node of this.nodes) {
+            this.putServers(node);
+        }
+    }
+
+    /** Removes the servers of all versions but one, as the operator does after a rollout. */
+    keepVersion(version: string): void {
+        for (const [id, server] of this.servers) {
+            if (server.registration.version !== version) {
+                server.crash(Infinity);
+                for (const node of this.nodes) {
+                    node.pool.remove(id);
+                }
+            }
+        }
+    }
+
+    /** Servers of a version. */
+    serversOf(version: string): readonly ModelServer[] {
+        return [...this.servers.values()].filter(server => server.registration.version === version);
+    }
+
+    /** Attempts at a version's servers, in order. */
+    attemptsOf(version: string): readonly ModelAttempt[] {
+        return this.serversOf(version).flatMap(server => server.attempts).sort((left, right) => left.atMs - right.atMs);
+    }
+
+    /** Orders a rollout at all nodes. */
+    order(version: string, durationMs: number): void {
+        const order = { service: FLEET_SERVICE, version, durationMs };
+        this.orders.push({ order, offset: this.orders.length + 1 });
+        for (const node of this.nodes) {
+            this.applyOrders(node);
+        }
+    }
+
+    /** State of the rollout in the log. */
+    get rolloutState(): string | undefined {
+        const state = this.log.values(STATE_TOPIC, FLEET_SERVICE).at(-1) as { readonly state: string } | undefined;
+        return state?.state;
+    }
+
+    /** Cuts a number of nodes off from the log, or connects them again. */
+    setLogReachable(nodeCount: number, isReachable: boolean): void {
+        for (const node of this.nodes.slice(0, nodeCount)) {
+            node.log.isReachable = isReachable;
+        }
+    }
+
+    /** Kills a number of nodes and starts them again without what they knew. */
+    restartNodes(nodeCount: number): void {
+        for (let index = 0; index < nodeCount; index += 1) {
+            this.nodes[index]?.stopped.abort();
+            this.startNode(index);
+        }
+    }
+
+    /** Sends calls for a time, in milliseconds, and advances the clock. */
+    async run(durationMs: number): Promise<void> {
+        const endMs = this.clock.now() + durationMs;
+        while (this.clock.now() < endMs) {
+            const gapMs = -Math.log(1 - this.random.next()) * 1_000 / (this.traffic.callsPerSecond * this.trafficFactor);
+            await this.clock.advance(Math.min(gapMs, endMs - this.clock.now()));
+            if (this.clock.now() < endMs) {
+                this.sendCall(this.partsOf());
+            }
+        }
+    }
+
+    /** Stops all nodes. */
+    stop(): void {
+        this.stopped.abort();
+        for (const node of this.nodes) {
+            node.stopped.abort();
+        }
+    }
+
+    /** Sends one call to a random node. */
+    sendCall(parts: readonly PromptPart[]): void {
+        this.lastCall += 1;
+        const node = this.nodes[this.random.nextInt(this.nodes.length)];
+        const caller = new ModelCaller(this.clock, (status, isComplete) => this.outcomes.push({ call, status, isComplete }));
+        const call: RelayCall = {
+            head: {
+                id: `call-${this.lastCall}-${this.random.nextInt(1_000_000)}`,
+                host: HOST,
+                key: undefined,
+                deadlineMs: this.traffic.deadlineMs,
+                size: { prompt: this.traffic.promptTokens, maxOutput: 5 * this.traffic.mostEvents },
+                outputEstimate: undefined,
+                parts,
+                lastEventId: undefined,
+                endToEnd: [],
+            },
+            method: "POST",
+            target: "/",
+            body: Buffer.alloc(0),
+            arrivedAtMs: this.clock.now(),
+            callerGone: caller.gone.signal,
+        };
+        void node?.handler.handle(call, caller);
+    }
+
+    /** Delivers a report unless its sender or receiver is isolated. */
+    deliver(sender: string, receiver: string, bytes: Uint8Array): void {
+        if (!this.isolatedNodes.has(sender) && !this.isolatedNodes.has(receiver)) {
+            this.nodes.find(node => node.name === receiver)?.reporter.receive(PeerReport.decode(bytes));
+        }
+    }
+
+    private putServers(node: FleetNode): void {
+        for (const server of this.servers.values()) {
+            if (server.downUntilMs !== Infinity) {
+                node.pool.put(server.registration);
+            }
+        }
+    }
+
+    private applyOrders(node: FleetNode): void {
+        for (const { order, offset } of this.orders) {
+            node.rollouts.applyOrder(order, { era: 0, offset });
+        }
+    }
+
+    private startNode(index: number): void {
+        const { clock, random } = this;
+        const name = `node-${index}`;
+        const log = new SeveredLog(this.log, clock);
+        const peers = new PeerTable(clock);
+        const pool = new ServerPool(clock, peers);
+        const quota = new WorkspaceQuota({ clock, isFirstStart: true, unreachableShare: () => 0 });
+        const directory = new NodeDirectory({
+            log,
+            clock,
+            random,
+            node: name,
+            failureDomain: `domain-${index % 4}`,
+            cores: 1,
+            address: () => name,
+            onError: () => undefined,
+            onRewrite: () => undefined,
+        });
+        const rollouts = new VersionRollouts({
+            clock,
+            random,
+            log,
+            records: STATE_FORMAT,
+            bounds: { maxShare: 0.1, slackCalls: 50 },
+            peerCounts: () => peers.reports().flatMap(report => report.versions),
+            onChange: () => undefined,
+            onRewrite: () => undefined,
+        });
+        const scheduler: ServiceScheduler = new ServiceScheduler({
+            service: FLEET_SERVICE,
+            failureDomain: `domain-${index % 4}`,
+            clock,
+            random,
+            mainServers: () => rollouts.mainServers(FLEET_SERVICE, pool.openServers(FLEET_SERVICE)),
+            peerDemand: () => peers.demandOf(hashKey(FLEET_SERVICE)),
+            reportIntervalMs: () => reporter.intervalMs,
+            nodeCount: () => peers.reachablePeers + 1,
+            candidates: callId => rollouts.candidates(FLEET_SERVICE, pool.openServers(FLEET_SERVICE), callId),
+        });
+        const reporter: PeerReporter = new PeerReporter({
+            node: name,
+            failureDomain: `domain-${index % 4}`,
+            cores: 1,
+            startedAtMs: clock.now(),
+            clock,
+            link: new ModelLink(this, name),
+            directory,
+            peers,
+            pool,
+            quota,
+            address: () => name,
+            workspaces: () => [],
+            versionCounts: () => rollouts.callCounter.counts(),
+            demands: () => [[FLEET_SERVICE, scheduler.demand]],
+            isDraining: () => false,
+            logSteadyMs: () => 1_000,
+            onChange: () => scheduler.dispatchWaiting(),
+            onPeerSeen: () => undefined,
+            onPeerGone: () => undefined,
+        });
+        const retryBudget = new RetryBudget(clock, { retryFraction: 0.16, windowMs: RETRY_WINDOW_MS, minRetries: 3 });
+        const handler = new RelayHandler({
+            clock,
+            random,
+            quota,
+            recorder: { record: () => undefined, logEvent: () => undefined },
+            configuration: () => ({
+                version: 1,
+                routes: new RouteTable([this.route]),
+                services: new Map(),
+                limits: { maxHeaderBytes: 1e6, maxBodyBytes: 1e6, headerTimeoutMs: 1e6, idleTimeoutMs: 1e6 },
+                hasWorkspaces: false,
+                workspaceByKey: new Map(),
+            }),
+            relay: {
+                client: new ModelClient({
+                    clock,
+                    random,
+                    servers: this.servers,
+                    isReachable: () => true,
+                    eventsOf: call => this.eventsOf(call),
+                    crashMs: call => this.crashMs(call),
+                }),
+                scheduler: () => scheduler,
+                retryBudget: () => retryBudget,
+                onServerCall: (state, isBad) => rollouts.recordCall(state, isBad),
+            },
+        });
+        const node = { name, peers, pool, scheduler, rollouts, reporter, handler, log, stopped: new AbortController() };
+        this.nodes[index] = node;
+        this.putServers(node);
+        this.applyOrders(node);
+        for (let peer = 0; peer < this.nodeCount; peer += 1) {
+            if (peer !== index) {
+                directory.update(`node-${peer}`, { address: `node-${peer}`, failureDomain: `domain-${peer % 4}`, cores: 1 });
+            }
+        }
+        void rollouts.run(node.stopped.signal);
+        void reporter.run(node.stopped.signal);
+        void this.maintain(node);
+    }
+
+    private async maintain(node: FleetNode): Promise<void> {
+        while (await this.clock.sleep(MAINTENANCE_MS, node.stopped.signal)) {
+            node.scheduler.dispatchWaiting();
+        }
+    }
+
+    private eventsOf({ head }: RelayCall): number {
+        return this.traffic.mostEvents === 0 ? 0 : 1 + hashKey(head.id) % this.traffic.mostEvents;
+    }
+}
