--- a/features/relay_rollouts.feature
+++ b/features/relay_rollouts.feature
@@ -42,3 +42,8 @@
             | whole answers | all servers fail a quarter of their calls          |
             | whole answers | twice as many calls come                           |
             | whole answers | a third of the nodes loses the log for 4 s         |
+
+    Scenario: nodes that have lost the log stop sending calls to a version that the others roll back
+        Given 6 relay nodes before servers that send whole answers
+        When a version is rolled out whose servers fail half of their calls while the log is down for half of the nodes
+        Then no node sends it calls later than 1 s after the rollback is recorded
--- a/features/steps/relay_rollout_steps.ts
+++ b/features/steps/relay_rollout_steps.ts
@@ -68,6 +68,7 @@
     fleets: RelayFleetModel[];
     orderedAtMs: number;
     completedAtMs: Map<RelayFleetModel, number>;
+    rolledBackAtMs: Map<RelayFleetModel, number>;
 }
 
 After(function(this: RolloutScenario) {
@@ -80,6 +81,7 @@
     this.traffic = TRAFFIC[kind];
     this.fleets = SEEDS.map(seed => new RelayFleetModel(this.traffic, NODE_COUNT, seed));
     this.completedAtMs = new Map();
+    this.rolledBackAtMs = new Map();
 });
 
 When(/^a version is rolled out whose servers (.*)$/, { timeout: 300_000 }, async function(this: RolloutScenario, fault: string) {
@@ -117,6 +119,14 @@
     }
 });
 
+Then("no node sends it calls later than 1 s after the rollback is recorded", function(this: RolloutScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        const lastAllowedMs = (this.rolledBackAtMs.get(fleet) ?? -Infinity) + 1_000;
+        const late = fleet.attemptsOf("v2").filter(({ atMs }) => atMs > lastAllowedMs).length;
+        assert.equal(late, 0, `seed ${SEEDS[index]}: ${late} calls`);
+    }
+});
+
 /** Rolls out a version in each fleet and applies the changes; servers of the old version are stopped once it is completed. */
 async function rollOut(scenario: RolloutScenario, changes: readonly Change[]): Promise<void> {
     for (const fleet of scenario.fleets) {
@@ -131,6 +141,9 @@
                 pending.shift()?.apply(fleet);
             }
             await fleet.run(100);
+            if (fleet.rolloutState === "rolledBack" && !scenario.rolledBackAtMs.has(fleet)) {
+                scenario.rolledBackAtMs.set(fleet, fleet.clock.now());
+            }
             if (fleet.rolloutState === "completed" && !scenario.completedAtMs.has(fleet)) {
                 scenario.completedAtMs.set(fleet, fleet.clock.now());
                 fleet.keepVersion("v2");
