--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -142,12 +142,22 @@
         Examples:
             | what                           | elapsed | target | bad | before | bad before | state      | share |
             | gets few calls at first        | 500     | 0      | 0   | 60     | 2          | running    | 0.04  |
-            | is not judged by a few calls   | 2000    | 9      | 9   | 200    | 2          | running    | 0.04  |
+            | is not judged by a few calls   | 500     | 2      | 2   | 60     | 1          | running    | 0.04  |
+            | is rolled back if none succeed | 2000    | 9      | 9   | 200    | 2          | rolledBack | 0     |
             | is rolled back when it fails   | 3000    | 15     | 6   | 400    | 4          | rolledBack | 0     |
             | is kept when all versions fail | 3000    | 15     | 6   | 400    | 150        | running    | 0.04  |
-            | gets all calls at the end      | 12950   | 80     | 2   | 2000   | 40         | completed  | 1     |
-            | gets all calls at low traffic  | 12000   | 10     | 0   | 200    | 0          | running    | 1     |
+            | gets more calls near the end   | 12000   | 80     | 2   | 2000   | 40         | running    | 0.2   |
+            | gets half at low traffic       | 12000   | 10     | 0   | 200    | 0          | running    | 0.5   |
+            | gets all calls at the end      | 13350   | 80     | 2   | 2000   | 40         | completed  | 1     |
             | is rolled back even at the end | 13900   | 80     | 40  | 2000   | 40         | rolledBack | 0     |
+            | is not completed unknown       | 13350   | 11     | 0   | 200    | 0          | running    | 0.5   |
+            | is not completed when doubtful | 13350   | 80     | 9   | 2000   | 20         | running    | 0.5   |
+            | is completed late if unknown   | 18000   | 11     | 0   | 200    | 0          | completed  | 1     |
+            | is rolled back if doubtful     | 18000   | 80     | 9   | 2000   | 20         | rolledBack | 0     |
+
+    Scenario: a server that closes all its connections counts as one failed call of its version
+        Given a rollout of 14000 ms after 3000 ms, with 9 of 15 calls broken by one server of the new version and 4 of 400 calls bad at the current one
+        Then its state is "running" and its share 0.04
 
     Scenario: a version that turns bad at any time stays within its budget of calls
         When versions that turn bad after each tenth of a rollout are rolled out at 130 calls a second
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -18,6 +18,8 @@
     EventStreamSplitter,
     LogHealth,
     type RolloutDecision,
+    RolloutEvidence,
+    type RolloutFinding,
     type ServerCapacity,
     ServerCatalog,
     ServerState,
@@ -123,6 +125,7 @@
         isDraining: false,
         startedAtMs: 1_000,
         sequence: 1,
+        warmUpMs: 0,
         ...changes,
     };
 }
@@ -460,12 +463,15 @@
     assert(this.splitter.hasPartialEvent);
 });
 
+/** Duration for which the evidence of a rollout is collected, in milliseconds. */
+const ROLLOUT_DURATION_MS = 14_000;
+
 /** Bounds of all rollouts under test. */
 const ROLLOUT_BOUNDS = { maxShare: 0.1, slackCalls: 50 };
 
 Given(
     "a rollout of {int} ms after {int} ms, with {int} of {int} calls bad at the new version and {int} of {int} at the current one",
-    function(
+    async function(
         this: DecisionScenario,
         durationMs: number,
         elapsedMs: number,
@@ -474,11 +480,75 @@
         badBefore: number,
         callsBefore: number,
     ) {
-        const tallies = { target: { calls, bad }, present: { calls: callsBefore, bad: badBefore } };
-        this.decision = decideRollout(tallies, { elapsedMs, durationMs }, ROLLOUT_BOUNDS);
+        const finding = await collectEvidence(elapsedMs, (evidence, step, steps) => {
+            recordShare(evidence, true, { calls, bad, step, steps });
+            recordShare(evidence, false, { calls: callsBefore, bad: badBefore, step, steps });
+        });
+        this.decision = decideRollout(finding, { elapsedMs, durationMs }, ROLLOUT_BOUNDS);
     },
 );
 
+Given(
+    "a rollout of {int} ms after {int} ms, with {int} of {int} calls broken by one server of the new version " +
+        "and {int} of {int} calls bad at the current one",
+    async function(
+        this: DecisionScenario,
+        durationMs: number,
+        elapsedMs: number,
+        broken: number,
+        calls: number,
+        badBefore: number,
+        callsBefore: number,
+    ) {
+        const finding = await collectEvidence(elapsedMs, (evidence, step, steps) => {
+            recordShare(evidence, true, { calls: calls - broken, bad: 0, step, steps });
+            recordShare(evidence, false, { calls: callsBefore, bad: badBefore, step, steps });
+            for (let count = shareOf(broken, step, steps); count > 0; count -= 1) {
+                evidence.recordBroken(true, 1);
+            }
+        });
+        this.decision = decideRollout(finding, { elapsedMs, durationMs }, ROLLOUT_BOUNDS);
+    },
+);
+
+/** Calls of one version that are spread evenly over a number of steps. */
+interface SpreadCalls {
+    readonly calls: number;
+    readonly bad: number;
+    readonly step: number;
+    readonly steps: number;
+}
+
+/** Collects evidence in steps of a decision interval, and evaluates it after each. */
+async function collectEvidence(
+    elapsedMs: number,
+    record: (evidence: RolloutEvidence, step: number, steps: number) => void,
+): Promise<RolloutFinding> {
+    const clock = new VirtualClock();
+    const stepMs = 250;
+    const evidence = new RolloutEvidence(ROLLOUT_DURATION_MS, clock);
+    const steps = elapsedMs / stepMs;
+    for (let step = 0; step < steps; step += 1) {
+        record(evidence, step, steps);
+        evidence.evaluate();
+        await clock.advance(stepMs);
+    }
+    return evidence.evaluate();
+}
+
+function recordShare(evidence: RolloutEvidence, isTarget: boolean, { calls, bad, step, steps }: SpreadCalls): void {
+    const badCount = shareOf(bad, step, steps);
+    for (let count = 0; count < shareOf(calls, step, steps); count += 1) {
+        evidence.recordSent(isTarget);
+        evidence.recordAnswered(isTarget, count < badCount);
+    }
+}
+
+/** @returns Part of a total that falls into one of several equal steps. */
+function shareOf(total: number, step: number, steps: number): number {
+    return Math.floor(total * (step + 1) / steps) - Math.floor(total * step / steps);
+}
+
 Then("its state is {string} and its share {float}", function(this: DecisionScenario, state: string, share: number) {
     assert.equal(this.decision.state, state);
     assert(Math.abs(this.decision.share - share) < 1e-9, `its share is ${this.decision.share}`);
@@ -486,21 +556,26 @@
 
 When(
     "versions that turn bad after each tenth of a rollout are rolled out at 130 calls a second",
-    function(this: DecisionScenario) {
+    async function(this: DecisionScenario) {
         const durationMs = 12_000;
         const stepMs = 250;
         this.rolloutCalls = [];
         for (let tenth = 0; tenth <= 10; tenth += 1) {
-            const target = { calls: 0, bad: 0 };
-            const present = { calls: 0, bad: 0 };
-            for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
-                const { share } = decideRollout({ target, present }, { elapsedMs, durationMs }, ROLLOUT_BOUNDS);
-                const calls = 130 * stepMs / 1_000;
-                target.calls += calls * share;
-                present.calls += calls * (1 - share);
-                target.bad += elapsedMs >= durationMs * tenth / 10 ? calls * share / 2 : 0;
-            }
-            this.rolloutCalls.push({ target: target.calls, all: target.calls + present.calls });
+            const calls = { target: 0, present: 0 };
+            let share = 0;
+            await collectEvidence(durationMs, (evidence, step) => {
+                const elapsedMs = step * stepMs;
+                share = decideRollout(evidence.evaluate(), { elapsedMs, durationMs }, ROLLOUT_BOUNDS).share;
+                const target = Math.round(130 * stepMs / 1_000 * share);
+                const present = Math.round(130 * stepMs / 1_000) - target;
+                const isBad = elapsedMs >= durationMs * tenth / 10;
+                recordShare(evidence, true, { calls: target, bad: isBad ? target / 2 : 0, step: 0, steps: 1 });
+                recordShare(evidence, false, { calls: present, bad: 0, step: 0, steps: 1 });
+                calls.target += target;
+                calls.present += present;
+            });
+            const { target, present } = calls;
+            this.rolloutCalls.push({ target, all: target + present });
         }
     },
 );
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -125,6 +125,7 @@
         isDraining: false,
         startedAtMs: 1,
         sequence: 1,
+        warmUpMs: 0,
     };
 }
 
--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -59,7 +59,8 @@
             log: guardedLog,
             records,
             bounds: { maxShare: 0.1, slackCalls: 50 },
-            peerCounts: () => [],
+            peerReports: () => [],
+            servers: () => [],
             onChange: (text, detail) => {
                 if (text === "rollout: ordered") {
                     this.startedRollouts.push(detail["version"]);
--- a/measure/relay_simulation.ts
+++ b/measure/relay_simulation.ts
@@ -216,6 +216,7 @@
                 isDraining: false,
                 startedAtMs: 1,
                 sequence: 1,
+                warmUpMs: 0,
             });
         }
         const scheduler = new ServiceScheduler({
--- a/src/coordination/evidence/block_statistics.ts
+++ b/src/coordination/evidence/block_statistics.ts
@@ -53,6 +53,9 @@
     attempts: number;
     /** Attempts on both versions. */
     total: number;
+    /** Failed attempts on the candidate, and on both versions. */
+    failed: number;
+    totalFailed: number;
     readonly ratios: Float64Array;
 }
 
@@ -86,11 +89,13 @@
             const name = viewName(view);
             let statistics = views.get(name);
             if (statistics === undefined) {
-                statistics = { view, attempts: 0, total: 0, ratios: new Float64Array(RATIO_COUNT) };
+                statistics = { view, attempts: 0, total: 0, failed: 0, totalFailed: 0, ratios: new Float64Array(RATIO_COUNT) };
                 views.set(name, statistics);
             }
             statistics.attempts += stratum.candidate.count;
             statistics.total += stratum.candidate.count + stratum.control.count;
+            statistics.failed += stratum.candidate.failed;
+            statistics.totalFailed += stratum.candidate.failed + stratum.control.failed;
             for (let index = 0; index < RATIO_COUNT; index++) {
                 statistics.ratios[index] += (view.underLoad ? loadedRatios : ratios)[index];
             }
@@ -100,6 +105,9 @@
 }
 
 function viewsOf({ operation, engineClass }: StratumEvidence): readonly TrafficView[] {
+    if (operation === "" && engineClass === "") {
+        return [{ operation: undefined, engineClass: undefined, underLoad: false }];
+    }
     return [
         { operation, engineClass, underLoad: false },
         { operation, engineClass: undefined, underLoad: false },
--- a/src/coordination/evidence/evidence_monitor.ts
+++ b/src/coordination/evidence/evidence_monitor.ts
@@ -19,35 +19,35 @@
 } from "./block_statistics.js";
 import { EvidenceBlock, type NodeSlice, SLICE_MS } from "./evidence_slice.js";
 
-/** Maximum probability of a false alarm over the whole duration of a rollout. */
-export const FALSE_ALARM_PROBABILITY = 0.005;
-
-/** Times that a test uses, in milliseconds. */
-export interface EvidenceTiming {
-    /** Length of a slice, the unit of time in which nodes share evidence. */
+/** Settings of an {@linkcode EvidenceMonitor}. */
+export interface EvidenceMonitorSettings {
+    /** Length of a slice, the unit of time in which nodes share evidence, in milliseconds. */
     readonly sliceMs: number;
-    /** Length of a block, within which both versions are compared; a multiple of the slice, long enough for several attempts. */
+    /** Length of a block, within which both versions are compared, in milliseconds; a multiple of the slice with several attempts. */
     readonly blockMs: number;
-    /** Age at which a block is closed and accepts no more evidence. */
+    /** Age at which a block is closed and accepts no more evidence, in milliseconds. */
     readonly closeAgeMs: number;
-    /** Minimum duration for which the false alarm bound is computed; a longer rollout uses its own duration. */
+    /** Minimum duration for which the false alarm bound is computed, in milliseconds; a longer rollout uses its own duration. */
     readonly minDurationMs: number;
     /** Looks at a block while its evidence arrives; each look counts as a test. */
     readonly looksPerBlock: number;
+    /** Maximum probability of a false alarm over the whole duration of a rollout, from 0 to 1. */
+    readonly falseAlarmProbability: number;
+    /** Number of views assumed in the threshold that limits the contribution of a block. */
+    readonly expectedViews: number;
 }
 
-/** Times of rollouts that last minutes to hours. */
-const LONG_ROLLOUT_TIMING: EvidenceTiming = {
+/** Settings for rollouts that last minutes to hours. */
+const LONG_ROLLOUT_SETTINGS: EvidenceMonitorSettings = {
     sliceMs: SLICE_MS,
     blockMs: 10_000,
     closeAgeMs: 30_000,
     minDurationMs: 3_600_000,
     looksPerBlock: 20,
+    falseAlarmProbability: 0.005,
+    expectedViews: 16,
 };
 
-/** Number of views assumed in the threshold that limits the contribution of a block. */
-const EXPECTED_VIEWS = 16;
-
 /**
  * Maximum contribution of one block to a statistic, as a share of the alarm threshold.
  *
@@ -64,6 +64,9 @@
     readonly attempts: number;
     /** Attempts on both versions since the rollout's start. */
     readonly total: number;
+    /** Failed attempts on the candidate, and on both versions, since the rollout's start. */
+    readonly failed: number;
+    readonly totalFailed: number;
     /** Highest statistic as a share of the alarm threshold. */
     readonly alarmRatio: number;
     /** Metric of that statistic. */
@@ -75,6 +78,8 @@
     readonly view: TrafficView;
     attempts: number;
     total: number;
+    failed: number;
+    totalFailed: number;
     readonly sums: Float64Array;
     /** Highest value of any sum; in the copy that the open blocks are added to, since the last closed block. */
     highest: number;
@@ -101,14 +106,14 @@
     /**
      * @param durationMs Planned duration of the rollout, in milliseconds.
      * @param onClose Called with the evidence of each block that is closed.
-     * @param timing Times of the test. Defaults to those of rollouts that last minutes to hours.
+     * @param settings Settings of the test. Defaults to those for rollouts that last minutes to hours.
      */
     constructor(
         durationMs: number,
         private readonly onClose: (block: EvidenceBlock) => void = () => undefined,
-        private readonly timing: EvidenceTiming = LONG_ROLLOUT_TIMING,
+        private readonly settings: EvidenceMonitorSettings = LONG_ROLLOUT_SETTINGS,
     ) {
-        const { minDurationMs, blockMs, looksPerBlock } = timing;
+        const { minDurationMs, blockMs, looksPerBlock } = settings;
         this.looks = Math.max(durationMs, minDurationMs) / blockMs * looksPerBlock;
     }
 
@@ -119,7 +124,7 @@
      * @param slices Slices with all attempts of the node so far.
      */
     put(origin: string, slices: readonly NodeSlice[]): void {
-        const { sliceMs, blockMs } = this.timing;
+        const { sliceMs, blockMs } = this.settings;
         for (const slice of slices) {
             const index = Math.floor(slice.index * sliceMs / blockMs);
             if (index < this.firstOpenIndex) {
@@ -163,7 +168,7 @@
     }
 
     private closeBlocks(nowMs: number): void {
-        const firstOpenIndex = Math.floor((nowMs - this.timing.closeAgeMs) / this.timing.blockMs);
+        const firstOpenIndex = Math.floor((nowMs - this.settings.closeAgeMs) / this.settings.blockMs);
         if (firstOpenIndex <= this.firstOpenIndex) {
             return;
         }
@@ -199,9 +204,11 @@
     }
 
     private addStatistics(state: ViewState, statistics: ViewStatistics): void {
-        const threshold = this.thresholdFor(EXPECTED_VIEWS);
+        const threshold = this.thresholdFor(this.settings.expectedViews);
         state.attempts += statistics.attempts;
         state.total += statistics.total;
+        state.failed += statistics.failed;
+        state.totalFailed += statistics.totalFailed;
         for (let index = 0; index < RATIO_COUNT; index++) {
             const share = metricOfRatio(index) === Metric.Failures ? MAX_BLOCK_FAILURE_SHARE : MAX_BLOCK_SLOWNESS_SHARE;
             const sum = Math.max(0, state.sums[index] + Math.min(share * threshold, statistics.ratios[index]));
@@ -214,12 +221,13 @@
     }
 
     private thresholdFor(viewCount: number): number {
-        return Math.log(Math.max(1, viewCount) * RATIO_COUNT * this.looks / FALSE_ALARM_PROBABILITY);
+        return Math.log(Math.max(1, viewCount) * RATIO_COUNT * this.looks / this.settings.falseAlarmProbability);
     }
 }
 
 function makeState(view: TrafficView): ViewState {
-    return { view, attempts: 0, total: 0, sums: new Float64Array(RATIO_COUNT), highest: 0, highestIndex: 0 };
+    const counts = { attempts: 0, total: 0, failed: 0, totalFailed: 0 };
+    return { view, ...counts, sums: new Float64Array(RATIO_COUNT), highest: 0, highestIndex: 0 };
 }
 
 function copyState(state: ViewState): ViewState {
@@ -228,6 +236,7 @@
 }
 
 function toFinding(state: ViewState, threshold: number): ViewFinding {
-    const { view, attempts, total } = state;
-    return { view, attempts, total, alarmRatio: state.highest / threshold, metric: metricOfRatio(state.highestIndex) };
+    const { view, attempts, total, failed, totalFailed } = state;
+    const metric = metricOfRatio(state.highestIndex);
+    return { view, attempts, total, failed, totalFailed, alarmRatio: state.highest / threshold, metric };
 }
--- a/src/coordination/evidence/evidence_slice.ts
+++ b/src/coordination/evidence/evidence_slice.ts
@@ -17,6 +17,7 @@
 
 /** Attempts of one node in one slice, on one version, operation, engine class and load band. */
 export interface EvidenceCell {
+    /** Empty, like the engine class, in evidence that is not divided by them. */
     readonly operation: string;
     readonly engineClass: string;
     readonly loadBand: number;
@@ -91,7 +92,7 @@
     }
 
     /**
-     * Replaces the contribution of a node to a slice, if the new one has more attempts. Order and repetition do not matter.
+     * Replaces the contribution of a node to a slice, if the new one has more observations. Order and repetition do not matter.
      *
      * @param origin Node that made the attempts.
      * @param slice All attempts of the node in a slice so far.
@@ -99,7 +100,7 @@
     put(origin: string, { index, cells }: NodeSlice): void {
         const key = `${origin} ${index}`;
         const previous = this.contributions.get(key);
-        if (previous !== undefined && countAttempts(previous) >= countAttempts(cells)) {
+        if (previous !== undefined && countObservations(previous) >= countObservations(cells)) {
             return;
         }
         this.mergeAll(previous ?? [], -1);
@@ -138,6 +139,23 @@
     return count;
 }
 
+/** Returns the number of attempts and latencies in all cells; latencies may become known before their attempts end. */
+function countObservations(cells: readonly EvidenceCell[]): number {
+    let count = countAttempts(cells);
+    for (const { firstToken, gap } of cells) {
+        count += countEntries(firstToken) + countEntries(gap);
+    }
+    return count;
+}
+
+function countEntries(pairs: readonly number[]): number {
+    let count = 0;
+    for (let index = 1; index < pairs.length; index += 2) {
+        count += pairs[index];
+    }
+    return count;
+}
+
 function makeHistograms(): readonly Uint32Array[] {
     return Array.from({ length: LOAD_BAND_COUNT }, () => new Uint32Array(BUCKET_COUNT));
 }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -17,7 +17,7 @@
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, NOT_RUN_STATUSES } from "./final_answer.js";
-import { AttemptOutcome, type ServerState } from "./server_state.js";
+import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
 import { NoSlotError, NoSlotReason, type SlotReservation } from "./slot_reservation.js";
 import { decideWaitLimits } from "./wait_limits.js";
@@ -57,8 +57,7 @@
     readonly client: RelayClient;
     readonly scheduler: (service: string) => ServiceScheduler;
     readonly retryBudget: (service: string) => RetryBudget;
-    /** Called for each attempt that ended at a server; bad ones failed or were several times slower than at a typical server. */
-    readonly onServerCall: (state: ServerState, isBad: boolean) => void;
+    readonly observer: ServerCallObserver;
 }
 
 /** Serves one admitted call with one or more attempts. */
@@ -170,13 +169,14 @@
         this.state.placements.push({ ...slot.placementRecord, waitedMs: Math.round(this.elapsedMs()) });
         this.state.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
+        this.settings.observer.recordSent(slot.state);
         const answer = this.settings.client.send(slot.server, call, {
             serverId,
             workspace: workspace?.name,
             deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
             lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
         }, this.abortController.signal);
-        let outcome = AttemptOutcome.Bad;
+        let outcome = AttemptOutcome.Broken;
         try {
             const head = await answer.awaitHead();
             if (isRefusal(head)) {
@@ -200,9 +200,7 @@
         finally {
             answer.cancel();
             slot.release(outcome);
-            if (outcome !== AttemptOutcome.Neutral) {
-                this.settings.onServerCall(slot.state, outcome === AttemptOutcome.Bad || slot.wasSlow);
-            }
+            this.settings.observer.recordEnd(slot.state, outcome);
         }
     }
 
@@ -248,7 +246,7 @@
         }
         if (this.splitter.hasPartialEvent) {
             this.recordFailedAttempt(slot, `server ${slot.server.id} ended its stream within an event`);
-            return AttemptOutcome.Bad;
+            return AttemptOutcome.Broken;
         }
         this.startStream(head.status, head.endToEnd);
         this.finalAnswer.endStream(head.status);
@@ -283,10 +281,10 @@
             if (!this.abortController.signal.aborted) {
                 slot.state.suspend(UNREACHABLE_SUSPENSION_MS);
             }
-            return this.abortController.signal.aborted ? AttemptOutcome.Neutral : AttemptOutcome.Bad;
+            return this.abortController.signal.aborted ? AttemptOutcome.Neutral : AttemptOutcome.Broken;
         }
         this.state.mayHaveRun = true;
-        return error.fault === AttemptFault.Cancelled ? AttemptOutcome.Neutral : AttemptOutcome.Bad;
+        return error.fault === AttemptFault.Cancelled ? AttemptOutcome.Neutral : AttemptOutcome.Broken;
     }
 
     /** Excludes a server from further attempts, and records and logs why its attempt failed. */
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -14,6 +14,7 @@
 } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import { MAX_REPORT_AGE_MS, NODE_EXPIRY_MS } from "./peer_table.js";
+import { addVersionCounts } from "./version_count_sums.js";
 
 /** Latest report of one sender. */
 interface SenderEntry {
@@ -119,7 +120,7 @@
         for (const sender of this.senders.values()) {
             const { report } = sender;
             addAll(tokens, countedTokens(sender));
-            addVersions(versions, report.versions);
+            addVersionCounts(versions, report.versions);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
                 silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
@@ -171,8 +172,8 @@
     addDemands(demands, ownPart.demands, -1);
     addAll(calls, callsByServerKey(ownPart), -1);
     addAll(tokens, tokensByWorkspaceKey(ownPart), -1);
-    addVersions(versions, report.versions);
-    addVersions(versions, ownPart.versions, -1);
+    addVersionCounts(versions, report.versions);
+    addVersionCounts(versions, ownPart.versions, -1);
     return {
         ...report,
         serverKeys: [...calls.keys()],
@@ -204,18 +205,6 @@
     }
 }
 
-function addVersions(sums: Map<string, VersionCount>, versions: readonly VersionCount[], sign: 1 | -1 = 1): void {
-    for (const count of versions) {
-        const key = `${count.serviceKey} ${count.order} ${count.isTarget}`;
-        const sum = sums.get(key);
-        sums.set(key, {
-            ...count,
-            calls: (sum?.calls ?? 0) + sign * count.calls,
-            bad: (sum?.bad ?? 0) + sign * count.bad,
-        });
-    }
-}
-
 function addDemands(sums: Map<number, ServiceDemand>, demands: readonly ServiceDemand[], sign: 1 | -1 = 1): void {
     for (const demand of demands) {
         const sum = sums.get(demand.serviceKey);
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -7,6 +7,7 @@
 import { hashKey } from "../../protocol/relay/mod.js";
 import { type Clock, type RelayServer, ServerProfile } from "../../state/relay/mod.js";
 import type { PeerTable } from "./peer_table.js";
+import type { ServerCallObserver } from "./server_call_observer.js";
 import { ServerState } from "./server_state.js";
 
 /** Initial estimate of the time per prompt token, in milliseconds; a large accelerator prefills 100 tokens per ms. */
@@ -27,8 +28,13 @@
     /**
      * @param clock Time source of the server states.
      * @param peers Calls that other nodes have in flight.
+     * @param observer Receives the latencies of calls as they become known.
      */
-    constructor(private readonly clock: Clock, private readonly peers: PeerTable) {}
+    constructor(
+        private readonly clock: Clock,
+        private readonly peers: PeerTable,
+        private readonly observer?: ServerCallObserver,
+    ) {}
 
     /** Adds a server, or updates it from a newer report; a new incarnation or service starts with fresh state. */
     put(server: RelayServer): void {
@@ -39,7 +45,8 @@
         }
         this.remove(server.id);
         const key = hashKey(server.id);
-        const added = new ServerState(server, this.profileOf(server.service), this.clock, () => this.peers.callsAt(key));
+        const profile = this.profileOf(server.service);
+        const added = new ServerState(server, profile, this.clock, () => this.peers.callsAt(key), this.observer);
         this.statesById.set(server.id, added);
         this.statesByService.set(server.service, [...this.statesOf(server.service), added]);
     }
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock, RelayServer, ServerProfile } from "../../state/relay/mod.js";
+import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
 
 /** Cost of a call that does not depend on its prompt, in prompt tokens: the engine's scheduling and its first step. */
 const FIXED_COST_TOKENS = 3_700;
@@ -30,14 +31,11 @@
 /** Age up to which an outcome counts towards the failure rate, in milliseconds. */
 const OUTCOME_WINDOW_MS = 4_000;
 
-/** Outcome of an attempt at a server. */
-export enum AttemptOutcome {
-    Good = "good",
-    /** The server failed, closed the connection or hung, or its answer was invalid. */
-    Bad = "bad",
-    /** The attempt says nothing about the server's health: the caller disconnected, or the server refused the call. */
-    Neutral = "neutral",
-}
+/** Events after the first from which the time between the events of a stream is observed. */
+const INTERVAL_SAMPLE_EVENTS = 4;
+
+/** Time without the first event, or the next one, after which the time waited so far is observed, in milliseconds. */
+const OVERDUE_MS = 1_500;
 
 /** Call in flight at a server. */
 export interface InFlightCall {
@@ -46,9 +44,13 @@
     /** Prompt tokens of this node without a first event when the call was sent, including the call's own. */
     readonly pendingTokensAtSend: number;
     hasFirstEvent: boolean;
+    firstEventAtMs: number;
     lastEventAtMs: number;
-    /** Time to the first event relative to a typical server of the service; 0 until the first event. */
-    slowdown: number;
+    /** Events after those that arrived together with the first. */
+    laterEvents: number;
+    /** Whether the observer knows the time to the first event, and the time between events. */
+    isFirstEventObserved: boolean;
+    isIntervalObserved: boolean;
 }
 
 /** Outcome of an attempt and when it ended. */
@@ -66,19 +68,23 @@
     private lastByteAtMs = 0;
     private lastTrialAtMs = 0;
     private suspendedUntilMs = 0;
+    private readonly warmAtMs: number;
 
     /**
      * @param server Registration of the server.
      * @param profile Average speeds of the service's servers, used until this server's own are measured; shared by all of them.
      * @param clock Time source of the measurements.
      * @param countPeerCalls Returns the calls that other nodes have in flight at the server.
+     * @param observer Receives the latencies of calls as they become known, except while the server is warming up.
      */
     constructor(
         public server: RelayServer,
         private readonly profile: ServerProfile,
         private readonly clock: Clock,
         private readonly countPeerCalls: () => number,
+        private readonly observer?: ServerCallObserver,
     ) {
+        this.warmAtMs = clock.now() + server.warmUpMs;
         this.msPerPromptToken = profile.msPerPromptToken;
         this.msPerEvent = profile.msPerEvent;
     }
@@ -112,13 +118,17 @@
     startCall(promptTokens: number): InFlightCall {
         const now = this.clock.now();
         this.pendingPromptTokens += promptTokens;
+        const isWarm = now >= this.warmAtMs;
         const call = {
             promptTokens,
             sentAtMs: now,
             pendingTokensAtSend: this.pendingPromptTokens,
             hasFirstEvent: false,
+            firstEventAtMs: now,
             lastEventAtMs: now,
-            slowdown: 0,
+            laterEvents: 0,
+            isFirstEventObserved: !isWarm,
+            isIntervalObserved: !isWarm,
         };
         this.calls.add(call);
         return call;
@@ -132,11 +142,12 @@
             return;
         }
         call.hasFirstEvent = true;
+        call.firstEventAtMs = now;
         call.lastEventAtMs = now;
         this.pendingPromptTokens -= call.promptTokens;
+        this.observeFirstEvent(call);
         const measured = (now - call.sentAtMs) / (FIXED_COST_TOKENS + call.pendingTokensAtSend);
         this.msPerPromptToken += (measured - this.msPerPromptToken) * SMOOTHING_FACTOR;
-        call.slowdown = measured / this.profile.msPerPromptToken;
         this.profile.observePromptTokenTime(measured);
     }
 
@@ -150,6 +161,45 @@
             this.profile.observeEventInterval(measured);
             call.lastEventAtMs = now;
         }
+        if (now > call.firstEventAtMs) {
+            call.laterEvents += count;
+        }
+        if (call.laterEvents >= INTERVAL_SAMPLE_EVENTS) {
+            this.observeInterval(call);
+        }
+    }
+
+    /** Observes the calls in flight that wait for an event so long that the time so far says enough. */
+    observeOverdueCalls(): void {
+        const overdueFromMs = this.clock.now() - OVERDUE_MS;
+        for (const call of this.calls) {
+            if (call.lastEventAtMs > overdueFromMs) {
+                continue;
+            }
+            if (call.hasFirstEvent) {
+                this.observeInterval(call);
+            }
+            else {
+                this.observeFirstEvent(call);
+            }
+        }
+    }
+
+    /** Observes the time to the first event, scaled to a call without a prompt at a server without others. */
+    private observeFirstEvent(call: InFlightCall): void {
+        if (!call.isFirstEventObserved) {
+            call.isFirstEventObserved = true;
+            const scale = FIXED_COST_TOKENS / (FIXED_COST_TOKENS + call.pendingTokensAtSend);
+            this.observer?.recordFirstEvent(this, (this.clock.now() - call.sentAtMs) * scale);
+        }
+    }
+
+    private observeInterval(call: InFlightCall): void {
+        if (!call.isIntervalObserved) {
+            call.isIntervalObserved = true;
+            const untilMs = call.laterEvents > 0 ? call.lastEventAtMs : this.clock.now();
+            this.observer?.recordInterval(this, (untilMs - call.firstEventAtMs) / Math.max(1, call.laterEvents));
+        }
     }
 
     /** Records the end of a call. */
@@ -160,11 +210,14 @@
         if (!call.hasFirstEvent) {
             this.pendingPromptTokens -= call.promptTokens;
         }
+        if (call.laterEvents > 0) {
+            this.observeInterval(call);
+        }
         if (outcome === AttemptOutcome.Good) {
             this.profile.observeCallTime(this.clock.now() - call.sentAtMs);
         }
         if (outcome !== AttemptOutcome.Neutral) {
-            this.outcomes.push({ atMs: this.clock.now(), isBad: outcome === AttemptOutcome.Bad });
+            this.outcomes.push({ atMs: this.clock.now(), isBad: outcome !== AttemptOutcome.Good });
             if (this.outcomes.length > MAX_OUTCOMES) {
                 this.outcomes.shift();
             }
--- a/src/coordination/relay/slot_reservation.ts
+++ b/src/coordination/relay/slot_reservation.ts
@@ -6,12 +6,10 @@
 
 import type { RelayRoute, RelayServer } from "../../state/relay/mod.js";
 import type { PlacementRecord } from "./call_record.js";
-import type { AttemptOutcome, InFlightCall, ServerState } from "./server_state.js";
+import type { AttemptOutcome } from "./server_call_observer.js";
+import type { InFlightCall, ServerState } from "./server_state.js";
 import type { WaitLimits } from "./wait_limits.js";
 
-/** Multiple of the typical time to the first event above which a call counts as slow; healthy engines differ by less. */
-const SLOW_FACTOR = 3.5;
-
 /** Request for a slot. */
 export interface SlotRequest {
     readonly id: string;
@@ -81,11 +79,6 @@
         return this.state.server;
     }
 
-    /** Whether the first event took several times as long as at a typical server of the service. */
-    get wasSlow(): boolean {
-        return this.inFlightCall.slowdown > SLOW_FACTOR;
-    }
-
     /** Records the first event of a stream, or a complete answer that is not a stream. */
     recordFirstEvent(): void {
         this.state.recordFirstEvent(this.inFlightCall);
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -11,13 +11,16 @@
     type KeyedLog,
     type KeyedRecord,
     type LogPosition,
+    type PeerReport,
+    RolloutVerdict,
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type VersionOrder, VersionOrderState } from "../../state/relay/mod.js";
 import { OrderChange, OrderHistory } from "./order_history.js";
 import { decideRollout, type RolloutBounds } from "./rollout_decision.js";
+import { RolloutEvidence, type RolloutFinding } from "./rollout_evidence.js";
+import { AttemptOutcome, ServerCallObserver } from "./server_call_observer.js";
 import type { ServerState } from "./server_state.js";
-import { VersionCallCounter } from "./version_call_counter.js";
 
 /** Topic with the start time of each rollout, from which nodes that start later derive its deadline. */
 const START_TOPIC = "keyed.moves";
@@ -37,6 +40,12 @@
 /** Share of the calls from which the new version counts as the main one. */
 const MAJORITY_SHARE = 0.5;
 
+/** Time for which a final state is reported to the peers, in milliseconds, so that those without the log learn it. */
+const VERDICT_REPORT_MS = 30_000;
+
+/** Step of the alarm ratio at which the evidence is logged. */
+const LOGGED_RATIO_STEP = 0.25;
+
 /** Number of possible key hashes; a hash divided by it is compared with the share. */
 const HASH_RANGE = 0x1_0000_0000;
 
@@ -64,8 +73,10 @@
     readonly log: KeyedLog;
     readonly records: RolloutRecordFormat;
     readonly bounds: RolloutBounds;
-    /** Call counts reported by peers. */
-    readonly peerCounts: () => Iterable<VersionCount>;
+    /** Latest reports of the peers. */
+    readonly peerReports: () => readonly PeerReport[];
+    /** All known servers. */
+    readonly servers: () => Iterable<ServerState>;
     /** Called with a log message for each order, change of share or state, and failed access to the log. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
     /** Called when a record that was missing after a restore of the log has been written again. */
@@ -75,6 +86,8 @@
 /** Rollout of one service. */
 interface VersionRollout {
     readonly order: VersionOrder;
+    readonly serviceKey: number;
+    readonly evidence: RolloutEvidence;
     /** Place of the order in the log. */
     position: LogPosition;
     startedAtMs: number;
@@ -83,23 +96,31 @@
     /** Share of the calls that go to the new version, from 0 to 1. */
     share: number;
     state: VersionOrderState;
+    /** Time at which a final state was decided or read, in milliseconds since the Unix epoch. */
+    finalAtMs: number | undefined;
     /** State recorded in the log. */
     storedState: VersionOrderState | undefined;
+    /** Whether the states in the log have been read since the order was first seen. */
+    isStateKnown: boolean;
+    /** Whether the last access to the log for this rollout succeeded. */
+    isLogAnswering: boolean;
+    /** Highest step of the alarm ratio that was logged. */
+    loggedStep: number;
     /** Whether the log has been restored from an older copy since the order was first seen. */
     isRestored: boolean;
 }
 
 /** Executes rollout orders: splits calls between versions and writes the states to the log. */
-export class VersionRollouts {
-    /** Call outcomes by version. */
-    readonly callCounter = new VersionCallCounter();
+export class VersionRollouts extends ServerCallObserver {
     private readonly rollouts = new Map<string, VersionRollout>();
     private readonly orders = new OrderHistory();
     private statesReadAtMs = 0;
     private pausedUntilMs = 0;
 
     /** @param settings See {@linkcode VersionRolloutsSettings}. */
-    constructor(private readonly settings: VersionRolloutsSettings) {}
+    constructor(private readonly settings: VersionRolloutsSettings) {
+        super();
+    }
 
     /** Starts the rollout of an order unless this or a later order is known; `position` is that of its record. */
     applyOrder(order: VersionOrder, position: LogPosition): void {
@@ -113,15 +134,21 @@
         }
         this.rollouts.set(order.service, {
             order,
+            serviceKey: hashKey(order.service),
+            evidence: new RolloutEvidence(order.durationMs, this.settings.clock),
             position,
             startedAtMs: this.settings.clock.now(),
             isStartKnown: false,
             share: 0,
             state: VersionOrderState.Running,
+            finalAtMs: undefined,
             storedState: undefined,
+            isStateKnown: false,
+            isLogAnswering: true,
+            loggedStep: 0,
             isRestored: false,
         });
-        this.callCounter.start(order.service, position.offset);
+        this.statesReadAtMs = 0;
         this.settings.onChange("rollout: ordered", { ...order, ...position });
     }
 
@@ -136,17 +163,33 @@
         }
     }
 
-    /** Advances active rollouts until the signal is aborted. */
+    /** Advances active rollouts until the signal is aborted. Decisions do not wait for the log. */
     async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([this.runDecisions(signal), this.runLogAccess(signal)]);
+    }
+
+    private async runDecisions(signal: AbortSignal): Promise<void> {
         while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
+            for (const state of this.settings.servers()) {
+                state.observeOverdueCalls();
+            }
             for (const rollout of this.rollouts.values()) {
-                if (this.settings.clock.now() >= this.pausedUntilMs && !hasStoredFinalState(rollout)) {
-                    await this.advance(rollout);
+                if (!hasStoredFinalState(rollout)) {
+                    this.decide(rollout);
                 }
             }
         }
     }
 
+    private async runLogAccess(signal: AbortSignal): Promise<void> {
+        while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
+            if (this.settings.clock.now() >= this.pausedUntilMs) {
+                const active = [...this.rollouts.values()].filter(rollout => !hasStoredFinalState(rollout));
+                await Promise.all(active.map(rollout => this.accessLog(rollout)));
+            }
+        }
+    }
+
     /**
      * Returns the servers that may take a call.
      *
@@ -176,56 +219,133 @@
         return main.length > 0 ? main : servers;
     }
 
-    /** Counts a call that ended at a server, if a rollout of its service is known. */
-    recordCall(state: ServerState, isBad: boolean): void {
-        const { service, version } = state.server;
-        const rollout = this.rollouts.get(service);
-        if (rollout !== undefined) {
-            this.callCounter.record(service, version === rollout.order.version, isBad);
+    /** Returns this node's calls of each version under rollout, and recent final states, to be reported to the peers. */
+    versionCounts(): readonly VersionCount[] {
+        const now = this.settings.clock.now();
+        return [...this.rollouts.values()].flatMap(({ serviceKey, position, evidence, state, finalAtMs }) => {
+            if (finalAtMs !== undefined && now - finalAtMs > VERDICT_REPORT_MS) {
+                return [];
+            }
+            return evidence.counts(serviceKey, position.offset).map(count => ({ ...count, verdict: verdictOf(state) }));
+        });
+    }
+
+    override recordSent(state: ServerState): void {
+        this.findRunning(state)?.evidence.recordSent(this.isTarget(state));
+    }
+
+    override recordFirstEvent(state: ServerState, latencyMs: number): void {
+        this.findRunning(state)?.evidence.recordFirstEvent(this.isTarget(state), latencyMs);
+    }
+
+    override recordInterval(state: ServerState, intervalMs: number): void {
+        this.findRunning(state)?.evidence.recordInterval(this.isTarget(state), intervalMs);
+    }
+
+    override recordEnd(state: ServerState, outcome: AttemptOutcome): void {
+        const evidence = this.findRunning(state)?.evidence;
+        if (outcome === AttemptOutcome.Broken) {
+            evidence?.recordBroken(this.isTarget(state), hashKey(state.server.id));
         }
+        else if (outcome !== AttemptOutcome.Neutral) {
+            evidence?.recordAnswered(this.isTarget(state), outcome === AttemptOutcome.Bad);
+        }
+    }
+
+    /** @returns Rollout of a server's service, unless it has ended. */
+    private findRunning({ server }: ServerState): VersionRollout | undefined {
+        const rollout = this.rollouts.get(server.service);
+        return rollout !== undefined && !isFinal(rollout.state) ? rollout : undefined;
+    }
+
+    private isTarget({ server }: ServerState): boolean {
+        return this.rollouts.get(server.service)?.order.version === server.version;
     }
 
     /** Continues a rollout whose order was written again in a new era of the log. */
     private moveRollout(rollout: VersionRollout, position: LogPosition): void {
         rollout.position = position;
         rollout.isStartKnown = false;
-        this.callCounter.renumber(rollout.order.service, position.offset);
         this.settings.onChange("rollout: order written again", { ...rollout.order, ...position, state: rollout.state });
     }
 
-    private async advance(rollout: VersionRollout): Promise<void> {
-        const { onChange } = this.settings;
+    /** Agrees on the start, and reads and writes the state. */
+    private async accessLog(rollout: VersionRollout): Promise<void> {
         try {
             if (!rollout.isStartKnown) {
                 await this.agreeOnStart(rollout);
             }
             await this.readStates();
-            if (hasStoredFinalState(rollout)) {
-                return;
-            }
-            if (!isFinal(rollout.state)) {
-                this.decide(rollout);
-            }
-            if (rollout.storedState !== rollout.state) {
+            if (!hasStoredFinalState(rollout) && rollout.isStateKnown && rollout.storedState !== rollout.state) {
                 await this.writeState(rollout);
             }
+            rollout.isLogAnswering = true;
         }
         catch (error) {
-            onChange("rollout: log failed", { service: rollout.order.service, error: describeCause(error) });
+            rollout.isLogAnswering = false;
+            const { service } = rollout.order;
+            this.settings.onChange("rollout: log failed", { service, state: rollout.state, error: describeCause(error) });
         }
     }
 
     private decide(rollout: VersionRollout): void {
         const { clock, bounds, onChange } = this.settings;
         const { service, version, durationMs } = rollout.order;
-        const tallies = this.callCounter.sum(service, this.settings.peerCounts());
+        this.mergePeerReports(rollout);
+        if (isFinal(rollout.state) || !rollout.isStateKnown) {
+            return;
+        }
+        const finding = rollout.evidence.evaluate();
         const elapsedMs = clock.now() - rollout.startedAtMs;
-        const decision = decideRollout(tallies, { elapsedMs, durationMs }, bounds);
+        const decision = decideRollout(finding, { elapsedMs, durationMs }, bounds);
+        this.logFinding(rollout, finding);
+        if (decision.state === VersionOrderState.Completed && !rollout.isLogAnswering) {
+            return;
+        }
         if (decision.share !== rollout.share || decision.state !== rollout.state) {
-            onChange("rollout: decided", { service, version, ...decision, elapsedMs: Math.round(elapsedMs), ...tallies });
+            onChange("rollout: decided", { service, version, ...decision, elapsedMs: Math.round(elapsedMs), ...finding });
         }
         rollout.share = decision.share;
-        rollout.state = decision.state;
+        this.setState(rollout, decision.state);
+    }
+
+    /** Merges the calls that peers reported, and follows a final state that one of them knows. */
+    private mergePeerReports(rollout: VersionRollout): void {
+        const { service, version } = rollout.order;
+        for (const report of this.settings.peerReports()) {
+            for (const count of report.versions) {
+                if (count.serviceKey !== rollout.serviceKey || count.order !== rollout.position.offset) {
+                    continue;
+                }
+                rollout.evidence.merge(report, count);
+                const state = stateOf(count.verdict);
+                if (state !== undefined && state !== rollout.state && rollout.state !== VersionOrderState.RolledBack) {
+                    this.settings.onChange("rollout: settled by a peer", { service, version, state, peer: report.node });
+                    this.settle(rollout, state);
+                }
+            }
+        }
+    }
+
+    /** Logs the evidence each time that it has become clearly stronger. */
+    private logFinding(rollout: VersionRollout, finding: RolloutFinding): void {
+        const step = Math.floor(finding.alarmRatio / LOGGED_RATIO_STEP);
+        if (step > rollout.loggedStep) {
+            rollout.loggedStep = step;
+            const { service, version } = rollout.order;
+            this.settings.onChange("rollout: fault suspected", { service, version, ...finding });
+        }
+    }
+
+    private setState(rollout: VersionRollout, state: VersionOrderState): void {
+        rollout.state = state;
+        rollout.finalAtMs = isFinal(state) ? rollout.finalAtMs ?? this.settings.clock.now() : undefined;
+    }
+
+    /** Takes over a final state. */
+    private settle(rollout: VersionRollout, state: VersionOrderState): void {
+        this.setState(rollout, state);
+        rollout.share = state === VersionOrderState.Completed ? 1 : 0;
     }
 
     /** Agrees with the other nodes on the time at which the first of them saw the order. */
@@ -263,10 +383,14 @@
             return;
         }
         this.statesReadAtMs = clock.now();
+        const known = [...this.rollouts.values()];
         const page = await log.readNewest(records.stateTopic);
         for (const record of page.records) {
             this.applyState(records.decodeState(record));
         }
+        for (const rollout of known) {
+            rollout.isStateKnown = true;
+        }
     }
 
     private applyState(record: RolloutStateRecord | undefined): void {
@@ -277,8 +401,7 @@
         rollout.storedState = record.state;
         if (record.state !== VersionOrderState.Running && rollout.state !== record.state) {
             this.settings.onChange("rollout: settled by a peer", { ...record });
-            rollout.state = record.state;
-            rollout.share = record.state === VersionOrderState.Completed ? 1 : 0;
+            this.settle(rollout, record.state);
         }
     }
 
@@ -318,6 +441,28 @@
     return rollout.storedState !== undefined && isFinal(rollout.storedState);
 }
 
+function verdictOf(state: VersionOrderState): RolloutVerdict {
+    switch (state) {
+        case VersionOrderState.Completed:
+            return RolloutVerdict.COMPLETED;
+        case VersionOrderState.RolledBack:
+            return RolloutVerdict.ROLLED_BACK;
+        default:
+            return RolloutVerdict.UNDECIDED;
+    }
+}
+
+function stateOf(verdict: RolloutVerdict): VersionOrderState | undefined {
+    switch (verdict) {
+        case RolloutVerdict.COMPLETED:
+            return VersionOrderState.Completed;
+        case RolloutVerdict.ROLLED_BACK:
+            return VersionOrderState.RolledBack;
+        default:
+            return undefined;
+    }
+}
+
 function isFinal(state: VersionOrderState): boolean {
     return state !== VersionOrderState.Running;
 }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -112,7 +112,6 @@
         });
         this.peers = new PeerTable(clock);
         this.logHealth.peerSteadyMs = () => this.peers.longestLogSteadyMs;
-        this.pool = new ServerPool(clock, this.peers);
         this.quota = new WorkspaceQuota({
             clock,
             isFirstStart: settings.isFirstStart,
@@ -135,10 +134,12 @@
             log: this.log,
             records: dependencies.records,
             bounds: settings.rollouts,
-            peerCounts: () => this.peers.reports().flatMap(report => report.versions),
+            peerReports: () => this.peers.reports(),
+            servers: () => this.pool.all(),
             onChange: (text, detail) => this.relayLog.info(text, detail),
             onRewrite: topic => this.recordRewrite(topic),
         });
+        this.pool = new ServerPool(clock, this.peers, this.rollouts);
         this.follower = new LogFollower({
             log: this.log,
             clock,
@@ -174,7 +175,7 @@
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
-            versionCounts: () => this.rollouts.callCounter.counts(),
+            versionCounts: () => this.rollouts.versionCounts(),
             isDraining: () => this.draining,
             logSteadyMs: () => this.logHealth.steadyMs,
             onChange: () => this.dispatchWaiting(),
@@ -191,7 +192,7 @@
             relay: {
                 client: this.relayClient,
                 scheduler: service => this.scheduler(service),
-                onServerCall: (state, isBad) => this.rollouts.recordCall(state, isBad),
+                observer: this.rollouts,
                 retryBudget: service => this.retryBudget(service),
             },
         });
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -22,6 +22,15 @@
   UNRECOGNIZED = -1,
 }
 
+/** Final state of a rollout, as far as a node knows it. */
+export enum RolloutVerdict {
+  UNDECIDED = 0,
+  COMPLETED = 1,
+  /** ROLLED_BACK - Outweighs COMPLETED. */
+  ROLLED_BACK = 2,
+  UNRECOGNIZED = -1,
+}
+
 /**
  * Load report that a node sends to its peers several times a second. Counters are cumulative since the node's start, so a lost
  * report causes no error.
@@ -71,8 +80,26 @@
   /** Log offset of the rollout order that the counts belong to. */
   readonly order: number;
   readonly isTarget: boolean;
+  /** Calls sent since the order. */
   readonly calls: number;
-  readonly bad: number;
+  /** Calls of the last seconds. */
+  readonly slices: readonly VersionSlice[];
+  readonly verdict: RolloutVerdict;
+}
+
+/** Calls of one version whose outcome or latency became known within one slice of time. */
+export interface VersionSlice {
+  /** Start of the slice, in seconds since the Unix epoch. */
+  readonly index: number;
+  /** Calls that received the server's complete answer. */
+  readonly completed: number;
+  /** Calls that the server answered with an error or with an invalid answer. */
+  readonly failed: number;
+  /** Histograms of the time to the first event and of the time between events: alternating buckets and counts. */
+  readonly firstEvent: readonly number[];
+  readonly interval: readonly number[];
+  /** Servers that refused or closed the connection of a call; keys are hashes of the server ids. */
+  readonly brokenServers: readonly number[];
 }
 
 function createBasePeerReport(): PeerReport {
@@ -463,7 +490,7 @@
 };
 
 function createBaseVersionCount(): VersionCount {
-  return { serviceKey: 0, order: 0, isTarget: false, calls: 0, bad: 0 };
+  return { serviceKey: 0, order: 0, isTarget: false, calls: 0, slices: [], verdict: 0 };
 }
 
 export const VersionCount: MessageFns<VersionCount> = {
@@ -480,8 +507,11 @@
     if (message.calls !== 0) {
       writer.uint32(32).uint32(message.calls);
     }
-    if (message.bad !== 0) {
-      writer.uint32(40).uint32(message.bad);
+    for (const v of message.slices) {
+      VersionSlice.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.verdict !== 0) {
+      writer.uint32(56).int32(message.verdict);
     }
     return writer;
   },
@@ -531,14 +561,165 @@
             message.calls = reader.uint32();
             continue;
           }
-          case 5: {
-            if (tag !== 40) {
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.slices.push(VersionSlice.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.verdict = reader.int32() as any;
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseVersionSlice(): VersionSlice {
+  return { index: 0, completed: 0, failed: 0, firstEvent: [], interval: [], brokenServers: [] };
+}
+
+export const VersionSlice: MessageFns<VersionSlice> = {
+  encode(message: VersionSlice, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.index !== 0) {
+      writer.uint32(8).uint32(message.index);
+    }
+    if (message.completed !== 0) {
+      writer.uint32(16).uint32(message.completed);
+    }
+    if (message.failed !== 0) {
+      writer.uint32(24).uint32(message.failed);
+    }
+    if (message.firstEvent.length !== 0) {
+      writer.uint32(34).fork();
+      for (const v of message.firstEvent) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.interval.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.interval) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.brokenServers.length !== 0) {
+      writer.uint32(50).fork();
+      for (const v of message.brokenServers) {
+        writer.fixed32(v);
+      }
+      writer.join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): VersionSlice {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseVersionSlice() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.index = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
               break;
             }
 
-            message.bad = reader.uint32();
+            message.completed = reader.uint32();
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.failed = reader.uint32();
+            continue;
+          }
+          case 4: {
+            if (tag === 32) {
+              message.firstEvent.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 34) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.firstEvent.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 5: {
+            if (tag === 40) {
+              message.interval.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.interval.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 6: {
+            if (tag === 53) {
+              message.brokenServers.push(reader.fixed32());
+
+              continue;
+            }
+
+            if (tag === 50) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.brokenServers.push(reader.fixed32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -5,7 +5,14 @@
  */
 
 export { describeCause, DispatchStep, Executed, PlatformError } from "../errors.js";
-export { PeerReport, ReportScope, type ServiceDemand, type VersionCount } from "../gen/relay.js";
+export {
+    PeerReport,
+    ReportScope,
+    RolloutVerdict,
+    type ServiceDemand,
+    type VersionCount,
+    type VersionSlice,
+} from "../gen/relay.js";
 export { describeIssue } from "../schema_problem.js";
 export * from "./empty_report.js";
 export * from "./key_hash.js";
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -272,6 +272,7 @@
                 isDraining: false,
                 startedAtMs: this.clock.now(),
                 sequence: 1,
+                warmUpMs: 0,
             };
             this.servers.set(id, new ModelServer(registration, intervalMs, behavior));
         }
@@ -404,7 +405,6 @@
         const name = `node-${index}`;
         const log = new SeveredLog(this.log, clock);
         const peers = new PeerTable(clock);
-        const pool = new ServerPool(clock, peers);
         const quota = new WorkspaceQuota({ clock, isFirstStart: true, unreachableShare: () => 0 });
         const directory = new NodeDirectory({
             log,
@@ -417,16 +417,18 @@
             onError: () => undefined,
             onRewrite: () => undefined,
         });
-        const rollouts = new VersionRollouts({
+        const rollouts: VersionRollouts = new VersionRollouts({
             clock,
             random,
             log,
             records: STATE_FORMAT,
             bounds: { maxShare: 0.1, slackCalls: 50 },
-            peerCounts: () => peers.reports().flatMap(report => report.versions),
+            peerReports: () => peers.reports(),
+            servers: () => pool.all(),
             onChange: () => undefined,
             onRewrite: () => undefined,
         });
+        const pool = new ServerPool(clock, peers, rollouts);
         const scheduler: ServiceScheduler = new ServiceScheduler({
             service: FLEET_SERVICE,
             failureDomain: `domain-${index % 4}`,
@@ -451,7 +453,7 @@
             quota,
             address: () => name,
             workspaces: () => [],
-            versionCounts: () => rollouts.callCounter.counts(),
+            versionCounts: () => rollouts.versionCounts(),
             demands: () => [[FLEET_SERVICE, scheduler.demand]],
             isDraining: () => false,
             logSteadyMs: () => 1_000,
@@ -484,7 +486,7 @@
                 }),
                 scheduler: () => scheduler,
                 retryBudget: () => retryBudget,
-                onServerCall: (state, isBad) => rollouts.recordCall(state, isBad),
+                observer: rollouts,
             },
         });
         const node = { name, peers, pool, scheduler, rollouts, reporter, handler, log, stopped: new AbortController() };
