--- /dev/null
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -0,0 +1,200 @@
+/**
+ * Steps about prompt parts that crash servers, on a model of nodes, servers and callers.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { PromptPart } from "../../src/protocol/relay/mod.js";
+import { type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
+import type { Scenario } from "../support/world.js";
+
+/** Seeds with which each case is played. */
+const SEEDS = [1, 2];
+
+/** Number of nodes. */
+const NODE_COUNT = 9;
+
+/** Time before the first call with the part, and time for which such calls come, in milliseconds. */
+const WARM_UP_MS = 4_000;
+const PLAYED_MS = 24_000;
+
+/** Time for which a crashed server is down, in milliseconds. */
+const CRASH_MS = 3_000;
+
+/** Crashes after which the bounds hold, calls with the part that may reach servers then, and the times from which the bounds hold. */
+const MAX_CRASHES = 5;
+const MAX_LATE_CALLS = 3;
+const CALLS_FROM_MS = 3_000;
+const SERVICE_FROM_MS = 6_000;
+
+/** Status of a call that is refused because of its prompt. */
+const REFUSED_PROMPT_STATUS = 500;
+
+/** Parts of all prompts: one of a few first parts, one of some documents, and a part of the call's own. */
+const FIRST_PARTS = 5;
+const DOCUMENTS = 60;
+
+/** Parts that crash servers. */
+const CRASHING_PARTS = ["crashing-1", "crashing-2"];
+
+/** Calls of the model. */
+const TRAFFIC: ModelTraffic = {
+    callsPerSecond: 80,
+    mostEvents: 60,
+    promptTokens: 1_800,
+    deadlineMs: 12_000,
+    intervalsMs: [14, 14, 14, 14, 14, 14, 25, 25, 25, 36, 36, 70, 100],
+    slots: 11,
+};
+
+/** State of a scenario of this file. */
+interface PromptScenario extends Scenario {
+    fleets: RelayFleetModel[];
+    crashesAtMs: Map<RelayFleetModel, number[]>;
+}
+
+After(function(this: PromptScenario) {
+    for (const fleet of this.fleets ?? []) {
+        fleet.stop();
+    }
+});
+
+Given("9 relay nodes before engines", function(this: PromptScenario) {
+    this.crashesAtMs = new Map();
+    this.fleets = [];
+});
+
+When(
+    /^calls with a part that crashes servers come (\d+) times a second and (.*)$/,
+    { timeout: 300_000 },
+    async function(this: PromptScenario, rate: string, trouble: string) {
+        for (const seed of SEEDS) {
+            const fleet = startFleet(this, seed, trouble === "broken streams are resumed");
+            await fleet.run(WARM_UP_MS);
+            await playCrashingCalls(fleet, Number(rate), trouble, this.crashesAtMs.get(fleet) ?? []);
+            fleet.stop();
+        }
+    },
+);
+
+When(
+    /^only sound calls come and (.*)$/,
+    { timeout: 300_000 },
+    async function(this: PromptScenario, trouble: string) {
+        for (const seed of SEEDS) {
+            const fleet = startFleet(this, seed, false);
+            await fleet.run(WARM_UP_MS);
+            for (let second = 0; second < PLAYED_MS / 1_000; second += 1) {
+                disturb(fleet, trouble, second);
+                await fleet.run(1_000);
+            }
+            fleet.stop();
+        }
+    },
+);
+
+Then("at most 3 of them reach servers later than 3 s after the fifth crash", function(this: PromptScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        for (const part of CRASHING_PARTS) {
+            const attempts = fleet.attemptsOf("v1").filter(({ call }) => call.head.parts.some(({ id }) => id === part));
+            const crashed = attempts.filter(attempt => attempt.crashedAtMs !== undefined);
+            const fifthAtMs = crashed.map(({ crashedAtMs }) =>
+                crashedAtMs ?? 0
+            ).sort((left, right) => left - right)[MAX_CRASHES - 1];
+            const late = attempts.filter(({ atMs }) => atMs > (fifthAtMs ?? Infinity) + CALLS_FROM_MS);
+            assert(late.length <= MAX_LATE_CALLS, `seed ${SEEDS[index]}: ${late.length} calls, ${crashed.length} crashes`);
+        }
+    }
+});
+
+Then("9 in 10 sound calls are served from 6 s after the fifth crash", function(this: PromptScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        const crashes = [...this.crashesAtMs.get(fleet) ?? []].sort((left, right) => left - right);
+        const fromMs = (crashes[MAX_CRASHES - 1] ?? crashes.at(-1) ?? 0) + SERVICE_FROM_MS;
+        const sound = fleet.outcomes.filter(({ call }) => call.arrivedAtMs >= fromMs && !isCrashing(call.head.parts));
+        const served = sound.filter(({ status }) => status === 200);
+        assert(sound.length > 0, `seed ${SEEDS[index]}: no sound calls`);
+        assert(served.length >= 0.9 * sound.length, `seed ${SEEDS[index]}: ${served.length} of ${sound.length} served`);
+    }
+});
+
+Then("no call is refused because of its prompt", function(this: PromptScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        const refused = fleet.outcomes.filter(({ status, text }) => status === REFUSED_PROMPT_STATUS && text.includes("prompt"));
+        assert.equal(refused.length, 0, `seed ${SEEDS[index]}`);
+    }
+});
+
+function startFleet(scenario: PromptScenario, seed: number, isResumable: boolean): RelayFleetModel {
+    const fleet = new RelayFleetModel(TRAFFIC, NODE_COUNT, seed, isResumable);
+    const crashesAtMs: number[] = [];
+    fleet.partsOf = () => makeParts(fleet, `document-${fleet.random.nextInt(DOCUMENTS)}`);
+    fleet.crashMs = call => isCrashing(call.head.parts) ? CRASH_MS : 0;
+    fleet.onCrash = () => crashesAtMs.push(fleet.clock.now());
+    fleet.addVersion("v1");
+    scenario.fleets.push(fleet);
+    scenario.crashesAtMs.set(fleet, crashesAtMs);
+    return fleet;
+}
+
+function makeParts(fleet: RelayFleetModel, document: string): readonly PromptPart[] {
+    return [
+        { id: `first-${fleet.random.nextInt(FIRST_PARTS)}`, tokens: 800 },
+        { id: document, tokens: 400 },
+        { id: `own-${fleet.random.nextInt(1_000_000)}`, tokens: 600 },
+    ];
+}
+
+function isCrashing(parts: readonly PromptPart[]): boolean {
+    return parts.some(({ id }) => CRASHING_PARTS.includes(id));
+}
+
+async function playCrashingCalls(
+    fleet: RelayFleetModel,
+    rate: number,
+    trouble: string,
+    crashesAtMs: readonly number[],
+): Promise<void> {
+    const startMs = fleet.clock.now();
+    let restarted = 0;
+    for (let call = 0; call < rate * PLAYED_MS / 1_000; call += 1) {
+        await fleet.run(1_000 / rate);
+        const elapsedMs = fleet.clock.now() - startMs;
+        fleet.sendCall(makeParts(fleet, CRASHING_PARTS[0]));
+        if (trouble.startsWith("a second part") && elapsedMs > 5_000) {
+            fleet.sendCall(makeParts(fleet, CRASHING_PARTS[1]));
+        }
+        if (trouble === "the log is down") {
+            fleet.setLogReachable(NODE_COUNT, false);
+        }
+        if (trouble.startsWith("a node is cut off")) {
+            fleet.setIsolated(0, elapsedMs < 6_000);
+        }
+        if (trouble.startsWith("four nodes restart") && restarted === 0 && crashesAtMs.length >= MAX_CRASHES) {
+            restarted = 4;
+            fleet.restartNodes(0, restarted);
+        }
+        if (trouble.startsWith("all nodes restart") && elapsedMs > 2_000 * (restarted + 1) && restarted < NODE_COUNT) {
+            fleet.restartNodes(restarted, 1);
+            restarted += 1;
+        }
+    }
+}
+
+function disturb(fleet: RelayFleetModel, trouble: string, second: number): void {
+    const servers = fleet.serversOf("v1");
+    switch (trouble) {
+        case "a server crashes each second":
+            fleet.crash(servers[fleet.random.nextInt(servers.length)], CRASH_MS);
+            return;
+        case "half of all connections are reset each 2 s":
+            for (const server of second % 2 === 0 ? servers : []) {
+                server.closeHalf();
+            }
+            return;
+        default:
+            Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
+    }
+}
--- a/features/steps/relay_rollout_steps.ts
+++ b/features/steps/relay_rollout_steps.ts
@@ -194,7 +194,7 @@
                 { atMs: 10_000, apply: fleet => void (fleet.trafficFactor = 1) },
             ];
         case "four nodes restart":
-            return [{ atMs: 6_000, apply: fleet => fleet.restartNodes(4) }];
+            return [{ atMs: 6_000, apply: fleet => fleet.restartNodes(0, 4) }];
         case "a third of the nodes loses the log for 4 s":
             return [
                 { atMs: 5_000, apply: fleet => fleet.setLogReachable(2, false) },
@@ -212,7 +212,7 @@
         case "while all servers fail a quarter":
             return [{ atMs: 0, apply: fleet => failEverywhere(fleet, 0.25) }];
         case "while four nodes restart":
-            return [{ atMs: 6_000, apply: fleet => fleet.restartNodes(4) }];
+            return [{ atMs: 6_000, apply: fleet => fleet.restartNodes(0, 4) }];
         default:
             return [];
     }
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -53,7 +53,7 @@
      * @param intervalMs Time between two events of a stream without load, in milliseconds.
      * @param behavior Behaviour of the server's version.
      */
-    constructor(readonly registration: RelayServer, readonly intervalMs: number, readonly behavior: VersionBehavior) {}
+    constructor(public registration: RelayServer, readonly intervalMs: number, readonly behavior: VersionBehavior) {}
 
     /** Calls that the server runs. */
     get runningCalls(): number {
@@ -78,6 +78,16 @@
         }
         this.running.clear();
     }
+
+    /** Closes every second connection. */
+    closeHalf(): void {
+        for (const [index, answer] of [...this.running].entries()) {
+            if (index % 2 === 0) {
+                answer.fail(CLOSED);
+                this.running.delete(answer);
+            }
+        }
+    }
 }
 
 /** Attempt as a server received it. */
@@ -87,6 +97,8 @@
     readonly server: ModelServer;
     /** Time at which the answer turned out bad: an error, or several times slower than the server; `undefined` if it did not. */
     badAtMs: number | undefined;
+    /** Time at which the call crashed the server; `undefined` if it did not. */
+    crashedAtMs: number | undefined;
 }
 
 /** Settings of a {@linkcode ModelClient}. */
@@ -100,6 +112,8 @@
     readonly eventsOf: (call: RelayCall) => number;
     /** Whether a server that begins to answer the call crashes, and for how long, in milliseconds; 0 for a sound call. */
     readonly crashMs: (call: RelayCall) => number;
+    /** Crashes a server for a time, in milliseconds. */
+    readonly crash: (server: ModelServer, durationMs: number) => void;
 }
 
 /** Sends calls to servers of the model. */
@@ -145,7 +159,7 @@
         if (server.runningCalls >= server.registration.slots) {
             return makeHead(call, 503, true);
         }
-        this.attempt = { call, atMs: clock.now(), server, badAtMs: undefined };
+        this.attempt = { call, atMs: clock.now(), server, badAtMs: undefined, crashedAtMs: undefined };
         server.attempts.push(this.attempt);
         server.start(this);
         const { behavior } = server;
@@ -161,7 +175,8 @@
         await this.wait(4 * server.intervalMs * behavior.firstEventFactor * this.loadFactor);
         const durationMs = crashMs(call);
         if (durationMs > 0) {
-            server.crash(clock.now() + durationMs);
+            this.attempt.crashedAtMs = clock.now();
+            this.settings.crash(server, durationMs);
             await this.wait(ONE_WAY_MS);
         }
         return makeHead(call, 200, false);
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -23,6 +23,7 @@
     KeyedLog,
     type KeyedPage,
     type KeyedReadSettings,
+    type LocalAnswer,
     type NewestReadSettings,
     PeerLink,
     PeerReport,
@@ -52,6 +53,9 @@
 /** Longest time for which a caller waits for an event, in milliseconds. */
 const CALLER_PATIENCE_MS = 3_200;
 
+/** Time until the entry of a crashed server is removed, in milliseconds. */
+const DETECTION_MS = 1_000;
+
 /** Window of the retry budget, in milliseconds. */
 const RETRY_WINDOW_MS = 10_000;
 
@@ -76,6 +80,8 @@
     /** Status; 0 when the connection ended without a complete answer. */
     readonly status: number;
     readonly isComplete: boolean;
+    /** Text of an answer that the node generated. */
+    readonly text: string;
 }
 
 /** Node of the fleet. */
@@ -146,7 +152,7 @@
 
     constructor(
         private readonly clock: VirtualClock,
-        private readonly onEnd: (status: number, isComplete: boolean) => void,
+        private readonly onEnd: (status: number, isComplete: boolean, text: string) => void,
     ) {
         super();
         this.lastEventAtMs = clock.now();
@@ -175,14 +181,14 @@
         this.finish(0, false);
     }
 
-    override sendLocal({ status }: { readonly status: number }): void {
-        this.finish(status, true);
+    override sendLocal({ status, text }: LocalAnswer): void {
+        this.finish(status, true, text);
     }
 
-    private finish(status: number, isComplete: boolean): void {
+    private finish(status: number, isComplete: boolean, text = ""): void {
         if (!this.isEnded) {
             this.isEnded = true;
-            this.onEnd(status, isComplete);
+            this.onEnd(status, isComplete, text);
         }
     }
 
@@ -220,6 +226,10 @@
     partsOf: () => readonly PromptPart[] = () => [];
     /** Returns how long a server that begins to answer a call is down, in milliseconds; 0 for a sound call. */
     crashMs: (call: RelayCall) => number = () => 0;
+    /** Called when a server crashes. */
+    onCrash: () => void = () => undefined;
+    /** Called with each line that a node logs about a rollout. */
+    onChange: (node: string, text: string, detail: Readonly<Record<string, unknown>>) => void = () => undefined;
     /** Factor of the number of calls. */
     trafficFactor = 1;
     private readonly nodes: FleetNode[] = [];
@@ -325,9 +335,40 @@
         }
     }
 
-    /** Kills a number of nodes and starts them again without what they knew. */
-    restartNodes(nodeCount: number): void {
-        for (let index = 0; index < nodeCount; index += 1) {
+    /** Isolates a node from its peers, or connects it again. */
+    setIsolated(index: number, isIsolated: boolean): void {
+        const { name } = this.nodes[index] as FleetNode;
+        if (isIsolated) {
+            this.isolatedNodes.add(name);
+        }
+        else {
+            this.isolatedNodes.delete(name);
+        }
+    }
+
+    /** Ends a server for a time, in milliseconds; its entry is gone meanwhile, and it returns as another incarnation. */
+    crash(server: ModelServer, durationMs: number): void {
+        this.onCrash();
+        const backAtMs = this.clock.now() + durationMs;
+        server.crash(backAtMs);
+        void this.clock.sleep(DETECTION_MS).then(() => {
+            for (const node of this.nodes) {
+                node.pool.remove(server.registration.id);
+            }
+        });
+        void this.clock.sleep(durationMs).then(() => {
+            if (server.downUntilMs === backAtMs) {
+                server.registration = { ...server.registration, startedAtMs: backAtMs };
+                for (const node of this.nodes) {
+                    node.pool.put(server.registration);
+                }
+            }
+        });
+    }
+
+    /** Kills nodes and starts them again without what they knew. */
+    restartNodes(from: number, nodeCount: number): void {
+        for (let index = from; index < from + nodeCount; index += 1) {
             this.nodes[index]?.stopped.abort();
             this.startNode(index);
         }
@@ -357,7 +398,10 @@
     sendCall(parts: readonly PromptPart[]): void {
         this.lastCall += 1;
         const node = this.nodes[this.random.nextInt(this.nodes.length)];
-        const caller = new ModelCaller(this.clock, (status, isComplete) => this.outcomes.push({ call, status, isComplete }));
+        const caller = new ModelCaller(
+            this.clock,
+            (status, isComplete, text) => this.outcomes.push({ call, status, isComplete, text }),
+        );
         const call: RelayCall = {
             head: {
                 id: `call-${this.lastCall}-${this.random.nextInt(1_000_000)}`,
@@ -425,7 +469,7 @@
             bounds: { maxShare: 0.1, slackCalls: 50 },
             peerReports: () => peers.reports(),
             servers: () => pool.all(),
-            onChange: () => undefined,
+            onChange: (text, detail) => this.onChange(name, text, detail),
             onRewrite: () => undefined,
         });
         const pool = new ServerPool(clock, peers, rollouts);
@@ -483,6 +527,7 @@
                     isReachable: () => true,
                     eventsOf: call => this.eventsOf(call),
                     crashMs: call => this.crashMs(call),
+                    crash: (server, durationMs) => this.crash(server, durationMs),
                 }),
                 scheduler: () => scheduler,
                 retryBudget: () => retryBudget,
