Quarantine prompt parts that crash backend servers

Cause: nothing related the end of an engine to the calls that it had not begun to answer, so the next call with the part went to the next engine.

Evidence: at each end all connections to the engine close within 6 ms, and one call without any event is among them.

A broken call makes the parts of its prompt suspects unless a call with them has been answered; the part that is there at two or three crashes is quarantined. Suspects and clearances travel in the nodes' reports. Calls with a quarantined part get a 500 that says that they have not run and must not be repeated; a probe every two minutes or more leads back.

The traffic of the test falls from 80 to 50 calls a second: at 80 the modelled servers refuse a tenth of the calls without any crash, so the check that nine in ten are served could not hold.

--- a/features/relay_prompt_parts.feature
+++ b/features/relay_prompt_parts.feature
@@ -30,3 +30,29 @@
             | a server crashes each second                |
             | half of all connections are reset each 2 s  |
             | servers fail a quarter of their calls       |
+
+    Scenario Outline: a part of a prompt that <history> is <verdict>
+        Given a node that watches the parts of prompts before 13 servers
+        When a part <history>
+        Then the part is <verdict>
+
+        Examples:
+            | history                                                   | verdict     |
+            | was in a call that broke                                  | suspected   |
+            | was in calls that broke at 2 servers                      | quarantined |
+            | was in calls that broke twice at one server               | suspected   |
+            | was in calls that broke at 2 servers beside another part  | suspected   |
+            | was in calls that broke at 3 servers beside another part  | quarantined |
+            | was answered before calls with it broke at 3 servers      | free        |
+            | was answered after calls with it broke at 1 server        | free        |
+            | was answered by a probe after calls broke at 3 servers    | free        |
+            | was in calls that broke at 7 servers at once              | free        |
+            | was the last one in calls that broke at 3 servers         | free        |
+            | was reported by two peers for a server each               | quarantined |
+            | was reported by two peers and as answered by a third      | free        |
+
+    Scenario: one probe of a quarantined part is sent in two minutes or more
+        Given a node that watches the parts of prompts before 13 servers
+        When a part was in calls that broke at 3 servers
+        And a call with it comes each second for 10 minutes and crashes its server when it is sent
+        Then at most 3 of them are sent
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -6,8 +6,11 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import type { PromptPart } from "../../src/protocol/relay/mod.js";
+import { PromptQuarantine } from "../../src/coordination/relay/mod.js";
+import { hashKey, type PromptPart } from "../../src/protocol/relay/mod.js";
+import { type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import { type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
 import type { Scenario } from "../support/world.js";
 
 /** Seeds with which each case is played. */
@@ -41,7 +44,7 @@
 
 /** Calls of the model. */
 const TRAFFIC: ModelTraffic = {
-    callsPerSecond: 80,
+    callsPerSecond: 50,
     mostEvents: 60,
     promptTokens: 1_800,
     deadlineMs: 12_000,
@@ -53,6 +56,9 @@
 interface PromptScenario extends Scenario {
     fleets: RelayFleetModel[];
     crashesAtMs: Map<RelayFleetModel, number[]>;
+    clock: VirtualClock;
+    quarantine: PromptQuarantine;
+    sentProbes: number;
 }
 
 After(function(this: PromptScenario) {
@@ -198,3 +204,114 @@
             Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
     }
 }
+
+/** Part whose history is tested, and prompts with it. */
+const TESTED_PART = { id: "tested", tokens: 400 };
+const TESTED_PROMPT = [TESTED_PART, { id: "own", tokens: 100 }];
+
+Given("a node that watches the parts of prompts before 13 servers", function(this: PromptScenario) {
+    this.clock = new VirtualClock();
+    this.quarantine = new PromptQuarantine({
+        clock: this.clock,
+        random: new SeededRandom(1),
+        serverCount: () => 13,
+        nodeCount: () => 1,
+        onChange: () => undefined,
+    });
+});
+
+When(/^a part (was .*)$/, async function(this: PromptScenario, history: string) {
+    await playHistory(this, history);
+});
+
+When(
+    "a call with it comes each second for 10 minutes and crashes its server when it is sent",
+    async function(this: PromptScenario) {
+        this.sentProbes = 0;
+        for (let second = 0; second < 600; second += 1) {
+            if (this.quarantine.findQuarantined(TESTED_PROMPT) === undefined) {
+                this.sentProbes += 1;
+                this.quarantine.recordBroken(TESTED_PROMPT, makeServer(100 + second));
+            }
+            await this.clock.advance(1_000);
+        }
+    },
+);
+
+Then("at most {int} of them are sent", function(this: PromptScenario, most: number) {
+    assert(this.sentProbes <= most, `${this.sentProbes} calls`);
+});
+
+Then(/^the part is (suspected|quarantined|free)$/, function(this: PromptScenario, verdict: string) {
+    const isQuarantined = this.quarantine.findQuarantined(TESTED_PROMPT) !== undefined;
+    const isSuspected = this.quarantine.isSuspected(TESTED_PROMPT);
+    assert.equal(isQuarantined ? "quarantined" : isSuspected ? "suspected" : "free", verdict);
+});
+
+async function playHistory(scenario: PromptScenario, history: string): Promise<void> {
+    const { quarantine, clock } = scenario;
+    const breakAt = async (servers: number, prompt: readonly PromptPart[] = TESTED_PROMPT) => {
+        for (let server = 0; server < servers; server += 1) {
+            quarantine.recordBroken(prompt, makeServer(server));
+            await clock.advance(500);
+        }
+    };
+    const report = (crashKeys: readonly number[], isAnswered: boolean) => {
+        quarantine.merge([{ partKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered }]);
+    };
+    switch (history) {
+        case "was in a call that broke":
+            return breakAt(1);
+        case "was in calls that broke twice at one server":
+            await breakAt(1);
+            return breakAt(1);
+        case "was in calls that broke at 2 servers":
+        case "was in calls that broke at 3 servers":
+            return breakAt(history.includes("2") ? 2 : 3);
+        case "was in calls that broke at 2 servers beside another part":
+        case "was in calls that broke at 3 servers beside another part":
+            return breakAt(history.includes("2") ? 2 : 3, [{ id: "other", tokens: 1 }, ...TESTED_PROMPT]);
+        case "was answered before calls with it broke at 3 servers":
+            quarantine.recordAnswered(TESTED_PROMPT);
+            return breakAt(3);
+        case "was answered after calls with it broke at 1 server":
+        case "was answered by a probe after calls broke at 3 servers":
+            await breakAt(history.includes("3") ? 3 : 1);
+            quarantine.recordAnswered(TESTED_PROMPT);
+            return;
+        case "was in calls that broke at 7 servers at once":
+            for (let server = 0; server < 7; server += 1) {
+                quarantine.recordBroken(TESTED_PROMPT, makeServer(server));
+            }
+            await clock.advance(500);
+            return;
+        case "was the last one in calls that broke at 3 servers":
+            return breakAt(3, [{ id: "first", tokens: 1 }, TESTED_PART]);
+        case "was reported by two peers for a server each":
+            report([1], false);
+            report([2], false);
+            return;
+        case "was reported by two peers and as answered by a third":
+            report([1], false);
+            report([2], false);
+            report([], true);
+            return;
+        default:
+            throw new Error(`Unknown history: ${history}`);
+    }
+}
+
+function makeServer(index: number): RelayServer {
+    return {
+        id: `server-${index}`,
+        service: "service",
+        address: `127.0.0.1:${index}`,
+        failureDomain: "domain-0",
+        version: "v1",
+        slots: 10,
+        isDraining: false,
+        startedAtMs: 1,
+        sequence: 1,
+        warmUpMs: 0,
+    };
+}
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -7,7 +7,14 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { setMaxListeners } from "node:events";
-import { NodeDirectory, PeerReporter, PeerTable, ServerPool, WorkspaceQuota } from "../../src/coordination/relay/mod.js";
+import {
+    NodeDirectory,
+    PeerReporter,
+    PeerTable,
+    PromptQuarantine,
+    ServerPool,
+    WorkspaceQuota,
+} from "../../src/coordination/relay/mod.js";
 import {
     hashKey,
     type KeyedLog,
@@ -163,6 +170,13 @@
         peers,
         pool,
         quota,
+        quarantine: new PromptQuarantine({
+            clock,
+            random: scenario.fleetRandom,
+            serverCount: () => SERVER_COUNT,
+            nodeCount: () => 1,
+            onChange: text => assert.fail(text),
+        }),
         address: () => address,
         workspaces: () => [scenario.fleetWorkspace],
         versionCounts: () => [],
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -7,11 +7,15 @@
 import type { AnswerHead, LocalAnswer, RelayAnswer, RelayCall } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, type RelayWorkspace, Semantics } from "../../state/relay/mod.js";
 import { type CallRecorder, type CallTimes, type PlacementRecord, RelayOutcome } from "./call_record.js";
+import type { QuarantinedPart } from "./prompt_quarantine.js";
 import { decideRetryAfter } from "./wait_limits.js";
 
 /** Statuses with which a backend server reports that a call did not run, if a header says so too. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Status of a call that is refused because of its prompt: unlike 503, it does not ask the caller to repeat the call. */
+const REFUSED_PROMPT_STATUS = 500;
+
 /** Reason with which a call's signal is aborted when its deadline or its route's timeout expires. */
 export const DEADLINE_EXCEEDED = new Error("the time of the call is over");
 
@@ -93,6 +97,15 @@
         this.record(RelayOutcome.Refused, 503, text);
     }
 
+    /** Rejects a call because a part of its prompt crashes servers. */
+    rejectPrompt({ id, crashes }: QuarantinedPart): void {
+        const hasRun = this.state.mayHaveRun ? "may have run" : "has not run";
+        const text =
+            `The call ${hasRun} and must not be repeated: ${crashes} backend servers crashed under part ${id} of its prompt.`;
+        this.admitted.answer.sendLocal({ status: REFUSED_PROMPT_STATUS, text });
+        this.record(RelayOutcome.Refused, REFUSED_PROMPT_STATUS, text);
+    }
+
     /** Answers a call whose last attempt failed. The status reports that the call did not run only if that is certain. */
     fail(): void {
         const { answer, call, route } = this.admitted;
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -21,6 +21,7 @@
 export * from "./peer_table.js";
 export * from "./placement.js";
 export * from "./prompt_locations.js";
+export * from "./prompt_quarantine.js";
 export * from "./read_timing.js";
 export * from "./relay_handler.js";
 export * from "./relayed_call.js";
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -17,6 +17,7 @@
 import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
 import type { PeerTable } from "./peer_table.js";
+import type { PromptQuarantine } from "./prompt_quarantine.js";
 import type { ReportExchange } from "./report_exchange.js";
 import type { ServerPool } from "./server_pool.js";
 import { TreeExchange } from "./tree_exchange.js";
@@ -38,6 +39,7 @@
     readonly peers: PeerTable;
     readonly pool: ServerPool;
     readonly quota: WorkspaceQuota;
+    readonly quarantine: PromptQuarantine;
     /** Address at which peers reach this node. */
     readonly address: () => string;
     readonly workspaces: () => Iterable<RelayWorkspace>;
@@ -107,6 +109,7 @@
             this.incarnations.set(report.node, incarnation);
             this.settings.onPeerSeen(report);
         }
+        this.settings.quarantine.merge(report.promptSuspects);
         const totals = tokensByWorkspaceKey(report);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
@@ -154,6 +157,7 @@
     private makeReport(): PeerReport {
         const { node, failureDomain, cores, startedAtMs, pool, quota, address, versionCounts, isDraining, logSteadyMs } =
             this.settings;
+        const { quarantine } = this.settings;
         const activeServers = [...pool.all()].filter(state => state.ownCalls > 0);
         const totals = [...quota.ownTotals()];
         this.sequence += 1;
@@ -170,6 +174,7 @@
             workspaceKeys: totals.map(([name]) => hashKey(name)),
             workspaceTokens: totals.map(([, tokens]) => tokens),
             versions: [...versionCounts()],
+            promptSuspects: [...quarantine.reportedSuspects()],
             demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
             leaving: isDraining(),
             logSteadyMs: Math.round(logSteadyMs()),
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -17,6 +17,7 @@
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, NOT_RUN_STATUSES } from "./final_answer.js";
+import type { PromptQuarantine } from "./prompt_quarantine.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
 import { NoSlotError, NoSlotReason, type SlotReservation } from "./slot_reservation.js";
@@ -46,6 +47,9 @@
 /** Assumed tokens per event, used to estimate an answer's events from its tokens. */
 const TOKENS_PER_EVENT = 5;
 
+/** Events of a stream after which a server counts as having begun its answer; the first may be sent by one that crashes. */
+const ANSWERED_EVENTS = 2;
+
 /** Shortest remaining time for which another attempt is made, in milliseconds. */
 const MIN_ATTEMPT_MS = 100;
 
@@ -58,6 +62,7 @@
     readonly scheduler: (service: string) => ServiceScheduler;
     readonly retryBudget: (service: string) => RetryBudget;
     readonly observer: ServerCallObserver;
+    readonly quarantine: PromptQuarantine;
 }
 
 /** Serves one admitted call with one or more attempts. */
@@ -127,6 +132,12 @@
                 this.handleNoSlot(error);
                 return;
             }
+            const quarantined = this.settings.quarantine.findQuarantined(this.admitted.call.head.parts);
+            if (quarantined !== undefined) {
+                slot.release(AttemptOutcome.Neutral);
+                this.finalAnswer.rejectPrompt(quarantined);
+                return;
+            }
             if (await this.runAttempt(slot)) {
                 return;
             }
@@ -211,6 +222,7 @@
         }
         slot.recordFirstEvent();
         this.state.times.firstMs ??= this.elapsedMs();
+        this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
         const body = Buffer.concat(chunks);
         if (!head.isSealed || head.isEncoded) {
             this.recordFailedAttempt(
@@ -234,6 +246,7 @@
             return AttemptOutcome.Bad;
         }
         this.splitter.dropPartialEvent();
+        let events = 0;
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             const { bytes, count } = this.splitter.push(chunk);
             if (count === 0) {
@@ -241,6 +254,10 @@
             }
             slot.recordFirstEvent();
             slot.recordEvents(count);
+            if (events < ANSWERED_EVENTS && events + count >= ANSWERED_EVENTS) {
+                this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
+            }
+            events += count;
             this.startStream(head.status, head.endToEnd);
             await this.admitted.answer.write(bytes);
         }
@@ -248,6 +265,9 @@
             this.recordFailedAttempt(slot, `server ${slot.server.id} ended its stream within an event`);
             return AttemptOutcome.Broken;
         }
+        if (events > 0) {
+            this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
+        }
         this.startStream(head.status, head.endToEnd);
         this.finalAnswer.endStream(head.status);
         return AttemptOutcome.Good;
@@ -284,7 +304,11 @@
             return this.abortController.signal.aborted ? AttemptOutcome.Neutral : AttemptOutcome.Broken;
         }
         this.state.mayHaveRun = true;
-        return error.fault === AttemptFault.Cancelled ? AttemptOutcome.Neutral : AttemptOutcome.Broken;
+        if (error.fault === AttemptFault.Cancelled) {
+            return AttemptOutcome.Neutral;
+        }
+        this.settings.quarantine.recordBroken(this.admitted.call.head.parts, slot.server);
+        return AttemptOutcome.Broken;
     }
 
     /** Excludes a server from further attempts, and records and logs why its attempt failed. */
@@ -299,7 +323,10 @@
     }
 
     private canRetry(): boolean {
-        const { route, service, deadlineMs } = this.admitted;
+        const { call, route, service, deadlineMs } = this.admitted;
+        if (this.state.mayHaveRun && this.settings.quarantine.isSuspected(call.head.parts)) {
+            return false;
+        }
         if (this.abortController.signal.aborted || deadlineMs - this.elapsedMs() < MIN_ATTEMPT_MS) {
             return false;
         }
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -8,6 +8,7 @@
     callsByServerKey,
     EMPTY_REPORT,
     type PeerReport,
+    type PromptSuspect,
     type ServiceDemand,
     tokensByWorkspaceKey,
     type VersionCount,
@@ -33,6 +34,7 @@
     | "workspaceTokens"
     | "versions"
     | "demands"
+    | "promptSuspects"
     | "heardNodes"
     | "silentNodes"
     | "logSteadyMs"
@@ -114,6 +116,7 @@
         const tokens = new Map(this.removedSenderTokens);
         const versions = new Map<string, VersionCount>();
         const demands = new Map<number, ServiceDemand>();
+        const suspects = new Map<number, PromptSuspect>();
         let heardNodes = 0;
         let silentNodes = 0;
         let logSteadyMs = 0;
@@ -121,6 +124,7 @@
             const { report } = sender;
             addAll(tokens, countedTokens(sender));
             addVersionCounts(versions, report.versions);
+            addSuspects(suspects, report.promptSuspects);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
                 silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
@@ -139,6 +143,7 @@
             workspaceTokens: [...tokens.values()],
             versions: [...versions.values()],
             demands: [...demands.values()],
+            promptSuspects: [...suspects.values()],
             heardNodes,
             silentNodes,
             logSteadyMs,
@@ -205,6 +210,17 @@
     }
 }
 
+function addSuspects(merged: Map<number, PromptSuspect>, suspects: readonly PromptSuspect[]): void {
+    for (const { partKey, crashKeys, isAnswered } of suspects) {
+        const known = merged.get(partKey);
+        merged.set(partKey, {
+            partKey,
+            crashKeys: [...new Set([...known?.crashKeys ?? [], ...crashKeys])],
+            isAnswered: isAnswered || known?.isAnswered === true,
+        });
+    }
+}
+
 function addDemands(sums: Map<number, ServiceDemand>, demands: readonly ServiceDemand[], sign: 1 | -1 = 1): void {
     for (const demand of demands) {
         const sum = sums.get(demand.serviceKey);
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -22,6 +22,8 @@
     /** Number of backend servers that accept calls, by service. */
     readonly openServers: () => Iterable<readonly [string, number]>;
     readonly peers: () => number;
+    /** Number of prompt parts that are kept from the servers. */
+    readonly quarantinedParts: () => number;
     readonly configurationVersion: () => number;
     readonly isLogAnswering: () => boolean;
     /** Number of log lines dropped since the start. */
@@ -75,6 +77,7 @@
         this.addServiceGauge("sent_calls", "Calls of this node at backend servers.", gauges.sentCalls);
         this.addServiceGauge("open_servers", "Backend servers that take calls.", gauges.openServers);
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
+        this.addGauge("quarantined_parts", "Prompt parts that are kept from the backend servers.", gauges.quarantinedParts);
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
         this.addGauge("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
         this.addGauge("dropped_log_lines", "Log lines dropped since the start.", gauges.droppedLines);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -12,6 +12,7 @@
     NodeDirectory,
     PeerReporter,
     PeerTable,
+    PromptQuarantine,
     RelayHandler,
     RetryBudget,
     ServerCatalog,
@@ -76,6 +77,7 @@
     private readonly catalog: ServerCatalog;
     private readonly peers: PeerTable;
     private readonly quota: WorkspaceQuota;
+    private readonly quarantine: PromptQuarantine;
     private readonly directory: NodeDirectory;
     private readonly reporter: PeerReporter;
     private readonly rollouts: VersionRollouts;
@@ -117,6 +119,13 @@
             isFirstStart: settings.isFirstStart,
             unreachableShare: () => this.peers.unreachableShare(),
         });
+        this.quarantine = new PromptQuarantine({
+            clock,
+            random,
+            serverCount: service => this.pool.openServers(service).length,
+            nodeCount: () => this.peers.reachablePeers + 1,
+            onChange: (text, detail) => this.relayLog.info(text, detail),
+        });
         this.directory = new NodeDirectory({
             log: this.log,
             clock,
@@ -172,6 +181,7 @@
             peers: this.peers,
             pool: this.pool,
             quota: this.quota,
+            quarantine: this.quarantine,
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
@@ -193,6 +203,7 @@
                 client: this.relayClient,
                 scheduler: service => this.scheduler(service),
                 observer: this.rollouts,
+                quarantine: this.quarantine,
                 retryBudget: service => this.retryBudget(service),
             },
         });
@@ -222,6 +233,7 @@
             sentCalls: () => this.pool.sumByService(state => state.ownCalls),
             openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
             peers: () => this.peers.reachablePeers,
+            quarantinedParts: () => this.quarantine.quarantinedParts,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
             isLogAnswering: () => this.logHealth.isAnswering,
             droppedLines: () => this.relayLog.droppedLines,
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -63,6 +63,17 @@
   /** The receiver's own share of the figures, in reports of scope FLEET. */
   readonly ownPart: PeerReport | undefined;
   readonly demands: readonly ServiceDemand[];
+  readonly promptSuspects: readonly PromptSuspect[];
+}
+
+/** Prompt part that may crash backend servers. */
+export interface PromptSuspect {
+  /** Hash of the part's id. */
+  readonly partKey: number;
+  /** Incarnations of servers that ended under calls with the part; hashes of their ids and start times. */
+  readonly crashKeys: readonly number[];
+  /** Whether a call with the part was answered, so that it is not the cause. */
+  readonly isAnswered: boolean;
 }
 
 /** Demand for backend slots by the calls of one service. */
@@ -122,6 +133,7 @@
     cores: 0,
     ownPart: undefined,
     demands: [],
+    promptSuspects: [],
   };
 }
 
@@ -197,6 +209,9 @@
     for (const v of message.demands) {
       ServiceDemand.encode(v!, writer.uint32(146).fork()).join();
     }
+    for (const v of message.promptSuspects) {
+      PromptSuspect.encode(v!, writer.uint32(154).fork()).join();
+    }
     return writer;
   },
 
@@ -397,6 +412,96 @@
             message.demands.push(ServiceDemand.decode(reader, reader.uint32()));
             continue;
           }
+          case 19: {
+            if (tag !== 154) {
+              break;
+            }
+
+            message.promptSuspects.push(PromptSuspect.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBasePromptSuspect(): PromptSuspect {
+  return { partKey: 0, crashKeys: [], isAnswered: false };
+}
+
+export const PromptSuspect: MessageFns<PromptSuspect> = {
+  encode(message: PromptSuspect, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.partKey !== 0) {
+      writer.uint32(13).fixed32(message.partKey);
+    }
+    if (message.crashKeys.length !== 0) {
+      writer.uint32(18).fork();
+      for (const v of message.crashKeys) {
+        writer.fixed32(v);
+      }
+      writer.join();
+    }
+    if (message.isAnswered !== false) {
+      writer.uint32(24).bool(message.isAnswered);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PromptSuspect {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePromptSuspect() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 13) {
+              break;
+            }
+
+            message.partKey = reader.fixed32();
+            continue;
+          }
+          case 2: {
+            if (tag === 21) {
+              message.crashKeys.push(reader.fixed32());
+
+              continue;
+            }
+
+            if (tag === 18) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.crashKeys.push(reader.fixed32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.isAnswered = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -7,6 +7,7 @@
 export { describeCause, DispatchStep, Executed, PlatformError } from "../errors.js";
 export {
     PeerReport,
+    type PromptSuspect,
     ReportScope,
     RolloutVerdict,
     type ServiceDemand,
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -8,6 +8,7 @@
     NodeDirectory,
     PeerReporter,
     PeerTable,
+    PromptQuarantine,
     RelayHandler,
     RetryBudget,
     type RolloutRecordFormat,
@@ -450,6 +451,13 @@
         const log = new SeveredLog(this.log, clock);
         const peers = new PeerTable(clock);
         const quota = new WorkspaceQuota({ clock, isFirstStart: true, unreachableShare: () => 0 });
+        const quarantine = new PromptQuarantine({
+            clock,
+            random,
+            serverCount: service => pool.openServers(service).length,
+            nodeCount: () => peers.reachablePeers + 1,
+            onChange: (text, detail) => this.onChange(name, text, detail),
+        });
         const directory = new NodeDirectory({
             log,
             clock,
@@ -472,7 +480,7 @@
             onChange: (text, detail) => this.onChange(name, text, detail),
             onRewrite: () => undefined,
         });
-        const pool = new ServerPool(clock, peers, rollouts);
+        const pool: ServerPool = new ServerPool(clock, peers, rollouts);
         const scheduler: ServiceScheduler = new ServiceScheduler({
             service: FLEET_SERVICE,
             failureDomain: `domain-${index % 4}`,
@@ -495,6 +503,7 @@
             peers,
             pool,
             quota,
+            quarantine,
             address: () => name,
             workspaces: () => [],
             versionCounts: () => rollouts.versionCounts(),
@@ -532,6 +541,7 @@
                 scheduler: () => scheduler,
                 retryBudget: () => retryBudget,
                 observer: rollouts,
+                quarantine,
             },
         });
         const node = { name, peers, pool, scheduler, rollouts, reporter, handler, log, stopped: new AbortController() };
