Bound answers that have no end

Callers saw: a server in trouble that sent a body without end held its call until the deadline (504 instead of 502), and a refusal with such a body kept the call from the next server; meanwhile the node read, and kept, whatever came. A stream with an event without end failed inside the node, so that a resumable one was not resumed. Interim answers without end occupied the node until the deadline.

Cause: only heads and single events had bounds, and the latter raised an error that no attempt handles.

Complete answers end at 4 MiB, events at 1 MiB as failed attempts, refusals are read for 64 KiB or 200 ms at most, and an exchange fails after 16 interim answers.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -48,6 +48,26 @@
             | resumable stream | breaks its stream within an event | 6      | complete    |
             | stream           | breaks its stream within an event | 3      | interrupted |
             | stream           | answers                           | 6      | complete    |
+            | resumable stream | sends an event without end        | 6      | complete    |
+            | stream           | sends an event without end        | 3      | interrupted |
+
+    Scenario Outline: a server that <fault> is cut off, and its <kind> call ends like one that failed
+        Given a <relay> with one server that <fault> and one that answers
+        When a "<kind>" call is sent to the faulty server first
+        Then the caller gets status <status> before its deadline
+        And the faulty server has sent at most 32 MiB without end, and its connection is closed
+
+        Examples:
+            | relay           | kind             | fault                           | status |
+            | relay           | unsafe           | sends a head without end        | 502    |
+            | relay           | safe             | sends a head without end        | 200    |
+            | relay           | unsafe           | sends a body without end        | 502    |
+            | relay           | safe             | sends a body without end        | 200    |
+            | relay           | unsafe           | refuses with a body without end | 200    |
+            | relay           | unsafe           | sends interim heads without end | 502    |
+            | streaming relay | stream           | sends an event without end      | 200    |
+            | streaming relay | resumable stream | sends an event without end      | 200    |
+            | streaming relay | stream           | sends a head without end        | 502    |
 
     Scenario Outline: a call that the configuration doesn't allow is refused without reaching a server
         Given a relay with one server that answers and one that answers
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -72,6 +72,20 @@
     throw new Error(`Cannot send a call to the server that ${behaviour} first: all 50 calls went to the other server`);
 });
 
+Then("the caller gets status {int} before its deadline", function(this: RelayScenario, status: number) {
+    const [answer] = this.relayAnswers;
+    assert.equal(answer?.status, status);
+});
+
+Then(
+    "the faulty server has sent at most {int} MiB without end, and its connection is closed",
+    async function(this: RelayScenario, limitMib: number) {
+        const [faulty] = this.relay.engines;
+        await waitFor("the connection is closed", () => faulty?.endlessAnswers === 0);
+        assert((faulty?.endlessBytes ?? Infinity) <= limitMib * 1_048_576, `${faulty?.endlessBytes} bytes`);
+    },
+);
+
 When(/^an? "(\w+)" call is sent$/, async function(this: RelayScenario, kind: string) {
     this.relayAnswers = [await this.relay.send({ path: PATH_BY_CALL_KIND[kind] ?? "" })];
 });
--- a/src/coordination/relay/event_stream_splitter.ts
+++ b/src/coordination/relay/event_stream_splitter.ts
@@ -36,16 +36,17 @@
         return this.partialEvent.length > 0;
     }
 
+    /** Whether the buffered event exceeds 1,048,576 bytes; the stream must not be read further. */
+    get isEventTooLong(): boolean {
+        return this.partialEvent.length > MAX_EVENT_BYTES;
+    }
+
     /** Discards the buffered event, which will not be completed. */
     dropPartialEvent(): void {
         this.partialEvent = Buffer.alloc(0);
     }
 
-    /**
-     * Adds the next bytes of the stream.
-     *
-     * @throws {RangeError} If an incomplete event exceeds 1,048,576 bytes.
-     */
+    /** Adds the next bytes of the stream. */
     push(chunk: Buffer): CompleteEvents {
         const data = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk]);
         let end = 0;
@@ -56,9 +57,6 @@
             count += 1;
         }
         this.partialEvent = data.subarray(end);
-        if (this.partialEvent.length > MAX_EVENT_BYTES) {
-            throw new RangeError(`Cannot read event: it is longer than ${MAX_EVENT_BYTES} bytes`);
-        }
         return { bytes: data.subarray(0, end), count };
     }
 }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -50,6 +50,13 @@
 /** Events of a stream after which a server counts as having begun its answer; the first may be sent by one that crashes. */
 const ANSWERED_EVENTS = 2;
 
+/** Largest complete answer, in bytes; it is held in memory until it is known to be whole. */
+const MAX_ANSWER_BYTES = 4_194_304;
+
+/** Bytes and time, in milliseconds, up to which a refusal is read to its end so that its connection can be used again. */
+const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARD_MS = 200;
+
 /** Shortest remaining time for which another attempt is made, in milliseconds. */
 const MIN_ATTEMPT_MS = 100;
 
@@ -193,7 +200,7 @@
             if (isRefusal(head)) {
                 outcome = AttemptOutcome.Neutral;
                 this.handleRefusal(slot, head);
-                await readToEnd(answer);
+                await this.discardRest(answer);
                 return false;
             }
             this.state.mayHaveRun = true;
@@ -217,8 +224,14 @@
 
     private async relayCompleteAnswer(slot: SlotReservation, answer: AttemptAnswer, head: AnswerHead): Promise<AttemptOutcome> {
         const chunks: Buffer[] = [];
+        let bytes = 0;
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             chunks.push(chunk);
+            bytes += chunk.length;
+            if (bytes > MAX_ANSWER_BYTES) {
+                this.recordFailedAttempt(slot, `server ${slot.server.id} sent an answer of more than ${MAX_ANSWER_BYTES} bytes`);
+                return AttemptOutcome.Bad;
+            }
         }
         slot.recordFirstEvent();
         this.state.times.firstMs ??= this.elapsedMs();
@@ -249,6 +262,10 @@
         let events = 0;
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             const { bytes, count } = this.splitter.push(chunk);
+            if (this.splitter.isEventTooLong) {
+                this.recordFailedAttempt(slot, `server ${slot.server.id} sent an event that is too long`);
+                return AttemptOutcome.Bad;
+            }
             if (count === 0) {
                 continue;
             }
@@ -273,6 +290,35 @@
         return AttemptOutcome.Good;
     }
 
+    /** Discards the rest of a refusal so that its connection can be used again, unless it is too long or takes too long. */
+    private async discardRest(answer: AttemptAnswer): Promise<void> {
+        const finished = new AbortController();
+        void this.settings.clock.sleep(MAX_DISCARD_MS, finished.signal).then(isOver => {
+            if (isOver) {
+                answer.cancel();
+            }
+        });
+        try {
+            let bytes = 0;
+            while (bytes <= MAX_DISCARDED_BYTES) {
+                const chunk = await answer.next();
+                if (chunk === undefined) {
+                    return;
+                }
+                bytes += chunk.length;
+            }
+        }
+        catch (error) {
+            // The head has said that the call has not run; how its answer ends changes nothing.
+            if (!(error instanceof AttemptError)) {
+                throw error;
+            }
+        }
+        finally {
+            finished.abort();
+        }
+    }
+
     private startStream(status: number, headers: HeaderList): void {
         if (!this.admitted.answer.isStarted) {
             this.state.times.firstMs ??= this.elapsedMs();
@@ -360,13 +406,6 @@
     }
 }
 
-/** Discards the rest of an answer so that its connection can be reused. */
-async function readToEnd(answer: AttemptAnswer): Promise<void> {
-    while (await answer.next() !== undefined) {
-        continue;
-    }
-}
-
 /** @returns Whether the backend server reports that the call has not run and will not. */
 function isRefusal(head: AnswerHead): boolean {
     return head.isNotExecuted || head.status === MISDIRECTED_STATUS;
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -13,6 +13,9 @@
 /** Unread bytes of an answer above which the connection is paused. */
 const MAX_QUEUED_BYTES = 256 * 1024;
 
+/** Interim answers, such as 102, after which an exchange fails. */
+const MAX_INTERIM_ANSWERS = 16;
+
 /** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
 const RESET_PROBE = "\r\n";
 
@@ -44,6 +47,7 @@
     private queuedBytes = 0;
     private ended = false;
     private isCloseDelimited = false;
+    private interimAnswers = 0;
     private error: Error | undefined;
     private socket: Socket | undefined;
     private controller: Dispatcher.DispatchController | undefined;
@@ -145,6 +149,10 @@
 
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
         if (status < 200) {
+            this.interimAnswers += 1;
+            if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
+                this.cancel(new Error(`the server sent more than ${MAX_INTERIM_ANSWERS} interim answers`));
+            }
             return;
         }
         this.status = status;
