Split the log access from the rollouts, and drop suspicions that clean calls refute

The statistic of failures stays where it is while no call of any version fails, since such blocks hold no information for the conditional test, so two failed calls of 254 kept it at 0.402 where 0.4 is suspicious. Thirty calls without a failure now refute a suspicion by failures; a version that fails one in ten calls fails one of them with a probability of 0.96. The excess of failures is suspicious from 2.33 standard errors instead of 1.64.

A completion is reported to peers only once the log holds it, and a node that does not hear half of the nodes completes nothing: it does not know their calls. The case "while a node is cut off from its peers" is new.

Log access moves to rollout_log, the state of a rollout to version_rollout, and the reading of answers to answer_reader, without a change of behaviour.

--- a/features/relay_rollouts.feature
+++ b/features/relay_rollouts.feature
@@ -22,6 +22,7 @@
             | whole answers | fail half of their calls after 9 s                                          |
             | whole answers | fail half of their calls while the log is down for half of the nodes        |
             | whole answers | fail half of their calls while all servers fail a quarter                   |
+            | whole answers | fail half of their calls while a node is cut off from its peers |
             | whole answers | fail half of their calls while four nodes restart                           |
 
     Scenario Outline: a good version of <kind> is completed in time although <trouble>
--- a/features/steps/relay_rollout_steps.ts
+++ b/features/steps/relay_rollout_steps.ts
@@ -211,6 +211,8 @@
             return [{ atMs: 600, apply: fleet => fleet.setLogReachable(NODE_COUNT / 2, false) }];
         case "while all servers fail a quarter":
             return [{ atMs: 0, apply: fleet => failEverywhere(fleet, 0.25) }];
+        case "while a node is cut off from its peers":
+            return [{ atMs: 1_000, apply: fleet => fleet.setIsolated(0, true) }];
         case "while four nodes restart":
             return [{ atMs: 6_000, apply: fleet => fleet.restartNodes(0, 4) }];
         default:
--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -60,6 +60,7 @@
             records,
             bounds: { maxShare: 0.1, slackCalls: 50 },
             peerReports: () => [],
+            unreachableShare: () => 0,
             servers: () => [],
             onChange: (text, detail) => {
                 if (text === "rollout: ordered") {
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -14,6 +14,7 @@
 } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, Semantics } from "../../state/relay/mod.js";
 import type { RetryBudget } from "../retry_budget.js";
+import { discardRest, MAX_ANSWER_BYTES, readWhole } from "./answer_reader.js";
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, NOT_RUN_STATUSES } from "./final_answer.js";
@@ -50,13 +51,6 @@
 /** Events of a stream after which a server counts as having begun its answer; the first may be sent by one that crashes. */
 const ANSWERED_EVENTS = 2;
 
-/** Largest complete answer, in bytes; it is held in memory until it is known to be whole. */
-const MAX_ANSWER_BYTES = 4_194_304;
-
-/** Bytes and time, in milliseconds, up to which a refusal is read to its end so that its connection can be used again. */
-const MAX_DISCARDED_BYTES = 65_536;
-const MAX_DISCARD_MS = 200;
-
 /** Shortest remaining time for which another attempt is made, in milliseconds. */
 const MIN_ATTEMPT_MS = 100;
 
@@ -200,7 +194,7 @@
             if (isRefusal(head)) {
                 outcome = AttemptOutcome.Neutral;
                 this.handleRefusal(slot, head);
-                await this.discardRest(answer);
+                await discardRest(answer, this.settings.clock);
                 return false;
             }
             this.state.mayHaveRun = true;
@@ -223,20 +217,14 @@
     }
 
     private async relayCompleteAnswer(slot: SlotReservation, answer: AttemptAnswer, head: AnswerHead): Promise<AttemptOutcome> {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
-            chunks.push(chunk);
-            bytes += chunk.length;
-            if (bytes > MAX_ANSWER_BYTES) {
-                this.recordFailedAttempt(slot, `server ${slot.server.id} sent an answer of more than ${MAX_ANSWER_BYTES} bytes`);
-                return AttemptOutcome.Bad;
-            }
+        const body = await readWhole(answer);
+        if (body === undefined) {
+            this.recordFailedAttempt(slot, `server ${slot.server.id} sent an answer of more than ${MAX_ANSWER_BYTES} bytes`);
+            return AttemptOutcome.Bad;
         }
         slot.recordFirstEvent();
         this.state.times.firstMs ??= this.elapsedMs();
         this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
-        const body = Buffer.concat(chunks);
         if (!head.isSealed || head.isEncoded) {
             this.recordFailedAttempt(
                 slot,
@@ -290,35 +278,6 @@
         return AttemptOutcome.Good;
     }
 
-    /** Discards the rest of a refusal so that its connection can be used again, unless it is too long or takes too long. */
-    private async discardRest(answer: AttemptAnswer): Promise<void> {
-        const finished = new AbortController();
-        void this.settings.clock.sleep(MAX_DISCARD_MS, finished.signal).then(isOver => {
-            if (isOver) {
-                answer.cancel();
-            }
-        });
-        try {
-            let bytes = 0;
-            while (bytes <= MAX_DISCARDED_BYTES) {
-                const chunk = await answer.next();
-                if (chunk === undefined) {
-                    return;
-                }
-                bytes += chunk.length;
-            }
-        }
-        catch (error) {
-            // The head has said that the call has not run; how its answer ends changes nothing.
-            if (!(error instanceof AttemptError)) {
-                throw error;
-            }
-        }
-        finally {
-            finished.abort();
-        }
-    }
-
     private startStream(status: number, headers: HeaderList): void {
         if (!this.admitted.answer.isStarted) {
             this.state.times.firstMs ??= this.elapsedMs();
--- a/src/coordination/relay/rollout_decision.ts
+++ b/src/coordination/relay/rollout_decision.ts
@@ -9,6 +9,7 @@
  */
 
 import { VersionOrderState } from "../../state/relay/mod.js";
+import { Metric } from "../evidence/mod.js";
 import type { RolloutFinding } from "./rollout_evidence.js";
 
 /** Fraction of the maximum share that the new version gets as a canary; the rest of its calls is left for the end. */
@@ -38,8 +39,14 @@
 /** Excess of the new version's share of failed calls from which a fault is suspected, from 0 to 1. */
 const SUSPICIOUS_FAILURE_EXCESS = 0.08;
 
-/** The same, in standard errors: 5 in 100 versions as good as the others exceed it. */
-const SUSPICIOUS_STANDARD_ERRORS = 1.64;
+/** The same, in standard errors: 1 in 100 versions as good as the others exceeds it. */
+const SUSPICIOUS_STANDARD_ERRORS = 2.33;
+
+/**
+ * Calls without a failure after which earlier failures are no reason for suspicion: a version that fails one in ten is caught before with a
+ * probability of 0.96. The test does not decrease its statistic when no call of any version fails.
+ */
+const MIN_CLEAN_CALLS = 30;
 
 /** Time past the deadline for which a rollout without a clear result continues, in milliseconds. */
 const EXTENSION_MS = 4_000;
@@ -91,7 +98,7 @@
 
 function decideAtDeadline(finding: RolloutFinding, { elapsedMs, durationMs }: RolloutTiming): RolloutDecision {
     const extensionLeftMs = durationMs + EXTENSION_MS - elapsedMs;
-    const expectedCalls = finding.allCalls / elapsedMs * EXTENSION_MS * MAX_VERIFICATION_SHARE;
+    const expectedCalls = finding.allCalls / Math.max(1, elapsedMs) * EXTENSION_MS * MAX_VERIFICATION_SHARE;
     const isUnknown = finding.endedCalls < MIN_ENDED_CALLS && finding.endedCalls + expectedCalls >= MIN_ENDED_CALLS;
     if (extensionLeftMs > 0 && (isUnknown || isSuspicious(finding))) {
         return { share: MAX_VERIFICATION_SHARE, state: VersionOrderState.Running };
@@ -103,7 +110,10 @@
 }
 
 function isSuspicious(finding: RolloutFinding): boolean {
-    const { endedCalls, failedCalls, otherEndedCalls, otherFailedCalls, alarmRatio } = finding;
+    const { endedCalls, failedCalls, otherEndedCalls, otherFailedCalls, callsSinceFailure, alarmRatio, metric } = finding;
+    if (metric === Metric.Failures && callsSinceFailure >= MIN_CLEAN_CALLS) {
+        return false;
+    }
     if (alarmRatio >= SUSPICION_RATIO) {
         return true;
     }
--- a/src/coordination/relay/rollout_evidence.ts
+++ b/src/coordination/relay/rollout_evidence.ts
@@ -88,6 +88,8 @@
     /** Ended calls of the new version, and how many of them failed. */
     readonly endedCalls: number;
     readonly failedCalls: number;
+    /** Calls of the new version that have ended since the last one that failed. */
+    readonly callsSinceFailure: number;
     /** Ended calls of the other versions, and how many of them failed. */
     readonly otherEndedCalls: number;
     readonly otherFailedCalls: number;
@@ -106,6 +108,9 @@
     private readonly sentCalls = new Map<string, { readonly isTarget: boolean; readonly calls: number }>();
     /** Slice of the last outage of a server that was counted, by server key. */
     private readonly outages = new Map<number, number>();
+    /** Failed calls of the new version at the last evaluation, and its ended calls when their number last changed. */
+    private knownFailures = 0;
+    private endedAtLastFailure = 0;
 
     /**
      * @param durationMs Time from the order to its deadline, in milliseconds.
@@ -174,11 +179,16 @@
         }
         const [finding] = this.monitor.evaluate(this.clock.now()).values();
         const { attempts = 0, total = 0, failed = 0, totalFailed = 0 } = finding ?? {};
+        if (failed !== this.knownFailures) {
+            this.knownFailures = failed;
+            this.endedAtLastFailure = attempts;
+        }
         return {
             targetCalls,
             allCalls,
             endedCalls: attempts,
             failedCalls: failed,
+            callsSinceFailure: attempts - this.endedAtLastFailure,
             otherEndedCalls: total - attempts,
             otherFailedCalls: totalFailed - failed,
             alarmRatio: finding?.alarmRatio ?? 0,
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -5,38 +5,31 @@
  */
 
 import {
-    AppendConflictError,
     describeCause,
     hashKey,
     type KeyedLog,
-    type KeyedRecord,
     type LogPosition,
     type PeerReport,
-    RolloutVerdict,
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type VersionOrder, VersionOrderState } from "../../state/relay/mod.js";
 import { OrderChange, OrderHistory } from "./order_history.js";
 import { decideRollout, type RolloutBounds } from "./rollout_decision.js";
 import { RolloutEvidence, type RolloutFinding } from "./rollout_evidence.js";
+import { RolloutLog, type RolloutRecordFormat } from "./rollout_log.js";
 import { AttemptOutcome, ServerCallObserver } from "./server_call_observer.js";
 import type { ServerState } from "./server_state.js";
-
-/** Topic with the start time of each rollout, from which nodes that start later derive its deadline. */
-const START_TOPIC = "keyed.moves";
+import { hasStoredFinalState, isFinal, stateOf, verdictOf, type VersionRollout } from "./version_rollout.js";
 
 /** Interval between decisions about active rollouts, in milliseconds. */
 const DECISION_INTERVAL_MS = 250;
 
-/** Minimum interval between reads of the rollout states from the log, in milliseconds. */
-const STATE_READ_INTERVAL_MS = 750;
-
-/** Era of records that do not state one. */
-const DEFAULT_ERA = 0;
-
 /** Time over which nodes spread the writes after the log was restored from an older copy, in milliseconds. */
 const RESTORE_SPREAD_MS = 1_000;
 
+/** Share of unreachable nodes above which this node completes no rollout, since it does not know their calls. */
+const MAX_UNREACHABLE_SHARE = 0.5;
+
 /** Share of the calls from which the new version counts as the main one. */
 const MAJORITY_SHARE = 0.5;
 
@@ -49,23 +42,6 @@
 /** Number of possible key hashes; a hash divided by it is compared with the share. */
 const HASH_RANGE = 0x1_0000_0000;
 
-/** State of a rollout as recorded in the log. */
-export interface RolloutStateRecord {
-    readonly service: string;
-    readonly version: string;
-    readonly state: VersionOrderState;
-}
-
-/** Format of the platform's rollout records. */
-export interface RolloutRecordFormat {
-    /** Topic of the rollout states, which the operator reads. */
-    readonly stateTopic: string;
-    /** Decodes a state; returns `undefined` for any other record. */
-    decodeState(record: KeyedRecord): RolloutStateRecord | undefined;
-    /** Encodes a state. */
-    encodeState(record: RolloutStateRecord): { readonly key: string; readonly value: Uint8Array };
-}
-
 /** Settings of {@linkcode VersionRollouts}. */
 export interface VersionRolloutsSettings {
     readonly clock: Clock;
@@ -75,6 +51,8 @@
     readonly bounds: RolloutBounds;
     /** Latest reports of the peers. */
     readonly peerReports: () => readonly PeerReport[];
+    /** Returns the share of all nodes that have not reported recently, from 0 to 1. */
+    readonly unreachableShare: () => number;
     /** All known servers. */
     readonly servers: () => Iterable<ServerState>;
     /** Called with a log message for each order, change of share or state, and failed access to the log. */
@@ -83,43 +61,29 @@
     readonly onRewrite: (topic: string) => void;
 }
 
-/** Rollout of one service. */
-interface VersionRollout {
-    readonly order: VersionOrder;
-    readonly serviceKey: number;
-    readonly evidence: RolloutEvidence;
-    /** Place of the order in the log. */
-    position: LogPosition;
-    startedAtMs: number;
-    /** Whether the log holds the start time. */
-    isStartKnown: boolean;
-    /** Share of the calls that go to the new version, from 0 to 1. */
-    share: number;
-    state: VersionOrderState;
-    /** Time at which a final state was decided or read, in milliseconds since the Unix epoch. */
-    finalAtMs: number | undefined;
-    /** State recorded in the log. */
-    storedState: VersionOrderState | undefined;
-    /** Whether the states in the log have been read since the order was first seen. */
-    isStateKnown: boolean;
-    /** Whether the last access to the log for this rollout succeeded. */
-    isLogAnswering: boolean;
-    /** Highest step of the alarm ratio that was logged. */
-    loggedStep: number;
-    /** Whether the log has been restored from an older copy since the order was first seen. */
-    isRestored: boolean;
-}
-
 /** Executes rollout orders: splits calls between versions and writes the states to the log. */
 export class VersionRollouts extends ServerCallObserver {
     private readonly rollouts = new Map<string, VersionRollout>();
     private readonly orders = new OrderHistory();
-    private statesReadAtMs = 0;
+    private readonly rolloutLog: RolloutLog;
     private pausedUntilMs = 0;
 
     /** @param settings See {@linkcode VersionRolloutsSettings}. */
     constructor(private readonly settings: VersionRolloutsSettings) {
         super();
+        const { clock, log, records, onChange, onRewrite } = settings;
+        this.rolloutLog = new RolloutLog({
+            clock,
+            log,
+            records,
+            rollouts: this.rollouts,
+            onSettled: (rollout, state) => {
+                onChange("rollout: settled by a peer", { ...describe(rollout), state });
+                this.settle(rollout, state);
+            },
+            onWritten: rollout => onChange("rollout: state written", { ...describe(rollout), state: rollout.state }),
+            onRewrite,
+        });
     }
 
     /** Starts the rollout of an order unless this or a later order is known; `position` is that of its record. */
@@ -148,14 +112,14 @@
             loggedStep: 0,
             isRestored: false,
         });
-        this.statesReadAtMs = 0;
+        this.rolloutLog.expireStates();
         this.settings.onChange("rollout: ordered", { ...order, ...position });
     }
 
     /** Verifies and restores the records of all rollouts after the log was restored from an older copy. */
     handleNewEra(): void {
         this.pausedUntilMs = this.settings.clock.now() + this.settings.random.next() * RESTORE_SPREAD_MS;
-        this.statesReadAtMs = 0;
+        this.rolloutLog.expireStates();
         for (const rollout of this.rollouts.values()) {
             rollout.isStartKnown = false;
             rollout.storedState = undefined;
@@ -170,13 +134,12 @@
 
     private async runDecisions(signal: AbortSignal): Promise<void> {
         while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
-            for (const state of this.settings.servers()) {
+            const active = [...this.rollouts.values()].filter(rollout => !hasStoredFinalState(rollout));
+            for (const state of active.length > 0 ? this.settings.servers() : []) {
                 state.observeOverdueCalls();
             }
-            for (const rollout of this.rollouts.values()) {
-                if (!hasStoredFinalState(rollout)) {
-                    this.decide(rollout);
-                }
+            for (const rollout of active) {
+                this.decide(rollout);
             }
         }
     }
@@ -222,11 +185,12 @@
     /** Returns this node's calls of each version under rollout, and recent final states, to be reported to the peers. */
     versionCounts(): readonly VersionCount[] {
         const now = this.settings.clock.now();
-        return [...this.rollouts.values()].flatMap(({ serviceKey, position, evidence, state, finalAtMs }) => {
+        return [...this.rollouts.values()].flatMap(rollout => {
+            const { serviceKey, position, evidence, finalAtMs } = rollout;
             if (finalAtMs !== undefined && now - finalAtMs > VERDICT_REPORT_MS) {
                 return [];
             }
-            return evidence.counts(serviceKey, position.offset).map(count => ({ ...count, verdict: verdictOf(state) }));
+            return evidence.counts(serviceKey, position.offset).map(count => ({ ...count, verdict: verdictOf(rollout) }));
         });
     }
 
@@ -272,13 +236,7 @@
     /** Agrees on the start, and reads and writes the state. */
     private async accessLog(rollout: VersionRollout): Promise<void> {
         try {
-            if (!rollout.isStartKnown) {
-                await this.agreeOnStart(rollout);
-            }
-            await this.readStates();
-            if (!hasStoredFinalState(rollout) && rollout.isStateKnown && rollout.storedState !== rollout.state) {
-                await this.writeState(rollout);
-            }
+            await this.rolloutLog.synchronize(rollout);
             rollout.isLogAnswering = true;
         }
         catch (error) {
@@ -299,7 +257,7 @@
         const elapsedMs = clock.now() - rollout.startedAtMs;
         const decision = decideRollout(finding, { elapsedMs, durationMs }, bounds);
         this.logFinding(rollout, finding);
-        if (decision.state === VersionOrderState.Completed && !rollout.isLogAnswering) {
+        if (decision.state === VersionOrderState.Completed && !this.mayComplete(rollout)) {
             return;
         }
         if (decision.share !== rollout.share || decision.state !== rollout.state) {
@@ -309,6 +267,11 @@
         this.setState(rollout, decision.state);
     }
 
+    /** @returns Whether this node knows enough of the others to complete a rollout, and can record it. */
+    private mayComplete(rollout: VersionRollout): boolean {
+        return rollout.isLogAnswering && this.settings.unreachableShare() <= MAX_UNREACHABLE_SHARE;
+    }
+
     /** Merges the calls that peers reported, and follows a final state that one of them knows. */
     private mergePeerReports(rollout: VersionRollout): void {
         const { service, version } = rollout.order;
@@ -347,135 +310,9 @@
         this.setState(rollout, state);
         rollout.share = state === VersionOrderState.Completed ? 1 : 0;
     }
-
-    /** Agrees with the other nodes on the time at which the first of them saw the order. */
-    private async agreeOnStart(rollout: VersionRollout): Promise<void> {
-        const { log } = this.settings;
-        const page = await log.readNewest(START_TOPIC);
-        const known = page.records.find(record => record.key === rollout.order.service);
-        const start = known?.value === undefined ? undefined : parseStart(known.value);
-        if (start?.offset === rollout.position.offset && start.era === rollout.position.era) {
-            rollout.startedAtMs = Math.min(rollout.startedAtMs, start.startedAtMs);
-            rollout.isStartKnown = true;
-            return;
-        }
-        const value = Buffer.from(JSON.stringify({ ...rollout.position, startedAtMs: rollout.startedAtMs }));
-        try {
-            if (await log.append(START_TOPIC, rollout.order.service, value, page.endOffset) !== page.era) {
-                return;
-            }
-        }
-        catch (error) {
-            if (!(error instanceof AppendConflictError)) {
-                throw error;
-            }
-            return;
-        }
-        rollout.isStartKnown = true;
-        if (rollout.isRestored) {
-            this.settings.onRewrite(START_TOPIC);
-        }
-    }
-
-    private async readStates(): Promise<void> {
-        const { clock, log, records } = this.settings;
-        if (clock.now() - this.statesReadAtMs < STATE_READ_INTERVAL_MS) {
-            return;
-        }
-        this.statesReadAtMs = clock.now();
-        const known = [...this.rollouts.values()];
-        const page = await log.readNewest(records.stateTopic);
-        for (const record of page.records) {
-            this.applyState(records.decodeState(record));
-        }
-        for (const rollout of known) {
-            rollout.isStateKnown = true;
-        }
-    }
-
-    private applyState(record: RolloutStateRecord | undefined): void {
-        const rollout = record === undefined ? undefined : this.rollouts.get(record.service);
-        if (record === undefined || rollout === undefined || rollout.order.version !== record.version) {
-            return;
-        }
-        rollout.storedState = record.state;
-        if (record.state !== VersionOrderState.Running && rollout.state !== record.state) {
-            this.settings.onChange("rollout: settled by a peer", { ...record });
-            this.settle(rollout, record.state);
-        }
-    }
-
-    /** Writes the state unless the topic has changed since it was read; a final state is never overwritten. */
-    private async writeState(rollout: VersionRollout): Promise<void> {
-        const { log, records, onChange } = this.settings;
-        const page = await log.readNewest(records.stateTopic);
-        for (const record of page.records) {
-            this.applyState(records.decodeState(record));
-        }
-        if (rollout.storedState === rollout.state || hasStoredFinalState(rollout)) {
-            return;
-        }
-        const { service, version } = rollout.order;
-        const { key, value } = records.encodeState({ service, version, state: rollout.state });
-        try {
-            if (await log.append(records.stateTopic, key, value, page.endOffset) !== page.era) {
-                return;
-            }
-        }
-        catch (error) {
-            if (error instanceof AppendConflictError) {
-                return;
-            }
-            throw error;
-        }
-        rollout.storedState = rollout.state;
-        if (rollout.isRestored) {
-            this.settings.onRewrite(records.stateTopic);
-        }
-        onChange("rollout: state written", { service, version, state: rollout.state });
-    }
-}
-
-/** @returns Whether the log holds a final state. */
-function hasStoredFinalState(rollout: VersionRollout): boolean {
-    return rollout.storedState !== undefined && isFinal(rollout.storedState);
-}
-
-function verdictOf(state: VersionOrderState): RolloutVerdict {
-    switch (state) {
-        case VersionOrderState.Completed:
-            return RolloutVerdict.COMPLETED;
-        case VersionOrderState.RolledBack:
-            return RolloutVerdict.ROLLED_BACK;
-        default:
-            return RolloutVerdict.UNDECIDED;
-    }
-}
-
-function stateOf(verdict: RolloutVerdict): VersionOrderState | undefined {
-    switch (verdict) {
-        case RolloutVerdict.COMPLETED:
-            return VersionOrderState.Completed;
-        case RolloutVerdict.ROLLED_BACK:
-            return VersionOrderState.RolledBack;
-        default:
-            return undefined;
-    }
-}
-
-function isFinal(state: VersionOrderState): boolean {
-    return state !== VersionOrderState.Running;
-}
-
-/** Recorded start of a rollout. */
-interface RolloutStart {
-    readonly offset: unknown;
-    readonly era: unknown;
-    readonly startedAtMs: number;
 }
 
-function parseStart(value: Uint8Array): RolloutStart | undefined {
-    const start = JSON.parse(Buffer.from(value).toString("utf8")) as { offset?: unknown; era?: unknown; startedAtMs?: unknown };
-    const { offset, era, startedAtMs } = start;
-    return typeof startedAtMs === "number" ? { offset, era: era ?? DEFAULT_ERA, startedAtMs } : undefined;
+/** @returns Service and version of a rollout, for log lines. */
+function describe({ order }: VersionRollout): Readonly<Record<string, unknown>> {
+    return { service: order.service, version: order.version };
 }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -144,6 +144,7 @@
             records: dependencies.records,
             bounds: settings.rollouts,
             peerReports: () => this.peers.reports(),
+            unreachableShare: () => this.peers.unreachableShare(),
             servers: () => this.pool.all(),
             onChange: (text, detail) => this.relayLog.info(text, detail),
             onRewrite: topic => this.recordRewrite(topic),
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -476,6 +476,7 @@
             records: STATE_FORMAT,
             bounds: { maxShare: 0.1, slackCalls: 50 },
             peerReports: () => peers.reports(),
+            unreachableShare: () => peers.unreachableShare(),
             servers: () => pool.all(),
             onChange: (text, detail) => this.onChange(name, text, detail),
             onRewrite: () => undefined,
