Measure the interval between reads of the log from the last read

Callers saw: a leaving server could get calls for up to 2,130 ms after its announcement, where 2,000 ms are allowed, when the log answered in 350 ms and one answer was lost.

Cause: the interval began at the answer, so the time of an answer came on top of an interval, a timeout, a retry delay and another answer. From the read on these add up to 1,850 ms.

All 26 scenarios of log_following and log_restore pass.

--- a/src/coordination/relay/read_timing.ts
+++ b/src/coordination/relay/read_timing.ts
@@ -6,7 +6,7 @@
 
 import type { RandomSource } from "../../state/relay/mod.js";
 
-/** Time from one answer to the next read, or for which the log may hold a read, as a fraction of the time to apply a record. */
+/** Time from one read to the next, or for which the log may hold a read, as a fraction of the time to apply a record. */
 const INTERVAL_FRACTION = 0.5;
 
 /** Initial answer timeout as a fraction of the time to apply a record; an interval, two timeouts and a retry delay fit into it. */
@@ -41,7 +41,7 @@
         this.retryDelayMs = applyMs * RETRY_DELAY_FRACTION;
     }
 
-    /** Time from one answer to the next read, or for which the log may hold a read, in milliseconds. */
+    /** Time from one read to the next, or for which the log may hold a read, in milliseconds. */
     get intervalMs(): number {
         return this.applyMs * INTERVAL_FRACTION;
     }
--- a/src/coordination/relay/topic_follower.ts
+++ b/src/coordination/relay/topic_follower.ts
@@ -78,7 +78,8 @@
                 return this.timing.recordFailure();
             }
             health.recordSuccess(topic);
-            return isLongPoll || outcome === TopicReadOutcome.NewEra ? 0 : this.timing.intervalMs;
+            const isReadAtOnce = isLongPoll || outcome === TopicReadOutcome.NewEra;
+            return isReadAtOnce ? 0 : Math.max(0, sentMs + this.timing.intervalMs - clock.now());
         }
         catch (error) {
             if (error instanceof CompactedError) {
