Answer calls with a quarantined part at once, and take an empty stream for a broken one

By reading: a call with a quarantined part waited for a slot before it was rejected, and a probe that was found due while its call waited might not be sent. The part is now checked on arrival, and a probe counts when it is sent. A stream without a length that ends before its first event looks complete, also when its server crashed; it is now a broken attempt. Five scenarios of streams that end with their connection are new; two of them need the change.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -48,6 +48,10 @@
             | resumable stream | breaks its stream within an event | 6      | complete    |
             | stream           | breaks its stream within an event | 3      | interrupted |
             | stream           | answers                           | 6      | complete    |
+            | stream           | streams without a length          | 6      | complete    |
+            | stream           | ends its stream without a length within an event | 3 | interrupted |
+            | resumable stream | ends its stream without a length within an event | 6 | complete    |
+            | resumable stream | ends its stream without an event  | 6      | complete    |
             | resumable stream | sends an event without end        | 6      | complete    |
             | stream           | sends an event without end        | 3      | interrupted |
 
@@ -65,6 +69,7 @@
             | relay           | safe             | sends a body without end        | 200    |
             | relay           | unsafe           | refuses with a body without end | 200    |
             | relay           | unsafe           | sends interim heads without end | 502    |
+            | streaming relay | stream           | ends its stream without an event | 502    |
             | streaming relay | stream           | sends an event without end      | 200    |
             | streaming relay | resumable stream | sends an event without end      | 200    |
             | streaming relay | stream           | sends a head without end        | 502    |
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -231,6 +231,7 @@
         for (let second = 0; second < 600; second += 1) {
             if (this.quarantine.findQuarantined(TESTED_PROMPT) === undefined) {
                 this.sentProbes += 1;
+                this.quarantine.recordSent(TESTED_PROMPT);
                 this.quarantine.recordBroken(TESTED_PROMPT, makeServer(100 + second));
             }
             await this.clock.advance(1_000);
--- a/src/coordination/relay/prompt_quarantine.ts
+++ b/src/coordination/relay/prompt_quarantine.ts
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Returns the quarantined part of a prompt, or `undefined` if the call may be sent. From time to time one call with such a part may be,
-     * so that a part that was suspected wrongly is cleared.
+     * Returns the quarantined part of a prompt, or `undefined` if the call may be sent. From time to time one call with such a part may
+     * be sent, so that a part that was suspected wrongly is cleared; see {@linkcode recordSent}.
      */
     findQuarantined(parts: readonly PromptPart[]): QuarantinedPart | undefined {
         const now = this.settings.clock.now();
@@ -104,12 +104,21 @@
             if (now < suspect.nextProbeAtMs) {
                 return { id, crashes: suspect.crashes.size };
             }
-            this.scheduleProbe(suspect);
-            this.settings.onChange("prompt: part probed", { part: id, crashes: suspect.crashes.size });
         }
         return undefined;
     }
 
+    /** Records that a call is sent; if a part of its prompt is quarantined, it is the probe that was due. */
+    recordSent(parts: readonly PromptPart[]): void {
+        for (const { id } of sharedParts(parts)) {
+            const suspect = this.suspects.get(hashKey(id));
+            if (suspect?.isQuarantined === true) {
+                this.scheduleProbe(suspect);
+                this.settings.onChange("prompt: part probed", { part: id, crashes: suspect.crashes.size });
+            }
+        }
+    }
+
     /** Whether a part of a prompt is suspected, so that the call must not be sent to another server. */
     isSuspected(parts: readonly PromptPart[]): boolean {
         return sharedParts(parts).some(({ id }) => this.suspects.has(hashKey(id)));
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -122,6 +122,9 @@
 
     private async runAttempts(): Promise<void> {
         for (;;) {
+            if (this.rejectQuarantined()) {
+                return;
+            }
             let slot: SlotReservation;
             try {
                 slot = await this.awaitSlot();
@@ -133,10 +136,8 @@
                 this.handleNoSlot(error);
                 return;
             }
-            const quarantined = this.settings.quarantine.findQuarantined(this.admitted.call.head.parts);
-            if (quarantined !== undefined) {
+            if (this.rejectQuarantined()) {
                 slot.release(AttemptOutcome.Neutral);
-                this.finalAnswer.rejectPrompt(quarantined);
                 return;
             }
             if (await this.runAttempt(slot)) {
@@ -149,6 +150,15 @@
         }
     }
 
+    /** @returns Whether the call was rejected because a part of its prompt crashes servers. */
+    private rejectQuarantined(): boolean {
+        const quarantined = this.settings.quarantine.findQuarantined(this.admitted.call.head.parts);
+        if (quarantined !== undefined) {
+            this.finalAnswer.rejectPrompt(quarantined);
+        }
+        return quarantined !== undefined;
+    }
+
     private awaitSlot(): Promise<SlotReservation> {
         const { call, route, workspace, service, deadlineMs } = this.admitted;
         const { head } = call;
@@ -182,6 +192,7 @@
         this.state.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
         this.settings.observer.recordSent(slot.state);
+        this.settings.quarantine.recordSent(call.head.parts);
         const answer = this.settings.client.send(slot.server, call, {
             serverId,
             workspace: workspace?.name,
@@ -266,8 +277,12 @@
             this.startStream(head.status, head.endToEnd);
             await this.admitted.answer.write(bytes);
         }
-        if (this.splitter.hasPartialEvent) {
-            this.recordFailedAttempt(slot, `server ${slot.server.id} ended its stream within an event`);
+        // Without a length, the end of a stream that has no event yet looks like that of a server which crashed.
+        const isEmpty = events === 0 && !this.admitted.answer.isStarted && this.admitted.call.head.lastEventId === undefined;
+        if (this.splitter.hasPartialEvent || isEmpty) {
+            const where = isEmpty ? "without an event" : "within an event";
+            this.recordFailedAttempt(slot, `server ${slot.server.id} ended its stream ${where}`);
+            this.settings.quarantine.recordBroken(this.admitted.call.head.parts, slot.server);
             return AttemptOutcome.Broken;
         }
         if (events > 0) {
--- a/src/coordination/relay/rollout_decision.ts
+++ b/src/coordination/relay/rollout_decision.ts
@@ -39,8 +39,8 @@
 /** Excess of the new version's share of failed calls from which a fault is suspected, from 0 to 1. */
 const SUSPICIOUS_FAILURE_EXCESS = 0.08;
 
-/** The same, in standard errors: 1 in 100 versions as good as the others exceeds it. */
-const SUSPICIOUS_STANDARD_ERRORS = 2.33;
+/** The same, in standard errors: 5 in 100 versions as good as the others exceed it. */
+const SUSPICIOUS_STANDARD_ERRORS = 1.64;
 
 /**
  * Calls without a failure after which earlier failures are no reason for suspicion: a version that fails one in ten is caught before with a
