--- a/features/relay_prompt_parts.feature
+++ b/features/relay_prompt_parts.feature
@@ -20,6 +20,12 @@
             | 4    | a node is cut off from its peers for 6 s      |
             | 4    | a second part crashes servers 5 s later       |
 
+    Scenario: a part that crashes servers is kept from them by 24 nodes that report through aggregators
+        Given 24 relay nodes before engines
+        When calls with a part that crashes servers come 4 times a second and nothing else happens
+        Then at most 3 of them reach servers later than 3 s after the fifth crash
+        And 9 in 10 sound calls are served from 6 s after the fifth crash
+
     Scenario Outline: no sound call is taken for one that crashes servers although <trouble>
         Given 9 relay nodes before engines
         When only sound calls come and <trouble>
--- a/features/relay_rollouts.feature
+++ b/features/relay_rollouts.feature
@@ -44,6 +44,16 @@
             | whole answers | twice as many calls come                           |
             | whole answers | a third of the nodes loses the log for 4 s         |
 
+    Scenario: 24 nodes that report through aggregators roll a bad version back
+        Given 24 relay nodes before servers that send whole answers
+        When a version is rolled out whose servers fail half of their calls
+        Then it is rolled back and gets no more calls than a bad version may get
+
+    Scenario: 24 nodes that report through aggregators complete a good version in time
+        Given 24 relay nodes before servers that send whole answers
+        When a good version is rolled out and two of its servers crash
+        Then it is completed in time
+
     Scenario: nodes that have lost the log stop sending calls to a version that the others roll back
         Given 6 relay nodes before servers that send whole answers
         When a version is rolled out whose servers fail half of their calls while the log is down for half of the nodes
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -16,8 +16,8 @@
 /** Seeds with which each case is played. */
 const SEEDS = [1, 2];
 
-/** Number of nodes. */
-const NODE_COUNT = 9;
+/** Number of nodes that restart, or lose the log: all nine. */
+const MAX_RESTARTED_NODES = 9;
 
 /** Time before the first call with the part, and time for which such calls come, in milliseconds. */
 const WARM_UP_MS = 4_000;
@@ -55,6 +55,7 @@
 /** State of a scenario of this file. */
 interface PromptScenario extends Scenario {
     fleets: RelayFleetModel[];
+    nodeCount: number;
     crashesAtMs: Map<RelayFleetModel, number[]>;
     clock: VirtualClock;
     quarantine: PromptQuarantine;
@@ -67,7 +68,8 @@
     }
 });
 
-Given("9 relay nodes before engines", function(this: PromptScenario) {
+Given("{int} relay nodes before engines", function(this: PromptScenario, nodes: number) {
+    this.nodeCount = nodes;
     this.crashesAtMs = new Map();
     this.fleets = [];
 });
@@ -134,7 +136,7 @@
 });
 
 function startFleet(scenario: PromptScenario, seed: number, isResumable: boolean): RelayFleetModel {
-    const fleet = new RelayFleetModel(TRAFFIC, NODE_COUNT, seed, isResumable);
+    const fleet = new RelayFleetModel(TRAFFIC, scenario.nodeCount, seed, isResumable);
     const crashesAtMs: number[] = [];
     fleet.partsOf = () => makeParts(fleet, `document-${fleet.random.nextInt(DOCUMENTS)}`);
     fleet.crashMs = call => isCrashing(call.head.parts) ? CRASH_MS : 0;
@@ -173,7 +175,7 @@
             fleet.sendCall(makeParts(fleet, CRASHING_PARTS[1]));
         }
         if (trouble === "the log is down") {
-            fleet.setLogReachable(NODE_COUNT, false);
+            fleet.setLogReachable(MAX_RESTARTED_NODES, false);
         }
         if (trouble.startsWith("a node is cut off")) {
             fleet.setIsolated(0, elapsedMs < 6_000);
@@ -182,7 +184,7 @@
             restarted = 4;
             fleet.restartNodes(0, restarted);
         }
-        if (trouble.startsWith("all nodes restart") && elapsedMs > 2_000 * (restarted + 1) && restarted < NODE_COUNT) {
+        if (trouble.startsWith("all nodes restart") && elapsedMs > 2_000 * (restarted + 1) && restarted < MAX_RESTARTED_NODES) {
             fleet.restartNodes(restarted, 1);
             restarted += 1;
         }
--- a/features/steps/relay_rollout_steps.ts
+++ b/features/steps/relay_rollout_steps.ts
@@ -12,8 +12,8 @@
 /** Seeds with which each case is played. */
 const SEEDS = [1, 2, 3];
 
-/** Number of nodes. */
-const NODE_COUNT = 6;
+/** Number of nodes that lose the log: half of six. */
+const NODES_WITHOUT_LOG = 3;
 
 /** Time before the order in which the nodes measure the old version, in milliseconds. */
 const WARM_UP_MS = 6_000;
@@ -77,9 +77,9 @@
     }
 });
 
-Given(/^6 relay nodes before servers that send (.*)$/, function(this: RolloutScenario, kind: string) {
+Given(/^(\d+) relay nodes before servers that send (.*)$/, function(this: RolloutScenario, nodes: string, kind: string) {
     this.traffic = TRAFFIC[kind];
-    this.fleets = SEEDS.map(seed => new RelayFleetModel(this.traffic, NODE_COUNT, seed));
+    this.fleets = SEEDS.map(seed => new RelayFleetModel(this.traffic, Number(nodes), seed));
     this.completedAtMs = new Map();
     this.rolledBackAtMs = new Map();
 });
@@ -208,7 +208,7 @@
 function circumstanceChanges(circumstance: string): readonly Change[] {
     switch (circumstance) {
         case "while the log is down for half of the nodes":
-            return [{ atMs: 600, apply: fleet => fleet.setLogReachable(NODE_COUNT / 2, false) }];
+            return [{ atMs: 600, apply: fleet => fleet.setLogReachable(NODES_WITHOUT_LOG, false) }];
         case "while all servers fail a quarter":
             return [{ atMs: 0, apply: fleet => failEverywhere(fleet, 0.25) }];
         case "while a node is cut off from its peers":
