Read and log the limits that servers state for the calls of all nodes

The platform's new header Server-Limit is parsed into AnswerHead.callLimit, and ServerLimits keeps what each server's incarnation has stated: a lower limit at once, a higher one or none only from an answer to a call that was sent after the last statement. Lines 'server: limit stated', 'limit ended', 'limit ignored' and the gauge limited_servers show it. The header stays end to end: it concerns no single connection, and answers are forwarded unchanged.

--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -13,6 +13,12 @@
 /** Statuses with which a backend server reports that a call did not run, if a header says so too. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** HTTP status of a server that is not the one addressed. */
+export const MISDIRECTED_STATUS = 421;
+
+/** Lowest HTTP status of a server error. */
+export const MIN_SERVER_ERROR_STATUS = 500;
+
 /** Status of a call that is refused because of its prompt: unlike 503, it does not ask the caller to repeat the call. */
 const REFUSED_PROMPT_STATUS = 500;
 
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -32,6 +32,7 @@
 export * from "./rollout_log.js";
 export * from "./server_call_observer.js";
 export * from "./server_catalog.js";
+export * from "./server_limits.js";
 export * from "./server_pool.js";
 export * from "./server_state.js";
 export * from "./service_scheduler.js";
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -17,19 +17,22 @@
 import { discardRest, MAX_ANSWER_BYTES, readWhole } from "./answer_reader.js";
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
-import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, NOT_RUN_STATUSES } from "./final_answer.js";
+import {
+    type AdmittedCall,
+    CallState,
+    DEADLINE_EXCEEDED,
+    FinalAnswer,
+    MIN_SERVER_ERROR_STATUS,
+    MISDIRECTED_STATUS,
+    NOT_RUN_STATUSES,
+} from "./final_answer.js";
 import type { PromptQuarantine } from "./prompt_quarantine.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
+import type { ServerLimits } from "./server_limits.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
 import { NoSlotError, NoSlotReason, type SlotReservation } from "./slot_reservation.js";
 import { decideWaitLimits } from "./wait_limits.js";
 
-/** HTTP status of a server that is not the one addressed. */
-const MISDIRECTED_STATUS = 421;
-
-/** Lowest HTTP status of a server error. */
-const MIN_SERVER_ERROR_STATUS = 500;
-
 /** Attempts after refusals by servers, in addition to the attempts that may run the call. */
 const MAX_REFUSALS = 2;
 
@@ -64,6 +67,7 @@
     readonly retryBudget: (service: string) => RetryBudget;
     readonly observer: ServerCallObserver;
     readonly quarantine: PromptQuarantine;
+    readonly limits: ServerLimits;
 }
 
 /** Serves one admitted call with one or more attempts. */
@@ -191,6 +195,7 @@
         this.state.placements.push({ ...slot.placementRecord, waitedMs: Math.round(this.elapsedMs()) });
         this.state.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
+        const sentAtMs = this.settings.clock.now();
         this.settings.observer.recordSent(slot.state);
         this.settings.quarantine.recordSent(call.head.parts);
         const answer = this.settings.client.send(slot.server, call, {
@@ -202,6 +207,7 @@
         let outcome = AttemptOutcome.Broken;
         try {
             const head = await answer.awaitHead();
+            this.settings.limits.recordAnswer(slot.server, head, sentAtMs);
             if (isRefusal(head)) {
                 outcome = AttemptOutcome.Neutral;
                 this.handleRefusal(slot, head);
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -21,6 +21,8 @@
     readonly sentCalls: () => Iterable<readonly [string, number]>;
     /** Number of backend servers that accept calls, by service. */
     readonly openServers: () => Iterable<readonly [string, number]>;
+    /** Number of backend servers that state a limit on the calls of all nodes, by service. */
+    readonly limitedServers: () => Iterable<readonly [string, number]>;
     readonly peers: () => number;
     /** Number of prompt parts that are kept from the servers. */
     readonly quarantinedParts: () => number;
@@ -76,6 +78,11 @@
         this.addServiceGauge("waiting_calls", "Calls that wait for a place.", gauges.waitingCalls);
         this.addServiceGauge("sent_calls", "Calls of this node at backend servers.", gauges.sentCalls);
         this.addServiceGauge("open_servers", "Backend servers that take calls.", gauges.openServers);
+        this.addServiceGauge(
+            "limited_servers",
+            "Backend servers that state a limit on the calls of all nodes.",
+            gauges.limitedServers,
+        );
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
         this.addGauge("quarantined_parts", "Prompt parts that are kept from the backend servers.", gauges.quarantinedParts);
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -16,6 +16,7 @@
     RelayHandler,
     RetryBudget,
     ServerCatalog,
+    ServerLimits,
     ServerPool,
     ServiceScheduler,
     VersionRollouts,
@@ -78,6 +79,7 @@
     private readonly peers: PeerTable;
     private readonly quota: WorkspaceQuota;
     private readonly quarantine: PromptQuarantine;
+    private readonly limits: ServerLimits;
     private readonly directory: NodeDirectory;
     private readonly reporter: PeerReporter;
     private readonly rollouts: VersionRollouts;
@@ -126,6 +128,7 @@
             nodeCount: () => this.peers.reachablePeers + 1,
             onChange: (text, detail) => this.relayLog.info(text, detail),
         });
+        this.limits = new ServerLimits({ clock, onChange: (text, detail) => this.relayLog.info(text, detail) });
         this.directory = new NodeDirectory({
             log: this.log,
             clock,
@@ -205,6 +208,7 @@
                 scheduler: service => this.scheduler(service),
                 observer: this.rollouts,
                 quarantine: this.quarantine,
+                limits: this.limits,
                 retryBudget: service => this.retryBudget(service),
             },
         });
@@ -233,6 +237,7 @@
             waitingCalls: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.waitingCalls]),
             sentCalls: () => this.pool.sumByService(state => state.ownCalls),
             openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
+            limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
             peers: () => this.peers.reachablePeers,
             quarantinedParts: () => this.quarantine.quarantinedParts,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
--- a/src/protocol/relay/relay_call.ts
+++ b/src/protocol/relay/relay_call.ts
@@ -74,6 +74,8 @@
     readonly isEncoded: boolean;
     /** Load that the backend server reports with the answer. */
     readonly load: ServerLoad | undefined;
+    /** Limit that the backend server states; `undefined` when it states none. */
+    readonly callLimit: CallLimit | undefined;
     /** End-to-end headers (not hop-by-hop). */
     readonly endToEnd: HeaderList;
 }
@@ -85,6 +87,14 @@
     readonly slots: number;
 }
 
+/** Rate of calls that a backend server accepts from all nodes together, as it states in an answer. */
+export interface CallLimit {
+    /** Value as the server sent it. */
+    readonly text: string;
+    /** Parsed value; `undefined` when it is not a decimal number. */
+    readonly callsPerSecond: number | undefined;
+}
+
 /** Codec for the platform's headers of calls and answers. */
 export abstract class RelayHeaders {
     /**
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -232,6 +232,7 @@
         isNotExecuted,
         isEncoded: false,
         load: undefined,
+        callLimit: undefined,
         endToEnd: [],
     };
 }
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -13,6 +13,7 @@
     RetryBudget,
     type RolloutRecordFormat,
     type RolloutStateRecord,
+    ServerLimits,
     ServerPool,
     ServiceScheduler,
     VersionRollouts,
@@ -458,6 +459,7 @@
             nodeCount: () => peers.reachablePeers + 1,
             onChange: (text, detail) => this.onChange(name, text, detail),
         });
+        const limits = new ServerLimits({ clock, onChange: (text, detail) => this.onChange(name, text, detail) });
         const directory = new NodeDirectory({
             log,
             clock,
@@ -543,6 +545,7 @@
                 retryBudget: () => retryBudget,
                 observer: rollouts,
                 quarantine,
+                limits,
             },
         });
         const node = { name, peers, pool, scheduler, rollouts, reporter, handler, log, stopped: new AbortController() };
