--- a/features/relay_server_limits.feature
+++ b/features/relay_server_limits.feature
@@ -53,3 +53,38 @@
             | got an unsealed answer with the limit 3                                   | no limit       |
             | got an answer with the limit 3 from the previous incarnation              | no limit       |
             | got an answer with the limit 3 and then none for 11 minutes               | no limit       |
+
+    Scenario Outline: <nodes> nodes keep the limit of <limit> calls a second of <limited> servers although <trouble>
+        Given <nodes> relay nodes that get <rate> calls a second
+        When <limited> of 13 servers state a limit of <limit> calls a second and <trouble>
+        Then from 3 s after the statement, none of these servers gets more than one and a half times its limit and 5 calls in any 4 s
+        And these servers get at least 8 tenths of the calls that they accept
+
+        Examples:
+            | nodes | rate | limited | limit | trouble                                            |
+            | 9     | 50   | 2       | 3.1   | nothing else happens                               |
+            | 9     | 50   | 1       | 0.5   | nothing else happens                               |
+            | 9     | 50   | 2       | 0     | nothing else happens                               |
+            | 24    | 50   | 2       | 2.3   | nothing else happens                               |
+            | 24    | 50   | 1       | 3.1   | all calls come to one node for 4 s and then to all |
+            | 9     | 50   | 2       | 3.1   | eight in ten calls come to one node                |
+            | 9     | 50   | 2       | 3.1   | calls pause for 3 s and come back threefold        |
+            | 9     | 50   | 2       | 6     | the limit falls to 2 after 8 s                     |
+            | 9     | 50   | 2       | 2     | the limit rises to 5 after 8 s                     |
+            | 9     | 50   | 2       | 3.1   | servers fail a quarter of their calls              |
+            | 9     | 50   | 2       | 3.1   | all nodes restart one after the other              |
+            | 24    | 50   | 2       | 3.1   | all nodes restart one after the other              |
+            | 9     | 50   | 2       | 3.1   | a node is cut off from its peers for 6 s           |
+            | 24    | 50   | 2       | 3.1   | a node is cut off from its peers for 6 s           |
+            | 9     | 60   | 7       | 2.3   | nothing else happens                               |
+
+    Scenario: a server whose limit ended gets its share of the calls again
+        Given 9 relay nodes that get 50 calls a second
+        When 2 of 13 servers state a limit of 2 calls a second and it ends after 8 s
+        Then these servers get more than twice as many calls from 3 s after the end
+
+    Scenario: calls beyond what half of the servers accept are refused early with a time to return
+        Given 9 relay nodes that get 60 calls a second
+        When 7 of 13 servers state a limit of 2.3 calls a second and nothing else happens
+        Then 9 in 10 calls are answered, or refused within 1300 ms with a time to return
+        And at least half of the calls are answered
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -46,6 +46,8 @@
     downUntilMs = 0;
     /** Attempts that have been received, in order. */
     readonly attempts: ModelAttempt[] = [];
+    /** Calls a second from all nodes that the server states to accept; `undefined` if it states no limit. */
+    callsPerSecond: number | undefined;
     private readonly running = new Set<ModelAnswer>();
 
     /**
@@ -157,7 +159,7 @@
             throw new AttemptError(AttemptFault.NotRun, server?.registration.id ?? "", "connect", new Error("ECONNREFUSED"));
         }
         if (server.runningCalls >= server.registration.slots) {
-            return makeHead(call, 503, true);
+            return makeHead(call, server, 503, true);
         }
         this.attempt = { call, atMs: clock.now(), server, badAtMs: undefined, crashedAtMs: undefined };
         server.attempts.push(this.attempt);
@@ -167,7 +169,7 @@
             await this.wait(ERROR_MS);
             this.attempt.badAtMs = clock.now();
             server.finish(this);
-            return makeHead(call, ERROR_STATUS, false);
+            return makeHead(call, server, ERROR_STATUS, false);
         }
         if (behavior.firstEventFactor > 2 || behavior.intervalFactor > 2 && eventsOf(call) > 1) {
             void clock.sleep(server.intervalMs * 12).then(() => this.attempt && (this.attempt.badAtMs = clock.now()));
@@ -179,7 +181,7 @@
             this.settings.crash(server, durationMs);
             await this.wait(ONE_WAY_MS);
         }
-        return makeHead(call, 200, false);
+        return makeHead(call, server, 200, false);
     }
 
     override async next(): Promise<Buffer | undefined> {
@@ -224,7 +226,7 @@
     }
 }
 
-function makeHead(call: RelayCall, status: number, isNotExecuted: boolean): AnswerHead {
+function makeHead(call: RelayCall, { callsPerSecond }: ModelServer, status: number, isNotExecuted: boolean): AnswerHead {
     return {
         status,
         callId: call.head.id,
@@ -232,7 +234,7 @@
         isNotExecuted,
         isEncoded: false,
         load: undefined,
-        callLimit: undefined,
+        callLimit: callsPerSecond === undefined ? undefined : { text: String(callsPerSecond), callsPerSecond },
         endToEnd: [],
     };
 }
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -84,6 +84,9 @@
     readonly isComplete: boolean;
     /** Text of an answer that the node generated. */
     readonly text: string;
+    /** Time after which the node asks the caller to retry, in milliseconds. */
+    readonly retryAfterMs: number | undefined;
+    readonly endedAtMs: number;
 }
 
 /** Node of the fleet. */
@@ -154,7 +157,7 @@
 
     constructor(
         private readonly clock: VirtualClock,
-        private readonly onEnd: (status: number, isComplete: boolean, text: string) => void,
+        private readonly onEnd: (status: number, isComplete: boolean, answer: Partial<LocalAnswer>) => void,
     ) {
         super();
         this.lastEventAtMs = clock.now();
@@ -183,14 +186,14 @@
         this.finish(0, false);
     }
 
-    override sendLocal({ status, text }: LocalAnswer): void {
-        this.finish(status, true, text);
+    override sendLocal(answer: LocalAnswer): void {
+        this.finish(answer.status, true, answer);
     }
 
-    private finish(status: number, isComplete: boolean, text = ""): void {
+    private finish(status: number, isComplete: boolean, answer: Partial<LocalAnswer> = {}): void {
         if (!this.isEnded) {
             this.isEnded = true;
-            this.onEnd(status, isComplete, text);
+            this.onEnd(status, isComplete, answer);
         }
     }
 
@@ -226,6 +229,8 @@
     readonly behaviors = new Map<string, VersionBehavior>();
     /** Returns the prompt parts of the next call. */
     partsOf: () => readonly PromptPart[] = () => [];
+    /** Returns the index of the node that gets the next call. */
+    chooseNode: () => number = () => this.random.nextInt(this.nodes.length);
     /** Returns how long a server that begins to answer a call is down, in milliseconds; 0 for a sound call. */
     crashMs: (call: RelayCall) => number = () => 0;
     /** Called when a server crashes. */
@@ -399,10 +404,12 @@
     /** Sends one call to a random node. */
     sendCall(parts: readonly PromptPart[]): void {
         this.lastCall += 1;
-        const node = this.nodes[this.random.nextInt(this.nodes.length)];
+        const node = this.nodes[this.chooseNode()];
         const caller = new ModelCaller(
             this.clock,
-            (status, isComplete, text) => this.outcomes.push({ call, status, isComplete, text }),
+            (status, isComplete, { text = "", retryAfterMs }) => {
+                this.outcomes.push({ call, status, isComplete, text, retryAfterMs, endedAtMs: this.clock.now() });
+            },
         );
         const call: RelayCall = {
             head: {
