--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -9,7 +9,7 @@
     hashKey,
     type PeerLink,
     type PeerReport,
-    tokensByWorkspaceKey,
+    totalsByBucketKey,
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
@@ -110,7 +110,7 @@
             this.settings.onPeerSeen(report);
         }
         this.settings.quarantine.merge(report.promptSuspects);
-        const totals = tokensByWorkspaceKey(report);
+        const totals = totalsByBucketKey(report);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
             if (total !== undefined) {
@@ -171,8 +171,8 @@
             address: address(),
             serverKeys: activeServers.map(state => hashKey(state.server.id)),
             serverCalls: activeServers.map(state => state.ownCalls),
-            workspaceKeys: totals.map(([name]) => hashKey(name)),
-            workspaceTokens: totals.map(([, tokens]) => tokens),
+            bucketKeys: totals.map(([key]) => key),
+            bucketTotals: totals.map(([, total]) => total),
             versions: [...versionCounts()],
             promptSuspects: [...quarantine.reportedSuspects()],
             demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -10,7 +10,7 @@
     type PeerReport,
     type PromptSuspect,
     type ServiceDemand,
-    tokensByWorkspaceKey,
+    totalsByBucketKey,
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
@@ -21,8 +21,8 @@
 interface SenderEntry {
     readonly report: PeerReport;
     readonly receivedAtMs: number;
-    /** Token totals by workspace in the sender's first report. */
-    readonly baselineTokens: ReadonlyMap<number, number>;
+    /** Totals by bucket in the sender's first report. */
+    readonly baselineTotals: ReadonlyMap<number, number>;
 }
 
 /** Fields of a report that are summed. */
@@ -30,8 +30,8 @@
     PeerReport,
     | "serverKeys"
     | "serverCalls"
-    | "workspaceKeys"
-    | "workspaceTokens"
+    | "bucketKeys"
+    | "bucketTotals"
     | "versions"
     | "demands"
     | "promptSuspects"
@@ -41,12 +41,12 @@
 >;
 
 /**
- * Sums the latest report of each sender. Tokens of a sender count from its first report on and stay in the sum after it is
+ * Sums the latest report of each sender. Totals of a sender count from its first report on and stay in the sum after it is
  * removed, so that the sum never decreases.
  */
 export class ReportSums {
     private readonly senders = new Map<string, SenderEntry>();
-    private readonly removedSenderTokens = new Map<number, number>();
+    private readonly removedSenderTotals = new Map<number, number>();
 
     /** @param clock Clock that timestamps reports. */
     constructor(private readonly clock: Clock) {}
@@ -71,8 +71,8 @@
         if (known !== undefined && !isSame) {
             this.remove(key);
         }
-        const baselineTokens = isSame ? known.baselineTokens : tokensByWorkspaceKey(report);
-        this.senders.set(key, { report, receivedAtMs: this.clock.now(), baselineTokens });
+        const baselineTotals = isSame ? known.baselineTotals : totalsByBucketKey(report);
+        this.senders.set(key, { report, receivedAtMs: this.clock.now(), baselineTotals });
     }
 
     /** Latest reports of all senders. */
@@ -80,7 +80,7 @@
         return [...this.senders.values()].map(sender => sender.report);
     }
 
-    /** Removes senders without a report for {@linkcode NODE_EXPIRY_MS}; their tokens stay in the sum. */
+    /** Removes senders without a report for {@linkcode NODE_EXPIRY_MS}; their totals stay in the sum. */
     expire(): void {
         const expiredBeforeMs = this.clock.now() - NODE_EXPIRY_MS;
         for (const [key, sender] of this.senders) {
@@ -97,13 +97,13 @@
             return undefined;
         }
         const { report } = sender;
-        const tokens = countedTokens(sender);
+        const totals = countedTotals(sender);
         return {
             ...EMPTY_REPORT,
             serverKeys: this.isFresh(sender) ? report.serverKeys : [],
             serverCalls: this.isFresh(sender) ? report.serverCalls : [],
-            workspaceKeys: [...tokens.keys()],
-            workspaceTokens: [...tokens.values()],
+            bucketKeys: [...totals.keys()],
+            bucketTotals: [...totals.values()],
             versions: report.versions,
             demands: this.isFresh(sender) ? report.demands : [],
             heardNodes: this.isFresh(sender) ? 1 : 0,
@@ -113,7 +113,7 @@
     /** Sums the figures of all senders; calls and demands only from recent reports. */
     sum(): SummedFields {
         const calls = new Map<number, number>();
-        const tokens = new Map(this.removedSenderTokens);
+        const totals = new Map(this.removedSenderTotals);
         const versions = new Map<string, VersionCount>();
         const demands = new Map<number, ServiceDemand>();
         const suspects = new Map<number, PromptSuspect>();
@@ -122,7 +122,7 @@
         let logSteadyMs = 0;
         for (const sender of this.senders.values()) {
             const { report } = sender;
-            addAll(tokens, countedTokens(sender));
+            addAll(totals, countedTotals(sender));
             addVersionCounts(versions, report.versions);
             addSuspects(suspects, report.promptSuspects);
             const nodes = Math.max(1, report.heardNodes);
@@ -139,8 +139,8 @@
         return {
             serverKeys: [...calls.keys()],
             serverCalls: [...calls.values()],
-            workspaceKeys: [...tokens.keys()],
-            workspaceTokens: [...tokens.values()],
+            bucketKeys: [...totals.keys()],
+            bucketTotals: [...totals.values()],
             versions: [...versions.values()],
             demands: [...demands.values()],
             promptSuspects: [...suspects.values()],
@@ -157,7 +157,7 @@
     private remove(key: string): void {
         const sender = this.senders.get(key);
         if (sender !== undefined) {
-            addAll(this.removedSenderTokens, countedTokens(sender));
+            addAll(this.removedSenderTotals, countedTotals(sender));
             this.senders.delete(key);
         }
     }
@@ -170,21 +170,21 @@
         return report;
     }
     const calls = callsByServerKey(report);
-    const tokens = tokensByWorkspaceKey(report);
+    const totals = totalsByBucketKey(report);
     const versions = new Map<string, VersionCount>();
     const demands = new Map<number, ServiceDemand>();
     addDemands(demands, report.demands);
     addDemands(demands, ownPart.demands, -1);
     addAll(calls, callsByServerKey(ownPart), -1);
-    addAll(tokens, tokensByWorkspaceKey(ownPart), -1);
+    addAll(totals, totalsByBucketKey(ownPart), -1);
     addVersionCounts(versions, report.versions);
     addVersionCounts(versions, ownPart.versions, -1);
     return {
         ...report,
         serverKeys: [...calls.keys()],
         serverCalls: [...calls.values()],
-        workspaceKeys: [...tokens.keys()],
-        workspaceTokens: [...tokens.values()],
+        bucketKeys: [...totals.keys()],
+        bucketTotals: [...totals.values()],
         versions: [...versions.values()],
         demands: [...demands.values()],
         heardNodes: report.heardNodes - ownPart.heardNodes,
@@ -197,11 +197,11 @@
     return left.node === right.node && left.startedAtMs === right.startedAtMs;
 }
 
-/** @returns Tokens by workspace since the sender's first report. */
-function countedTokens({ report, baselineTokens }: SenderEntry): Map<number, number> {
-    const tokens = tokensByWorkspaceKey(report);
-    addAll(tokens, baselineTokens, -1);
-    return tokens;
+/** @returns Totals by bucket since the sender's first report. */
+function countedTotals({ report, baselineTotals }: SenderEntry): Map<number, number> {
+    const totals = totalsByBucketKey(report);
+    addAll(totals, baselineTotals, -1);
+    return totals;
 }
 
 function addAll(sums: Map<number, number>, figures: ReadonlyMap<number, number>, sign: 1 | -1 = 1): void {
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -45,9 +45,9 @@
   /** Calls in flight at each backend server; keys are hashes of the server ids. */
   readonly serverKeys: readonly number[];
   readonly serverCalls: readonly number[];
-  /** Tokens admitted for each workspace since the node's start; keys are hashes of the workspace names. */
-  readonly workspaceKeys: readonly number[];
-  readonly workspaceTokens: readonly number[];
+  /** Tokens that the sender has used from each bucket that the nodes share, since its start; keys are hashes of workspace names. */
+  readonly bucketKeys: readonly number[];
+  readonly bucketTotals: readonly number[];
   readonly versions: readonly VersionCount[];
   readonly leaving: boolean;
   readonly failureDomain: string;
@@ -121,8 +121,8 @@
     address: "",
     serverKeys: [],
     serverCalls: [],
-    workspaceKeys: [],
-    workspaceTokens: [],
+    bucketKeys: [],
+    bucketTotals: [],
     versions: [],
     leaving: false,
     failureDomain: "",
@@ -165,16 +165,16 @@
       }
       writer.join();
     }
-    if (message.workspaceKeys.length !== 0) {
+    if (message.bucketKeys.length !== 0) {
       writer.uint32(58).fork();
-      for (const v of message.workspaceKeys) {
+      for (const v of message.bucketKeys) {
         writer.fixed32(v);
       }
       writer.join();
     }
-    if (message.workspaceTokens.length !== 0) {
+    if (message.bucketTotals.length !== 0) {
       writer.uint32(66).fork();
-      for (const v of message.workspaceTokens) {
+      for (const v of message.bucketTotals) {
         writer.double(v);
       }
       writer.join();
@@ -298,7 +298,7 @@
           }
           case 7: {
             if (tag === 61) {
-              message.workspaceKeys.push(reader.fixed32());
+              message.bucketKeys.push(reader.fixed32());
 
               continue;
             }
@@ -306,7 +306,7 @@
             if (tag === 58) {
               const end2 = reader.uint32() + reader.pos;
               while (reader.pos < end2) {
-                message.workspaceKeys.push(reader.fixed32());
+                message.bucketKeys.push(reader.fixed32());
               }
 
               continue;
@@ -316,7 +316,7 @@
           }
           case 8: {
             if (tag === 65) {
-              message.workspaceTokens.push(reader.double());
+              message.bucketTotals.push(reader.double());
 
               continue;
             }
@@ -324,7 +324,7 @@
             if (tag === 66) {
               const end2 = reader.uint32() + reader.pos;
               while (reader.pos < end2) {
-                message.workspaceTokens.push(reader.double());
+                message.bucketTotals.push(reader.double());
               }
 
               continue;
--- a/src/protocol/relay/report_counts.ts
+++ b/src/protocol/relay/report_counts.ts
@@ -11,7 +11,7 @@
     return new Map(report.serverKeys.map((key, index) => [key, report.serverCalls[index] ?? 0]));
 }
 
-/** Returns the tokens admitted for each workspace, by the workspace's key. */
-export function tokensByWorkspaceKey(report: PeerReport): Map<number, number> {
-    return new Map(report.workspaceKeys.map((key, index) => [key, report.workspaceTokens[index] ?? 0]));
+/** Returns the tokens used from each shared bucket, by the bucket's key. */
+export function totalsByBucketKey(report: PeerReport): Map<number, number> {
+    return new Map(report.bucketKeys.map((key, index) => [key, report.bucketTotals[index] ?? 0]));
 }
