Keep the limits that servers state for the calls of all nodes

Cause: nothing read the limit. Placement, admission and retries knew slots and times only, so a server in need got as many calls as before. That the limit attracts calls is not shown: one of the two engines got more, the other fewer.

Fix: ServerLimits keeps the newest statement of each server, in answers or peers' reports, and nodes share a token bucket for each limited server, the one of the workspace quotas. Each call to a server, whichever way it comes, starts in ServerState.startCall and is charged there; placement skips a server that allows this node no call now. A node takes calls in proportion to its share of the demand and of the age of its view, so that nodes which see the same token do not all take it. The admission gate counts a limited server with the calls that it accepts.

Also: 7 more single decisions about peers' reports, and one about admission.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -176,6 +176,12 @@
             | most slots when it has most of the calls            | 4       | 10    | 36    | 500     | 36  | 4      | 0        | 0          | 12 to 14 |
             | at most one when other nodes have most of the calls | 4       | 10    | 40    | 50000   | 1   | 500    | 0        | 0          | 0 or 1   |
 
+    Scenario: a node takes its share of the calls that servers accept although all their slots are free
+        Given 4 servers of 10 slots that hold 0 calls of 500 ms
+        And all of them accept 2 calls a second and 1 calls now
+        When this node has 4 and the other nodes 36 calls in time, and 0 and 0 arrive each second
+        Then this node may take 0 or 1 slots until the next report
+
     Scenario: the first measured duration of a call replaces the initial estimate
         When a call of 40 ms is measured at a service whose calls were estimated to last 20 ms
         Then calls are expected to last 40 ms from then on
--- a/features/relay_server_limits.feature
+++ b/features/relay_server_limits.feature
@@ -53,6 +53,13 @@
             | got an unsealed answer with the limit 3                                   | no limit       |
             | got an answer with the limit 3 from the previous incarnation              | no limit       |
             | got an answer with the limit 3 and then none for 11 minutes               | no limit       |
+            | got a peer's report of the limit 3                                        | 3 a second     |
+            | got a peer's report of the limit 3 and then one of its end                | no limit       |
+            | got an answer with the limit 3 and then an earlier report of its end      | 3 a second     |
+            | got an answer with the limit 3 and then an earlier report of the limit 5  | 3 a second     |
+            | got an answer with the limit 3 and then a report of the limit 5           | 5 a second     |
+            | got a peer's report of the limit 3 and then an answer without             | no limit       |
+            | got a peer's report of its end                                            | no limit       |
 
     Scenario Outline: <nodes> nodes keep the limit of <limit> calls a second of <limited> servers although <trouble>
         Given <nodes> relay nodes that get <rate> calls a second
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -593,6 +593,14 @@
     },
 );
 
+Given("all of them accept {int} calls a second and {int} calls now", function(
+    this: DecisionScenario,
+    callsPerSecond: number,
+    availableCalls: number,
+) {
+    this.capacities = this.capacities.map(capacity => ({ ...capacity, allowance: { callsPerSecond, availableCalls } }));
+});
+
 When(
     "this node has {int} and the other nodes {int} calls in time, and {int} and {int} arrive each second",
     function(this: DecisionScenario, own: number, others: number, ownRate: number, otherRate: number) {
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -12,7 +12,9 @@
     PeerReporter,
     PeerTable,
     PromptQuarantine,
+    ServerLimits,
     ServerPool,
+    sumDemands,
     WorkspaceQuota,
 } from "../../src/coordination/relay/mod.js";
 import {
@@ -159,7 +161,7 @@
         onError: text => assert.fail(text),
         onRewrite: topic => assert.fail(topic),
     });
-    const reporter = new PeerReporter({
+    const reporter: PeerReporter = new PeerReporter({
         node: name,
         failureDomain,
         cores,
@@ -177,6 +179,15 @@
             nodeCount: () => 1,
             onChange: text => assert.fail(text),
         }),
+        limits: new ServerLimits({
+            clock,
+            random: scenario.fleetRandom,
+            reportIntervalMs: () => reporter.intervalMs,
+            nodeCount: () => 1,
+            unreachableShare: () => peers.unreachableShare(),
+            demands: () => ({ own: sumDemands([]), peers: sumDemands([]) }),
+            onChange: text => assert.fail(text),
+        }),
         address: () => address,
         workspaces: () => [scenario.fleetWorkspace],
         versionCounts: () => [],
--- a/features/steps/relay_server_limit_steps.ts
+++ b/features/steps/relay_server_limit_steps.ts
@@ -7,9 +7,9 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { PlatformHeaders } from "../../platform/mod.js";
-import { ServerLimits } from "../../src/coordination/relay/mod.js";
-import type { AnswerHead } from "../../src/protocol/relay/mod.js";
-import type { RelayServer } from "../../src/state/relay/mod.js";
+import { ServerLimits, sumDemands } from "../../src/coordination/relay/mod.js";
+import { type AnswerHead, hashKey } from "../../src/protocol/relay/mod.js";
+import { type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import type { ModelServer } from "../../standin/engine_behavior_model.js";
 import { type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
@@ -61,6 +61,8 @@
     readonly fleet: RelayFleetModel;
     readonly limited: readonly ModelServer[];
     readonly periods: LimitPeriod[];
+    /** Time during which no calls came, in milliseconds. */
+    pausedMs: number;
 }
 
 /** State of a scenario of this file. */
@@ -106,20 +108,28 @@
 
 Given("a node that knows of no limit", function(this: LimitScenario) {
     this.clock = new VirtualClock();
-    this.limits = new ServerLimits({ clock: this.clock, onChange: () => undefined });
+    this.limits = new ServerLimits({
+        clock: this.clock,
+        random: new SeededRandom(1),
+        reportIntervalMs: () => STEP_MS,
+        nodeCount: () => 1,
+        unreachableShare: () => 0,
+        demands: () => ({ own: sumDemands([]), peers: sumDemands([]) }),
+        onChange: () => undefined,
+    });
 });
 
 When(/^the node (got .*)$/, async function(this: LimitScenario, history: string) {
     const [first, second] = history.split(" and then ");
     await this.clock.advance(STEP_MS);
     const earlierMs = this.clock.now() - STEP_MS;
-    recordAnswer(this, first ?? "", this.clock.now());
+    record(this, first ?? "", this.clock.now());
     await this.clock.advance(STEP_MS);
     if (second === "none for 11 minutes") {
         await this.clock.advance(FORGOTTEN_MS);
     }
     else if (second !== undefined) {
-        recordAnswer(this, second, second.endsWith("earlier call") ? earlierMs : this.clock.now());
+        record(this, second, second.includes("earlier") ? earlierMs : this.clock.now());
     }
 });
 
@@ -127,6 +137,16 @@
     assert.equal(this.limits.callsPerSecond(SERVER), limit === "no limit" ? undefined : parseInt(limit, 10));
 });
 
+function record(scenario: LimitScenario, description: string, atMs: number): void {
+    if (description.includes("end") || description.includes("report")) {
+        const callsPerSecond = Number(/\d+/.exec(description)?.[0] ?? 0);
+        const key = hashKey(`${SERVER.id}@${SERVER.startedAtMs}`);
+        scenario.limits.merge([{ serverKey: key, callsPerSecond, isEnded: description.includes("end"), statedAtMs: atMs }]);
+        return;
+    }
+    recordAnswer(scenario, description, atMs);
+}
+
 function recordAnswer({ limits }: LimitScenario, description: string, sentAtMs: number): void {
     const status = description.includes("another server") ? 421 : description.includes("error") ? 500 : 200;
     const isRefusal = description.includes("refusal") || status === 421;
@@ -162,7 +182,7 @@
         for (const seed of SEEDS) {
             const fleet = new RelayFleetModel({ ...TRAFFIC, callsPerSecond: this.callsPerSecond }, this.nodeCount, seed);
             fleet.addVersion("v1");
-            const play = { seed, fleet, limited: fleet.serversOf("v1").slice(0, Number(limited)), periods: [] };
+            const play = { seed, fleet, limited: fleet.serversOf("v1").slice(0, Number(limited)), periods: [], pausedMs: 0 };
             this.plays.push(play);
             await fleet.run(WARM_UP_MS);
             state(play, Number(limit));
@@ -191,9 +211,9 @@
 );
 
 Then("these servers get at least 8 tenths of the calls that they accept", function(this: LimitScenario) {
-    for (const { seed, fleet, limited, periods } of this.plays) {
+    for (const { seed, fleet, limited, periods, pausedMs } of this.plays) {
         const fromMs = (periods[0]?.fromMs ?? 0) + KEPT_FROM_MS;
-        const accepted = limited.length * countAccepted(periods, fromMs, fleet.clock.now());
+        const accepted = limited.length * countAccepted(periods, fromMs, fleet.clock.now() - pausedMs);
         const calls = limited.flatMap(({ attempts }) => attempts.filter(({ atMs }) => atMs >= fromMs)).length;
         assert(calls >= 0.8 * accepted, `seed ${seed}: ${calls} calls, accepted ${accepted}`);
     }
@@ -262,7 +282,8 @@
     else if (trouble.startsWith("calls pause")) {
         await fleet.run(8_000);
         fleet.trafficFactor = 1e-6;
-        await fleet.run(3_000);
+        play.pausedMs = 3_000;
+        await fleet.run(play.pausedMs);
         fleet.trafficFactor = 3;
         await fleet.run(4_000);
         fleet.trafficFactor = 1;
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -8,9 +8,10 @@
  */
 
 import type { RandomSource } from "../../state/relay/mod.js";
+import type { CallAllowance } from "./server_limits.js";
 
 /** Age of a node's view of its peers, in report intervals: one for the report in transit and one until the next report. */
-const STALENESS_REPORT_INTERVALS = 2;
+export const STALENESS_REPORT_INTERVALS = 2;
 
 /** Fraction of the available slots that is allotted; the rest covers calls that no report includes yet. */
 const ALLOTTED_FRACTION = 0.8;
@@ -48,6 +49,8 @@
     readonly calls: number;
     /** Duration of a call at the server, in milliseconds. */
     readonly callMs: number;
+    /** What the server's limit on the calls of all nodes leaves; `undefined` if it states none. */
+    readonly allowance?: CallAllowance | undefined;
 }
 
 /** Slots that this node may take until the next allotment. */
@@ -142,8 +145,11 @@
 /** @returns Slots that are free now or become free within the staleness of the node's view, if all slots are kept occupied. */
 function countAvailableSlots(servers: Iterable<ServerCapacity>, stalenessMs: number): number {
     let available = 0;
-    for (const { slots, calls, callMs } of servers) {
-        available += Math.max(0, slots - calls + slots * stalenessMs / callMs);
+    for (const { slots, calls, callMs, allowance } of servers) {
+        const allowedCalls = allowance === undefined ?
+            Infinity :
+            allowance.availableCalls + allowance.callsPerSecond * stalenessMs / MS_PER_SECOND;
+        available += Math.max(0, Math.min(allowedCalls, slots - calls + slots * stalenessMs / callMs));
     }
     return available;
 }
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -19,6 +19,7 @@
 import type { PeerTable } from "./peer_table.js";
 import type { PromptQuarantine } from "./prompt_quarantine.js";
 import type { ReportExchange } from "./report_exchange.js";
+import type { ServerLimits } from "./server_limits.js";
 import type { ServerPool } from "./server_pool.js";
 import { TreeExchange } from "./tree_exchange.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
@@ -40,6 +41,7 @@
     readonly pool: ServerPool;
     readonly quota: WorkspaceQuota;
     readonly quarantine: PromptQuarantine;
+    readonly limits: ServerLimits;
     /** Address at which peers reach this node. */
     readonly address: () => string;
     readonly workspaces: () => Iterable<RelayWorkspace>;
@@ -100,7 +102,7 @@
     }
 
     private applyReport(report: PeerReport): void {
-        const { peers, quota, workspaces } = this.settings;
+        const { peers, quota, limits, workspaces } = this.settings;
         if (!peers.record(report)) {
             return;
         }
@@ -111,6 +113,8 @@
         }
         this.settings.quarantine.merge(report.promptSuspects);
         const totals = totalsByBucketKey(report);
+        limits.merge(report.serverLimits);
+        limits.recordPeerTotals(incarnation, totals);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
             if (total !== undefined) {
@@ -141,25 +145,30 @@
     private removePeer(node: string): void {
         const report = this.settings.peers.remove(node);
         if (report !== undefined) {
-            this.settings.quota.removePeer(incarnationOf(report));
-            this.incarnations.delete(node);
+            this.removeFromBuckets(report);
         }
     }
 
     private expirePeers(): void {
         for (const expired of this.settings.peers.expire()) {
-            this.settings.quota.removePeer(incarnationOf(expired));
-            this.incarnations.delete(expired.node);
+            this.removeFromBuckets(expired);
             this.settings.onPeerGone(expired);
         }
     }
 
+    private removeFromBuckets(report: PeerReport): void {
+        const incarnation = incarnationOf(report);
+        this.settings.quota.removePeer(incarnation);
+        this.settings.limits.removePeer(incarnation);
+        this.incarnations.delete(report.node);
+    }
+
     private makeReport(): PeerReport {
         const { node, failureDomain, cores, startedAtMs, pool, quota, address, versionCounts, isDraining, logSteadyMs } =
             this.settings;
-        const { quarantine } = this.settings;
+        const { quarantine, limits } = this.settings;
         const activeServers = [...pool.all()].filter(state => state.ownCalls > 0);
-        const totals = [...quota.ownTotals()];
+        const totals = [...quota.ownTotals(), ...limits.ownTotals()];
         this.sequence += 1;
         return {
             ...EMPTY_REPORT,
@@ -175,6 +184,7 @@
             bucketTotals: totals.map(([, total]) => total),
             versions: [...versionCounts()],
             promptSuspects: [...quarantine.reportedSuspects()],
+            serverLimits: [...limits.reportedLimits()],
             demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
             leaving: isDraining(),
             logSteadyMs: Math.round(logSteadyMs()),
--- a/src/coordination/relay/placement.ts
+++ b/src/coordination/relay/placement.ts
@@ -67,7 +67,7 @@
 }
 
 /**
- * Chooses the healthy server with a free slot and the lowest cost. If there is none, an unhealthy server that is due for a trial is
+ * Chooses the healthy server with a free slot, a call left by its limit, and the lowest cost. If there is none, an unhealthy server that is due for a trial is
  * chosen.
  *
  * @param servers Servers of the service that may be chosen.
@@ -85,7 +85,8 @@
     let best: PlacementChoice | undefined;
     let bestCost = Infinity;
     for (const server of servers) {
-        if (call.excludedServers.has(server.server.id) || server.isSuspended || server.allCalls >= server.server.slots) {
+        const isFull = server.allCalls >= server.server.slots || server.isAtLimit;
+        if (call.excludedServers.has(server.server.id) || server.isSuspended || isFull) {
             continue;
         }
         const isUnhealthy = server.isUnresponsive || server.failureRate >= MAX_FAILURE_RATE && !isMajorityBad;
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -9,6 +9,7 @@
     EMPTY_REPORT,
     type PeerReport,
     type PromptSuspect,
+    type ServerLimit,
     type ServiceDemand,
     totalsByBucketKey,
     type VersionCount,
@@ -35,6 +36,7 @@
     | "versions"
     | "demands"
     | "promptSuspects"
+    | "serverLimits"
     | "heardNodes"
     | "silentNodes"
     | "logSteadyMs"
@@ -117,6 +119,7 @@
         const versions = new Map<string, VersionCount>();
         const demands = new Map<number, ServiceDemand>();
         const suspects = new Map<number, PromptSuspect>();
+        const limits = new Map<number, ServerLimit>();
         let heardNodes = 0;
         let silentNodes = 0;
         let logSteadyMs = 0;
@@ -125,6 +128,7 @@
             addAll(totals, countedTotals(sender));
             addVersionCounts(versions, report.versions);
             addSuspects(suspects, report.promptSuspects);
+            addNewestLimits(limits, report.serverLimits);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
                 silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
@@ -144,6 +148,7 @@
             versions: [...versions.values()],
             demands: [...demands.values()],
             promptSuspects: [...suspects.values()],
+            serverLimits: [...limits.values()],
             heardNodes,
             silentNodes,
             logSteadyMs,
@@ -221,6 +226,14 @@
     }
 }
 
+function addNewestLimits(newest: Map<number, ServerLimit>, limits: readonly ServerLimit[]): void {
+    for (const limit of limits) {
+        if (limit.statedAtMs > (newest.get(limit.serverKey)?.statedAtMs ?? -Infinity)) {
+            newest.set(limit.serverKey, limit);
+        }
+    }
+}
+
 function addDemands(sums: Map<number, ServiceDemand>, demands: readonly ServiceDemand[], sign: 1 | -1 = 1): void {
     for (const demand of demands) {
         const sum = sums.get(demand.serviceKey);
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -1,12 +1,35 @@
 /**
- * Limits that backend servers state for the calls of all nodes together.
+ * Limits that backend servers state for the calls of all nodes together, kept without a coordinator.
+ *
+ * A server in need asks for a few calls a second. It often has free slots and answers fast, so that without the limit it would be the
+ * preferred one.
  *
  * @module
  */
 
-import { type AnswerHead, hashKey } from "../../protocol/relay/mod.js";
-import type { Clock, RelayServer } from "../../state/relay/mod.js";
+import { type AnswerHead, hashKey, type ServerLimit } from "../../protocol/relay/mod.js";
+import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
+import { type Demand, STALENESS_REPORT_INTERVALS, sumDemands } from "./admission_gate.js";
 import { MIN_SERVER_ERROR_STATUS, MISDIRECTED_STATUS } from "./final_answer.js";
+import { SharedTokenBucket } from "./shared_token_bucket.js";
+
+/** Lowest rate of calls to a server, in calls per second: only an answer can end a limit of 0. */
+const MIN_CALLS_PER_SECOND = 0.1;
+
+/** Time for which unused calls of a limit accumulate, in seconds. */
+const BURST_SECONDS = 1;
+
+/** Time in which calls beyond a limit are made up for, in seconds. */
+const MAX_DEBT_SECONDS = 4;
+
+/** Demand that is assumed at each node in addition to the reported one, in calls; a burst reaches many nodes before they report it. */
+const ASSUMED_DEMAND_CALLS = 0.5;
+
+/** Fewest calls for which a node expects to choose a server within an interval; bounds what it is allotted against unused allotments. */
+const MIN_EXPECTED_CALLS = 0.5;
+
+/** Time for which the end of a limit is reported, in milliseconds. */
+const ENDED_REPORT_MS = 30_000;
 
 /** Time after which a limit that no answer has stated is forgotten, in milliseconds. */
 const FORGET_MS = 600_000;
@@ -14,25 +37,55 @@
 /** Shortest time between log lines about values that cannot be read, in milliseconds. */
 const UNREADABLE_LOG_INTERVAL_MS = 10_000;
 
-/** What a server has stated last. */
-interface Statement {
-    /** Calls per second; `undefined` when the server no longer states a limit. */
-    readonly callsPerSecond: number | undefined;
-    /** Time at which the statement was received, in milliseconds since the Unix epoch. */
-    readonly statedAtMs: number;
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** What a server has stated last, and the calls that it has got since. */
+interface LimitedServer {
+    /** Calls per second; `undefined` after the limit has ended. */
+    callsPerSecond: number | undefined;
+    /** Time at which this was stated, in milliseconds since the Unix epoch. */
+    statedAtMs: number;
+    readonly bucket: SharedTokenBucket;
+    /** Calls that this node may send until the next allotment. */
+    allottedCalls: number;
+    allottedAtMs: number;
+}
+
+/** Rate of calls to a server, and the calls that may be sent now. */
+export interface CallAllowance {
+    readonly callsPerSecond: number;
+    readonly availableCalls: number;
+}
+
+/** Demand for a service at this node and at all others. */
+export interface ServiceDemands {
+    readonly own: Demand;
+    readonly peers: Demand;
 }
 
 /** Settings of {@linkcode ServerLimits}. */
 export interface ServerLimitsSettings {
     readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Returns the time between the nodes' reports, in milliseconds. */
+    readonly reportIntervalMs: () => number;
+    /** Returns the number of nodes that send calls, including this one. */
+    readonly nodeCount: () => number;
+    /** Returns the share of all nodes that are unreachable but may still send calls, from 0 to 1. */
+    readonly unreachableShare: () => number;
+    /** Returns the demand for a service. */
+    readonly demands: (service: string) => ServiceDemands;
     /** Called with a log message when a limit is stated, changed or ended. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
-/** Learns the servers' limits from the heads of their answers. */
+/**
+ * Learns the servers' limits from the heads of their answers and from peers. Each node sends calls in proportion to its share of the
+ * demand, from a bucket of calls that all nodes share.
+ */
 export class ServerLimits {
-    /** Statements by server key. */
-    private readonly statements = new Map<number, Statement>();
+    private readonly servers = new Map<number, LimitedServer>();
     private unreadableLoggedAtMs = -Infinity;
 
     /** @param settings See {@linkcode ServerLimitsSettings}. */
@@ -43,6 +96,35 @@
         return this.find(serverKey(server))?.callsPerSecond;
     }
 
+    /** Returns what a server's limit leaves to all nodes, or `undefined` if it states none. */
+    allowance(server: RelayServer): CallAllowance | undefined {
+        const limited = this.find(serverKey(server));
+        if (limited?.callsPerSecond === undefined) {
+            return undefined;
+        }
+        this.refill(limited, limited.callsPerSecond);
+        return { callsPerSecond: limited.callsPerSecond, availableCalls: Math.max(0, limited.bucket.available) };
+    }
+
+    /** Whether this node may send a call to a server now. */
+    mayReceive(server: RelayServer): boolean {
+        const limited = this.find(serverKey(server));
+        if (limited?.callsPerSecond === undefined) {
+            return true;
+        }
+        this.allot(limited, limited.callsPerSecond, server.service);
+        return limited.allottedCalls >= 1;
+    }
+
+    /** Records that this node sends a call to a server. */
+    recordSent(server: RelayServer): void {
+        const limited = this.find(serverKey(server));
+        if (limited?.callsPerSecond !== undefined) {
+            limited.allottedCalls -= 1;
+            limited.bucket.use(1);
+        }
+    }
+
     /**
      * Learns from the head of an answer.
      *
@@ -72,6 +154,57 @@
         this.recordStatement(server, callsPerSecond, sentAtMs);
     }
 
+    /** Returns the limits, and those that ended recently, to be reported to the peers. */
+    reportedLimits(): readonly ServerLimit[] {
+        const endedAfterMs = this.settings.clock.now() - ENDED_REPORT_MS;
+        const reported: ServerLimit[] = [];
+        for (const key of [...this.servers.keys()]) {
+            const limited = this.find(key);
+            if (limited !== undefined && (limited.callsPerSecond !== undefined || limited.statedAtMs > endedAfterMs)) {
+                const { callsPerSecond = 0, statedAtMs } = limited;
+                reported.push({ serverKey: key, callsPerSecond, isEnded: limited.callsPerSecond === undefined, statedAtMs });
+            }
+        }
+        return reported;
+    }
+
+    /** Merges what a peer has reported: the newest statement holds, so order and repetition do not matter. */
+    merge(limits: readonly ServerLimit[]): void {
+        const now = this.settings.clock.now();
+        for (const { serverKey: key, callsPerSecond, isEnded, statedAtMs } of limits) {
+            const known = this.find(key);
+            const isNewer = known === undefined ? !isEnded && statedAtMs > now - FORGET_MS : statedAtMs > known.statedAtMs;
+            if (isNewer) {
+                this.apply(key, isEnded ? undefined : callsPerSecond, Math.min(statedAtMs, now), { key });
+            }
+        }
+    }
+
+    /** Returns the calls that this node has sent to servers with a limit, by the server's key in reports. */
+    *ownTotals(): Iterable<readonly [number, number]> {
+        for (const [key, { bucket }] of this.servers) {
+            yield [key, bucket.ownTotal];
+        }
+    }
+
+    /** Records a peer's totals; `incarnation` identifies the peer and its start. */
+    recordPeerTotals(incarnation: string, totals: ReadonlyMap<number, number>): void {
+        for (const [key, limited] of this.servers) {
+            const total = totals.get(key);
+            if (total !== undefined) {
+                this.refill(limited, limited.callsPerSecond ?? 0);
+                limited.bucket.recordPeerTotal(incarnation, total);
+            }
+        }
+    }
+
+    /** Removes a peer that is gone. */
+    removePeer(incarnation: string): void {
+        for (const { bucket } of this.servers.values()) {
+            bucket.removePeer(incarnation);
+        }
+    }
+
     private recordStatement(server: RelayServer, callsPerSecond: number | undefined, sentAtMs: number): void {
         const key = serverKey(server);
         const known = this.find(key);
@@ -82,13 +215,67 @@
         if (isRaised && sentAtMs < known.statedAtMs) {
             return;
         }
-        this.statements.set(key, { callsPerSecond, statedAtMs: this.settings.clock.now() });
-        if (known?.callsPerSecond !== callsPerSecond) {
+        this.apply(key, callsPerSecond, this.settings.clock.now(), { server: server.id });
+    }
+
+    private apply(
+        key: number,
+        callsPerSecond: number | undefined,
+        statedAtMs: number,
+        detail: Readonly<Record<string, unknown>>,
+    ): void {
+        let limited = this.find(key);
+        const before = limited?.callsPerSecond;
+        if (limited === undefined) {
+            const bucket = new SharedTokenBucket(this.settings.clock, 0);
+            limited = { callsPerSecond, statedAtMs, bucket, allottedCalls: 0, allottedAtMs: -Infinity };
+            this.servers.set(key, limited);
+        }
+        limited.callsPerSecond = callsPerSecond;
+        limited.statedAtMs = statedAtMs;
+        if (before !== callsPerSecond) {
             const text = callsPerSecond === undefined ? "server: limit ended" : "server: limit stated";
-            this.settings.onChange(text, { server: server.id, callsPerSecond, before: known?.callsPerSecond });
+            this.settings.onChange(text, { ...detail, callsPerSecond, before });
         }
     }
 
+    /** Allots this node its share of the calls that may be sent, once for each interval between reports. */
+    private allot(limited: LimitedServer, callsPerSecond: number, service: string): void {
+        const { clock, random, reportIntervalMs } = this.settings;
+        const now = clock.now();
+        if (now - limited.allottedAtMs < reportIntervalMs()) {
+            return;
+        }
+        limited.allottedAtMs = now;
+        this.refill(limited, callsPerSecond);
+        const { own, peers } = this.settings.demands(service);
+        const calls = Math.max(0, limited.bucket.available) * this.demandShare(own, peers) /
+            STALENESS_REPORT_INTERVALS / this.useProbability(own);
+        const whole = Math.floor(calls);
+        limited.allottedCalls = whole + (random.next() < calls - whole ? 1 : 0);
+    }
+
+    /** Returns this node's share of the demand for a service, from 0 to 1. */
+    private demandShare(own: Demand, peers: Demand): number {
+        const { nodeCount, reportIntervalMs } = this.settings;
+        const stalenessMs = STALENESS_REPORT_INTERVALS * reportIntervalMs();
+        const ownCalls = countCalls(own, stalenessMs) + ASSUMED_DEMAND_CALLS;
+        const allCalls = countCalls(sumDemands([own, peers]), stalenessMs) + ASSUMED_DEMAND_CALLS * nodeCount();
+        return ownCalls / allCalls;
+    }
+
+    /** Returns the probability that this node has a call to send before the next allotment, from 0 to 1. */
+    private useProbability(own: Demand): number {
+        return 1 - Math.exp(-Math.max(MIN_EXPECTED_CALLS, countCalls(own, this.settings.reportIntervalMs())));
+    }
+
+    private refill(limited: LimitedServer, callsPerSecond: number): void {
+        const tokensPerSecond = Math.max(MIN_CALLS_PER_SECOND, callsPerSecond);
+        const burst = Math.max(1, tokensPerSecond * BURST_SECONDS);
+        const reachableShare = 1 - this.settings.unreachableShare();
+        limited.bucket.refill({ tokensPerSecond, burst, maxDebt: tokensPerSecond * MAX_DEBT_SECONDS }, reachableShare);
+    }
+
     private logUnreadable(server: RelayServer, text: string): void {
         const now = this.settings.clock.now();
         if (now - this.unreadableLoggedAtMs >= UNREADABLE_LOG_INTERVAL_MS) {
@@ -98,10 +285,10 @@
     }
 
     /** Returns what a server has stated, unless it is so old that it is forgotten. */
-    private find(key: number): Statement | undefined {
-        const known = this.statements.get(key);
+    private find(key: number): LimitedServer | undefined {
+        const known = this.servers.get(key);
         if (known !== undefined && known.statedAtMs < this.settings.clock.now() - FORGET_MS) {
-            this.statements.delete(key);
+            this.servers.delete(key);
             return undefined;
         }
         return known;
@@ -112,3 +299,8 @@
 function serverKey({ id, startedAtMs }: RelayServer): number {
     return hashKey(`${id}@${startedAtMs}`);
 }
+
+/** @returns Calls that wait now or arrive within a time. */
+function countCalls({ inTimeCalls, lateCalls, arrivalsPerSecond }: Demand, durationMs: number): number {
+    return inTimeCalls + lateCalls + arrivalsPerSecond * durationMs / MS_PER_SECOND;
+}
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -7,8 +7,7 @@
 import { hashKey } from "../../protocol/relay/mod.js";
 import { type Clock, type RelayServer, ServerProfile } from "../../state/relay/mod.js";
 import type { PeerTable } from "./peer_table.js";
-import type { ServerCallObserver } from "./server_call_observer.js";
-import { ServerState } from "./server_state.js";
+import { ServerState, type ServerStateDependencies } from "./server_state.js";
 
 /** Initial estimate of the time per prompt token, in milliseconds; a large accelerator prefills 100 tokens per ms. */
 const INITIAL_MS_PER_PROMPT_TOKEN = 0.01;
@@ -28,12 +27,12 @@
     /**
      * @param clock Time source of the server states.
      * @param peers Calls that other nodes have in flight.
-     * @param observer Receives the latencies of calls as they become known.
+     * @param dependencies Optional dependencies of the server states.
      */
     constructor(
         private readonly clock: Clock,
         private readonly peers: PeerTable,
-        private readonly observer?: ServerCallObserver,
+        private readonly dependencies: ServerStateDependencies = {},
     ) {}
 
     /** Adds a server, or updates it from a newer report; a new incarnation or service starts with fresh state. */
@@ -46,7 +45,7 @@
         this.remove(server.id);
         const key = hashKey(server.id);
         const profile = this.profileOf(server.service);
-        const added = new ServerState(server, profile, this.clock, () => this.peers.callsAt(key), this.observer);
+        const added = new ServerState(server, profile, this.clock, () => this.peers.callsAt(key), this.dependencies);
         this.statesById.set(server.id, added);
         this.statesByService.set(server.service, [...this.statesOf(server.service), added]);
     }
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, RelayServer, ServerProfile } from "../../state/relay/mod.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
+import type { CallAllowance, ServerLimits } from "./server_limits.js";
 
 /** Cost of a call that does not depend on its prompt, in prompt tokens: the engine's scheduling and its first step. */
 const FIXED_COST_TOKENS = 3_700;
@@ -59,6 +60,14 @@
     readonly isBad: boolean;
 }
 
+/** Optional dependencies of a {@linkcode ServerState}. */
+export interface ServerStateDependencies {
+    /** Receives the latencies of calls as they become known, except while the server is warming up. */
+    readonly observer?: ServerCallObserver | undefined;
+    /** Limits that servers state for the calls of all nodes. */
+    readonly limits?: ServerLimits | undefined;
+}
+
 /** Measures the speed of one server and tracks its health. */
 export class ServerState {
     /** Prompt tokens of this node's calls that have no first event yet. */
@@ -75,14 +84,14 @@
      * @param profile Average speeds of the service's servers, used until this server's own are measured; shared by all of them.
      * @param clock Time source of the measurements.
      * @param countPeerCalls Returns the calls that other nodes have in flight at the server.
-     * @param observer Receives the latencies of calls as they become known, except while the server is warming up.
+     * @param dependencies See {@linkcode ServerStateDependencies}.
      */
     constructor(
         public server: RelayServer,
         private readonly profile: ServerProfile,
         private readonly clock: Clock,
         private readonly countPeerCalls: () => number,
-        private readonly observer?: ServerCallObserver,
+        private readonly dependencies: ServerStateDependencies = {},
     ) {
         this.warmAtMs = clock.now() + server.warmUpMs;
         this.msPerPromptToken = profile.msPerPromptToken;
@@ -117,6 +126,7 @@
     /** Records that a call was sent. */
     startCall(promptTokens: number): InFlightCall {
         const now = this.clock.now();
+        this.dependencies.limits?.recordSent(this.server);
         this.pendingPromptTokens += promptTokens;
         const isWarm = now >= this.warmAtMs;
         const call = {
@@ -190,7 +200,7 @@
         if (!call.isFirstEventObserved) {
             call.isFirstEventObserved = true;
             const scale = FIXED_COST_TOKENS / (FIXED_COST_TOKENS + call.pendingTokensAtSend);
-            this.observer?.recordFirstEvent(this, (this.clock.now() - call.sentAtMs) * scale);
+            this.dependencies.observer?.recordFirstEvent(this, (this.clock.now() - call.sentAtMs) * scale);
         }
     }
 
@@ -198,7 +208,7 @@
         if (!call.isIntervalObserved) {
             call.isIntervalObserved = true;
             const untilMs = call.laterEvents > 0 ? call.lastEventAtMs : this.clock.now();
-            this.observer?.recordInterval(this, (untilMs - call.firstEventAtMs) / Math.max(1, call.laterEvents));
+            this.dependencies.observer?.recordInterval(this, (untilMs - call.firstEventAtMs) / Math.max(1, call.laterEvents));
         }
     }
 
@@ -247,6 +257,16 @@
         return count < MIN_OUTCOMES ? 0 : bad / count;
     }
 
+    /** What the server's limit on the calls of all nodes leaves; `undefined` if it states none. */
+    get allowance(): CallAllowance | undefined {
+        return this.dependencies.limits?.allowance(this.server);
+    }
+
+    /** Whether the server's limit on the calls of all nodes allows this node no call now. */
+    get isAtLimit(): boolean {
+        return this.dependencies.limits?.mayReceive(this.server) === false;
+    }
+
     /** Whether the server is suspended by {@linkcode suspend}. */
     get isSuspended(): boolean {
         return this.clock.now() < this.suspendedUntilMs;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -87,6 +87,7 @@
             calls: servers.reduce((sum, state) => sum + state.allCalls, 0),
             ...this.gate.describe(),
             peerDemand: this.settings.peerDemand(),
+            limitedServers: servers.filter(state => state.allowance !== undefined).length,
             doubtfulServers: servers.filter(state => state.isUnresponsive || state.isSuspended).length,
         };
     }
@@ -213,6 +214,6 @@
     return !state.isSuspended && !state.isUnresponsive;
 }
 
-function toCapacity({ server, allCalls, callMs }: ServerState): ServerCapacity {
-    return { slots: server.slots, calls: allCalls, callMs };
+function toCapacity({ server, allCalls, callMs, allowance }: ServerState): ServerCapacity {
+    return { slots: server.slots, calls: allCalls, callMs, allowance };
 }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -128,7 +128,18 @@
             nodeCount: () => this.peers.reachablePeers + 1,
             onChange: (text, detail) => this.relayLog.info(text, detail),
         });
-        this.limits = new ServerLimits({ clock, onChange: (text, detail) => this.relayLog.info(text, detail) });
+        this.limits = new ServerLimits({
+            clock,
+            random,
+            reportIntervalMs: () => this.reporter.intervalMs,
+            nodeCount: () => this.peers.reachablePeers + 1,
+            unreachableShare: () => this.peers.unreachableShare(),
+            demands: service => ({
+                own: this.scheduler(service).demand,
+                peers: this.peers.demandOf(hashKey(service)),
+            }),
+            onChange: (text, detail) => this.relayLog.info(text, detail),
+        });
         this.directory = new NodeDirectory({
             log: this.log,
             clock,
@@ -152,7 +163,7 @@
             onChange: (text, detail) => this.relayLog.info(text, detail),
             onRewrite: topic => this.recordRewrite(topic),
         });
-        this.pool = new ServerPool(clock, this.peers, this.rollouts);
+        this.pool = new ServerPool(clock, this.peers, { observer: this.rollouts, limits: this.limits });
         this.follower = new LogFollower({
             log: this.log,
             clock,
@@ -186,6 +197,7 @@
             pool: this.pool,
             quota: this.quota,
             quarantine: this.quarantine,
+            limits: this.limits,
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -45,7 +45,10 @@
   /** Calls in flight at each backend server; keys are hashes of the server ids. */
   readonly serverKeys: readonly number[];
   readonly serverCalls: readonly number[];
-  /** Tokens that the sender has used from each bucket that the nodes share, since its start; keys are hashes of workspace names. */
+  /**
+   * Tokens that the sender has used from each bucket that the nodes share, since its start; keys are hashes of workspace names, and
+   * those of limited servers.
+   */
   readonly bucketKeys: readonly number[];
   readonly bucketTotals: readonly number[];
   readonly versions: readonly VersionCount[];
@@ -64,6 +67,18 @@
   readonly ownPart: PeerReport | undefined;
   readonly demands: readonly ServiceDemand[];
   readonly promptSuspects: readonly PromptSuspect[];
+  readonly serverLimits: readonly ServerLimit[];
+}
+
+/** Calls that a backend server accepts from all nodes together; the newest statement of a server holds. */
+export interface ServerLimit {
+  /** Hash of the server's id and start time. */
+  readonly serverKey: number;
+  readonly callsPerSecond: number;
+  /** Whether the server no longer states a limit. */
+  readonly isEnded: boolean;
+  /** Time at which a node received the statement, in milliseconds since the Unix epoch. */
+  readonly statedAtMs: number;
 }
 
 /** Prompt part that may crash backend servers. */
@@ -134,6 +149,7 @@
     ownPart: undefined,
     demands: [],
     promptSuspects: [],
+    serverLimits: [],
   };
 }
 
@@ -212,6 +228,9 @@
     for (const v of message.promptSuspects) {
       PromptSuspect.encode(v!, writer.uint32(154).fork()).join();
     }
+    for (const v of message.serverLimits) {
+      ServerLimit.encode(v!, writer.uint32(162).fork()).join();
+    }
     return writer;
   },
 
@@ -420,6 +439,93 @@
             message.promptSuspects.push(PromptSuspect.decode(reader, reader.uint32()));
             continue;
           }
+          case 20: {
+            if (tag !== 162) {
+              break;
+            }
+
+            message.serverLimits.push(ServerLimit.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseServerLimit(): ServerLimit {
+  return { serverKey: 0, callsPerSecond: 0, isEnded: false, statedAtMs: 0 };
+}
+
+export const ServerLimit: MessageFns<ServerLimit> = {
+  encode(message: ServerLimit, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.serverKey !== 0) {
+      writer.uint32(13).fixed32(message.serverKey);
+    }
+    if (message.callsPerSecond !== 0) {
+      writer.uint32(17).double(message.callsPerSecond);
+    }
+    if (message.isEnded !== false) {
+      writer.uint32(24).bool(message.isEnded);
+    }
+    if (message.statedAtMs !== 0) {
+      writer.uint32(33).double(message.statedAtMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ServerLimit {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseServerLimit() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 13) {
+              break;
+            }
+
+            message.serverKey = reader.fixed32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.callsPerSecond = reader.double();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.isEnded = reader.bool();
+            continue;
+          }
+          case 4: {
+            if (tag !== 33) {
+              break;
+            }
+
+            message.statedAtMs = reader.double();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -10,6 +10,7 @@
     type PromptSuspect,
     ReportScope,
     RolloutVerdict,
+    type ServerLimit,
     type ServiceDemand,
     type VersionCount,
     type VersionSlice,
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -466,7 +466,15 @@
             nodeCount: () => peers.reachablePeers + 1,
             onChange: (text, detail) => this.onChange(name, text, detail),
         });
-        const limits = new ServerLimits({ clock, onChange: (text, detail) => this.onChange(name, text, detail) });
+        const limits = new ServerLimits({
+            clock,
+            random,
+            reportIntervalMs: () => reporter.intervalMs,
+            nodeCount: () => peers.reachablePeers + 1,
+            unreachableShare: () => peers.unreachableShare(),
+            demands: () => ({ own: scheduler.demand, peers: peers.demandOf(hashKey(FLEET_SERVICE)) }),
+            onChange: (text, detail) => this.onChange(name, text, detail),
+        });
         const directory = new NodeDirectory({
             log,
             clock,
@@ -490,7 +498,7 @@
             onChange: (text, detail) => this.onChange(name, text, detail),
             onRewrite: () => undefined,
         });
-        const pool: ServerPool = new ServerPool(clock, peers, rollouts);
+        const pool: ServerPool = new ServerPool(clock, peers, { observer: rollouts, limits });
         const scheduler: ServiceScheduler = new ServiceScheduler({
             service: FLEET_SERVICE,
             failureDomain: `domain-${index % 4}`,
@@ -514,6 +522,7 @@
             pool,
             quota,
             quarantine,
+            limits,
             address: () => name,
             workspaces: () => [],
             versionCounts: () => rollouts.versionCounts(),
