--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -15,6 +15,7 @@
 import { type Clock, type RandomSource, Semantics } from "../../state/relay/mod.js";
 import type { RetryBudget } from "../retry_budget.js";
 import { discardRest, MAX_ANSWER_BYTES, readWhole } from "./answer_reader.js";
+import { fingerprintOf } from "./call_fingerprint.js";
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import {
@@ -77,6 +78,7 @@
     private readonly state = new CallState();
     private readonly finalAnswer: FinalAnswer;
     private readonly splitter = new EventStreamSplitter();
+    private readonly fingerprint: number;
     private attempts = 0;
     private refusals = 0;
     private connectFailures = 0;
@@ -88,6 +90,7 @@
      */
     constructor(private readonly settings: RelayedCallSettings, private readonly admitted: AdmittedCall) {
         this.finalAnswer = new FinalAnswer(settings, admitted, this.state);
+        this.fingerprint = fingerprintOf(admitted.call, admitted.workspace?.name);
     }
 
     /**
@@ -344,6 +347,7 @@
         this.settings.recorder.logEvent(this.admitted.call.head.id, "attempt failed", {
             server: slot.server.id,
             reason,
+            content: this.fingerprint,
             elapsedMs: Math.round(this.elapsedMs()),
         });
     }
