--- /dev/null
+++ b/features/steps/relay_crashing_call_steps.ts
@@ -0,0 +1,218 @@
+/**
+ * Steps about calls whose content crashes servers, on a model of nodes, servers and callers.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Semantics } from "../../src/state/relay/mod.js";
+import { type ModelOutcome, type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
+import type { Scenario } from "../support/world.js";
+
+/** Seeds with which each case is played. */
+const SEEDS = [1, 2, 3];
+
+/** Time before the first call that crashes servers, and time for which such calls come, in milliseconds. */
+const WARM_UP_MS = 4_000;
+const PLAYED_MS = 32_000;
+
+/** Time for which a crashed server is down, in milliseconds. */
+const CRASH_MS = 3_000;
+
+/** Crashes after which the bounds hold, attempts that may reach servers then, and the times from which the bounds hold. */
+const MAX_CRASHES = 3;
+const MAX_LATE_ATTEMPTS = 3;
+const ATTEMPTS_FROM_MS = 3_000;
+const SERVICE_FROM_MS = 8_000;
+
+/** Time after which the caller of a failed call sends it again, once, in milliseconds. */
+const CALLER_RETRY_MS = 200;
+
+/** Bodies of calls that crash servers. */
+const CRASHING_BODIES = ["crashing-1", "crashing-2"];
+
+/** Share of the sound calls that come again and again with one of a few bodies. */
+const POPULAR_SHARE = 0.3;
+const POPULAR_BODIES = 20;
+
+/** Calls of the model. */
+const TRAFFIC: ModelTraffic = {
+    callsPerSecond: 33,
+    mostEvents: 0,
+    promptTokens: 0,
+    deadlineMs: 4_000,
+    intervalsMs: [20, 20, 20, 20],
+    slots: 6,
+};
+
+/** State of a scenario of this file. */
+interface CrashingCallScenario extends Scenario {
+    fleets: RelayFleetModel[];
+    nodeCount: number;
+    semantics: Semantics;
+}
+
+After(function(this: CrashingCallScenario) {
+    for (const fleet of this.fleets ?? []) {
+        fleet.stop();
+    }
+});
+
+Given(
+    /^(\d+) relay nodes before four servers of (repeatable|unsafe) calls$/,
+    function(this: CrashingCallScenario, nodes: string, kind: string) {
+        this.nodeCount = Number(nodes);
+        this.semantics = kind === "repeatable" ? Semantics.Repeatable : Semantics.DispatchOnce;
+        this.fleets = [];
+    },
+);
+
+When(
+    /^a call that crashes servers comes ([\d.]+) times a second and (.*)$/,
+    { timeout: 300_000 },
+    async function(this: CrashingCallScenario, rate: string, trouble: string) {
+        for (const seed of SEEDS) {
+            const fleet = startFleet(this, seed);
+            await fleet.run(WARM_UP_MS);
+            await playCrashingCalls(fleet, Number(rate), trouble, this.nodeCount);
+            fleet.stop();
+        }
+    },
+);
+
+When(
+    /^only sound calls come, some of them often, and (.*)$/,
+    { timeout: 300_000 },
+    async function(this: CrashingCallScenario, trouble: string) {
+        for (const seed of SEEDS) {
+            const fleet = startFleet(this, seed);
+            await fleet.run(WARM_UP_MS);
+            for (let second = 0; second < PLAYED_MS / 1_000; second += 1) {
+                disturb(fleet, trouble, second);
+                await fleet.run(1_000);
+            }
+            fleet.stop();
+        }
+    },
+);
+
+Then("at most 3 of its attempts reach servers later than 3 s after the third crash", function(this: CrashingCallScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        for (const body of CRASHING_BODIES) {
+            const attempts = fleet.attemptsOf("v1").filter(({ call }) => call.body.toString() === body);
+            const thirdAtMs = crashTimes(fleet, body)[MAX_CRASHES - 1] ?? Infinity;
+            const late = attempts.filter(({ atMs }) => atMs > thirdAtMs + ATTEMPTS_FROM_MS);
+            const crashes = crashTimes(fleet, body).length;
+            assert(late.length <= MAX_LATE_ATTEMPTS, `seed ${SEEDS[index]}: ${late.length} attempts, ${crashes} crashes`);
+        }
+    }
+});
+
+Then("9 in 10 other calls are served from 8 s after the third crash", function(this: CrashingCallScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        const times = CRASHING_BODIES.flatMap(body => crashTimes(fleet, body).slice(0, MAX_CRASHES));
+        const fromMs = Math.max(...times) + SERVICE_FROM_MS;
+        const sound = fleet.outcomes.filter(({ call }) => call.arrivedAtMs >= fromMs && !isCrashing(call.body.toString()));
+        const served = sound.filter(({ status }) => status === 200);
+        assert(sound.length > 0, `seed ${SEEDS[index]}: no sound calls`);
+        assert(served.length >= 0.9 * sound.length, `seed ${SEEDS[index]}: ${served.length} of ${sound.length} served`);
+    }
+});
+
+Then("no call is refused because of its content", function(this: CrashingCallScenario) {
+    for (const [index, fleet] of this.fleets.entries()) {
+        const refused = fleet.outcomes.filter(({ text }) => text.includes("must not be repeated"));
+        assert.equal(refused.length, 0, `seed ${SEEDS[index]}`);
+    }
+});
+
+function startFleet(scenario: CrashingCallScenario, seed: number): RelayFleetModel {
+    const fleet = new RelayFleetModel(TRAFFIC, scenario.nodeCount, seed, false, scenario.semantics);
+    const repeated = new Set<string>();
+    fleet.bodyOf = () => {
+        const isPopular = fleet.random.next() < POPULAR_SHARE;
+        return isPopular ? `popular-${fleet.random.nextInt(POPULAR_BODIES)}` : `own-${fleet.random.nextInt(1e9)}`;
+    };
+    fleet.crashMs = call => isCrashing(call.body.toString()) ? CRASH_MS : 0;
+    fleet.onOutcome = outcome => void repeatOnce(fleet, outcome, repeated);
+    fleet.addVersion("v1");
+    scenario.fleets.push(fleet);
+    return fleet;
+}
+
+/** Sends a failed call again at some node, as its caller does once. */
+async function repeatOnce(fleet: RelayFleetModel, { call, status }: ModelOutcome, repeated: Set<string>): Promise<void> {
+    const body = call.body.toString();
+    const isOwn = body.startsWith("own-");
+    if (status === 200 || isOwn && repeated.has(body) || !isOwn && fleet.random.next() < 0.5) {
+        return;
+    }
+    repeated.add(body);
+    await fleet.clock.sleep(CALLER_RETRY_MS);
+    fleet.sendCall([], body);
+}
+
+/** Times at which a call crashed servers, in order. */
+function crashTimes(fleet: RelayFleetModel, body: string): readonly number[] {
+    const attempts = fleet.attemptsOf("v1").filter(({ call }) => call.body.toString() === body);
+    return attempts.flatMap(({ crashedAtMs }) => crashedAtMs ?? []).sort((left, right) => left - right);
+}
+
+function isCrashing(body: string): boolean {
+    return CRASHING_BODIES.includes(body);
+}
+
+async function playCrashingCalls(fleet: RelayFleetModel, rate: number, trouble: string, nodeCount: number): Promise<void> {
+    const [body, otherBody] = CRASHING_BODIES as [string, string];
+    const startMs = fleet.clock.now();
+    let restarted = 0;
+    if (trouble.startsWith("servers fail")) {
+        Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
+    }
+    if (trouble === "the log is down") {
+        fleet.setLogReachable(nodeCount, false);
+    }
+    for (let call = 0; call < rate * PLAYED_MS / 1_000; call += 1) {
+        await fleet.run(1_000 / rate);
+        const elapsedMs = fleet.clock.now() - startMs;
+        fleet.sendCall([], body);
+        if (trouble.startsWith("another call") && elapsedMs > 8_000) {
+            fleet.sendCall([], otherBody);
+        }
+        if (trouble.startsWith("a node is cut off")) {
+            fleet.setIsolated(0, elapsedMs < 6_000);
+        }
+        if (trouble.startsWith("four nodes restart") && restarted === 0 && crashTimes(fleet, body).length >= MAX_CRASHES) {
+            restarted = 4;
+            fleet.restartNodes(0, restarted);
+        }
+        if (trouble.startsWith("all nodes restart") && elapsedMs > 2_000 * (restarted + 1) && restarted < nodeCount) {
+            fleet.restartNodes(restarted, 1);
+            restarted += 1;
+        }
+    }
+}
+
+function disturb(fleet: RelayFleetModel, trouble: string, second: number): void {
+    const servers = fleet.serversOf("v1");
+    const from = fleet.random.nextInt(servers.length);
+    switch (trouble) {
+        case "a server crashes each 2 s":
+        case "two servers crash at once each 5 s":
+            for (let index = 0; index < (trouble.startsWith("two") ? 2 : 1); index += 1) {
+                const server = servers[(from + index) % servers.length];
+                if (server !== undefined && second % (trouble.startsWith("two") ? 5 : 2) === 0) {
+                    fleet.crash(server, CRASH_MS);
+                }
+            }
+            return;
+        case "half of all connections are reset each 2 s":
+            for (const server of second % 2 === 0 ? servers : []) {
+                server.closeHalf();
+            }
+            return;
+        default:
+            Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
+    }
+}
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -233,6 +233,10 @@
     chooseNode: () => number = () => this.random.nextInt(this.nodes.length);
     /** Returns how long a server that begins to answer a call is down, in milliseconds; 0 for a sound call. */
     crashMs: (call: RelayCall) => number = () => 0;
+    /** Returns the body of the next call. */
+    bodyOf: () => string = () => "";
+    /** Called when a call ends, with its outcome. */
+    onOutcome: (outcome: ModelOutcome) => void = () => undefined;
     /** Called when a server crashes. */
     onCrash: () => void = () => undefined;
     /** Called with each line that a node logs about a rollout. */
@@ -250,14 +254,21 @@
      * @param nodeCount Number of nodes.
      * @param seed Seed of all random numbers.
      * @param isResumable Whether broken streams may be resumed elsewhere.
+     * @param semantics Whether calls may be repeated; the default is that streams may not.
      */
-    constructor(readonly traffic: ModelTraffic, private readonly nodeCount: number, seed: number, isResumable = false) {
+    constructor(
+        readonly traffic: ModelTraffic,
+        private readonly nodeCount: number,
+        seed: number,
+        isResumable = false,
+        semantics = traffic.mostEvents > 0 ? Semantics.DispatchOnce : Semantics.Repeatable,
+    ) {
         this.random = new SeededRandom(seed);
         this.route = {
             name: "route",
             host: HOST,
             pathPrefix: "/",
-            semantics: traffic.mostEvents > 0 ? Semantics.DispatchOnce : Semantics.Repeatable,
+            semantics,
             isStream: traffic.mostEvents > 0,
             isResumable,
             timeoutMs: traffic.deadlineMs,
@@ -388,7 +399,7 @@
             const gapMs = -Math.log(1 - this.random.next()) * 1_000 / (this.traffic.callsPerSecond * this.trafficFactor);
             await this.clock.advance(Math.min(gapMs, endMs - this.clock.now()));
             if (this.clock.now() < endMs) {
-                this.sendCall(this.partsOf());
+                this.sendCall(this.partsOf(), this.bodyOf());
             }
         }
     }
@@ -402,13 +413,15 @@
     }
 
     /** Sends one call to a random node. */
-    sendCall(parts: readonly PromptPart[]): void {
+    sendCall(parts: readonly PromptPart[], body = ""): void {
         this.lastCall += 1;
         const node = this.nodes[this.chooseNode()];
         const caller = new ModelCaller(
             this.clock,
             (status, isComplete, { text = "", retryAfterMs }) => {
-                this.outcomes.push({ call, status, isComplete, text, retryAfterMs, endedAtMs: this.clock.now() });
+                const outcome = { call, status, isComplete, text, retryAfterMs, endedAtMs: this.clock.now() };
+                this.outcomes.push(outcome);
+                this.onOutcome(outcome);
             },
         );
         const call: RelayCall = {
@@ -425,7 +438,7 @@
             },
             method: "POST",
             target: "/",
-            body: Buffer.alloc(0),
+            body: Buffer.from(body),
             arrivedAtMs: this.clock.now(),
             callerGone: caller.gone.signal,
         };
