Rename the prompt quarantine to call quarantine

It is to hold other traits of calls than the parts of their prompts. Field numbers of reports and behaviour stay; relay_prompt_parts passes.

--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -6,7 +6,7 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { PromptQuarantine } from "../../src/coordination/relay/mod.js";
+import { CallQuarantine } from "../../src/coordination/relay/mod.js";
 import { hashKey, type PromptPart } from "../../src/protocol/relay/mod.js";
 import { type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import { type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
@@ -58,7 +58,7 @@
     nodeCount: number;
     crashesAtMs: Map<RelayFleetModel, number[]>;
     clock: VirtualClock;
-    quarantine: PromptQuarantine;
+    quarantine: CallQuarantine;
     sentProbes: number;
 }
 
@@ -213,7 +213,7 @@
 
 Given("a node that watches the parts of prompts before 13 servers", function(this: PromptScenario) {
     this.clock = new VirtualClock();
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new CallQuarantine({
         clock: this.clock,
         random: new SeededRandom(1),
         serverCount: () => 13,
@@ -260,7 +260,7 @@
         }
     };
     const report = (crashKeys: readonly number[], isAnswered: boolean) => {
-        quarantine.merge([{ partKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered }]);
+        quarantine.merge([{ traitKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered }]);
     };
     switch (history) {
         case "was in a call that broke":
--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -8,10 +8,10 @@
 import assert from "node:assert/strict";
 import { setMaxListeners } from "node:events";
 import {
+    CallQuarantine,
     NodeDirectory,
     PeerReporter,
     PeerTable,
-    PromptQuarantine,
     ServerLimits,
     ServerPool,
     sumDemands,
@@ -172,7 +172,7 @@
         peers,
         pool,
         quota,
-        quarantine: new PromptQuarantine({
+        quarantine: new CallQuarantine({
             clock,
             random: scenario.fleetRandom,
             serverCount: () => SERVER_COUNT,
--- a/src/coordination/relay/prompt_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { hashKey, type PromptPart, type PromptSuspect } from "../../protocol/relay/mod.js";
+import { type CallSuspect, hashKey, type PromptPart } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
 
 /** Crashes after which a part is quarantined, if no other part was there as often. */
@@ -49,14 +49,14 @@
 }
 
 /** Quarantined part of a call's prompt. */
-export interface QuarantinedPart {
+export interface QuarantinedTrait {
     readonly id: string;
     /** Servers that have crashed under it. */
     readonly crashes: number;
 }
 
-/** Settings of a {@linkcode PromptQuarantine}. */
-export interface PromptQuarantineSettings {
+/** Settings of a {@linkcode CallQuarantine}. */
+export interface CallQuarantineSettings {
     readonly clock: Clock;
     readonly random: RandomSource;
     /** Returns the number of servers of a service. */
@@ -68,7 +68,7 @@
 }
 
 /** Finds the prompt parts that crash servers from this node's calls and the reports of its peers. */
-export class PromptQuarantine {
+export class CallQuarantine {
     /** Parts of answered calls, least recently answered first. */
     private readonly answered = new Set<number>();
     private readonly suspects = new Map<number, Suspect>();
@@ -77,11 +77,11 @@
     /** Servers whose connections broke recently, with the times. */
     private broken: { readonly serverKey: number; readonly atMs: number }[] = [];
 
-    /** @param settings See {@linkcode PromptQuarantineSettings}. */
-    constructor(private readonly settings: PromptQuarantineSettings) {}
+    /** @param settings See {@linkcode CallQuarantineSettings}. */
+    constructor(private readonly settings: CallQuarantineSettings) {}
 
     /** Number of quarantined parts. */
-    get quarantinedParts(): number {
+    get quarantinedTraits(): number {
         let count = 0;
         for (const { isQuarantined } of this.suspects.values()) {
             count += isQuarantined ? 1 : 0;
@@ -93,7 +93,7 @@
      * Returns the quarantined part of a prompt, or `undefined` if the call may be sent. From time to time one call with such a part may
      * be sent, so that a part that was suspected wrongly is cleared; see {@linkcode recordSent}.
      */
-    findQuarantined(parts: readonly PromptPart[]): QuarantinedPart | undefined {
+    findQuarantined(parts: readonly PromptPart[]): QuarantinedTrait | undefined {
         const now = this.settings.clock.now();
         for (const { id } of sharedParts(parts)) {
             const suspect = this.suspects.get(hashKey(id));
@@ -144,26 +144,26 @@
     }
 
     /** Returns the suspects and the parts that were cleared recently, to be reported to the peers. */
-    reportedSuspects(): readonly PromptSuspect[] {
+    reportedSuspects(): readonly CallSuspect[] {
         this.forgetOld();
         const suspects = [...this.suspects.values()].map(({ key, crashes }) => {
-            return { partKey: key, crashKeys: [...crashes], isAnswered: false };
+            return { traitKey: key, crashKeys: [...crashes], isAnswered: false };
         });
-        const cleared = [...this.cleared.keys()].map(partKey => ({ partKey, crashKeys: [], isAnswered: true }));
+        const cleared = [...this.cleared.keys()].map(traitKey => ({ traitKey, crashKeys: [], isAnswered: true }));
         return [...suspects, ...cleared];
     }
 
     /** Merges what a peer has reported; order and repetition do not matter. */
-    merge(suspects: readonly PromptSuspect[]): void {
-        for (const { partKey, crashKeys, isAnswered } of suspects) {
+    merge(suspects: readonly CallSuspect[]): void {
+        for (const { traitKey, crashKeys, isAnswered } of suspects) {
             if (isAnswered) {
-                this.clear(partKey);
+                this.clear(traitKey);
             }
-            else if (this.answered.has(partKey)) {
-                this.cleared.set(partKey, this.settings.clock.now());
+            else if (this.answered.has(traitKey)) {
+                this.cleared.set(traitKey, this.settings.clock.now());
             }
             else {
-                this.addCrashes(partKey, crashKeys);
+                this.addCrashes(traitKey, crashKeys);
             }
         }
     }
@@ -183,9 +183,9 @@
         }
         const crashKey = hashKey(`${server.id}@${server.startedAtMs}`);
         for (const { id } of parts) {
-            const partKey = hashKey(id);
-            if (!this.answered.has(partKey)) {
-                this.addCrashes(partKey, [crashKey], { part: id, server: server.id });
+            const traitKey = hashKey(id);
+            if (!this.answered.has(traitKey)) {
+                this.addCrashes(traitKey, [crashKey], { part: id, server: server.id });
             }
         }
     }
@@ -209,14 +209,14 @@
         if (suspect.crashes.size === known) {
             return;
         }
-        this.settings.onChange("prompt: part suspected", { partKey: key, crashes: suspect.crashes.size, ...detail });
+        this.settings.onChange("prompt: part suspected", { traitKey: key, crashes: suspect.crashes.size, ...detail });
         if (suspect.isQuarantined) {
             this.scheduleProbe(suspect);
         }
         else if (this.isCause(suspect)) {
             suspect.isQuarantined = true;
             this.scheduleProbe(suspect);
-            this.settings.onChange("prompt: part quarantined", { partKey: key, crashes: suspect.crashes.size, ...detail });
+            this.settings.onChange("prompt: part quarantined", { traitKey: key, crashes: suspect.crashes.size, ...detail });
             this.explainCrashes(suspect);
         }
     }
@@ -264,7 +264,7 @@
             this.suspects.delete(key);
             this.cleared.set(key, this.settings.clock.now());
             const { crashes, isQuarantined } = suspect;
-            this.settings.onChange("prompt: part cleared", { partKey: key, part, crashes: crashes.size, isQuarantined });
+            this.settings.onChange("prompt: part cleared", { traitKey: key, part, crashes: crashes.size, isQuarantined });
         }
     }
 
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -6,8 +6,8 @@
 
 import type { AnswerHead, LocalAnswer, RelayAnswer, RelayCall } from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, type RelayWorkspace, Semantics } from "../../state/relay/mod.js";
+import type { QuarantinedTrait } from "./call_quarantine.js";
 import { type CallRecorder, type CallTimes, type PlacementRecord, RelayOutcome } from "./call_record.js";
-import type { QuarantinedPart } from "./prompt_quarantine.js";
 import { decideRetryAfter } from "./wait_limits.js";
 
 /** Statuses with which a backend server reports that a call did not run, if a header says so too. */
@@ -104,7 +104,7 @@
     }
 
     /** Rejects a call because a part of its prompt crashes servers. */
-    rejectPrompt({ id, crashes }: QuarantinedPart): void {
+    rejectPrompt({ id, crashes }: QuarantinedTrait): void {
         const hasRun = this.state.mayHaveRun ? "may have run" : "has not run";
         const text =
             `The call ${hasRun} and must not be repeated: ${crashes} backend servers crashed under part ${id} of its prompt.`;
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -14,10 +14,10 @@
 } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
 import type { Demand } from "./admission_gate.js";
+import type { CallQuarantine } from "./call_quarantine.js";
 import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
 import type { PeerTable } from "./peer_table.js";
-import type { PromptQuarantine } from "./prompt_quarantine.js";
 import type { ReportExchange } from "./report_exchange.js";
 import type { ServerLimits } from "./server_limits.js";
 import type { ServerPool } from "./server_pool.js";
@@ -40,7 +40,7 @@
     readonly peers: PeerTable;
     readonly pool: ServerPool;
     readonly quota: WorkspaceQuota;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: CallQuarantine;
     readonly limits: ServerLimits;
     /** Address at which peers reach this node. */
     readonly address: () => string;
@@ -111,7 +111,7 @@
             this.incarnations.set(report.node, incarnation);
             this.settings.onPeerSeen(report);
         }
-        this.settings.quarantine.merge(report.promptSuspects);
+        this.settings.quarantine.merge(report.callSuspects);
         const totals = totalsByBucketKey(report);
         limits.merge(report.serverLimits);
         limits.recordPeerTotals(incarnation, totals);
@@ -183,7 +183,7 @@
             bucketKeys: totals.map(([key]) => key),
             bucketTotals: totals.map(([, total]) => total),
             versions: [...versionCounts()],
-            promptSuspects: [...quarantine.reportedSuspects()],
+            callSuspects: [...quarantine.reportedSuspects()],
             serverLimits: [...limits.reportedLimits()],
             demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
             leaving: isDraining(),
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -16,6 +16,7 @@
 import type { RetryBudget } from "../retry_budget.js";
 import { discardRest, MAX_ANSWER_BYTES, readWhole } from "./answer_reader.js";
 import { fingerprintOf } from "./call_fingerprint.js";
+import type { CallQuarantine } from "./call_quarantine.js";
 import type { CallRecorder } from "./call_record.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import {
@@ -27,7 +28,6 @@
     MISDIRECTED_STATUS,
     NOT_RUN_STATUSES,
 } from "./final_answer.js";
-import type { PromptQuarantine } from "./prompt_quarantine.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
 import type { ServerLimits } from "./server_limits.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
@@ -67,7 +67,7 @@
     readonly scheduler: (service: string) => ServiceScheduler;
     readonly retryBudget: (service: string) => RetryBudget;
     readonly observer: ServerCallObserver;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: CallQuarantine;
     readonly limits: ServerLimits;
 }
 
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -6,9 +6,9 @@
 
 import {
     callsByServerKey,
+    type CallSuspect,
     EMPTY_REPORT,
     type PeerReport,
-    type PromptSuspect,
     type ServerLimit,
     type ServiceDemand,
     totalsByBucketKey,
@@ -35,7 +35,7 @@
     | "bucketTotals"
     | "versions"
     | "demands"
-    | "promptSuspects"
+    | "callSuspects"
     | "serverLimits"
     | "heardNodes"
     | "silentNodes"
@@ -118,7 +118,7 @@
         const totals = new Map(this.removedSenderTotals);
         const versions = new Map<string, VersionCount>();
         const demands = new Map<number, ServiceDemand>();
-        const suspects = new Map<number, PromptSuspect>();
+        const suspects = new Map<number, CallSuspect>();
         const limits = new Map<number, ServerLimit>();
         let heardNodes = 0;
         let silentNodes = 0;
@@ -127,7 +127,7 @@
             const { report } = sender;
             addAll(totals, countedTotals(sender));
             addVersionCounts(versions, report.versions);
-            addSuspects(suspects, report.promptSuspects);
+            addSuspects(suspects, report.callSuspects);
             addNewestLimits(limits, report.serverLimits);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
@@ -147,7 +147,7 @@
             bucketTotals: [...totals.values()],
             versions: [...versions.values()],
             demands: [...demands.values()],
-            promptSuspects: [...suspects.values()],
+            callSuspects: [...suspects.values()],
             serverLimits: [...limits.values()],
             heardNodes,
             silentNodes,
@@ -215,11 +215,11 @@
     }
 }
 
-function addSuspects(merged: Map<number, PromptSuspect>, suspects: readonly PromptSuspect[]): void {
-    for (const { partKey, crashKeys, isAnswered } of suspects) {
-        const known = merged.get(partKey);
-        merged.set(partKey, {
-            partKey,
+function addSuspects(merged: Map<number, CallSuspect>, suspects: readonly CallSuspect[]): void {
+    for (const { traitKey, crashKeys, isAnswered } of suspects) {
+        const known = merged.get(traitKey);
+        merged.set(traitKey, {
+            traitKey,
             crashKeys: [...new Set([...known?.crashKeys ?? [], ...crashKeys])],
             isAnswered: isAnswered || known?.isAnswered === true,
         });
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -6,13 +6,13 @@
 
 import type { Logger } from "pino";
 import {
+    CallQuarantine,
     type EraChange,
     EraGuardedLog,
     LogHealth,
     NodeDirectory,
     PeerReporter,
     PeerTable,
-    PromptQuarantine,
     RelayHandler,
     RetryBudget,
     ServerCatalog,
@@ -78,7 +78,7 @@
     private readonly catalog: ServerCatalog;
     private readonly peers: PeerTable;
     private readonly quota: WorkspaceQuota;
-    private readonly quarantine: PromptQuarantine;
+    private readonly quarantine: CallQuarantine;
     private readonly limits: ServerLimits;
     private readonly directory: NodeDirectory;
     private readonly reporter: PeerReporter;
@@ -121,7 +121,7 @@
             isFirstStart: settings.isFirstStart,
             unreachableShare: () => this.peers.unreachableShare(),
         });
-        this.quarantine = new PromptQuarantine({
+        this.quarantine = new CallQuarantine({
             clock,
             random,
             serverCount: service => this.pool.openServers(service).length,
@@ -251,7 +251,7 @@
             openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
             limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
             peers: () => this.peers.reachablePeers,
-            quarantinedParts: () => this.quarantine.quarantinedParts,
+            quarantinedTraits: () => this.quarantine.quarantinedTraits,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
             isLogAnswering: () => this.logHealth.isAnswering,
             droppedLines: () => this.relayLog.droppedLines,
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -66,7 +66,7 @@
   /** The receiver's own share of the figures, in reports of scope FLEET. */
   readonly ownPart: PeerReport | undefined;
   readonly demands: readonly ServiceDemand[];
-  readonly promptSuspects: readonly PromptSuspect[];
+  readonly callSuspects: readonly CallSuspect[];
   readonly serverLimits: readonly ServerLimit[];
 }
 
@@ -82,9 +82,9 @@
 }
 
 /** Prompt part that may crash backend servers. */
-export interface PromptSuspect {
+export interface CallSuspect {
   /** Hash of the part's id. */
-  readonly partKey: number;
+  readonly traitKey: number;
   /** Incarnations of servers that ended under calls with the part; hashes of their ids and start times. */
   readonly crashKeys: readonly number[];
   /** Whether a call with the part was answered, so that it is not the cause. */
@@ -148,7 +148,7 @@
     cores: 0,
     ownPart: undefined,
     demands: [],
-    promptSuspects: [],
+    callSuspects: [],
     serverLimits: [],
   };
 }
@@ -225,8 +225,8 @@
     for (const v of message.demands) {
       ServiceDemand.encode(v!, writer.uint32(146).fork()).join();
     }
-    for (const v of message.promptSuspects) {
-      PromptSuspect.encode(v!, writer.uint32(154).fork()).join();
+    for (const v of message.callSuspects) {
+      CallSuspect.encode(v!, writer.uint32(154).fork()).join();
     }
     for (const v of message.serverLimits) {
       ServerLimit.encode(v!, writer.uint32(162).fork()).join();
@@ -436,7 +436,7 @@
               break;
             }
 
-            message.promptSuspects.push(PromptSuspect.decode(reader, reader.uint32()));
+            message.callSuspects.push(CallSuspect.decode(reader, reader.uint32()));
             continue;
           }
           case 20: {
@@ -539,14 +539,14 @@
   },
 };
 
-function createBasePromptSuspect(): PromptSuspect {
-  return { partKey: 0, crashKeys: [], isAnswered: false };
+function createBaseCallSuspect(): CallSuspect {
+  return { traitKey: 0, crashKeys: [], isAnswered: false };
 }
 
-export const PromptSuspect: MessageFns<PromptSuspect> = {
-  encode(message: PromptSuspect, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.partKey !== 0) {
-      writer.uint32(13).fixed32(message.partKey);
+export const CallSuspect: MessageFns<CallSuspect> = {
+  encode(message: CallSuspect, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.traitKey !== 0) {
+      writer.uint32(13).fixed32(message.traitKey);
     }
     if (message.crashKeys.length !== 0) {
       writer.uint32(18).fork();
@@ -561,7 +561,7 @@
     return writer;
   },
 
-  decode(input: BinaryReader | Uint8Array, length?: number): PromptSuspect {
+  decode(input: BinaryReader | Uint8Array, length?: number): CallSuspect {
     const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
     const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
     if (previousRecursionDepth >= 100) {
@@ -570,7 +570,7 @@
     (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
     try {
       const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBasePromptSuspect() as any;
+      const message = createBaseCallSuspect() as any;
       while (reader.pos < end) {
         const tag = reader.uint32();
         switch (tag >>> 3) {
@@ -579,7 +579,7 @@
               break;
             }
 
-            message.partKey = reader.fixed32();
+            message.traitKey = reader.fixed32();
             continue;
           }
           case 2: {
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -6,8 +6,8 @@
 
 export { describeCause, DispatchStep, Executed, PlatformError } from "../errors.js";
 export {
+    type CallSuspect,
     PeerReport,
-    type PromptSuspect,
     ReportScope,
     RolloutVerdict,
     type ServerLimit,
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -5,10 +5,10 @@
  */
 
 import {
+    CallQuarantine,
     NodeDirectory,
     PeerReporter,
     PeerTable,
-    PromptQuarantine,
     RelayHandler,
     RetryBudget,
     type RolloutRecordFormat,
@@ -472,7 +472,7 @@
         const log = new SeveredLog(this.log, clock);
         const peers = new PeerTable(clock);
         const quota = new WorkspaceQuota({ clock, isFirstStart: true, unreachableShare: () => 0 });
-        const quarantine = new PromptQuarantine({
+        const quarantine = new CallQuarantine({
             clock,
             random,
             serverCount: service => pool.openServers(service).length,
