Quarantine calls whose content crashes servers

Cause: only parts of prompts were suspects. A call without parts left none, so each crash was taken for the server's own, and the call went on to the next server, by our retry, its caller's, or from the queue once servers were back. Two more holes of the same class: an error answer, which a failing server gives without running the call, counted as proof of innocence; and the crash of all four servers of a service within 100 ms as a fault of the network.

Fix: the quarantine holds traits of calls. The content of a call, the fingerprint of method, host, path, workspace and body, is one beside the parts of its prompt, with the same evidence, reports, verdict and probes; rivals are traits of the same kind. Only an answer without an error clears a trait. A content is suspected at once, also when other servers end at the same time, and a second crash of it ends the retries of a call. Reports hold quarantines and the crashes of the last 30 s, 64 at most, since each call that breaks is now a suspect for a while.

--- a/features/relay_crashing_calls.feature
+++ b/features/relay_crashing_calls.feature
@@ -15,13 +15,18 @@
             | repeatable | 0.5  | nothing else happens                         |
             | repeatable | 8    | nothing else happens                         |
             | unsafe     | 2    | nothing else happens                         |
-            | repeatable | 2    | servers fail a quarter of their calls        |
             | repeatable | 2    | four nodes restart after the third crash     |
             | repeatable | 2    | all nodes restart one after the other        |
             | repeatable | 2    | the log is down                              |
             | repeatable | 2    | a node is cut off from its peers for 6 s     |
             | repeatable | 2    | another call crashes servers 8 s later       |
 
+    Scenario: a call that crashes servers is kept from them although servers answer a quarter of all calls with an error
+        Given 9 relay nodes before four servers of repeatable calls
+        When a call that crashes servers comes 2 times a second and servers fail a quarter of their calls
+        Then at most 3 of its attempts reach servers later than 3 s after the third crash
+        And 3 in 4 other calls are served from 8 s after the third crash
+
     Scenario: a call that crashes servers is kept from them by 24 nodes that report through aggregators
         Given 24 relay nodes before four servers of repeatable calls
         When a call that crashes servers comes 2 times a second and nothing else happens
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -6,7 +6,7 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { CallQuarantine } from "../../src/coordination/relay/mod.js";
+import { CallQuarantine, type CallTrait, TraitKind, traitsOf } from "../../src/coordination/relay/mod.js";
 import { hashKey, type PromptPart } from "../../src/protocol/relay/mod.js";
 import { type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import { type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
@@ -209,7 +209,7 @@
 
 /** Part whose history is tested, and prompts with it. */
 const TESTED_PART = { id: "tested", tokens: 400 };
-const TESTED_PROMPT = [TESTED_PART, { id: "own", tokens: 100 }];
+const TESTED_PROMPT = traitsOfPrompt([TESTED_PART, { id: "own", tokens: 100 }]);
 
 Given("a node that watches the parts of prompts before 13 servers", function(this: PromptScenario) {
     this.clock = new VirtualClock();
@@ -247,20 +247,20 @@
 
 Then(/^the part is (suspected|quarantined|free)$/, function(this: PromptScenario, verdict: string) {
     const isQuarantined = this.quarantine.findQuarantined(TESTED_PROMPT) !== undefined;
-    const isSuspected = this.quarantine.isSuspected(TESTED_PROMPT);
+    const isSuspected = !this.quarantine.mayRepeat(TESTED_PROMPT);
     assert.equal(isQuarantined ? "quarantined" : isSuspected ? "suspected" : "free", verdict);
 });
 
 async function playHistory(scenario: PromptScenario, history: string): Promise<void> {
     const { quarantine, clock } = scenario;
-    const breakAt = async (servers: number, prompt: readonly PromptPart[] = TESTED_PROMPT) => {
+    const breakAt = async (servers: number, traits: readonly CallTrait[] = TESTED_PROMPT) => {
         for (let server = 0; server < servers; server += 1) {
-            quarantine.recordBroken(prompt, makeServer(server));
+            quarantine.recordBroken(traits, makeServer(server));
             await clock.advance(500);
         }
     };
     const report = (crashKeys: readonly number[], isAnswered: boolean) => {
-        quarantine.merge([{ traitKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered }]);
+        quarantine.merge([{ traitKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered, isContent: false }]);
     };
     switch (history) {
         case "was in a call that broke":
@@ -273,7 +273,10 @@
             return breakAt(history.includes("2") ? 2 : 3);
         case "was in calls that broke at 2 servers beside another part":
         case "was in calls that broke at 3 servers beside another part":
-            return breakAt(history.includes("2") ? 2 : 3, [{ id: "other", tokens: 1 }, ...TESTED_PROMPT]);
+            return breakAt(
+                history.includes("2") ? 2 : 3,
+                traitsOfPrompt([{ id: "other", tokens: 1 }, TESTED_PART, { id: "own", tokens: 100 }]),
+            );
         case "was answered before calls with it broke at 3 servers":
             quarantine.recordAnswered(TESTED_PROMPT);
             return breakAt(3);
@@ -289,7 +292,7 @@
             await clock.advance(500);
             return;
         case "was the last one in calls that broke at 3 servers":
-            return breakAt(3, [{ id: "first", tokens: 1 }, TESTED_PART]);
+            return breakAt(3, traitsOfPrompt([{ id: "first", tokens: 1 }, TESTED_PART]));
         case "was reported by two peers for a server each":
             report([1], false);
             report([2], false);
@@ -318,3 +321,7 @@
         warmUpMs: 0,
     };
 }
+
+function traitsOfPrompt(parts: readonly PromptPart[]): readonly CallTrait[] {
+    return traitsOf(parts, 0).filter(({ kind }) => kind === TraitKind.PromptPart);
+}
--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -1,20 +1,21 @@
 /**
- * Quarantine of prompt parts that crash backend servers.
+ * Quarantine of calls that crash backend servers.
  *
- * A call whose connection a server closes before its answer makes the parts of its prompt suspects, unless some call with the part has
- * been answered before. The part that causes the crashes is the one that keeps being there; the others are cleared by sound calls that
- * share them. The last part of a prompt belongs to its call alone and is never suspected.
+ * A call whose connection a server closes before its answer makes its traits suspects: the parts of its prompt that other calls may
+ * share, and its content, which comes again when its caller repeats it. A trait with which a call has been answered is no suspect. The
+ * trait that causes the crashes is the one that keeps being there; the others are cleared by sound calls that share them.
  *
  * @module
  */
 
-import { type CallSuspect, hashKey, type PromptPart } from "../../protocol/relay/mod.js";
+import { type CallSuspect, hashKey } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
+import { type CallTrait, TraitKind } from "./call_traits.js";
 
-/** Crashes after which a part is quarantined, if no other part was there as often. */
+/** Crashes after which a trait is quarantined, if no other trait of its kind was there as often. */
 const MIN_CRASHES = 2;
 
-/** Crashes after which a part is quarantined in any case. */
+/** Crashes after which a trait is quarantined in any case. */
 const MIN_CRASHES_IF_AMBIGUOUS = 3;
 
 /** Time in which connections to many servers break because of a fault of the network or of this node, in milliseconds. */
@@ -24,33 +25,36 @@
 const COMMON_FAULT_SHARE = 0.5;
 const MIN_COMMON_FAULT_SERVERS = 4;
 
-/** Time until the fleet sends a call with a quarantined part again, in milliseconds; doubles each time that it crashes its server. */
+/** Time until the fleet sends a call with a quarantined trait again, in milliseconds; doubles each time that it crashes its server. */
 const PROBE_INTERVAL_MS = 120_000;
 
-/** Time after which a part that no call has had is forgotten, in milliseconds. */
+/** Time after which a trait that no call has had is forgotten, in milliseconds. */
 const FORGET_MS = 600_000;
 
-/** Time for which it is reported that a suspected part was answered, in milliseconds. */
-const CLEARED_REPORT_MS = 30_000;
+/** Time for which a crash, and the answer that cleared a suspect, are reported, in milliseconds. */
+const REPORT_MS = 30_000;
 
-/** Largest numbers of answered parts, of suspects, and of crashes of a suspect that are kept. */
-const MAX_ANSWERED_PARTS = 4_096;
-const MAX_SUSPECTS = 64;
+/** Largest numbers of answered traits of a kind, of suspects, of suspects in a report, and of crashes of a suspect that are kept. */
+const MAX_ANSWERED_TRAITS = 4_096;
+const MAX_SUSPECTS = 512;
+const MAX_REPORTED_SUSPECTS = 64;
 const MAX_CRASHES = 16;
 
-/** Part that may crash servers. */
+/** Trait that may crash servers. */
 interface Suspect {
     readonly key: number;
-    /** Incarnations of servers that ended under the part; hashes of their ids and start times. */
+    readonly kind: TraitKind;
+    /** Incarnations of servers that ended under the trait; hashes of their ids and start times. */
     readonly crashes: Set<number>;
     isQuarantined: boolean;
     nextProbeAtMs: number;
+    lastCrashAtMs: number;
     lastCallAtMs: number;
 }
 
-/** Quarantined part of a call's prompt. */
+/** Quarantined trait of a call. */
 export interface QuarantinedTrait {
-    readonly id: string;
+    readonly trait: CallTrait;
     /** Servers that have crashed under it. */
     readonly crashes: number;
 }
@@ -63,24 +67,27 @@
     readonly serverCount: (service: string) => number;
     /** Returns the number of nodes, including this one. */
     readonly nodeCount: () => number;
-    /** Called with a log message when a part is suspected, quarantined, probed or cleared. */
+    /** Called with a log message when a trait is suspected, quarantined, probed or cleared. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
-/** Finds the prompt parts that crash servers from this node's calls and the reports of its peers. */
+/** Finds the traits of calls that crash servers from this node's calls and the reports of its peers. */
 export class CallQuarantine {
-    /** Parts of answered calls, least recently answered first. */
-    private readonly answered = new Set<number>();
+    /** Keys of the traits of answered calls by kind, least recently answered first. */
+    private readonly answered = new Map([
+        [TraitKind.PromptPart, new Set<number>()],
+        [TraitKind.Content, new Set<number>()],
+    ]);
     private readonly suspects = new Map<number, Suspect>();
-    /** Times at which suspects were cleared, in milliseconds since the Unix epoch. */
-    private readonly cleared = new Map<number, number>();
+    /** Suspects that were cleared, with the times in milliseconds since the Unix epoch. */
+    private readonly cleared = new Map<number, { readonly kind: TraitKind; readonly atMs: number }>();
     /** Servers whose connections broke recently, with the times. */
     private broken: { readonly serverKey: number; readonly atMs: number }[] = [];
 
     /** @param settings See {@linkcode CallQuarantineSettings}. */
     constructor(private readonly settings: CallQuarantineSettings) {}
 
-    /** Number of quarantined parts. */
+    /** Number of quarantined traits. */
     get quarantinedTraits(): number {
         let count = 0;
         for (const { isQuarantined } of this.suspects.values()) {
@@ -90,86 +97,103 @@
     }
 
     /**
-     * Returns the quarantined part of a prompt, or `undefined` if the call may be sent. From time to time one call with such a part may
-     * be sent, so that a part that was suspected wrongly is cleared; see {@linkcode recordSent}.
+     * Returns the quarantined trait of a call, or `undefined` if the call may be sent. From time to time one call with such a trait may
+     * be sent, so that a trait that was suspected wrongly is cleared; see {@linkcode recordSent}.
      */
-    findQuarantined(parts: readonly PromptPart[]): QuarantinedTrait | undefined {
+    findQuarantined(traits: readonly CallTrait[]): QuarantinedTrait | undefined {
         const now = this.settings.clock.now();
-        for (const { id } of sharedParts(parts)) {
-            const suspect = this.suspects.get(hashKey(id));
+        for (const trait of traits) {
+            const suspect = this.suspects.get(trait.key);
             if (suspect?.isQuarantined !== true) {
                 continue;
             }
             suspect.lastCallAtMs = now;
             if (now < suspect.nextProbeAtMs) {
-                return { id, crashes: suspect.crashes.size };
+                return { trait, crashes: suspect.crashes.size };
             }
         }
         return undefined;
     }
 
-    /** Records that a call is sent; if a part of its prompt is quarantined, it is the probe that was due. */
-    recordSent(parts: readonly PromptPart[]): void {
-        for (const { id } of sharedParts(parts)) {
-            const suspect = this.suspects.get(hashKey(id));
+    /** Records that a call is sent; if one of its traits is quarantined, it is the probe that was due. */
+    recordSent(traits: readonly CallTrait[]): void {
+        for (const { key, kind, name } of traits) {
+            const suspect = this.suspects.get(key);
             if (suspect?.isQuarantined === true) {
                 this.scheduleProbe(suspect);
-                this.settings.onChange("prompt: part probed", { part: id, crashes: suspect.crashes.size });
+                this.settings.onChange(`quarantine: ${kind} probed`, { trait: name, key, crashes: suspect.crashes.size });
             }
         }
     }
 
-    /** Whether a part of a prompt is suspected, so that the call must not be sent to another server. */
-    isSuspected(parts: readonly PromptPart[]): boolean {
-        return sharedParts(parts).some(({ id }) => this.suspects.has(hashKey(id)));
+    /**
+     * Whether a call that may have crashed a server may be sent to another one. Most calls that break are sound and share their content
+     * with no other, so that only a second crash is held against it.
+     */
+    mayRepeat(traits: readonly CallTrait[]): boolean {
+        return traits.every(({ key, kind }) => {
+            const crashes = this.suspects.get(key)?.crashes.size ?? 0;
+            return crashes < (kind === TraitKind.Content ? MIN_CRASHES : 1);
+        });
     }
 
-    /** Records that a server has answered a call: with more than the first event of a stream, or completely. */
-    recordAnswered(parts: readonly PromptPart[]): void {
-        for (const { id } of sharedParts(parts)) {
-            this.clear(hashKey(id), id);
+    /** Records that a server has answered a call without an error: with more than the first event of a stream, or completely. */
+    recordAnswered(traits: readonly CallTrait[]): void {
+        for (const trait of traits) {
+            this.clear(trait);
         }
     }
 
     /** Records that a server closed the connection of a call before it answered. */
-    recordBroken(parts: readonly PromptPart[], server: RelayServer): void {
+    recordBroken(traits: readonly CallTrait[], server: RelayServer): void {
         const now = this.settings.clock.now();
         const serverKey = hashKey(server.id);
         this.broken = this.broken.filter(({ atMs }) => atMs > now - 2 * COMMON_FAULT_MS);
         this.broken.push({ serverKey, atMs: now });
-        const suspected = sharedParts(parts).filter(({ id }) => !this.answered.has(hashKey(id)));
-        if (suspected.length > 0) {
-            void this.suspectLater(suspected, server, now);
+        const suspected = traits.filter(trait => !this.isAnswered(trait));
+        // Calls share no content, so a fault of the network does not make many calls suspect the same one.
+        this.suspect(suspected.filter(({ kind }) => kind === TraitKind.Content), server);
+        const parts = suspected.filter(({ kind }) => kind === TraitKind.PromptPart);
+        if (parts.length > 0) {
+            void this.suspectLater(parts, server, now);
         }
     }
 
-    /** Returns the suspects and the parts that were cleared recently, to be reported to the peers. */
+    /** Returns the quarantined traits, those that were there at a crash recently, and those that were cleared recently. */
     reportedSuspects(): readonly CallSuspect[] {
         this.forgetOld();
-        const suspects = [...this.suspects.values()].map(({ key, crashes }) => {
-            return { traitKey: key, crashKeys: [...crashes], isAnswered: false };
+        const reportedFromMs = this.settings.clock.now() - REPORT_MS;
+        const recent = [...this.suspects.values()].filter(({ isQuarantined, lastCrashAtMs }) => {
+            return isQuarantined || lastCrashAtMs >= reportedFromMs;
+        });
+        recent.sort((left, right) => compareWeight(right, left));
+        const suspects = recent.slice(0, MAX_REPORTED_SUSPECTS).map(({ key, kind, crashes }) => {
+            return { traitKey: key, crashKeys: [...crashes], isAnswered: false, isContent: kind === TraitKind.Content };
+        });
+        const cleared = [...this.cleared].map(([traitKey, { kind }]) => {
+            return { traitKey, crashKeys: [], isAnswered: true, isContent: kind === TraitKind.Content };
         });
-        const cleared = [...this.cleared.keys()].map(traitKey => ({ traitKey, crashKeys: [], isAnswered: true }));
         return [...suspects, ...cleared];
     }
 
     /** Merges what a peer has reported; order and repetition do not matter. */
     merge(suspects: readonly CallSuspect[]): void {
-        for (const { traitKey, crashKeys, isAnswered } of suspects) {
+        for (const { traitKey: key, crashKeys, isAnswered, isContent } of suspects) {
+            const kind = isContent ? TraitKind.Content : TraitKind.PromptPart;
             if (isAnswered) {
-                this.clear(traitKey);
+                this.clear({ key, kind });
             }
-            else if (this.answered.has(traitKey)) {
-                this.cleared.set(traitKey, this.settings.clock.now());
+            else if (this.answered.get(kind)?.has(key) === true) {
+                this.cleared.set(key, { kind, atMs: this.settings.clock.now() });
             }
             else {
-                this.addCrashes(traitKey, crashKeys);
+                this.addCrashes({ key, kind }, crashKeys);
             }
         }
     }
 
-    /** Suspects parts once it is known whether the connections of many servers broke at the same time. */
-    private async suspectLater(parts: readonly PromptPart[], server: RelayServer, brokenAtMs: number): Promise<void> {
+    /** Suspects traits once it is known whether the connections of many servers broke at the same time. */
+    private async suspectLater(traits: readonly CallTrait[], server: RelayServer, brokenAtMs: number): Promise<void> {
         await this.settings.clock.sleep(COMMON_FAULT_MS);
         const servers = new Set<number>();
         for (const { serverKey, atMs } of this.broken) {
@@ -178,26 +202,36 @@
             }
         }
         const commonFaultServers = this.settings.serverCount(server.service) * COMMON_FAULT_SHARE;
-        if (servers.size >= Math.max(MIN_COMMON_FAULT_SERVERS, commonFaultServers)) {
-            return;
+        if (servers.size < Math.max(MIN_COMMON_FAULT_SERVERS, commonFaultServers)) {
+            this.suspect(traits.filter(trait => !this.isAnswered(trait)), server);
         }
+    }
+
+    private suspect(traits: readonly CallTrait[], server: RelayServer): void {
         const crashKey = hashKey(`${server.id}@${server.startedAtMs}`);
-        for (const { id } of parts) {
-            const traitKey = hashKey(id);
-            if (!this.answered.has(traitKey)) {
-                this.addCrashes(traitKey, [crashKey], { part: id, server: server.id });
-            }
+        for (const trait of traits) {
+            this.addCrashes(trait, [crashKey], { trait: trait.name, server: server.id });
         }
     }
 
-    private addCrashes(key: number, crashKeys: readonly number[], detail: Readonly<Record<string, unknown>> = {}): void {
+    private addCrashes(
+        { key, kind }: Pick<CallTrait, "key" | "kind">,
+        crashKeys: readonly number[],
+        detail: Readonly<Record<string, unknown>> = {},
+    ): void {
+        const now = this.settings.clock.now();
         let suspect = this.suspects.get(key);
         if (suspect === undefined) {
-            if (this.suspects.size >= MAX_SUSPECTS) {
-                return;
-            }
-            const now = this.settings.clock.now();
-            suspect = { key, crashes: new Set(), isQuarantined: false, nextProbeAtMs: Infinity, lastCallAtMs: now };
+            this.makeRoom();
+            suspect = {
+                key,
+                kind,
+                crashes: new Set(),
+                isQuarantined: false,
+                nextProbeAtMs: Infinity,
+                lastCrashAtMs: now,
+                lastCallAtMs: now,
+            };
             this.suspects.set(key, suspect);
         }
         const known = suspect.crashes.size;
@@ -209,28 +243,49 @@
         if (suspect.crashes.size === known) {
             return;
         }
-        this.settings.onChange("prompt: part suspected", { traitKey: key, crashes: suspect.crashes.size, ...detail });
+        suspect.lastCrashAtMs = now;
+        suspect.lastCallAtMs = now;
+        // Each call that breaks makes its content a suspect; "call: attempt failed" has logged it.
+        if (kind === TraitKind.PromptPart) {
+            this.settings.onChange("quarantine: prompt part suspected", { key, crashes: suspect.crashes.size, ...detail });
+        }
         if (suspect.isQuarantined) {
             this.scheduleProbe(suspect);
         }
         else if (this.isCause(suspect)) {
             suspect.isQuarantined = true;
             this.scheduleProbe(suspect);
-            this.settings.onChange("prompt: part quarantined", { traitKey: key, crashes: suspect.crashes.size, ...detail });
+            this.settings.onChange(`quarantine: ${kind} quarantined`, { key, crashes: suspect.crashes.size, ...detail });
             this.explainCrashes(suspect);
         }
     }
 
+    /** Forgets the suspect that was there at the fewest crashes, and of these the one with the oldest crash, if there are too many. */
+    private makeRoom(): void {
+        if (this.suspects.size < MAX_SUSPECTS) {
+            return;
+        }
+        let weakest: Suspect | undefined;
+        for (const suspect of this.suspects.values()) {
+            if (weakest === undefined || compareWeight(suspect, weakest) < 0) {
+                weakest = suspect;
+            }
+        }
+        this.suspects.delete(weakest?.key ?? 0);
+    }
+
     private isCause(suspect: Suspect): boolean {
         const { size } = suspect.crashes;
         if (size >= MIN_CRASHES_IF_AMBIGUOUS) {
             return true;
         }
-        const rivals = [...this.suspects.values()].filter(other => !other.isQuarantined && other.crashes.size >= size);
+        const rivals = [...this.suspects.values()].filter(({ kind, isQuarantined, crashes }) => {
+            return kind === suspect.kind && !isQuarantined && crashes.size >= size;
+        });
         return size >= MIN_CRASHES && rivals.length === 1;
     }
 
-    /** Removes the crashes that a quarantined part explains from the other suspects. */
+    /** Removes the crashes that a quarantined trait explains from the other suspects. */
     private explainCrashes(cause: Suspect): void {
         for (const [key, other] of this.suspects) {
             if (other.isQuarantined) {
@@ -252,19 +307,27 @@
         suspect.nextProbeAtMs = clock.now() + PROBE_INTERVAL_MS * backoff * (1 + random.next() * nodeCount());
     }
 
-    private clear(key: number, part?: string): void {
-        this.answered.delete(key);
-        this.answered.add(key);
-        if (this.answered.size > MAX_ANSWERED_PARTS) {
-            const [oldest] = this.answered;
-            this.answered.delete(oldest ?? 0);
+    private isAnswered({ key, kind }: CallTrait): boolean {
+        return this.answered.get(kind)?.has(key) === true;
+    }
+
+    private clear({ key, kind, name }: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>): void {
+        const answered = this.answered.get(kind) ?? new Set();
+        answered.delete(key);
+        answered.add(key);
+        if (answered.size > MAX_ANSWERED_TRAITS) {
+            const [oldest] = answered;
+            answered.delete(oldest ?? 0);
         }
         const suspect = this.suspects.get(key);
-        if (suspect !== undefined) {
-            this.suspects.delete(key);
-            this.cleared.set(key, this.settings.clock.now());
-            const { crashes, isQuarantined } = suspect;
-            this.settings.onChange("prompt: part cleared", { traitKey: key, part, crashes: crashes.size, isQuarantined });
+        if (suspect === undefined) {
+            return;
+        }
+        this.suspects.delete(key);
+        this.cleared.set(key, { kind, atMs: this.settings.clock.now() });
+        const { crashes, isQuarantined } = suspect;
+        if (isQuarantined || kind === TraitKind.PromptPart) {
+            this.settings.onChange(`quarantine: ${kind} cleared`, { key, trait: name, crashes: crashes.size, isQuarantined });
         }
     }
 
@@ -275,15 +338,16 @@
                 this.suspects.delete(key);
             }
         }
-        for (const [key, atMs] of this.cleared) {
-            if (atMs < now - CLEARED_REPORT_MS) {
+        for (const [key, { atMs }] of this.cleared) {
+            if (atMs < now - REPORT_MS) {
                 this.cleared.delete(key);
             }
         }
     }
 }
 
-/** @returns Parts of a prompt that other calls may share: all but the last. */
-function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
-    return parts.slice(0, -1);
+/** Compares suspects by their quarantine, their crashes and the time of the last one. */
+function compareWeight(left: Suspect, right: Suspect): number {
+    return Number(left.isQuarantined) - Number(right.isQuarantined) || left.crashes.size - right.crashes.size ||
+        left.lastCrashAtMs - right.lastCrashAtMs;
 }
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -8,6 +8,7 @@
 import { type Clock, type RandomSource, type RelayRoute, type RelayWorkspace, Semantics } from "../../state/relay/mod.js";
 import type { QuarantinedTrait } from "./call_quarantine.js";
 import { type CallRecorder, type CallTimes, type PlacementRecord, RelayOutcome } from "./call_record.js";
+import { TraitKind } from "./call_traits.js";
 import { decideRetryAfter } from "./wait_limits.js";
 
 /** Statuses with which a backend server reports that a call did not run, if a header says so too. */
@@ -19,8 +20,8 @@
 /** Lowest HTTP status of a server error. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Status of a call that is refused because of its prompt: unlike 503, it does not ask the caller to repeat the call. */
-const REFUSED_PROMPT_STATUS = 500;
+/** Status of a call that is refused because it crashes servers: unlike 503, it does not ask the caller to repeat the call. */
+const QUARANTINED_STATUS = 500;
 
 /** Reason with which a call's signal is aborted when its deadline or its route's timeout expires. */
 export const DEADLINE_EXCEEDED = new Error("the time of the call is over");
@@ -103,13 +104,13 @@
         this.record(RelayOutcome.Refused, 503, text);
     }
 
-    /** Rejects a call because a part of its prompt crashes servers. */
-    rejectPrompt({ id, crashes }: QuarantinedTrait): void {
+    /** Rejects a call because one of its traits crashes servers. */
+    rejectQuarantined({ trait, crashes }: QuarantinedTrait): void {
         const hasRun = this.state.mayHaveRun ? "may have run" : "has not run";
-        const text =
-            `The call ${hasRun} and must not be repeated: ${crashes} backend servers crashed under part ${id} of its prompt.`;
-        this.admitted.answer.sendLocal({ status: REFUSED_PROMPT_STATUS, text });
-        this.record(RelayOutcome.Refused, REFUSED_PROMPT_STATUS, text);
+        const cause = trait.kind === TraitKind.PromptPart ? `part ${trait.name} of its prompt` : "calls with this content";
+        const text = `The call ${hasRun} and must not be repeated: ${crashes} backend servers crashed under ${cause}.`;
+        this.admitted.answer.sendLocal({ status: QUARANTINED_STATUS, text });
+        this.record(RelayOutcome.Refused, QUARANTINED_STATUS, text);
     }
 
     /** Answers a call whose last attempt failed. The status reports that the call did not run only if that is certain. */
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -12,6 +12,7 @@
 export * from "./call_priority.js";
 export * from "./call_quarantine.js";
 export * from "./call_record.js";
+export * from "./call_traits.js";
 export * from "./era_guarded_log.js";
 export * from "./event_stream_splitter.js";
 export * from "./final_answer.js";
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -18,6 +18,7 @@
 import { fingerprintOf } from "./call_fingerprint.js";
 import type { CallQuarantine } from "./call_quarantine.js";
 import type { CallRecorder } from "./call_record.js";
+import { type CallTrait, traitsOf } from "./call_traits.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import {
     type AdmittedCall,
@@ -79,6 +80,7 @@
     private readonly finalAnswer: FinalAnswer;
     private readonly splitter = new EventStreamSplitter();
     private readonly fingerprint: number;
+    private readonly traits: readonly CallTrait[];
     private attempts = 0;
     private refusals = 0;
     private connectFailures = 0;
@@ -91,6 +93,7 @@
     constructor(private readonly settings: RelayedCallSettings, private readonly admitted: AdmittedCall) {
         this.finalAnswer = new FinalAnswer(settings, admitted, this.state);
         this.fingerprint = fingerprintOf(admitted.call, admitted.workspace?.name);
+        this.traits = traitsOf(admitted.call.head.parts, this.fingerprint);
     }
 
     /**
@@ -157,11 +160,11 @@
         }
     }
 
-    /** @returns Whether the call was rejected because a part of its prompt crashes servers. */
+    /** @returns Whether the call was rejected because one of its traits crashes servers. */
     private rejectQuarantined(): boolean {
-        const quarantined = this.settings.quarantine.findQuarantined(this.admitted.call.head.parts);
+        const quarantined = this.settings.quarantine.findQuarantined(this.traits);
         if (quarantined !== undefined) {
-            this.finalAnswer.rejectPrompt(quarantined);
+            this.finalAnswer.rejectQuarantined(quarantined);
         }
         return quarantined !== undefined;
     }
@@ -200,7 +203,7 @@
         this.attempts += 1;
         const sentAtMs = this.settings.clock.now();
         this.settings.observer.recordSent(slot.state);
-        this.settings.quarantine.recordSent(call.head.parts);
+        this.settings.quarantine.recordSent(this.traits);
         const answer = this.settings.client.send(slot.server, call, {
             serverId,
             workspace: workspace?.name,
@@ -244,7 +247,6 @@
         }
         slot.recordFirstEvent();
         this.state.times.firstMs ??= this.elapsedMs();
-        this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
         if (!head.isSealed || head.isEncoded) {
             this.recordFailedAttempt(
                 slot,
@@ -257,6 +259,7 @@
             this.recordFailedAttempt(slot, `server ${slot.server.id} answered with status ${head.status}`);
             return AttemptOutcome.Bad;
         }
+        this.settings.quarantine.recordAnswered(this.traits);
         this.finalAnswer.sendComplete({ head, body });
         return AttemptOutcome.Good;
     }
@@ -280,7 +283,7 @@
             slot.recordFirstEvent();
             slot.recordEvents(count);
             if (events < ANSWERED_EVENTS && events + count >= ANSWERED_EVENTS) {
-                this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
+                this.settings.quarantine.recordAnswered(this.traits);
             }
             events += count;
             this.startStream(head.status, head.endToEnd);
@@ -291,11 +294,11 @@
         if (this.splitter.hasPartialEvent || isEmpty) {
             const where = isEmpty ? "without an event" : "within an event";
             this.recordFailedAttempt(slot, `server ${slot.server.id} ended its stream ${where}`);
-            this.settings.quarantine.recordBroken(this.admitted.call.head.parts, slot.server);
+            this.settings.quarantine.recordBroken(this.traits, slot.server);
             return AttemptOutcome.Broken;
         }
         if (events > 0) {
-            this.settings.quarantine.recordAnswered(this.admitted.call.head.parts);
+            this.settings.quarantine.recordAnswered(this.traits);
         }
         this.startStream(head.status, head.endToEnd);
         this.finalAnswer.endStream(head.status);
@@ -336,7 +339,7 @@
         if (error.fault === AttemptFault.Cancelled) {
             return AttemptOutcome.Neutral;
         }
-        this.settings.quarantine.recordBroken(this.admitted.call.head.parts, slot.server);
+        this.settings.quarantine.recordBroken(this.traits, slot.server);
         return AttemptOutcome.Broken;
     }
 
@@ -353,8 +356,8 @@
     }
 
     private canRetry(): boolean {
-        const { call, route, service, deadlineMs } = this.admitted;
-        if (this.state.mayHaveRun && this.settings.quarantine.isSuspected(call.head.parts)) {
+        const { route, service, deadlineMs } = this.admitted;
+        if (this.state.mayHaveRun && !this.settings.quarantine.mayRepeat(this.traits)) {
             return false;
         }
         if (this.abortController.signal.aborted || deadlineMs - this.elapsedMs() < MIN_ATTEMPT_MS) {
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -216,12 +216,12 @@
 }
 
 function addSuspects(merged: Map<number, CallSuspect>, suspects: readonly CallSuspect[]): void {
-    for (const { traitKey, crashKeys, isAnswered } of suspects) {
-        const known = merged.get(traitKey);
-        merged.set(traitKey, {
-            traitKey,
-            crashKeys: [...new Set([...known?.crashKeys ?? [], ...crashKeys])],
-            isAnswered: isAnswered || known?.isAnswered === true,
+    for (const suspect of suspects) {
+        const known = merged.get(suspect.traitKey);
+        merged.set(suspect.traitKey, {
+            ...suspect,
+            crashKeys: [...new Set([...known?.crashKeys ?? [], ...suspect.crashKeys])],
+            isAnswered: suspect.isAnswered || known?.isAnswered === true,
         });
     }
 }
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -24,7 +24,7 @@
     /** Number of backend servers that state a limit on the calls of all nodes, by service. */
     readonly limitedServers: () => Iterable<readonly [string, number]>;
     readonly peers: () => number;
-    /** Number of prompt parts that are kept from the servers. */
+    /** Number of prompt parts and contents of calls that are kept from the servers. */
     readonly quarantinedTraits: () => number;
     readonly configurationVersion: () => number;
     readonly isLogAnswering: () => boolean;
@@ -84,7 +84,11 @@
             gauges.limitedServers,
         );
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
-        this.addGauge("quarantined_parts", "Prompt parts that are kept from the backend servers.", gauges.quarantinedTraits);
+        this.addGauge(
+            "quarantined_traits",
+            "Prompt parts and contents of calls that are kept from the backend servers.",
+            gauges.quarantinedTraits,
+        );
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
         this.addGauge("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
         this.addGauge("dropped_log_lines", "Log lines dropped since the start.", gauges.droppedLines);
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -81,14 +81,16 @@
   readonly statedAtMs: number;
 }
 
-/** Prompt part that may crash backend servers. */
+/** Trait of calls that may crash backend servers. */
 export interface CallSuspect {
-  /** Hash of the part's id. */
+  /** Hash of the trait's name. */
   readonly traitKey: number;
-  /** Incarnations of servers that ended under calls with the part; hashes of their ids and start times. */
+  /** Incarnations of servers that ended under calls with the trait; hashes of their ids and start times. */
   readonly crashKeys: readonly number[];
-  /** Whether a call with the part was answered, so that it is not the cause. */
+  /** Whether a call with the trait was answered, so that it is not the cause. */
   readonly isAnswered: boolean;
+  /** Whether the trait is the content of a call, and not a part of its prompt. */
+  readonly isContent: boolean;
 }
 
 /** Demand for backend slots by the calls of one service. */
@@ -540,7 +542,7 @@
 };
 
 function createBaseCallSuspect(): CallSuspect {
-  return { traitKey: 0, crashKeys: [], isAnswered: false };
+  return { traitKey: 0, crashKeys: [], isAnswered: false, isContent: false };
 }
 
 export const CallSuspect: MessageFns<CallSuspect> = {
@@ -558,6 +560,9 @@
     if (message.isAnswered !== false) {
       writer.uint32(24).bool(message.isAnswered);
     }
+    if (message.isContent !== false) {
+      writer.uint32(32).bool(message.isContent);
+    }
     return writer;
   },
 
@@ -608,6 +613,14 @@
             message.isAnswered = reader.bool();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.isContent = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
