Bound the cleared suspects in a report, and skip the lookup of limits where none is stated

Each call that breaks is a suspect until a call with its content is answered, so a fault that breaks 25 calls a second would put 750 cleared suspects into each report (worked out); now the newest 64. The lookup of a server's limit hashed its id for each server and call.

--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -34,7 +34,7 @@
 /** Time for which a crash, and the answer that cleared a suspect, are reported, in milliseconds. */
 const REPORT_MS = 30_000;
 
-/** Largest numbers of answered traits of a kind, of suspects, of suspects in a report, and of crashes of a suspect that are kept. */
+/** Largest numbers of answered traits of a kind, of suspects, of suspects and of cleared ones in a report, and of crashes of a suspect. */
 const MAX_ANSWERED_TRAITS = 4_096;
 const MAX_SUSPECTS = 512;
 const MAX_REPORTED_SUSPECTS = 64;
@@ -170,7 +170,7 @@
         const suspects = recent.slice(0, MAX_REPORTED_SUSPECTS).map(({ key, kind, crashes }) => {
             return { traitKey: key, crashKeys: [...crashes], isAnswered: false, isContent: kind === TraitKind.Content };
         });
-        const cleared = [...this.cleared].map(([traitKey, { kind }]) => {
+        const cleared = [...this.cleared].slice(-MAX_REPORTED_SUSPECTS).map(([traitKey, { kind }]) => {
             return { traitKey, crashKeys: [], isAnswered: true, isContent: kind === TraitKind.Content };
         });
         return [...suspects, ...cleared];
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -93,12 +93,12 @@
 
     /** Returns the calls per second that a server accepts from all nodes, or `undefined` if it states no limit. */
     callsPerSecond(server: RelayServer): number | undefined {
-        return this.find(serverKey(server))?.callsPerSecond;
+        return this.findServer(server)?.callsPerSecond;
     }
 
     /** Returns what a server's limit leaves to all nodes, or `undefined` if it states none. */
     allowance(server: RelayServer): CallAllowance | undefined {
-        const limited = this.find(serverKey(server));
+        const limited = this.findServer(server);
         if (limited?.callsPerSecond === undefined) {
             return undefined;
         }
@@ -108,7 +108,7 @@
 
     /** Whether this node may send a call to a server now. */
     mayReceive(server: RelayServer): boolean {
-        const limited = this.find(serverKey(server));
+        const limited = this.findServer(server);
         if (limited?.callsPerSecond === undefined) {
             return true;
         }
@@ -118,7 +118,7 @@
 
     /** Records that this node sends a call to a server. */
     recordSent(server: RelayServer): void {
-        const limited = this.find(serverKey(server));
+        const limited = this.findServer(server);
         if (limited?.callsPerSecond !== undefined) {
             limited.allottedCalls -= 1;
             limited.bucket.use(1);
@@ -284,6 +284,10 @@
         }
     }
 
+    private findServer(server: RelayServer): LimitedServer | undefined {
+        return this.servers.size === 0 ? undefined : this.find(serverKey(server));
+    }
+
     /** Returns what a server has stated, unless it is so old that it is forgotten. */
     private find(key: number): LimitedServer | undefined {
         const known = this.servers.get(key);
