Test limits and crashing contents end to end on loopback

The model does not contain the node's wiring, the header's parsing or real connections. On the server with a limit of 2 calls a second got all 200 calls (17 allowed in 4 s), and a call that had crashed two servers was sent to them again.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -33,6 +33,19 @@
         Then the server receives the method, path, query, body and headers of the caller
         And the server receives the workspace, its own id and the remaining time, and neither the key nor headers that only nodes set
 
+    Scenario: a server that states a limit gets no more calls than one and a half times its limit and 5 in 4 s
+        Given a relay with one server that answers and one that answers
+        And the first server states a limit of "2" calls a second
+        When 200 "safe" calls are sent one after the other
+        Then each relayed caller gets its own answer
+        And the first server has received at least 1 and at most 17 calls
+
+    Scenario: a call whose content has crashed two servers reaches no server again
+        Given a relay with one server that resets after a run and one that resets after a run
+        When 3 "safe" calls are sent one after the other
+        Then the caller gets status 502, and the servers have received the call 2 times
+        And the last caller is told that the call has not run and must not be repeated
+
     Scenario: a duplicate answer of a server reaches no caller
         Given a relay with one server that answers twice and one that answers
         When 10 "unsafe" calls are sent one after the other
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -56,6 +56,26 @@
     }
 });
 
+Given("the first server states a limit of {string} calls a second", function(this: RelayScenario, limit: string) {
+    const [engine] = this.relay.engines;
+    assert(engine !== undefined);
+    engine.limit = limit;
+});
+
+Then(
+    "the first server has received at least {int} and at most {int} calls",
+    function(this: RelayScenario, least: number, most: number) {
+        const received = this.relay.engines[0]?.receivedCalls.length ?? 0;
+        assert(received >= least && received <= most, `${received} calls`);
+    },
+);
+
+Then("the last caller is told that the call has not run and must not be repeated", function(this: RelayScenario) {
+    const answer = this.relayAnswers.at(-1);
+    assert.equal(answer?.status, 500);
+    assert.match(answer.body, /has not run and must not be repeated/);
+});
+
 When("a {string} call is sent to the faulty server first", async function(this: RelayScenario, kind: string) {
     const [faulty, healthy] = this.relay.engines;
     assert(faulty !== undefined && healthy !== undefined);
