Judge the calls of a crash once all of them are known

What callers would see: a sound call that ran at two crashing servers was quarantined if its break was noticed before that of the call which crashed them, and the quarantine then explained the other's crashes away, so that it took two or three servers more. Found by the new table of single decisions ('broke at 2 servers, beside another call each time': quarantined, not held back); parts of prompts were judged in the same way.

Cause: each suspect was judged as its crash was recorded, when the others of the same crash had one crash less.

Fix: a suspect is judged 100 ms after its second and its third crash, on all suspects known by then; of several with three crashes all are quarantined before any crash is explained.

--- a/features/relay_crashing_calls.feature
+++ b/features/relay_crashing_calls.feature
@@ -44,3 +44,32 @@
             | two servers crash at once each 5 s            |
             | half of all connections are reset each 2 s    |
             | servers fail a quarter of their calls         |
+
+    Scenario Outline: a call <history> is <verdict>
+        Given a node that watches contents before 4 servers
+        When a call <history>
+        Then its content is <verdict>
+
+        Examples:
+            | history                                                           | verdict     |
+            | broke at 1 server                                                 | free        |
+            | broke at 2 servers                                                | quarantined |
+            | broke at 2 servers, beside another call each time                 | held back   |
+            | broke at 3 servers, beside another call each time                 | quarantined |
+            | broke twice at one incarnation of a server                        | free        |
+            | broke at 4 servers within 100 ms                                  | quarantined |
+            | was answered before it broke at 3 servers                         | free        |
+            | broke at 1 server and was answered                                | free        |
+            | broke at 3 servers and was answered by a probe                    | free        |
+            | broke at 1 server, after 600 other calls broke at another         | free        |
+            | broke at 2 servers, after 600 other calls broke at another        | quarantined |
+            | broke at 1 server, and a peer reported another                    | quarantined |
+            | was reported by a peer as quarantined                             | quarantined |
+            | broke at 3 servers, and a peer reported that it was answered      | free        |
+
+    Scenario: a crash is reported for 30 s and a quarantine as long as it lasts
+        Given a node that watches contents before 4 servers
+        When a call broke at 1 server
+        Then 1 suspect is reported, and 0 after 31 s
+        When a call broke at 3 servers
+        Then 1 suspect is reported, and 1 after 31 s
--- a/features/steps/relay_crashing_call_steps.ts
+++ b/features/steps/relay_crashing_call_steps.ts
@@ -6,8 +6,11 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { Semantics } from "../../src/state/relay/mod.js";
+import { CallQuarantine, type CallTrait, traitsOf } from "../../src/coordination/relay/mod.js";
+import { hashKey } from "../../src/protocol/relay/mod.js";
+import { type RelayServer, SeededRandom, Semantics } from "../../src/state/relay/mod.js";
 import { type ModelOutcome, type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
+import { VirtualClock } from "../../standin/virtual_clock.js";
 import type { Scenario } from "../support/world.js";
 
 /** Seeds with which each case is played. */
@@ -51,6 +54,8 @@
     fleets: RelayFleetModel[];
     nodeCount: number;
     semantics: Semantics;
+    clock: VirtualClock;
+    quarantine: CallQuarantine;
 }
 
 After(function(this: CrashingCallScenario) {
@@ -220,3 +225,103 @@
             Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
     }
 }
+
+/** Content whose history is tested, its key in reports, and contents of other calls. */
+const TESTED = traitsOf([], 1);
+const TESTED_KEY = TESTED[0]?.key ?? 0;
+const OTHER = traitsOf([], 2);
+const FIRST_UNRELATED = 3;
+
+/** Time between two crashes, in milliseconds. */
+const CRASH_GAP_MS = 500;
+
+Given("a node that watches contents before 4 servers", function(this: CrashingCallScenario) {
+    this.clock = new VirtualClock();
+    this.quarantine = new CallQuarantine({
+        clock: this.clock,
+        random: new SeededRandom(1),
+        serverCount: () => 4,
+        nodeCount: () => 1,
+        onChange: () => undefined,
+    });
+});
+
+When(/^a call ((?:broke|was) .*)$/, async function(this: CrashingCallScenario, history: string) {
+    const { quarantine } = this;
+    const report = (crashKeys: readonly number[], isAnswered: boolean) => {
+        quarantine.merge([{ traitKey: TESTED_KEY, crashKeys: [...crashKeys], isAnswered, isContent: true }]);
+    };
+    const servers = Number(/broke at (\d)/.exec(history)?.[1] ?? 0);
+    if (history.startsWith("was answered before")) {
+        quarantine.recordAnswered(TESTED);
+    }
+    if (history.includes("600 other calls")) {
+        for (let call = 0; call < 600; call += 1) {
+            quarantine.recordBroken(traitsOf([], FIRST_UNRELATED + call), makeServer(100));
+        }
+    }
+    if (history === "broke twice at one incarnation of a server") {
+        await breakAt(this, [0, 0], [TESTED]);
+        return;
+    }
+    const gapMs = history.includes("within 100 ms") ? 0 : CRASH_GAP_MS;
+    const contents = history.includes("beside another call") ? [TESTED, OTHER] : [TESTED];
+    await breakAt(this, Array.from({ length: servers }, (unused, index) => index), contents, gapMs);
+    if (history.endsWith("and was answered") || history.endsWith("by a probe")) {
+        quarantine.recordAnswered(TESTED);
+    }
+    if (history.endsWith("reported another")) {
+        report([hashKey("server-9@1")], false);
+    }
+    if (history === "was reported by a peer as quarantined") {
+        report([1, 2, 3], false);
+    }
+    if (history.endsWith("reported that it was answered")) {
+        report([], true);
+    }
+    await this.clock.advance(CRASH_GAP_MS);
+});
+
+Then(/^its content is (free|held back|quarantined)$/, function(this: CrashingCallScenario, verdict: string) {
+    const isQuarantined = this.quarantine.findQuarantined(TESTED) !== undefined;
+    const isHeldBack = !this.quarantine.mayRepeat(TESTED);
+    assert.equal(isQuarantined ? "quarantined" : isHeldBack ? "held back" : "free", verdict);
+});
+
+Then(
+    /^1 suspect is reported, and (\d) after (\d+) s$/,
+    async function(this: CrashingCallScenario, later: string, seconds: string) {
+        assert.equal(this.quarantine.reportedSuspects().length, 1);
+        await this.clock.advance(Number(seconds) * 1_000);
+        assert.equal(this.quarantine.reportedSuspects().length, Number(later));
+    },
+);
+
+async function breakAt(
+    { quarantine, clock }: CrashingCallScenario,
+    servers: readonly number[],
+    contents: readonly (readonly CallTrait[])[],
+    gapMs = CRASH_GAP_MS,
+): Promise<void> {
+    for (const server of servers) {
+        for (const content of contents) {
+            quarantine.recordBroken(content, makeServer(server));
+        }
+        await clock.advance(gapMs);
+    }
+}
+
+function makeServer(index: number): RelayServer {
+    return {
+        id: `server-${index}`,
+        service: "service",
+        address: `127.0.0.1:${index}`,
+        failureDomain: "domain-0",
+        version: "v1",
+        slots: 10,
+        isDraining: false,
+        startedAtMs: 1,
+        sequence: 1,
+        warmUpMs: 0,
+    };
+}
--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -21,6 +21,9 @@
 /** Time in which connections to many servers break because of a fault of the network or of this node, in milliseconds. */
 const COMMON_FAULT_MS = 100;
 
+/** Time from the crash that may decide on a suspect to the decision, in milliseconds; all calls that it broke are known by then. */
+const JUDGEMENT_DELAY_MS = 100;
+
 /** Share of the servers that break connections at the same time in such a fault, and the fewest servers, as a crash may come near others. */
 const COMMON_FAULT_SHARE = 0.5;
 const MIN_COMMON_FAULT_SERVERS = 4;
@@ -44,9 +47,12 @@
 interface Suspect {
     readonly key: number;
     readonly kind: TraitKind;
+    /** Name in log lines; `undefined` until a call of this node has had the trait. */
+    name: string | undefined;
     /** Incarnations of servers that ended under the trait; hashes of their ids and start times. */
     readonly crashes: Set<number>;
     isQuarantined: boolean;
+    judgedFromMs: number;
     nextProbeAtMs: number;
     lastCrashAtMs: number;
     lastCallAtMs: number;
@@ -117,11 +123,12 @@
 
     /** Records that a call is sent; if one of its traits is quarantined, it is the probe that was due. */
     recordSent(traits: readonly CallTrait[]): void {
-        for (const { key, kind, name } of traits) {
+        for (const { key, name } of traits) {
             const suspect = this.suspects.get(key);
             if (suspect?.isQuarantined === true) {
+                suspect.name = name;
                 this.scheduleProbe(suspect);
-                this.settings.onChange(`quarantine: ${kind} probed`, { trait: name, key, crashes: suspect.crashes.size });
+                this.settings.onChange(`quarantine: ${suspect.kind} probed`, describe(suspect));
             }
         }
     }
@@ -210,14 +217,14 @@
     private suspect(traits: readonly CallTrait[], server: RelayServer): void {
         const crashKey = hashKey(`${server.id}@${server.startedAtMs}`);
         for (const trait of traits) {
-            this.addCrashes(trait, [crashKey], { trait: trait.name, server: server.id });
+            this.addCrashes(trait, [crashKey], server.id);
         }
     }
 
     private addCrashes(
-        { key, kind }: Pick<CallTrait, "key" | "kind">,
+        { key, kind, name }: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>,
         crashKeys: readonly number[],
-        detail: Readonly<Record<string, unknown>> = {},
+        server?: string,
     ): void {
         const now = this.settings.clock.now();
         let suspect = this.suspects.get(key);
@@ -226,14 +233,17 @@
             suspect = {
                 key,
                 kind,
+                name,
                 crashes: new Set(),
                 isQuarantined: false,
+                judgedFromMs: Infinity,
                 nextProbeAtMs: Infinity,
                 lastCrashAtMs: now,
                 lastCallAtMs: now,
             };
             this.suspects.set(key, suspect);
         }
+        suspect.name ??= name;
         const known = suspect.crashes.size;
         for (const crashKey of crashKeys) {
             if (suspect.crashes.size < MAX_CRASHES) {
@@ -247,16 +257,31 @@
         suspect.lastCallAtMs = now;
         // Each call that breaks makes its content a suspect; "call: attempt failed" has logged it.
         if (kind === TraitKind.PromptPart) {
-            this.settings.onChange("quarantine: prompt part suspected", { key, crashes: suspect.crashes.size, ...detail });
+            this.settings.onChange("quarantine: prompt part suspected", { ...describe(suspect), server });
         }
         if (suspect.isQuarantined) {
             this.scheduleProbe(suspect);
         }
-        else if (this.isCause(suspect)) {
-            suspect.isQuarantined = true;
-            this.scheduleProbe(suspect);
-            this.settings.onChange(`quarantine: ${kind} quarantined`, { key, crashes: suspect.crashes.size, ...detail });
-            this.explainCrashes(suspect);
+        else if (suspect.crashes.size >= MIN_CRASHES && known < MIN_CRASHES_IF_AMBIGUOUS) {
+            suspect.judgedFromMs = now + JUDGEMENT_DELAY_MS;
+            void this.judgeLater();
+        }
+    }
+
+    /** Quarantines the causes of crashes once the other calls that broke at the same time are known, as they may be the cause as well. */
+    private async judgeLater(): Promise<void> {
+        const { clock } = this.settings;
+        await clock.sleep(JUDGEMENT_DELAY_MS);
+        const causes = [...this.suspects.values()].filter(suspect => {
+            return !suspect.isQuarantined && suspect.judgedFromMs <= clock.now() && this.isCause(suspect);
+        });
+        for (const cause of causes) {
+            cause.isQuarantined = true;
+            this.scheduleProbe(cause);
+            this.settings.onChange(`quarantine: ${cause.kind} quarantined`, describe(cause));
+        }
+        for (const cause of causes) {
+            this.explainCrashes(cause);
         }
     }
 
@@ -325,9 +350,12 @@
         }
         this.suspects.delete(key);
         this.cleared.set(key, { kind, atMs: this.settings.clock.now() });
-        const { crashes, isQuarantined } = suspect;
-        if (isQuarantined || kind === TraitKind.PromptPart) {
-            this.settings.onChange(`quarantine: ${kind} cleared`, { key, trait: name, crashes: crashes.size, isQuarantined });
+        suspect.name ??= name;
+        if (suspect.isQuarantined || kind === TraitKind.PromptPart) {
+            this.settings.onChange(`quarantine: ${kind} cleared`, {
+                ...describe(suspect),
+                isQuarantined: suspect.isQuarantined,
+            });
         }
     }
 
@@ -346,6 +374,11 @@
     }
 }
 
+/** Describes a suspect for a log line. */
+function describe({ key, name, crashes }: Suspect): Readonly<Record<string, unknown>> {
+    return { key, trait: name, crashes: crashes.size };
+}
+
 /** Compares suspects by their quarantine, their crashes and the time of the last one. */
 function compareWeight(left: Suspect, right: Suspect): number {
     return Number(left.isQuarantined) - Number(right.isQuarantined) || left.crashes.size - right.crashes.size ||
