--- a/features/relay_server_limits.feature
+++ b/features/relay_server_limits.feature
@@ -84,6 +84,11 @@
             | 9     | 50   | 2       | 3.1   | a node is cut off from its peers for 6 s           |
             | 24    | 50   | 2       | 3.1   | a node is cut off from its peers for 6 s           |
             | 9     | 60   | 7       | 2.3   | nothing else happens                               |
+            | 9     | 50   | 2       | 3.1   | all nodes restart at once                          |
+            | 24    | 50   | 2       | 2.3   | all nodes restart at once                          |
+            | 24    | 50   | 2       | 2.3   | calls pause for 3 s and come back threefold        |
+            | 9     | 50   | 2       | 2.3   | a third of the reports is lost                     |
+            | 60    | 120  | 3       | 2.3   | nothing else happens                               |
 
     Scenario: a server whose limit ended gets its share of the calls again
         Given 9 relay nodes that get 50 calls a second
--- a/features/steps/relay_server_limit_steps.ts
+++ b/features/steps/relay_server_limit_steps.ts
@@ -291,6 +291,13 @@
     else if (trouble.startsWith("servers fail")) {
         Object.assign(fleet.behaviors.get("v1") ?? {}, { failureShare: 0.25 });
     }
+    else if (trouble === "all nodes restart at once") {
+        await fleet.run(CHANGE_MS);
+        fleet.restartNodes(0, nodeCount);
+    }
+    else if (trouble.startsWith("a third of the reports")) {
+        fleet.reportLoss = 1 / 3;
+    }
     else if (trouble.startsWith("all nodes restart")) {
         for (let node = 0; node < nodeCount; node += 1) {
             await fleet.run(PLAYED_MS / nodeCount);
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -241,6 +241,8 @@
     onCrash: () => void = () => undefined;
     /** Called with each line that a node logs about a rollout. */
     onChange: (node: string, text: string, detail: Readonly<Record<string, unknown>>) => void = () => undefined;
+    /** Share of the reports between nodes that are lost. */
+    reportLoss = 0;
     /** Factor of the number of calls. */
     trafficFactor = 1;
     private readonly nodes: FleetNode[] = [];
@@ -447,7 +449,8 @@
 
     /** Delivers a report unless its sender or receiver is isolated. */
     deliver(sender: string, receiver: string, bytes: Uint8Array): void {
-        if (!this.isolatedNodes.has(sender) && !this.isolatedNodes.has(receiver)) {
+        const isLost = this.reportLoss > 0 && this.random.next() < this.reportLoss;
+        if (!isLost && !this.isolatedNodes.has(sender) && !this.isolatedNodes.has(receiver)) {
             this.nodes.find(node => node.name === receiver)?.reporter.receive(PeerReport.decode(bytes));
         }
     }
