Split the suspects from the quarantine and the allotment from the limits

No change of behaviour: relay_crashing_calls and relay_prompt_parts pass, and relay_server_limits gives the same figures.

--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -11,19 +11,18 @@
 import { type CallSuspect, hashKey } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
 import { type CallTrait, TraitKind } from "./call_traits.js";
+import { compareWeight, JUDGEMENT_DELAY_MS, type Suspect, SuspectTable } from "./suspect_table.js";
 
-/** Crashes after which a trait is quarantined, if no other trait of its kind was there as often. */
-const MIN_CRASHES = 2;
+/** Crashes from which a call that may have caused them is not sent to another server. */
+const MAX_CRASHES_OF_PARTS = 1;
+const MAX_CRASHES_OF_CONTENT = 2;
 
-/** Crashes after which a trait is quarantined in any case. */
-const MIN_CRASHES_IF_AMBIGUOUS = 3;
+/** Crashes beyond which the time between probes doubles with each. */
+const FIRST_CRASHES = 3;
 
 /** Time in which connections to many servers break because of a fault of the network or of this node, in milliseconds. */
 const COMMON_FAULT_MS = 100;
 
-/** Time from the crash that may decide on a suspect to the decision, in milliseconds; all calls that it broke are known by then. */
-const JUDGEMENT_DELAY_MS = 100;
-
 /** Share of the servers that break connections at the same time in such a fault, and the fewest servers, as a crash may come near others. */
 const COMMON_FAULT_SHARE = 0.5;
 const MIN_COMMON_FAULT_SERVERS = 4;
@@ -31,32 +30,12 @@
 /** Time until the fleet sends a call with a quarantined trait again, in milliseconds; doubles each time that it crashes its server. */
 const PROBE_INTERVAL_MS = 120_000;
 
-/** Time after which a trait that no call has had is forgotten, in milliseconds. */
-const FORGET_MS = 600_000;
-
 /** Time for which a crash, and the answer that cleared a suspect, are reported, in milliseconds. */
 const REPORT_MS = 30_000;
 
-/** Largest numbers of answered traits of a kind, of suspects, of suspects and of cleared ones in a report, and of crashes of a suspect. */
+/** Largest numbers of answered traits of a kind that are kept, and of suspects and of cleared ones in a report. */
 const MAX_ANSWERED_TRAITS = 4_096;
-const MAX_SUSPECTS = 512;
 const MAX_REPORTED_SUSPECTS = 64;
-const MAX_CRASHES = 16;
-
-/** Trait that may crash servers. */
-interface Suspect {
-    readonly key: number;
-    readonly kind: TraitKind;
-    /** Name in log lines; `undefined` until a call of this node has had the trait. */
-    name: string | undefined;
-    /** Incarnations of servers that ended under the trait; hashes of their ids and start times. */
-    readonly crashes: Set<number>;
-    isQuarantined: boolean;
-    judgedFromMs: number;
-    nextProbeAtMs: number;
-    lastCrashAtMs: number;
-    lastCallAtMs: number;
-}
 
 /** Quarantined trait of a call. */
 export interface QuarantinedTrait {
@@ -84,22 +63,20 @@
         [TraitKind.PromptPart, new Set<number>()],
         [TraitKind.Content, new Set<number>()],
     ]);
-    private readonly suspects = new Map<number, Suspect>();
+    private readonly suspects: SuspectTable;
     /** Suspects that were cleared, with the times in milliseconds since the Unix epoch. */
     private readonly cleared = new Map<number, { readonly kind: TraitKind; readonly atMs: number }>();
     /** Servers whose connections broke recently, with the times. */
     private broken: { readonly serverKey: number; readonly atMs: number }[] = [];
 
     /** @param settings See {@linkcode CallQuarantineSettings}. */
-    constructor(private readonly settings: CallQuarantineSettings) {}
+    constructor(private readonly settings: CallQuarantineSettings) {
+        this.suspects = new SuspectTable(settings.clock);
+    }
 
     /** Number of quarantined traits. */
     get quarantinedTraits(): number {
-        let count = 0;
-        for (const { isQuarantined } of this.suspects.values()) {
-            count += isQuarantined ? 1 : 0;
-        }
-        return count;
+        return this.suspects.all().filter(({ isQuarantined }) => isQuarantined).length;
     }
 
     /**
@@ -109,7 +86,7 @@
     findQuarantined(traits: readonly CallTrait[]): QuarantinedTrait | undefined {
         const now = this.settings.clock.now();
         for (const trait of traits) {
-            const suspect = this.suspects.get(trait.key);
+            const suspect = this.suspects.find(trait.key);
             if (suspect?.isQuarantined !== true) {
                 continue;
             }
@@ -124,7 +101,7 @@
     /** Records that a call is sent; if one of its traits is quarantined, it is the probe that was due. */
     recordSent(traits: readonly CallTrait[]): void {
         for (const { key, name } of traits) {
-            const suspect = this.suspects.get(key);
+            const suspect = this.suspects.find(key);
             if (suspect?.isQuarantined === true) {
                 suspect.name = name;
                 this.scheduleProbe(suspect);
@@ -139,8 +116,8 @@
      */
     mayRepeat(traits: readonly CallTrait[]): boolean {
         return traits.every(({ key, kind }) => {
-            const crashes = this.suspects.get(key)?.crashes.size ?? 0;
-            return crashes < (kind === TraitKind.Content ? MIN_CRASHES : 1);
+            const crashes = this.suspects.find(key)?.crashes.size ?? 0;
+            return crashes < (kind === TraitKind.Content ? MAX_CRASHES_OF_CONTENT : MAX_CRASHES_OF_PARTS);
         });
     }
 
@@ -170,10 +147,9 @@
     reportedSuspects(): readonly CallSuspect[] {
         this.forgetOld();
         const reportedFromMs = this.settings.clock.now() - REPORT_MS;
-        const recent = [...this.suspects.values()].filter(({ isQuarantined, lastCrashAtMs }) => {
-            return isQuarantined || lastCrashAtMs >= reportedFromMs;
-        });
-        recent.sort((left, right) => compareWeight(right, left));
+        const recent = this.suspects.all()
+            .filter(({ isQuarantined, lastCrashAtMs }) => isQuarantined || lastCrashAtMs >= reportedFromMs)
+            .sort((left, right) => compareWeight(right, left));
         const suspects = recent.slice(0, MAX_REPORTED_SUSPECTS).map(({ key, kind, crashes }) => {
             return { traitKey: key, crashKeys: [...crashes], isAnswered: false, isContent: kind === TraitKind.Content };
         });
@@ -222,113 +198,45 @@
     }
 
     private addCrashes(
-        { key, kind, name }: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>,
+        trait: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>,
         crashKeys: readonly number[],
         server?: string,
     ): void {
-        const now = this.settings.clock.now();
-        let suspect = this.suspects.get(key);
-        if (suspect === undefined) {
-            this.makeRoom();
-            suspect = {
-                key,
-                kind,
-                name,
-                crashes: new Set(),
-                isQuarantined: false,
-                judgedFromMs: Infinity,
-                nextProbeAtMs: Infinity,
-                lastCrashAtMs: now,
-                lastCallAtMs: now,
-            };
-            this.suspects.set(key, suspect);
-        }
-        suspect.name ??= name;
-        const known = suspect.crashes.size;
-        for (const crashKey of crashKeys) {
-            if (suspect.crashes.size < MAX_CRASHES) {
-                suspect.crashes.add(crashKey);
-            }
-        }
-        if (suspect.crashes.size === known) {
+        const added = this.suspects.addCrashes(trait, crashKeys);
+        if (added === undefined) {
             return;
         }
-        suspect.lastCrashAtMs = now;
-        suspect.lastCallAtMs = now;
+        const { suspect, isJudgementDue } = added;
         // Each call that breaks makes its content a suspect; "call: attempt failed" has logged it.
-        if (kind === TraitKind.PromptPart) {
+        if (suspect.kind === TraitKind.PromptPart) {
             this.settings.onChange("quarantine: prompt part suspected", { ...describe(suspect), server });
         }
         if (suspect.isQuarantined) {
             this.scheduleProbe(suspect);
         }
-        else if (suspect.crashes.size >= MIN_CRASHES && known < MIN_CRASHES_IF_AMBIGUOUS) {
-            suspect.judgedFromMs = now + JUDGEMENT_DELAY_MS;
+        else if (isJudgementDue) {
             void this.judgeLater();
         }
     }
 
     /** Quarantines the causes of crashes once the other calls that broke at the same time are known, as they may be the cause as well. */
     private async judgeLater(): Promise<void> {
-        const { clock } = this.settings;
-        await clock.sleep(JUDGEMENT_DELAY_MS);
-        const causes = [...this.suspects.values()].filter(suspect => {
-            return !suspect.isQuarantined && suspect.judgedFromMs <= clock.now() && this.isCause(suspect);
-        });
+        await this.settings.clock.sleep(JUDGEMENT_DELAY_MS);
+        const causes = this.suspects.findCauses();
         for (const cause of causes) {
             cause.isQuarantined = true;
             this.scheduleProbe(cause);
             this.settings.onChange(`quarantine: ${cause.kind} quarantined`, describe(cause));
         }
         for (const cause of causes) {
-            this.explainCrashes(cause);
-        }
-    }
-
-    /** Forgets the suspect that was there at the fewest crashes, and of these the one with the oldest crash, if there are too many. */
-    private makeRoom(): void {
-        if (this.suspects.size < MAX_SUSPECTS) {
-            return;
-        }
-        let weakest: Suspect | undefined;
-        for (const suspect of this.suspects.values()) {
-            if (weakest === undefined || compareWeight(suspect, weakest) < 0) {
-                weakest = suspect;
-            }
-        }
-        this.suspects.delete(weakest?.key ?? 0);
-    }
-
-    private isCause(suspect: Suspect): boolean {
-        const { size } = suspect.crashes;
-        if (size >= MIN_CRASHES_IF_AMBIGUOUS) {
-            return true;
-        }
-        const rivals = [...this.suspects.values()].filter(({ kind, isQuarantined, crashes }) => {
-            return kind === suspect.kind && !isQuarantined && crashes.size >= size;
-        });
-        return size >= MIN_CRASHES && rivals.length === 1;
-    }
-
-    /** Removes the crashes that a quarantined trait explains from the other suspects. */
-    private explainCrashes(cause: Suspect): void {
-        for (const [key, other] of this.suspects) {
-            if (other.isQuarantined) {
-                continue;
-            }
-            for (const crashKey of cause.crashes) {
-                other.crashes.delete(crashKey);
-            }
-            if (other.crashes.size === 0) {
-                this.suspects.delete(key);
-            }
+            this.suspects.explainCrashes(cause);
         }
     }
 
     /** Sets the time of the next probe; the nodes' times differ, so that the fleet sends about one in an interval. */
     private scheduleProbe(suspect: Suspect): void {
         const { clock, random, nodeCount } = this.settings;
-        const backoff = 2 ** Math.max(0, suspect.crashes.size - MIN_CRASHES_IF_AMBIGUOUS);
+        const backoff = 2 ** Math.max(0, suspect.crashes.size - FIRST_CRASHES);
         suspect.nextProbeAtMs = clock.now() + PROBE_INTERVAL_MS * backoff * (1 + random.next() * nodeCount());
     }
 
@@ -344,11 +252,11 @@
             const [oldest] = answered;
             answered.delete(oldest ?? 0);
         }
-        const suspect = this.suspects.get(key);
+        const suspect = this.suspects.find(key);
         if (suspect === undefined) {
             return;
         }
-        this.suspects.delete(key);
+        this.suspects.remove(key);
         this.cleared.set(key, { kind, atMs: this.settings.clock.now() });
         suspect.name ??= name;
         if (suspect.isQuarantined || kind === TraitKind.PromptPart) {
@@ -361,11 +269,7 @@
 
     private forgetOld(): void {
         const now = this.settings.clock.now();
-        for (const [key, { lastCallAtMs }] of this.suspects) {
-            if (lastCallAtMs < now - FORGET_MS) {
-                this.suspects.delete(key);
-            }
-        }
+        this.suspects.forgetOld();
         for (const [key, { atMs }] of this.cleared) {
             if (atMs < now - REPORT_MS) {
                 this.cleared.delete(key);
@@ -378,9 +282,3 @@
 function describe({ key, name, crashes }: Suspect): Readonly<Record<string, unknown>> {
     return { key, trait: name, crashes: crashes.size };
 }
-
-/** Compares suspects by their quarantine, their crashes and the time of the last one. */
-function compareWeight(left: Suspect, right: Suspect): number {
-    return Number(left.isQuarantined) - Number(right.isQuarantined) || left.crashes.size - right.crashes.size ||
-        left.lastCrashAtMs - right.lastCrashAtMs;
-}
--- /dev/null
+++ b/src/coordination/relay/limit_allotment.ts
@@ -0,0 +1,47 @@
+/**
+ * Share of the calls to a limited server that one node takes.
+ *
+ * With a limit of a few calls a second, a call that may be sent is seen by all nodes at the same moment. If each of them sent one, the
+ * server would get as many as there are nodes.
+ *
+ * @module
+ */
+
+import { type Demand, STALENESS_REPORT_INTERVALS, sumDemands } from "./admission_gate.js";
+
+/** Demand that is assumed at each node in addition to the reported one, in calls; a burst reaches many nodes before they report it. */
+const ASSUMED_DEMAND_CALLS = 0.5;
+
+/** Fewest calls that a node expects in an interval; bounds what it is allotted to make up for intervals without a call. */
+const MIN_EXPECTED_CALLS = 0.5;
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Demand for a service and the exchange of reports about it. */
+export interface AllotmentInput {
+    /** Demand at this node, and at all others. */
+    readonly own: Demand;
+    readonly peers: Demand;
+    /** Nodes that send calls, including this one. */
+    readonly nodeCount: number;
+    /** Time between the nodes' reports, in milliseconds. */
+    readonly intervalMs: number;
+}
+
+/**
+ * Returns the share of the calls that may be sent to a server which this node takes in an interval between reports: its share of the
+ * demand, divided by the age of the nodes' views and by the probability that it has a call to send.
+ */
+export function allottedShare({ own, peers, nodeCount, intervalMs }: AllotmentInput): number {
+    const stalenessMs = STALENESS_REPORT_INTERVALS * intervalMs;
+    const ownCalls = countCalls(own, stalenessMs) + ASSUMED_DEMAND_CALLS;
+    const allCalls = countCalls(sumDemands([own, peers]), stalenessMs) + ASSUMED_DEMAND_CALLS * nodeCount;
+    const useProbability = 1 - Math.exp(-Math.max(MIN_EXPECTED_CALLS, countCalls(own, intervalMs)));
+    return ownCalls / allCalls / STALENESS_REPORT_INTERVALS / useProbability;
+}
+
+/** @returns Calls that wait now or arrive within a time. */
+function countCalls({ inTimeCalls, lateCalls, arrivalsPerSecond }: Demand, durationMs: number): number {
+    return inTimeCalls + lateCalls + arrivalsPerSecond * durationMs / MS_PER_SECOND;
+}
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -9,8 +9,9 @@
 
 import { type AnswerHead, hashKey, type ServerLimit } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
-import { type Demand, STALENESS_REPORT_INTERVALS, sumDemands } from "./admission_gate.js";
+import type { Demand } from "./admission_gate.js";
 import { MIN_SERVER_ERROR_STATUS, MISDIRECTED_STATUS } from "./final_answer.js";
+import { allottedShare } from "./limit_allotment.js";
 import { SharedTokenBucket } from "./shared_token_bucket.js";
 
 /** Lowest rate of calls to a server, in calls per second: only an answer can end a limit of 0. */
@@ -22,12 +23,6 @@
 /** Time in which calls beyond a limit are made up for, in seconds. */
 const MAX_DEBT_SECONDS = 4;
 
-/** Demand that is assumed at each node in addition to the reported one, in calls; a burst reaches many nodes before they report it. */
-const ASSUMED_DEMAND_CALLS = 0.5;
-
-/** Fewest calls for which a node expects to choose a server within an interval; bounds what it is allotted against unused allotments. */
-const MIN_EXPECTED_CALLS = 0.5;
-
 /** Time for which the end of a limit is reported, in milliseconds. */
 const ENDED_REPORT_MS = 30_000;
 
@@ -37,9 +32,6 @@
 /** Shortest time between log lines about values that cannot be read, in milliseconds. */
 const UNREADABLE_LOG_INTERVAL_MS = 10_000;
 
-/** Milliseconds in a second. */
-const MS_PER_SECOND = 1_000;
-
 /** What a server has stated last, and the calls that it has got since. */
 interface LimitedServer {
     /** Calls per second; `undefined` after the limit has ended. */
@@ -241,7 +233,7 @@
 
     /** Allots this node its share of the calls that may be sent, once for each interval between reports. */
     private allot(limited: LimitedServer, callsPerSecond: number, service: string): void {
-        const { clock, random, reportIntervalMs } = this.settings;
+        const { clock, random, nodeCount, reportIntervalMs } = this.settings;
         const now = clock.now();
         if (now - limited.allottedAtMs < reportIntervalMs()) {
             return;
@@ -249,26 +241,12 @@
         limited.allottedAtMs = now;
         this.refill(limited, callsPerSecond);
         const { own, peers } = this.settings.demands(service);
-        const calls = Math.max(0, limited.bucket.available) * this.demandShare(own, peers) /
-            STALENESS_REPORT_INTERVALS / this.useProbability(own);
+        const calls = Math.max(0, limited.bucket.available) *
+            allottedShare({ own, peers, nodeCount: nodeCount(), intervalMs: reportIntervalMs() });
         const whole = Math.floor(calls);
         limited.allottedCalls = whole + (random.next() < calls - whole ? 1 : 0);
     }
 
-    /** Returns this node's share of the demand for a service, from 0 to 1. */
-    private demandShare(own: Demand, peers: Demand): number {
-        const { nodeCount, reportIntervalMs } = this.settings;
-        const stalenessMs = STALENESS_REPORT_INTERVALS * reportIntervalMs();
-        const ownCalls = countCalls(own, stalenessMs) + ASSUMED_DEMAND_CALLS;
-        const allCalls = countCalls(sumDemands([own, peers]), stalenessMs) + ASSUMED_DEMAND_CALLS * nodeCount();
-        return ownCalls / allCalls;
-    }
-
-    /** Returns the probability that this node has a call to send before the next allotment, from 0 to 1. */
-    private useProbability(own: Demand): number {
-        return 1 - Math.exp(-Math.max(MIN_EXPECTED_CALLS, countCalls(own, this.settings.reportIntervalMs())));
-    }
-
     private refill(limited: LimitedServer, callsPerSecond: number): void {
         const tokensPerSecond = Math.max(MIN_CALLS_PER_SECOND, callsPerSecond);
         const burst = Math.max(1, tokensPerSecond * BURST_SECONDS);
@@ -303,8 +281,3 @@
 function serverKey({ id, startedAtMs }: RelayServer): number {
     return hashKey(`${id}@${startedAtMs}`);
 }
-
-/** @returns Calls that wait now or arrive within a time. */
-function countCalls({ inTimeCalls, lateCalls, arrivalsPerSecond }: Demand, durationMs: number): number {
-    return inTimeCalls + lateCalls + arrivalsPerSecond * durationMs / MS_PER_SECOND;
-}
