--- a/src/coordination/relay/placement.ts
+++ b/src/coordination/relay/placement.ts
@@ -67,8 +67,8 @@
 }
 
 /**
- * Chooses the healthy server with a free slot, a call left by its limit, and the lowest cost. If there is none, an unhealthy server that is due for a trial is
- * chosen.
+ * Chooses the healthy server with a free slot, a call left by its limit, and the lowest cost. If there is none, an unhealthy server that
+ * is due for a trial is chosen.
  *
  * @param servers Servers of the service that may be chosen.
  * @param call Call for which a server is chosen.
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -1,8 +1,7 @@
 /**
  * Limits that backend servers state for the calls of all nodes together, kept without a coordinator.
  *
- * A server in need asks for a few calls a second. It often has free slots and answers fast, so that without the limit it would be the
- * preferred one.
+ * A server in need asks for a few calls a second. It does not refuse the calls beyond them, and its free slots do not show the limit.
  *
  * @module
  */
