Count and log calls that a relay node cuts without a complete answer

A call whose connection the node closes leaves no line and no count unless its own code ends it, so the hypotheses of the incident can't be told apart. The caller server now knows each call that it has read and whose answer is not complete, and reports why it closes its connection: an error inside the node, the answer to an earlier call on the connection, or the stop of the node.

--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -6,6 +6,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CallRecord, TopicRead } from "../../coordination/relay/mod.js";
+import type { CutCall } from "../../transport/relay/mod.js";
 
 /** Bucket bounds of the latency histograms, in seconds: from the duration of a call that is not a stream to that of the longest stream. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.3, 2, 5, 15];
@@ -43,6 +44,7 @@
 export class RelayMetrics {
     private readonly registry = new Registry();
     private readonly calls: Counter<"service" | "rank" | "outcome" | "status">;
+    private readonly cuts: Counter<"cause" | "part">;
     private readonly stages: Histogram<"service" | "rank" | "stage">;
     private readonly reads: Histogram<"topic" | "outcome">;
     private readonly restores: Counter;
@@ -57,6 +59,12 @@
             labelNames: ["service", "rank", "outcome", "status"],
             registers,
         });
+        this.cuts = new Counter({
+            name: "foxtailrail_relay_cut_calls_total",
+            help: "Calls whose connection this node closed before their answer was complete, by why and whether it had begun.",
+            labelNames: ["cause", "part"],
+            registers,
+        });
         this.stages = new Histogram({
             name: "foxtailrail_relay_stage_seconds",
             help: "Time from the arrival of a call to the end of a stage.",
@@ -130,6 +138,11 @@
         this.observe({ ...labels, stage: "end" }, times.endMs);
     }
 
+    /** Records a call whose connection this node closed before its answer was complete. */
+    recordCut({ cause, isAnswerStarted }: CutCall): void {
+        this.cuts.inc({ cause, part: isAnswerStarted ? "begun" : "none" });
+    }
+
     /** Records a completed read of a topic of the platform's log. */
     recordRead({ topic, outcome, durationMs }: TopicRead): void {
         this.reads.observe({ topic, outcome }, durationMs / MS_PER_SECOND);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -301,6 +301,10 @@
             receive: (call, answer) => handler.handle(call, answer),
             onError: error =>
                 logger.error({ error: String(error), stack: (error as Error).stack }, "call: failed inside the node"),
+            onCut: cut => {
+                this.metrics.recordCut(cut);
+                this.relayLog.warn("call: cut without a complete answer", { ...cut });
+            },
         });
         this.metrics = this.makeMetrics();
         this.metricsServer = new StatusServer(
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -5,6 +5,7 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { LocalAnswer, RelayCall, RelayHeaders } from "../../protocol/relay/mod.js";
 import type { CallerLimits, Clock } from "../../state/relay/mod.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -29,6 +30,35 @@
     idleTimeoutMs: 15_000,
 };
 
+/** Why this node closed the connection of a call before its answer was complete. */
+export enum CutCause {
+    /** The receiver of the call failed. */
+    InternalError = "internalError",
+    /** The connection was closed after the answer to an earlier call on it. */
+    EarlierAnswer = "earlierAnswer",
+    /** The node stopped. */
+    Stop = "stop",
+}
+
+/** Call whose connection this node closed before its answer was complete. */
+export interface CutCall {
+    /** Id of the call. */
+    readonly id: string;
+    readonly cause: CutCause;
+    /** Whether a part of the answer had been written. */
+    readonly isAnswerStarted: boolean;
+    /** Time since the call was read, in milliseconds. */
+    readonly ageMs: number;
+}
+
+/** Call that was read, and whose answer is not complete. */
+interface OpenCall {
+    readonly id: string;
+    readonly socket: Socket;
+    readonly answer: HttpRelayAnswer;
+    readonly arrivedAtMs: number;
+}
+
 /** Handles a call that was read completely. */
 export type CallReceiver = (call: RelayCall, answer: HttpRelayAnswer) => Promise<void>;
 
@@ -39,6 +69,8 @@
     readonly receive: CallReceiver;
     /** Called with errors thrown by the receiver. */
     readonly onError: (error: unknown) => void;
+    /** Called when this node closes the connection of a call before its answer is complete. */
+    readonly onCut: (call: CutCall) => void;
 }
 
 /** Reads calls within the limits and passes each one to the receiver once it is complete. */
@@ -46,6 +78,7 @@
     /** Number of calls whose response is still open. */
     openCalls = 0;
     private readonly server: Server;
+    private readonly readCalls = new Set<OpenCall>();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
     private isStopped = false;
@@ -97,21 +130,49 @@
 
     /** Stops listening and closes all connections immediately. */
     closeAll(): void {
+        for (const call of this.readCalls) {
+            this.reportCut(call, CutCause.Stop);
+        }
         this.server.close();
         this.server.closeAllConnections();
     }
 
+    private reportCut(call: OpenCall, cause: CutCause): void {
+        if (this.readCalls.delete(call)) {
+            const { id, answer, arrivedAtMs } = call;
+            const ageMs = this.settings.clock.now() - arrivedAtMs;
+            this.settings.onCut({ id, cause, isAnswerStarted: answer.isStarted, ageMs });
+        }
+    }
+
+    /** Closes a connection after an answer; further calls that were read from it get none. */
+    private closeAfterAnswer(socket: Socket): void {
+        for (const call of this.readCalls) {
+            if (call.socket === socket) {
+                this.reportCut(call, CutCause.EarlierAnswer);
+            }
+        }
+        socket.destroySoon();
+    }
+
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const callerAbort = new AbortController();
         const answer = new HttpRelayAnswer(response, () => this.isDraining);
         this.openCalls += 1;
+        let openCall: OpenCall | undefined;
         response.on("finish", () => {
-            if (this.isDraining) {
-                request.socket.destroySoon();
+            if (openCall !== undefined) {
+                this.readCalls.delete(openCall);
+            }
+            if (this.isDraining || answer.closesConnection) {
+                this.closeAfterAnswer(request.socket);
             }
         });
         response.on("close", () => {
             this.openCalls -= 1;
+            if (openCall !== undefined) {
+                this.readCalls.delete(openCall);
+            }
             if (!response.writableFinished) {
                 callerAbort.abort();
             }
@@ -145,16 +206,21 @@
             if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
+            const arrivedAtMs = this.settings.clock.now();
+            const readCall = { id: head.id, socket: request.socket, answer, arrivedAtMs };
+            openCall = readCall;
+            this.readCalls.add(readCall);
             const call = {
                 head,
                 method: request.method ?? "GET",
                 target: request.url ?? "/",
                 body: chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks),
-                arrivedAtMs: this.settings.clock.now(),
+                arrivedAtMs,
                 callerGone: callerAbort.signal,
             };
             this.settings.receive(call, answer).catch((error: unknown) => {
                 this.settings.onError(error);
+                this.reportCut(readCall, CutCause.InternalError);
                 answer.abort();
             });
         });
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -12,6 +12,7 @@
 /** Writes the answer to one call. */
 export class HttpRelayAnswer extends RelayAnswer {
     private mustClose = false;
+    private hasClosingHead = false;
 
     /**
      * @param response Response of the HTTP server.
@@ -26,6 +27,11 @@
         return this.response.headersSent;
     }
 
+    /** Whether the head that was written says that the connection closes after this answer. */
+    get closesConnection(): boolean {
+        return this.hasClosingHead;
+    }
+
     /** Closes the connection after this answer. */
     closeAfterwards(): void {
         this.mustClose = true;
@@ -77,6 +83,7 @@
     private writeHead(status: number, headers: string[]): void {
         if (this.mustClose || this.isDraining()) {
             headers.push("connection", "close");
+            this.hasClosingHead = true;
         }
         this.response.writeHead(status, headers);
     }
