Do not take servers for silent whose bytes the node has not read yet

What callers saw: a begun stream that may be resumed is taken from its server, and broken off when no peer takes it, right after the node itself was held up: by a large configuration, a frozen process or a starved processor. Beside a change of the configuration this needs no fault of any server.

Cause: the timers of a turn of the event loop run before the sockets are read. After the loop was held up for longer than the response timeout, the check of the servers compares the present with bytes from before, takes all servers of a service for silent and counts it as lost.

Change: a check that comes 400 ms or more after the one before judges nothing; the next one, 40 ms later, sees what was read in between.

Evidence: features/relay_reach.feature, hold-ups of 0.8 s to 5 s before 1 to 3 servers.

--- a/src/coordination/relay/server_reach.ts
+++ b/src/coordination/relay/server_reach.ts
@@ -16,6 +16,9 @@
 /** Time without a byte from any server of a service from which it may be lost, in milliseconds. */
 const MIN_SILENCE_MS = 400;
 
+/** Time since the last check from which this node was held up itself, in milliseconds. */
+const MIN_HOLD_UP_MS = 400;
+
 /** Servers to which a connection must succeed until a lost service is regained; all if it has fewer. */
 const MIN_PROBED_SERVERS = 2;
 
@@ -64,13 +67,16 @@
 /** Detects services whose servers this node does not reach, and probes them until it does. */
 export class ServerReach {
     private readonly losses = new Map<string, Loss>();
+    private checkedAtMs: number;
     /** Attempts that wait for an answer, by service. */
     private readonly attempts = new Map<string, Set<WaitingAttempt>>();
     /** Duration limits and ends of earlier losses. */
     private readonly ended = new Map<string, { readonly minDurationMs: number; readonly atMs: number }>();
 
     /** @param settings See {@linkcode ServerReachSettings}. */
-    constructor(private readonly settings: ServerReachSettings) {}
+    constructor(private readonly settings: ServerReachSettings) {
+        this.checkedAtMs = settings.clock.now();
+    }
 
     /** Whether this node reaches no server of a service. */
     isLost(service: string): boolean {
@@ -96,12 +102,16 @@
 
     /** Updates which services are lost, and probes those whose probes are due. */
     check(): void {
+        const now = this.settings.clock.now();
+        // What the servers sent while this node was held up is read only after the timers that have become due, such as this check's.
+        const wasHeldUp = now - this.checkedAtMs >= MIN_HOLD_UP_MS;
+        this.checkedAtMs = now;
         for (const service of this.settings.services()) {
             const loss = this.losses.get(service);
             if (loss !== undefined) {
                 this.probeIfDue(loss);
             }
-            else if (this.hasNoContact(service)) {
+            else if (!wasHeldUp && this.hasNoContact(service)) {
                 this.startLoss(service);
             }
         }
