--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -61,12 +61,22 @@
 
 let lastId = 0;
 
+/** Level of the log from which a line is an error. */
+const ERROR_LEVEL = 50;
+
+/** Line of the node's log. */
+export interface LogLine {
+    readonly level: number;
+    readonly msg: string;
+    readonly [field: string]: unknown;
+}
+
 /** Relay node under test with its store and engines. */
 export class RelayFixture {
     readonly store = new StoreServer();
     readonly engines: EngineServer[] = [];
-    /** Lines of level error that the node has logged. */
-    readonly errorLines: string[] = [];
+    /** Lines that the node has logged. */
+    readonly lines: LogLine[] = [];
     private startedNode: RelayNode | undefined;
     private version = 1;
 
@@ -81,6 +91,11 @@
         private readonly headers: RelayHeaders = new PlatformHeaders(),
     ) {}
 
+    /** Lines of level error that the node has logged. */
+    get errorLines(): readonly LogLine[] {
+        return this.lines.filter(({ level }) => level >= ERROR_LEVEL);
+    }
+
     /** Node under test. */
     get node(): RelayNode {
         if (this.startedNode === undefined) {
@@ -112,7 +127,7 @@
             settings: parseRelaySettings(settingsText(this.nodeName, this.store.address), "test.yaml"),
             clock: this.clock,
             random: new SeededRandom(1),
-            logger: pino({ level: "error" }, { write: line => this.errorLines.push(line) }),
+            logger: pino({ level: "info" }, { write: line => this.lines.push(JSON.parse(line) as LogLine) }),
             log: new HttpKeyedLog(this.store.address),
             records: new PlatformRecords(),
             headers: this.headers,
@@ -173,6 +188,18 @@
         });
     }
 
+    /** Returns the sum of a metric of the node over its labels. */
+    async readMetric(name: string): Promise<number> {
+        const text = await (await fetch(`http://${this.node.metricsAddress}/metrics`)).text();
+        let sum = 0;
+        for (const line of text.split("\n")) {
+            if (line.startsWith(`foxtailrail_relay_${name}{`) || line.startsWith(`foxtailrail_relay_${name} `)) {
+                sum += Number(line.slice(line.lastIndexOf(" ")));
+            }
+        }
+        return sum;
+    }
+
     /** Stops the engines, the node and the store. */
     async stop(): Promise<void> {
         for (const engine of this.engines) {
@@ -210,7 +237,7 @@
     return `
 node: ${node}
 failureDomain: zone-a
-listen: { callers: "127.0.0.1:0", readiness: "127.0.0.1:0", peers: "127.0.0.1:0" }
+listen: { callers: "127.0.0.1:0", readiness: "127.0.0.1:0", peers: "127.0.0.1:0", metrics: "127.0.0.1:0" }
 log: ${store}
 isFirstStart: true
 drain: { graceSeconds: 3, balancerLagMs: 50 }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -367,6 +367,12 @@
         return `${splitAddress(this.dependencies.settings.listen.readiness)[0]}:${this.readinessServer.port}`;
     }
 
+    /** Address of the metrics endpoint; valid after {@linkcode start} if the settings name one. */
+    get metricsAddress(): string {
+        const { metrics, readiness } = this.dependencies.settings.listen;
+        return `${splitAddress(metrics ?? readiness)[0]}:${this.metricsServer.port}`;
+    }
+
     /** Opens the listening ports and starts the background tasks; a task that fails ends the process. */
     async start(): Promise<void> {
         const { listen } = this.dependencies.settings;
