Answer truthfully a call in which the node itself fails

Callers saw a closed connection without an answer when anything inside the node threw: 4 of 60 calls beside an entry with port 99999, and each call in 27 cases of a test that lets one step of a call throw. The slot, the watch and the count of the detour were kept for good, and no line told how the call ended.

Cause: what follows the reservation of a slot stood outside the attempt's try, and an error went to the caller server, which knew neither whether the call had run nor how to say so.

Now the relayed call itself ends: 503 while nothing was passed on, 502 once it may have run, and a begun stream is broken off. The slot, the watch and the detour are given back in each case. An address to which no pool can be opened counts as a server that was not reached, and a call that cannot be written to any connection ends without suspending a server. The catch of the caller server and that of detours remain as a last resort; they leave a complete answer alone, and answer 502 if nothing has begun.

In the test, the case of the connection pool moved to a scenario of its own: the call is not refused but served by another server, which is stricter.

--- a/features/relay_internal_errors.feature
+++ b/features/relay_internal_errors.feature
@@ -22,7 +22,6 @@
             | watch of attempts                     | 503    | 0     |
             | client                                | 503    | 0     |
             | writing of headers                    | 503    | 0     |
-            | connection pool                       | 503    | 0     |
             | reading of an answer's headers        | 502    | 1     |
             | record of heads                       | 502    | 1     |
             | statements of servers                 | 502    | 1     |
@@ -32,6 +31,12 @@
             | release of a slot                     | 200    | 1     |
             | observer of ended calls               | 200    | 1     |
 
+    Scenario: a server for which no connection pool can be made costs no call
+        Given a relay with two servers whose connection pool fails once
+        When an "unsafe" call is sent to it
+        Then its caller gets status 200, and servers have run it 1 times
+        And the node keeps no slot, and serves 20 further calls
+
     Scenario Outline: a stream during which a part of the node fails once is broken off without an error's text and keeps nothing
         Given a streaming relay with two servers whose <part> fails once
         When a "stream" call is sent to it
--- a/src/coordination/relay/call_record.ts
+++ b/src/coordination/relay/call_record.ts
@@ -75,4 +75,6 @@
     abstract record(record: CallRecord): void;
     /** Logs an event of a call in progress, such as a failed attempt. */
     abstract logEvent(callId: string, text: string, detail: Readonly<Record<string, unknown>>): void;
+    /** Logs an error inside the node that ended a call. */
+    abstract logError(callId: string, error: unknown): void;
 }
--- a/src/coordination/relay/detour_attempt.ts
+++ b/src/coordination/relay/detour_attempt.ts
@@ -37,7 +37,8 @@
     readonly finalAnswer: FinalAnswer;
     readonly splitter: EventStreamSplitter;
     readonly peer: DetourPeer;
-    readonly answer: AttemptAnswer;
+    /** Hands the call to the peer. */
+    readonly send: () => AttemptAnswer;
     /** Called when the first event of a stream, or a complete answer, is received. */
     readonly onFirstEvent: () => void;
 }
@@ -49,30 +50,33 @@
 
     /** Waits for the answer and writes it. */
     async run(): Promise<DetourOutcome> {
-        const { answer, admitted } = this.settings;
+        const { admitted, state } = this.settings;
+        let answer: AttemptAnswer | undefined;
         try {
+            answer = this.settings.send();
             const head = await answer.awaitHead();
             if (!head.isSealed) {
-                return await this.handlePeerAnswer(head);
+                return await this.handlePeerAnswer(head, answer);
             }
-            this.settings.state.mayHaveRun = true;
+            state.mayHaveRun = true;
             const isStream = admitted.route.isStream && head.status < 300;
-            return isStream ? await this.relayStream(head) : await this.relayCompleteAnswer(head);
+            return isStream ? await this.relayStream(head, answer) : await this.relayCompleteAnswer(head, answer);
         }
         catch (error) {
             if (!(error instanceof AttemptError)) {
+                state.mayHaveRun ||= answer !== undefined;
                 throw error;
             }
             return this.handleError(error);
         }
         finally {
-            answer.cancel();
+            answer?.cancel();
         }
     }
 
     /** Handles an answer that the peer itself generated. */
-    private async handlePeerAnswer({ status }: AnswerHead): Promise<DetourOutcome> {
-        const { admitted, answer, finalAnswer, peer, state } = this.settings;
+    private async handlePeerAnswer({ status }: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
+        const { admitted, finalAnswer, peer, state } = this.settings;
         const text = readText(await readWhole(answer));
         state.lastFailureReason = `peer ${peer.node} answered with status ${status}: ${text}`;
         if (NOT_TAKEN_STATUSES.has(status)) {
@@ -91,8 +95,8 @@
         return DetourOutcome.Answered;
     }
 
-    private async relayCompleteAnswer(head: AnswerHead): Promise<DetourOutcome> {
-        const body = await readWhole(this.settings.answer);
+    private async relayCompleteAnswer(head: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
+        const body = await readWhole(answer);
         if (body === undefined) {
             return this.fail(`peer ${this.settings.peer.node} sent an answer of more than ${MAX_ANSWER_BYTES} bytes`);
         }
@@ -101,8 +105,8 @@
         return DetourOutcome.Answered;
     }
 
-    private async relayStream(head: AnswerHead): Promise<DetourOutcome> {
-        const { admitted, answer, finalAnswer, peer, splitter } = this.settings;
+    private async relayStream(head: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
+        const { admitted, finalAnswer, peer, splitter } = this.settings;
         splitter.dropPartialEvent();
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             const { bytes, count } = splitter.push(chunk);
@@ -132,7 +136,7 @@
     private handleError(error: AttemptError): DetourOutcome {
         const { state } = this.settings;
         state.lastFailureReason = error.message;
-        if (error.fault === AttemptFault.NotRun) {
+        if (error.fault === AttemptFault.NotRun || error.fault === AttemptFault.Unwritable) {
             return DetourOutcome.NotTaken;
         }
         state.mayHaveRun = true;
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -26,6 +26,12 @@
 /** Reason with which a call's signal is aborted when its deadline or its route's timeout expires. */
 export const DEADLINE_EXCEEDED = new Error("the time of the call is over");
 
+/** Text of the answer to a call in which this node failed. */
+export const FAILED_INSIDE = "an error inside the node ended it";
+
+/** Status of a call in which this node failed and that may have run. */
+const FAILED_INSIDE_STATUS = 502;
+
 /** Admitted call with its route, workspace, service and deadlines. */
 export interface AdmittedCall {
     readonly call: RelayCall;
@@ -78,6 +84,9 @@
 
 /** Writes the final answer of one call and records its outcome. */
 export class FinalAnswer {
+    /** Whether the answer was written, or broken off. */
+    private isWritten = false;
+
     /**
      * @param settings See {@linkcode FinalAnswerSettings}.
      * @param admitted Call to answer.
@@ -172,6 +181,18 @@
         this.record(RelayOutcome.Failed, localAnswer.status, localAnswer.text);
     }
 
+    /** Ends a call in which this node failed, unless its answer was written before. */
+    failInside(): void {
+        if (this.isWritten || this.breakOffStarted(FAILED_INSIDE)) {
+            return;
+        }
+        if (!this.state.mayHaveRun) {
+            this.refuse(`The call has not run: ${FAILED_INSIDE}.`);
+            return;
+        }
+        this.failAs(FAILED_INSIDE_STATUS, `The call may have run: ${FAILED_INSIDE}.`);
+    }
+
     /**
      * Aborts a stream that has begun, as no other answer may follow its events.
      *
@@ -190,6 +211,7 @@
     private record(outcome: RelayOutcome, status: number, reason: string): void {
         const { call, route, workspace, configurationVersion, isDetour } = this.admitted;
         const { placements, detours, times } = this.state;
+        this.isWritten = true;
         times.endMs = this.elapsedMs();
         this.settings.recorder.record({
             call,
--- a/src/coordination/relay/relay_handler.ts
+++ b/src/coordination/relay/relay_handler.ts
@@ -7,7 +7,7 @@
 import type { RelayAnswer, RelayCall } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayConfiguration, RelayRoute, RelayWorkspace, ServiceShare } from "../../state/relay/mod.js";
 import { type CallRecorder, RelayOutcome } from "./call_record.js";
-import type { AdmittedCall } from "./final_answer.js";
+import { type AdmittedCall, FAILED_INSIDE } from "./final_answer.js";
 import { RelayedCall, type RelayedCallSettings } from "./relayed_call.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
 
@@ -62,7 +62,7 @@
     /** Serves one call until its answer is written or its caller disconnects. */
     async handle(call: RelayCall, answer: RelayAnswer): Promise<void> {
         const configuration = this.settings.configuration();
-        const admission = this.admit(call, configuration);
+        const admission = this.tryAdmit(call, configuration);
         if ("status" in admission) {
             this.refuse(call, answer, admission, configuration);
             return;
@@ -101,6 +101,16 @@
         return estimateMs;
     }
 
+    private tryAdmit(call: RelayCall, configuration: RelayConfiguration | undefined): Admission | AdmissionRefusal {
+        try {
+            return this.admit(call, configuration);
+        }
+        catch (error) {
+            this.settings.recorder.logError(call.head.id, error);
+            return { status: 503, text: `The call has not run: ${FAILED_INSIDE}.` };
+        }
+    }
+
     private admit(call: RelayCall, configuration: RelayConfiguration | undefined): Admission | AdmissionRefusal {
         if (configuration === undefined) {
             return { status: 503, text: "The node has no configuration yet.", retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS };
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -6,6 +6,7 @@
 
 import {
     type AnswerHead,
+    type AttemptAnswer,
     AttemptError,
     AttemptFault,
     type DetourClient,
@@ -87,8 +88,8 @@
     private readonly state = new CallState();
     private readonly finalAnswer: FinalAnswer;
     private readonly splitter = new EventStreamSplitter();
-    private readonly fingerprint: number;
-    private readonly traits: readonly CallTrait[];
+    private fingerprint = 0;
+    private traits: readonly CallTrait[] = [];
     private attempts = 0;
     private refusals = 0;
     private connectFailures = 0;
@@ -102,12 +103,11 @@
      */
     constructor(private readonly settings: RelayedCallSettings, private readonly admitted: AdmittedCall) {
         this.finalAnswer = new FinalAnswer(settings, admitted, this.state);
-        this.fingerprint = settings.fingerprint.compute(admitted.call, admitted.workspace?.name);
-        this.traits = traitsOf(admitted.call.head.parts, this.fingerprint);
     }
 
     /**
-     * Serves the call until its answer is written or its caller disconnects.
+     * Serves the call until its answer is written or its caller disconnects. An error inside the node ends the call with an answer that
+     * states whether it may have run.
      *
      * @returns Whether a backend server may have run it.
      */
@@ -121,11 +121,17 @@
             onCallerGone();
         }
         try {
+            this.fingerprint = this.settings.fingerprint.compute(call, this.admitted.workspace?.name);
+            this.traits = traitsOf(call.head.parts, this.fingerprint);
             if (!this.admitted.isDetour) {
                 this.settings.retryBudget(this.admitted.service).recordFirstAttempt();
             }
             await this.runAttempts();
         }
+        catch (error) {
+            this.settings.recorder.logError(call.head.id, error);
+            this.finalAnswer.failInside();
+        }
         finally {
             finished.abort();
             call.callerGone.removeEventListener("abort", onCallerGone);
@@ -178,17 +184,13 @@
                 this.handleNoSlot(error);
                 return;
             }
-            if (this.rejectQuarantined()) {
-                slot.release(AttemptOutcome.Neutral);
-                return;
+            try {
+                if (await this.useSlot(slot)) {
+                    return;
+                }
             }
-            if (this.isOver()) {
+            finally {
                 slot.release(AttemptOutcome.Neutral);
-                this.finalAnswer.fail();
-                return;
-            }
-            if (await this.runAttempt(slot)) {
-                return;
             }
             if (!this.canRetry()) {
                 this.finalAnswer.fail();
@@ -197,6 +199,19 @@
         }
     }
 
+    /** @returns Whether the call's final answer was written. */
+    private async useSlot(slot: SlotReservation): Promise<boolean> {
+        if (this.rejectQuarantined()) {
+            return true;
+        }
+        if (this.isOver()) {
+            slot.release(AttemptOutcome.Neutral);
+            this.finalAnswer.fail();
+            return true;
+        }
+        return await this.runAttempt(slot);
+    }
+
     /** @returns Whether the call was rejected because one of its traits crashes servers. */
     private rejectQuarantined(): boolean {
         const quarantined = this.settings.quarantine.findQuarantined(this.traits);
@@ -237,19 +252,24 @@
             maxAttempts,
             lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
         });
+        let outcome: DetourOutcome;
         detourPeers.recordStart(peer);
-        const outcome = await new DetourAttempt({
-            admitted: this.admitted,
-            state: this.state,
-            finalAnswer: this.finalAnswer,
-            splitter: this.splitter,
-            peer,
-            answer: detourClient.send(peer, message, this.abortController.signal, () => !this.isOver()),
-            onFirstEvent: () => {
-                this.state.times.firstMs ??= this.elapsedMs();
-            },
-        }).run();
-        detourPeers.recordEnd(peer);
+        try {
+            outcome = await new DetourAttempt({
+                admitted: this.admitted,
+                state: this.state,
+                finalAnswer: this.finalAnswer,
+                splitter: this.splitter,
+                peer,
+                send: () => detourClient.send(peer, message, this.abortController.signal, () => !this.isOver()),
+                onFirstEvent: () => {
+                    this.state.times.firstMs ??= this.elapsedMs();
+                },
+            }).run();
+        }
+        finally {
+            detourPeers.recordEnd(peer);
+        }
         this.state.detours.push({ peer: peer.node, outcome });
         if (outcome === DetourOutcome.Answered) {
             return true;
@@ -305,32 +325,35 @@
         this.state.times.sentMs ??= this.elapsedMs();
         this.attempts += 1;
         const sentAtMs = this.settings.clock.now();
-        this.settings.observer.recordSent(slot.state);
-        this.settings.quarantine.recordSent(this.traits);
         const abandoned = new AbortController();
         const onCallAborted = () => abandoned.abort(this.abortController.signal.reason);
         this.abortController.signal.addEventListener("abort", onCallAborted, { once: true });
         if (this.abortController.signal.aborted) {
             onCallAborted();
         }
-        const endWatch = this.settings.reach.watch(this.admitted.service, {
-            state: slot.state,
-            abandon: () => this.abandonIfRepeatable(abandoned),
-        });
-        const answer = this.settings.client.send(slot.server, call, {
-            serverId,
-            workspace: workspace?.name,
-            deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
-            maySend: () => !this.isOver(),
-            lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
-        }, abandoned.signal);
-        let outcome = AttemptOutcome.Broken;
+        let endWatch: (() => void) | undefined;
+        let answer: AttemptAnswer | undefined;
+        let isRefused = false;
+        let outcome = AttemptOutcome.Neutral;
         try {
+            this.settings.observer.recordSent(slot.state);
+            this.settings.quarantine.recordSent(this.traits);
+            endWatch = this.settings.reach.watch(this.admitted.service, {
+                state: slot.state,
+                abandon: () => this.abandonIfRepeatable(abandoned),
+            });
+            answer = this.settings.client.send(slot.server, call, {
+                serverId,
+                workspace: workspace?.name,
+                deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
+                maySend: () => !this.isOver(),
+                lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
+            }, abandoned.signal);
             const head = await answer.awaitHead();
+            isRefused = isRefusal(head);
             slot.state.recordHead();
             this.settings.statements.recordAnswer(slot.server, head, sentAtMs);
-            if (isRefusal(head)) {
-                outcome = AttemptOutcome.Neutral;
+            if (isRefused) {
                 this.handleRefusal(slot, head);
                 await discardRest(answer, this.settings.clock);
                 return false;
@@ -352,15 +375,19 @@
         }
         catch (error) {
             if (!(error instanceof AttemptError)) {
+                this.state.mayHaveRun ||= answer !== undefined && !isRefused;
+                throw error;
+            }
+            if (error.fault === AttemptFault.Unwritable) {
                 throw error;
             }
             outcome = this.handleError(slot, error);
             return false;
         }
         finally {
-            endWatch();
+            endWatch?.();
             this.abortController.signal.removeEventListener("abort", onCallAborted);
-            answer.cancel();
+            answer?.cancel();
             slot.release(outcome);
             this.settings.observer.recordEnd(slot.state, outcome);
         }
--- a/src/coordination/relay/slot_reservation.ts
+++ b/src/coordination/relay/slot_reservation.ts
@@ -59,6 +59,8 @@
 
 /** Slot reserved at a server; released when the attempt ends. */
 export class SlotReservation {
+    private isReleased = false;
+
     /**
      * @param state State of the server.
      * @param inFlightCall Call as the server's state tracks it.
@@ -94,8 +96,12 @@
         this.state.recordEvents(this.inFlightCall, count);
     }
 
-    /** Releases the slot; further calls leave the server's state unchanged. */
+    /** Releases the slot; further calls have no effect. */
     release(outcome: AttemptOutcome): void {
+        if (this.isReleased) {
+            return;
+        }
+        this.isReleased = true;
         this.state.finishCall(this.inFlightCall, outcome);
         this.onRelease();
     }
--- a/src/daemon/relay/relay_log.ts
+++ b/src/daemon/relay/relay_log.ts
@@ -78,6 +78,11 @@
         }
     }
 
+    override logError(callId: string, error: unknown): void {
+        const { stack } = error as Partial<Error>;
+        this.settings.logger.error({ id: callId, error: String(error), stack }, "call: failed inside the node");
+    }
+
     /** Logs a message about the node itself or its view of the system; not rate-limited. */
     info(text: string, detail: Readonly<Record<string, unknown>> = {}): void {
         this.settings.logger.info(detail, text);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -490,7 +490,7 @@
         }
         handler.handleDetour(admitted).catch((error: unknown) => {
             logger.error({ error: String(error), stack: (error as Error).stack }, "detour: failed inside the node");
-            answer.abort();
+            answer.failInside();
         });
         return undefined;
     }
--- a/src/protocol/relay/relay_client.ts
+++ b/src/protocol/relay/relay_client.ts
@@ -11,6 +11,8 @@
 export enum AttemptFault {
     /** The call was not executed: no byte was sent, or the backend server states so. */
     NotRun = "notRun",
+    /** The call was not executed, and this node can write it to no connection. */
+    Unwritable = "unwritable",
     /** The call may have been executed. */
     Unknown = "unknown",
     /** This node cancelled the attempt. */
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -220,8 +220,10 @@
             };
             this.settings.receive(call, answer).catch((error: unknown) => {
                 this.settings.onError(error);
-                this.reportCut(readCall, CutCause.InternalError);
-                answer.abort();
+                if (answer.isStarted && !answer.isEnded) {
+                    this.reportCut(readCall, CutCause.InternalError);
+                }
+                answer.failInside();
             });
         });
     }
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
+import { errors, type Pool } from "undici";
 import {
     type AnswerHead,
     AttemptAnswer,
@@ -13,6 +14,7 @@
     DispatchStep,
     type RelayHeaders,
 } from "../../protocol/relay/mod.js";
+import type { HttpClient } from "../http_client.js";
 import type { HttpExchange } from "../http_exchange.js";
 
 /** Reason with which an exchange is cancelled. */
@@ -67,6 +69,9 @@
     }
 
     private toError(step: string, cause: unknown): AttemptError {
+        if (cause instanceof errors.InvalidArgumentError) {
+            return new AttemptError(AttemptFault.Unwritable, this.context.receiver, "write the call", cause);
+        }
         if (this.exchange.reachedStep === DispatchStep.Connect) {
             return new AttemptError(AttemptFault.NotRun, this.context.receiver, "connect", cause);
         }
@@ -84,3 +89,17 @@
     }
     return list;
 }
+
+/**
+ * Returns the connection pool of a receiver.
+ *
+ * @throws {AttemptError} If its address is none to which a connection can be opened.
+ */
+export function openPool(client: HttpClient, address: string, receiver: string): Pool {
+    try {
+        return client.pool(address);
+    }
+    catch (cause) {
+        throw new AttemptError(AttemptFault.NotRun, receiver, `open a connection pool for ${address}`, cause);
+    }
+}
--- a/src/transport/relay/http_detour_client.ts
+++ b/src/transport/relay/http_detour_client.ts
@@ -8,7 +8,7 @@
 import type { HttpClient } from "../http_client.js";
 import { HttpExchange } from "../http_exchange.js";
 import { DETOUR_PATH } from "./detour_server.js";
-import { HttpAttemptAnswer } from "./http_attempt_answer.js";
+import { HttpAttemptAnswer, openPool } from "./http_attempt_answer.js";
 
 /** Sends calls as messages to the {@linkcode DetourServer} of a peer. */
 export class HttpDetourClient extends DetourClient {
@@ -21,7 +21,7 @@
     }
 
     override send(peer: DetourPeer, call: DetourCall, signal: AbortSignal, maySend: () => boolean): AttemptAnswer {
-        const exchange = new HttpExchange(this.client.pool(peer.address), {
+        const exchange = new HttpExchange(openPool(this.client, peer.address, peer.node), {
             method: "POST",
             path: DETOUR_PATH,
             headers: { "content-type": "application/x-protobuf" },
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -27,6 +27,11 @@
         return this.response.headersSent;
     }
 
+    /** Whether the whole answer was written. */
+    get isEnded(): boolean {
+        return this.response.writableEnded;
+    }
+
     /** Whether the head that was written says that the connection closes after this answer. */
     get closesConnection(): boolean {
         return this.hasClosingHead;
@@ -66,6 +71,18 @@
         this.response.end();
     }
 
+    /** Ends an answer whose call failed inside the node with an error of which it is not known whether the call has run. */
+    failInside(): void {
+        if (this.isEnded) {
+            return;
+        }
+        if (this.isStarted) {
+            this.abort();
+            return;
+        }
+        this.sendLocal({ status: 502, text: "The call may have run: an error inside the node ended it." });
+    }
+
     override abort(): void {
         this.response.destroy();
     }
--- a/src/transport/relay/http_relay_client.ts
+++ b/src/transport/relay/http_relay_client.ts
@@ -14,7 +14,7 @@
 import type { RelayServer } from "../../state/relay/mod.js";
 import type { HttpClient } from "../http_client.js";
 import { HttpExchange } from "../http_exchange.js";
-import { HttpAttemptAnswer } from "./http_attempt_answer.js";
+import { HttpAttemptAnswer, openPool } from "./http_attempt_answer.js";
 
 /** Sends opaque calls to backend servers without changing method, target or body. */
 export class HttpRelayClient extends RelayClient {
@@ -27,7 +27,7 @@
     }
 
     override send(server: RelayServer, call: RelayCall, attempt: AttemptHead, signal: AbortSignal): AttemptAnswer {
-        const exchange = new HttpExchange(this.client.pool(server.address), {
+        const exchange = new HttpExchange(openPool(this.client, server.address, server.id), {
             method: call.method,
             path: call.target,
             headers: this.headers.writeAttempt(call.head, attempt),
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -633,7 +633,7 @@
             clock,
             random,
             quota,
-            recorder: { record: () => undefined, logEvent: () => undefined },
+            recorder: { record: () => undefined, logEvent: () => undefined, logError: throwError },
             configuration: () => ({
                 version: 1,
                 routes: new RouteTable([this.route]),
@@ -720,3 +720,7 @@
         return this.traffic.mostEvents === 0 ? 0 : 1 + hashKey(head.id) % this.traffic.mostEvents;
     }
 }
+
+function throwError(callId: string, error: unknown): never {
+    throw new Error(`Call ${callId} failed inside its node`, { cause: error });
+}
