Test the planned stop of a relay node with late, pipelined and open calls and further signals

Real sockets, and the real program for signals. A node is drained within a grace of 3 s while calls end their bodies late, wait for a slot, are retried, take a detour, are pipelined, or are at a server that does not answer.

--- /dev/null
+++ b/features/support/relay_program.ts
@@ -0,0 +1,120 @@
+/**
+ * The relay node program as a process, with stand-ins for the platform's store and a server.
+ *
+ * @module
+ */
+
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { EngineServer } from "../../platform/standin/engine_server.js";
+import { StoreServer } from "../../platform/standin/store_server.js";
+import { awaitReady, findPorts } from "../../standin/fleet_process.js";
+import { makeConfiguration } from "./relay_fixture.js";
+
+/** Key of the callers. */
+const API_KEY = "key-1";
+
+/** Runs the program until {@linkcode stop}. */
+export class RelayProgram {
+    private readonly store = new StoreServer();
+    private directory = "";
+    private settings = "";
+    private child: ChildProcess | undefined;
+    private exited: Promise<number | null> = Promise.resolve(null); // eslint-disable-line no-restricted-syntax -- Node's exit code after a signal
+    private callerPort = 0;
+    private readinessPort = 0;
+
+    /** Starts the store and writes the settings, but does not start the program. */
+    async prepare(engines: readonly EngineServer[]): Promise<void> {
+        await this.store.start();
+        for (const engine of engines) {
+            this.store.put("keyed.servers", engine.id, engine.serverEntry("service", { Slots: 16 }));
+        }
+        this.store.put("keyed.op", "config", makeConfiguration(1, [API_KEY]));
+        const [callers = 0, readiness = 0, peers = 0] = await findPorts(3, 0);
+        this.callerPort = callers;
+        this.readinessPort = readiness;
+        this.directory = await mkdtemp(join(tmpdir(), "relay-program-"));
+        this.settings = `
+node: entry-1
+failureDomain: zone-a
+listen: { callers: "127.0.0.1:${callers}", readiness: "127.0.0.1:${readiness}", peers: "127.0.0.1:${peers}" }
+log: ${this.store.address}
+isFirstStart: true
+drain: { graceSeconds: 3, balancerLagMs: 50 }
+configuration: { applyMs: 2000 }
+servers: { leaveMs: 2000 }
+retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
+rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+`;
+    }
+
+    /** Starts the program and waits until it is ready. */
+    async start(): Promise<void> {
+        await writeFile(this.settingsFile, this.settings);
+        this.spawn();
+        await this.awaitReady();
+    }
+
+    /**
+     * Starts the program with settings that it waits for.
+     *
+     * @returns Function that lets the program read its settings.
+     */
+    async startWaitingForSettings(): Promise<() => Promise<void>> {
+        spawnSync("mkfifo", [this.settingsFile]);
+        this.spawn();
+        // Opening a pipe waits for its reader.
+        const pipe = await open(this.settingsFile, "w");
+        const laterFile = join(this.directory, "later.yaml");
+        await writeFile(laterFile, this.settings);
+        await rename(laterFile, this.settingsFile);
+        return async () => {
+            await pipe.writeFile(this.settings).catch(() => undefined);
+            await pipe.close();
+        };
+    }
+
+    /** Address on which the program listens for callers. */
+    get callerAddress(): string {
+        return `127.0.0.1:${this.callerPort}`;
+    }
+
+    /** Sends a signal to the program. */
+    signal(name: NodeJS.Signals): void {
+        this.child?.kill(name);
+    }
+
+    /** Waits until the program reports that it is ready. */
+    awaitReady(): Promise<void> {
+        return awaitReady(`http://127.0.0.1:${this.readinessPort}/-/ready`);
+    }
+
+    /** Waits for the end of the program and returns its exit code; Node gives `null` after a signal. */
+    awaitExit(): Promise<number | null> {
+        return this.exited;
+    }
+
+    /** Ends the program and the store. */
+    async stop(): Promise<void> {
+        this.child?.kill("SIGKILL");
+        await this.exited;
+        this.store.close();
+        await rm(this.directory, { recursive: true });
+    }
+
+    private get settingsFile(): string {
+        return join(this.directory, "settings.yaml");
+    }
+
+    private spawn(): void {
+        const child = spawn(process.execPath, ["dist/entry.mjs"], {
+            env: { ...process.env, FOXTAILRAIL_CONFIG: this.settingsFile },
+            stdio: "ignore",
+        });
+        this.child = child;
+        this.exited = new Promise(resolve => child.once("exit", resolve));
+    }
+}
