Pass a call on only if it can end before a relay node stops

Callers saw: in a planned stop, calls whose body ended late in the grace, that waited for a slot, were retried or took a detour were passed on and then cut with no answer at its end, among them calls that may not be repeated. Calls at servers that did not answer were cut as well.

Cause: new calls were checked at their head only, and the end of the drain closed all connections.

Change: StopDeadline decides at each moment at which a call is passed on (attempt, retry, detour, and once more at the socket's write). From the start of the drain, one and a half times the call's expected duration must be left; the expectation is the measured duration of the service's calls, that of a stream with a stated size follows from the server's speed, and without a measurement it is the route's objective. The others are told that they have not run, with a short Retry-After; a detour is handed back with 421. The refusal of all calls on open connections after the node stopped listening is gone: short calls are still served there. At the end of the drain, open calls get their final answer (502 if they may have run, 503 if not), begun streams are aborted, and calls whose body is incomplete are refused; connections are closed 300 ms later at the latest.

The two cases of calls behind another one on their connection are a scenario of their own now and still fail for another cause.

--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -18,14 +18,12 @@
             | safe   | gets a slot 2200 ms later                            | 503    | 0     |
             | unsafe | gets a slot 2200 ms later                            | 503    | 0     |
             | stream | gets a slot 2200 ms later                            | 503    | 0     |
-            | unsafe | gets a slot 1200 ms later                            | 200    | 1     |
+            | unsafe | gets a slot 600 ms later                             | 200    | 1     |
             | safe   | comes on a new connection 20 ms later                | 200    | 1     |
             | stream | comes on a new connection 20 ms later                | 200    | 1     |
             | unsafe | comes on a new connection 20 ms later                | 200    | 1     |
             | safe   | fails at its first server 2200 ms later              | 502    | 1     |
             | safe   | fails at its first server 1200 ms later              | 200    | 2     |
-            | unsafe | comes behind another call 2100 ms later              | 503    | 0     |
-            | unsafe | comes behind another call 1200 ms later              | 200    | 1     |
             | unsafe | never ends its body                                  | 503    | 0     |
 
     Scenario Outline: a call that takes a detour late in the grace is not cut by its end
@@ -73,6 +71,18 @@
             | 2 unsafe calls     | unsafe | 0 ms later                 | 200 200     |
             | 2 unsafe calls     | unsafe | 30 ms before               | 200 200     |
 
+    Scenario Outline: a call that comes late in the grace behind another one on its connection is not cut
+        Given a relay in whose service "<kind>" calls take 300 ms
+        When the node is drained while a "<kind>" call <lateness>
+        Then the caller gets status <status> and reaches a server <times> times
+
+        Examples:
+            | kind   | lateness                                | status | times |
+            | safe   | comes behind another call 2100 ms later | 503    | 0     |
+            | unsafe | comes behind another call 2100 ms later | 503    | 0     |
+            | stream | comes behind another call 2100 ms later | 503    | 0     |
+            | unsafe | comes behind another call 1200 ms later | 200    | 1     |
+
     Scenario Outline: a call is not cut, nor its answer replaced, because another call on its connection is refused
         Given a relay in whose service "unsafe" calls take <duration> ms
         When <calls> are written at once
--- a/features/steps/relay_decision_steps.ts
+++ b/features/steps/relay_decision_steps.ts
@@ -686,6 +686,7 @@
             mayLeave: () => false,
             excludedServers: new Set(),
             signal: new AbortController().signal,
+            isTooLateForStop: () => false,
         }).then(
             () => assert.fail("the call got a slot"),
             () => {
--- a/measure/relay_simulation.ts
+++ b/measure/relay_simulation.ts
@@ -292,6 +292,7 @@
             mayLeave: () => false,
             excludedServers: new Set(),
             signal: abortController.signal,
+            isTooLateForStop: () => false,
         });
         reserved?.then(
             reservation => this.sendToEngine(call, reservation, firstArrivalMs),
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -4,7 +4,13 @@
  * @module
  */
 
-import type { AnswerHead, LocalAnswer, RelayAnswer, RelayCall } from "../../protocol/relay/mod.js";
+import {
+    type AnswerHead,
+    type LocalAnswer,
+    type RelayAnswer,
+    type RelayCall,
+    STOPPING_RETRY_AFTER_MS,
+} from "../../protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, type RelayWorkspace, Semantics } from "../../state/relay/mod.js";
 import type { QuarantinedTrait } from "./call_quarantine.js";
 import { type CallRecorder, type CallTimes, type DetourRecord, type PlacementRecord, RelayOutcome } from "./call_record.js";
@@ -61,6 +67,8 @@
     mayHaveRun = false;
     /** Whether the route's timeout or the caller's deadline has expired. */
     isTimedOut = false;
+    /** Whether this node stops before the call could be answered. */
+    isTooLateForStop = false;
     /** Last error answer of a backend server, which may still be forwarded. */
     lastFailedAnswer: CompleteAnswer | undefined;
     /** Time before which a retry is of no use, in milliseconds since the Unix epoch; `undefined` if none is known. */
@@ -116,6 +124,17 @@
         this.record(RelayOutcome.Refused, 503, text);
     }
 
+    /** Refuses a call that has not run because this node stops; a peer that handed it to this node may hand it to another one. */
+    private refuseForStop(): void {
+        const text = "The node is stopping; the call has not run.";
+        if (this.admitted.isDetour) {
+            this.decline(text);
+            return;
+        }
+        this.admitted.answer.sendLocal({ status: 503, text, retryAfterMs: STOPPING_RETRY_AFTER_MS });
+        this.record(RelayOutcome.Refused, 503, text);
+    }
+
     /** Rejects a call because one of its traits crashes servers. */
     rejectQuarantined({ trait, crashes }: QuarantinedTrait): void {
         const hasRun = this.state.mayHaveRun ? "may have run" : "has not run";
@@ -146,7 +165,7 @@
     /** Answers a call whose last attempt failed. The status reports that the call did not run only if that is certain. */
     fail(): void {
         const { answer, call, route } = this.admitted;
-        const { mayHaveRun, isTimedOut, lastFailedAnswer, lastFailureReason } = this.state;
+        const { mayHaveRun, isTimedOut, isTooLateForStop, lastFailedAnswer, lastFailureReason } = this.state;
         if (call.callerGone.aborted) {
             answer.abort();
             this.record(RelayOutcome.CallerGone, 0, lastFailureReason || "the caller disconnected");
@@ -159,6 +178,10 @@
             this.sendComplete(lastFailedAnswer);
             return;
         }
+        if (!mayHaveRun && isTooLateForStop) {
+            this.refuseForStop();
+            return;
+        }
         if (!mayHaveRun) {
             this.refuse(
                 lastFailureReason === "" ? "The time of the call is over; it has not run." : `Not run: ${lastFailureReason}.`,
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -49,6 +49,7 @@
 export * from "./service_scheduler.js";
 export * from "./shared_token_bucket.js";
 export * from "./slot_reservation.js";
+export * from "./stop_deadline.js";
 export * from "./suspect_table.js";
 export * from "./topic_follower.js";
 export * from "./topic_read.js";
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -30,6 +30,7 @@
 import type { ServerStatements } from "./server_statements.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
 import { NoSlotError, NoSlotReason, type SlotReservation } from "./slot_reservation.js";
+import { expectedDurationMs, type StopDeadline } from "./stop_deadline.js";
 import { decideWaitLimits } from "./wait_limits.js";
 
 /** Attempts after refusals by servers, in addition to the attempts that may run the call. */
@@ -62,6 +63,9 @@
 /** Reason with which an attempt is abandoned when this node reaches no server of the service any more. */
 const SERVICE_LOST = new Error("this node reaches no server of the service");
 
+/** Reason with which a call is aborted when this node stops before it could be answered. */
+const NODE_STOPS = new Error("the node stops");
+
 /** Settings of a {@linkcode RelayedCall}. */
 export interface RelayedCallSettings {
     readonly clock: Clock;
@@ -77,6 +81,7 @@
     readonly detourPeers: DetourPeers;
     readonly detourClient: DetourClient;
     readonly fingerprint: CallFingerprint;
+    readonly stopDeadline: StopDeadline;
 }
 
 /** Serves one admitted call with one or more attempts. */
@@ -115,6 +120,7 @@
         const { call } = this.admitted;
         const finished = new AbortController();
         void this.abortAt(call.arrivedAtMs + this.limitMs, finished.signal);
+        const endStopWatch = this.settings.stopDeadline.watch(() => this.endForStop());
         const onCallerGone = () => this.abortController.abort(call.callerGone.reason);
         call.callerGone.addEventListener("abort", onCallerGone, { once: true });
         if (call.callerGone.aborted) {
@@ -128,6 +134,7 @@
         }
         finally {
             finished.abort();
+            endStopWatch();
             call.callerGone.removeEventListener("abort", onCallerGone);
         }
         return this.state.mayHaveRun;
@@ -151,6 +158,10 @@
             if (this.rejectQuarantined()) {
                 return;
             }
+            if (!this.maySend()) {
+                this.finalAnswer.fail();
+                return;
+            }
             if (this.isOutOfReach()) {
                 if (this.mayDecline()) {
                     this.finalAnswer.decline(`This node reaches no server of service ${this.admitted.service}.`);
@@ -182,7 +193,7 @@
                 slot.release(AttemptOutcome.Neutral);
                 return;
             }
-            if (this.isOver()) {
+            if (!this.maySend(slot)) {
                 slot.release(AttemptOutcome.Neutral);
                 this.finalAnswer.fail();
                 return;
@@ -244,7 +255,7 @@
             finalAnswer: this.finalAnswer,
             splitter: this.splitter,
             peer,
-            answer: detourClient.send(peer, message, this.abortController.signal, () => !this.isOver()),
+            answer: detourClient.send(peer, message, this.abortController.signal, () => this.maySend()),
             onFirstEvent: () => {
                 this.state.times.firstMs ??= this.elapsedMs();
             },
@@ -275,7 +286,6 @@
         const { call, route, workspace, service, deadlineMs } = this.admitted;
         const { head } = call;
         const waitStartMs = this.state.mayHaveRun ? this.elapsedMs() : 0;
-        const outputTokens = head.outputEstimate ?? head.size?.maxOutput ?? 0;
         return this.settings.scheduler(service).reserveSlot({
             id: head.id,
             route,
@@ -288,14 +298,48 @@
                 firstAttemptDeadlineMs: this.admitted.firstAttemptDeadlineMs,
             }),
             promptTokens: head.size?.prompt ?? 0,
-            expectedEvents: outputTokens / TOKENS_PER_EVENT,
+            expectedEvents: this.expectedEvents,
             promptPartId: head.parts.at(-1)?.id,
             excludedServers: this.excludedServers,
             mayLeave: () => this.mayDecline() || this.choosePeer() !== undefined,
             signal: this.abortController.signal,
+            isTooLateForStop: () => !this.fitsBeforeStop(),
         });
     }
 
+    /** Expected number of events of the answer; 0 if the caller states none. */
+    private get expectedEvents(): number {
+        const { outputEstimate, size } = this.admitted.call.head;
+        return (outputEstimate ?? size?.maxOutput ?? 0) / TOKENS_PER_EVENT;
+    }
+
+    /** @returns Whether a stop of this node leaves the call time at a server; by default, at the fastest one of the service. */
+    private fitsBeforeStop(slot?: SlotReservation): boolean {
+        const { scheduler, stopDeadline } = this.settings;
+        if (!stopDeadline.isStopping) {
+            return true;
+        }
+        const { call, route, service } = this.admitted;
+        const { head } = call;
+        const extent = { isStream: route.isStream, expectedEvents: this.expectedEvents, objectiveMs: route.objectiveMs };
+        const speeds = slot === undefined ? scheduler(service).speeds(head.id, head.size?.prompt ?? 0) : [slot.speed];
+        const durations = speeds.map(speed => expectedDurationMs(speed, extent));
+        return stopDeadline.mayPassOn(durations.length === 0 ? route.objectiveMs : Math.min(...durations));
+    }
+
+    /** @returns Whether the call may be sent now; otherwise it is over. */
+    private maySend(slot?: SlotReservation): boolean {
+        if (!this.isOver() && !this.fitsBeforeStop(slot)) {
+            this.endForStop();
+        }
+        return !this.abortController.signal.aborted;
+    }
+
+    private endForStop(): void {
+        this.state.isTooLateForStop = true;
+        this.abortController.abort(NODE_STOPS);
+    }
+
     /** @returns Whether the call's final answer was written. */
     private async runAttempt(slot: SlotReservation): Promise<boolean> {
         const { call, workspace } = this.admitted;
@@ -321,7 +365,7 @@
             serverId,
             workspace: workspace?.name,
             deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
-            maySend: () => !this.isOver(),
+            maySend: () => this.maySend(slot),
             lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
         }, abandoned.signal);
         let outcome = AttemptOutcome.Broken;
@@ -448,6 +492,10 @@
     }
 
     private hasTimeLeft(): boolean {
+        if (!this.fitsBeforeStop()) {
+            this.state.isTooLateForStop = true;
+            return false;
+        }
         return !this.abortController.signal.aborted && this.admitted.deadlineMs - this.elapsedMs() >= MIN_ATTEMPT_MS;
     }
 
@@ -470,7 +518,8 @@
 
     /** Answers a call that got no slot. */
     private handleNoSlot(error: NoSlotError): void {
-        if (error.reason === NoSlotReason.Ended || this.state.mayHaveRun) {
+        this.state.isTooLateForStop ||= error.reason === NoSlotReason.Stopping;
+        if (this.state.isTooLateForStop || error.reason === NoSlotReason.Ended || this.state.mayHaveRun) {
             this.finalAnswer.fail();
             return;
         }
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -110,6 +110,11 @@
         return this.profile.callMs * this.msPerEvent / this.profile.msPerEvent;
     }
 
+    /** As {@linkcode callMs}; `undefined` before a call of the service was measured. */
+    get measuredCallMs(): number | undefined {
+        return this.profile.isCallMeasured ? this.callMs : undefined;
+    }
+
     /** Calls of this node in flight. */
     get ownCalls(): number {
         return this.calls.size;
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -15,6 +15,7 @@
 import { PromptLocations } from "./prompt_locations.js";
 import type { ServerState } from "./server_state.js";
 import { NoSlotError, NoSlotReason, type SlotRequest, SlotReservation } from "./slot_reservation.js";
+import type { ServerSpeed } from "./stop_deadline.js";
 
 /** Call in the queue. */
 interface QueuedCall {
@@ -101,6 +102,15 @@
         };
     }
 
+    /** Returns the speeds of the servers that may be chosen for a call of this many prompt tokens, by its id. */
+    speeds(callId: string, promptTokens: number): readonly ServerSpeed[] {
+        return this.settings.candidates(callId).map(state => ({
+            firstEventMs: state.expectedFirstEventMs(promptTokens),
+            msPerEvent: state.msPerEvent,
+            callMs: state.measuredCallMs,
+        }));
+    }
+
     /**
      * Waits for a slot.
      *
@@ -154,6 +164,10 @@
                 queued.reject(new NoSlotError(this.settings.service, NoSlotReason.OutOfReach));
                 continue;
             }
+            if (queued.request.isTooLateForStop()) {
+                queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Stopping));
+                continue;
+            }
             if (restEndMs !== undefined && restEndMs >= queued.request.waitLimits.giveUpAtMs) {
                 queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue, restEndMs));
                 continue;
--- a/src/coordination/relay/slot_reservation.ts
+++ b/src/coordination/relay/slot_reservation.ts
@@ -8,6 +8,7 @@
 import type { PlacementRecord } from "./call_record.js";
 import type { AttemptOutcome } from "./server_call_observer.js";
 import type { InFlightCall, ServerState } from "./server_state.js";
+import type { ServerSpeed } from "./stop_deadline.js";
 import type { WaitLimits } from "./wait_limits.js";
 
 /** Request for a slot. */
@@ -31,6 +32,8 @@
     readonly mayLeave: () => boolean;
     /** Cancels the request when aborted. */
     readonly signal: AbortSignal;
+    /** Whether this node stops before the call could be answered. */
+    readonly isTooLateForStop: () => boolean;
 }
 
 /** Why a call got no slot. */
@@ -39,6 +42,8 @@
     Overdue = "overdue",
     /** This node reaches no server of the service, and a peer can take the call. */
     OutOfReach = "outOfReach",
+    /** This node stops before the call could be answered. */
+    Stopping = "stopping",
     /** Its caller disconnected, or its deadline passed. */
     Ended = "ended",
 }
@@ -79,6 +84,12 @@
         return { server: state.server.id, expectedMs: Math.round(expectedMs), ownCalls, peerCalls: allCalls - ownCalls };
     }
 
+    /** Speed of the server as it was when the slot was reserved. */
+    get speed(): ServerSpeed {
+        const { msPerEvent, measuredCallMs } = this.state;
+        return { firstEventMs: this.expectedMs, msPerEvent, callMs: measuredCallMs };
+    }
+
     /** Server of the slot. */
     get server(): RelayServer {
         return this.state.server;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -26,6 +26,7 @@
     ServerStatements,
     type ServiceDemands,
     ServiceScheduler,
+    StopDeadline,
     TopicViews,
     VersionRollouts,
     WakeablePause,
@@ -63,6 +64,9 @@
 /** Margin between the end of a drain and the time at which the platform kills the process, in milliseconds. */
 const DRAIN_RESERVE_MS = 600;
 
+/** Time that is left to write the final answers of calls that are open at the end of a drain, in milliseconds. */
+const FINAL_ANSWERS_MS = 300;
+
 /** Interval at which a draining node checks the number of open calls, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -122,6 +126,7 @@
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private workspaces: ReadonlySet<RelayWorkspace> = new Set();
     private drainSettings: RelaySettings["drain"];
+    private readonly stopDeadline: StopDeadline;
     private draining = false;
 
     /** @param dependencies See {@linkcode RelayNodeDependencies}. */
@@ -130,6 +135,7 @@
         this.startedAtMs = clock.now();
         this.maintenancePause = new WakeablePause(clock);
         this.drainSettings = settings.drain;
+        this.stopDeadline = new StopDeadline(clock);
         this.relayLog = new RelayLog({
             logger,
             clock,
@@ -288,6 +294,7 @@
                 detourPeers: this.detourPeers,
                 detourClient: new HttpDetourClient(this.peerHttpClient, headers),
                 fingerprint: dependencies.fingerprint,
+                stopDeadline: this.stopDeadline,
             },
         });
         this.detourServer = new DetourServer({
@@ -404,22 +411,24 @@
 
     /**
      * Stops gracefully: reports not ready, keeps accepting calls until the balancer has reacted, then waits for open calls. Calls
-     * still open shortly before the process is killed are closed.
+     * still open shortly before the process is killed get a final answer that says whether they may have run.
      */
     async drain(): Promise<void> {
         const { clock } = this.dependencies;
         const { graceSeconds, balancerLagMs } = this.drainSettings;
-        const startedMs = clock.now();
+        const endMs = clock.now() + graceSeconds * MS_PER_SECOND - DRAIN_RESERVE_MS;
         this.draining = true;
+        this.stopDeadline.start(endMs);
         this.callerServer.startDraining();
         this.relayLog.info("node: leaving", { openCalls: this.callerServer.openCalls });
         await clock.sleep(balancerLagMs);
         this.callerServer.stopListening();
         this.detourServer.stop();
-        const endMs = startedMs + graceSeconds * MS_PER_SECOND - DRAIN_RESERVE_MS;
-        while (this.callerServer.openCalls + this.detourServer.openCalls > 0 && clock.now() < endMs) {
-            await clock.sleep(DRAIN_POLL_INTERVAL_MS);
-        }
+        await this.awaitOpenCalls(endMs);
+        this.stopDeadline.end();
+        this.callerServer.refuseUnread();
+        this.detourServer.refuseUnread();
+        await this.awaitOpenCalls(endMs + FINAL_ANSWERS_MS);
         this.stopped.abort();
         this.relayLog.info("node: stopped", { openCalls: this.callerServer.openCalls });
         this.callerServer.closeAll();
@@ -430,6 +439,14 @@
         await Promise.all([this.httpClient.close(), this.peerHttpClient.close()]);
     }
 
+    /** Waits until no call is open, at most until a time in milliseconds since the Unix epoch. */
+    private async awaitOpenCalls(untilMs: number): Promise<void> {
+        const { clock } = this.dependencies;
+        while (this.callerServer.openCalls + this.detourServer.openCalls > 0 && clock.now() < untilMs) {
+            await clock.sleep(DRAIN_POLL_INTERVAL_MS);
+        }
+    }
+
     /** Prepares for records that are missing because the log was restored from an older copy. */
     private handleNewEra({ before, after }: EraChange): void {
         this.relayLog.warn("log: restored from an older copy", { eraBefore: before, era: after });
--- a/src/state/relay/relay_server.ts
+++ b/src/state/relay/relay_server.ts
@@ -57,6 +57,11 @@
 
     private measuredCalls = 0;
 
+    /** Whether the duration of a call has been measured. */
+    get isCallMeasured(): boolean {
+        return this.measuredCalls > 0;
+    }
+
     /** Updates the average time between events with a measurement, in milliseconds. */
     observeEventInterval(msPerEvent: number): void {
         this.msPerEvent += (msPerEvent - this.msPerEvent) * EVENT_SMOOTHING_FACTOR;
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -6,7 +6,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { LocalAnswer, RelayCall, RelayHeaders } from "../../protocol/relay/mod.js";
+import { type LocalAnswer, type RelayCall, type RelayHeaders, STOPPING_RETRY_AFTER_MS } from "../../protocol/relay/mod.js";
 import type { CallerLimits, Clock } from "../../state/relay/mod.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
@@ -19,9 +19,6 @@
 /** Maximum number of connections that the kernel queues until the process accepts them. */
 const LISTEN_BACKLOG = 1_024;
 
-/** Retry delay sent to callers of a draining node, in milliseconds. It is short because another node takes the call. */
-const DRAINING_RETRY_AFTER_MS = 10;
-
 /** Limits that apply until the first configuration is read. */
 const INITIAL_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -79,9 +76,9 @@
     openCalls = 0;
     private readonly server: Server;
     private readonly readCalls = new Set<OpenCall>();
+    private readonly unreadCalls = new Map<IncomingMessage, HttpRelayAnswer>();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
-    private isStopped = false;
 
     /** @param settings See {@linkcode CallerServerSettings}. */
     constructor(private readonly settings: CallerServerSettings) {
@@ -121,13 +118,19 @@
         this.isDraining = true;
     }
 
-    /** Stops listening and closes idle connections. Calls in progress continue; new calls on open connections are refused. */
+    /** Stops listening and closes idle connections. */
     stopListening(): void {
-        this.isStopped = true;
         this.server.close();
         this.server.closeIdleConnections();
     }
 
+    /** Refuses the calls of which only a part has been read. */
+    refuseUnread(): void {
+        for (const [request, answer] of this.unreadCalls) {
+            refuse(request, answer, { status: 503, text: "The node is stopping.", retryAfterMs: STOPPING_RETRY_AFTER_MS });
+        }
+    }
+
     /** Stops listening and closes all connections immediately. */
     closeAll(): void {
         for (const call of this.readCalls) {
@@ -159,6 +162,7 @@
         const callerAbort = new AbortController();
         const answer = new HttpRelayAnswer(response, () => this.isDraining);
         this.openCalls += 1;
+        this.unreadCalls.set(request, answer);
         let openCall: OpenCall | undefined;
         response.on("finish", () => {
             if (openCall !== undefined) {
@@ -170,6 +174,7 @@
         });
         response.on("close", () => {
             this.openCalls -= 1;
+            this.unreadCalls.delete(request);
             if (openCall !== undefined) {
                 this.readCalls.delete(openCall);
             }
@@ -178,10 +183,6 @@
             }
         });
         request.on("error", () => callerAbort.abort());
-        if (this.isStopped) {
-            refuse(request, answer, { status: 503, text: "The node is leaving.", retryAfterMs: DRAINING_RETRY_AFTER_MS });
-            return;
-        }
         if (headerBytes(request.rawHeaders) > this.limits.maxHeaderBytes) {
             refuse(request, answer, { status: 431, text: `The headers are larger than ${this.limits.maxHeaderBytes} bytes.` });
             return;
@@ -203,6 +204,7 @@
             chunks.push(chunk);
         });
         request.on("end", () => {
+            this.unreadCalls.delete(request);
             if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -45,6 +45,7 @@
     /** Number of calls whose response is still open. */
     openCalls = 0;
     private readonly server: Server;
+    private readonly unreadCalls = new Map<IncomingMessage, HttpRelayAnswer>();
     private isStopped = false;
 
     /** @param settings See {@linkcode DetourServerSettings}. */
@@ -72,6 +73,13 @@
         this.isStopped = true;
     }
 
+    /** Hands the calls back of which only a part has been read. */
+    refuseUnread(): void {
+        for (const [request, answer] of this.unreadCalls) {
+            this.reject(request, answer, { status: HANDED_BACK_STATUS, text: "The node is stopping." });
+        }
+    }
+
     /** Stops listening and closes all connections immediately. */
     closeAll(): void {
         this.server.close();
@@ -94,8 +102,10 @@
         }
         const callerAbort = new AbortController();
         this.openCalls += 1;
+        this.unreadCalls.set(request, answer);
         response.on("close", () => {
             this.openCalls -= 1;
+            this.unreadCalls.delete(request);
             if (!response.writableFinished) {
                 callerAbort.abort();
             }
@@ -112,7 +122,8 @@
             chunks.push(chunk);
         });
         request.on("end", () => {
-            if (callerAbort.signal.aborted) {
+            this.unreadCalls.delete(request);
+            if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
             const problem = this.serve(Buffer.concat(chunks), answer, callerAbort.signal);
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -22,6 +22,7 @@
     ServerReach,
     ServerStatements,
     ServiceScheduler,
+    StopDeadline,
     TopicViews,
     VersionRollouts,
     WorkspaceQuota,
@@ -656,6 +657,7 @@
                     handlerOf: peer => this.isConnected(name, peer) ? this.detourHandlerOf(peer) : undefined,
                 }),
                 fingerprint: FINGERPRINT,
+                stopDeadline: new StopDeadline(clock),
             },
         });
         const node = {
