Keep a call at its silent server until a peer has an answer

Callers saw begun streams that may be resumed cut, and safe calls answered 502 or 500, although their server was only silent for about a second. With one or two servers of a service in reach, the node counts the service as lost after 0.4 to 0.7 s, gave up the attempts that may be repeated, and then depended on a peer; one that declined, refused, failed or was late ended the call.

The attempt at the silent server now goes on beside the one by way of a peer. A peer takes the call over once it has a complete event, or a whole answer that is no failure; the server's attempt ends at that moment. Once the server goes on, the peer's attempt is cancelled. Attempts of the route and the retry budget are charged as before; a peer that has not run the call costs no attempt. The caller's leaving and the deadline end both.

--- a/features/relay_silence.feature
+++ b/features/relay_silence.feature
@@ -53,3 +53,75 @@
             | begun resumable stream | breaks off within the first event |
             | begun resumable stream | breaks off before its answer      |
             | begun resumable stream | passes an error of its server on  |
+
+    Scenario Outline: a begun stream whose server is silent goes on there once if <limit>
+        Given a node whose servers fall silent while a "begun resumable stream" call is under way at each
+        When they go on after 0.6 s, 1.2 s or 2 s, a peer takes calls, and <limit>
+        Then each caller gets the whole answer, each event once
+        And no call runs more than once
+
+        Examples:
+            | limit                            |
+            | the retry budget is used up      |
+            | the route allows one attempt     |
+
+    Scenario Outline: a <kind> call whose server is silent for as long as its caller waits is answered by a peer within 2 s
+        Given a node whose servers fall silent while a "<kind>" call is under way at each
+        When they are silent until the deadline, and a peer <behavior>
+        Then each caller gets the whole answer, each event once
+        And each caller has its answer within 2000 ms
+        And no call runs more than twice, nor at two servers once one has begun to answer
+
+        Examples:
+            | kind                   | behavior                    |
+            | safe                   | takes calls                 |
+            | resumable stream       | takes calls                 |
+            | begun resumable stream | takes calls                 |
+
+    Scenario Outline: a <kind> call whose server breaks off after a silence ends <end> if a peer <behavior>
+        Given a node whose servers fall silent while a "<kind>" call is under way at each
+        When they break off after 1.2 s, and a peer <behavior>
+        Then each call ends <end>, and no later than its deadline
+
+        Examples:
+            | kind                   | behavior                          | end            |
+            | safe                   | takes calls                       | complete       |
+            | safe                   | answers late                      | complete       |
+            | safe                   | declines calls                    | with 502       |
+            | safe                   | breaks off before its answer      | with 502       |
+            | safe                   | passes an error of its server on  | with 500       |
+            | begun resumable stream | takes calls                       | complete       |
+            | begun resumable stream | answers late                      | complete       |
+            | begun resumable stream | declines calls                    | broken off     |
+            | begun resumable stream | breaks off before its answer      | broken off     |
+            | begun resumable stream | passes an error of its server on  | broken off     |
+            | begun stream           | takes calls                       | broken off     |
+            | unsafe                 | takes calls                       | with 502       |
+
+    Scenario Outline: a <kind> call whose server is silent ends at its deadline, at the server and at a peer that <behavior>
+        Given a node whose servers fall silent while a "<kind>" call is under way at each
+        When they are silent until the deadline, and a peer <behavior>
+        Then each call ends <end>, and no later than its deadline
+        And no server works on a call after its deadline
+
+        Examples:
+            | kind                   | behavior                   | end        |
+            | unsafe                 | is there                   | with 504   |
+            | safe                   | declines calls             | with 504   |
+            | safe                   | has silent servers as well | with 504   |
+            | begun stream           | takes calls                | broken off |
+            | begun resumable stream | is there                   | broken off |
+            | begun resumable stream | refuses calls              | broken off |
+            | begun resumable stream | has silent servers as well | broken off |
+
+    Scenario Outline: the server and the peer of a <kind> call end their work when its caller leaves <ms> ms after the call
+        Given a node whose servers fall silent while a "<kind>" call is under way at each
+        When they are silent until the deadline, a peer <behavior>, and the callers leave after <ms> ms
+        Then no server works on a call after its caller has left
+
+        Examples:
+            | kind                   | behavior     | ms    |
+            | safe                   | answers late | 1200  |
+            | begun resumable stream | answers late | 1200  |
+            | begun resumable stream | takes calls  | 1200  |
+            | begun resumable stream | takes calls  | 500   |
--- a/features/steps/relay_silence_steps.ts
+++ b/features/steps/relay_silence_steps.ts
@@ -11,6 +11,7 @@
     PeerBehavior,
     SCRIPTED_BODY,
     SCRIPTED_EVENTS,
+    SCRIPTED_LIMIT_MS,
     type SilenceCall,
     SilenceModel,
     type SilenceSettings,
@@ -63,15 +64,36 @@
     },
 );
 
+When(
+    /^they go on after 0\.6 s, 1\.2 s or 2 s, a peer takes calls, and (the retry budget is used up|the route allows one attempt)$/,
+    async function(this: SilenceScenario, limit: string) {
+        const limits = limit === "the retry budget is used up" ? { retries: 0 } : { maxAttempts: 1 };
+        this.silencePlays = await playAll(this.silenceCall, { peer: PeerBehavior.Takes, ...limits });
+    },
+);
+
+When(/^they break off after 1\.2 s, and a peer (.*)$/, async function(this: SilenceScenario, behavior: string) {
+    this.silencePlays = await playAll(this.silenceCall, { peer: behavior as PeerBehavior, breaksOff: true }, [1_200]);
+});
+
+When(
+    /^they are silent until the deadline, (?:and )?a peer ((?:(?! and the callers).)*?)(?:, and the callers leave after (\d+) ms)?$/,
+    async function(this: SilenceScenario, behavior: string, leaveMs: string | undefined) {
+        const changes = { peer: behavior as PeerBehavior, ...leaveMs === undefined ? {} : { callersLeaveMs: Number(leaveMs) } };
+        this.silencePlays = await playAll(this.silenceCall, changes, [2 * SCRIPTED_LIMIT_MS]);
+    },
+);
+
 /** Plays a kind of call with each number of servers and each silence. */
 async function playAll(
     call: SilenceCall,
     changes: Omit<SilenceSettings, "call" | "servers" | "silentMs">,
+    silencesMs = SILENCES_MS,
 ): Promise<readonly SilencePlay[]> {
     assert(Object.values(PeerBehavior).includes(changes.peer), `unknown behaviour: ${changes.peer}`);
     const plays: SilencePlay[] = [];
     for (const servers of SERVER_COUNTS) {
-        for (const silentMs of SILENCES_MS) {
+        for (const silentMs of silencesMs) {
             const model = new SilenceModel({ ...changes, call, servers, silentMs });
             await model.run();
             plays.push({ title: `${servers} servers silent for ${silentMs} ms`, model });
@@ -115,3 +137,41 @@
         }
     },
 );
+
+Then("each caller has its answer within {int} ms", function(this: SilenceScenario, limitMs: number) {
+    for (const { title, model } of this.silencePlays) {
+        for (const { endedAtMs } of model.callers.values()) {
+            assert(endedAtMs - model.startedAtMs <= limitMs, `${title}: ${endedAtMs - model.startedAtMs} ms`);
+        }
+    }
+});
+
+Then(
+    /^each call ends (complete|broken off|with \d+), and no later than its deadline$/,
+    function(this: SilenceScenario, end: string) {
+        for (const { title, model } of this.silencePlays) {
+            for (const caller of model.callers.values()) {
+                const ended = caller.isAborted ? "broken off" : caller.status === 200 ? "complete" : `with ${caller.status}`;
+                assert.equal(ended, end, title);
+                assert(caller.isAborted || caller.isEnded, title);
+                assert(caller.endedAtMs - model.startedAtMs <= SCRIPTED_LIMIT_MS, title);
+            }
+        }
+    },
+);
+
+Then("no server works on a call after its deadline", function(this: SilenceScenario) {
+    assertNoWorkAfter(this.silencePlays, SCRIPTED_LIMIT_MS);
+});
+
+Then("no server works on a call after its caller has left", function(this: SilenceScenario) {
+    assertNoWorkAfter(this.silencePlays, this.silencePlays[0]?.model.settings.callersLeaveMs ?? 0);
+});
+
+function assertNoWorkAfter(plays: readonly SilencePlay[], limitMs: number): void {
+    for (const { title, model } of plays) {
+        for (const { id, overAtMs = Infinity } of model.runs) {
+            assert(overAtMs - model.startedAtMs <= limitMs, `${title}: ${id} ended after ${overAtMs - model.startedAtMs} ms`);
+        }
+    }
+}
--- a/features/support/silence_model.ts
+++ b/features/support/silence_model.ts
@@ -93,6 +93,10 @@
     readonly retries?: number;
     /** Most attempts of the route. Defaults to 2. */
     readonly maxAttempts?: number;
+    /** Whether the servers break their answers off at the end of the silence. Defaults to no. */
+    readonly breaksOff?: boolean;
+    /** Time after the calls at which the callers leave, in milliseconds. Defaults to never. */
+    readonly callersLeaveMs?: number;
 }
 
 /** Run of a call at a server of the node or of a peer. */
@@ -127,7 +131,7 @@
     private readonly handler: RelayHandler;
 
     /** @param settings See {@linkcode SilenceSettings}. */
-    constructor(private readonly settings: SilenceSettings) {
+    constructor(readonly settings: SilenceSettings) {
         this.silentFromMs = this.startedAtMs + (settings.call.isBegun ? 2.5 * EVENT_MS : 0.5 * EVENT_MS);
         this.silentUntilMs = this.silentFromMs + settings.silentMs;
         this.handler = this.makeHandler();
@@ -141,7 +145,12 @@
             this.callers.set(id, caller);
             void this.handler.handle(this.makeCall(id, caller), caller);
         }
-        await this.clock.advance(this.settings.silentMs + SCRIPTED_LIMIT_MS + 1_000);
+        const { callersLeaveMs = 0 } = this.settings;
+        await this.clock.advance(callersLeaveMs);
+        for (const { gone } of callersLeaveMs > 0 ? this.callers.values() : []) {
+            gone.abort(new Error("the caller left"));
+        }
+        await this.clock.advance(SCRIPTED_LIMIT_MS + 1_000);
         this.stopped.abort();
     }
 
@@ -199,6 +208,11 @@
         return [...parts, { atMs: parts.at(-1)?.atMs ?? now, content: "end" }];
     }
 
+    private breakOff(parts: readonly ScriptedPart[]): readonly ScriptedPart[] {
+        const kept = parts.filter(({ atMs }) => atMs < this.silentFromMs);
+        return this.settings.breaksOff === true ? [...kept, { atMs: this.silentUntilMs, content: "break" }] : parts;
+    }
+
     private delay(atMs: number): number {
         return atMs >= this.silentFromMs && atMs < this.silentUntilMs ? this.silentUntilMs : atMs;
     }
@@ -206,7 +220,7 @@
     private sendToServer(server: RelayServer, call: RelayCall, attempt: AttemptHead, signal: AbortSignal): AttemptAnswer {
         const { clock } = this;
         const run = this.startRun(call.head.id, false);
-        const parts = this.serverParts(Number(attempt.lastEventId ?? 0));
+        const parts = this.breakOff(this.serverParts(Number(attempt.lastEventId ?? 0)));
         return new ScriptedAnswer({
             clock,
             receiver: server.id,
--- a/src/coordination/relay/detour_attempt.ts
+++ b/src/coordination/relay/detour_attempt.ts
@@ -145,8 +145,13 @@
     }
 }
 
+/** @returns Whether a peer's own answer states that the call has not run there. */
+export function isNotRun(status: number): boolean {
+    return NOT_TAKEN_STATUSES.has(status) || status === REFUSED_STATUS;
+}
+
 /** @returns Text of an answer that a node generated. */
-function readText(body: Buffer | undefined): string {
+export function readText(body: Buffer | undefined): string {
     try {
         const { error } = JSON.parse(String(body ?? "")) as { readonly error?: unknown };
         return String(error ?? "");
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -16,6 +16,7 @@
 export * from "./call_traits.js";
 export * from "./detour_attempt.js";
 export * from "./detour_call.js";
+export * from "./detour_hedge.js";
 export * from "./detour_peers.js";
 export * from "./era_guarded_log.js";
 export * from "./event_stream_splitter.js";
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -21,6 +21,7 @@
 import { type CallTrait, traitsOf } from "./call_traits.js";
 import { DetourAttempt, DetourOutcome } from "./detour_attempt.js";
 import { toDetourCall } from "./detour_call.js";
+import { DetourHedge, type FailedDetour, type StartedDetour } from "./detour_hedge.js";
 import type { DetourPeers } from "./detour_peers.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, MISDIRECTED_STATUS } from "./final_answer.js";
@@ -59,8 +60,8 @@
 /** Shortest remaining time for which another attempt is made, in milliseconds. */
 const MIN_ATTEMPT_MS = 100;
 
-/** Reason with which an attempt is abandoned when this node reaches no server of the service any more. */
-const SERVICE_LOST = new Error("this node reaches no server of the service");
+/** Reason with which the attempt at a silent server ends once a peer answers the call. */
+const TAKEN_OVER = new Error("a peer answers the call of the silent server");
 
 /** Settings of a {@linkcode RelayedCall}. */
 export interface RelayedCallSettings {
@@ -93,6 +94,8 @@
     private refusals = 0;
     private connectFailures = 0;
     private lastServerReached = true;
+    /** Attempt by way of peers beside the one at a silent server. */
+    private hedge: DetourHedge | undefined;
     /** Whether the next attempt has been taken from the retry budget. */
     private isRetryCharged = false;
 
@@ -127,6 +130,7 @@
             await this.runAttempts();
         }
         finally {
+            this.hedge?.cancel();
             finished.abort();
             call.callerGone.removeEventListener("abort", onCallerGone);
         }
@@ -187,7 +191,7 @@
                 this.finalAnswer.fail();
                 return;
             }
-            if (await this.runAttempt(slot)) {
+            if (await this.runAttempt(slot) || await this.runHedge()) {
                 return;
             }
             if (!this.canRetry()) {
@@ -226,7 +230,18 @@
 
     /** @returns Whether the call is over: its caller has an answer, or it may not be sent again. */
     private async runDetour(peer: DetourPeer): Promise<boolean> {
-        const { clock, detourClient, detourPeers, recorder } = this.settings;
+        if (await this.relayDetour(this.startDetour(peer, this.abortController.signal))) {
+            return true;
+        }
+        if (!this.canRetry()) {
+            this.finalAnswer.fail();
+            return true;
+        }
+        return false;
+    }
+
+    private startDetour(peer: DetourPeer, signal: AbortSignal): StartedDetour {
+        const { clock, detourClient, detourPeers } = this.settings;
         const { call, route } = this.admitted;
         this.excludedPeers.add(peer.node);
         this.state.times.sentMs ??= this.elapsedMs();
@@ -237,38 +252,48 @@
             maxAttempts,
             lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
         });
+        const answer = detourClient.send(peer, message, signal, () => !this.isOver());
         detourPeers.recordStart(peer);
+        return { peer, maxAttempts, answer };
+    }
+
+    /** @returns Whether the caller has an answer. */
+    private async relayDetour(detour: StartedDetour): Promise<boolean> {
+        const { peer, answer } = detour;
         const outcome = await new DetourAttempt({
             admitted: this.admitted,
             state: this.state,
             finalAnswer: this.finalAnswer,
             splitter: this.splitter,
             peer,
-            answer: detourClient.send(peer, message, this.abortController.signal, () => !this.isOver()),
+            answer,
             onFirstEvent: () => {
                 this.state.times.firstMs ??= this.elapsedMs();
             },
         }).run();
-        detourPeers.recordEnd(peer);
-        this.state.detours.push({ peer: peer.node, outcome });
         if (outcome === DetourOutcome.Answered) {
+            this.settings.detourPeers.recordEnd(peer);
+            this.state.detours.push({ peer: peer.node, outcome });
             return true;
         }
+        this.lastServerReached = outcome !== DetourOutcome.NotTaken;
+        this.recordFailedDetour({ ...detour, outcome, reason: this.state.lastFailureReason });
+        return false;
+    }
+
+    private recordFailedDetour({ peer, maxAttempts, outcome, reason }: FailedDetour): void {
+        const { detourPeers, recorder } = this.settings;
+        detourPeers.recordEnd(peer);
+        this.state.detours.push({ peer: peer.node, outcome });
         if (outcome !== DetourOutcome.Cancelled) {
             detourPeers.recordFailure(peer);
         }
-        recorder.logEvent(call.head.id, "detour failed", {
+        this.attempts += outcome === DetourOutcome.NotTaken ? 0 : maxAttempts;
+        recorder.logEvent(this.admitted.call.head.id, "detour failed", {
             peer: peer.node,
-            reason: this.state.lastFailureReason,
+            reason,
             elapsedMs: Math.round(this.elapsedMs()),
         });
-        this.lastServerReached = outcome !== DetourOutcome.NotTaken;
-        this.attempts += this.lastServerReached ? maxAttempts : 0;
-        if (!this.canRetry()) {
-            this.finalAnswer.fail();
-            return true;
-        }
-        return false;
     }
 
     private awaitSlot(): Promise<SlotReservation> {
@@ -315,7 +340,7 @@
         }
         const endWatch = this.settings.reach.watch(this.admitted.service, {
             state: slot.state,
-            abandon: () => this.abandonIfRepeatable(abandoned),
+            onLost: () => this.startHedge(abandoned),
         });
         const answer = this.settings.client.send(slot.server, call, {
             serverId,
@@ -346,6 +371,8 @@
                 traits: this.traits,
                 slot,
                 answer,
+                isTakenOver: () => this.hedge?.isTakenOver === true,
+                onProgress: () => this.hedge?.cancel(),
                 onFailed: reason => this.recordFailedAttempt(slot, reason),
             }).relay(head);
             return outcome === AttemptOutcome.Good;
@@ -366,13 +393,51 @@
         }
     }
 
-    /** Abandons an attempt at a silent server if the call may be repeated by way of a peer; otherwise it goes on waiting. */
-    private abandonIfRepeatable(attempt: AbortController): void {
+    /** Asks peers for the answer of a call at a silent server, whose attempt goes on until one of them has it. */
+    private startHedge(attempt: AbortController): void {
+        if (this.hedge !== undefined && !this.hedge.isOver) {
+            return;
+        }
+        this.hedge = new DetourHedge({
+            isStream: this.admitted.route.isStream,
+            startDetour: signal => this.startRepetition(signal),
+            onTakenOver: () => attempt.abort(TAKEN_OVER),
+            onFailed: detour => this.handleFailedRepetition(detour),
+            onError: error =>
+                this.settings.recorder.logEvent(this.admitted.call.head.id, "detour failed", { reason: String(error) }),
+            signal: this.abortController.signal,
+        });
+    }
+
+    /** Hands a call that is under way at a server to a peer, if it may be repeated. */
+    private startRepetition(signal: AbortSignal): StartedDetour | undefined {
         const mayRepeat = this.hasTimeLeft() && this.settings.quarantine.mayRepeat(this.traits);
-        if (mayRepeat && this.choosePeer() !== undefined && this.tryRepeat()) {
-            this.isRetryCharged = true;
-            attempt.abort(SERVICE_LOST);
+        const peer = mayRepeat ? this.choosePeer() : undefined;
+        if (peer === undefined || !this.isRetryCharged && !this.tryRepeat()) {
+            return undefined;
+        }
+        this.isRetryCharged = true;
+        return this.startDetour(peer, signal);
+    }
+
+    private handleFailedRepetition(detour: FailedDetour): void {
+        if (detour.outcome !== DetourOutcome.NotTaken) {
+            this.isRetryCharged = false;
+            this.state.mayHaveRun = true;
+            this.state.lastFailedAnswer = detour.failedAnswer ?? this.state.lastFailedAnswer;
+        }
+        this.recordFailedDetour(detour);
+    }
+
+    /** @returns Whether the caller has an answer of a peer that was asked while the server was silent. */
+    private async runHedge(): Promise<boolean> {
+        const detour = await this.hedge?.result;
+        this.hedge = undefined;
+        if (detour === undefined) {
+            return false;
         }
+        this.isRetryCharged = false;
+        return await this.relayDetour(detour);
     }
 
     private handleRefusal(slot: SlotReservation, head: AnswerHead): void {
--- a/src/coordination/relay/server_answer.ts
+++ b/src/coordination/relay/server_answer.ts
@@ -34,6 +34,10 @@
     readonly traits: readonly CallTrait[];
     readonly slot: SlotReservation;
     readonly answer: AttemptAnswer;
+    /** Returns whether the answer of another attempt is used, so that nothing of this one may be written. */
+    readonly isTakenOver: () => boolean;
+    /** Called before a part of the answer is written. */
+    readonly onProgress: () => void;
     /** Called with the reason if the answer is no success. */
     readonly onFailed: (reason: string) => void;
 }
@@ -61,6 +65,9 @@
             return AttemptOutcome.Bad;
         }
         slot.recordFirstEvent();
+        if (this.settings.isTakenOver()) {
+            return AttemptOutcome.Neutral;
+        }
         this.settings.state.times.firstMs ??= this.elapsedMs();
         if (!head.isSealed || head.isEncoded) {
             this.settings.onFailed(
@@ -74,6 +81,7 @@
             return AttemptOutcome.Bad;
         }
         this.settings.quarantine.recordAnswered(this.settings.traits);
+        this.settings.onProgress();
         this.settings.finalAnswer.sendComplete({ head, body });
         return AttemptOutcome.Good;
     }
@@ -87,6 +95,9 @@
         splitter.dropPartialEvent();
         let events = 0;
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
+            if (this.settings.isTakenOver()) {
+                return AttemptOutcome.Neutral;
+            }
             const { bytes, count } = splitter.push(chunk);
             if (splitter.isEventTooLong) {
                 this.settings.onFailed(`server ${slot.server.id} sent an event that is too long`);
@@ -101,9 +112,13 @@
                 this.settings.quarantine.recordAnswered(this.settings.traits);
             }
             events += count;
+            this.settings.onProgress();
             this.startStream(head.status, head.endToEnd);
             await this.settings.admitted.answer.write(bytes);
         }
+        if (this.settings.isTakenOver()) {
+            return AttemptOutcome.Neutral;
+        }
         const isResumed = this.settings.admitted.answer.isStarted ||
             this.settings.admitted.call.head.lastEventId !== undefined;
         // A server that crashes also ends its stream by closing the connection.
@@ -120,6 +135,7 @@
         if (events > 0) {
             this.settings.quarantine.recordAnswered(this.settings.traits);
         }
+        this.settings.onProgress();
         this.startStream(head.status, head.endToEnd);
         this.settings.finalAnswer.endStream(head.status);
         return AttemptOutcome.Good;
--- a/src/coordination/relay/server_reach.ts
+++ b/src/coordination/relay/server_reach.ts
@@ -43,7 +43,7 @@
 export interface WaitingAttempt {
     readonly state: ServerState;
     /** Called when the service is lost while the server is silent. */
-    readonly abandon: () => void;
+    readonly onLost: () => void;
 }
 
 /** Settings of a {@linkcode ServerReach}. */
@@ -129,9 +129,9 @@
             nextProbeAtMs: now + PROBE_INTERVAL_MS,
         });
         this.settings.onLost(service);
-        for (const { state, abandon } of [...this.attempts.get(service) ?? []]) {
+        for (const { state, onLost } of [...this.attempts.get(service) ?? []]) {
             if (state.lastByteAtMs <= now - MIN_SILENCE_MS) {
-                abandon();
+                onLost();
             }
         }
     }
