--- a/features/steps/relay_reach_steps.ts
+++ b/features/steps/relay_reach_steps.ts
@@ -84,7 +84,7 @@
     for (const { state } of this.calls) {
         this.reach.watch(SERVICE, {
             state,
-            abandon: () => {
+            onLost: () => {
                 this.abandonedCalls += 1;
             },
         });
--- a/src/coordination/relay/detour_attempt.ts
+++ b/src/coordination/relay/detour_attempt.ts
@@ -37,8 +37,7 @@
     readonly finalAnswer: FinalAnswer;
     readonly splitter: EventStreamSplitter;
     readonly peer: DetourPeer;
-    /** Hands the call to the peer. */
-    readonly send: () => AttemptAnswer;
+    readonly answer: AttemptAnswer;
     /** Called when the first event of a stream, or a complete answer, is received. */
     readonly onFirstEvent: () => void;
 }
@@ -50,33 +49,31 @@
 
     /** Waits for the answer and writes it. */
     async run(): Promise<DetourOutcome> {
-        const { admitted, state } = this.settings;
-        let answer: AttemptAnswer | undefined;
+        const { answer, admitted, state } = this.settings;
         try {
-            answer = this.settings.send();
             const head = await answer.awaitHead();
             if (!head.isSealed) {
-                return await this.handlePeerAnswer(head, answer);
+                return await this.handlePeerAnswer(head);
             }
             state.mayHaveRun = true;
             const isStream = admitted.route.isStream && head.status < 300;
-            return isStream ? await this.relayStream(head, answer) : await this.relayCompleteAnswer(head, answer);
+            return isStream ? await this.relayStream(head) : await this.relayCompleteAnswer(head);
         }
         catch (error) {
             if (!(error instanceof AttemptError)) {
-                state.mayHaveRun ||= answer !== undefined;
+                state.mayHaveRun = true;
                 throw error;
             }
             return this.handleError(error);
         }
         finally {
-            answer?.cancel();
+            answer.cancel();
         }
     }
 
     /** Handles an answer that the peer itself generated. */
-    private async handlePeerAnswer({ status }: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
-        const { admitted, finalAnswer, peer, state } = this.settings;
+    private async handlePeerAnswer({ status }: AnswerHead): Promise<DetourOutcome> {
+        const { admitted, answer, finalAnswer, peer, state } = this.settings;
         const text = readText(await readWhole(answer));
         state.lastFailureReason = `peer ${peer.node} answered with status ${status}: ${text}`;
         if (NOT_TAKEN_STATUSES.has(status)) {
@@ -95,8 +92,8 @@
         return DetourOutcome.Answered;
     }
 
-    private async relayCompleteAnswer(head: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
-        const body = await readWhole(answer);
+    private async relayCompleteAnswer(head: AnswerHead): Promise<DetourOutcome> {
+        const body = await readWhole(this.settings.answer);
         if (body === undefined) {
             return this.fail(`peer ${this.settings.peer.node} sent an answer of more than ${MAX_ANSWER_BYTES} bytes`);
         }
@@ -105,8 +102,8 @@
         return DetourOutcome.Answered;
     }
 
-    private async relayStream(head: AnswerHead, answer: AttemptAnswer): Promise<DetourOutcome> {
-        const { admitted, finalAnswer, peer, splitter } = this.settings;
+    private async relayStream(head: AnswerHead): Promise<DetourOutcome> {
+        const { admitted, answer, finalAnswer, peer, splitter } = this.settings;
         splitter.dropPartialEvent();
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             const { bytes, count } = splitter.push(chunk);
@@ -149,8 +146,13 @@
     }
 }
 
+/** @returns Whether a peer's own answer states that the call has not run there. */
+export function isNotRun(status: number): boolean {
+    return NOT_TAKEN_STATUSES.has(status) || status === REFUSED_STATUS;
+}
+
 /** @returns Text of an answer that a node generated. */
-function readText(body: Buffer | undefined): string {
+export function readText(body: Buffer | undefined): string {
     try {
         const { error } = JSON.parse(String(body ?? "")) as { readonly error?: unknown };
         return String(error ?? "");
