Close a caller's connection only after the answers to all calls read from it

Callers saw: of two calls written at once on one connection of a draining node, both were passed on and the first was answered; the same behind a call that was refused with 400, 413 or 431. Bytes that are no call, or half of a head that timed out, behind a call at a server ended the connection with a raw 400 or 408, which stands in the place of that call's answer: a 408 says that it has not run. A node that stopped listening cut answers that their caller read slowly.

Cause: the connection was closed with the first answer that said so, the parser's errors were left to the HTTP library, and so were idle connections: it counts a connection as idle once the answer is complete, although it is not sent.

Change: CallerConnection knows the calls of a connection whose answers are not complete. Only the last of them says that the connection closes; a call that comes behind that is not passed on. A refusal is written at the end of the call's body (of up to twice the limit), so that the calls behind it are read. Bytes that are no call are refused after the earlier answers, and a call with a malformed body in its order. When a caller disconnects, all its calls are cancelled, also those that wait behind another answer.

The case of a late call behind another one comes 2200 ms after the stop began, since at 2100 ms a stream of 300 ms is just answered in time.

--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -78,9 +78,9 @@
 
         Examples:
             | kind   | lateness                                | status | times |
-            | safe   | comes behind another call 2100 ms later | 503    | 0     |
-            | unsafe | comes behind another call 2100 ms later | 503    | 0     |
-            | stream | comes behind another call 2100 ms later | 503    | 0     |
+            | safe   | comes behind another call 2200 ms later | 503    | 0     |
+            | unsafe | comes behind another call 2200 ms later | 503    | 0     |
+            | stream | comes behind another call 2200 ms later | 503    | 0     |
             | unsafe | comes behind another call 1200 ms later | 200    | 1     |
 
     Scenario Outline: a call is not cut, nor its answer replaced, because another call on its connection is refused
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -5,9 +5,16 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
-import { type LocalAnswer, type RelayCall, type RelayHeaders, STOPPING_RETRY_AFTER_MS } from "../../protocol/relay/mod.js";
+import { Server as NetServer, type Socket } from "node:net";
+import {
+    type CallHead,
+    type LocalAnswer,
+    type RelayCall,
+    type RelayHeaders,
+    STOPPING_RETRY_AFTER_MS,
+} from "../../protocol/relay/mod.js";
 import type { CallerLimits, Clock } from "../../state/relay/mod.js";
+import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
 /** Maximum size of a request head in the HTTP parser, in bytes. It is fixed before the configured limit is known. */
@@ -19,6 +26,21 @@
 /** Maximum number of connections that the kernel queues until the process accepts them. */
 const LISTEN_BACKLOG = 1_024;
 
+/** Multiple of the maximum body size up to which a body that is too large is read, so that the calls behind it are read as well. */
+const MAX_DISCARDED_BODY_FACTOR = 2;
+
+/** Status of calls that cannot be read. */
+const INVALID_STATUS = 400;
+
+/** Error code of a connection that its caller closes within a call. */
+const EOF_ERROR_CODE = "HPE_INVALID_EOF_STATE";
+
+/** Statuses of the errors of the HTTP parser other than invalid calls. */
+const STATUS_BY_ERROR_CODE: ReadonlyMap<string, number> = new Map([
+    ["HPE_HEADER_OVERFLOW", 431],
+    ["ERR_HTTP_REQUEST_TIMEOUT", 408],
+]);
+
 /** Limits that apply until the first configuration is read. */
 const INITIAL_LIMITS: CallerLimits = {
     maxHeaderBytes: 16_384,
@@ -31,7 +53,7 @@
 export enum CutCause {
     /** The receiver of the call failed. */
     InternalError = "internalError",
-    /** The connection was closed after the answer to an earlier call on it. */
+    /** The answer to an earlier call on the connection said that it closes; the call was not passed on. */
     EarlierAnswer = "earlierAnswer",
     /** The node stopped. */
     Stop = "stop",
@@ -48,14 +70,6 @@
     readonly ageMs: number;
 }
 
-/** Call that was read, and whose answer is not complete. */
-interface OpenCall {
-    readonly id: string;
-    readonly socket: Socket;
-    readonly answer: HttpRelayAnswer;
-    readonly arrivedAtMs: number;
-}
-
 /** Handles a call that was read completely. */
 export type CallReceiver = (call: RelayCall, answer: HttpRelayAnswer) => Promise<void>;
 
@@ -72,11 +86,8 @@
 
 /** Reads calls within the limits and passes each one to the receiver once it is complete. */
 export class CallerServer {
-    /** Number of calls whose response is still open. */
-    openCalls = 0;
     private readonly server: Server;
-    private readonly readCalls = new Set<OpenCall>();
-    private readonly unreadCalls = new Map<IncomingMessage, HttpRelayAnswer>();
+    private readonly connections = new Map<Socket, CallerConnection>();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
 
@@ -88,7 +99,9 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
             noDelay: true,
         });
+        this.server.on("connection", socket => this.handleConnection(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
+        this.server.on("clientError", (error, socket) => this.handleUnreadable(error, socket as Socket));
         this.setLimits(INITIAL_LIMITS);
     }
 
@@ -113,120 +126,185 @@
         return typeof address === "object" && address ? address.port : 0;
     }
 
-    /** Starts draining connections: each further answer closes its connection. */
+    /** Number of calls whose answers are not complete. */
+    get openCalls(): number {
+        let count = 0;
+        for (const { calls } of this.connections.values()) {
+            count += calls.size;
+        }
+        return count;
+    }
+
+    /** Starts draining connections: each one closes after the answers to the calls that were read from it. */
     startDraining(): void {
         this.isDraining = true;
     }
 
     /** Stops listening and closes idle connections. */
     stopListening(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+        // The method of the HTTP server also closes connections whose last answer is not completely sent.
+        NetServer.prototype.close.call(this.server);
+        for (const connection of this.connections.values()) {
+            connection.closeIfIdle();
+        }
     }
 
     /** Refuses the calls of which only a part has been read. */
     refuseUnread(): void {
-        for (const [request, answer] of this.unreadCalls) {
-            refuse(request, answer, { status: 503, text: "The node is stopping.", retryAfterMs: STOPPING_RETRY_AFTER_MS });
+        for (const connection of this.connections.values()) {
+            for (const { request, answer } of connection.calls) {
+                if (!request.complete && !answer.isStarted) {
+                    const text = "The node is stopping; the call has not run.";
+                    answer.sendLocal({ status: 503, text, retryAfterMs: STOPPING_RETRY_AFTER_MS });
+                }
+            }
         }
     }
 
     /** Stops listening and closes all connections immediately. */
     closeAll(): void {
-        for (const call of this.readCalls) {
-            this.reportCut(call, CutCause.Stop);
+        for (const connection of this.connections.values()) {
+            this.reportCuts(connection, CutCause.Stop);
         }
         this.server.close();
         this.server.closeAllConnections();
     }
 
+    private reportCuts(connection: CallerConnection, cause: CutCause): void {
+        for (const call of connection.calls) {
+            this.reportCut(call, cause);
+        }
+    }
+
     private reportCut(call: OpenCall, cause: CutCause): void {
-        if (this.readCalls.delete(call)) {
-            const { id, answer, arrivedAtMs } = call;
+        if (call.read !== undefined) {
+            const { id, arrivedAtMs } = call.read;
+            call.read = undefined;
             const ageMs = this.settings.clock.now() - arrivedAtMs;
-            this.settings.onCut({ id, cause, isAnswerStarted: answer.isStarted, ageMs });
+            this.settings.onCut({ id, cause, isAnswerStarted: call.answer.isStarted, ageMs });
         }
     }
 
-    /** Closes a connection after an answer; further calls that were read from it get none. */
-    private closeAfterAnswer(socket: Socket): void {
-        for (const call of this.readCalls) {
-            if (call.socket === socket) {
-                this.reportCut(call, CutCause.EarlierAnswer);
+    private handleConnection(socket: Socket): void {
+        const connection = new CallerConnection(socket);
+        this.connections.set(socket, connection);
+        socket.on("close", () => {
+            this.connections.delete(socket);
+            for (const { callerAbort } of connection.calls) {
+                callerAbort.abort();
             }
+        });
+    }
+
+    private handleUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+        const connection = this.connections.get(socket);
+        if (connection === undefined || !socket.writable || error.code === EOF_ERROR_CODE) {
+            socket.destroy(error);
+            return;
         }
-        socket.destroySoon();
+        connection.refuseUnreadable(STATUS_BY_ERROR_CODE.get(error.code ?? "") ?? INVALID_STATUS, this.isDraining);
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-        const callerAbort = new AbortController();
-        const answer = new HttpRelayAnswer(response, () => this.isDraining);
-        this.openCalls += 1;
-        this.unreadCalls.set(request, answer);
-        let openCall: OpenCall | undefined;
+        const connection = this.connections.get(request.socket);
+        if (connection === undefined || connection.isClosing) {
+            request.resume();
+            request.on("end", () => this.reportUnanswered(request));
+            return;
+        }
+        const answer: HttpRelayAnswer = new HttpRelayAnswer(
+            response,
+            () => connection.writeClosingHead(openCall, this.isDraining),
+        );
+        const openCall: OpenCall = { request, answer, callerAbort: new AbortController(), read: undefined };
+        connection.add(openCall, response.shouldKeepAlive);
         response.on("finish", () => {
-            if (openCall !== undefined) {
-                this.readCalls.delete(openCall);
-            }
-            if (this.isDraining || answer.closesConnection) {
-                this.closeAfterAnswer(request.socket);
-            }
+            openCall.read = undefined;
+            connection.finish(openCall, this.isDraining);
         });
-        response.on("close", () => {
-            this.openCalls -= 1;
-            this.unreadCalls.delete(request);
-            if (openCall !== undefined) {
-                this.readCalls.delete(openCall);
-            }
-            if (!response.writableFinished) {
-                callerAbort.abort();
-            }
-        });
-        request.on("error", () => callerAbort.abort());
+        request.on("error", () => openCall.callerAbort.abort());
         if (headerBytes(request.rawHeaders) > this.limits.maxHeaderBytes) {
-            refuse(request, answer, { status: 431, text: `The headers are larger than ${this.limits.maxHeaderBytes} bytes.` });
+            const text = `The headers are larger than ${this.limits.maxHeaderBytes} bytes.`;
+            this.readBody(connection, openCall, () => ({ status: 431, text }));
             return;
         }
         const head = this.settings.headers.readCall(request.rawHeaders);
         if (typeof head === "string") {
-            refuse(request, answer, { status: 400, text: head });
+            this.readBody(connection, openCall, () => ({ status: INVALID_STATUS, text: head }));
             return;
         }
+        this.readBody(connection, openCall, body => this.receive(openCall, head, body));
+    }
+
+    /**
+     * Reads the body of a call. A refusal is written at the end of the body, so that the calls that follow are read and answered; only
+     * a body that is far too large is not read to its end.
+     *
+     * @param finish Called with the complete body; returns an answer if the call is refused.
+     */
+    private readBody(
+        connection: CallerConnection,
+        { request, answer, callerAbort }: OpenCall,
+        finish: (body: Buffer) => LocalAnswer | undefined,
+    ): void {
+        const { maxBodyBytes } = this.limits;
         const chunks: Buffer[] = [];
         let size = 0;
+        const refuse = (localAnswer: LocalAnswer) => {
+            connection.mustClose = true;
+            answer.sendLocal(localAnswer);
+        };
+        const tooLarge = { status: 413, text: `The body is larger than ${maxBodyBytes} bytes.` };
         request.on("data", (chunk: Buffer) => {
             size += chunk.length;
-            if (size > this.limits.maxBodyBytes) {
-                chunks.length = 0;
-                refuse(request, answer, { status: 413, text: `The body is larger than ${this.limits.maxBodyBytes} bytes.` });
+            if (size <= maxBodyBytes) {
+                chunks.push(chunk);
                 return;
             }
-            chunks.push(chunk);
+            chunks.length = 0;
+            if (size > maxBodyBytes * MAX_DISCARDED_BODY_FACTOR && !answer.isStarted) {
+                refuse(tooLarge);
+            }
         });
         request.on("end", () => {
-            this.unreadCalls.delete(request);
             if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
-            const arrivedAtMs = this.settings.clock.now();
-            const readCall = { id: head.id, socket: request.socket, answer, arrivedAtMs };
-            openCall = readCall;
-            this.readCalls.add(readCall);
-            const call = {
-                head,
-                method: request.method ?? "GET",
-                target: request.url ?? "/",
-                body: chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks),
-                arrivedAtMs,
-                callerGone: callerAbort.signal,
-            };
-            this.settings.receive(call, answer).catch((error: unknown) => {
-                this.settings.onError(error);
-                this.reportCut(readCall, CutCause.InternalError);
-                answer.abort();
-            });
+            const body = chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks);
+            const refusal = size > maxBodyBytes ? tooLarge : finish(body);
+            if (refusal !== undefined) {
+                refuse(refusal);
+            }
         });
     }
+
+    private receive(openCall: OpenCall, head: CallHead, body: Buffer): undefined {
+        const { request, answer, callerAbort } = openCall;
+        const arrivedAtMs = this.settings.clock.now();
+        openCall.read = { id: head.id, arrivedAtMs };
+        const call = {
+            head,
+            method: request.method ?? "GET",
+            target: request.url ?? "/",
+            body,
+            arrivedAtMs,
+            callerGone: callerAbort.signal,
+        };
+        this.settings.receive(call, answer).catch((error: unknown) => {
+            this.settings.onError(error);
+            this.reportCut(openCall, CutCause.InternalError);
+            answer.abort();
+        });
+        return undefined;
+    }
+
+    /** Reports a call that is not received, since an earlier answer closes its connection. */
+    private reportUnanswered(request: IncomingMessage): void {
+        const head = this.settings.headers.readCall(request.rawHeaders);
+        if (typeof head !== "string") {
+            this.settings.onCut({ id: head.id, cause: CutCause.EarlierAnswer, isAnswerStarted: false, ageMs: 0 });
+        }
+    }
 }
 
 /** Returns the size of headers on the wire, given as a flat list of names and values, in bytes. */
@@ -234,11 +312,3 @@
     // Each name is followed by a colon and a space, each value by CRLF; the HTTP parser decodes headers as Latin-1.
     return rawHeaders.reduce((bytes, text) => bytes + text.length + 2, 0);
 }
-
-function refuse(request: IncomingMessage, answer: HttpRelayAnswer, localAnswer: LocalAnswer): void {
-    if (!answer.isStarted) {
-        answer.closeAfterwards();
-        answer.sendLocal(localAnswer);
-        request.resume();
-    }
-}
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -12,13 +12,12 @@
 /** Writes the answer to one call. */
 export class HttpRelayAnswer extends RelayAnswer {
     private mustClose = false;
-    private hasClosingHead = false;
 
     /**
      * @param response Response of the HTTP server.
-     * @param isDraining Returns whether the node is draining, so that connections are closed after their current answer.
+     * @param closesConnection Called when the head is written: returns whether the connection closes after this answer.
      */
-    constructor(private readonly response: ServerResponse, private readonly isDraining: () => boolean) {
+    constructor(private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {
         super();
         response.sendDate = false;
     }
@@ -27,11 +26,6 @@
         return this.response.headersSent;
     }
 
-    /** Whether the head that was written says that the connection closes after this answer. */
-    get closesConnection(): boolean {
-        return this.hasClosingHead;
-    }
-
     /** Closes the connection after this answer. */
     closeAfterwards(): void {
         this.mustClose = true;
@@ -81,9 +75,8 @@
     }
 
     private writeHead(status: number, headers: string[]): void {
-        if (this.mustClose || this.isDraining()) {
+        if (this.mustClose || this.closesConnection()) {
             headers.push("connection", "close");
-            this.hasClosingHead = true;
         }
         this.response.writeHead(status, headers);
     }
