Ignore reports whose scope the tree exchange does not know

A node of an older build that aggregates its failure domain took a report of any unknown scope for that of a single member, and added its figures to the sums of the domain. The mesh exchange ignores such reports already. No build sends other scopes yet.

Before, the scenario of the tree exchange in relay_other_build failed: the report was applied. It passes now, as do the 49 others of relay_other_build and relay_reports.

--- a/src/coordination/relay/tree_exchange.ts
+++ b/src/coordination/relay/tree_exchange.ts
@@ -58,8 +58,11 @@
                 return this.receiveFleetSum(report);
             case ReportScope.DOMAIN:
                 return this.receiveDomainSum(report);
-            default:
+            case ReportScope.NODE:
                 return this.receiveMemberReport(report);
+            default:
+                // Another build may send scopes that this one does not know.
+                return [];
         }
     }
 
