Test relay nodes as processes beside overlapping changes and while builds replace each other

Three nodes, two servers and stand-ins of the store run under callers that keep open connections in use, write several calls at once and end bodies late. A seeded schedule of signals, restarts, configurations, odd entries and silences overlaps; or the nodes are replaced one after the other by another build and back. The account of callers and servers is judged at the end.

--- a/measure/experiment.ts
+++ b/measure/experiment.ts
@@ -28,6 +28,12 @@
     readonly targets: readonly Target[];
 }
 
+/** Folders with the bundles of relay nodes. */
+export interface Bundles {
+    readonly oldBundle: string;
+    readonly newBundle: string;
+}
+
 /** Experiment that `npm run measure -- NAME` runs. */
 export interface Experiment {
     readonly name: string;
@@ -37,8 +43,9 @@
      * Runs the experiment.
      *
      * @param seed Seed of the random number generators.
+     * @param bundles Builds for experiments that run the relay node as a process.
      */
-    run(seed: number): Promise<Report>;
+    run(seed: number, bundles: Bundles): Promise<Report>;
 }
 
 /** Returns whether a target is met. */
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -18,11 +18,14 @@
     });
     name = Option.String({ name: "EXPERIMENT" });
     seed = Option.String("--seed", "1", { description: "Seed of the random number generators. Defaults to 1." });
+    oldBundle = Option.String("--old", "dist", { description: "Folder with the bundle of an earlier build. Defaults to dist." });
+    newBundle = Option.String("--new", "dist", { description: "Folder with the bundle to measure. Defaults to dist." });
     json = Option.Boolean("--json", false, { description: "Print JSON instead of tables." });
 
     override async execute(): Promise<number> {
         const experiment = this.findExperiment();
-        const report = await experiment.run(Number(this.seed));
+        const { oldBundle, newBundle } = this;
+        const report = await experiment.run(Number(this.seed), { oldBundle, newBundle });
         this.context.stdout.write(this.json ? `${JSON.stringify(report)}\n` : formatReport(report));
         return report.targets.every(isMet) ? 0 : 1;
     }
--- /dev/null
+++ b/measure/soak.ts
@@ -0,0 +1,46 @@
+/**
+ * Experiments: relay nodes as processes under load, beside random actions or while one build replaces another.
+ *
+ * @module
+ */
+
+import { runReplacement, runSoak, type SoakResult } from "../platform/standin/soak/soak_run.js";
+import type { Experiment, Figures, Report, Target } from "./experiment.js";
+
+/** Duration of the actions, in milliseconds. */
+const ACTIONS_MS = 40_000;
+
+/** Overlapping signals, restarts, changes and silent servers. */
+export const soakExperiment: Experiment = {
+    name: "soak",
+    summary: "relay nodes under load beside overlapping signals, restarts, changes and silent servers",
+    run: async (seed, { newBundle }) => {
+        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle });
+        return toReport("soak", seed, { bundle: newBundle }, { soak: result });
+    },
+};
+
+/** Rolling restart from one build to another and back. */
+export const buildsExperiment: Experiment = {
+    name: "builds",
+    summary: "rolling restart of relay nodes under load, from the bundle of --old to that of --new and back",
+    run: async (seed, { oldBundle, newBundle }) => {
+        const reached = await runReplacement({ seed, oldBundle, newBundle, isCut: false });
+        const detours = await runReplacement({ seed, oldBundle, newBundle, isCut: true });
+        return toReport("builds", seed, { oldBundle, newBundle }, { reached, detours });
+    },
+};
+
+function toReport(scenario: string, seed: number, baseline: Figures, results: Readonly<Record<string, SoakResult>>): Report {
+    const current: Record<string, Figures[string]> = {};
+    const targets: Target[] = [];
+    for (const [name, { findings, calls, incarnations, actions }] of Object.entries(results)) {
+        current[`${name}: calls by status`] = [calls];
+        current[`${name}: starts of nodes`] = incarnations;
+        current[`${name}: actions`] = actions.join(", ");
+        current[`${name}: findings`] = findings.map(({ rule, detail }) => ({ rule, detail }));
+        targets.push({ name: `${name}: broken rules`, measured: findings.length, comparison: "at most", bound: 0 });
+        targets.push({ name: `${name}: calls answered`, measured: calls["200"] ?? 0, comparison: "at least", bound: 100 });
+    }
+    return { scenario, seed, baseline, current, targets };
+}
