--- a/features/steps/relay_soak_steps.ts
+++ b/features/steps/relay_soak_steps.ts
@@ -40,7 +40,9 @@
 );
 
 Then("no rule is broken", function(this: SoakScenario) {
-    const { findings, calls, actions } = this.soak;
+    const { calls, actions } = this.soak;
+    // Faults of an earlier build are not those of this one.
+    const findings = this.soak.findings.filter(({ bundle }) => bundle === undefined || bundle === BUNDLE);
     const lines = findings.slice(0, PRINTED_FINDINGS).map(({ rule, detail }) => `${rule}: ${detail}`);
     assert.equal(findings.length, 0, `${findings.length} findings\n${lines.join("\n")}\nactions: ${actions.join(", ")}`);
     assert((calls["200"] ?? 0) >= MIN_ANSWERED_CALLS, JSON.stringify(calls));
