Test answers of backend servers that end at any of their bytes

A plain socket stand-in sends the first bytes of an answer and closes or resets the connection: each framing, on a fresh connection and as the second answer of a kept one. Besides, malformed answers, and large answers whose connection ends while nothing reads them.

--- /dev/null
+++ b/features/relay_cut_answers.feature
@@ -0,0 +1,71 @@
+@loopback
+Feature: Answers of backend servers that end early
+    A server's answer counts as complete only if the node has received all of it.
+
+    Scenario Outline: an answer <framing> that ends at any of its bytes is complete only if nothing of it is missing
+        Given a server that answers <framing> and ends the connection after a number of bytes
+        When its answer is read once for each number of bytes and each end of the connection
+        Then each answer that was cut failed, and each one that was not is complete
+
+        Examples:
+            | framing                                          |
+            | with a length                                    |
+            | with a length on a connection that closes        |
+            | with a length over HTTP/1.0                      |
+            | with a length over HTTP/1.0 that stays open      |
+            | in chunks                                        |
+            | in chunks on a connection that closes            |
+            | in chunks with a trailer                         |
+            | in chunks after an interim head                  |
+            | without a length                                 |
+            | without a length after an interim head           |
+            | without a length over HTTP/1.0                   |
+            | without a length on a connection that stays open |
+
+    Scenario Outline: an answer that <fault> <outcome>
+        Given a server whose answer <fault>
+        When its answer is read
+        Then the answer <outcome>
+
+        Examples:
+            | fault                                            | outcome     |
+            | has more bytes than its length                   | is complete |
+            | has two different lengths                        | fails       |
+            | has the same length twice                        | fails       |
+            | has a length and chunks                          | fails       |
+            | has a negative length                            | fails       |
+            | has a length that is not a number                | fails       |
+            | has a length in hexadecimal                      | fails       |
+            | has a folded header                              | fails       |
+            | has lines that end with a line feed              | fails       |
+            | has a space before a colon                       | fails       |
+            | has a chunk size that is not a number            | fails       |
+            | has a chunk longer than its size                 | fails       |
+            | has no status code                               | fails       |
+            | has the status 100 and nothing else              | fails       |
+            | follows an interim head that closes the connection | fails     |
+            | has the status 101                               | fails       |
+            | has a transfer coding other than chunks          | fails       |
+            | has a transfer coding after its chunks           | fails       |
+            | has a transfer coding other than chunks and is reset | fails   |
+
+    Scenario Outline: the node goes on when a large answer <framing> is <end> while it is not read, and its reader then <action>
+        Given a server that sends 307200 bytes <framing>, and whose connection is then <end>
+        When the reader of its answer waits for 200 ms and then <action>
+        Then the large answer is <outcome>
+
+        Examples:
+            | framing                                   | end          | action      | outcome    |
+            | without a length                          | closed       | reads it    | complete   |
+            | without a length                          | closed later | reads it    | complete   |
+            | without a length                          | reset        | reads it    | incomplete |
+            | without a length                          | left open    | gives it up | incomplete |
+            | without a length                          | closed       | gives it up | incomplete |
+            | with a length                             | left open    | reads it    | complete   |
+            | with a length                             | left open    | gives it up | incomplete |
+            | with a length on a connection that closes | closed       | reads it    | complete   |
+            | with a length on a connection that closes | reset        | gives it up | incomplete |
+            | with a length on a connection that closes | left open    | gives it up | incomplete |
+            | in chunks on a connection that closes     | closed       | reads it    | complete   |
+            | in chunks on a connection that closes     | reset        | gives it up | incomplete |
+            | in chunks on a connection that closes     | left open    | gives it up | incomplete |
