--- a/features/relay_cut_answers.feature
+++ b/features/relay_cut_answers.feature
@@ -52,7 +52,7 @@
     Scenario Outline: the node goes on when a large answer <framing> is <end> while it is not read, and its reader then <action>
         Given a server that sends 307200 bytes <framing>, and whose connection is then <end>
         When the reader of its answer waits for 200 ms and then <action>
-        Then the large answer is <outcome>
+        Then the answer that was read is <outcome>
 
         Examples:
             | framing                                   | end          | action      | outcome    |
@@ -69,3 +69,17 @@
             | in chunks on a connection that closes     | closed       | reads it    | complete   |
             | in chunks on a connection that closes     | reset        | gives it up | incomplete |
             | in chunks on a connection that closes     | left open    | gives it up | incomplete |
+
+    Scenario Outline: the node goes on when an answer <framing> that has begun is given up
+        Given a server that sends a part of an answer <framing>
+        When the reader of its answer waits for 20 ms and then gives it up
+        Then the answer that was read is incomplete
+
+        Examples:
+            | framing                               |
+            | without a length                      |
+            | without a length over HTTP/1.0        |
+            | with a length                         |
+            | with a length over HTTP/1.0           |
+            | in chunks                             |
+            | in chunks on a connection that closes |
--- a/features/steps/relay_cut_answer_steps.ts
+++ b/features/steps/relay_cut_answer_steps.ts
@@ -130,6 +130,11 @@
     },
 );
 
+Given(/^a server that sends a part of an answer (.+)$/, async function(this: CutScenario, framing: string) {
+    await startServer(this);
+    this.nextAnswer = { bytes: ANSWERS[framing]?.slice(0, -10) ?? "", end: ConnectionEnd.Open };
+});
+
 When("its answer is read once for each number of bytes and each end of the connection", { timeout: 60_000 }, async function(
     this: CutScenario,
 ) {
@@ -177,7 +182,7 @@
     }
 });
 
-Then(/^the large answer is (complete|incomplete)$/, function(this: CutScenario, outcome: string) {
+Then(/^the answer that was read is (complete|incomplete)$/, function(this: CutScenario, outcome: string) {
     const { failure, bytes } = this.reading;
     assert.notEqual(failure, "timeout");
     assert.equal(failure === undefined, outcome === "complete", failure ?? `complete with ${bytes} bytes`);
