Survive answers on closing connections that are given up or read late

All callers of a node lost their calls, as its process ended: when a caller left, or a deadline expired, while the answer of a backend server without a length had begun; and when the connection of an answer after which it closes (no length, Connection: close, HTTP/1.0) ended, or was closed by the node, while more than 256 KiB of the answer were unread.

Cause: the HTTP library treats the close of such a connection as the possible end of the answer, and asserts there that the request is not aborted and its parser not paused. Nobody catches these assertions.

Change: an exchange that is given up resets its connection and no longer aborts the request as well, and backpressure holds the bytes in the socket instead of pausing the parser. Both nodes use the exchange.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import type { Dispatcher, Pool } from "undici";
 import { DispatchStep } from "../protocol/relay/mod.js";
+import { SocketHold } from "./_socket_hold.js";
 
 /** Unread bytes of an answer above which the connection is paused. */
 const MAX_QUEUED_BYTES = 256 * 1024;
@@ -55,6 +56,7 @@
     private interimAnswers = 0;
     private error: Error | undefined;
     private socket: Socket | undefined;
+    private socketHold: SocketHold | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private wakeReader: () => void = () => undefined;
     private readonly onAbort = () => this.cancel(this.signal.reason as Error);
@@ -116,7 +118,7 @@
             if (chunk !== undefined) {
                 this.queuedBytes -= chunk.length;
                 if (this.queuedBytes <= MAX_QUEUED_BYTES) {
-                    this.controller?.resume();
+                    this.socketHold?.release();
                 }
                 return chunk;
             }
@@ -134,9 +136,13 @@
     cancel(reason: Error): void {
         if (!this.ended && this.error === undefined) {
             this.fail(reason);
-            // After a graceful close, the kernel goes on retransmitting a request that a partition holds up.
-            this.socket?.resetAndDestroy();
-            this.controller?.abort(reason);
+            if (this.socket === undefined) {
+                this.controller?.abort(reason);
+                return;
+            }
+            // After a graceful close, the kernel goes on retransmitting a request that a partition holds up. The request is not aborted
+            // as well: the HTTP library takes the close for the end of an answer without a length, which must not be aborted then.
+            this.socket.resetAndDestroy();
         }
     }
 
@@ -152,6 +158,7 @@
         this.step = DispatchStep.AwaitHead;
         onRequestSocket = socket => {
             this.socket = socket;
+            this.socketHold = new SocketHold(socket);
         };
     }
 
@@ -173,11 +180,14 @@
     }
 
     private handleChunk(chunk: Buffer): void {
+        if (this.error !== undefined) {
+            return;
+        }
         this.step = DispatchStep.ReadBody;
         this.queuedChunks.push(chunk);
         this.queuedBytes += chunk.length;
         if (this.queuedBytes > MAX_QUEUED_BYTES) {
-            this.controller?.pause();
+            this.socketHold?.hold();
         }
         this.wakeReader();
     }
@@ -193,6 +203,9 @@
     }
 
     private handleEnd(): void {
+        if (this.error !== undefined) {
+            return;
+        }
         if (this.isCloseDelimited && this.socket?.errored) {
             this.fail(new Error("the connection was reset within an answer without a length"));
             return;
@@ -209,6 +222,7 @@
     }
 
     private settle(): void {
+        this.socketHold?.release();
         this.signal.removeEventListener("abort", this.onAbort);
         this.wakeReader();
     }
