Refuse answers in a transfer coding other than chunked

An answer with 'Transfer-Encoding: identity' has no length and ends with its connection, but it did not count as such: reset within its body, it was passed on as complete. With 'chunked, identity' the chunk sizes became part of the body.

Change: such an answer fails the attempt (RFC 9112, section 7), so the call may have run and no body is passed on.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -17,6 +17,9 @@
 /** Interim answers, such as 102, after which an exchange fails. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** The transfer coding that is read (RFC 9112, section 7); with another one, an answer may end with its connection. */
+const CHUNKED_CODING = "chunked";
+
 /** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
 const RESET_PROBE = "\r\n";
 
@@ -170,10 +173,15 @@
             }
             return;
         }
+        const coding = headers["transfer-encoding"];
+        if (coding !== undefined && String(coding).trim().toLowerCase() !== CHUNKED_CODING) {
+            this.cancel(new Error(`the server sent an answer in transfer coding ${String(coding)}, which is not read`));
+            return;
+        }
         this.status = status;
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
-        if (headers["content-length"] === undefined && headers["transfer-encoding"] === undefined) {
+        if (headers["content-length"] === undefined && coding === undefined) {
             this.probeForReset();
         }
         this.wakeReader();
