Answer each call that an entry VM has read from a connection

Callers saw: all connections of a node closed, as an error of the handler or of the operations page was a rejected promise that nobody handles, which ends the process; status 400 for a sound call, as the refusal of a malformed message behind it was written in place of its answer; and no answer to the second and later calls that were read from one connection when the node stopped accepting, as the head of the first answer closed it.

Change: errors of a request are caught, logged as an event and answered with 502 that tells whether the call may have run. A connection knows its calls: a malformed message is refused after their answers, and only the newest answer says that the connection closes.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -122,6 +122,7 @@
             node: settings.node,
             handler: this.node.handler,
             operationsPage: path => this.operationsPage(path),
+            onError: error => this.recordEvent("failed", `A request failed inside the node: ${String(error)}.`),
         });
         const limits = this.limits();
         this.metrics.registerLimitMetrics(limits);
--- a/src/transport/_http_answer_writer.ts
+++ b/src/transport/_http_answer_writer.ts
@@ -14,9 +14,9 @@
 
     /**
      * @param response Response of the HTTP server.
-     * @param isClosing Returns whether connections are to be closed after their current answer.
+     * @param closesConnection Returns whether the connection is to be closed after this answer; asked when the head is written.
      */
-    constructor(private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+    constructor(private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {
         super();
     }
 
@@ -26,7 +26,7 @@
 
     override writeHead(head: AnswerHead): void {
         const headers: Record<string, string> = { "content-type": head.contentType, ...head.headers };
-        if (this.isClosing()) {
+        if (this.closesConnection()) {
             headers["connection"] = "close";
         }
         this.response.writeHead(head.status, headers);
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { CALLER_GONE, type CallHandler, Executed, type IncomingCall, Refusal, RefusalType } from "../protocol/mod.js";
+import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 
 /** Maximum size of the body of a call, in bytes. */
@@ -33,6 +34,9 @@
 /** Interval at which connections are checked for callers that are too slow, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
+/** Error code of a connection that its peer reset. */
+const CONNECTION_RESET = "ECONNRESET";
+
 /** Answer to a request for an operations path, such as `/metrics`. */
 export interface OperationsPage {
     readonly status: number;
@@ -70,13 +74,15 @@
     readonly handler: CallHandler;
     /** Returns the answer for `/metrics`, `/healthz` and `/readyz`, and `undefined` for any other path. */
     readonly operationsPage: (path: string) => Promise<OperationsPage | undefined>;
+    /** Called with errors that the handler or the operations page throws. Defaults to ignoring them. */
+    readonly onError?: (error: unknown) => void;
 }
 
 /** Accepts calls over HTTP and passes them to the handler. */
 export class HttpServer {
     private readonly server: Server;
     private readonly limits: HttpServerLimits;
-    private readonly sockets = new Set<Socket>();
+    private readonly connectionBySocket = new Map<Socket, CallerConnection>();
     private heldBodyBytes = 0;
     private callCount = 0;
     private isClosing = false;
@@ -94,13 +100,13 @@
         this.server.maxHeadersCount = MAX_HEADER_COUNT + 1;
         this.server.maxConnections = MAX_CALLER_CONNECTIONS;
         this.server.on("connection", socket => this.trackSocket(socket));
-        this.server.on("request", (request, response) => void this.handleRequest(request, response));
-        this.server.on("clientError", (error, socket) => refuseMalformed(error, socket as Socket));
+        this.server.on("request", (request, response) => this.handleRequest(request, response));
+        this.server.on("clientError", (error, socket) => this.handleMalformed(error, socket as Socket));
     }
 
     /** Number of open connections. */
     get connections(): number {
-        return this.sockets.size;
+        return this.connectionBySocket.size;
     }
 
     /** Total size of the bodies held in memory, in bytes. */
@@ -131,24 +137,60 @@
     }
 
     private trackSocket(socket: Socket): void {
-        this.sockets.add(socket);
-        socket.on("close", () => this.sockets.delete(socket));
+        this.connectionBySocket.set(socket, new CallerConnection(socket, () => this.isClosing));
+        socket.on("close", () => this.connectionBySocket.delete(socket));
         socket.on("error", () => socket.destroy());
     }
 
-    private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+        const connection = this.connectionBySocket.get(request.socket);
+        if (connection === undefined || connection.isEnding) {
+            return;
+        }
+        connection.add(response);
+        const writer = new HttpAnswerWriter(response, () => connection.decideClosingHead(response));
+        this.answer(request, response, writer).catch((error: unknown) => {
+            this.settings.onError?.(error);
+            if (!response.writableEnded) {
+                refuseAfterError(writer, error, Executed.Unknown);
+            }
+        });
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse, writer: HttpAnswerWriter): Promise<void> {
         const [path = "/", search] = (request.url ?? "/").split("?", 2);
-        const page = request.method === "GET" ? await this.settings.operationsPage(path) : undefined;
+        let page: OperationsPage | undefined;
+        try {
+            page = request.method === "GET" ? await this.settings.operationsPage(path) : undefined;
+        }
+        catch (error) {
+            this.settings.onError?.(error);
+            refuseAfterError(writer, error, Executed.No);
+            return;
+        }
         if (page !== undefined) {
-            response.writeHead(page.status, { "content-type": page.contentType });
-            response.end(page.body);
+            writer.writeComplete(page, Buffer.from(page.body));
             return;
         }
-        await this.handleCall(request, response, { path, query: search === undefined ? "" : `?${search}` });
+        await this.handleCall(request, response, writer, { path, query: search === undefined ? "" : `?${search}` });
     }
 
-    private async handleCall(request: IncomingMessage, response: ServerResponse, target: CallTarget): Promise<void> {
-        const writer = new HttpAnswerWriter(response, () => this.isClosing);
+    /** Refuses a message that is no call, after the calls before it on its connection have been answered. */
+    private handleMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+        const connection = this.connectionBySocket.get(socket);
+        if (connection === undefined || !socket.writable || error.code === CONNECTION_RESET) {
+            refuseMalformed(error, socket);
+            return;
+        }
+        connection.afterAnswers(() => refuseMalformed(error, socket));
+    }
+
+    private async handleCall(
+        request: IncomingMessage,
+        response: ServerResponse,
+        writer: HttpAnswerWriter,
+        target: CallTarget,
+    ): Promise<void> {
         const abortController = new AbortController();
         response.on("close", () => {
             if (!response.writableFinished) {
@@ -263,8 +305,13 @@
     }
 }
 
+function refuseAfterError(writer: HttpAnswerWriter, error: unknown, executed: Executed): void {
+    const text = error instanceof Error ? error.message : String(error);
+    writer.refuse(new Refusal(RefusalType.BackendFailed, `The node failed: ${text}.`, { executed }));
+}
+
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === "ECONNRESET") {
+    if (!socket.writable || error.code === CONNECTION_RESET) {
         socket.destroy();
         return;
     }
