--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -103,6 +103,13 @@
             | bytes that are no call                               | 400         | 300      |
             | half of a head                                       | 408         | 300      |
             | an unsafe call, half of a head                       | 200 408     | 4000     |
+            | an unsafe call that closes, an unsafe call           | 200         | 300      |
+            | an unsafe call, a call that asks for an upgrade      | 200 200     | 300      |
+
+    Scenario: all pipelined calls of a caller that disconnects are cancelled at their servers
+        Given a relay in whose service "unsafe" calls take 3000 ms
+        When a caller of 3 pipelined "unsafe" calls disconnects after 300 ms
+        Then the servers' 3 connections end within 500 ms
 
     Scenario: answers that their caller reads slowly are complete although the node is drained
         Given a relay in whose service "unsafe" calls take 5 ms
--- a/features/steps/relay_stop_steps.ts
+++ b/features/steps/relay_stop_steps.ts
@@ -333,6 +333,25 @@
     },
 );
 
+When(
+    "a caller of {int} pipelined {string} calls disconnects after {int} ms",
+    async function(this: StopScenario, count: number, kind: string, delayMs: number) {
+        const caller = await openCaller(this);
+        caller.write(formatCalls(`${count} ${kind} calls`));
+        await pause(delayMs);
+        assert.equal(this.stopEngines.reduce((sum, engine) => sum + engine.receivedCalls.length, 0), count);
+        caller.close();
+    },
+);
+
+Then(
+    "the servers' {int} connections end within {int} ms",
+    async function(this: StopScenario, count: number, limitMs: number) {
+        const countEnded = () => this.stopEngines.reduce((sum, engine) => sum + engine.abandonedCalls, 0);
+        await waitFor("the connections end", () => countEnded() === count, limitMs);
+    },
+);
+
 When(
     "the node is drained while {int} connections are idle",
     { timeout: STEP_TIMEOUT_MS },
@@ -414,6 +433,12 @@
         case "a call with a malformed body":
             return formatCall(id, path, "", ["Transfer-Encoding: chunked"]).replace(/Content-Length: .*\r\n/, "") +
                 "no chunk\r\n";
+        case "an unsafe call that closes":
+            return formatCall(id, path, "body", ["Connection: close"]);
+        case "a call that asks for a tunnel":
+            return formatCall(id, "app.example:80", "").replace("POST", "CONNECT");
+        case "a call that asks for an upgrade":
+            return formatCall(id, path, "body", ["Connection: Upgrade", "Upgrade: other"]);
         case "bytes that are no call":
             return "no call\r\n\r\n";
         case "half of a head":
