Answer the calls in front of one that asks for a tunnel

Callers saw: a CONNECT behind a call at a server closed the connection, and the call got no answer.

Cause: the HTTP library hands the socket over and destroys it, as nothing handles tunnels.

Change: the caller server refuses the CONNECT with 400 after the answers to earlier calls.

Evidence: the case in relay_stop.feature failed before (no answer at all) and passes.

--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -104,6 +104,7 @@
             | half of a head                                       | 408         | 300      |
             | an unsafe call, half of a head                       | 200 408     | 4000     |
             | an unsafe call that closes, an unsafe call           | 200         | 300      |
+            | an unsafe call, a call that asks for a tunnel        | 200 400     | 300      |
             | an unsafe call, a call that asks for an upgrade      | 200 200     | 300      |
 
     Scenario: all pipelined calls of a caller that disconnects are cancelled at their servers
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -102,6 +102,7 @@
         this.server.on("connection", socket => this.handleConnection(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => this.handleUnreadable(error, socket as Socket));
+        this.server.on("connect", (request, socket) => this.handleTunnel(socket as Socket));
         this.setLimits(INITIAL_LIMITS);
     }
 
@@ -205,6 +206,13 @@
         connection.refuseUnreadable(STATUS_BY_ERROR_CODE.get(error.code ?? "") ?? INVALID_STATUS, this.isDraining);
     }
 
+    /** Refuses a tunnel (RFC 9110, section 9.3.6), for which the HTTP library hands over the socket. */
+    private handleTunnel(socket: Socket): void {
+        socket.resume();
+        socket.on("end", () => socket.destroy());
+        this.connections.get(socket)?.refuseUnreadable(INVALID_STATUS, this.isDraining);
+    }
+
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const connection = this.connections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
