--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -65,7 +65,7 @@
 const DRAIN_RESERVE_MS = 600;
 
 /** Time that is left to write the final answers of calls that are open at the end of a drain, in milliseconds. */
-const FINAL_ANSWERS_MS = 300;
+const FINAL_ANSWERS_MS = 200;
 
 /** Interval at which a draining node checks the number of open calls, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 50;
