--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -52,10 +52,21 @@
             | stream | hangs                   | status 502         |
             | stream | stops within its stream | an aborted stream  |
 
-    Scenario: a call that was handed to a node which stops gets a truthful answer at the end of the grace
-        Given two relay nodes of which the first reaches no server, and "unsafe" calls that take 5 ms
-        When the second node is drained while an "unsafe" call of the first one is at a server that hangs
-        Then its caller gets status 502 within 3000 ms
+    Scenario Outline: a call that one node has handed to another gets a truthful answer although one of them stops
+        Given two relay nodes of which the first reaches no server, and "<kind>" calls that take 5 ms
+        When the <node> node is drained while a "<kind>" call of the first one is at a server that <fault>
+        Then its caller gets <answer> within 3000 ms
+
+        Examples:
+            | kind   | node   | fault                   | answer            |
+            | safe   | first  | hangs                   | status 502        |
+            | unsafe | first  | hangs                   | status 502        |
+            | stream | first  | hangs                   | status 502        |
+            | stream | first  | stops within its stream | an aborted stream |
+            | safe   | second | hangs                   | status 502        |
+            | unsafe | second | hangs                   | status 502        |
+            | stream | second | hangs                   | status 502        |
+            | stream | second | stops within its stream | an aborted stream |
 
     Scenario Outline: pipelined calls are not cut behind the first answer of a draining node
         Given a relay in whose service "<kind>" calls take 300 ms
--- a/features/steps/relay_stop_steps.ts
+++ b/features/steps/relay_stop_steps.ts
@@ -261,11 +261,11 @@
 );
 
 When(
-    /^the second node is drained while an "(\w+)" call of the first one is at a server that (.*)$/,
+    /^the (first|second) node is drained while a "(\w+)" call of the first one is at a server that (.*)$/,
     { timeout: STEP_TIMEOUT_MS },
-    async function(this: StopScenario, kind: string, fault: string) {
+    async function(this: StopScenario, which: string, kind: string, fault: string) {
         assert(this.peerRelay !== undefined);
-        await drainWithOpenCall(this, this.peerRelay, kind, fault);
+        await drainWithOpenCall(this, which === "first" ? this.stopRelay : this.peerRelay, kind, fault);
     },
 );
 
