--- a/features/relay_stop.feature
+++ b/features/relay_stop.feature
@@ -52,10 +52,21 @@
             | stream | hangs                   | status 502         |
             | stream | stops within its stream | an aborted stream  |
 
-    Scenario: a call that was handed to a node which stops gets a truthful answer at the end of the grace
-        Given two relay nodes of which the first reaches no server, and "unsafe" calls that take 5 ms
-        When the second node is drained while an "unsafe" call of the first one is at a server that hangs
-        Then its caller gets status 502 within 3000 ms
+    Scenario Outline: a call that one node has handed to another gets a truthful answer although one of them stops
+        Given two relay nodes of which the first reaches no server, and "<kind>" calls that take 5 ms
+        When the <node> node is drained while a "<kind>" call of the first one is at a server that <fault>
+        Then its caller gets <answer> within 3000 ms
+
+        Examples:
+            | kind   | node   | fault                   | answer            |
+            | safe   | first  | hangs                   | status 502        |
+            | unsafe | first  | hangs                   | status 502        |
+            | stream | first  | hangs                   | status 502        |
+            | stream | first  | stops within its stream | an aborted stream |
+            | safe   | second | hangs                   | status 502        |
+            | unsafe | second | hangs                   | status 502        |
+            | stream | second | hangs                   | status 502        |
+            | stream | second | stops within its stream | an aborted stream |
 
     Scenario Outline: pipelined calls are not cut behind the first answer of a draining node
         Given a relay in whose service "<kind>" calls take 300 ms
@@ -103,6 +114,14 @@
             | bytes that are no call                               | 400         | 300      |
             | half of a head                                       | 408         | 300      |
             | an unsafe call, half of a head                       | 200 408     | 4000     |
+            | an unsafe call that closes, an unsafe call           | 200         | 300      |
+            | an unsafe call, a call that asks for a tunnel        | 200 400     | 300      |
+            | an unsafe call, a call that asks for an upgrade      | 200 200     | 300      |
+
+    Scenario: all pipelined calls of a caller that disconnects are cancelled at their servers
+        Given a relay in whose service "unsafe" calls take 3000 ms
+        When a caller of 3 pipelined "unsafe" calls disconnects after 300 ms
+        Then the servers' 3 connections end within 500 ms
 
     Scenario: answers that their caller reads slowly are complete although the node is drained
         Given a relay in whose service "unsafe" calls take 5 ms
