--- a/features/local_fleet.feature
+++ b/features/local_fleet.feature
@@ -23,6 +23,20 @@
         And the first daemon receives SIGTERM
         Then the first daemon exits with 3
 
+    Scenario: a call that is pending when the drain ends is told that it may have run
+        Given all engines hang
+        And a call is pending at the first daemon
+        When the first daemon receives SIGTERM
+        And the first daemon receives SIGTERM
+        Then the pending call gets status 502 with executed "unknown"
+        And the first daemon exits with 3
+
+    Scenario: SIGHUP does not end a daemon
+        Given the first daemon has started to stream an answer
+        When the first daemon receives SIGHUP
+        Then the streamed answer is complete
+        And the first daemon still accepts a call
+
     Scenario: the exit code of the command line tells the kind of failure
         Then each command exits with its code and prints its text
             | command                            | code | text                      |
--- a/features/steps/local_fleet_steps.ts
+++ b/features/steps/local_fleet_steps.ts
@@ -38,6 +38,8 @@
 class FleetFixture {
     sampleResults: readonly SampleResult[] = [];
     streamedAnswer: Dispatcher.ResponseData | undefined;
+    /** Status and text of the answer to the pending call; `undefined` if its connection was closed without one. */
+    pendingAnswer: Promise<{ readonly status: number; readonly text: string } | undefined> = Promise.resolve(undefined);
     daemonExit: Promise<number | undefined> | undefined;
 
     constructor(readonly fleet: LocalFleet, readonly deployment: Deployment) {}
@@ -99,8 +101,10 @@
 
 Given("a call is pending at the first daemon", async function(this: Scenario) {
     const fixture = fixtureOf(this);
-    // The call fails when the daemon exits without an answer and closes the connection.
-    fixture.sendLongCall().catch(() => undefined);
+    fixture.pendingAnswer = fixture.sendLongCall().then(
+        async ({ statusCode, body }) => ({ status: statusCode, text: await body.text() }),
+        () => undefined,
+    );
     for (let active = 0; active === 0;) {
         const response = await request(`http://${fixture.daemon.callerAddress}/metrics`);
         const text = await response.body.text();
@@ -118,6 +122,25 @@
     fixture.daemonExit = fixture.daemon.process.terminate("SIGTERM");
 });
 
+When("the first daemon receives SIGHUP", function(this: Scenario) {
+    fixtureOf(this).daemon.process.signal("SIGHUP");
+});
+
+Then(
+    "the pending call gets status {int} with executed {string}",
+    async function(this: Scenario, status: number, executed: string) {
+        const answer = await fixtureOf(this).pendingAnswer;
+        assert.equal(answer?.status, status);
+        assert.equal((JSON.parse(answer.text) as { readonly executed: string }).executed, executed);
+    },
+);
+
+Then("the first daemon still accepts a call", async function(this: Scenario) {
+    const ready = await request(`http://${fixtureOf(this).daemon.callerAddress}/readyz`);
+    await ready.body.dump();
+    assert.equal(ready.statusCode, 200);
+});
+
 Then("every sample call gets a complete answer", function(this: Scenario) {
     const { sampleResults } = fixtureOf(this);
     assert.ok(sampleResults.length > 0);
