Tell callers whether their calls may have run when a daemon's drain ends

Callers saw closed connections: when a drain reached its limit or a second signal ended it early, all calls in progress were cut without an answer; SIGHUP took its default action and ended the process with all calls; a SIGTERM during the start did too.

Change: at the end of a drain, each call in progress gets a refusal that tells whether it may have run, and a body that ends later is refused as not run. Signals are handled from before the ports open; SIGHUP does nothing.

The early SIGTERM has no test.

--- a/src/coordination/_call_scope.ts
+++ b/src/coordination/_call_scope.ts
@@ -4,9 +4,12 @@
  * @module
  */
 
-import { type AcceptedCall, CALL_ENDED, DEADLINE_PASSED, Executed, Refusal, RefusalType } from "../protocol/mod.js";
+import { type AcceptedCall, CALL_ENDED, DEADLINE_PASSED, Executed, NODE_STOPPED, Refusal, RefusalType } from "../protocol/mod.js";
 import type { Clock } from "../state/mod.js";
 
+/** Retry-after time sent to callers of a node that stops, in milliseconds. It is short because another node takes the call. */
+const RETRY_AFTER_STOP_MS = 1_000;
+
 /** Enforces the deadline of one call and tracks whether the call may have been executed. */
 export class CallScope {
     /** Aborted at the deadline, when the caller disconnects, or when the scope is closed. */
@@ -39,6 +42,13 @@
             const detail = `The answer was not whole within ${this.call.operation.promise.answerMs} ms.`;
             return new Refusal(RefusalType.DeadlinePassed, detail, { executed: this.executed });
         }
+        if (this.signal.reason === NODE_STOPPED) {
+            const type = this.executed === Executed.No ? RefusalType.NotReady : RefusalType.BackendFailed;
+            return new Refusal(type, "The node stopped before the answer was whole.", {
+                executed: this.executed,
+                retryAfterMs: RETRY_AFTER_STOP_MS,
+            });
+        }
         return new Refusal(RefusalType.CallerGone, "The caller went away.", { executed: this.executed });
     }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -59,6 +59,9 @@
 /** Interval at which a draining daemon checks the number of active calls, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 20;
 
+/** Maximum time that a stopping daemon waits until the calls in progress are refused, in milliseconds. */
+const REFUSAL_TIMEOUT_MS = 500;
+
 /** Dependencies of a {@linkcode Daemon}. */
 export interface DaemonDependencies {
     readonly settings: Settings;
@@ -171,12 +174,23 @@
             await clock.sleep(DRAIN_POLL_INTERVAL_MS, signal);
         }
         const activeCalls = this.node.handler.active;
+        await this.endCalls();
         await this.membership.leave();
         this.recordEvent("stopped", `Node ${settings.node} stops with ${activeCalls} active calls.`);
         await this.stop();
         return activeCalls;
     }
 
+    /** Refuses the calls in progress, and waits for {@linkcode REFUSAL_TIMEOUT_MS} at most until the refusals are written. */
+    private async endCalls(): Promise<void> {
+        const { clock } = this.dependencies;
+        const deadlineMs = clock.now() + REFUSAL_TIMEOUT_MS;
+        this.httpServer.endCalls();
+        while (this.node.handler.active > 0 && clock.now() < deadlineMs) {
+            await clock.sleep(DRAIN_POLL_INTERVAL_MS, this.stopped.signal);
+        }
+    }
+
     private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
         const { node, membership, dissemination } = this;
         const authorizer = new PeerAuthorizer(this.certificates !== undefined);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -44,8 +44,10 @@
             const clock = new SystemClock();
             const random = new SeededRandom(process.pid ^ Math.floor(clock.now()));
             const daemon = new Daemon({ settings, clock, random, logger });
+            const stop = new StopSignals();
             await daemon.start();
-            return await runUntilSignal(daemon);
+            await stop.first;
+            return await daemon.drain(stop.second) > 0 ? EXIT_DRAIN_INCOMPLETE : 0;
         }
         catch (error) {
             if (!(error instanceof SettingsError || error instanceof CertificateError)) {
@@ -57,23 +59,31 @@
     }
 }
 
-/** Waits for SIGTERM or SIGINT, then drains; a second signal ends the drain early. Returns the exit code. */
-async function runUntilSignal(daemon: Daemon): Promise<number> {
-    const drainAbort = new AbortController();
-    await new Promise<void>(resolve => {
-        let signals = 0;
-        const onSignal = () => {
-            signals += 1;
-            if (signals > 1) {
-                drainAbort.abort();
-            }
-            resolve();
-        };
-        process.on("SIGTERM", onSignal);
-        process.on("SIGINT", onSignal);
-    });
-    const activeCalls = await daemon.drain(drainAbort.signal);
-    return activeCalls > 0 ? EXIT_DRAIN_INCOMPLETE : 0;
+/** Receives SIGTERM and SIGINT from the start on: the first one begins the drain, and a second one ends it early. */
+class StopSignals {
+    /** Resolves with the first signal. */
+    readonly first: Promise<void>;
+    /** Aborted with the second signal. */
+    readonly second: AbortSignal;
+
+    constructor() {
+        const secondAbort = new AbortController();
+        this.second = secondAbort.signal;
+        this.first = new Promise(resolve => {
+            let signals = 0;
+            const onSignal = () => {
+                signals += 1;
+                if (signals > 1) {
+                    secondAbort.abort();
+                }
+                resolve();
+            };
+            process.on("SIGTERM", onSignal);
+            process.on("SIGINT", onSignal);
+        });
+        // Settings are read at the start only; by default, the signal ends the process.
+        process.on("SIGHUP", () => undefined);
+    }
 }
 
 const cli = new Cli({ binaryName: "foxtailraild", binaryLabel: "foxtailrail daemon" });
--- a/src/protocol/call.ts
+++ b/src/protocol/call.ts
@@ -15,6 +15,9 @@
 /** Abort reason of a call whose deadline has passed. */
 export const DEADLINE_PASSED = new Error("the deadline has passed");
 
+/** Abort reason of a call that is still in progress when its node stops. */
+export const NODE_STOPPED = new Error("the node stopped");
+
 /** Abort reason of a call that was answered or refused. */
 export const CALL_ENDED = new Error("the call has ended");
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -6,7 +6,15 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { CALLER_GONE, type CallHandler, Executed, type IncomingCall, Refusal, RefusalType } from "../protocol/mod.js";
+import {
+    CALLER_GONE,
+    type CallHandler,
+    Executed,
+    type IncomingCall,
+    NODE_STOPPED,
+    Refusal,
+    RefusalType,
+} from "../protocol/mod.js";
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 
@@ -34,6 +42,9 @@
 /** Interval at which connections are checked for callers that are too slow, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
+/** Retry-after time sent to callers of a node that has stopped, in milliseconds. */
+const STOPPED_RETRY_AFTER_MS = 1_000;
+
 /** Error code of a connection that its peer reset. */
 const CONNECTION_RESET = "ECONNRESET";
 
@@ -86,6 +97,9 @@
     private heldBodyBytes = 0;
     private callCount = 0;
     private isClosing = false;
+    private isStopped = false;
+    /** Aborts the calls that the handler serves. */
+    private readonly callAborts = new Set<AbortController>();
 
     /** @param settings See {@linkcode HttpServerSettings}. */
     constructor(private readonly settings: HttpServerSettings) {
@@ -130,6 +144,14 @@
         this.server.closeIdleConnections();
     }
 
+    /** Ends the calls in progress, each with a refusal, and refuses calls whose bodies end later. */
+    endCalls(): void {
+        this.isStopped = true;
+        for (const abort of this.callAborts) {
+            abort.abort(NODE_STOPPED);
+        }
+    }
+
     /** Closes all connections immediately, including those with a call in progress. */
     close(): void {
         this.stopAccepting();
@@ -206,11 +228,18 @@
             writer.refuse(error instanceof Refusal ? error : new Refusal(RefusalType.CallerGone, "The caller went away."));
             return;
         }
+        if (this.isStopped) {
+            this.heldBodyBytes -= body.length;
+            writer.refuse(new Refusal(RefusalType.NotReady, "The node has stopped.", { retryAfterMs: STOPPED_RETRY_AFTER_MS }));
+            return;
+        }
         this.callCount += 1;
+        this.callAborts.add(abortController);
         try {
             await this.settings.handler.handle(this.toCall(request, { ...target, body, abortController }), writer);
         }
         finally {
+            this.callAborts.delete(abortController);
             this.heldBodyBytes -= body.length;
         }
     }
