--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -34,3 +34,13 @@
             | 1     |
             | 2     |
             | 5     |
+
+    Scenario Outline: an HTTP/1.0 answer of <node> that is broken off does not look complete
+        Given <node> that breaks off an answer without a length
+        When a connection sends a call of HTTP/1.0
+        Then the connection is reset
+
+        Examples:
+            | node                                  |
+            | an HTTP server of an entry VM         |
+            | an HTTP server of a relay node        |
--- a/features/steps/caller_connection_steps.ts
+++ b/features/steps/caller_connection_steps.ts
@@ -7,16 +7,18 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { type AnswerWriter, CallHandler, type IncomingCall } from "../../src/protocol/mod.js";
 import { HttpServer } from "../../src/transport/mod.js";
+import { HttpRelayAnswer } from "../../src/transport/relay/http_relay_answer.js";
 import { waitFor } from "../support/relay_fixture.js";
 import type { Scenario } from "../support/world.js";
 
 /** Time after which a call has been read by the server, in milliseconds. */
 const READ_MS = 40;
 
-/** Handler that answers each call with its path after a time, and fails for the path "/fails". */
+/** Handler that answers each call with its path after a time, fails for the path "/fails", and breaks off its answer for the path "/breaks". */
 class EchoHandler extends CallHandler {
     constructor(private readonly processingMs: number) {
         super();
@@ -26,6 +28,13 @@
         if (call.path === "/fails") {
             throw new Error("a fault inside the node");
         }
+        if (call.path === "/breaks") {
+            writer.writeHead({ status: 200, contentType: "text/plain" });
+            await writer.write(Buffer.from("part"));
+            await new Promise(resolve => setTimeout(resolve, READ_MS));
+            writer.abort();
+            return;
+        }
         await new Promise(resolve => setTimeout(resolve, this.processingMs));
         writer.writeComplete({ status: 200, contentType: "text/plain" }, Buffer.from(`answer to ${call.path}\n`));
     }
@@ -38,10 +47,14 @@
     callerSockets: Socket[];
     received: string;
     isClosed: boolean;
+    socketErrorCode: string | undefined;
+    relayServer: Server | undefined;
 }
 
 After(function(this: ConnectionScenario) {
     this.callerServer?.close();
+    this.relayServer?.close();
+    this.relayServer?.closeAllConnections();
     for (const socket of this.callerSockets ?? []) {
         socket.destroy();
     }
@@ -65,7 +78,9 @@
     socket.on("data", data => {
         scenario.received += data.toString("latin1");
     });
-    socket.on("error", () => socket.destroy());
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+        scenario.socketErrorCode = error.code;
+    });
     socket.on("close", () => {
         scenario.isClosed = true;
     });
@@ -89,6 +104,34 @@
     await startServer(this, processingMs);
 });
 
+Given("an HTTP server of an entry VM that breaks off an answer without a length", async function(this: ConnectionScenario) {
+    await startServer(this, 1);
+});
+
+Given("an HTTP server of a relay node that breaks off an answer without a length", async function(this: ConnectionScenario) {
+    this.callerSockets = [];
+    this.relayServer = createServer((request, response) => {
+        const answer = new HttpRelayAnswer(response, () => false);
+        request.resume();
+        answer.start(200, ["content-type", "text/event-stream"]);
+        void answer.write(Buffer.from("part"));
+        setTimeout(() => answer.abort(), READ_MS);
+    });
+    this.relayServer.listen(0, "127.0.0.1");
+    await once(this.relayServer, "listening");
+    this.callerPort = (this.relayServer.address() as AddressInfo).port;
+});
+
+When(/^a connection sends a call of HTTP\/1\.0$/, async function(this: ConnectionScenario) {
+    await sendBytes(this, "POST /breaks HTTP/1.0\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody");
+    await waitFor("the connection is closed", () => this.isClosed);
+});
+
+Then("the connection is reset", function(this: ConnectionScenario) {
+    assert.match(this.received, /part$/);
+    assert.equal(this.socketErrorCode, "ECONNRESET");
+});
+
 When(/^a connection sends "((?:GET|POST) [^"]+)"$/, async function(this: ConnectionScenario, line: string) {
     const [head, body] = line.startsWith("POST") ? ["content-length: 4\r\n", "body"] : ["", ""];
     await sendBytes(this, `${line} HTTP/1.1\r\nhost: x\r\n${head}\r\n${body}`);
