Reset the connection of an HTTP/1.0 answer that is broken off

Callers over HTTP/1.0 took a stream that was broken off for complete: such an answer has no length and no chunks, and its connection was closed regularly.

Change: both nodes reset the connection of an answer that has begun without chunks.

--- a/src/transport/_http_answer_writer.ts
+++ b/src/transport/_http_answer_writer.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from "node:http";
 import { type AnswerHead, AnswerWriter } from "../protocol/mod.js";
+import { breakOff } from "./broken_answer.js";
 
 /** Writes an answer to an HTTP response. Chunks written in the same turn of the event loop are sent in one write. */
 export class HttpAnswerWriter extends AnswerWriter {
@@ -55,7 +56,7 @@
 
     override abort(): void {
         this.pendingChunks = [];
-        this.response.destroy();
+        breakOff(this.response);
     }
 
     private flush(): void {
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from "node:http";
 import { type HeaderList, type LocalAnswer, RelayAnswer } from "../../protocol/relay/mod.js";
+import { breakOff } from "../broken_answer.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -67,7 +68,7 @@
     }
 
     override abort(): void {
-        this.response.destroy();
+        breakOff(this.response);
     }
 
     override sendLocal({ status, text, retryAfterMs }: LocalAnswer): void {
