Survive giving up an answer that has no length

Giving up an answer that ends with its connection (its caller left, its deadline passed, another call's id, too long, or a peer took it over) ended the process, and with it every call of the node: the HTTP library takes the close without an error for the end of the answer, and asserts that it was not aborted, in a handler of the socket (AssertionError at Request.onComplete, from onHttpSocketClose, not caught by anything).

Such an answer is now given up by aborting it, which closes the connection with an error; the reset stays for all others, whose request a partition may hold up. A transfer coding other than chunked delimits no body either and is treated alike.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -19,6 +19,9 @@
 /** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
 const RESET_PROBE = "\r\n";
 
+/** Matches transfer codings that delimit the body; RFC 9112, section 6.3, lets it end with the connection after others. */
+const CHUNKED = /\bchunked\s*$/i;
+
 /** Receives the socket of the request that is being written, which undici publishes in its next diagnostics message. */
 let onRequestSocket: ((socket: Socket) => void) | undefined;
 
@@ -134,8 +137,11 @@
     cancel(reason: Error): void {
         if (!this.ended && this.error === undefined) {
             this.fail(reason);
-            // After a graceful close, the kernel goes on retransmitting a request that a partition holds up.
-            this.socket?.resetAndDestroy();
+            if (!this.isCloseDelimited) {
+                // After a graceful close, the kernel goes on retransmitting a request that a partition holds up.
+                this.socket?.resetAndDestroy();
+            }
+            // undici takes a close without an error for the end of an answer without a length, and throws as the answer was aborted.
             this.controller?.abort(reason);
         }
     }
@@ -166,7 +172,7 @@
         this.status = status;
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
-        if (headers["content-length"] === undefined && headers["transfer-encoding"] === undefined) {
+        if (headers["content-length"] === undefined && !CHUNKED.test(String(headers["transfer-encoding"]))) {
             this.probeForReset();
         }
         this.wakeReader();
