Check that a peer's answer belongs to the call handed to it

A node took whatever answer came on a kept connection to a peer for that of its call, so that a late copy of an earlier answer reached another caller, or a late refusal told it that its call had not run. A backend server's answer that a peer passes on states its call's id already, which is now checked. Answers that a peer itself generates stated none: nodes now send the id in a header of their own, foxtailrail-call, and repeat it in every answer. Older nodes ignore it and send none; their answers are then checked by the server's id alone. Callers do not get the header.

--- a/features/steps/relay_detour_port_steps.ts
+++ b/features/steps/relay_detour_port_steps.ts
@@ -10,7 +10,7 @@
 import { EngineBehaviour, EngineServer, formatEvent, PLAIN_BODY } from "../../platform/standin/engine_server.js";
 import type { StoreServer } from "../../platform/standin/store_server.js";
 import { DetourCall } from "../../src/protocol/relay/mod.js";
-import { DETOUR_PATH } from "../../src/transport/relay/mod.js";
+import { DETOUR_CALL_HEADER, DETOUR_PATH } from "../../src/transport/relay/mod.js";
 import { type CallerAnswer, PATH_BY_CALL_KIND, RelayFixture, waitFor } from "../support/relay_fixture.js";
 import { StoppedListener } from "../support/stopped_listener.js";
 import type { Scenario } from "../support/world.js";
@@ -94,8 +94,9 @@
 
 Then("each of them gets the complete answer of a server", function(this: PortScenario) {
     const events = Array.from({ length: STREAM_EVENTS }, (unused, index) => formatEvent(index + 1)).join("");
-    for (const { status, body, isComplete } of this.portAnswers) {
+    for (const { status, headers, body, isComplete } of this.portAnswers) {
         assert.equal(status, 200);
+        assert.equal(headers[DETOUR_CALL_HEADER], undefined);
         assert.equal(body, this.engines[0]?.isStream === true ? events : PLAIN_BODY);
         assert(isComplete);
     }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -11,6 +11,9 @@
 /** Path of the calls. */
 export const DETOUR_PATH = "/calls";
 
+/** Header with the id of the call, which the answer states as well. */
+export const DETOUR_CALL_HEADER = "foxtailrail-call";
+
 /** Largest message, in bytes; callers' bodies are limited by the configuration, which is stricter. */
 const MAX_MESSAGE_BYTES = 16_777_216;
 
@@ -79,7 +82,9 @@
     }
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-        const answer = new HttpRelayAnswer(response, () => this.isStopped);
+        const callId = request.headers[DETOUR_CALL_HEADER];
+        const nodeHeaders = typeof callId === "string" ? [DETOUR_CALL_HEADER, callId] : [];
+        const answer = new HttpRelayAnswer(response, () => this.isStopped, nodeHeaders);
         const sender = request.socket.remoteAddress ?? "";
         if (!this.settings.isNode(sender)) {
             this.reject(request, answer, {
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -22,8 +22,10 @@
 export interface AnswerContext {
     /** Backend server, or peer, that was addressed. */
     readonly receiver: string;
-    /** Id that the answer must state; `undefined` if it need not state one. */
+    /** Id of the call, which the answer must state; `undefined` if none can be checked. */
     readonly callId: string | undefined;
+    /** Header of nodes in which an answer may state the id as well; an answer may then state none, as those of older nodes. */
+    readonly nodeHeader?: string;
     readonly headers: RelayHeaders;
     readonly signal: AbortSignal;
 }
@@ -45,14 +47,32 @@
         catch (cause) {
             throw this.toError("read the head", cause);
         }
-        const head = this.context.headers.readAnswer(this.exchange.status, toHeaderList(this.exchange.headers));
-        if (this.context.callId !== undefined && head.callId !== this.context.callId) {
+        const { [this.context.nodeHeader ?? ""]: nodeId, ...headers } = this.exchange.headers;
+        const head = this.context.headers.readAnswer(this.exchange.status, toHeaderList(headers));
+        if (!this.isAnswerOfCall(head.callId, nodeId)) {
             this.cancel();
-            throw this.toError("read the head", new Error(`the answer belongs to call ${head.callId ?? "unknown"}`));
+            throw this.toError("read the head", new Error(`the answer belongs to call ${nodeId ?? head.callId ?? "unknown"}`));
         }
         return head;
     }
 
+    /**
+     * Whether an answer belongs to the call: a late one may arrive on a connection that is in use again.
+     *
+     * @param statedId Id that the answer states.
+     * @param nodeId Id that it states in the header of nodes.
+     */
+    private isAnswerOfCall(statedId: string | undefined, nodeId: string | string[] | undefined): boolean {
+        const { callId, nodeHeader } = this.context;
+        if (callId === undefined) {
+            return true;
+        }
+        if (nodeHeader === undefined) {
+            return statedId === callId;
+        }
+        return (statedId ?? callId) === callId && (nodeId ?? callId) === callId;
+    }
+
     override async next(): Promise<Buffer | undefined> {
         try {
             return await this.exchange.next();
--- a/src/transport/relay/http_detour_client.ts
+++ b/src/transport/relay/http_detour_client.ts
@@ -7,7 +7,7 @@
 import { type AttemptAnswer, DetourCall, DetourClient, type DetourPeer, type RelayHeaders } from "../../protocol/relay/mod.js";
 import type { HttpClient } from "../http_client.js";
 import { HttpExchange } from "../http_exchange.js";
-import { DETOUR_PATH } from "./detour_server.js";
+import { DETOUR_CALL_HEADER, DETOUR_PATH } from "./detour_server.js";
 import { HttpAttemptAnswer } from "./http_attempt_answer.js";
 
 /** Sends calls as messages to the {@linkcode DetourServer} of a peer. */
@@ -21,13 +21,24 @@
     }
 
     override send(peer: DetourPeer, call: DetourCall, signal: AbortSignal, maySend: () => boolean): AttemptAnswer {
+        const head = this.headers.readCall(call.headers);
+        const callId = typeof head === "string" ? undefined : head.id;
         const exchange = new HttpExchange(this.client.pool(peer.address), {
             method: "POST",
             path: DETOUR_PATH,
-            headers: { "content-type": "application/x-protobuf" },
+            headers: {
+                "content-type": "application/x-protobuf",
+                ...callId === undefined ? {} : { [DETOUR_CALL_HEADER]: callId },
+            },
             body: Buffer.from(DetourCall.encode(call).finish()),
             mayWrite: maySend,
         }, signal);
-        return new HttpAttemptAnswer(exchange, { receiver: peer.node, callId: undefined, headers: this.headers, signal });
+        return new HttpAttemptAnswer(exchange, {
+            receiver: peer.node,
+            callId,
+            nodeHeader: DETOUR_CALL_HEADER,
+            headers: this.headers,
+            signal,
+        });
     }
 }
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -17,8 +17,13 @@
     /**
      * @param response Response of the HTTP server.
      * @param isDraining Returns whether the node is draining, so that connections are closed after their current answer.
+     * @param nodeHeaders Headers that every answer has, besides those of its server.
      */
-    constructor(private readonly response: ServerResponse, private readonly isDraining: () => boolean) {
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly isDraining: () => boolean,
+        private readonly nodeHeaders: readonly string[] = [],
+    ) {
         super();
         response.sendDate = false;
     }
@@ -81,6 +86,7 @@
     }
 
     private writeHead(status: number, headers: string[]): void {
+        headers.push(...this.nodeHeaders);
         if (this.mustClose || this.isDraining()) {
             headers.push("connection", "close");
             this.hasClosingHead = true;
