Test that slow streams are not cut and stalled ones end at their limit

A stream with an event each 100 or 800 ms is complete; one that lasts longer than its route's timeout or its caller's deadline, or that sends nothing, ends exactly at the earlier of the two, at the server as well, with and without a peer. All 10 examples passed at once: no fault found.

--- a/features/relay_silence.feature
+++ b/features/relay_silence.feature
@@ -125,3 +125,22 @@
             | begun resumable stream | answers late | 1200  |
             | begun resumable stream | takes calls  | 1200  |
             | begun resumable stream | takes calls  | 500   |
+
+    Scenario Outline: a <kind> with an event each <event> ms ends <end> after <after> ms, with a timeout of <timeout> ms
+        Given a node whose servers fall silent while a "<kind>" call is under way at each
+        When they send an event each <event> ms instead, on a route with a timeout of <timeout> ms, and a peer <behavior>
+        Then each call ends <end>, and no later than its deadline
+        And each call has ended after <after> ms
+
+        Examples:
+            | kind             | event | timeout | behavior       | end        | after |
+            | stream           | 100   | 5000    | is there       | complete   | 600   |
+            | stream           | 800   | 5000    | is there       | complete   | 4800  |
+            | stream           | 800   | 5000    | takes calls    | complete   | 4800  |
+            | resumable stream | 800   | 5000    | is there       | complete   | 4800  |
+            | resumable stream | 800   | 5000    | declines calls | complete   | 4800  |
+            | stream           | 800   | 3000    | takes calls    | broken off | 3000  |
+            | resumable stream | 800   | 3000    | declines calls | broken off | 3000  |
+            | stream           | 2500  | 9000    | is there       | broken off | 5000  |
+            | stream           | 60000 | 3000    | is there       | with 504   | 3000  |
+            | resumable stream | 60000 | 9000    | declines calls | with 504   | 5000  |
--- a/features/steps/relay_silence_steps.ts
+++ b/features/steps/relay_silence_steps.ts
@@ -84,6 +84,14 @@
     },
 );
 
+When(
+    /^they send an event each (\d+) ms instead, on a route with a timeout of (\d+) ms, and a peer (.*)$/,
+    async function(this: SilenceScenario, eventMs: string, timeoutMs: string, behavior: string) {
+        const changes = { peer: behavior as PeerBehavior, eventMs: Number(eventMs), timeoutMs: Number(timeoutMs) };
+        this.silencePlays = await playAll(this.silenceCall, changes, [0]);
+    },
+);
+
 /** Plays a kind of call with each number of servers and each silence. */
 async function playAll(
     call: SilenceCall,
@@ -160,6 +168,15 @@
     },
 );
 
+Then("each call has ended after {int} ms", function(this: SilenceScenario, durationMs: number) {
+    for (const { title, model } of this.silencePlays) {
+        for (const { endedAtMs } of model.callers.values()) {
+            assert.equal(endedAtMs - model.startedAtMs, durationMs, title);
+        }
+        assertNoWorkAfter([{ title, model }], durationMs);
+    }
+});
+
 Then("no server works on a call after its deadline", function(this: SilenceScenario) {
     assertNoWorkAfter(this.silencePlays, SCRIPTED_LIMIT_MS);
 });
--- a/features/support/silence_model.ts
+++ b/features/support/silence_model.ts
@@ -93,6 +93,10 @@
     readonly retries?: number;
     /** Most attempts of the route. Defaults to 2. */
     readonly maxAttempts?: number;
+    /** Time between events of a server, in milliseconds. Defaults to 100. */
+    readonly eventMs?: number;
+    /** Timeout of the route, in milliseconds. Defaults to the deadline of callers. */
+    readonly timeoutMs?: number;
     /** Whether the servers break their answers off at the end of the silence. Defaults to no. */
     readonly breaksOff?: boolean;
     /** Time after the calls at which the callers leave, in milliseconds. Defaults to never. */
@@ -184,7 +188,7 @@
             semantics: mayRepeat && !isStream ? Semantics.Repeatable : Semantics.DispatchOnce,
             isStream,
             isResumable: mayRepeat && isStream,
-            timeoutMs: SCRIPTED_LIMIT_MS,
+            timeoutMs: this.settings.timeoutMs ?? SCRIPTED_LIMIT_MS,
             objectiveMs: 500,
             maxPauseMs: 300,
             rank: 0,
@@ -203,7 +207,10 @@
         }
         const parts: ScriptedPart[] = [];
         for (let event = after + 1; event <= SCRIPTED_EVENTS; event += 1) {
-            parts.push({ atMs: this.delay(now + (event - after) * EVENT_MS), content: Buffer.from(formatScriptedEvent(event)) });
+            parts.push({
+                atMs: this.delay(now + (event - after) * (this.settings.eventMs ?? EVENT_MS)),
+                content: Buffer.from(formatScriptedEvent(event)),
+            });
         }
         return [...parts, { atMs: parts.at(-1)?.atMs ?? now, content: "end" }];
     }
