--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -17,8 +17,13 @@
     /**
      * @param response Response of the HTTP server.
      * @param closesConnection Called when the head is written: returns whether the connection closes after this answer.
+     * @param nodeHeaders Headers that every answer has, besides those of its server.
      */
-    constructor(private readonly response: ServerResponse, private readonly closesConnection: () => boolean) {
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly closesConnection: () => boolean,
+        private readonly nodeHeaders: readonly string[] = [],
+    ) {
         super();
         response.sendDate = false;
     }
@@ -93,6 +98,7 @@
     }
 
     private writeHead(status: number, headers: string[]): void {
+        headers.push(...this.nodeHeaders);
         if (this.mustClose || this.closesConnection()) {
             headers.push("connection", "close");
         }
