Ignore reports and addresses of peers that cannot be used

A datagram whose report names no port, port 99999 or nothing at all ended the process of each node that got it: the address went into the directory, sending to it threw, and an error of that task exits. A total that is no number or infinite made a workspace's quota unlimited or used up for good.

Reports are now checked when they are received: name, IPv4 address with a port, and figures that can be added up. Entries of the node directory have the same check of addresses. The socket's error for one receiver no longer keeps the report from the others, and a probe of an address that none can be opened to fails like one without a connection.

Two cases of the test are taken back: demands are whole numbers of 32 bits in the message, so that the test itself failed when it made them; they failed before for that reason only. A peer that states four billion waiting calls still leaves no slot to others until its report is 2.5 s old; it cannot be told from a true statement.

--- a/features/relay_odd_records.feature
+++ b/features/relay_odd_records.feature
@@ -136,8 +136,6 @@
             | totals that are infinite             |
             | totals that are as large as possible |
             | totals that are negative             |
-            | demands that are not numbers         |
-            | demands that are infinite            |
             | a start time that is not a number    |
             | infinite cores                       |
             | topic views that are not numbers     |
--- a/features/steps/relay_odd_record_steps.ts
+++ b/features/steps/relay_odd_record_steps.ts
@@ -163,7 +163,6 @@
 
 When(/^a peer sends a report with (.+)$/, async function(this: OddRecordScenario, flaw: string) {
     const keys = {
-        service: hashKey("service"),
         workspace: hashKey("clinic"),
         servers: this.oddRelay.engines.map(({ id }) => hashKey(id)),
     };
--- a/features/support/odd_records.ts
+++ b/features/support/odd_records.ts
@@ -209,7 +209,7 @@
     };
 }
 
-/** Change of a sound report; `key` is that of the caller's workspace or service. */
+/** Change of a sound report; `key` is that of the caller's workspace. */
 type ReportChange = (key: number, serverKeys: readonly number[]) => Partial<PeerReport>;
 
 /** Changes of a sound report, by flaw. */
@@ -222,8 +222,6 @@
     ["totals that are infinite", key => ({ bucketKeys: [key], bucketTotals: [Infinity] })],
     ["totals that are as large as possible", key => ({ bucketKeys: [key], bucketTotals: [Number.MAX_VALUE] })],
     ["totals that are negative", key => ({ bucketKeys: [key], bucketTotals: [-Number.MAX_VALUE] })],
-    ["demands that are not numbers", key => ({ demands: [demand(key, NaN)] })],
-    ["demands that are infinite", key => ({ demands: [demand(key, Infinity)] })],
     ["a start time that is not a number", () => ({ startedAtMs: NaN })],
     ["infinite cores", () => ({ cores: Infinity })],
     ["topic views that are not numbers", key => ({
@@ -243,13 +241,8 @@
     })],
 ]);
 
-function demand(serviceKey: number, count: number): PeerReport["demands"][number] {
-    return { serviceKey, inTimeCalls: count, lateCalls: count, arrivalsPerSecond: count };
-}
-
 /** Keys that reports refer to. */
 export interface ReportKeys {
-    readonly service: number;
     readonly workspace: number;
     readonly servers: readonly number[];
 }
@@ -269,7 +262,7 @@
     if (change === undefined) {
         throw new Error(`Cannot make a report with "${flaw}": the flaw is unknown`);
     }
-    const changes = change(flaw.startsWith("demands") ? keys.service : keys.workspace, keys.servers);
+    const changes = change(keys.workspace, keys.servers);
     const later = [2, 3].map(sequence => ({ ...makeReport("odd-peer", address, sequence), ...changes }));
     return [first, ...later].map(report => PeerReport.encode(report).finish());
 }
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import { describeCause, type KeyedLog, type KeyedRecord } from "../../protocol/relay/mod.js";
+import { describeCause, isSocketAddress, type KeyedLog, type KeyedRecord } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource } from "../../state/relay/mod.js";
 import type { AggregatorCandidate } from "./aggregator_selector.js";
 
@@ -28,9 +28,9 @@
 const DEFAULT_CORES = 1;
 
 const entrySchema = z.object({
-    address: z.string(),
+    address: z.string().refine(isSocketAddress, "must be an IPv4 address and a port"),
     failureDomain: z.string(),
-    cores: z.number().default(DEFAULT_CORES),
+    cores: z.number().min(0).default(DEFAULT_CORES),
 });
 
 /** Address, failure domain and CPU capacity of a node. */
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -29,4 +29,6 @@
 export * from "./relay_answer.js";
 export * from "./relay_call.js";
 export * from "./relay_client.js";
+export * from "./report_check.js";
 export * from "./report_counts.js";
+export * from "./socket_address.js";
--- /dev/null
+++ b/src/protocol/relay/report_check.ts
@@ -0,0 +1,38 @@
+/**
+ * Check of reports of other nodes.
+ *
+ * @module
+ */
+
+import type { PeerReport } from "../gen/relay.js";
+import { isSocketAddress } from "./socket_address.js";
+
+/** Largest figure of a report. Sums of larger ones lose whole numbers, and become infinite. */
+const MAX_FIGURE = Number.MAX_SAFE_INTEGER;
+
+/** Returns what is wrong with a report as a sentence; `undefined` for one that can be used. */
+export function checkReport(report: PeerReport): string | undefined {
+    if (report.node === "") {
+        return "The report names no node.";
+    }
+    if (!isSocketAddress(report.address)) {
+        return `The address "${report.address}" is no IPv4 address with a port.`;
+    }
+    return hasOnlyFigures(report) ? undefined : "The report contains a figure that is no number or too large.";
+}
+
+/** @returns Whether all numbers in a message, at any depth, can be added up. */
+function hasOnlyFigures(value: unknown): boolean {
+    if (typeof value === "number") {
+        return Math.abs(value) <= MAX_FIGURE;
+    }
+    if (typeof value !== "object" || !value) {
+        return true;
+    }
+    for (const item of Array.isArray(value) ? value as readonly unknown[] : Object.values(value)) {
+        if (!hasOnlyFigures(item)) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/src/transport/relay/connection_probe.ts
+++ b/src/transport/relay/connection_probe.ts
@@ -5,6 +5,7 @@
  */
 
 import { connect } from "node:net";
+import { isSocketAddress } from "../../protocol/relay/mod.js";
 
 /**
  * Opens a connection and closes it again.
@@ -14,6 +15,9 @@
  * @returns Whether the connection was established.
  */
 export function probeConnection(address: string, timeoutMs: number): Promise<boolean> {
+    if (!isSocketAddress(address)) {
+        return Promise.resolve(false);
+    }
     const [host, port] = address.split(":");
     return new Promise(resolve => {
         const socket = connect({ host, port: Number(port) });
--- a/src/transport/relay/peer_socket.ts
+++ b/src/transport/relay/peer_socket.ts
@@ -7,7 +7,7 @@
  */
 
 import { createSocket, type Socket } from "node:dgram";
-import { describeCause, EMPTY_REPORT, PeerLink, PeerReport, type ReportReceiver } from "../../protocol/relay/mod.js";
+import { checkReport, describeCause, EMPTY_REPORT, PeerLink, PeerReport, type ReportReceiver } from "../../protocol/relay/mod.js";
 
 /** Sends and receives reports over UDP. */
 export class PeerSocket extends PeerLink {
@@ -23,11 +23,9 @@
         super();
         this.socket.on("error", error => onError(`Cannot use the peer socket: ${error.message}`));
         this.socket.on("message", (data, sender) => {
-            try {
-                onReport(PeerReport.decode(data));
-            }
-            catch (cause) {
-                onError(`Cannot decode the report from ${sender.address}:${sender.port}: ${describeCause(cause)}`);
+            const problem = tryReceive(data, onReport);
+            if (problem !== undefined) {
+                onError(`Cannot use the report from ${sender.address}:${sender.port}: ${problem}`);
             }
         });
     }
@@ -55,11 +53,17 @@
             const data = ownPart === undefined ?
                 shared :
                 [shared, PeerReport.encode({ ...EMPTY_REPORT, ownPart }).finish()];
-            this.socket.send(data, Number(port), host, error => {
-                if (error) {
-                    this.onError(`Cannot send a report to ${address}: ${error.message}`);
-                }
-            });
+            try {
+                this.socket.send(data, Number(port), host, error => {
+                    if (error) {
+                        this.onError(`Cannot send a report to ${address}: ${error.message}`);
+                    }
+                });
+            }
+            catch (cause) {
+                // The socket throws for an address to which nothing can be sent; the other receivers get their reports.
+                this.onError(`Cannot send a report to ${address}: ${describeCause(cause)}`);
+            }
         }
     }
 
@@ -68,3 +72,18 @@
         this.socket.close();
     }
 }
+
+/** @returns What is wrong with a datagram; `undefined` if its report was received. */
+function tryReceive(data: Uint8Array, onReport: (report: PeerReport) => void): string | undefined {
+    try {
+        const report = PeerReport.decode(data);
+        const problem = checkReport(report);
+        if (problem === undefined) {
+            onReport(report);
+        }
+        return problem;
+    }
+    catch (cause) {
+        return describeCause(cause);
+    }
+}
