Let background tasks of a relay node go on after an error

An error in any round of the reports, the maintenance, the rollouts or the follower ended the process, and with it each call that the node held.

Steps of the maintenance, decisions about rollouts and records of a page are apart from each other. In the dispatch of waiting calls, an error ends the call that it happens for; before, calls that had been given a slot stayed in the queue and would have been given another one.

--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -110,7 +110,8 @@
     start(): void {
         const { signal } = this.stopped;
         this.running = Promise.all([
-            this.follower.run(signal),
+            this.follower.followOperatorRecords(signal),
+            this.follower.followServerEntries(signal),
             this.rollouts.run(signal),
             this.directory.join(signal),
             this.expire(signal),
--- a/src/coordination/relay/mod.ts
+++ b/src/coordination/relay/mod.ts
@@ -8,6 +8,7 @@
 export * from "./admission_gate.js";
 export * from "./aggregator_selector.js";
 export * from "./arrival_rate.js";
+export * from "./background_task.js";
 export * from "./brittle_servers.js";
 export * from "./call_fingerprint.js";
 export * from "./call_priority.js";
--- a/src/coordination/relay/server_catalog.ts
+++ b/src/coordination/relay/server_catalog.ts
@@ -75,17 +75,13 @@
         this.remove(server, "its entry was removed");
     }
 
-    /** Applies a snapshot of all entries; servers without an entry in it count as removed from the log. */
-    replaceAll(servers: readonly RelayServer[]): void {
-        const listedIds = new Set(servers.map(server => server.id));
+    /** Counts the servers that a snapshot of all entries does not list as removed from the log. */
+    removeUnlisted(listedIds: ReadonlySet<string>): void {
         for (const id of [...this.servers.keys()]) {
             if (!listedIds.has(id)) {
                 this.recordRemoval(id);
             }
         }
-        for (const server of servers) {
-            this.put(server);
-        }
     }
 
     /**
--- a/src/coordination/relay/server_reach.ts
+++ b/src/coordination/relay/server_reach.ts
@@ -157,7 +157,8 @@
 
     private async probe(loss: Loss, server: RelayServer): Promise<void> {
         const { clock, openServers, probe } = this.settings;
-        if (!await probe(server) || this.losses.get(loss.service) !== loss) {
+        // A probe that fails says the same as one without a connection.
+        if (!await probe(server).catch(() => false) || this.losses.get(loss.service) !== loss) {
             return;
         }
         loss.probedServers.add(server.id);
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -25,7 +25,7 @@
     readonly arrivedAtMs: number;
     readonly isCallerRetry: boolean;
     readonly resolve: (slot: SlotReservation) => void;
-    readonly reject: (error: NoSlotError) => void;
+    readonly reject: (error: unknown) => void;
 }
 
 /** Settings of a {@linkcode ServiceScheduler}. */
@@ -150,26 +150,32 @@
         const restEndMs = this.firstRestEndMs;
         let isFull = false;
         for (const queued of this.queue) {
-            if (isOutOfReach && queued.request.mayLeave()) {
-                queued.reject(new NoSlotError(this.settings.service, NoSlotReason.OutOfReach));
-                continue;
+            try {
+                if (isOutOfReach && queued.request.mayLeave()) {
+                    queued.reject(new NoSlotError(this.settings.service, NoSlotReason.OutOfReach));
+                    continue;
+                }
+                if (restEndMs !== undefined && restEndMs >= queued.request.waitLimits.giveUpAtMs) {
+                    queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue, restEndMs));
+                    continue;
+                }
+                if (this.shouldRefuse(queued, now)) {
+                    queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue));
+                    continue;
+                }
+                const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now);
+                const slot = mayAdmit ? this.tryReserveSlot(queued.request) : undefined;
+                if (slot === undefined) {
+                    isFull ||= mayAdmit && queued.request.excludedServers.size === 0;
+                    remaining.push(queued);
+                    continue;
+                }
+                queued.resolve(slot);
             }
-            if (restEndMs !== undefined && restEndMs >= queued.request.waitLimits.giveUpAtMs) {
-                queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue, restEndMs));
-                continue;
+            catch (error) {
+                // Calls that were given a slot before must not stay in the queue, where they would get another one.
+                queued.reject(error);
             }
-            if (this.shouldRefuse(queued, now)) {
-                queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue));
-                continue;
-            }
-            const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now);
-            const slot = mayAdmit ? this.tryReserveSlot(queued.request) : undefined;
-            if (slot === undefined) {
-                isFull ||= mayAdmit && queued.request.excludedServers.size === 0;
-                remaining.push(queued);
-                continue;
-            }
-            queued.resolve(slot);
         }
         this.queue = remaining;
     }
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -132,19 +132,21 @@
         await Promise.all([this.runDecisions(signal), this.runLogAccess(signal)]);
     }
 
-    private async runDecisions(signal: AbortSignal): Promise<void> {
+    /** Decides about active rollouts until the signal is aborted; an error concerns one of them. */
+    async runDecisions(signal: AbortSignal): Promise<void> {
         while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
             const active = [...this.rollouts.values()].filter(rollout => !hasStoredFinalState(rollout));
             for (const state of active.length > 0 ? this.settings.servers() : []) {
                 state.observeOverdueCalls();
             }
             for (const rollout of active) {
-                this.decide(rollout);
+                this.tryDecide(rollout);
             }
         }
     }
 
-    private async runLogAccess(signal: AbortSignal): Promise<void> {
+    /** Reads and writes the records of active rollouts until the signal is aborted. */
+    async runLogAccess(signal: AbortSignal): Promise<void> {
         while (await this.settings.clock.sleep(DECISION_INTERVAL_MS, signal)) {
             if (this.settings.clock.now() >= this.pausedUntilMs) {
                 const active = [...this.rollouts.values()].filter(rollout => !hasStoredFinalState(rollout));
@@ -246,6 +248,15 @@
         }
     }
 
+    private tryDecide(rollout: VersionRollout): void {
+        try {
+            this.decide(rollout);
+        }
+        catch (error) {
+            this.settings.onChange("rollout: decision failed", { ...describe(rollout), error: describeCause(error) });
+        }
+    }
+
     private decide(rollout: VersionRollout): void {
         const { clock, bounds, onChange } = this.settings;
         const { service, version, durationMs } = rollout.order;
--- a/src/daemon/relay/log_follower.ts
+++ b/src/daemon/relay/log_follower.ts
@@ -62,12 +62,8 @@
         return this.serversLoaded;
     }
 
-    /** Follows until the signal is aborted. */
-    async run(signal: AbortSignal): Promise<void> {
-        await Promise.all([this.followOperatorRecords(signal), this.followServerEntries(signal)]);
-    }
-
-    private followOperatorRecords(signal: AbortSignal): Promise<void> {
+    /** Follows the operator's records until the signal is aborted. */
+    followOperatorRecords(signal: AbortSignal): Promise<void> {
         const { records, applyMs } = this.settings;
         const applyRecords = (list: readonly KeyedRecord[], read: TopicRead) => {
             for (const record of list) {
@@ -89,7 +85,8 @@
         );
     }
 
-    private followServerEntries(signal: AbortSignal): Promise<void> {
+    /** Follows the servers' entries until the signal is aborted. */
+    followServerEntries(signal: AbortSignal): Promise<void> {
         const { records } = this.settings;
         return this.follow(records.serverTopic, {
             applyMs: this.settings.leaveMs,
@@ -99,13 +96,17 @@
                 for (const record of list) {
                     this.recordServerChange(record, this.decodeServer(record));
                 }
-                this.settings.catalog.replaceAll([...this.servers.values()]);
+                this.settings.catalog.removeUnlisted(new Set(this.servers.keys()));
+                for (const record of list) {
+                    this.tryApply(record, () => this.putServer(record.key));
+                }
                 this.serversLoaded = true;
             },
             onRecords: list => {
                 let changed: KeyedRecord | undefined;
                 for (const record of list) {
-                    changed = this.applyServerRecord(record) ? record : changed;
+                    // A record that could not be applied counts as a change, so that other nodes read it too.
+                    changed = this.tryApply(record, () => this.applyServerRecord(record)) ?? true ? record : changed;
                 }
                 return changed;
             },
@@ -148,6 +149,10 @@
         if (next === undefined || this.current !== undefined && next.version <= this.current.version) {
             return;
         }
+        this.tryApply(record, () => this.applyConfiguration(next, record, read));
+    }
+
+    private applyConfiguration(next: RelayConfiguration, record: KeyedRecord, read: TopicRead): void {
         this.settings.relayLog.info("configuration: in force", {
             version: next.version,
             before: this.current?.version,
@@ -168,10 +173,30 @@
         }
         const server = this.decodeServer(record);
         const isChange = this.recordServerChange(record, server);
+        this.putServer(record.key);
+        return isChange;
+    }
+
+    private putServer(key: string): void {
+        const server = this.servers.get(key);
         if (server !== undefined) {
             this.settings.catalog.put(server);
         }
-        return isChange;
+    }
+
+    /**
+     * Applies a record. An error is logged and concerns no other record.
+     *
+     * @returns The result; `undefined` after an error.
+     */
+    private tryApply<Result>({ key, offset }: KeyedRecord, apply: () => Result): Result | undefined {
+        try {
+            return apply();
+        }
+        catch (error) {
+            this.settings.relayLog.error("log: record not applied", error, { key, offset });
+            return undefined;
+        }
     }
 
     private recordServerChange({ key }: KeyedRecord, server: RelayServer | undefined): boolean {
--- a/src/daemon/relay/relay_log.ts
+++ b/src/daemon/relay/relay_log.ts
@@ -79,8 +79,15 @@
     }
 
     override logError(callId: string, error: unknown): void {
-        const { stack } = error as Partial<Error>;
-        this.settings.logger.error({ id: callId, error: String(error), stack }, "call: failed inside the node");
+        this.error("call: failed inside the node", error, { id: callId });
+    }
+
+    /** Logs an error inside the node; not rate-limited. */
+    error(text: string, error: unknown, detail: Readonly<Record<string, unknown>> = {}): void {
+        this.settings.logger.error(
+            { ...detail, error: String(error), stack: (error as Partial<Error> | undefined)?.stack },
+            text,
+        );
     }
 
     /** Logs a message about the node itself or its view of the system; not rate-limited. */
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -6,6 +6,7 @@
 
 import type { Logger } from "pino";
 import {
+    type BackgroundTask,
     BrittleServers,
     type CallFingerprint,
     CallQuarantine,
@@ -19,6 +20,7 @@
     PeerTable,
     RelayHandler,
     RetryBudget,
+    runTask,
     ServerCatalog,
     ServerLimits,
     ServerPool,
@@ -373,7 +375,7 @@
         return `${splitAddress(metrics ?? readiness)[0]}:${this.metricsServer.port}`;
     }
 
-    /** Opens the listening ports and starts the background tasks; a task that fails ends the process. */
+    /** Opens the listening ports and starts the background tasks, which go on after an error. */
     async start(): Promise<void> {
         const { listen } = this.dependencies.settings;
         await this.readinessServer.listen(...splitAddress(listen.readiness));
@@ -385,20 +387,23 @@
         await this.detourServer.listen(peerHost, peerPort);
         await this.peerSocket.listen(peerHost, this.detourServer.port);
         this.relayLog.info("node: started", { listen });
-        for (
-            const task of [
-                this.follower.run(this.stopped.signal),
-                this.joinPeers(),
-                this.runMaintenance(),
-                this.rollouts.run(this.stopped.signal),
-            ]
-        ) {
-            task.catch((error: unknown) => {
-                this.dependencies.logger.fatal({ error: String(error), stack: (error as Error).stack }, "node: task failed");
-                process.exitCode = 1;
-                process.exit();
-            });
+        const tasks: readonly BackgroundTask[] = [
+            { name: "operator records", run: signal => this.follower.followOperatorRecords(signal) },
+            { name: "server entries", run: signal => this.follower.followServerEntries(signal) },
+            { name: "maintenance", run: signal => this.runMaintenance(signal) },
+            { name: "rollout decisions", run: signal => this.rollouts.runDecisions(signal) },
+            { name: "rollout records", run: signal => this.rollouts.runLogAccess(signal) },
+        ];
+        for (const task of tasks) {
+            void this.runTask(task);
         }
+        void this.joinPeers();
+    }
+
+    private runTask(task: BackgroundTask): Promise<void> {
+        const { clock } = this.dependencies;
+        const onError = (name: string, error: unknown) => this.relayLog.error("node: task failed", error, { task: name });
+        return runTask(task, { clock, signal: this.stopped.signal, onError });
     }
 
     /** Applies the settings that can change at run time: those of the drain and the rate limit of the log. */
@@ -451,16 +456,29 @@
     }
 
     private async joinPeers(): Promise<void> {
-        await this.directory.join(this.stopped.signal);
-        await Promise.all([this.directory.run(this.stopped.signal), this.reporter.run(this.stopped.signal)]);
+        await this.runTask({ name: "peer directory", run: signal => this.directory.join(signal) });
+        await Promise.all([
+            this.runTask({ name: "peer directory", run: signal => this.directory.run(signal) }),
+            this.runTask({ name: "peer reports", run: signal => this.reporter.run(signal) }),
+        ]);
     }
 
-    private async runMaintenance(): Promise<void> {
+    private async runMaintenance(signal: AbortSignal): Promise<void> {
         const intervalMs = () => this.isIdle() ? IDLE_MAINTENANCE_INTERVAL_MS : MAINTENANCE_INTERVAL_MS;
-        while (await this.maintenancePause.sleep(intervalMs(), this.stopped.signal)) {
-            this.catalog.expire();
-            this.reach.check();
-            this.dispatchWaiting();
+        while (await this.maintenancePause.sleep(intervalMs(), signal)) {
+            this.maintain("expiry of servers", () => this.catalog.expire());
+            this.maintain("reach of servers", () => this.reach.check());
+            this.maintain("dispatch of waiting calls", () => this.dispatchWaiting());
+        }
+    }
+
+    /** Runs one step of the maintenance; an error does not keep the others from running. */
+    private maintain(step: string, run: () => void): void {
+        try {
+            run();
+        }
+        catch (error) {
+            this.relayLog.error("node: maintenance failed", error, { step });
         }
     }
 
