Check the fields of records before they are applied

One unreadable state of a rollout, or start of one, kept all rollouts of the node from their decisions.

An unreadable start of a rollout is written again. The clock no longer sets timers of more than 2^31 - 1 ms, which fire at once.

--- a/src/coordination/relay/rollout_log.ts
+++ b/src/coordination/relay/rollout_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { z } from "zod";
 import { AppendConflictError, type KeyedLog, type KeyedRecord } from "../../protocol/relay/mod.js";
 import { type Clock, VersionOrderState } from "../../state/relay/mod.js";
 import { hasStoredFinalState, type VersionRollout } from "./version_rollout.js";
@@ -170,8 +171,15 @@
     readonly startedAtMs: number;
 }
 
+const startSchema = z.object({ offset: z.unknown(), era: z.unknown(), startedAtMs: z.number().min(0) });
+
+/** @returns `undefined` if the start cannot be read; it is then written again. */
 function parseStart(value: Uint8Array): RolloutStart | undefined {
-    const start = JSON.parse(Buffer.from(value).toString("utf8")) as { offset?: unknown; era?: unknown; startedAtMs?: unknown };
-    const { offset, era, startedAtMs } = start;
-    return typeof startedAtMs === "number" ? { offset, era: era ?? DEFAULT_ERA, startedAtMs } : undefined;
+    try {
+        const { offset, era, startedAtMs } = startSchema.parse(JSON.parse(Buffer.from(value).toString("utf8")));
+        return { offset, era: era ?? DEFAULT_ERA, startedAtMs };
+    }
+    catch {
+        return undefined;
+    }
 }
--- a/src/state/clock.ts
+++ b/src/state/clock.ts
@@ -50,10 +50,13 @@
     }
 }
 
+/** Longest time for which a timer can be set, in milliseconds; with a longer one, it fires at once. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /**
  * Timers count whole milliseconds from the start of the event loop's iteration, so one for the exact duration mostly fires early and
  * has to be set again.
  */
 function toTimerMs(durationMs: number): number {
-    return Math.ceil(durationMs) + 1;
+    return Math.min(MAX_TIMER_MS, Math.ceil(durationMs) + 1);
 }
