Reject calls that cannot be written to any server

A tab in the target of a call let each attempt fail before a byte was sent, which counted as servers that cannot be reached, and the caller was asked to return. A peer's call with a time that is no number, or a method, target or header that cannot be written, did the same as the tab.

In the message of a detour, numbers are brought into the range of their fields, so that it can always be encoded.

--- a/src/coordination/relay/detour_call.ts
+++ b/src/coordination/relay/detour_call.ts
@@ -9,6 +9,9 @@
 import { type RelayRoute, Semantics } from "../../state/relay/mod.js";
 import type { AdmittedCall } from "./final_answer.js";
 
+/** Largest number in a field of 32 bits. */
+const MAX_UINT32 = 0xffff_ffff;
+
 /** What a node adds to an admitted call when it hands it to a peer. */
 export interface DetourSettings {
     readonly nowMs: number;
@@ -35,18 +38,53 @@
             isResumable: route.isResumable,
             timeoutMs: route.timeoutMs,
             objectiveMs: route.objectiveMs,
-            rank: route.rank,
-            maxAttempts: settings.maxAttempts,
+            rank: toUint32(route.rank),
+            maxAttempts: toUint32(settings.maxAttempts),
         },
         workspace: workspace?.name ?? "",
-        workspaceRank: workspace?.rank ?? 0,
+        workspaceRank: toUint32(workspace?.rank ?? 0),
         elapsedMs: settings.nowMs - call.arrivedAtMs,
         deadlineMs,
         firstAttemptDeadlineMs,
-        configurationVersion,
+        configurationVersion: toUint32(configurationVersion),
     };
 }
 
+/** @returns The nearest number that a field of 32 bits holds. */
+function toUint32(value: number): number {
+    return Math.min(MAX_UINT32, Math.max(0, Math.round(value)));
+}
+
+/** Matches the token of a method; see RFC 9110, section 5.6.2. */
+const METHOD = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
+
+/** Matches a target that can be written into a request line. */
+const TARGET = /^\/[\x21-\xff]*$/;
+
+/** Matches what can be written as a header. */
+const HEADER_NAME = METHOD;
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+
+/** Returns whether a call's target can be written into a request line. */
+export function isWritableTarget(target: string): boolean {
+    return !target.startsWith("/") || TARGET.test(target);
+}
+
+/** @returns What is wrong with a message whose call cannot be written or timed; `undefined` for any other. */
+function findProblem({ method, target, headers, route, ...times }: DetourCall): string | undefined {
+    const { elapsedMs, deadlineMs, firstAttemptDeadlineMs } = times;
+    const durations = [elapsedMs, deadlineMs, firstAttemptDeadlineMs, route?.timeoutMs ?? 0, route?.objectiveMs ?? 0];
+    if (!durations.every(duration => Number.isFinite(duration))) {
+        return "A time of the call is no number; send finite ones.";
+    }
+    if (!METHOD.test(method) || !TARGET.test(target)) {
+        return "The method or the target cannot be written into a request line.";
+    }
+    const isWritable = headers.length % 2 === 0 &&
+        headers.every((text, index) => (index % 2 === 0 ? HEADER_NAME : HEADER_VALUE).test(text));
+    return isWritable ? undefined : "The headers cannot be written.";
+}
+
 /** Where a handed call comes from and goes to. */
 export interface DetourArrival {
     readonly headers: RelayHeaders;
@@ -66,6 +104,10 @@
     { headers, answer, callerGone, nowMs }: DetourArrival,
 ): AdmittedCall | string {
     const { route } = message;
+    const problem = findProblem(message);
+    if (problem !== undefined) {
+        return problem;
+    }
     const head = headers.readCall(message.headers);
     if (typeof head === "string") {
         return head;
--- a/src/coordination/relay/relay_handler.ts
+++ b/src/coordination/relay/relay_handler.ts
@@ -7,6 +7,7 @@
 import type { RelayAnswer, RelayCall } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayConfiguration, RelayRoute, RelayWorkspace, ServiceShare } from "../../state/relay/mod.js";
 import { type CallRecorder, RelayOutcome } from "./call_record.js";
+import { isWritableTarget } from "./detour_call.js";
 import { type AdmittedCall, FAILED_INSIDE } from "./final_answer.js";
 import { RelayedCall, type RelayedCallSettings } from "./relayed_call.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
@@ -116,6 +117,9 @@
             return { status: 503, text: "The node has no configuration yet.", retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS };
         }
         const { head, target } = call;
+        if (!isWritableTarget(target)) {
+            return { status: 400, text: "The target contains a space or control character; encode it." };
+        }
         const route = configuration.routes.find(head.host, PATH.exec(target)?.[0] ?? "/");
         if (route === undefined) {
             return { status: 404, text: `No route leads to ${head.host} at this path.` };
