Read starts of rollouts that state no era, and give the test's servers an address

The check of a rollout's start asked for the field of the era, which earlier releases do not write: the start was written again instead of kept. The stand-in entries of the log's tests had port 0, which the check of records now ignores; they get an address that can be connected to, and their scenarios are as strict as before.

--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -139,5 +139,5 @@
 
 /** Returns the entry of a server in the platform's format. */
 export function makeServerEntry(state: string, sequence: number): Readonly<Record<string, unknown>> {
-    return new EngineServer("s").serverEntry("service", { State: state, Sequence: sequence });
+    return new EngineServer("s").serverEntry("service", { Address: "10.0.0.1:80", State: state, Sequence: sequence });
 }
--- a/src/coordination/relay/rollout_log.ts
+++ b/src/coordination/relay/rollout_log.ts
@@ -171,7 +171,7 @@
     readonly startedAtMs: number;
 }
 
-const startSchema = z.object({ offset: z.unknown(), era: z.unknown(), startedAtMs: z.number().min(0) });
+const startSchema = z.object({ offset: z.unknown(), era: z.unknown().optional(), startedAtMs: z.number().min(0) });
 
 /** @returns `undefined` if the start cannot be read; it is then written again. */
 function parseStart(value: Uint8Array): RolloutStart | undefined {
