--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -248,11 +248,11 @@
 `;
 }
 
-/** Returns a configuration in the platform's format that admits the given keys. */
-export function makeConfiguration(version: number, keys: readonly string[]): unknown {
+/** Returns a configuration in the platform's format that admits the given keys; `host` is that of all routes. */
+export function makeConfiguration(version: number, keys: readonly string[], host = HOST): unknown {
     const route = (name: string, kind: string, changes: Readonly<Record<string, unknown>> = {}) => ({
         Name: name,
-        Host: HOST,
+        Host: host,
         PathPrefix: `/${name}/`,
         Kind: kind,
         TimeoutMs: 5_000,
