--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -110,7 +110,8 @@
     start(): void {
         const { signal } = this.stopped;
         this.running = Promise.all([
-            this.follower.run(signal),
+            this.follower.followOperatorRecords(signal),
+            this.follower.followServerEntries(signal),
             this.rollouts.run(signal),
             this.directory.join(signal),
             this.expire(signal),
@@ -138,5 +139,5 @@
 
 /** Returns the entry of a server in the platform's format. */
 export function makeServerEntry(state: string, sequence: number): Readonly<Record<string, unknown>> {
-    return new EngineServer("s").serverEntry("service", { State: state, Sequence: sequence });
+    return new EngineServer("s").serverEntry("service", { Address: "10.0.0.1:80", State: state, Sequence: sequence });
 }
