--- a/features/steps/relay_odd_record_steps.ts
+++ b/features/steps/relay_odd_record_steps.ts
@@ -58,7 +58,7 @@
     statuses: number[];
     receivedBefore: readonly number[];
     peerStatus: number;
-    peer: DatagramSocket | undefined;
+    oddPeer: DatagramSocket | undefined;
     /** Errors that nothing caught, and ends of the process. */
     processFaults: unknown[];
     removeGuards: () => void;
@@ -82,7 +82,7 @@
 
 After(async function(this: OddRecordScenario) {
     if (this.oddRelay !== undefined) {
-        this.peer?.close();
+        this.oddPeer?.close();
         this.oddEngine.close();
         await this.oddRelay.stop();
         this.removeGuards();
@@ -166,9 +166,9 @@
         workspace: hashKey("clinic"),
         servers: this.oddRelay.engines.map(({ id }) => hashKey(id)),
     };
-    this.peer = await openSocket();
+    this.oddPeer = await openSocket();
     for (const datagram of makeOddReports(flaw, keys)) {
-        await sendDatagram(this.peer, datagram, this.oddRelay.node.peerAddress);
+        await sendDatagram(this.oddPeer, datagram, this.oddRelay.node.peerAddress);
         await pause(50);
     }
     await pause(READ_MS);
@@ -205,10 +205,10 @@
 });
 
 When(/^a peer hands over a call with (.+)$/, async function(this: OddRecordScenario, flaw: string) {
-    this.peer = await openSocket();
-    const { address, port } = this.peer.address();
+    this.oddPeer = await openSocket();
+    const { address, port } = this.oddPeer.address();
     const report = PeerReport.encode(makeReport("sound-peer", `${address}:${port}`, 1)).finish();
-    await sendDatagram(this.peer, report, this.oddRelay.node.peerAddress);
+    await sendDatagram(this.oddPeer, report, this.oddRelay.node.peerAddress);
     await waitFor("the peer is known", () => this.oddRelay.node.reachablePeers > 0);
     this.peerStatus = await sendDetour(this.oddRelay.node.peerAddress, makeOddDetour(flaw));
 });
