End streams whose caller does not read, and survive a reset after a request for a tunnel

What callers saw: a stream whose caller stopped reading stayed open past its deadline and held up a drain to the end of its grace; a caller that pipelined a call and CONNECT and reset the connection made the whole node leave, with an uncaught ECONNRESET.

Cause: the write of an event waits for its caller to read or close, whatever becomes of the call; and the HTTP library removes its error listener from a socket that it hands over.

Change: a call that is aborted closes the connection of its begun stream; the socket of a tunnel has a listener of its own. An attempt whose connection opens while a peer is asked for the answer no longer ends the whole call because of a stop.

The case of the attempt beside a peer is by reading, without a test of its own.

--- a/features/relay_exits.feature
+++ b/features/relay_exits.feature
@@ -44,3 +44,13 @@
             | unsafe | is at its server     | the node stops                   | 502, as it may have run         |
             | stream | is at its server     | the node stops                   | 502, as it may have run         |
             | stream | has begun its stream | the node stops                   | an aborted stream               |
+
+    Scenario: a stream whose caller does not read ends with its time, and holds up no drain
+        Given a relay whose "stream" call is not read by its caller
+        When the time of the unread stream is over and the node is drained
+        Then the drain ends within 1000 ms
+
+    Scenario: a caller that resets its connection after asking for a tunnel ends no node
+        Given a relay whose "unsafe" call has a request for a tunnel behind it
+        When its caller resets the connection
+        Then the node still answers calls
--- a/features/steps/relay_exit_steps.ts
+++ b/features/steps/relay_exit_steps.ts
@@ -6,6 +6,7 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
 import { EngineBehaviour, EngineServer, formatEvent, PLAIN_BODY, STREAM_EVENTS } from "../../platform/standin/engine_server.js";
 import { NodeFaults } from "../support/node_faults.js";
 import { type CallerAnswer, makeConfiguration, PATH_BY_CALL_KIND, RelayFixture, waitFor } from "../support/relay_fixture.js";
@@ -46,6 +47,8 @@
     callKind: string;
     stage: string;
     exitAnswer: CallerAnswer;
+    socket: Socket;
+    drainMs: number;
 }
 
 /** Version of the configuration that changes something. */
@@ -91,6 +94,7 @@
 
 After(async function(this: ExitScenario) {
     this.faults?.restore();
+    this.socket?.destroy();
     await this.relay?.stop();
 });
 
@@ -172,3 +176,47 @@
     assert.equal(this.exitAnswer.body, formatEvent(1));
     assert.equal(this.exitAnswer.isComplete, false);
 });
+
+When("the time of the unread stream is over and the node is drained", async function(this: ExitScenario) {
+    this.engine.behaviour = EngineBehaviour.EndlessEvents;
+    this.socket = await sendRaw(this, `${formatCall("/stream/x")}Deadline-Ms: ${SHORT_DEADLINE_MS}\r\n\r\n`);
+    this.socket.pause();
+    await new Promise(resolve => setTimeout(resolve, 2 * SHORT_DEADLINE_MS));
+    const startedMs = performance.now();
+    await this.relay.node.drain();
+    this.drainMs = performance.now() - startedMs;
+});
+
+Then("the drain ends within {int} ms", function(this: ExitScenario, limitMs: number) {
+    assert(this.engine.receivedCalls.length > 0);
+    assert(this.drainMs < limitMs, `it took ${this.drainMs} ms`);
+});
+
+When("its caller resets the connection", async function(this: ExitScenario) {
+    this.engine.processingMs = SHORT_WORK_MS;
+    const tunnel = "CONNECT app.example:80 HTTP/1.1\r\nHost: app.example\r\n\r\n";
+    this.socket = await sendRaw(this, `${formatCall("/unsafe/x")}\r\n${tunnel}`);
+    await waitFor("the call is at its server", () => this.engine.receivedCalls.length > 0);
+    await settle();
+    this.socket.resetAndDestroy();
+    await settle();
+});
+
+Then("the node still answers calls", async function(this: ExitScenario) {
+    const answer = await this.relay.send({ path: "/safe/x" });
+    assert.equal(answer.status, 200);
+});
+
+/** Formats the head of a call without a body and without the empty line at its end. */
+function formatCall(path: string): string {
+    return `POST ${path} HTTP/1.1\r\nHost: app.example\r\nRequest-Id: raw-call\r\nApi-Key: key-1\r\nContent-Length: 0\r\n`;
+}
+
+async function sendRaw({ relay }: ExitScenario, text: string): Promise<Socket> {
+    const [host, port] = relay.node.callerAddress.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.on("error", () => undefined);
+    await new Promise(resolve => socket.once("connect", resolve));
+    socket.write(text);
+    return socket;
+}
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -204,6 +204,13 @@
         this.record(RelayOutcome.Failed, localAnswer.status, localAnswer.text);
     }
 
+    /** Closes the connection of a stream that has begun and that nothing more is written to. */
+    abortStarted(): void {
+        if (!this.isWritten && this.admitted.answer.isStarted) {
+            this.admitted.answer.abort();
+        }
+    }
+
     /** Ends a call in which this node failed, unless its answer was written before. */
     failInside(): void {
         if (this.isWritten || this.breakOffStarted(FAILED_INSIDE)) {
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -129,6 +129,8 @@
         if (call.callerGone.aborted) {
             onCallerGone();
         }
+        // The write of an event to a caller that does not read ends only with its connection.
+        this.abortController.signal.addEventListener("abort", () => this.finalAnswer.abortStarted(), { once: true });
         try {
             this.fingerprint = this.settings.fingerprint.compute(call, this.admitted.workspace?.name);
             this.traits = traitsOf(call.head.parts, this.fingerprint);
@@ -379,6 +381,12 @@
         return !this.abortController.signal.aborted;
     }
 
+    /** As {@linkcode maySend}, but a peer that was asked for the answer meanwhile goes on. */
+    private maySendBesideHedge(slot: SlotReservation): boolean {
+        const hasHedge = this.hedge !== undefined && !this.hedge.isOver;
+        return hasHedge ? !this.isOver() && this.fitsBeforeStop(slot) : this.maySend(slot);
+    }
+
     private endForStop(): void {
         this.state.isTooLateForStop = true;
         this.abortController.abort(NODE_STOPS);
@@ -414,7 +422,7 @@
                 serverId,
                 workspace: workspace?.name,
                 deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
-                maySend: () => this.maySend(slot),
+                maySend: () => this.maySendBesideHedge(slot),
                 lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
             }, abandoned.signal);
             const head = await answer.awaitHead();
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -210,6 +210,8 @@
     private handleTunnel(socket: Socket): void {
         socket.resume();
         socket.on("end", () => socket.destroy());
+        // The library removes its listeners from a socket that it hands over.
+        socket.on("error", () => socket.destroy());
         this.connections.get(socket)?.refuseUnreadable(INVALID_STATUS, this.isDraining);
     }
 
