Do not ask whether an exchange that was given up may be written

By reading, after a review: the question has effects on the call, which may be served by a peer by then. No test of its own; relay_exits passes.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -150,7 +150,7 @@
     }
 
     private handleStart(controller: Dispatcher.DispatchController): void {
-        if (this.request.mayWrite?.() === false) {
+        if (this.error === undefined && this.request.mayWrite?.() === false) {
             this.fail(TOO_LATE);
         }
         if (this.error !== undefined) {
