Tests: recorded answers are those of the call that is sent, and unread answers exceed what may be queued

relay_other_build sent calls under ids of its own, while the recorded answers state the id of the recorded call; since answers on the port for other nodes are checked, they are rightly refused. The call now has the recorded id.

relay_cut_answers expects a reader that gives up to have an incomplete answer. 307,200 bytes can be read as four chunks of 65,536 bytes, which do not exceed the queue of 262,144, and a fifth with the rest, so that the answer is whole before the connection is held. It is 1 MiB now.

--- a/features/relay_cut_answers.feature
+++ b/features/relay_cut_answers.feature
@@ -50,7 +50,7 @@
             | has a transfer coding other than chunks and is reset | fails   |
 
     Scenario Outline: the node goes on when a large answer <framing> is <end> while it is not read, and its reader then <action>
-        Given a server that sends 307200 bytes <framing>, and whose connection is then <end>
+        Given a server that sends 1048576 bytes <framing>, and whose connection is then <end>
         When the reader of its answer waits for 200 ms and then <action>
         Then the answer that was read is <outcome>
 
--- a/features/steps/relay_cut_answer_steps.ts
+++ b/features/steps/relay_cut_answer_steps.ts
@@ -66,15 +66,15 @@
 };
 
 /** Body of each large answer; more than the node buffers before it is read. */
-const LARGE_BODY = "x".repeat(307_200);
+const LARGE_BODY = "x".repeat(1_048_576);
 
 /** Complete large answers by framing. */
 const LARGE_ANSWERS: Readonly<Record<string, string>> = {
     "without a length": `${HEAD}\r\n${LARGE_BODY}`,
-    "with a length": `${HEAD}Content-Length: 307200\r\n\r\n${LARGE_BODY}`,
-    "with a length on a connection that closes": `${HEAD}Content-Length: 307200\r\nConnection: close\r\n\r\n${LARGE_BODY}`,
+    "with a length": `${HEAD}Content-Length: 1048576\r\n\r\n${LARGE_BODY}`,
+    "with a length on a connection that closes": `${HEAD}Content-Length: 1048576\r\nConnection: close\r\n\r\n${LARGE_BODY}`,
     "in chunks on a connection that closes":
-        `${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n4b000\r\n${LARGE_BODY}\r\n0\r\n\r\n`,
+        `${HEAD}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n100000\r\n${LARGE_BODY}\r\n0\r\n\r\n`,
 };
 
 /** How many of an answer's cuts are tested for each end of the connection: every byte, or every second or fifth one. */
@@ -123,7 +123,7 @@
 });
 
 Given(
-    /^a server that sends 307200 bytes (.+), and whose connection is then (.+)$/,
+    /^a server that sends 1048576 bytes (.+), and whose connection is then (.+)$/,
     async function(this: CutScenario, framing: string, end: string) {
         await startServer(this);
         this.nextAnswer = { bytes: LARGE_ANSWERS[framing] ?? "", end: end as ConnectionEnd };
--- a/features/steps/relay_other_build_steps.ts
+++ b/features/steps/relay_other_build_steps.ts
@@ -50,6 +50,9 @@
 /** Time in which a report that is to be ignored would have been counted, in milliseconds. */
 const IGNORED_MS = 200;
 
+/** Id of the call that the recorded answers belong to. */
+const RECORDED_CALL_ID = "call-1";
+
 /** State of a scenario of this file. */
 interface OtherBuildScenario extends Scenario {
     recorded: RecordedMessages;
@@ -281,7 +284,7 @@
     assert(relay !== undefined);
     // Calls before the node has read the peer's entry are refused.
     await waitFor("a call is handed to the peer", async () => {
-        this.otherAnswer = await relay.send({ path: PATH_BY_CALL_KIND[kind] ?? "" });
+        this.otherAnswer = await relay.send({ id: RECORDED_CALL_ID, path: PATH_BY_CALL_KIND[kind] ?? "" });
         return this.handedCalls > 0;
     });
 });
