Relay: join pieces as they arrive, and bound the bytes that a node holds for others

Callers lost calls (LOST): a server in trouble answered without end in chunks of 2 bytes, and both nodes of review/1 ended 3.2 to 3.5 s later, out of heap, with the calls that sound servers ran for others.

Cause: each HTTP chunk was kept as an object until its answer was complete, while the limit of 4 MiB counted bytes of contents, for each answer alone. The same held for answers of peers that are read ahead, the queue of an exchange, bodies of callers and of peers, and the answers of the platform's log, which had no limit.

Change: BlockBuffer and GrowingBuffer join pieces; MemoryBudget counts what a node holds, and evicts the largest holder with an answer that is true of the call; ReadPacer pauses connections that bring many pieces. The settings state the memory of the machine.

--- a/features/steps/relay_held_up_call_steps.ts
+++ b/features/steps/relay_held_up_call_steps.ts
@@ -56,7 +56,7 @@
             await engine.start();
         }
         this.heldUpProgram = new RelayProgram();
-        await this.heldUpProgram.prepare(this.heldUpEngines, 1);
+        await this.heldUpProgram.prepare(this.heldUpEngines, { Slots: 1 });
         await this.heldUpProgram.start();
     },
 );
--- a/features/support/relay_program.ts
+++ b/features/support/relay_program.ts
@@ -5,14 +5,17 @@
  */
 
 import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
 import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import type { EngineServer } from "../../platform/standin/engine_server.js";
 import { StoreServer } from "../../platform/standin/store_server.js";
 import { awaitReady, findPorts } from "../../standin/fleet_process.js";
 import { makeConfiguration } from "./relay_fixture.js";
 
+/** Calls that a server takes at once. */
+const DEFAULT_SLOTS = 16;
+
 /** Key of the callers. */
 const API_KEY = "key-1";
 
@@ -31,26 +34,55 @@
 }).unref();
 `;
 
+/** Server that registers in the store. */
+export interface RegisteredServer {
+    readonly id: string;
+    /** Returns its entry. */
+    serverEntry(service: string, changes: Readonly<Record<string, unknown>>): unknown;
+}
+
+/** Limits of the configuration. */
+export interface ProgramLimits {
+    /** Largest body of a call, in bytes. */
+    readonly maxBodyBytes?: number;
+}
+
 /** Runs the program until {@linkcode stop}. */
 export class RelayProgram {
-    private readonly store = new StoreServer();
+    /** Stand-in for the platform's store. */
+    readonly store = new StoreServer();
     private directory = "";
     private settings = "";
     private child: ChildProcess | undefined;
     private exited: Promise<number | null> = Promise.resolve(null); // eslint-disable-line no-restricted-syntax -- Node's exit code after a signal
     private callerPort = 0;
     private readinessPort = 0;
+    private peerPort = 0;
 
-    /** Starts the store and writes the settings, but does not start the program. */
-    async prepare(engines: readonly EngineServer[], slots = 16): Promise<void> {
+    /** @param flags Flags of Node.js with which the program is started. */
+    constructor(private readonly flags: readonly string[] = []) {}
+
+    /**
+     * Starts the store and writes the settings, but does not start the program.
+     *
+     * @param engines Servers of the program.
+     * @param entry Fields of their entries that replace the defaults.
+     * @param limits Fields of the configuration that replace the defaults.
+     */
+    async prepare(
+        engines: readonly RegisteredServer[],
+        entry: Readonly<Record<string, unknown>> = {},
+        limits: ProgramLimits = {},
+    ): Promise<void> {
         await this.store.start();
         for (const engine of engines) {
-            this.store.put("keyed.servers", engine.id, engine.serverEntry("service", { Slots: slots }));
+            this.store.put("keyed.servers", engine.id, engine.serverEntry("service", { Slots: DEFAULT_SLOTS, ...entry }));
         }
-        this.store.put("keyed.op", "config", makeConfiguration(1, [API_KEY]));
+        this.store.put("keyed.op", "config", makeConfiguration(1, [API_KEY], undefined, limits.maxBodyBytes));
         const [callers = 0, readiness = 0, peers = 0] = await findPorts(3, 0);
         this.callerPort = callers;
         this.readinessPort = readiness;
+        this.peerPort = peers;
         this.directory = await mkdtemp(join(tmpdir(), "relay-program-"));
         this.settings = `
 node: entry-1
@@ -68,9 +100,14 @@
 
     /** Starts the program and waits until it is ready. */
     async start(): Promise<void> {
+        await this.startUnready();
+        await this.awaitReady();
+    }
+
+    /** Starts the program and does not wait for it. */
+    async startUnready(): Promise<void> {
         await writeFile(this.settingsFile, this.settings);
         this.spawn();
-        await this.awaitReady();
     }
 
     /**
@@ -97,6 +134,22 @@
         return `127.0.0.1:${this.callerPort}`;
     }
 
+    /** Address on which the program listens for calls of other nodes. */
+    get peerAddress(): string {
+        return `127.0.0.1:${this.peerPort}`;
+    }
+
+    /** Returns the most memory that the program has used, in bytes; `undefined` if it has ended. */
+    readPeakMemory(): number | undefined {
+        const { child } = this;
+        // Node gives `null` for a program that runs.
+        if (child?.exitCode !== null || child.signalCode !== null) { // eslint-disable-line no-restricted-syntax
+            return undefined;
+        }
+        const kibibytes = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${child.pid}/status`, "utf8"))?.[1];
+        return Number(kibibytes) * 1_024;
+    }
+
     /** Sends a signal to the program. */
     signal(name: NodeJS.Signals): void {
         this.child?.kill(name);
@@ -137,7 +190,7 @@
 
     private spawn(): void {
         const preload = `data:text/javascript,${encodeURIComponent(HOLD_UP_CODE)}`;
-        const child = spawn(process.execPath, ["--import", preload, "dist/entry.mjs"], {
+        const child = spawn(process.execPath, [...this.flags, "--import", preload, "dist/entry.mjs"], {
             env: { ...process.env, FOXTAILRAIL_CONFIG: this.settingsFile },
             stdio: ["pipe", "ignore", "ignore"],
         });
--- a/features/support/scripted_answer.ts
+++ b/features/support/scripted_answer.ts
@@ -63,6 +63,10 @@
         return part.content;
     }
 
+    override recordRead(): void {
+        // A script holds no memory.
+    }
+
     override cancel(): void {
         if (!this.isEnded && !this.gone.signal.aborted) {
             this.gone.abort();
--- a/src/coordination/relay/answer_reader.ts
+++ b/src/coordination/relay/answer_reader.ts
@@ -5,7 +5,7 @@
  */
 
 import { type AttemptAnswer, AttemptError } from "../../protocol/relay/mod.js";
-import type { Clock } from "../../state/relay/mod.js";
+import { BlockBuffer, type Clock } from "../../state/relay/mod.js";
 
 /** Largest complete answer, in bytes; it is held in memory until it is known to be whole. */
 export const MAX_ANSWER_BYTES = 4_194_304;
@@ -21,16 +21,15 @@
  * @throws {AttemptError} When the body is truncated.
  */
 export async function readWhole(answer: AttemptAnswer): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BlockBuffer();
     for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
-        chunks.push(chunk);
-        bytes += chunk.length;
-        if (bytes > MAX_ANSWER_BYTES) {
+        body.append(chunk);
+        if (body.length > MAX_ANSWER_BYTES) {
             return undefined;
         }
+        answer.recordRead(body.length, 0);
     }
-    return Buffer.concat(chunks);
+    return body.take();
 }
 
 /** Discards the rest of a refusal so that its connection can be used again, unless it is too long or takes too long. */
--- a/src/coordination/relay/detour_hedge.ts
+++ b/src/coordination/relay/detour_hedge.ts
@@ -17,6 +17,7 @@
     [AttemptFault.NotRun]: DetourOutcome.NotTaken,
     [AttemptFault.Unwritable]: DetourOutcome.NotTaken,
     [AttemptFault.Unknown]: DetourOutcome.Broken,
+    [AttemptFault.TooLarge]: DetourOutcome.Broken,
     [AttemptFault.Cancelled]: DetourOutcome.Cancelled,
 };
 
--- a/src/coordination/relay/read_ahead_answer.ts
+++ b/src/coordination/relay/read_ahead_answer.ts
@@ -5,13 +5,14 @@
  */
 
 import { type AnswerHead, AttemptAnswer } from "../../protocol/relay/mod.js";
+import { BlockBuffer } from "../../state/relay/mod.js";
 import { MAX_ANSWER_BYTES } from "./answer_reader.js";
 import { EventStreamSplitter } from "./event_stream_splitter.js";
 
 /** Reads the beginning of an answer, which its reader then gets as if it had just arrived. */
 export class ReadAheadAnswer extends AttemptAnswer {
     private head: AnswerHead | undefined;
-    private readonly chunks: Buffer[] = [];
+    private readonly unread = new BlockBuffer();
     private isEnded = false;
 
     /** @param answer Answer to read. */
@@ -25,8 +26,14 @@
     }
 
     override async next(): Promise<Buffer | undefined> {
-        const chunk = this.chunks.shift();
-        return chunk !== undefined || this.isEnded ? chunk : await this.answer.next();
+        if (this.unread.length > 0) {
+            return this.unread.take();
+        }
+        return this.isEnded ? undefined : await this.answer.next();
+    }
+
+    override recordRead(heldBytes: number, events: number): void {
+        this.answer.recordRead(heldBytes, events);
     }
 
     override cancel(): void {
@@ -60,24 +67,23 @@
      * @throws {AttemptError} When the body is truncated.
      */
     async readBody(): Promise<Buffer | undefined> {
-        let bytes = 0;
         for (let chunk = await this.readChunk(); chunk !== undefined; chunk = await this.readChunk()) {
-            bytes += chunk.length;
-            if (bytes > MAX_ANSWER_BYTES) {
+            if (this.unread.length > MAX_ANSWER_BYTES) {
                 return undefined;
             }
         }
-        return Buffer.concat(this.chunks);
+        // The reader may still ask for the bytes.
+        return this.unread.copy();
     }
 
     private async readChunk(): Promise<Buffer | undefined> {
         const chunk = await this.answer.next();
         if (chunk === undefined) {
             this.isEnded = true;
+            return undefined;
         }
-        else {
-            this.chunks.push(chunk);
-        }
+        this.unread.append(chunk);
+        this.answer.recordRead(this.unread.length, 0);
         return chunk;
     }
 }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -557,6 +557,9 @@
         if (error.fault === AttemptFault.Cancelled) {
             return AttemptOutcome.Neutral;
         }
+        if (error.fault === AttemptFault.TooLarge) {
+            return AttemptOutcome.Bad;
+        }
         if (slot.state.isBrittle) {
             // A brittle server falls over because of the calls that it turned away.
             return AttemptOutcome.Neutral;
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -35,6 +35,9 @@
     readonly takenCalls: () => number;
     /** Number of prompt parts and contents of calls that are kept from the servers. */
     readonly quarantinedTraits: () => number;
+    /** Bytes of others that are held until they are complete or written, and how often their largest holder was evicted. */
+    readonly heldBytes: () => number;
+    readonly evictions: () => number;
     readonly configurationVersion: () => number;
     readonly isLogAnswering: () => boolean;
     /** Topics of the platform's log that this node reads for others. */
@@ -123,6 +126,8 @@
             "Prompt parts and contents of calls that are kept from the backend servers.",
             gauges.quarantinedTraits,
         );
+        this.addGauge("held_bytes", "Bytes of answers and calls that are held until they are complete.", gauges.heldBytes);
+        this.addGauge("evictions", "Answers and calls that were given up because they held most of the memory.", gauges.evictions);
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
         this.addGauge("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
         new Gauge({
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -44,6 +44,7 @@
     HttpDetourClient,
     type HttpRelayAnswer,
     HttpRelayClient,
+    InputLimits,
     PeerSocket,
     probeConnection,
     StatusServer,
@@ -88,6 +89,14 @@
 /** Time for which the event loop was held up from which a line is logged, in milliseconds. */
 const MIN_LOGGED_HOLD_UP_MS = 200;
 
+/** Memory that the program and the garbage of what it reads take, in megabytes. */
+const PROGRAM_MEGABYTES = 160;
+
+/** Least memory for bytes that are held for others, in bytes. */
+const MIN_HELD_BYTES = 16_777_216;
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+
 /** Dependencies of a {@linkcode RelayNode}. */
 export interface RelayNodeDependencies {
     readonly settings: RelaySettings;
@@ -104,8 +113,9 @@
 export class RelayNode {
     private readonly stopped = new AbortController();
     private readonly startedAtMs: number;
-    private readonly httpClient = new HttpClient(CONNECT_TIMEOUT_MS);
-    private readonly peerHttpClient = new HttpClient(CONNECT_TIMEOUT_MS);
+    private readonly inputLimits: InputLimits;
+    private readonly httpClient: HttpClient;
+    private readonly peerHttpClient: HttpClient;
     private readonly relayLog: RelayLog;
     private readonly metrics: RelayMetrics;
     private readonly metricsServer: StatusServer;
@@ -142,6 +152,9 @@
     constructor(private readonly dependencies: RelayNodeDependencies) {
         const { settings, clock, random, logger, headers } = dependencies;
         this.startedAtMs = clock.now();
+        this.inputLimits = new InputLimits(clock, heldBytesFor(settings.memory.megabytes));
+        this.httpClient = new HttpClient(CONNECT_TIMEOUT_MS, this.inputLimits);
+        this.peerHttpClient = new HttpClient(CONNECT_TIMEOUT_MS, this.inputLimits);
         this.maintenancePause = new WakeablePause(clock);
         this.drainSettings = settings.drain;
         this.stopDeadline = new StopDeadline(clock);
@@ -310,6 +323,7 @@
         const onListenerError = (error: unknown) => this.relayLog.error("node: listener failed", error);
         this.detourServer = new DetourServer({
             clock,
+            inputLimits: this.inputLimits,
             isNode: host => this.directory.hasHost(host),
             receive: (call, answer, callerGone) => this.receiveDetour(handler, call, answer, callerGone),
             onListenerError,
@@ -317,6 +331,7 @@
         });
         this.callerServer = new CallerServer({
             clock,
+            inputLimits: this.inputLimits,
             headers,
             receive: (call, answer) => handler.handle(call, answer),
             onError: error =>
@@ -354,6 +369,8 @@
             detouredCalls: () => this.detourPeers.openCalls,
             takenCalls: () => this.detourServer.openCalls,
             quarantinedTraits: () => this.quarantine.quarantinedTraits,
+            heldBytes: () => this.inputLimits.memory.usedBytes,
+            evictions: () => this.inputLimits.memory.evictions,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
             isLogAnswering: () => this.logHealth.isAnswering,
             readTopics: () => this.topicViews.readTopics,
@@ -652,3 +669,11 @@
         return { status, contentType: "text/plain", text: this.isReady ? "ready\n" : "not ready\n" };
     }
 }
+
+/**
+ * Returns the memory for bytes that are held for others, in bytes: half of what the program leaves, as a body is copied once when it is
+ * complete.
+ */
+function heldBytesFor(megabytes: number): number {
+    return Math.max(MIN_HELD_BYTES, (megabytes - PROGRAM_MEGABYTES) * BYTES_PER_MEGABYTE / 2);
+}
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -15,6 +15,9 @@
 /** Time for which a draining node keeps accepting calls while the balancer still sends it new connections, in milliseconds. */
 const DEFAULT_BALANCER_LAG_MS = 2_500;
 
+/** Memory of the process unless the settings state it, in megabytes; that of the smallest machines. */
+const DEFAULT_MEMORY_MEGABYTES = 178;
+
 const settingsSchema = z.strictObject({
     node: z.string().min(1),
     failureDomain: z.string().min(1),
@@ -33,6 +36,10 @@
         /** Share of each core's time available to the node, from 0 to 1. */
         share: z.number().min(0.01).max(1),
     }).default({ cores: 1, share: 1 }),
+    memory: z.strictObject({
+        /** Memory of the process above which the platform ends it, in megabytes. */
+        megabytes: z.number().min(1),
+    }).default({ megabytes: DEFAULT_MEMORY_MEGABYTES }),
     /** Address of the platform's log. */
     log: addressSchema,
     /** Whether the whole system is being started for the first time. */
--- a/src/protocol/relay/relay_client.ts
+++ b/src/protocol/relay/relay_client.ts
@@ -15,6 +15,8 @@
     Unwritable = "unwritable",
     /** The call may have been executed. */
     Unknown = "unknown",
+    /** The call may have been executed; its answer takes more memory than this node has for it. */
+    TooLarge = "tooLarge",
     /** This node cancelled the attempt. */
     Cancelled = "cancelled",
 }
@@ -51,7 +53,15 @@
      */
     abstract next(): Promise<Buffer | undefined>;
 
-    /** Cancels the attempt: closes the connection unless the answer has ended. */
+    /**
+     * Records what the reader has made of the last chunk.
+     *
+     * @param heldBytes Bytes of the answer that the reader holds, in all.
+     * @param events Events that were complete with the chunk.
+     */
+    abstract recordRead(heldBytes: number, events: number): void;
+
+    /** Cancels the attempt: closes the connection unless the answer has ended, and returns the memory that it holds. */
     abstract cancel(): void;
 }
 
--- a/src/transport/_socket_hold.ts
+++ b/src/transport/_socket_hold.ts
@@ -20,6 +20,9 @@
 
     /** Gives no more bytes to the reader until {@linkcode release} is called. */
     hold(): void {
+        if (this.isHeld) {
+            return;
+        }
         this.isHeld = true;
         // Node.js returns null if there is nothing to read.
         // eslint-disable-next-line no-restricted-syntax
--- /dev/null
+++ b/src/transport/body_collector.ts
@@ -0,0 +1,103 @@
+/**
+ * Body of a request that is being received.
+ *
+ * @module
+ */
+
+import type { IncomingMessage } from "node:http";
+import { BlockBuffer, type MemoryShare } from "../state/mod.js";
+import type { InputLimits } from "./input_limits.js";
+import { PacedInput, type ReadPacer } from "./read_pacer.js";
+
+/** Settings of a {@linkcode BodyCollector}. */
+export interface BodyCollectorSettings {
+    readonly inputLimits: InputLimits;
+    /** Largest body that is kept, in bytes; the bytes of a larger one are discarded. */
+    readonly maxBytes: number;
+    /** Called with the size of the body so far, in bytes. */
+    readonly onProgress?: (size: number) => void;
+    /** Called when the bytes are discarded because bodies and answers take too much memory and this one takes most of it. */
+    readonly onEvicted?: () => void;
+}
+
+/** Pauses the reading of a body. */
+class PacedBody extends PacedInput {
+    constructor(pacer: ReadPacer, private readonly request: IncomingMessage) {
+        super(pacer);
+    }
+
+    protected override pause(): void {
+        // The library's own pause keeps the pieces that the parser still has, each as an object, and reads on while they are few bytes.
+        this.request._read = () => undefined;
+        this.request.socket.pause();
+    }
+
+    protected override resume(): void {
+        // The method of the class is in effect again.
+        Reflect.deleteProperty(this.request, "_read");
+        if (!this.request.socket.destroyed) {
+            this.request.socket.resume();
+        }
+    }
+}
+
+/** Collects a body within the limits of the node. */
+export class BodyCollector {
+    /** Number of bytes that have arrived. */
+    size = 0;
+    /** Whether the bytes were discarded for lack of memory. */
+    isEvicted = false;
+    private readonly content = new BlockBuffer();
+    private readonly memoryShare: MemoryShare;
+
+    /**
+     * Starts reading.
+     *
+     * @param request Request with the body.
+     * @param settings See {@linkcode BodyCollectorSettings}.
+     */
+    constructor(request: IncomingMessage, private readonly settings: BodyCollectorSettings) {
+        const { memory, pacer } = settings.inputLimits;
+        this.memoryShare = memory.open(() => this.handleEvicted());
+        const pace = new PacedBody(pacer, request);
+        request.on("data", (chunk: Buffer) => {
+            this.add(chunk);
+            pace.record(1);
+        });
+    }
+
+    /** Whether the body is larger than bodies may be. */
+    get isTooLarge(): boolean {
+        return this.size > this.settings.maxBytes;
+    }
+
+    /** Returns the body and keeps its memory, which is no longer evicted, until {@linkcode release} is called. */
+    take(): Buffer {
+        this.memoryShare.pin();
+        return this.content.take();
+    }
+
+    /** Discards the body and returns its memory. */
+    release(): void {
+        this.content.clear();
+        this.memoryShare.close();
+    }
+
+    private add(chunk: Buffer): void {
+        this.size += chunk.length;
+        if (this.isTooLarge) {
+            this.release();
+        }
+        else if (!this.isEvicted) {
+            this.content.append(chunk);
+            this.memoryShare.resize(this.content.length);
+        }
+        this.settings.onProgress?.(this.size);
+    }
+
+    private handleEvicted(): void {
+        this.isEvicted = true;
+        this.content.clear();
+        this.settings.onEvicted?.();
+    }
+}
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -5,6 +5,7 @@
  */
 
 import { Pool } from "undici";
+import { InputLimits } from "./input_limits.js";
 import { makeTimedConnector } from "./timed_connector.js";
 
 /** Maximum number of connections to one address. */
@@ -26,8 +27,14 @@
 export class HttpClient {
     private readonly pools = new Map<string, Pool>();
 
-    /** @param connectTimeoutMs Connection timeout, in milliseconds. Defaults to 1,000. */
-    constructor(private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS) {}
+    /**
+     * @param connectTimeoutMs Connection timeout, in milliseconds. Defaults to 1,000.
+     * @param inputLimits Limits that all answers share.
+     */
+    constructor(
+        private readonly connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS,
+        readonly inputLimits: InputLimits = new InputLimits(),
+    ) {}
 
     /** Returns the connection pool of an address and creates it if necessary. */
     pool(address: string): Pool {
--- a/src/transport/http_engine.ts
+++ b/src/transport/http_engine.ts
@@ -58,7 +58,10 @@
     }
 
     override async *generate(vm: Vm, request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent> {
-        const exchange = new HttpExchange(this.client.pool(vm.address), toExchangeRequest(request), signal);
+        const exchange = new HttpExchange(this.client.pool(vm.address), {
+            ...toExchangeRequest(request),
+            inputLimits: this.client.inputLimits,
+        }, signal);
         const parser = new EventStreamParser();
         try {
             await exchange.awaitHead();
@@ -86,6 +89,7 @@
         }
         finally {
             exchange.cancel(ANSWER_CONSUMED);
+            exchange.release();
         }
     }
 
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -9,7 +9,10 @@
 import type { Socket } from "node:net";
 import type { Dispatcher, Pool } from "undici";
 import { DispatchStep } from "../protocol/relay/mod.js";
+import { BlockBuffer, GrowingBuffer, type MemoryShare } from "../state/mod.js";
 import { SocketHold } from "./_socket_hold.js";
+import { InputLimits } from "./input_limits.js";
+import { PacedInput, type ReadPacer } from "./read_pacer.js";
 
 /** Unread bytes of an answer above which the connection is paused. */
 const MAX_QUEUED_BYTES = 256 * 1024;
@@ -40,11 +43,35 @@
     readonly body?: Buffer;
     /** Asked once a connection is open: whether the request may still be written. Defaults to always. */
     readonly mayWrite?: () => boolean;
+    /** Limits that the answer shares with others. By default, it has its own. */
+    readonly inputLimits?: InputLimits;
 }
 
 /** Reason with which an exchange fails whose request may not be written any more. */
 const TOO_LATE = new Error("its time was over before a connection was open");
 
+/** Reason with which an exchange fails whose answer is the largest while a node holds too many bytes. */
+export const MEMORY_EXCEEDED = new Error("the memory for bytes of others is used up, and this answer holds most of it");
+
+/** Pauses the socket of an exchange while its answer is paced. */
+class PacedAnswer extends PacedInput {
+    /**
+     * @param pacer Pacer of the node.
+     * @param onChange Called when the pause begins and ends.
+     */
+    constructor(pacer: ReadPacer, private readonly onChange: (isPaused: boolean) => void) {
+        super(pacer);
+    }
+
+    protected override pause(): void {
+        this.onChange(true);
+    }
+
+    protected override resume(): void {
+        this.onChange(false);
+    }
+}
+
 /** Sends one request and buffers its answer until it is read. */
 export class HttpExchange {
     /** Status code of the answer; 0 until the head has arrived. */
@@ -52,8 +79,14 @@
     /** Headers of the answer. */
     headers: IncomingHttpHeaders = {};
     private step = DispatchStep.Connect;
-    private readonly queuedChunks: Buffer[] = [];
-    private queuedBytes = 0;
+    /** Unread bytes: one chunk, which is passed on as it is, or several that were joined. */
+    private queuedChunk: Buffer | undefined;
+    private readonly queuedBytes = new GrowingBuffer();
+    /** Bytes of the answer that its reader holds. */
+    private readerBytes = 0;
+    private readonly memoryShare: MemoryShare;
+    private readonly pacedAnswer: PacedAnswer;
+    private isPaced = false;
     private ended = false;
     private isCloseDelimited = false;
     private interimAnswers = 0;
@@ -72,6 +105,12 @@
      * @param signal Cancels the exchange when aborted.
      */
     constructor(pool: Pool, private readonly request: HttpExchangeRequest, private readonly signal: AbortSignal) {
+        const { memory, pacer } = request.inputLimits ?? new InputLimits();
+        this.memoryShare = memory.open(() => this.handleEvicted());
+        this.pacedAnswer = new PacedAnswer(pacer, isPaused => {
+            this.isPaced = isPaused;
+            this.updateHold();
+        });
         if (signal.aborted) {
             this.fail(signal.reason as Error);
             return;
@@ -110,20 +149,16 @@
     }
 
     /**
-     * Waits for the next chunk of the answer.
+     * Waits for more of the answer.
      *
-     * @returns The chunk, or `undefined` at the end of the answer.
+     * @returns All bytes that have arrived and are not read, or `undefined` at the end of the answer.
      * @throws {Error} If the exchange fails before the end of the answer.
      */
     async next(): Promise<Buffer | undefined> {
         for (;;) {
-            const chunk = this.queuedChunks.shift();
-            if (chunk !== undefined) {
-                this.queuedBytes -= chunk.length;
-                if (this.queuedBytes <= MAX_QUEUED_BYTES) {
-                    this.socketHold?.release();
-                }
-                return chunk;
+            const bytes = this.takeQueued();
+            if (bytes !== undefined) {
+                return bytes;
             }
             if (this.error !== undefined) {
                 throw this.error;
@@ -135,6 +170,42 @@
         }
     }
 
+    /**
+     * Reads the answer to its end.
+     *
+     * @param maxBytes Largest answer, in bytes.
+     * @throws {RangeError} If the answer is larger.
+     * @throws {Error} If the exchange fails before the end of the answer.
+     */
+    async readWhole(maxBytes: number): Promise<Buffer> {
+        const body = new BlockBuffer();
+        for (let chunk = await this.next(); chunk !== undefined; chunk = await this.next()) {
+            body.append(chunk);
+            if (body.length > maxBytes) {
+                throw new RangeError(`Cannot read answer: it is larger than ${maxBytes} bytes`);
+            }
+            this.recordRead(body.length, 0);
+        }
+        return body.take();
+    }
+
+    /**
+     * Records what the reader has made of the bytes that it has read.
+     *
+     * @param heldBytes Bytes of the answer that it holds, in all.
+     * @param events Events that were complete with the last bytes.
+     */
+    recordRead(heldBytes: number, events: number): void {
+        this.readerBytes = heldBytes;
+        this.updateMemory();
+        this.pacedAnswer.record(events);
+    }
+
+    /** Ends the accounting of the memory of the answer, which its reader no longer holds. */
+    release(): void {
+        this.memoryShare.close();
+    }
+
     /** Cancels the exchange and resets its connection, unless its answer is complete or it has failed. */
     cancel(reason: Error): void {
         if (!this.ended && this.error === undefined) {
@@ -192,14 +263,62 @@
             return;
         }
         this.step = DispatchStep.ReadBody;
-        this.queuedChunks.push(chunk);
-        this.queuedBytes += chunk.length;
-        if (this.queuedBytes > MAX_QUEUED_BYTES) {
-            this.socketHold?.hold();
+        if (this.queuedLength === 0) {
+            this.queuedChunk = chunk;
+        }
+        else {
+            if (this.queuedChunk !== undefined) {
+                this.queuedBytes.append(this.queuedChunk);
+                this.queuedChunk = undefined;
+            }
+            this.queuedBytes.append(chunk);
         }
+        this.pacedAnswer.record(1);
+        this.updateHold();
+        this.updateMemory();
         this.wakeReader();
     }
 
+    private get queuedLength(): number {
+        return this.queuedBytes.length + (this.queuedChunk?.length ?? 0);
+    }
+
+    private takeQueued(): Buffer | undefined {
+        if (this.queuedLength === 0) {
+            return undefined;
+        }
+        const bytes = this.queuedChunk ?? this.queuedBytes.take();
+        this.queuedChunk = undefined;
+        this.updateHold();
+        this.updateMemory();
+        return bytes;
+    }
+
+    private updateHold(): void {
+        const isOpen = this.error === undefined && !this.ended;
+        if (isOpen && (this.isPaced || this.queuedLength > MAX_QUEUED_BYTES)) {
+            this.socketHold?.hold();
+        }
+        else {
+            this.socketHold?.release();
+        }
+    }
+
+    private updateMemory(): void {
+        this.memoryShare.resize(this.queuedLength + this.readerBytes);
+    }
+
+    private handleEvicted(): void {
+        this.queuedChunk = undefined;
+        this.queuedBytes.clear();
+        if (this.ended) {
+            // The reader gets an error instead of the rest.
+            this.error ??= MEMORY_EXCEEDED;
+            return;
+        }
+        this.cancel(MEMORY_EXCEEDED);
+    }
+
     /**
      * Detects a connection reset in a close-delimited answer. Such an answer ends when its connection closes, and a reset that
      * arrives right after the last bytes is reported as a regular close. Only a write to the socket fails then.
@@ -230,7 +349,7 @@
     }
 
     private settle(): void {
-        this.socketHold?.release();
+        this.updateHold();
         this.signal.removeEventListener("abort", this.onAbort);
         this.wakeReader();
     }
--- a/src/transport/http_plain_service.ts
+++ b/src/transport/http_plain_service.ts
@@ -33,11 +33,12 @@
             path: request.target,
             headers: requestHeaders(request),
             body: request.body.length > 0 ? request.body : undefined,
+            inputLimits: this.client.inputLimits,
         }, signal);
         try {
             await exchange.awaitHead();
             checkEchoedRequestId(exchange, request.id, vm.id);
-            const body = await readBody(exchange);
+            const body = await exchange.readWhole(MAX_ANSWER_BYTES);
             const contentType = String(exchange.headers["content-type"] ?? "application/octet-stream");
             return { status: exchange.status, contentType, body };
         }
@@ -45,6 +46,9 @@
             exchange.cancel(cause as Error);
             throw toDispatchError(cause, { peer: vm.id, step: exchange.reachedStep, signal });
         }
+        finally {
+            exchange.release();
+        }
     }
 }
 
@@ -66,16 +70,3 @@
     }
     return headers;
 }
-
-async function readBody(exchange: HttpExchange): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for (let chunk = await exchange.next(); chunk !== undefined; chunk = await exchange.next()) {
-        size += chunk.length;
-        if (size > MAX_ANSWER_BYTES) {
-            throw new RangeError(`Cannot read answer: it is larger than ${MAX_ANSWER_BYTES} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks, size);
-}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -15,7 +15,7 @@
     Refusal,
     RefusalType,
 } from "../protocol/mod.js";
-import { afterArrivedInput, type Clock } from "../state/mod.js";
+import { afterArrivedInput, BlockBuffer, type Clock } from "../state/mod.js";
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 import { ConnectionLimits } from "./connection_limits.js";
@@ -291,7 +291,7 @@
             return Promise.resolve(EMPTY_BODY);
         }
         return new Promise((resolve, reject) => {
-            const chunks: Buffer[] = [];
+            const body = new BlockBuffer();
             let size = 0;
             const fail = (error: Error) => {
                 request.removeAllListeners("data");
@@ -307,9 +307,9 @@
                     fail(refusal);
                     return;
                 }
-                chunks.push(chunk);
+                body.append(chunk);
             });
-            request.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
+            request.on("end", () => resolve(body.take()));
             request.on("error", fail);
             request.on("aborted", () => fail(CALLER_GONE));
         });
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -18,4 +18,5 @@
 export * from "./http_platform.js";
 export * from "./http_server.js";
 export * from "./http_webhook.js";
+export * from "./input_limits.js";
 export * from "./peer_authorizer.js";
--- a/src/transport/relay/caller_connection.ts
+++ b/src/transport/relay/caller_connection.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-import { type IncomingMessage, STATUS_CODES } from "node:http";
+import { type IncomingMessage, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { afterArrivedInput } from "../../state/relay/mod.js";
 import { CallTurn } from "./call_turn.js";
@@ -16,6 +16,7 @@
 /** Call whose answer is not complete. */
 export interface OpenCall {
     readonly request: IncomingMessage;
+    readonly response: ServerResponse;
     readonly answer: HttpRelayAnswer;
     /** Aborted when the caller disconnects. */
     readonly callerAbort: AbortController;
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -14,7 +14,9 @@
     STOPPING_RETRY_AFTER_MS,
 } from "../../protocol/relay/mod.js";
 import { afterArrivedInput, type CallerLimits, type Clock } from "../../state/relay/mod.js";
+import { BodyCollector } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
+import { InputLimits } from "../input_limits.js";
 import { listen } from "../listen.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -31,6 +33,9 @@
 /** Multiple of the maximum body size up to which a body that is too large is read, so that the calls behind it are read as well. */
 const MAX_DISCARDED_BODY_FACTOR = 2;
 
+/** Time after which a call may come again that was refused because bodies take too much memory, in milliseconds. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
 /** Status of calls that cannot be read. */
 const INVALID_STATUS = 400;
 
@@ -80,6 +85,8 @@
     readonly clock: Clock;
     readonly headers: RelayHeaders;
     readonly receive: CallReceiver;
+    /** Limits that all bodies and answers of the node share. By default, the bodies have their own. */
+    readonly inputLimits?: InputLimits;
     /** Called with errors thrown by the receiver. */
     readonly onError: (error: unknown) => void;
     /** Called with errors of the listening server, such as a connection that cannot be accepted; it goes on. */
@@ -94,12 +101,14 @@
 export class CallerServer {
     private readonly server: Server;
     private readonly connectionLimits: ConnectionLimits;
+    private readonly inputLimits: InputLimits;
     private readonly connections = new Map<Socket, CallerConnection>();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
 
     /** @param settings See {@linkcode CallerServerSettings}. */
     constructor(private readonly settings: CallerServerSettings) {
+        this.inputLimits = settings.inputLimits ?? new InputLimits(settings.clock);
         this.server = createServer({
             maxHeaderSize: MAX_HEAD_BYTES,
             requestTimeout: 0,
@@ -257,8 +266,9 @@
             () => connection.writeClosingHead(openCall, this.isDraining),
             [],
             connection.nextTurn(),
+            this.inputLimits.memory,
         );
-        const openCall: OpenCall = { request, answer, callerAbort: new AbortController(), read: undefined };
+        const openCall: OpenCall = { request, response, answer, callerAbort: new AbortController(), read: undefined };
         connection.add(openCall, response.shouldKeepAlive);
         response.on("finish", () => {
             openCall.read = undefined;
@@ -286,34 +296,39 @@
      */
     private readBody(
         connection: CallerConnection,
-        { request, answer, callerAbort }: OpenCall,
+        { request, response, answer, callerAbort }: OpenCall,
         finish: (body: Buffer) => LocalAnswer | undefined,
     ): void {
         const { maxBodyBytes } = this.limits;
-        const chunks: Buffer[] = [];
-        let size = 0;
         const refuse = (localAnswer: LocalAnswer) => {
             connection.mustClose = true;
             answer.sendLocal(localAnswer);
         };
         const tooLarge = { status: 413, text: `The body is larger than ${maxBodyBytes} bytes.` };
-        request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size <= maxBodyBytes) {
-                chunks.push(chunk);
+        const body = new BodyCollector(request, {
+            inputLimits: this.inputLimits,
+            maxBytes: maxBodyBytes,
+            onProgress: size => {
+                if (size > maxBodyBytes * MAX_DISCARDED_BODY_FACTOR && !answer.isStarted) {
+                    refuse(tooLarge);
+                }
+            },
+        });
+        response.on("close", () => body.release());
+        request.on("end", () => {
+            if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
-            chunks.length = 0;
-            if (size > maxBodyBytes * MAX_DISCARDED_BODY_FACTOR && !answer.isStarted) {
+            if (body.isTooLarge) {
                 refuse(tooLarge);
+                return;
             }
-        });
-        request.on("end", () => {
-            if (answer.isStarted || callerAbort.signal.aborted) {
+            if (body.isEvicted) {
+                const text = "The node holds too many bytes of calls; the call has not run.";
+                answer.sendLocal({ status: 503, text, retryAfterMs: MEMORY_RETRY_AFTER_MS });
                 return;
             }
-            const body = chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks);
-            const refusal = size > maxBodyBytes ? tooLarge : finish(body);
+            const refusal = finish(body.take());
             if (refusal !== undefined) {
                 refuse(refusal);
             }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -7,7 +7,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { describeCause, DetourCall, type LocalAnswer } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
+import { BodyCollector } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
+import { InputLimits } from "../input_limits.js";
 import { listen } from "../listen.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
@@ -35,6 +37,8 @@
 /** Settings of a {@linkcode DetourServer}. */
 export interface DetourServerSettings {
     readonly clock: Clock;
+    /** Limits that all bodies and answers of the node share. By default, the messages have their own. */
+    readonly inputLimits?: InputLimits;
     /** Whether a host is that of another node of the fleet. */
     readonly isNode: (host: string) => boolean;
     /**
@@ -54,11 +58,13 @@
     /** Number of calls whose response is still open. */
     openCalls = 0;
     private readonly server: Server;
+    private readonly inputLimits: InputLimits;
     private readonly unreadCalls = new Map<IncomingMessage, HttpRelayAnswer>();
     private isStopped = false;
 
     /** @param settings See {@linkcode DetourServerSettings}. */
     constructor(private readonly settings: DetourServerSettings) {
+        this.inputLimits = settings.inputLimits ?? new InputLimits(settings.clock);
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
         new ConnectionLimits(this.server, { clock: settings.clock, onIdle: socket => socket.destroySoon() });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
@@ -96,7 +102,7 @@
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const callId = request.headers[DETOUR_CALL_HEADER];
         const nodeHeaders = typeof callId === "string" ? [DETOUR_CALL_HEADER, callId] : [];
-        const answer = new HttpRelayAnswer(response, () => this.isStopped, nodeHeaders);
+        const answer = new HttpRelayAnswer(response, () => this.isStopped, nodeHeaders, undefined, this.inputLimits.memory);
         const sender = request.socket.remoteAddress ?? "";
         if (!this.settings.isNode(sender)) {
             this.reject(request, answer, {
@@ -120,22 +126,29 @@
             }
         });
         request.on("error", () => callerAbort.abort());
-        const chunks: Buffer[] = [];
-        let size = 0;
-        request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > MAX_MESSAGE_BYTES) {
-                request.destroy();
-                return;
-            }
-            chunks.push(chunk);
+        const message = new BodyCollector(request, {
+            inputLimits: this.inputLimits,
+            maxBytes: MAX_MESSAGE_BYTES,
+            onProgress: size => {
+                if (size > MAX_MESSAGE_BYTES) {
+                    request.destroy();
+                }
+            },
+            onEvicted: () => {
+                this.unreadCalls.delete(request);
+                this.reject(request, answer, {
+                    status: HANDED_BACK_STATUS,
+                    text: "The node holds too many bytes of calls.",
+                });
+            },
         });
+        response.on("close", () => message.release());
         request.on("end", () => {
             this.unreadCalls.delete(request);
             if (answer.isStarted || callerAbort.signal.aborted) {
                 return;
             }
-            const problem = this.serve(Buffer.concat(chunks), answer, callerAbort.signal);
+            const problem = this.serve(message.take(), answer, callerAbort.signal);
             if (problem !== undefined) {
                 this.reject(request, answer, { status: INVALID_STATUS, text: problem });
             }
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -15,7 +15,7 @@
     type RelayHeaders,
 } from "../../protocol/relay/mod.js";
 import type { HttpClient } from "../http_client.js";
-import type { HttpExchange } from "../http_exchange.js";
+import { type HttpExchange, MEMORY_EXCEEDED } from "../http_exchange.js";
 
 /** Reason with which an exchange is cancelled. */
 const CANCELLED = new Error("the attempt was given up");
@@ -84,8 +84,13 @@
         }
     }
 
+    override recordRead(heldBytes: number, events: number): void {
+        this.exchange.recordRead(heldBytes, events);
+    }
+
     override cancel(): void {
         this.exchange.cancel(CANCELLED);
+        this.exchange.release();
     }
 
     private toError(step: string, cause: unknown): AttemptError {
@@ -95,6 +100,9 @@
         if (this.exchange.reachedStep === DispatchStep.Connect) {
             return new AttemptError(AttemptFault.NotRun, this.context.receiver, "connect", cause);
         }
+        if (cause === MEMORY_EXCEEDED) {
+            return new AttemptError(AttemptFault.TooLarge, this.context.receiver, step, cause);
+        }
         const fault = this.context.signal.aborted ? AttemptFault.Cancelled : AttemptFault.Unknown;
         return new AttemptError(fault, this.context.receiver, step, cause);
     }
--- a/src/transport/relay/http_detour_client.ts
+++ b/src/transport/relay/http_detour_client.ts
@@ -32,6 +32,7 @@
             },
             body: Buffer.from(DetourCall.encode(call).finish()),
             mayWrite: maySend,
+            inputLimits: this.client.inputLimits,
         }, signal);
         return new HttpAttemptAnswer(exchange, {
             receiver: peer.node,
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from "node:http";
 import { type HeaderList, type LocalAnswer, RelayAnswer } from "../../protocol/relay/mod.js";
+import type { MemoryBudget } from "../../state/relay/mod.js";
 import { breakOff } from "../broken_answer.js";
 import { CallTurn } from "./call_turn.js";
 
@@ -14,6 +15,9 @@
 /** Version of HTTP in which an answer without a length ends with its connection. */
 const UNCHUNKED_VERSION = "1.0";
 
+/** Unread bytes of a complete answer up to which its memory is not counted. */
+const MAX_UNCOUNTED_BYTES = 16_384;
+
 /** Writes the answer to one call. */
 export class HttpRelayAnswer extends RelayAnswer {
     private mustClose = false;
@@ -24,12 +28,14 @@
      * @param closesConnection Called when the head is written: returns whether the connection closes after this answer.
      * @param nodeHeaders Headers that every answer has, besides those of its server.
      * @param callTurn Turn of the call on its connection.
+     * @param memory Memory of complete answers that the caller does not read; by default, they are not counted.
      */
     constructor(
         private readonly response: ServerResponse,
         private readonly closesConnection: () => boolean,
         private readonly nodeHeaders: readonly string[] = [],
         private readonly callTurn = new CallTurn(),
+        private readonly memory?: MemoryBudget,
     ) {
         super();
         response.sendDate = false;
@@ -66,6 +72,19 @@
         this.writeHead(status, [...headers, "content-length", String(body.length)]);
         this.response.end(body);
         this.callTurn.settle();
+        // The answer's sender has returned its memory by then, and a caller that reads has got it.
+        setImmediate(() => this.countUnread());
+    }
+
+    /** Counts an answer whose caller does not read it, and breaks it off when it is evicted. */
+    private countUnread(): void {
+        const { writableLength, destroyed } = this.response;
+        if (this.memory === undefined || destroyed || writableLength <= MAX_UNCOUNTED_BYTES) {
+            return;
+        }
+        const share = this.memory.open(() => this.abort());
+        share.resize(writableLength);
+        this.response.on("close", () => share.close());
     }
 
     override start(status: number, headers: HeaderList): void {
--- a/src/transport/relay/http_relay_client.ts
+++ b/src/transport/relay/http_relay_client.ts
@@ -33,6 +33,7 @@
             headers: this.headers.writeAttempt(call.head, attempt),
             body: call.body.length > 0 ? call.body : undefined,
             mayWrite: attempt.maySend,
+            inputLimits: this.client.inputLimits,
         }, signal);
         return new HttpAttemptAnswer(exchange, { receiver: server.id, callId: call.head.id, headers: this.headers, signal });
     }
--- a/src/transport/relay/mod.ts
+++ b/src/transport/relay/mod.ts
@@ -5,6 +5,8 @@
  */
 
 export { HttpClient } from "../http_client.js";
+export { HttpExchange } from "../http_exchange.js";
+export { InputLimits } from "../input_limits.js";
 export * from "./caller_server.js";
 export * from "./connection_probe.js";
 export * from "./detour_server.js";
--- a/standin/detour_model.ts
+++ b/standin/detour_model.ts
@@ -90,6 +90,10 @@
         return chunk;
     }
 
+    override recordRead(): void {
+        // The model holds no memory.
+    }
+
     override cancel(): void {
         if (!this.written.isComplete) {
             this.gone.abort();
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -297,6 +297,10 @@
         return Buffer.from(total === 0 ? "answer" : `id: ${this.events}\ndata: x\n\n`);
     }
 
+    override recordRead(): void {
+        // The model holds no memory.
+    }
+
     override cancel(): void {
         this.server?.finish(this);
         this.settings.link.finish(this, this.server?.registration.id ?? "");
