--- a/features/relay_endless_input.feature
+++ b/features/relay_endless_input.feature
@@ -3,7 +3,8 @@
     One process before three servers, with the memory of a small machine. Servers, peers that take its calls, callers, nodes that hand it
     calls, or the platform's log send bytes without end, in pieces of any size. The process must survive, and the calls of all others must be answered in time.
 
-    # Guards against answers in many small pieces that take all memory of the process (LOST).
+    # Guards against answers in many small pieces that take all memory of the process (LOST), and against events without end in small
+    # pieces that hold up its event loop (CONFIG).
     Scenario Outline: <content> without end in pieces of <size> bytes, sent by <sender>, does not disturb other calls
         Given a relay program with the memory of a small machine before <sender> that send <content> in pieces of <size> bytes
         When <sender> send <content> in pieces of <size> bytes without end, 8 at a time for 4 s
@@ -15,9 +16,20 @@
             | servers     | a body   | 1     |
             | servers     | a body   | 8     |
             | servers     | a body   | 65536 |
+            | servers     | an event | 1     |
+            | servers     | an event | 8     |
+            | servers     | an event | 65536 |
+            | servers     | events   | 1     |
+            | servers     | events   | 8     |
+            | servers     | events   | 65536 |
+            | servers     | comments | 8     |
+            | servers     | comments | 65536 |
             | peers       | a body   | 1     |
             | peers       | a body   | 8     |
             | peers       | a body   | 65536 |
+            | peers       | an event | 1     |
+            | peers       | an event | 8     |
+            | peers       | events   | 8     |
             | callers     | a body   | 1     |
             | callers     | a body   | 8     |
             | callers     | a body   | 65536 |
--- a/src/coordination/relay/detour_attempt.ts
+++ b/src/coordination/relay/detour_attempt.ts
@@ -110,6 +110,7 @@
             if (splitter.isEventTooLong) {
                 return this.fail(`peer ${peer.node} sent an event that is too long`);
             }
+            answer.recordRead(splitter.partialLength, count);
             if (count > 0) {
                 this.startStream(head);
                 await admitted.answer.write(bytes);
--- a/src/coordination/relay/server_answer.ts
+++ b/src/coordination/relay/server_answer.ts
@@ -103,6 +103,7 @@
                 this.settings.onFailed(`server ${slot.server.id} sent an event that is too long`);
                 return AttemptOutcome.Bad;
             }
+            answer.recordRead(splitter.partialLength, count);
             if (count === 0) {
                 continue;
             }
