Quarantine: an answer clears the crashes before it, and not a trait for good

Callers lost service (LOST, BUDGET): a prompt part that crashes engines after their second event was never quarantined.

Cause: the second event counted as an answer, and any answer made all traits of its call immune, on all nodes, for ever. The report of an answer was repeated for 30 s and wiped the crashes that came after it.

Change: crashes are cleared by their keys, by whole answers or by streams that go beyond the events of the calls that broke. Traits that were in answered calls need four crashes since, and are judged later and only if no likelier trait was there. A crash of a server that goes on is void. Reports have new fields; an answer that an earlier build reports is not believed, and it does not suspect traits that were answered.

Checks that changed: "was answered before calls broke at 3 servers is free" (parts and contents) demanded the immunity that is the fault; it is now free after 2, held back after 3 and quarantined after 4 crashes. Reports of an answer in the tests name the crashes that it clears.

--- a/features/relay_crashing_calls.feature
+++ b/features/relay_crashing_calls.feature
@@ -58,7 +58,9 @@
             | broke at 3 servers, beside another call each time                 | quarantined |
             | broke twice at one incarnation of a server                        | free        |
             | broke at 4 servers within 100 ms                                  | quarantined |
-            | was answered before it broke at 3 servers                         | free        |
+            | was answered before it broke at 2 servers                         | free        |
+            | was answered before it broke at 3 servers                         | held back   |
+            | was answered before it broke at 4 servers                         | quarantined |
             | broke at 1 server and was answered                                | free        |
             | broke at 3 servers and was answered by a probe                    | free        |
             | broke at 1 server, after 600 other calls broke at another         | free        |
--- a/features/relay_prompt_parts.feature
+++ b/features/relay_prompt_parts.feature
@@ -19,6 +19,15 @@
             | 4    | the log is down                               |
             | 4    | a node is cut off from its peers for 6 s      |
             | 4    | a second part crashes servers 5 s later       |
+            # Guards against parts that are cleared for good by a stream that got to its second event, or by earlier answers.
+            | 4    | servers crash after 1 events                  |
+            | 4    | servers crash after 2 events                  |
+            | 4    | servers crash after 10 events                 |
+            | 4    | servers crash after 100 events                |
+            | 1    | servers crash after 2 events                  |
+            | 15   | servers crash after 2 events                  |
+            | 4    | the part was in sound calls before            |
+            | 4    | servers crash after 10 events, and the part was in sound calls before |
 
     Scenario: a part that crashes servers is kept from them by 24 nodes that report through aggregators
         Given 24 relay nodes before engines
@@ -49,8 +58,14 @@
             | was in calls that broke twice at one server               | suspected   |
             | was in calls that broke at 2 servers beside another part  | suspected   |
             | was in calls that broke at 3 servers beside another part  | quarantined |
-            | was answered before calls with it broke at 3 servers      | free        |
+            | was answered before calls with it broke at 2 servers      | free        |
+            | was answered before calls with it broke at 3 servers      | suspected   |
+            | was answered before calls with it broke at 4 servers      | quarantined |
+            | was in answers of 5 events before calls with it broke after 2 events at 2 servers | quarantined |
+            | was in an answer of 6 events after calls with it broke after 2 events at 1 server | free        |
+            | was in an answer of 5 events after calls with it broke after 2 events at 1 server | suspected   |
             | was answered after calls with it broke at 1 server        | free        |
+            | was in calls that broke at 3 servers that went on         | free        |
             | was answered by a probe after calls broke at 3 servers    | free        |
             | was in calls that broke at 7 servers at once              | free        |
             | was the last one in calls that broke at 3 servers         | free        |
--- a/features/steps/log_sharing_steps.ts
+++ b/features/steps/log_sharing_steps.ts
@@ -180,6 +180,8 @@
         lostServices: () => 0,
         detouredCalls: () => 0,
         takenCalls: () => 0,
+        heldBytes: () => 0,
+        evictions: () => 0,
         quarantinedTraits: () => 0,
         configurationVersion: () => 0,
         isLogAnswering: () => true,
--- a/features/steps/relay_crashing_call_steps.ts
+++ b/features/steps/relay_crashing_call_steps.ts
@@ -7,7 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { CallQuarantine, type CallTrait, traitsOf } from "../../src/coordination/relay/mod.js";
-import { hashKey } from "../../src/protocol/relay/mod.js";
+import { type CallSuspect, hashKey } from "../../src/protocol/relay/mod.js";
 import { type RelayServer, SeededRandom, Semantics } from "../../src/state/relay/mod.js";
 import { type ModelOutcome, type ModelTraffic, RelayFleetModel } from "../../standin/relay_fleet_model.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
@@ -250,12 +250,12 @@
 
 When(/^a call ((?:broke|was) .*)$/, async function(this: CrashingCallScenario, history: string) {
     const { quarantine } = this;
-    const report = (crashKeys: readonly number[], isAnswered: boolean) => {
-        quarantine.merge([{ traitKey: TESTED_KEY, crashKeys: [...crashKeys], isAnswered, isContent: true }]);
+    const report = (crashKeys: readonly number[], clearedCrashKeys: readonly number[] = []) => {
+        quarantine.merge([makeReport(TESTED_KEY, crashKeys, clearedCrashKeys)]);
     };
     const servers = Number(/broke at (\d)/.exec(history)?.[1] ?? 0);
     if (history.startsWith("was answered before")) {
-        quarantine.recordAnswered(TESTED);
+        quarantine.recordAnswered(TESTED, makeServer(1_000));
     }
     if (history.includes("600 other calls")) {
         for (let call = 0; call < 600; call += 1) {
@@ -276,24 +276,23 @@
     if (history.endsWith("beside a call that then broke at a third one")) {
         await breakAt(this, [0, 1, 2], [OTHER]);
         // A peer that has not judged the other call yet still reports the crashes of this one.
-        report([0, 1].map(server => hashKey(`server-${server}@1`)), false);
+        report(crashKeysOf(2));
     }
     if (history.endsWith("and a peer then reported another call there")) {
         await this.clock.advance(REPORT_DELAY_MS);
-        const crashKeys = [0, 1].map(server => hashKey(`server-${server}@1`));
-        quarantine.merge([{ traitKey: OTHER[0]?.key ?? 0, crashKeys, isAnswered: false, isContent: true }]);
+        quarantine.merge([makeReport(OTHER[0]?.key ?? 0, crashKeysOf(2))]);
     }
     if (history.endsWith("and was answered") || history.endsWith("by a probe")) {
-        quarantine.recordAnswered(TESTED);
+        quarantine.recordAnswered(TESTED, makeServer(1_000));
     }
     if (history.endsWith("reported another")) {
-        report([hashKey("server-9@1")], false);
+        report([hashKey("server-9@1")]);
     }
     if (history === "was reported by a peer as quarantined") {
-        report([1, 2, 3], false);
+        report([1, 2, 3]);
     }
     if (history.endsWith("reported that it was answered")) {
-        report([], true);
+        report([], crashKeysOf(servers));
     }
     await this.clock.advance(JUDGED_MS);
 });
@@ -313,6 +312,23 @@
     },
 );
 
+/** Keys of the crashes of the first servers. */
+function crashKeysOf(servers: number): number[] {
+    return Array.from({ length: servers }, (unused, server) => hashKey(`server-${server}@1`));
+}
+
+function makeReport(traitKey: number, crashKeys: readonly number[], clearedCrashKeys: readonly number[] = []): CallSuspect {
+    return {
+        traitKey,
+        crashKeys: [...crashKeys],
+        crashKeysAfterAnswers: [],
+        clearedCrashKeys: [...clearedCrashKeys],
+        isAnswered: clearedCrashKeys.length > 0,
+        isContent: true,
+        events: 0,
+    };
+}
+
 async function breakAt(
     { quarantine, clock }: CrashingCallScenario,
     servers: readonly number[],
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -23,6 +23,9 @@
 const WARM_UP_MS = 4_000;
 const PLAYED_MS = 24_000;
 
+/** Sound calls with the part before it crashes servers. */
+const PART_CALLS_BEFORE = 20;
+
 /** Time for which a crashed server is down, in milliseconds. */
 const CRASH_MS = 3_000;
 
@@ -80,7 +83,7 @@
     async function(this: PromptScenario, rate: string, trouble: string) {
         for (const seed of SEEDS) {
             const fleet = startFleet(this, seed, trouble === "broken streams are resumed");
-            await fleet.run(WARM_UP_MS);
+            await warmUp(fleet, trouble);
             await playCrashingCalls(fleet, Number(rate), trouble, this.crashesAtMs.get(fleet) ?? []);
             fleet.stop();
         }
@@ -135,6 +138,20 @@
     }
 });
 
+/** Plays calls before the first one that crashes a server; the part may be in them as well. */
+async function warmUp(fleet: RelayFleetModel, trouble: string): Promise<void> {
+    if (trouble.endsWith("the part was in sound calls before")) {
+        const { crashMs } = fleet;
+        fleet.crashMs = () => 0;
+        for (let call = 0; call < PART_CALLS_BEFORE; call += 1) {
+            fleet.sendCall(makeParts(fleet, CRASHING_PARTS[0]));
+            await fleet.run(WARM_UP_MS / PART_CALLS_BEFORE);
+        }
+        fleet.crashMs = crashMs;
+    }
+    await fleet.run(WARM_UP_MS);
+}
+
 function startFleet(scenario: PromptScenario, seed: number, isResumable: boolean): RelayFleetModel {
     const fleet = new RelayFleetModel(TRAFFIC, scenario.nodeCount, seed, isResumable);
     const crashesAtMs: number[] = [];
@@ -165,6 +182,7 @@
     trouble: string,
     crashesAtMs: readonly number[],
 ): Promise<void> {
+    fleet.crashEvents = Number(/servers crash after (\d+) events/.exec(trouble)?.[1] ?? 0);
     const startMs = fleet.clock.now();
     let restarted = 0;
     for (let call = 0; call < rate * PLAYED_MS / 1_000; call += 1) {
@@ -252,17 +270,29 @@
     assert.equal(isQuarantined ? "quarantined" : isSuspected ? "suspected" : "free", verdict);
 });
 
+/** Server that does not crash. */
+const SOUND_SERVER = makeServer(1_000);
+
 async function playHistory(scenario: PromptScenario, history: string): Promise<void> {
     const { quarantine, clock } = scenario;
-    const breakAt = async (servers: number, traits: readonly CallTrait[] = TESTED_PROMPT) => {
-        for (let server = 0; server < servers; server += 1) {
-            quarantine.recordBroken(traits, makeServer(server));
+    const breakAt = async (count: number, traits: readonly CallTrait[] = TESTED_PROMPT, events = 0) => {
+        for (let server = 0; server < count; server += 1) {
+            quarantine.recordBroken(traits, makeServer(server), events);
             await clock.advance(500);
         }
     };
-    const report = (crashKeys: readonly number[], isAnswered: boolean) => {
-        quarantine.merge([{ traitKey: hashKey(TESTED_PART.id), crashKeys: [...crashKeys], isAnswered, isContent: false }]);
+    const report = (crashKeys: readonly number[], clearedCrashKeys: readonly number[] = []) => {
+        quarantine.merge([{
+            traitKey: hashKey(TESTED_PART.id),
+            crashKeys: [...crashKeys],
+            crashKeysAfterAnswers: [],
+            clearedCrashKeys: [...clearedCrashKeys],
+            isAnswered: clearedCrashKeys.length > 0,
+            isContent: false,
+            events: 0,
+        }]);
     };
+    const servers = Number(/(\d) servers?/.exec(history)?.[1] ?? 0);
     switch (history) {
         case "was in a call that broke":
             return breakAt(1);
@@ -278,13 +308,35 @@
                 history.includes("2") ? 2 : 3,
                 traitsOfPrompt([{ id: "other", tokens: 1 }, TESTED_PART, { id: "own", tokens: 100 }]),
             );
+        case "was answered before calls with it broke at 2 servers":
         case "was answered before calls with it broke at 3 servers":
-            quarantine.recordAnswered(TESTED_PROMPT);
-            return breakAt(3);
+        case "was answered before calls with it broke at 4 servers":
+            quarantine.recordAnswered(TESTED_PROMPT, SOUND_SERVER);
+            await clock.advance(1_000);
+            await breakAt(servers);
+            await clock.advance(1_000);
+            return;
+        case "was in calls that broke at 3 servers that went on":
+            await breakAt(servers);
+            for (let server = 0; server < servers; server += 1) {
+                quarantine.recordProgress([], makeServer(server), 1);
+            }
+            return;
+        case "was in answers of 5 events before calls with it broke after 2 events at 2 servers":
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 5);
+            return breakAt(servers, TESTED_PROMPT, 2);
+        case "was in an answer of 6 events after calls with it broke after 2 events at 1 server":
+            await breakAt(1, TESTED_PROMPT, 2);
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 6);
+            return;
+        case "was in an answer of 5 events after calls with it broke after 2 events at 1 server":
+            await breakAt(1, TESTED_PROMPT, 2);
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 5);
+            return;
         case "was answered after calls with it broke at 1 server":
         case "was answered by a probe after calls broke at 3 servers":
             await breakAt(history.includes("3") ? 3 : 1);
-            quarantine.recordAnswered(TESTED_PROMPT);
+            quarantine.recordAnswered(TESTED_PROMPT, SOUND_SERVER);
             return;
         case "was in calls that broke at 7 servers at once":
             for (let server = 0; server < 7; server += 1) {
@@ -295,13 +347,13 @@
         case "was the last one in calls that broke at 3 servers":
             return breakAt(3, traitsOfPrompt([{ id: "first", tokens: 1 }, TESTED_PART]));
         case "was reported by two peers for a server each":
-            report([1], false);
-            report([2], false);
+            report([1]);
+            report([2]);
             return;
         case "was reported by two peers and as answered by a third":
-            report([1], false);
-            report([2], false);
-            report([], true);
+            report([1]);
+            report([2]);
+            report([], [1, 2]);
             return;
         default:
             throw new Error(`Unknown history: ${history}`);
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -419,6 +419,7 @@
         }
         let endWatch: (() => void) | undefined;
         let answer: AttemptAnswer | undefined;
+        let serverAnswer: ServerAnswer | undefined;
         let isRefused = false;
         let outcome = AttemptOutcome.Neutral;
         try {
@@ -445,7 +446,7 @@
                 return false;
             }
             this.state.mayHaveRun = true;
-            outcome = await new ServerAnswer({
+            serverAnswer = new ServerAnswer({
                 clock: this.settings.clock,
                 quarantine: this.settings.quarantine,
                 admitted: this.admitted,
@@ -458,7 +459,8 @@
                 isTakenOver: () => this.hedge?.isTakenOver === true,
                 onProgress: () => this.hedge?.cancel(),
                 onFailed: reason => this.recordFailedAttempt(slot, reason),
-            }).relay(head);
+            });
+            outcome = await serverAnswer.relay(head);
             return outcome === AttemptOutcome.Good;
         }
         catch (error) {
@@ -469,7 +471,7 @@
             if (error.fault === AttemptFault.Unwritable) {
                 throw error;
             }
-            outcome = this.handleError(slot, error);
+            outcome = this.handleError(slot, error, serverAnswer?.events ?? 0);
             return false;
         }
         finally {
@@ -542,7 +544,7 @@
         this.recordFailedAttempt(slot, `server ${slot.server.id} refused with status ${head.status}`);
     }
 
-    private handleError(slot: SlotReservation, error: AttemptError): AttemptOutcome {
+    private handleError(slot: SlotReservation, error: AttemptError, events: number): AttemptOutcome {
         this.recordFailedAttempt(slot, error.message);
         if (error.fault === AttemptFault.NotRun) {
             this.attempts -= 1;
@@ -564,7 +566,7 @@
             // A brittle server falls over because of the calls that it turned away.
             return AttemptOutcome.Neutral;
         }
-        this.settings.quarantine.recordBroken(this.traits, slot.server);
+        this.settings.quarantine.recordBroken(this.traits, slot.server, events);
         return AttemptOutcome.Broken;
     }
 
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -241,12 +241,19 @@
         const known = merged.get(suspect.traitKey);
         merged.set(suspect.traitKey, {
             ...suspect,
-            crashKeys: [...new Set([...known?.crashKeys ?? [], ...suspect.crashKeys])],
+            crashKeys: unite(known?.crashKeys, suspect.crashKeys),
+            crashKeysAfterAnswers: unite(known?.crashKeysAfterAnswers, suspect.crashKeysAfterAnswers),
+            clearedCrashKeys: unite(known?.clearedCrashKeys, suspect.clearedCrashKeys),
+            events: Math.max(known?.events ?? 0, suspect.events),
             isAnswered: suspect.isAnswered || known?.isAnswered === true,
         });
     }
 }
 
+function unite(known: readonly number[] = [], added: readonly number[] = []): number[] {
+    return [...new Set([...known, ...added])];
+}
+
 /** Statement of a server in a report. */
 interface ReportedStatement {
     readonly serverKey: number;
--- a/src/coordination/relay/server_answer.ts
+++ b/src/coordination/relay/server_answer.ts
@@ -20,9 +20,6 @@
 import { AttemptOutcome } from "./server_call_observer.js";
 import type { SlotReservation } from "./slot_reservation.js";
 
-/** Events of a stream after which a server counts as having begun its answer; the first may be sent by one that crashes. */
-const ANSWERED_EVENTS = 2;
-
 /** Attempt whose answer is relayed, and the call that it belongs to. */
 export interface ServerAnswerSettings {
     readonly clock: Clock;
@@ -44,6 +41,9 @@
 
 /** Relays the answer of a server that ran the call. */
 export class ServerAnswer {
+    /** Number of events that have arrived. */
+    events = 0;
+
     /** @param settings See {@linkcode ServerAnswerSettings}. */
     constructor(private readonly settings: ServerAnswerSettings) {}
 
@@ -80,7 +80,7 @@
             this.settings.onFailed(`server ${slot.server.id} answered with status ${head.status}`);
             return AttemptOutcome.Bad;
         }
-        this.settings.quarantine.recordAnswered(this.settings.traits);
+        this.settings.quarantine.recordAnswered(this.settings.traits, slot.server);
         this.settings.onProgress();
         this.settings.finalAnswer.sendComplete({ head, body });
         return AttemptOutcome.Good;
@@ -93,7 +93,6 @@
             return AttemptOutcome.Bad;
         }
         splitter.dropPartialEvent();
-        let events = 0;
         for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
             if (this.settings.isTakenOver()) {
                 return AttemptOutcome.Neutral;
@@ -109,10 +108,8 @@
             }
             slot.recordFirstEvent();
             slot.recordEvents(count);
-            if (events < ANSWERED_EVENTS && events + count >= ANSWERED_EVENTS) {
-                this.settings.quarantine.recordAnswered(this.settings.traits);
-            }
-            events += count;
+            this.events += count;
+            this.settings.quarantine.recordProgress(this.settings.traits, slot.server, this.events);
             this.settings.onProgress();
             this.startStream(head.status, head.endToEnd);
             await this.settings.admitted.answer.write(bytes);
@@ -123,18 +120,18 @@
         const isResumed = this.settings.admitted.answer.isStarted ||
             this.settings.admitted.call.head.lastEventId !== undefined;
         // A server that crashes also ends its stream by closing the connection.
-        const isEmpty = events === 0 && (!isResumed || head.isCloseDelimited);
+        const isEmpty = this.events === 0 && (!isResumed || head.isCloseDelimited);
         if (splitter.hasPartialEvent || isEmpty) {
             const where = isEmpty ? "without an event" : "within an event";
             this.settings.onFailed(`server ${slot.server.id} ended its stream ${where}`);
             if (slot.state.isBrittle) {
                 return AttemptOutcome.Neutral;
             }
-            this.settings.quarantine.recordBroken(this.settings.traits, slot.server);
+            this.settings.quarantine.recordBroken(this.settings.traits, slot.server, this.events);
             return AttemptOutcome.Broken;
         }
-        if (events > 0) {
-            this.settings.quarantine.recordAnswered(this.settings.traits);
+        if (this.events > 0) {
+            this.settings.quarantine.recordAnswered(this.settings.traits, slot.server);
         }
         this.settings.onProgress();
         this.startStream(head.status, head.endToEnd);
--- a/src/coordination/relay/suspect_table.ts
+++ b/src/coordination/relay/suspect_table.ts
@@ -13,9 +13,18 @@
 /** Crashes after which a trait counts as the cause in any case. */
 const MIN_CRASHES_IF_AMBIGUOUS = 3;
 
+/**
+ * Crashes after the last answer from which a trait may be the cause that was in answered calls before, as sound traits are. Those that many
+ * calls share are answered again before.
+ */
+export const MIN_CRASHES_AFTER_ANSWERS = 4;
+
 /** Time from the crash that may decide on a suspect to the decision, in milliseconds; peers have reported the calls that it broke by then. */
 export const JUDGEMENT_DELAY_MS = 300;
 
+/** As {@linkcode JUDGEMENT_DELAY_MS}, for a trait that was in answered calls before; calls that show it to be sound end in this time. */
+export const LATE_JUDGEMENT_DELAY_MS = 1_500;
+
 /** Time after which a trait that no call has had is forgotten, in milliseconds. */
 const FORGET_MS = 600_000;
 
@@ -31,6 +40,10 @@
     name: string | undefined;
     /** Incarnations of servers that ended under the trait; hashes of their ids and start times. */
     readonly crashes: Set<number>;
+    /** Most events that a call with the trait got before its server ended. */
+    events: number;
+    /** Time of the last whole answer before the crashes, in milliseconds since the Unix epoch; `undefined` if none is known. */
+    answeredAtMs: number | undefined;
     isQuarantined: boolean;
     /** Time from which the suspect may be judged, in milliseconds since the Unix epoch. */
     judgedFromMs: number;
@@ -42,8 +55,18 @@
 /** Crashes that were added to a suspect. */
 export interface AddedCrashes {
     readonly suspect: Suspect;
-    /** Whether the suspect is to be judged after {@linkcode JUDGEMENT_DELAY_MS}. */
-    readonly isJudgementDue: boolean;
+    /** Time after which the suspect is to be judged, in milliseconds; `undefined` if it need not be. */
+    readonly judgementDelayMs: number | undefined;
+}
+
+/** Crashes at which a trait was there. */
+export interface TraitCrashes {
+    readonly trait: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>;
+    readonly crashKeys: readonly number[];
+    /** Most events that a call with the trait got before its server ended. */
+    readonly events: number;
+    /** Time of the last whole answer to a call with the trait, in milliseconds since the Unix epoch. */
+    readonly answeredAtMs: number | undefined;
 }
 
 /** Holds the suspects and decides which of them cause the crashes. */
@@ -73,13 +96,12 @@
      *
      * @returns `undefined` if all of them were known.
      */
-    addCrashes(
-        trait: Pick<CallTrait, "key" | "kind"> & Partial<CallTrait>,
-        crashKeys: readonly number[],
-    ): AddedCrashes | undefined {
+    addCrashes({ trait, crashKeys, events, answeredAtMs }: TraitCrashes): AddedCrashes | undefined {
         const now = this.clock.now();
         const suspect = this.suspects.get(trait.key) ?? this.add(trait);
         suspect.name ??= trait.name;
+        suspect.answeredAtMs ??= answeredAtMs;
+        suspect.events = Math.max(suspect.events, events);
         const knownCrashes = suspect.crashes.size;
         for (const crashKey of crashKeys) {
             if (suspect.crashes.size < MAX_CRASHES) {
@@ -91,12 +113,12 @@
         }
         suspect.lastCrashAtMs = now;
         suspect.lastCallAtMs = now;
-        const isJudgementDue = !suspect.isQuarantined && suspect.crashes.size >= MIN_CRASHES &&
-            knownCrashes < MIN_CRASHES_IF_AMBIGUOUS;
-        if (isJudgementDue) {
-            suspect.judgedFromMs = now + JUDGEMENT_DELAY_MS;
+        const judgementDelayMs = decideJudgementDelay(suspect, knownCrashes);
+        // Further crashes do not put off the judgement of a trait that crashes servers all the time.
+        if (judgementDelayMs !== undefined && (answeredAtMs === undefined || suspect.judgedFromMs === Infinity)) {
+            suspect.judgedFromMs = now + judgementDelayMs;
         }
-        return { suspect, isJudgementDue };
+        return { suspect, judgementDelayMs };
     }
 
     /** Returns the suspects that are due for judgement and cause the crashes. */
@@ -118,7 +140,7 @@
     /** Whether a quarantined trait was there at all crashes of a suspect. */
     isExplained(suspect: Suspect): boolean {
         return this.all().some(({ key, isQuarantined, crashes }) => {
-            return isQuarantined && key !== suspect.key && [...suspect.crashes].every(crashKey => crashes.has(crashKey));
+            return isQuarantined && key !== suspect.key && includesAll(crashes, suspect.crashes);
         });
     }
 
@@ -130,6 +152,8 @@
             kind,
             name,
             crashes: new Set(),
+            events: 0,
+            answeredAtMs: undefined,
             isQuarantined: false,
             judgedFromMs: Infinity,
             nextProbeAtMs: Infinity,
@@ -150,17 +174,60 @@
     }
 
     private isCause(suspect: Suspect): boolean {
+        if (this.isExplained(suspect)) {
+            return false;
+        }
+        return suspect.answeredAtMs === undefined ? this.isCauseOfNew(suspect) : this.isCauseAfterAnswers(suspect);
+    }
+
+    private isCauseOfNew(suspect: Suspect): boolean {
         const { size } = suspect.crashes;
-        if (size < MIN_CRASHES || this.isExplained(suspect)) {
+        if (size < MIN_CRASHES) {
+            return false;
+        }
+        const rivals = this.rivalsOf(suspect).filter(other => other.answeredAtMs === undefined && other.crashes.size >= size);
+        return size >= MIN_CRASHES_IF_AMBIGUOUS || rivals.length === 0;
+    }
+
+    /** Whether a trait that was sound before is the cause: no other one that is more likely was at all its crashes. */
+    private isCauseAfterAnswers(suspect: Suspect): boolean {
+        if (suspect.crashes.size < MIN_CRASHES_AFTER_ANSWERS) {
             return false;
         }
-        const rivals = this.all().filter(other => {
-            return other.kind === suspect.kind && !other.isQuarantined && other.crashes.size >= size && !this.isExplained(other);
+        const answeredAtMs = suspect.answeredAtMs ?? 0;
+        return !this.rivalsOf(suspect).some(other => {
+            const isMoreLikely = other.answeredAtMs === undefined || other.answeredAtMs < answeredAtMs;
+            return isMoreLikely && includesAll(other.crashes, suspect.crashes);
+        });
+    }
+
+    private rivalsOf(suspect: Suspect): readonly Suspect[] {
+        return this.all().filter(other => {
+            return other !== suspect && other.kind === suspect.kind && !other.isQuarantined && !this.isExplained(other);
         });
-        return size >= MIN_CRASHES_IF_AMBIGUOUS || rivals.length === 1;
     }
 }
 
+/** Returns the time after which a suspect is to be judged, in milliseconds, or `undefined` if it need not be. */
+function decideJudgementDelay({ crashes, isQuarantined, answeredAtMs }: Suspect, knownCrashes: number): number | undefined {
+    if (isQuarantined) {
+        return undefined;
+    }
+    if (answeredAtMs !== undefined) {
+        return crashes.size >= MIN_CRASHES_AFTER_ANSWERS ? LATE_JUDGEMENT_DELAY_MS : undefined;
+    }
+    return crashes.size >= MIN_CRASHES && knownCrashes < MIN_CRASHES_IF_AMBIGUOUS ? JUDGEMENT_DELAY_MS : undefined;
+}
+
+function includesAll(set: ReadonlySet<number>, keys: Iterable<number>): boolean {
+    for (const key of keys) {
+        if (!set.has(key)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Compares suspects by their quarantine, their crashes and the time of the last one. */
 export function compareWeight(left: Suspect, right: Suspect): number {
     return Number(left.isQuarantined) - Number(right.isQuarantined) || left.crashes.size - right.crashes.size ||
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -127,7 +127,11 @@
             gauges.quarantinedTraits,
         );
         this.addGauge("held_bytes", "Bytes of answers and calls that are held until they are complete.", gauges.heldBytes);
-        this.addGauge("evictions", "Answers and calls that were given up because they held most of the memory.", gauges.evictions);
+        this.addGauge(
+            "evictions",
+            "Answers and calls that were given up because they held most of the memory.",
+            gauges.evictions,
+        );
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
         this.addGauge("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
         new Gauge({
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -173,10 +173,16 @@
   readonly traitKey: number;
   /** Incarnations of servers that ended under calls with the trait; hashes of their ids and start times. */
   readonly crashKeys: readonly number[];
-  /** Whether a call with the trait was answered, so that it is not the cause. */
+  /** Whether a call with the trait was answered, so that it is not the cause. Earlier builds read this instead of the cleared crashes. */
   readonly isAnswered: boolean;
   /** Whether the trait is the content of a call, and not a part of its prompt. */
   readonly isContent: boolean;
+  /** Crashes of which an answer to a later call with the trait has shown that the trait is not the cause. */
+  readonly clearedCrashKeys: readonly number[];
+  /** As crash_keys, of a trait that was in answered calls before; earlier builds do not suspect it. */
+  readonly crashKeysAfterAnswers: readonly number[];
+  /** Most events that a call with the trait got before its server ended. */
+  readonly events: number;
 }
 
 /** Demand for backend slots by the calls of one service. */
@@ -1305,7 +1311,15 @@
 };
 
 function createBaseCallSuspect(): CallSuspect {
-  return { traitKey: 0, crashKeys: [], isAnswered: false, isContent: false };
+  return {
+    traitKey: 0,
+    crashKeys: [],
+    isAnswered: false,
+    isContent: false,
+    clearedCrashKeys: [],
+    crashKeysAfterAnswers: [],
+    events: 0,
+  };
 }
 
 export const CallSuspect: MessageFns<CallSuspect> = {
@@ -1326,6 +1340,23 @@
     if (message.isContent !== false) {
       writer.uint32(32).bool(message.isContent);
     }
+    if (message.clearedCrashKeys.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.clearedCrashKeys) {
+        writer.fixed32(v);
+      }
+      writer.join();
+    }
+    if (message.crashKeysAfterAnswers.length !== 0) {
+      writer.uint32(50).fork();
+      for (const v of message.crashKeysAfterAnswers) {
+        writer.fixed32(v);
+      }
+      writer.join();
+    }
+    if (message.events !== 0) {
+      writer.uint32(56).uint32(message.events);
+    }
     return writer;
   },
 
@@ -1384,6 +1415,50 @@
             message.isContent = reader.bool();
             continue;
           }
+          case 5: {
+            if (tag === 45) {
+              message.clearedCrashKeys.push(reader.fixed32());
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.clearedCrashKeys.push(reader.fixed32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 6: {
+            if (tag === 53) {
+              message.crashKeysAfterAnswers.push(reader.fixed32());
+
+              continue;
+            }
+
+            if (tag === 50) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.crashKeysAfterAnswers.push(reader.fixed32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.events = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -155,6 +155,8 @@
     readonly eventsOf: (call: RelayCall) => number;
     /** Whether a server that begins to answer the call crashes, and for how long, in milliseconds; 0 for a sound call. */
     readonly crashMs: (call: RelayCall) => number;
+    /** Returns the events that a server writes before it crashes. */
+    readonly crashEvents: () => number;
     /** Crashes a server for a time, in milliseconds. */
     readonly crash: (server: ModelServer, durationMs: number) => void;
 }
@@ -205,7 +207,7 @@
     }
 
     override async awaitHead(): Promise<AnswerHead> {
-        const { clock, random, crashMs, eventsOf } = this.settings;
+        const { clock, random, eventsOf } = this.settings;
         const { server, call } = this;
         await this.connect();
         if (server === undefined || clock.now() < server.downUntilMs) {
@@ -235,13 +237,22 @@
             void clock.sleep(server.intervalMs * 12).then(() => this.attempt && (this.attempt.badAtMs = clock.now()));
         }
         await this.wait(4 * server.intervalMs * behavior.firstEventFactor * this.loadFactor);
-        const durationMs = crashMs(call);
-        if (durationMs > 0) {
-            this.attempt.crashedAtMs = clock.now();
+        if (this.settings.crashEvents() === 0) {
+            await this.crashIfDue(server);
+        }
+        return this.makeRunHead(server, 200);
+    }
+
+    /** Crashes the server if the call crashes servers. */
+    private async crashIfDue(server: ModelServer): Promise<void> {
+        const durationMs = this.settings.crashMs(this.call);
+        if (durationMs > 0 && this.attempt?.crashedAtMs === undefined) {
+            if (this.attempt !== undefined) {
+                this.attempt.crashedAtMs = this.settings.clock.now();
+            }
             this.settings.crash(server, durationMs);
             await this.wait(ONE_WAY_MS);
         }
-        return this.makeRunHead(server, 200);
     }
 
     /** Counts a refusal; a brittle server falls over after too many in a second. */
@@ -286,6 +297,9 @@
     override async next(): Promise<Buffer | undefined> {
         const { server } = this;
         const total = this.settings.eventsOf(this.call);
+        if (server !== undefined && this.events > 0 && this.events >= Math.min(total, this.settings.crashEvents())) {
+            await this.crashIfDue(server);
+        }
         if (server === undefined || this.events >= Math.max(1, total) || this.attempt?.server.runningCalls === 0) {
             server?.finish(this);
             return undefined;
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -253,6 +253,8 @@
     chooseNode: () => number = () => this.random.nextInt(this.nodes.length);
     /** Returns how long a server that begins to answer a call is down, in milliseconds; 0 for a sound call. */
     crashMs: (call: RelayCall) => number = () => 0;
+    /** Events that a server writes before it crashes; all but the end of an answer that has fewer. */
+    crashEvents = 0;
     /** Returns the body of the next call. */
     bodyOf: () => string = () => "";
     /** Called when a call ends, with its outcome. */
@@ -593,6 +595,7 @@
             link,
             eventsOf: call => this.eventsOf(call),
             crashMs: call => this.crashMs(call),
+            crashEvents: () => this.crashEvents,
             crash: (server, durationMs) => this.crash(server, durationMs),
         });
         const reach = new ServerReach({
