Relay: wait for a port that is in use instead of ending the process

A process ended by itself (FAULT) with status 1, 0.2 s after its start, when one of its ports was in use at that moment: by the process that was there before, or an outgoing connection that got the port from the operating system.

Cause: the start took each error of a port for final. Change: bindWithRetry repeats the binding for errors that end by themselves, says so in one line, and ends with a SIGTERM.

That the users saw this is suspected, not shown: they have no logs.

--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -38,6 +38,7 @@
 import { type DetourCall, hashKey, type KeyedLog, type RelayHeaders } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer, RelayWorkspace } from "../../state/relay/mod.js";
 import {
+    bindWithRetry,
     CallerServer,
     DetourServer,
     HttpClient,
@@ -109,6 +110,13 @@
     readonly fingerprint: CallFingerprint;
 }
 
+/** Port on which a node listens. */
+interface ListeningPort {
+    readonly use: string;
+    /** Makes one attempt to open it. */
+    readonly open: () => Promise<void>;
+}
+
 /** Relays calls to backend servers until it is drained. */
 export class RelayNode {
     private readonly stopped = new AbortController();
@@ -147,6 +155,7 @@
     private drainSettings: RelaySettings["drain"];
     private readonly stopDeadline: StopDeadline;
     private draining = false;
+    private isStarted = false;
 
     /** @param dependencies See {@linkcode RelayNodeDependencies}. */
     constructor(private readonly dependencies: RelayNodeDependencies) {
@@ -414,18 +423,34 @@
         return `${splitAddress(metrics ?? readiness)[0]}:${this.metricsServer.port}`;
     }
 
-    /** Opens the listening ports and starts the background tasks, which go on after an error. */
+    /**
+     * Opens the listening ports and starts the background tasks, which go on after an error. While a port is in use, it waits for it.
+     *
+     * @returns Once the node has started, or is drained before.
+     * @throws {Error} If a port cannot be opened for another reason.
+     */
     async start(): Promise<void> {
         const { listen } = this.dependencies.settings;
-        await this.readinessServer.listen(...splitAddress(listen.readiness));
-        if (listen.metrics !== undefined) {
-            await this.metricsServer.listen(...splitAddress(listen.metrics));
-        }
         const [peerHost, peerPort] = splitAddress(listen.peers);
-        await this.detourServer.listen(peerHost, peerPort);
-        await this.peerSocket.listen(peerHost, this.detourServer.port);
-        // Last, as calls that are read before a port turns out to be in use are cut.
-        await this.callerServer.listen(...splitAddress(listen.callers));
+        const ports: readonly ListeningPort[] = [
+            { use: "readiness", open: () => this.readinessServer.listen(...splitAddress(listen.readiness)) },
+            { use: "metrics", open: () => this.listenForMetrics() },
+            { use: "calls of nodes", open: () => this.detourServer.listen(peerHost, peerPort) },
+            { use: "reports of nodes", open: () => this.peerSocket.listen(peerHost, this.detourServer.port) },
+            // Last, as calls that are read before a port turns out to be in use are cut.
+            { use: "callers", open: () => this.callerServer.listen(...splitAddress(listen.callers)) },
+        ];
+        for (const { use, open } of ports) {
+            const isOpen = await bindWithRetry(open, {
+                clock: this.dependencies.clock,
+                signal: this.stopped.signal,
+                onWaiting: error => this.relayLog.warn("node: waits for a port", { use, error: String(error) }),
+            });
+            if (!isOpen) {
+                return;
+            }
+        }
+        this.isStarted = true;
         this.relayLog.info("node: started", { listen });
         const tasks: readonly BackgroundTask[] = [
             { name: "operator records", run: signal => this.follower.followOperatorRecords(signal) },
@@ -440,6 +465,13 @@
         void this.joinPeers();
     }
 
+    private async listenForMetrics(): Promise<void> {
+        const { metrics } = this.dependencies.settings.listen;
+        if (metrics !== undefined) {
+            await this.metricsServer.listen(...splitAddress(metrics));
+        }
+    }
+
     private runTask(task: BackgroundTask): Promise<void> {
         const { clock } = this.dependencies;
         const onError = (name: string, error: unknown) => this.relayLog.error("node: task failed", error, { task: name });
@@ -467,6 +499,13 @@
      * still open shortly before the process is killed get a final answer that says whether they may have run.
      */
     async drain(): Promise<void> {
+        if (this.isStarted) {
+            await this.endCalls();
+        }
+        await this.close();
+    }
+
+    private async endCalls(): Promise<void> {
         const { clock } = this.dependencies;
         const { graceSeconds, balancerLagMs } = this.drainSettings;
         const endMs = clock.now() + graceSeconds * MS_PER_SECOND - DRAIN_RESERVE_MS;
@@ -482,6 +521,10 @@
         this.callerServer.refuseUnread();
         this.detourServer.refuseUnread();
         await this.awaitOpenCalls(clock.now() + FINAL_ANSWERS_MS);
+    }
+
+    private async close(): Promise<void> {
+        this.draining = true;
         this.stopped.abort();
         this.relayLog.info("node: stopped", { openCalls: this.callerServer.openCalls });
         this.callerServer.closeAll();
--- a/src/transport/listen.ts
+++ b/src/transport/listen.ts
@@ -15,11 +15,17 @@
  */
 export async function listen(server: Server, options: ListenOptions, onError: (error: unknown) => void): Promise<void> {
     await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options, () => {
-            server.off("error", reject);
+        const onListening = () => {
+            server.off("error", fail);
             server.on("error", onError);
             resolve();
-        });
+        };
+        const fail = (error: Error) => {
+            server.off("listening", onListening);
+            reject(error);
+        };
+        server.once("error", fail);
+        server.once("listening", onListening);
+        server.listen(options);
     });
 }
--- a/src/transport/relay/mod.ts
+++ b/src/transport/relay/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export { bindWithRetry } from "../bind_retry.js";
 export { HttpClient } from "../http_client.js";
 export { HttpExchange } from "../http_exchange.js";
 export { InputLimits } from "../input_limits.js";
--- a/src/transport/relay/peer_socket.ts
+++ b/src/transport/relay/peer_socket.ts
@@ -21,7 +21,11 @@
      */
     constructor(onReport: (report: PeerReport) => void, private readonly onError: (text: string) => void) {
         super();
-        this.socket.on("error", error => onError(`Cannot use the peer socket: ${error.message}`));
+        this.socket.on("error", error => {
+            if (this.boundAddress !== "") {
+                onError(`Cannot use the peer socket: ${error.message}`);
+            }
+        });
         this.socket.on("message", (data, sender) => {
             const problem = tryReceive(data, onReport);
             if (problem !== undefined) {
@@ -33,11 +37,17 @@
     /** Binds the socket to an address. */
     async listen(host: string, port: number): Promise<void> {
         await new Promise<void>((resolve, reject) => {
-            this.socket.once("error", reject);
-            this.socket.bind({ address: host, port }, () => {
-                this.socket.off("error", reject);
+            const onListening = () => {
+                this.socket.off("error", fail);
                 resolve();
-            });
+            };
+            const fail = (error: Error) => {
+                this.socket.off("listening", onListening);
+                reject(error);
+            };
+            this.socket.once("error", fail);
+            this.socket.once("listening", onListening);
+            this.socket.bind({ address: host, port });
         });
         const bound = this.socket.address();
         this.boundAddress = `${bound.address}:${bound.port}`;
