--- a/features/relay_program.feature
+++ b/features/relay_program.feature
@@ -22,3 +22,7 @@
             | cut off           | says         |
             | of another flag   | says         |
             | of another bundle | says         |
+            # Guards against processes that end by a signal at each start (FAULT), as the engine runs code as it is.
+            | damaged at a tenth of its length | says |
+            | damaged in its middle            | says |
+            | damaged at its end               | says |
--- a/features/steps/relay_program_steps.ts
+++ b/features/steps/relay_program_steps.ts
@@ -18,6 +18,14 @@
 /** Rate limit of the program's log, in lines per second; more lines than the test causes. */
 const MAX_LOG_LINES_PER_SECOND = 100_000;
 
+/** Shares of the length of the compiled code up to which it is damaged, and bytes that are. */
+const DAMAGED_PLACES: ReadonlyMap<string, number> = new Map([
+    ["damaged at a tenth of its length", 0.1],
+    ["damaged in its middle", 0.5],
+    ["damaged at its end", 1],
+]);
+const DAMAGED_BYTES = 64;
+
 /** Kilobytes in a megabyte. */
 const KILOBYTES_PER_MEGABYTE = 1_024;
 
@@ -160,6 +168,12 @@
         const bundle = await readFile(bundleFile, "utf8");
         await writeFile(bundleFile, bundle.replace("Cannot start: variable", "CANNOT START: variable"));
     }
+    const damagedAt = DAMAGED_PLACES.get(state);
+    if (damagedAt !== undefined) {
+        const code = await readFile(codeFile);
+        code.fill(0xff, Math.floor(code.length * damagedAt) - DAMAGED_BYTES, Math.floor(code.length * damagedAt));
+        await writeFile(codeFile, code);
+    }
     if (state === "cut off") {
         await truncate(codeFile, Math.floor((await stat(codeFile)).size / 2));
     }
