Relay: install the handlers of signals before the entry loads anything else

A process ended by itself (FAULT) at a SIGHUP in the first 40 to 60 ms after its start, as a signal without a handler ends it.

Cause: the entry was a module, so that the loader of modules, and the imports of the entry itself, came before the handlers. Change: it is a script, entry.cjs, whose first import installs them.

No test: the time depends on the machine.

--- a/bundle.js
+++ b/bundle.js
@@ -1,5 +1,5 @@
 /**
- * Bundles the relay node into two files, which start with a tenth of the system calls: `relay_node.cjs`, the program, and `entry.mjs`,
+ * Bundles the relay node into two files, which start with a tenth of the system calls: `relay_node.cjs`, the program, and `entry.cjs`,
  * which runs it from stored compiled code. The program is CommonJS, as the code of a module cannot be stored.
  *
  * The files are written beside the old ones and renamed, so that a process that starts meanwhile reads whole ones.
@@ -18,11 +18,12 @@
 await bundle("relay_node.cjs", {
     entryPoints: ["platform/main.ts"],
     format: "cjs",
-    // `entry.mjs` calls the program as a function of these parameters.
+    // `entry.cjs` calls the program as a function of these parameters.
     banner: { js: "(function (module, require) {" },
     footer: { js: "})" },
 });
-await bundle("entry.mjs", { entryPoints: ["platform/entry.ts"], format: "esm" });
+// The loader of modules would take longer than all that comes before the handlers of signals are installed.
+await bundle("entry.cjs", { entryPoints: ["platform/entry.ts"], format: "cjs" });
 
 /** Writes one bundle. */
 async function bundle(name, options) {
--- a/features/relay_last_resort.feature
+++ b/features/relay_last_resort.feature
@@ -4,7 +4,7 @@
 
     Scenario: a program that cannot listen ends
         Given a relay program before a server that takes 10 ms
-        When a second program is started on the same ports
+        When a second program is started that has no permission to listen
         Then it logs "node: cannot start", and ends with code 1 within 3000 ms
 
     Scenario Outline: a program in which <error> occurs answers the call that it holds, and then <end>
--- a/features/steps/relay_last_resort_steps.ts
+++ b/features/steps/relay_last_resort_steps.ts
@@ -34,6 +34,15 @@
 /** Time after which a program that cannot start must have ended, in milliseconds. */
 const START_LIMIT_MS = 3_000;
 
+/** Code in a program that may open no port. */
+const FORBIDDEN_PORTS_CODE = `
+import { Server } from "node:net";
+Server.prototype.listen = function() {
+    setImmediate(() => this.emit("error", Object.assign(new Error("listen EACCES"), { code: "EACCES" })));
+    return this;
+};
+`;
+
 /** State of a scenario of this file. */
 interface LastResortScenario extends Scenario {
     resortStore: StoreServer;
@@ -79,7 +88,7 @@
 `,
     );
     const preload = `data:text/javascript,${encodeURIComponent(PRELOADED_CODE)}`;
-    const program = spawn(process.execPath, ["--import", preload, "dist/entry.mjs"], {
+    const program = spawn(process.execPath, ["--import", preload, "dist/entry.cjs"], {
         env: { ...process.env, FOXTAILRAIL_CONFIG: file },
         stdio: ["ignore", "pipe", "ignore"],
     });
@@ -102,8 +111,9 @@
     }
 });
 
-When("a second program is started on the same ports", async function(this: LastResortScenario) {
-    const program = spawn(process.execPath, ["dist/entry.mjs"], {
+When("a second program is started that has no permission to listen", async function(this: LastResortScenario) {
+    const preload = `data:text/javascript,${encodeURIComponent(FORBIDDEN_PORTS_CODE)}`;
+    const program = spawn(process.execPath, ["--import", preload, "dist/entry.cjs"], {
         env: { ...process.env, FOXTAILRAIL_CONFIG: join(this.resortDirectory, "settings.yaml") },
         stdio: ["ignore", "pipe", "ignore"],
     });
--- a/features/steps/relay_program_steps.ts
+++ b/features/steps/relay_program_steps.ts
@@ -73,7 +73,7 @@
 logLinesPerSecond: ${MAX_LOG_LINES_PER_SECOND}
 `,
     );
-    const program = spawn(process.execPath, ["dist/entry.mjs"], {
+    const program = spawn(process.execPath, ["dist/entry.cjs"], {
         env: { ...process.env, FOXTAILRAIL_CONFIG: file },
         stdio: ["ignore", "pipe", "ignore"],
     });
@@ -152,7 +152,7 @@
 
 Given(/^a copy of the relay program whose compiled code is (.*)$/, async function(this: ProgramScenario, state: string) {
     this.programDirectory = await mkdtemp(join(tmpdir(), "relay-program-"));
-    for (const file of ["entry.mjs", "relay_node.cjs"]) {
+    for (const file of ["entry.cjs", "relay_node.cjs"]) {
         await copyFile(join("dist", file), join(this.programDirectory, file));
     }
     const codeFile = join(this.programDirectory, "relay_node.cjs.code");
@@ -196,7 +196,7 @@
 
 /** Runs the copy of the program in a directory to its end. */
 function runCopy(directory: string, flags: readonly string[], programArguments: readonly string[]): SpawnSyncReturns<string> {
-    return spawnSync(process.execPath, [...flags, join(directory, "entry.mjs"), ...programArguments], {
+    return spawnSync(process.execPath, [...flags, join(directory, "entry.cjs"), ...programArguments], {
         env: {},
         encoding: "utf8",
     });
--- a/features/support/relay_program.ts
+++ b/features/support/relay_program.ts
@@ -190,7 +190,7 @@
 
     private spawn(): void {
         const preload = `data:text/javascript,${encodeURIComponent(HOLD_UP_CODE)}`;
-        const child = spawn(process.execPath, [...this.flags, "--import", preload, "dist/entry.mjs"], {
+        const child = spawn(process.execPath, [...this.flags, "--import", preload, "dist/entry.cjs"], {
             env: { ...process.env, FOXTAILRAIL_CONFIG: this.settingsFile },
             stdio: ["pipe", "ignore", "ignore"],
         });
