Transport: return the memory of an exchange that fails

An exchange whose reader goes away without cancelling it, as after an error inside the node, kept its share of the memory budget. Found by reading; no run has shown it.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -345,6 +345,8 @@
         if (this.error === undefined && !this.ended) {
             this.error = error;
             this.settle();
+            // Its reader may have gone; what is left of the answer is little.
+            this.memoryShare.close();
         }
     }
 
