--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -108,6 +108,8 @@
     private readonly cleared = new Map<number, ClearedCrashes>();
     /** Times at which this node heard of crashes, by their keys, oldest first. */
     private readonly crashedAtMs = new Map<number, number>();
+    /** Keys of the crashes of servers; each event of a stream asks for one. */
+    private readonly crashKeys = new WeakMap<RelayServer, number>();
     /** Servers whose connections broke recently, with the times. */
     private broken: { readonly serverKey: number; readonly atMs: number }[] = [];
 
@@ -285,7 +287,7 @@
         if (this.crashedAtMs.size === 0) {
             return;
         }
-        const crashKey = incarnationKey(server);
+        const crashKey = this.crashKeyOf(server);
         const crashedAtMs = this.crashedAtMs.get(crashKey);
         if (crashedAtMs === undefined || this.settings.clock.now() < crashedAtMs + LAST_BYTES_MS) {
             return;
@@ -298,8 +300,17 @@
         }
     }
 
+    private crashKeyOf(server: RelayServer): number {
+        let key = this.crashKeys.get(server);
+        if (key === undefined) {
+            key = incarnationKey(server);
+            this.crashKeys.set(server, key);
+        }
+        return key;
+    }
+
     private suspect(traits: readonly CallTrait[], server: RelayServer, events: number): void {
-        const crashKey = incarnationKey(server);
+        const crashKey = this.crashKeyOf(server);
         for (const trait of traits) {
             this.addCrashes(trait, [crashKey], { events, server: server.id });
         }
