Relay: do not refuse a call of another node twice, and correct the peers of the test

Found by reading: a call of another node that was refused in a stop, and evicted before its connection had closed, got a second refusal. The library throws then, in the handler of whatever input caused the eviction; the error is uncaught and ends the process with its calls. Bytes that arrive for a body after its release were kept and not counted.

--- a/features/relay_endless_input.feature
+++ b/features/relay_endless_input.feature
@@ -37,6 +37,12 @@
             | other nodes | a body   | 8     |
             | other nodes | a body   | 65536 |
 
+    # Guards against a process that ends because the refusal of a call is written twice.
+    Scenario: a call of another node that was refused in a stop and is then the largest is discarded
+        Given a port for calls of nodes with memory for 262144 bytes
+        When another node has sent 200000 bytes of a call, the port refuses it, and other input takes 150000 bytes
+        Then the other node gets one answer, with status 421
+
     # Guards against answers of the platform's log that take all memory of a process that starts.
     Scenario Outline: answers of the log without end in pieces of <size> bytes only delay the start
         Given a relay program with the memory of a small machine whose log answers in pieces of <size> bytes without end
--- a/features/steps/relay_endless_input_steps.ts
+++ b/features/steps/relay_endless_input_steps.ts
@@ -7,6 +7,9 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { Agent, request } from "node:http";
+import { connect } from "node:net";
+import { SystemClock } from "../../src/state/relay/mod.js";
+import { DetourServer, InputLimits } from "../../src/transport/relay/mod.js";
 import { ENDLESS_ID, EndlessServer, formatPieces, sendWithoutEnd } from "../support/endless_input.js";
 import { waitFor } from "../support/relay_fixture.js";
 import { RelayProgram } from "../support/relay_program.js";
@@ -37,6 +40,9 @@
 interface EndlessScenario extends Scenario {
     endlessProgram: RelayProgram;
     endlessServers: EndlessServer[];
+    nodePort: DetourServer;
+    nodeLimits: InputLimits;
+    nodeAnswer: string;
     /** What callers got instead of a sound answer. */
     otherAnswers: string[];
     soundCalls: number;
@@ -48,6 +54,7 @@
         server.close();
     }
     await this.endlessProgram?.stop();
+    this.nodePort?.closeAll();
 });
 
 Given(
@@ -129,6 +136,43 @@
     assert(peakBytes < maxMegabytes * BYTES_PER_MEGABYTE, `it has used ${Math.round(peakBytes / BYTES_PER_MEGABYTE)} MB`);
 });
 
+Given("a port for calls of nodes with memory for {int} bytes", async function(this: EndlessScenario, bytes: number) {
+    const clock = new SystemClock();
+    this.nodeLimits = new InputLimits(clock, bytes);
+    this.nodePort = new DetourServer({
+        clock,
+        inputLimits: this.nodeLimits,
+        isNode: () => true,
+        receive: () => undefined,
+        onListenerError: () => undefined,
+        onRejected: () => undefined,
+    });
+    await this.nodePort.listen("127.0.0.1", 0);
+});
+
+When(
+    "another node has sent {int} bytes of a call, the port refuses it, and other input takes {int} bytes",
+    async function(this: EndlessScenario, callBytes: number, otherBytes: number) {
+        const socket = connect({ host: "127.0.0.1", port: this.nodePort.port });
+        this.nodeAnswer = "";
+        socket.on("data", data => this.nodeAnswer += data.toString("latin1"));
+        socket.on("error", () => socket.destroy());
+        socket.write(`POST /calls HTTP/1.1\r\nHost: node\r\nContent-Length: ${callBytes + 1}\r\n\r\n`);
+        socket.write(Buffer.alloc(callBytes));
+        const { memory } = this.nodeLimits;
+        await waitFor("the bytes have arrived", () => memory.usedBytes === callBytes);
+        this.nodePort.refuseUnread();
+        memory.open(() => undefined).resize(otherBytes);
+        await waitFor("the other node has an answer", () => this.nodeAnswer.endsWith("\n"));
+        socket.destroy();
+    },
+);
+
+Then("the other node gets one answer, with status {int}", function(this: EndlessScenario, status: number) {
+    assert.equal(this.nodeAnswer.split("HTTP/1.1 ").length, 2, this.nodeAnswer);
+    assert(this.nodeAnswer.startsWith(`HTTP/1.1 ${status} `), this.nodeAnswer);
+});
+
 /** Input of one connection. */
 interface EndlessInput {
     readonly sender: string;
--- a/features/support/endless_input.ts
+++ b/features/support/endless_input.ts
@@ -135,6 +135,8 @@
             writeWithoutEnd(socket, this.bytes, this.stopped.signal);
             return;
         }
-        setTimeout(() => socket.write(`${head}Content-Length: 5\r\n\r\nsound`), PROCESSING_MS);
+        // The calls that others answer without end may be streams, which end with an event.
+        const body = id.startsWith(ENDLESS_ID) ? "data: sound\n\n" : "sound";
+        setTimeout(() => socket.write(`${head}Content-Length: ${body.length}\r\n\r\n${body}`), PROCESSING_MS);
     }
 }
--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -47,6 +47,7 @@
     size = 0;
     /** Whether the bytes were discarded for lack of memory. */
     isEvicted = false;
+    private isReleased = false;
     private readonly content = new BlockBuffer();
     private readonly memoryShare: MemoryShare;
 
@@ -77,8 +78,9 @@
         return this.content.take();
     }
 
-    /** Discards the body and returns its memory. */
+    /** Discards the body, also what arrives of it later, and returns its memory. */
     release(): void {
+        this.isReleased = true;
         this.content.clear();
         this.memoryShare.close();
     }
@@ -88,7 +90,7 @@
         if (this.isTooLarge) {
             this.release();
         }
-        else if (!this.isEvicted) {
+        else if (!this.isEvicted && !this.isReleased) {
             this.content.append(chunk);
             this.memoryShare.resize(this.content.length);
         }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -135,6 +135,9 @@
                 }
             },
             onEvicted: () => {
+                if (answer.isStarted) {
+                    return;
+                }
                 this.unreadCalls.delete(request);
                 this.reject(request, answer, {
                     status: HANDED_BACK_STATUS,
