Quarantine: only an answer to a later call shows that a server goes on

Found by reading: a crash was void when bytes of the server were read over 50 ms later. Now the call must have been sent after the crash was known.

Evidence: relay_prompt_parts, "broke at 3 servers whose earlier answers are read later": free with the condition of before, quarantined now; the fleets, with resets and crashes beside sound calls, pass as before.

--- a/features/relay_prompt_parts.feature
+++ b/features/relay_prompt_parts.feature
@@ -65,7 +65,9 @@
             | was in an answer of 6 events after calls with it broke after 2 events at 1 server | free        |
             | was in an answer of 5 events after calls with it broke after 2 events at 1 server | suspected   |
             | was answered after calls with it broke at 1 server        | free        |
-            | was in calls that broke at 3 servers that went on         | free        |
+            | was in calls that broke at 3 servers that answered later calls             | free        |
+            # Guards against crashes that are void because the last bytes of the server were read late.
+            | was in calls that broke at 3 servers whose earlier answers were read later | quarantined |
             | was answered by a probe after calls broke at 3 servers    | free        |
             | was in calls that broke at 7 servers at once              | free        |
             | was the last one in calls that broke at 3 servers         | free        |
--- a/features/steps/relay_crashing_call_steps.ts
+++ b/features/steps/relay_crashing_call_steps.ts
@@ -255,7 +255,7 @@
     };
     const servers = Number(/broke at (\d)/.exec(history)?.[1] ?? 0);
     if (history.startsWith("was answered before")) {
-        quarantine.recordAnswered(TESTED, makeServer(1_000));
+        quarantine.recordAnswered(TESTED, { server: makeServer(1_000), sentAtMs: 0 });
     }
     if (history.includes("600 other calls")) {
         for (let call = 0; call < 600; call += 1) {
@@ -283,7 +283,7 @@
         quarantine.merge([makeReport(OTHER[0]?.key ?? 0, crashKeysOf(2))]);
     }
     if (history.endsWith("and was answered") || history.endsWith("by a probe")) {
-        quarantine.recordAnswered(TESTED, makeServer(1_000));
+        quarantine.recordAnswered(TESTED, { server: makeServer(1_000), sentAtMs: 0 });
     }
     if (history.endsWith("reported another")) {
         report([hashKey("server-9@1")]);
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -270,8 +270,8 @@
     assert.equal(isQuarantined ? "quarantined" : isSuspected ? "suspected" : "free", verdict);
 });
 
-/** Server that does not crash. */
-const SOUND_SERVER = makeServer(1_000);
+/** Attempt at a server that does not crash. */
+const SOUND_ATTEMPT = { server: makeServer(1_000), sentAtMs: 0 };
 
 async function playHistory(scenario: PromptScenario, history: string): Promise<void> {
     const { quarantine, clock } = scenario;
@@ -311,32 +311,36 @@
         case "was answered before calls with it broke at 2 servers":
         case "was answered before calls with it broke at 3 servers":
         case "was answered before calls with it broke at 4 servers":
-            quarantine.recordAnswered(TESTED_PROMPT, SOUND_SERVER);
+            quarantine.recordAnswered(TESTED_PROMPT, SOUND_ATTEMPT);
             await clock.advance(1_000);
             await breakAt(servers);
             await clock.advance(1_000);
             return;
-        case "was in calls that broke at 3 servers that went on":
+        case "was in calls that broke at 3 servers that answered later calls":
+        case "was in calls that broke at 3 servers whose earlier answers were read later": {
+            const isLater = history.endsWith("that answered later calls");
+            const startMs = clock.now();
             await breakAt(servers);
             for (let server = 0; server < servers; server += 1) {
-                quarantine.recordProgress([], makeServer(server), 1);
+                quarantine.recordProgress([], { server: makeServer(server), sentAtMs: isLater ? clock.now() : startMs - 1 }, 1);
             }
             return;
+        }
         case "was in answers of 5 events before calls with it broke after 2 events at 2 servers":
-            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 5);
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_ATTEMPT, 5);
             return breakAt(servers, TESTED_PROMPT, 2);
         case "was in an answer of 6 events after calls with it broke after 2 events at 1 server":
             await breakAt(1, TESTED_PROMPT, 2);
-            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 6);
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_ATTEMPT, 6);
             return;
         case "was in an answer of 5 events after calls with it broke after 2 events at 1 server":
             await breakAt(1, TESTED_PROMPT, 2);
-            quarantine.recordProgress(TESTED_PROMPT, SOUND_SERVER, 5);
+            quarantine.recordProgress(TESTED_PROMPT, SOUND_ATTEMPT, 5);
             return;
         case "was answered after calls with it broke at 1 server":
         case "was answered by a probe after calls broke at 3 servers":
             await breakAt(history.includes("3") ? 3 : 1);
-            quarantine.recordAnswered(TESTED_PROMPT, SOUND_SERVER);
+            quarantine.recordAnswered(TESTED_PROMPT, SOUND_ATTEMPT);
             return;
         case "was in calls that broke at 7 servers at once":
             for (let server = 0; server < 7; server += 1) {
--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -26,9 +26,6 @@
 const CLEARING_EVENTS_FACTOR = 2;
 const CLEARING_EVENTS = 2;
 
-/** Time after a crash in which bytes of the server may still be read, in milliseconds. */
-const LAST_BYTES_MS = 50;
-
 /** Time for which an answer speaks for a trait whose crashes a peer reports later, in milliseconds. */
 const RECENT_ANSWER_MS = 1_000;
 
@@ -51,11 +48,15 @@
 /** Time for which cleared crashes are known, in milliseconds; peers report them no longer. */
 const CLEARED_MS = 600_000;
 
-/** Largest numbers of answered traits of a kind, of cleared ones, of their crashes and of all crashes that are kept, and of suspects and of cleared ones in a report. */
+/** Largest numbers of answered traits of a kind and of cleared ones that are kept. */
 const MAX_ANSWERED_TRAITS = 4_096;
 const MAX_CLEARED_TRAITS = 1_024;
+
+/** Largest numbers of crashes that are kept: cleared ones of a trait, and all. */
 const MAX_CLEARED_CRASHES = 64;
 const MAX_KNOWN_CRASHES = 1_024;
+
+/** Largest numbers of suspects, and of cleared ones, in a report. */
 const MAX_REPORTED_SUSPECTS = 64;
 
 /** Quarantined trait of a call. */
@@ -77,6 +78,13 @@
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
+/** Attempt whose answer arrives. */
+export interface SentAttempt {
+    readonly server: RelayServer;
+    /** Time at which the call was sent, in milliseconds since the Unix epoch. */
+    readonly sentAtMs: number;
+}
+
 /** Crashes of a trait that is not their cause. */
 interface ClearedCrashes {
     readonly kind: TraitKind;
@@ -172,9 +180,9 @@
     }
 
     /** Records that a server has answered a call completely and without an error. */
-    recordAnswered(traits: readonly CallTrait[], server: RelayServer): void {
+    recordAnswered(traits: readonly CallTrait[], attempt: SentAttempt): void {
         const now = this.settings.clock.now();
-        this.recordAlive(server);
+        this.recordAlive(attempt);
         for (const trait of traits) {
             this.clear(trait);
             this.remember(trait, now);
@@ -182,8 +190,8 @@
     }
 
     /** Records that a server goes on with a stream; beyond the events after which others broke, that clears what they share. */
-    recordProgress(traits: readonly CallTrait[], server: RelayServer, events: number): void {
-        this.recordAlive(server);
+    recordProgress(traits: readonly CallTrait[], attempt: SentAttempt, events: number): void {
+        this.recordAlive(attempt);
         for (const trait of traits) {
             const suspect = this.suspects.find(trait.key);
             if (suspect?.isQuarantined === false && events >= CLEARING_EVENTS_FACTOR * suspect.events + CLEARING_EVENTS) {
@@ -282,14 +290,17 @@
         }
     }
 
-    /** Voids a crash of a server that goes on: its connections broke for another reason. */
-    private recordAlive(server: RelayServer): void {
+    /**
+     * Voids a crash of a server that answers a call which was sent later: its connections broke for another reason. Bytes of earlier
+     * calls may be read long after a crash, as their callers read them slowly.
+     */
+    private recordAlive({ server, sentAtMs }: SentAttempt): void {
         if (this.crashedAtMs.size === 0) {
             return;
         }
         const crashKey = this.crashKeyOf(server);
         const crashedAtMs = this.crashedAtMs.get(crashKey);
-        if (crashedAtMs === undefined || this.settings.clock.now() < crashedAtMs + LAST_BYTES_MS) {
+        if (crashedAtMs === undefined || sentAtMs <= crashedAtMs) {
             return;
         }
         this.crashedAtMs.delete(crashKey);
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -455,6 +455,7 @@
                 splitter: this.splitter,
                 traits: this.traits,
                 slot,
+                sentAtMs,
                 answer,
                 isTakenOver: () => this.hedge?.isTakenOver === true,
                 onProgress: () => this.hedge?.cancel(),
--- a/src/coordination/relay/server_answer.ts
+++ b/src/coordination/relay/server_answer.ts
@@ -7,7 +7,7 @@
 import type { AnswerHead, AttemptAnswer, HeaderList } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import { MAX_ANSWER_BYTES, readWhole } from "./answer_reader.js";
-import type { CallQuarantine } from "./call_quarantine.js";
+import type { CallQuarantine, SentAttempt } from "./call_quarantine.js";
 import type { CallTrait } from "./call_traits.js";
 import type { EventStreamSplitter } from "./event_stream_splitter.js";
 import {
@@ -30,6 +30,8 @@
     readonly splitter: EventStreamSplitter;
     readonly traits: readonly CallTrait[];
     readonly slot: SlotReservation;
+    /** Time at which the call was sent, in milliseconds since the Unix epoch. */
+    readonly sentAtMs: number;
     readonly answer: AttemptAnswer;
     /** Returns whether the answer of another attempt is used, so that nothing of this one may be written. */
     readonly isTakenOver: () => boolean;
@@ -44,8 +46,12 @@
     /** Number of events that have arrived. */
     events = 0;
 
+    private readonly attempt: SentAttempt;
+
     /** @param settings See {@linkcode ServerAnswerSettings}. */
-    constructor(private readonly settings: ServerAnswerSettings) {}
+    constructor(private readonly settings: ServerAnswerSettings) {
+        this.attempt = { server: settings.slot.server, sentAtMs: settings.sentAtMs };
+    }
 
     /**
      * Writes the answer, unless it is a failure.
@@ -80,7 +86,7 @@
             this.settings.onFailed(`server ${slot.server.id} answered with status ${head.status}`);
             return AttemptOutcome.Bad;
         }
-        this.settings.quarantine.recordAnswered(this.settings.traits, slot.server);
+        this.settings.quarantine.recordAnswered(this.settings.traits, this.attempt);
         this.settings.onProgress();
         this.settings.finalAnswer.sendComplete({ head, body });
         return AttemptOutcome.Good;
@@ -109,7 +115,7 @@
             slot.recordFirstEvent();
             slot.recordEvents(count);
             this.events += count;
-            this.settings.quarantine.recordProgress(this.settings.traits, slot.server, this.events);
+            this.settings.quarantine.recordProgress(this.settings.traits, this.attempt, this.events);
             this.settings.onProgress();
             this.startStream(head.status, head.endToEnd);
             await this.settings.admitted.answer.write(bytes);
@@ -131,7 +137,7 @@
             return AttemptOutcome.Broken;
         }
         if (this.events > 0) {
-            this.settings.quarantine.recordAnswered(this.settings.traits, slot.server);
+            this.settings.quarantine.recordAnswered(this.settings.traits, this.attempt);
         }
         this.settings.onProgress();
         this.startStream(head.status, head.endToEnd);
