Relay: use blocks of discarded bodies again

Once, in a whole test run beside much else, a process took 179 MB, over the 178 MB of the smallest machines, while other nodes sent bodies without end: discarded bodies are garbage until they are collected.

--- a/src/state/block_buffer.ts
+++ b/src/state/block_buffer.ts
@@ -8,6 +8,12 @@
 const MIN_BLOCK_BYTES = 256;
 const MAX_BLOCK_BYTES = 65_536;
 
+/** Largest number of free blocks that are kept. */
+const MAX_FREE_BLOCKS = 256;
+
+/** Free blocks of the largest size. Input without end would leave them as garbage faster than it is collected. */
+const freeBlocks: Buffer[] = [];
+
 /**
  * Joins pieces in blocks as they arrive. Kept as they are, pieces of a byte would take a hundred times the memory of their contents; in
  * one buffer that grows, large bodies would be copied again and again, which leaves more garbage than they have bytes.
@@ -46,13 +52,25 @@
     /** Removes all bytes and returns them. */
     take(): Buffer {
         const [first] = this.blocks;
-        const bytes = this.blocks.length === 1 && first !== undefined ? first.subarray(0, this.used) : this.copy();
+        if (this.blocks.length === 1 && first !== undefined) {
+            // The block is the caller's now.
+            this.blocks.length = 0;
+            const { used } = this;
+            this.clear();
+            return first.subarray(0, used);
+        }
+        const bytes = this.copy();
         this.clear();
         return bytes;
     }
 
     /** Removes all bytes. */
     clear(): void {
+        for (const block of this.blocks) {
+            if (block.length === MAX_BLOCK_BYTES && freeBlocks.length < MAX_FREE_BLOCKS) {
+                freeBlocks.push(block);
+            }
+        }
         this.blocks.length = 0;
         this.freeBytes = 0;
         this.used = 0;
@@ -61,7 +79,8 @@
     /** Adds a block as large as all others, so that small bodies take little memory. */
     private addBlock(neededBytes: number): void {
         const size = Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, neededBytes, this.used));
-        this.blocks.push(Buffer.allocUnsafeSlow(size));
+        const block = size === MAX_BLOCK_BYTES ? freeBlocks.pop() : undefined;
+        this.blocks.push(block ?? Buffer.allocUnsafeSlow(size));
         this.freeBytes = size;
     }
 }
