--- a/features/steps/relay_not_run_line_steps.ts
+++ b/features/steps/relay_not_run_line_steps.ts
@@ -69,32 +69,36 @@
     this.lineStatuses = new Map((await Promise.all(calls)).map(({ id, status }) => [id, status]));
 });
 
-When(/^a call (?!with)(.+)$/, { timeout: STEP_TIMEOUT_MS }, async function(this: LineScenario, event: string) {
-    const relay = relayOf(this);
-    const [engine] = relay.engines;
-    assert(engine !== undefined);
-    const send = async () => (await relay.send({ id: CALL_ID, path: "/unsafe/x", headers: { "Deadline-Ms": "300" } })).status;
-    let status: number | undefined;
-    switch (event) {
-        case "is refused by the backend server":
-            engine.behaviour = EngineBehaviour.Full;
-            status = await send();
-            break;
-        case "finds the backend server's port closed":
-            engine.close();
-            status = await send();
-            break;
-        case "is read in part as the node stops":
-            status = await sendBesideStop(relay, undefined);
-            break;
-        case "ends its body late in a stop":
-            status = await sendBesideStop(relay, LATE_IN_STOP_MS);
-            break;
-        default:
-            assert.fail(`unknown event ${event}`);
-    }
-    this.lineStatuses = new Map([[CALL_ID, status]]);
-});
+When(
+    /^a call ((?:is refused by|finds|is read in part|ends its body late) .+)$/,
+    { timeout: STEP_TIMEOUT_MS },
+    async function(this: LineScenario, event: string) {
+        const relay = relayOf(this);
+        const [engine] = relay.engines;
+        assert(engine !== undefined);
+        const send = async () => (await relay.send({ id: CALL_ID, path: "/unsafe/x", headers: { "Deadline-Ms": "300" } })).status;
+        let status: number | undefined;
+        switch (event) {
+            case "is refused by the backend server":
+                engine.behaviour = EngineBehaviour.Full;
+                status = await send();
+                break;
+            case "finds the backend server's port closed":
+                engine.close();
+                status = await send();
+                break;
+            case "is read in part as the node stops":
+                status = await sendBesideStop(relay, undefined);
+                break;
+            case "ends its body late in a stop":
+                status = await sendBesideStop(relay, LATE_IN_STOP_MS);
+                break;
+            default:
+                assert.fail(`unknown event ${event}`);
+        }
+        this.lineStatuses = new Map([[CALL_ID, status]]);
+    },
+);
 
 /** Stops a node that has read a call but for its last byte, which comes after some time or never. */
 async function sendBesideStop(relay: RelayFixture, lastByteMs: number | undefined): Promise<number> {
