Nodes: let no answer of the HTTP library stand in place of that to a call that runs

The port for calls of other nodes left bytes that it cannot read to the HTTP library, which answers 400 or 431 by itself, also behind a call that is at a server, and closes the connection. The other node took a 400 for the statement that the call has not run: it handed the call to a further peer, or promised its caller that it had not run.

The port now closes such a connection, which promises nothing, and a node takes an answer without a seal for that of a peer only if it has the content type that nodes of all builds give theirs.

--- a/features/relay_detour_port.feature
+++ b/features/relay_detour_port.feature
@@ -42,3 +42,33 @@
         Given two relay nodes, and the attempts of both to connect to servers are refused
         When 3 "unsafe" calls are sent to the first node, one after the other
         Then each of them is refused with a time to return
+
+    # Guards against an answer of the HTTP library in place of that of a call that runs, which its node takes for a call that has not run.
+    Scenario Outline: <bytes> behind a call of another node get no answer in its place
+        Given a port for calls of nodes that serves each in 300 ms
+        When another node sends a call and <bytes> behind it
+        Then it gets no status but that of its call
+
+        Examples:
+            | bytes                  |
+            | bytes that are no call |
+            | a head of 100 kB       |
+            | a cut head             |
+
+    # Guards against an answer of the HTTP library that is taken for the statement of a peer that a call has not run.
+    Scenario Outline: a peer's answer with status <status> that <form> generates <meaning>
+        Given a peer that answers each call with <status> as <form> does
+        When a call is handed to it
+        Then its answer <meaning>
+
+        Examples:
+            | status | form             | meaning                        |
+            | 400    | the HTTP library | leaves open whether it has run |
+            | 408    | the HTTP library | leaves open whether it has run |
+            | 431    | the HTTP library | leaves open whether it has run |
+            | 503    | the HTTP library | leaves open whether it has run |
+            | 400    | a node           | states that it has not run     |
+            | 421    | a node           | states that it has not run     |
+            | 503    | a node           | states that it has not run     |
+            | 403    | an older node    | states that it has not run     |
+            | 421    | an older node    | states that it has not run     |
--- a/features/steps/relay_detour_port_steps.ts
+++ b/features/steps/relay_detour_port_steps.ts
@@ -6,11 +6,15 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { request } from "node:http";
+import { createServer, request, type Server } from "node:http";
+import { connect } from "node:net";
+import { PlatformHeaders } from "../../platform/mod.js";
 import { EngineBehaviour, EngineServer, formatEvent, PLAIN_BODY } from "../../platform/standin/engine_server.js";
 import type { StoreServer } from "../../platform/standin/store_server.js";
-import { DetourCall } from "../../src/protocol/relay/mod.js";
-import { DETOUR_CALL_HEADER, DETOUR_PATH } from "../../src/transport/relay/mod.js";
+import { isNotRun } from "../../src/coordination/relay/mod.js";
+import { type AnswerHead, AttemptError, AttemptFault, DetourCall } from "../../src/protocol/relay/mod.js";
+import { SystemClock } from "../../src/state/relay/mod.js";
+import { DETOUR_CALL_HEADER, DETOUR_PATH, DetourServer, HttpClient, HttpDetourClient } from "../../src/transport/relay/mod.js";
 import { type CallerAnswer, PATH_BY_CALL_KIND, RelayFixture, waitFor } from "../support/relay_fixture.js";
 import { StoppedListener } from "../support/stopped_listener.js";
 import type { Scenario } from "../support/world.js";
@@ -27,6 +31,10 @@
 /** Events of a complete stream of the stand-in. */
 const STREAM_EVENTS = 6;
 
+/** Time after which a call that was sent is received, and after which it is answered, in milliseconds. */
+const RECEIVED_AFTER_MS = 100;
+const ANSWERED_AFTER_MS = 500;
+
 /** Time after which a caller leaves, in milliseconds. */
 const LEAVES_AFTER_MS = 300;
 
@@ -39,12 +47,18 @@
     portAnswers: CallerAnswer[];
     strangerStatus: number;
     leftAtMs: number;
+    nodePort: DetourServer | undefined;
+    nodeBytes: string;
+    peer: Server | undefined;
+    peerAnswer: AnswerHead | AttemptError;
 }
 
 After(async function(this: PortScenario) {
     await this.cutRelay?.stop();
     await this.peerRelay?.stop();
     this.listener?.close();
+    this.nodePort?.closeAll();
+    this.peer?.close();
 });
 
 Given(
@@ -209,3 +223,99 @@
         outgoing.end(message);
     });
 }
+
+Given("a port for calls of nodes that serves each in {int} ms", async function(this: PortScenario, processingMs: number) {
+    this.nodePort = new DetourServer({
+        clock: new SystemClock(),
+        isNode: () => true,
+        receive: (call, answer) => {
+            setTimeout(() => answer.sendComplete(200, [], Buffer.from("done")), processingMs);
+            return undefined;
+        },
+        onListenerError: () => undefined,
+        onRejected: () => undefined,
+    });
+    await this.nodePort.listen("127.0.0.1", 0);
+});
+
+When(/^another node sends a call and (.+) behind it$/, async function(this: PortScenario, bytes: string) {
+    const bytesByName: Readonly<Record<string, string>> = {
+        "bytes that are no call": "no call\r\n\r\n",
+        "a head of 100 kB": `POST /calls HTTP/1.1\r\nLarge: ${"x".repeat(100_000)}\r\n\r\n`,
+        "a cut head": "POST /calls HTTP/1.1\r\nHo",
+    };
+    const message = DetourCall.encode(makeMessage()).finish();
+    const socket = connect({ host: "127.0.0.1", port: this.nodePort?.port ?? 0 });
+    this.nodeBytes = "";
+    socket.on("data", data => this.nodeBytes += data.toString("latin1"));
+    socket.on("error", () => socket.destroy());
+    socket.write(`POST /calls HTTP/1.1\r\nHost: node\r\nContent-Length: ${message.length}\r\n\r\n`);
+    socket.write(message);
+    await new Promise(resolve => setTimeout(resolve, RECEIVED_AFTER_MS));
+    socket.write(bytesByName[bytes] ?? "");
+    if (bytes === "a cut head") {
+        socket.end();
+    }
+    await new Promise(resolve => setTimeout(resolve, ANSWERED_AFTER_MS));
+    socket.destroy();
+});
+
+Then("it gets no status but that of its call", function(this: PortScenario) {
+    const statuses = [...this.nodeBytes.matchAll(/HTTP\/1.1 (\d+)/g)].map(match => match[1]);
+    assert(statuses.every(status => status === "200") && statuses.length <= 1, this.nodeBytes);
+});
+
+Given(
+    /^a peer that answers each call with (\d+) as (the HTTP library|a node|an older node) does$/,
+    async function(this: PortScenario, status: string, form: string) {
+        const peer = createServer((call, response) => {
+            const id = call.headers[DETOUR_CALL_HEADER];
+            call.resume();
+            call.on("end", () => {
+                response.writeHead(Number(status), {
+                    ...form === "the HTTP library" ? {} : { "content-type": "application/json" },
+                    ...form === "a node" ? { [DETOUR_CALL_HEADER]: id } : {},
+                });
+                response.end();
+            });
+        });
+        this.peer = peer;
+        await new Promise<void>(resolve => peer.listen(0, "127.0.0.1", resolve));
+    },
+);
+
+When("a call is handed to it", async function(this: PortScenario) {
+    const address = this.peer?.address();
+    const port = typeof address === "object" && address ? address.port : 0;
+    const client = new HttpClient();
+    const peer = { node: "entry-2", address: `127.0.0.1:${port}` };
+    const answer = new HttpDetourClient(client, new PlatformHeaders()).send(
+        peer,
+        makeMessage(),
+        new AbortController().signal,
+        () => true,
+    );
+    try {
+        this.peerAnswer = await answer.awaitHead();
+    }
+    catch (error) {
+        assert(error instanceof AttemptError);
+        this.peerAnswer = error;
+    }
+    answer.cancel();
+    await client.close();
+});
+
+Then("its answer leaves open whether it has run", function(this: PortScenario) {
+    assert(this.peerAnswer instanceof AttemptError);
+    assert.equal(this.peerAnswer.fault, AttemptFault.Unknown);
+});
+
+Then("its answer states that it has not run", function(this: PortScenario) {
+    assert(!(this.peerAnswer instanceof AttemptError) && isNotRun(this.peerAnswer.status));
+});
+
+/** @returns The message of a call of which only the headers are set. */
+function makeMessage(): DetourCall {
+    return { ...DetourCall.decode(Buffer.alloc(0)), headers: ["Request-Id", "call-1", "Host", "app.example"] };
+}
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -71,6 +71,8 @@
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
         new ConnectionLimits(this.server, { clock: settings.clock, onIdle: socket => socket.destroySoon() });
         this.server.on("request", (request, response) => this.handleRequest(request, response));
+        // The library's own answer would stand in place of that to a call that runs.
+        this.server.on("clientError", (error, socket) => socket.destroy(error));
     }
 
     /** Starts listening. */
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -17,6 +17,9 @@
 import type { HttpClient } from "../http_client.js";
 import { type HttpExchange, MEMORY_EXCEEDED } from "../http_exchange.js";
 
+/** Content type of the answers that nodes generate. */
+export const NODE_CONTENT_TYPE = "application/json";
+
 /** Reason with which an exchange is cancelled. */
 const CANCELLED = new Error("the attempt was given up");
 
@@ -51,6 +54,11 @@
         }
         const { [this.context.nodeHeader ?? ""]: nodeId, ...headers } = this.exchange.headers;
         const head = this.context.headers.readAnswer(this.exchange.status, toHeaderList(headers));
+        if (this.context.nodeHeader !== undefined && !head.isSealed && headers["content-type"] !== NODE_CONTENT_TYPE) {
+            // The HTTP library of a node answers what it cannot read, also in place of the answer to an earlier call.
+            this.cancel();
+            throw this.toError("read the head", new Error(`the answer with status ${head.status} is of no server and no node`));
+        }
         if (!this.isAnswerOfCall(head.callId, nodeId)) {
             this.cancel();
             throw this.toError("read the head", new Error(`the answer belongs to call ${nodeId ?? head.callId ?? "unknown"}`));
--- a/src/transport/relay/http_relay_answer.ts
+++ b/src/transport/relay/http_relay_answer.ts
@@ -9,6 +9,7 @@
 import type { MemoryBudget } from "../../state/relay/mod.js";
 import { breakOff } from "../broken_answer.js";
 import { CallTurn } from "./call_turn.js";
+import { NODE_CONTENT_TYPE } from "./http_attempt_answer.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -147,7 +148,7 @@
 
     protected override writeLocal({ status, text, retryAfterMs }: LocalAnswer): void {
         const body = Buffer.from(`${JSON.stringify({ error: text })}\n`);
-        const headers = ["content-type", "application/json", "content-length", String(body.length)];
+        const headers = ["content-type", NODE_CONTENT_TYPE, "content-length", String(body.length)];
         if (retryAfterMs !== undefined) {
             headers.push("retry-after", (retryAfterMs / MS_PER_SECOND).toFixed(2));
         }
