Tests: interim heads for callers that expect one, failing

A call with "Expect: 100-continue" behind an answer that is still out, and answered before its turn, gets the bytes "HTTP/1.1 100 Continue" as the beginning of the body of its final answer; the rest of the true body is read as the next answer.

The reader of raw answers takes an interim head for an answer of its own.

--- a/features/relay_pipelined_calls.feature
+++ b/features/relay_pipelined_calls.feature
@@ -90,3 +90,23 @@
         Given a relay and a "stream" call whose server stops within its stream
         When a "unsafe" call is written behind its head, and the time of the first one ends after 300 ms
         Then the first answer is broken off, and 1 call is counted as cut
+
+    Scenario Outline: a "<second>" call that expects an interim head, its body <moment>, behind a "<first>" call whose server <fault>
+        Given a relay and a "<first>" call whose server <fault>
+        When a "<second>" call that expects an interim head is written behind it, its body <moment>
+        Then the answers are <statuses>, with nothing in each of them but its own body, and the second call runs <runs> times
+        And a further call on the connection is answered with 200
+
+        Examples:
+            | first  | fault                        | second          | moment                 | statuses    | runs |
+            | unsafe | takes 500 ms                 | unsafe          | with its head          | 200 200     | 1    |
+            | unsafe | takes 500 ms                 | safe            | without waiting        | 200 200     | 1    |
+            | unsafe | takes 500 ms                 | unsafe          | after the interim head | 200 100 200 | 1    |
+            | unsafe | takes 500 ms                 | stream          | with its head          | 200 200     | 1    |
+            | unsafe | takes 500 ms                 | unrouted        | with its head          | 200 404     | 0    |
+            | unsafe | takes 500 ms                 | unrouted        | after the interim head | 200 100 404 | 0    |
+            | unsafe | takes 500 ms                 | refused         | without waiting        | 200 503     | 0    |
+            | stream | pauses after its first event | unsafe          | with its head          | 200 200     | 1    |
+            | stream | pauses after its first event | unsafe          | after the interim head | 200 100 200 | 1    |
+            | stream | pauses after its first event | unrouted        | with its head          | 200 404     | 0    |
+            | stream | pauses after its first event | stream          | without waiting        | 200 200     | 1    |
--- a/features/steps/relay_pipelined_call_steps.ts
+++ b/features/steps/relay_pipelined_call_steps.ts
@@ -6,7 +6,7 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { EngineBehaviour, EngineServer } from "../../platform/standin/engine_server.js";
+import { EngineBehaviour, EngineServer, formatEvent, PLAIN_BODY, STREAM_EVENTS } from "../../platform/standin/engine_server.js";
 import { formatCall, type RawAnswer, RawCaller } from "../support/raw_caller.js";
 import { PATH_BY_CALL_KIND, RelayFixture, waitFor } from "../support/relay_fixture.js";
 import type { Scenario } from "../support/world.js";
@@ -20,6 +20,12 @@
 /** Time after which a call that is not held is at a server, in milliseconds; shorter than {@linkcode WORK_MS}. */
 const SETTLE_MS = 150;
 
+/** Places of both servers. */
+const PLACES = 8;
+
+/** Deadline of calls that get no place, in milliseconds; their answer is decided before that of a call that takes 500 ms. */
+const REFUSED_DEADLINE_MS = 250;
+
 /** Deadline of calls whose time does not end, in milliseconds. */
 const DEADLINE_MS = 5_000;
 
@@ -131,6 +137,65 @@
     },
 );
 
+When(
+    /^a "([\w ]+)" call that expects an interim head is written behind it, its body (.*)$/,
+    { timeout: STEP_TIMEOUT_MS },
+    async function(this: PipelineScenario, kind: string, moment: string) {
+        const { pipelineCaller } = this;
+        pipelineCaller.write(format("first", this.firstKind));
+        await waitFor("a server has the first call", () => countReceived(this, "first") > 0);
+        if (this.firstKind === "stream") {
+            await pipelineCaller.awaitBytes();
+        }
+        if (kind === "refused") {
+            await takePlaces(this);
+        }
+        change(this, { behaviour: EngineBehaviour.Healthy, processingMs: 0, isStream: kind === "stream" });
+        const deadlineMs = kind === "refused" ? REFUSED_DEADLINE_MS : DEADLINE_MS;
+        const second = format("second", kind === "refused" ? "unsafe" : kind, deadlineMs);
+        const bodyStart = second.indexOf("\r\n\r\n") + 4;
+        const head = second.slice(0, bodyStart).replace("Content-Length", "Expect: 100-continue\r\nContent-Length");
+        const body = second.slice(bodyStart);
+        pipelineCaller.write(head + (moment === "with its head" ? body : ""));
+        if (moment === "without waiting") {
+            await settle();
+            pipelineCaller.write(body);
+        }
+        else if (moment === "after the interim head") {
+            const answers = await pipelineCaller.readAnswers(2);
+            assert.deepEqual(answers.map(({ status }) => status), [200, 100]);
+            pipelineCaller.write(body);
+        }
+        this.pipelineAnswers = await pipelineCaller.readAnswers(moment === "after the interim head" ? 3 : 2);
+    },
+);
+
+Then(
+    /^the answers are ([\d ]+), with nothing in each of them but its own body, and the second call runs (\d+) times$/,
+    function(this: PipelineScenario, statuses: string, runs: string) {
+        const { pipelineAnswers } = this;
+        assert.equal(pipelineAnswers.map(({ status }) => status).join(" "), statuses);
+        const events = Array.from({ length: STREAM_EVENTS }, (unused, index) => formatEvent(index + 1)).join("");
+        for (const { status, headers, body, isComplete } of pipelineAnswers) {
+            assert(isComplete);
+            if (status === 200) {
+                assert.equal(body, headers.get("content-type") === "text/event-stream" ? events : PLAIN_BODY);
+            }
+            else if (status >= 400) {
+                assert.match(body, /^\{"error":"[^"]+"\}\n$/);
+            }
+        }
+        assert.equal(countReceived(this, "second"), Number(runs));
+    },
+);
+
+Then("a further call on the connection is answered with {int}", async function(this: PipelineScenario, status: number) {
+    change(this, { behaviour: EngineBehaviour.Healthy, processingMs: 0, isStream: false });
+    this.pipelineCaller.write(format("third", "safe"));
+    const answers = await this.pipelineCaller.readAnswers(this.pipelineAnswers.length + 1);
+    assert.deepEqual([answers.at(-1)?.status, answers.at(-1)?.body], [status, PLAIN_BODY]);
+});
+
 Then(
     "the first answer is broken off, and the second call reaches a server {int} times",
     function(this: PipelineScenario, times: number) {
@@ -216,6 +281,14 @@
     pipelineCaller.write(second);
 }
 
+/** Takes the places of the servers that the first call leaves. */
+async function takePlaces({ pipelineRelay, pipelineEngines }: PipelineScenario): Promise<void> {
+    for (let call = 1; call < PLACES; call += 1) {
+        void pipelineRelay.send({ path: PATH_BY_CALL_KIND["unsafe"] ?? "" });
+    }
+    await waitFor("the places are taken", () => pipelineEngines.flatMap(engine => engine.receivedCalls).length === PLACES);
+}
+
 function change({ pipelineEngines }: PipelineScenario, changes: Partial<EngineServer>): void {
     for (const engine of pipelineEngines) {
         Object.assign(engine, changes);
@@ -223,7 +296,7 @@
 }
 
 function format(id: string, kind: string, deadlineMs = DEADLINE_MS): string {
-    return formatCall(id, PATH_BY_CALL_KIND[kind] ?? "").replace(/Deadline-Ms: \d+/, `Deadline-Ms: ${deadlineMs}`);
+    return formatCall(id, PATH_BY_CALL_KIND[kind] ?? "/unrouted/x").replace(/Deadline-Ms: \d+/, `Deadline-Ms: ${deadlineMs}`);
 }
 
 function toHttp10(text: string): string {
--- a/features/support/raw_caller.ts
+++ b/features/support/raw_caller.ts
@@ -6,6 +6,9 @@
 
 import { connect, type Socket } from "node:net";
 
+/** Least status of a final answer. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Answer read from the connection. */
 export interface RawAnswer {
     readonly status: number;
@@ -79,13 +82,14 @@
     }
 
     /**
-     * Waits until a number of answers are complete, or the connection is closed.
+     * Waits until a number of answers are complete, or the connection is closed. An interim head is an answer of its own.
      *
+     * @param headIndex Index of the answer to a call with the method HEAD, which has no body.
      * @returns The answers; the last may be incomplete.
      */
-    async readAnswers(count: number): Promise<readonly RawAnswer[]> {
+    async readAnswers(count: number, headIndex = -1): Promise<readonly RawAnswer[]> {
         for (;;) {
-            const answers = parseAnswers(this.received, this.isClosed);
+            const answers = parseAnswers(this.received, this.isClosed, headIndex);
             if (this.isClosed || answers.filter(answer => answer.isComplete).length >= count) {
                 return answers;
             }
@@ -114,7 +118,7 @@
     }
 }
 
-function parseAnswers(text: string, isClosed: boolean): readonly RawAnswer[] {
+function parseAnswers(text: string, isClosed: boolean, headIndex: number): readonly RawAnswer[] {
     const answers: RawAnswer[] = [];
     let rest = text;
     while (rest !== "") {
@@ -129,7 +133,8 @@
         }));
         const status = Number(startLine.split(" ")[1]);
         rest = rest.slice(headEnd + 4);
-        const parsed = parseBody(rest, headers, isClosed);
+        const hasBody = status >= FIRST_FINAL_STATUS && answers.length !== headIndex;
+        const parsed = hasBody ? parseBody(rest, headers, isClosed) : { body: "", isComplete: true, rest };
         answers.push({ status, headers, body: parsed.body, isComplete: parsed.isComplete });
         if (!parsed.isComplete) {
             break;
