Transport: write an interim head only in the turn of its answer

A call with "Expect: 100-continue" behind an answer that is still out, and answered before its turn, got the bytes "HTTP/1.1 100 Continue" as the beginning of the body of its final answer, and the rest of the true body was read as the next answer: a broken answer, and a broken connection. The ports of a relay for callers and for nodes and the server of an entry VM were concerned.

Cause: the HTTP library writes the interim head on its own. Before its turn it is queued, and the final head goes in front of the queue.

The servers take the event "checkContinue" and write the interim head themselves, once the answer has its turn, the body has not begun and the final head is not written (InterimHeads). A call whose body has begun is then one without an expectation: the library would close the connection after its answer, and with it cut the calls behind. A final answer that is given in place of the interim head closes the connection, as the caller may leave out the body, and no call behind it is taken.

On the port for nodes, the row of a stop has a stream in front: a whole answer that is written after the stop closes the connection there, and with it the calls behind it, whatever they expect; nodes send none behind another. New: a call with an expectation behind a refused one, and bodies that cannot be read.

The row of a refused call in front fails (200 400 200, the last answer cut) when the refusal keeps the library's own closing in effect.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -62,56 +62,68 @@
         Then the connection gets the answers <answers>, each with its own body, and <end>
 
         Examples: with nothing in front, the interim head is written unless the body is there
-            | node                  | first | expecting | moment                 | answers | end                        |
-            | a relay node          | -     | /now      | with its head          | 200     | a further call is answered |
-            | a relay node          | -     | /now      | after the interim head | 100 200 | a further call is answered |
-            | a relay node          | -     | /now      | never                  | 100     | nothing more               |
-            | a node for others     | -     | /now      | with its head          | 200     | a further call is answered |
-            | a node for others     | -     | /now      | after the interim head | 100 200 | a further call is answered |
-            | a node for others     | -     | /now      | never                  | 100     | nothing more               |
-            | an entry VM           | -     | /now      | with its head          | 200     | a further call is answered |
-            | an entry VM           | -     | /now      | after the interim head | 100 200 | a further call is answered |
-            | an entry VM           | -     | /now      | never                  | 100     | nothing more               |
+            | node              | first | expecting | moment                 | answers | end                        |
+            | a relay node      | -     | /now      | with its head          | 200     | a further call is answered |
+            | a relay node      | -     | /now      | after the interim head | 100 200 | a further call is answered |
+            | a relay node      | -     | /now      | never                  | 100     | nothing more               |
+            | a node for others | -     | /now      | with its head          | 200     | a further call is answered |
+            | a node for others | -     | /now      | after the interim head | 100 200 | a further call is answered |
+            | a node for others | -     | /now      | never                  | 100     | nothing more               |
+            | an entry VM       | -     | /now      | with its head          | 200     | a further call is answered |
+            | an entry VM       | -     | /now      | after the interim head | 100 200 | a further call is answered |
+            | an entry VM       | -     | /now      | never                  | 100     | nothing more               |
 
         Examples: behind an answer that is still out, it is written once that one is whole
-            | node                  | first        | expecting  | moment                 | answers         | end                        |
-            | a relay node          | /slow        | /now       | with its head          | 200 200         | a further call is answered |
-            | a relay node          | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
-            | a relay node          | /slow        | /now       | in two parts           | 200 200         | a further call is answered |
-            | a relay node          | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
-            | a relay node          | /slow        | /now       | never                  | 200 100         | nothing more               |
-            | a relay node          | /slow        | /slow      | without waiting        | 200 200         | a further call is answered |
-            | a relay node          | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
-            | a relay node          | /slow        | /missing   | after the interim head | 200 100 404     | a further call is answered |
-            | a relay node          | /slow        | /busy      | without waiting        | 200 503         | a further call is answered |
-            | a relay node          | /stream      | /now       | with its head          | 200 200         | a further call is answered |
-            | a relay node          | /stream      | /missing   | after the interim head | 200 100 404     | a further call is answered |
-            | a relay node          | /slow        | /stream    | with its head          | 200 200         | a further call is answered |
-            | a relay node          | /slow, /slow | /now       | with its head          | 200 200 200     | a further call is answered |
-            | a relay node          | /slow        | /now, /now | with its head          | 200 200 200     | a further call is answered |
-            | a relay node          | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
-            | a node for others     | /slow        | /now       | with its head          | 200 200         | a further call is answered |
-            | a node for others     | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
-            | a node for others     | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
-            | a node for others     | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
-            | a node for others     | /stream      | /now       | with its head          | 200 200         | a further call is answered |
-            | a node for others     | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
-            | an entry VM           | /slow        | /now       | with its head          | 200 200         | a further call is answered |
-            | an entry VM           | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
-            | an entry VM           | /slow        | /now       | in two parts           | 200 200         | a further call is answered |
-            | an entry VM           | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
-            | an entry VM           | /slow        | /now       | never                  | 200 100         | nothing more               |
-            | an entry VM           | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
-            | an entry VM           | /slow        | /busy      | without waiting        | 200 503         | a further call is answered |
-            | an entry VM           | /stream      | /now       | with its head          | 200 200         | a further call is answered |
-            | an entry VM           | /slow        | /stream    | with its head          | 200 200         | a further call is answered |
-            | an entry VM           | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
+            | node              | first        | expecting  | moment                 | answers         | end                        |
+            | a relay node      | /slow        | /now       | with its head          | 200 200         | a further call is answered |
+            | a relay node      | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
+            | a relay node      | /slow        | /now       | in two parts           | 200 200         | a further call is answered |
+            | a relay node      | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
+            | a relay node      | /slow        | /now       | never                  | 200 100         | nothing more               |
+            | a relay node      | /slow        | /slow      | without waiting        | 200 200         | a further call is answered |
+            | a relay node      | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
+            | a relay node      | /slow        | /missing   | after the interim head | 200 100 404     | a further call is answered |
+            | a relay node      | /slow        | /busy      | without waiting        | 200 503         | a further call is answered |
+            | a relay node      | /stream      | /now       | with its head          | 200 200         | a further call is answered |
+            | a relay node      | /stream      | /missing   | after the interim head | 200 100 404     | a further call is answered |
+            | a relay node      | /slow        | /stream    | with its head          | 200 200         | a further call is answered |
+            | a relay node      | /slow, /slow | /now       | with its head          | 200 200 200     | a further call is answered |
+            | a relay node      | /slow        | /now, /now | with its head          | 200 200 200     | a further call is answered |
+            | a relay node      | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
+            | a node for others | /slow        | /now       | with its head          | 200 200         | a further call is answered |
+            | a node for others | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
+            | a node for others | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
+            | a node for others | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
+            | a node for others | /stream      | /now       | with its head          | 200 200         | a further call is answered |
+            | a node for others | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
+            | an entry VM       | /slow        | /now       | with its head          | 200 200         | a further call is answered |
+            | an entry VM       | /slow        | /now       | without waiting        | 200 200         | a further call is answered |
+            | an entry VM       | /slow        | /now       | in two parts           | 200 200         | a further call is answered |
+            | an entry VM       | /slow        | /now       | after the interim head | 200 100 200     | a further call is answered |
+            | an entry VM       | /slow        | /now       | never                  | 200 100         | nothing more               |
+            | an entry VM       | /slow        | /missing   | with its head          | 200 404         | a further call is answered |
+            | an entry VM       | /slow        | /busy      | without waiting        | 200 503         | a further call is answered |
+            | an entry VM       | /stream      | /now       | with its head          | 200 200         | a further call is answered |
+            | an entry VM       | /slow        | /stream    | with its head          | 200 200         | a further call is answered |
+            | an entry VM       | /slow        | /now, /now | after the interim head | 200 200 100 200 | a further call is answered |
+
+        Examples: a refused call closes the connection, after all calls behind it
+            | node         | first           | expecting  | moment        | answers         | end                      |
+            | a relay node | /slow, /invalid | /now, /now | with its head | 200 400 200 200 | the connection is closed |
+
+        Examples: a body that cannot be read ends the connection; the interim head, if there is one, precedes the refusal
+            | node         | first | expecting  | moment                 | answers     | end                      |
+            | a relay node | /slow | /malformed | with its head          | 200 400     | the connection is closed |
+            | a relay node | /slow | /malformed | without waiting        | 200 400     | the connection is closed |
+            | a relay node | -     | /malformed | after the interim head | 100 400     | the connection is closed |
+            | an entry VM  | /slow | /malformed | with its head          | 200 100 400 | the connection is closed |
+            | an entry VM  | -     | /malformed | after the interim head | 100 400     | the connection is closed |
 
         Examples: an answer that does not wait for the body stands in for the interim head, and closes the connection
-            | node                  | first | expecting | moment          | answers | end                      |
-            | an entry VM           | -     | /page     | never           | 200     | the connection is closed |
-            | an entry VM           | /slow | /page     | never           | 200 200 | the connection is closed |
-            | an entry VM           | /slow | /crowded  | never           | 200 400 | the connection is closed |
+            | node        | first | expecting | moment | answers | end                      |
+            | an entry VM | -     | /page     | never  | 200     | the connection is closed |
+            | an entry VM | /slow | /page     | never  | 200 200 | the connection is closed |
+            | an entry VM | /slow | /crowded  | never  | 200 400 | the connection is closed |
 
     Scenario Outline: <node> ignores an expectation of <call> behind <first>
         Given <node> whose calls are answered by their path
@@ -151,9 +163,12 @@
         Then the connection gets the answers <answers>, each with its own body, and the connection is closed
 
         Examples:
-            | node              | first | answers |
-            | a relay node      | /slow | 200 503 |
-            | a node for others | /slow | 200 421 |
+            | node              | first   | answers |
+            | a relay node      | /slow   | 200 503 |
+            | a node for others | /stream | 200 421 |
+            | a node for others | -       | 100 421 |
+            | a relay node      | /stream | 200 503 |
+            | a relay node      | -       | 100 503 |
 
     Scenario: a call behind an answer that stands in for an interim head is not run, as the connection closes before its answer
         Given an entry VM whose calls are answered by their path
--- a/features/steps/caller_expectation_steps.ts
+++ b/features/steps/caller_expectation_steps.ts
@@ -110,7 +110,8 @@
         port: server.port,
         format: call => {
             lastId += 1;
-            return formatParts(call, `Request-Id: call-${lastId}\r\nApi-Key: key-1\r\nDeadline-Ms: 5000\r\n`, call.path, BODY);
+            const id = call.path === "/invalid" ? "" : `Request-Id: call-${lastId}\r\n`;
+            return formatParts(call, `${id}Api-Key: key-1\r\nDeadline-Ms: 5000\r\n`, call.path, BODY);
         },
         stop: () => {
             server.startDraining();
@@ -310,10 +311,13 @@
 ): MessageParts {
     const hasBody = method === "POST";
     const crowd = path === "/crowded" ? "X: 1\r\n".repeat(CROWDED_HEADER_COUNT) : "";
-    const length = hasBody ? `Content-Length: ${body.length}\r\n` : "";
+    const isMalformed = path === "/malformed";
+    const length = isMalformed ? "Transfer-Encoding: chunked\r\n" : `Content-Length: ${body.length}\r\n`;
     const verb = path === "/page" ? "GET" : method;
-    const head = `${verb} ${target} HTTP/${version}\r\nHost: app.example\r\n${ownHeaders}${headers}${crowd}${length}\r\n`;
-    return { head, body: hasBody ? body : "" };
+    const head = `${verb} ${target} HTTP/${version}\r\nHost: app.example\r\n${ownHeaders}${headers}${crowd}${
+        hasBody ? length : ""
+    }\r\n`;
+    return { head, body: isMalformed ? "no chunk\r\n" : hasBody ? body : "" };
 }
 
 function listStatuses(answers: readonly RawAnswer[]): string {
--- a/src/transport/_caller_connection.ts
+++ b/src/transport/_caller_connection.ts
@@ -36,10 +36,12 @@
     /**
      * Decides whether the head of a response says that the connection closes. Only the head of the newest one may, as all calls that
      * were read before it are answered first.
+     *
+     * @param mustClose Whether the rest of the call may not come, so that the connection carries no further ones.
      */
-    decideClosingHead(response: ServerResponse): boolean {
+    decideClosingHead(response: ServerResponse, mustClose: boolean): boolean {
         const isNewest = [...this.openResponses].at(-1) === response;
-        this.hasClosingHead ||= isNewest && this.isClosing();
+        this.hasClosingHead ||= isNewest && (mustClose || this.isClosing());
         return isNewest && this.hasClosingHead;
     }
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -19,6 +19,7 @@
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 import { ConnectionLimits } from "./connection_limits.js";
+import { InterimHeads } from "./interim_heads.js";
 import { listen } from "./listen.js";
 
 /** Maximum size of the body of a call, in bytes. */
@@ -96,6 +97,7 @@
 /** Accepts calls over HTTP and passes them to the handler. */
 export class HttpServer {
     private readonly server: Server;
+    private readonly interimHeads: InterimHeads;
     private readonly limits: HttpServerLimits;
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
     private heldBodyBytes = 0;
@@ -121,6 +123,7 @@
             clock: settings.clock,
             onIdle: socket => socket.destroySoon(),
         });
+        this.interimHeads = new InterimHeads(this.server);
         this.server.on("connection", socket => this.trackSocket(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("connect", (request, socket) => this.handleTunnel(socket as Socket));
@@ -183,7 +186,10 @@
             return;
         }
         connection.add(response);
-        const writer = new HttpAnswerWriter(response, () => connection.decideClosingHead(response));
+        this.interimHeads.prepare(request, response);
+        const writer = new HttpAnswerWriter(response, () => {
+            return connection.decideClosingHead(response, this.interimHeads.giveUp(request, response));
+        });
         this.answer(request, response, writer).catch((error: unknown) => {
             this.settings.onError?.(error);
             if (!response.writableEnded) {
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -19,6 +19,7 @@
 import { BodyCollector } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
+import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -117,6 +118,7 @@
     private readonly server: Server;
     private readonly connectionLimits: ConnectionLimits;
     private readonly inputLimits: InputLimits;
+    private readonly interimHeads: InterimHeads;
     private readonly connections = new Map<Socket, CallerConnection>();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
@@ -137,6 +139,7 @@
                 this.connections.get(socket)?.closeIfIdle();
             },
         });
+        this.interimHeads = new InterimHeads(this.server);
         this.server.on("connection", socket => this.handleConnection(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => {
@@ -284,13 +287,18 @@
         const head = this.settings.headers.readCall(request.rawHeaders);
         const id = typeof head === "string" ? undefined : head.id;
         const answer: HttpRelayAnswer = new HttpRelayAnswer(response, {
-            closesConnection: () => connection.writeClosingHead(openCall, this.isDraining),
+            closesConnection: () => {
+                const mayLackBody = this.interimHeads.giveUp(request, response);
+                connection.mustClose ||= mayLackBody;
+                return connection.writeClosingHead(openCall, this.isDraining);
+            },
             turn: connection.nextTurn(),
             memory: this.inputLimits.memory,
             onLocal: (localAnswer, execution) => this.settings.onLocalAnswer?.({ id, localAnswer, execution }),
         });
         const openCall: OpenCall = { request, response, answer, callerAbort: new AbortController(), read: undefined };
         connection.add(openCall, response.shouldKeepAlive);
+        this.interimHeads.prepare(request, response);
         response.on("finish", () => {
             openCall.read = undefined;
             connection.finish(openCall, this.isDraining);
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -10,6 +10,7 @@
 import { BodyCollector } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
+import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
 import type { WrittenLocalAnswer } from "./caller_server.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -62,6 +63,7 @@
     openCalls = 0;
     private readonly server: Server;
     private readonly inputLimits: InputLimits;
+    private readonly interimHeads: InterimHeads;
     private readonly unreadCalls = new Map<IncomingMessage, HttpRelayAnswer>();
     private isStopped = false;
 
@@ -70,6 +72,7 @@
         this.inputLimits = settings.inputLimits ?? new InputLimits(settings.clock);
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
         new ConnectionLimits(this.server, { clock: settings.clock, onIdle: socket => socket.destroySoon() });
+        this.interimHeads = new InterimHeads(this.server);
         this.server.on("request", (request, response) => this.handleRequest(request, response));
     }
 
@@ -110,7 +113,7 @@
         const callId = request.headers[DETOUR_CALL_HEADER];
         const nodeHeaders = typeof callId === "string" ? [DETOUR_CALL_HEADER, callId] : [];
         const answer = new HttpRelayAnswer(response, {
-            closesConnection: () => this.isStopped,
+            closesConnection: () => this.interimHeads.giveUp(request, response) || this.isStopped,
             nodeHeaders,
             memory: this.inputLimits.memory,
             onLocal: (localAnswer, execution) => {
@@ -137,6 +140,7 @@
         const callerAbort = new AbortController();
         this.openCalls += 1;
         this.unreadCalls.set(request, answer);
+        this.interimHeads.prepare(request, response);
         response.on("close", () => {
             this.openCalls -= 1;
             this.unreadCalls.delete(request);
