Relay: test that a head without an end is not refused in place of the call in front of it

A part of a next head was behind the call, and the HTTP library writes its own 408 while no head of an answer is out; it needs no hold-up. If the answer of the server arrives while the node is held up, the node takes the call for answered with 200, so that no line names it but for one in 32.

Nothing tested this with a call at a server. The configuration of the test program gets a header limit for it.

--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -50,6 +50,14 @@
     readonly agent?: Agent;
 }
 
+/** Limits of a configuration; unset fields get defaults. */
+export interface ConfiguredLimits {
+    /** Largest body of a call, in bytes. */
+    readonly maxBodyBytes?: number;
+    /** Time within which the rest of a head has to follow, in milliseconds. */
+    readonly headerTimeoutMs?: number;
+}
+
 /** Path of each kind of call. */
 export const PATH_BY_CALL_KIND: Readonly<Record<string, string>> = {
     "safe": "/safe/x",
@@ -252,7 +260,7 @@
 }
 
 /** Returns a configuration in the platform's format that admits the given keys; `host` is that of all routes. */
-export function makeConfiguration(version: number, keys: readonly string[], host = HOST, maxBodyBytes = 20_000): unknown {
+export function makeConfiguration(version: number, keys: readonly string[], host = HOST, limits: ConfiguredLimits = {}): unknown {
     const route = (name: string, kind: string, changes: Readonly<Record<string, unknown>> = {}) => ({
         Name: name,
         Host: host,
@@ -276,7 +284,12 @@
             route("resumable", "streaming", { Resumable: true, GapTargetMs: 300, MaxAttempts: 2 }),
         ],
         Services: [{ Name: "service", HealthPath: "/health", MaxConnections: 100, Protocol: "h1", Tls: false }],
-        Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
+        Limits: {
+            MaxHeaderBytes: 16_384,
+            MaxBodyBytes: limits.maxBodyBytes ?? 20_000,
+            HeaderTimeoutMs: limits.headerTimeoutMs ?? 3_000,
+            IdleTimeoutMs: 15_000,
+        },
         Tenants: [{ Name: "clinic", ApiKeys: keys, Priority: 1, RatePerS: 0, Burst: 0 }],
     };
 }
--- a/features/support/relay_program.ts
+++ b/features/support/relay_program.ts
@@ -11,7 +11,7 @@
 import { join } from "node:path";
 import { StoreServer } from "../../platform/standin/store_server.js";
 import { awaitReady, findPorts } from "../../standin/fleet_process.js";
-import { makeConfiguration } from "./relay_fixture.js";
+import { type ConfiguredLimits, makeConfiguration } from "./relay_fixture.js";
 
 /** Calls that a server takes at once. */
 const DEFAULT_SLOTS = 16;
@@ -41,12 +41,6 @@
     serverEntry(service: string, changes: Readonly<Record<string, unknown>>): unknown;
 }
 
-/** Limits of the configuration. */
-export interface ProgramLimits {
-    /** Largest body of a call, in bytes. */
-    readonly maxBodyBytes?: number;
-}
-
 /** Runs the program until {@linkcode stop}. */
 export class RelayProgram {
     /** Stand-in for the platform's store. */
@@ -72,13 +66,13 @@
     async prepare(
         engines: readonly RegisteredServer[],
         entry: Readonly<Record<string, unknown>> = {},
-        limits: ProgramLimits = {},
+        limits: ConfiguredLimits = {},
     ): Promise<void> {
         await this.store.start();
         for (const engine of engines) {
             this.store.put("keyed.servers", engine.id, engine.serverEntry("service", { Slots: DEFAULT_SLOTS, ...entry }));
         }
-        this.store.put("keyed.op", "config", makeConfiguration(1, [API_KEY], undefined, limits.maxBodyBytes));
+        this.configure(1, limits);
         const [callers = 0, readiness = 0, peers = 0] = await findPorts(3, 0);
         this.callerPort = callers;
         this.readinessPort = readiness;
@@ -98,6 +92,16 @@
 `;
     }
 
+    /**
+     * Writes a version of the configuration.
+     *
+     * @param version Number of the version.
+     * @param limits Fields that replace the defaults.
+     */
+    configure(version: number, limits: ConfiguredLimits): void {
+        this.store.put("keyed.op", "config", makeConfiguration(version, [API_KEY], undefined, limits));
+    }
+
     /** Starts the program and waits until it is ready. */
     async start(): Promise<void> {
         await this.startUnready();
