Quarantine: report at most 16 cleared crashes of a part

Found by reading, without an incident: a part that many sound calls share is cleared of each crash beside it, and a report named up to 64 such crashes for each of up to 64 parts, so that it grows towards what no datagram holds. Of the crashes that a peer reports, one was removed for any number added.

A part's last 16 cleared crashes are kept and reported. A crash that is forgotten counts again; a suspect needs three at most.

Evidence: relay_prompt_parts, "a report names at most 16 cleared crashes of a part": 20 before, holds now; the other 41 cases as before.

--- a/features/relay_prompt_parts.feature
+++ b/features/relay_prompt_parts.feature
@@ -74,6 +74,14 @@
             | was reported by two peers for a server each               | quarantined |
             | was reported by two peers and as answered by a third      | free        |
 
+    # Guards against reports that grow with all crashes of a part that many sound calls share, until no datagram holds them.
+    Scenario: a report names at most 16 cleared crashes of a part
+        Given a node that watches the parts of prompts before 13 servers
+        When a part was in calls that broke at 20 servers and was answered after each
+        Then its report names at most 16 cleared crashes
+        When a peer reports 100 other crashes of it as cleared
+        Then its report names at most 16 cleared crashes
+
     Scenario: one probe of a quarantined part is sent in two minutes or more
         Given a node that watches the parts of prompts before 13 servers
         When a part was in calls that broke at 3 servers
--- a/features/steps/relay_prompt_part_steps.ts
+++ b/features/steps/relay_prompt_part_steps.ts
@@ -245,6 +245,27 @@
     await this.clock.advance(1_000);
 });
 
+When(
+    "a peer reports {int} other crashes of it as cleared",
+    function(this: PromptScenario, count: number) {
+        this.quarantine.merge([{
+            traitKey: hashKey(TESTED_PART.id),
+            crashKeys: [],
+            crashKeysAfterAnswers: [],
+            clearedCrashKeys: Array.from({ length: count }, (unused, index) => index + 1),
+            isAnswered: true,
+            isContent: false,
+            events: 0,
+        }]);
+    },
+);
+
+Then("its report names at most {int} cleared crashes", function(this: PromptScenario, most: number) {
+    const [suspect] = this.quarantine.reportedSuspects();
+    const cleared = suspect?.clearedCrashKeys.length ?? 0;
+    assert(cleared > 0 && cleared <= most, `${cleared} cleared crashes`);
+});
+
 When(
     "a call with it comes each second for 10 minutes and crashes its server when it is sent",
     async function(this: PromptScenario) {
@@ -337,6 +358,14 @@
             await breakAt(1, TESTED_PROMPT, 2);
             quarantine.recordProgress(TESTED_PROMPT, SOUND_ATTEMPT, 5);
             return;
+        case "was in calls that broke at 20 servers and was answered after each":
+            for (let server = 0; server < 20; server += 1) {
+                quarantine.recordBroken(TESTED_PROMPT, makeServer(server));
+                await clock.advance(500);
+                quarantine.recordAnswered(TESTED_PROMPT, { server: SOUND_ATTEMPT.server, sentAtMs: clock.now() });
+                await clock.advance(500);
+            }
+            return;
         case "was answered after calls with it broke at 1 server":
         case "was answered by a probe after calls broke at 3 servers":
             await breakAt(history.includes("3") ? 3 : 1);
--- a/src/coordination/relay/call_quarantine.ts
+++ b/src/coordination/relay/call_quarantine.ts
@@ -53,7 +53,7 @@
 const MAX_CLEARED_TRAITS = 1_024;
 
 /** Largest numbers of crashes that are kept: cleared ones of a trait, and all. */
-const MAX_CLEARED_CRASHES = 64;
+const MAX_CLEARED_CRASHES = 16;
 const MAX_KNOWN_CRASHES = 1_024;
 
 /** Largest numbers of suspects, and of cleared ones, in a report. */
@@ -437,11 +437,13 @@
     }
 }
 
-/** Removes the oldest entry of a map or set that has more than it may have. */
+/** Removes the oldest entries of a map or set that has more than it may have. */
 function removeOldest(entries: Map<number, unknown> | Set<number>, most: number): void {
-    const [oldest] = entries.keys();
-    if (entries.size > most && oldest !== undefined) {
-        entries.delete(oldest);
+    for (const key of entries.keys()) {
+        if (entries.size <= most) {
+            return;
+        }
+        entries.delete(key);
     }
 }
 
