Relay: keep no more than the last sixth of the grace for final answers

A node kept a fixed 600 ms of its grace, so that with a grace under 3.6 s it broke answers off before the last sixth, in which alone a server that is still at work excuses it (LOST). Seen in a soak with a grace of 3 s: two streams were cut 2.43 s after SIGTERM.

It keeps a sixth, 600 ms at most; the time to write final answers is a third of that, as before.

Evidence: relay_stop_decisions, the table of graces (3 s: 600 before, 500 now); relay_stop, relay_held_up_calls and relay_signals pass.

--- a/features/relay_stop_decisions.feature
+++ b/features/relay_stop_decisions.feature
@@ -34,3 +34,14 @@
         When the stop ends
         Then the open calls 1, 3 have been told so
         And a call of a plain route with 0 expected events and an objective of 500 ms may not be passed on
+
+    # Guards against answers that are broken off before the last sixth of a short grace, in which their servers may still be at work.
+    Scenario Outline: a stop with a grace of <grace> ms keeps its last <kept> ms for final answers
+        Then a stop with a grace of <grace> ms keeps <kept> ms
+
+        Examples:
+            | grace | kept |
+            | 600   | 100  |
+            | 3000  | 500  |
+            | 3600  | 600  |
+            | 8000  | 600  |
--- a/features/steps/relay_stop_decision_steps.ts
+++ b/features/steps/relay_stop_decision_steps.ts
@@ -6,7 +6,7 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { expectedDurationMs, StopDeadline } from "../../src/coordination/relay/mod.js";
+import { expectedDurationMs, StopDeadline, stopReserveMs } from "../../src/coordination/relay/mod.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
 import type { Scenario } from "../support/world.js";
 
@@ -68,3 +68,7 @@
         assert.equal(this.stopDeadline.mayPassOn(durationMs), may === "may");
     },
 );
+
+Then("a stop with a grace of {int} ms keeps {int} ms", function(graceMs: number, keptMs: number) {
+    assert.equal(stopReserveMs(graceMs), keptMs);
+});
--- a/src/coordination/relay/stop_deadline.ts
+++ b/src/coordination/relay/stop_deadline.ts
@@ -13,6 +13,19 @@
 /** Multiple of a call's expected duration that must be left; about half of all calls last longer than expected. */
 const DURATION_MARGIN_FACTOR = 1.5;
 
+/** Longest time, and part of the grace of a stop, that is kept for the final answers of calls that are still open. */
+const MAX_RESERVE_MS = 600;
+const RESERVE_SHARE = 1 / 6;
+
+/**
+ * Returns the time at the end of a stop, in milliseconds, in which open calls get their final answers.
+ *
+ * @param graceMs Time from the begin of the stop until the process is killed, in milliseconds.
+ */
+export function stopReserveMs(graceMs: number): number {
+    return Math.min(MAX_RESERVE_MS, graceMs * RESERVE_SHARE);
+}
+
 /** Measured speed of a backend server. */
 export interface ServerSpeed {
     /** Time from sending a call to its first event, in milliseconds. */
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -29,6 +29,7 @@
     type ServiceDemands,
     ServiceScheduler,
     StopDeadline,
+    stopReserveMs,
     TopicViews,
     TurnWatch,
     VersionRollouts,
@@ -67,11 +68,8 @@
 /** As {@linkcode MAINTENANCE_INTERVAL_MS}, while no call waits and each service is reached. */
 const IDLE_MAINTENANCE_INTERVAL_MS = 160;
 
-/** Margin between the end of a drain and the time at which the platform kills the process, in milliseconds. */
-const DRAIN_RESERVE_MS = 600;
-
-/** Time that is left to write the final answers of calls that are open at the end of a drain, in milliseconds. */
-const FINAL_ANSWERS_MS = 200;
+/** Part of the end of a drain in which the final answers of open calls are written; the rest is left to the end of the process. */
+const FINAL_ANSWERS_SHARE = 1 / 3;
 
 /** Interval at which a draining node checks the number of open calls, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -516,7 +514,9 @@
     private async endCalls(): Promise<void> {
         const { clock } = this.dependencies;
         const { graceSeconds, balancerLagMs } = this.drainSettings;
-        const endMs = clock.now() + graceSeconds * MS_PER_SECOND - DRAIN_RESERVE_MS;
+        const graceMs = graceSeconds * MS_PER_SECOND;
+        const reserveMs = stopReserveMs(graceMs);
+        const endMs = clock.now() + graceMs - reserveMs;
         this.draining = true;
         this.stopDeadline.start(endMs);
         this.callerServer.startDraining();
@@ -528,7 +528,7 @@
         this.stopDeadline.end();
         this.callerServer.refuseUnread();
         this.detourServer.refuseUnread();
-        await this.awaitOpenCalls(clock.now() + FINAL_ANSWERS_MS);
+        await this.awaitOpenCalls(clock.now() + reserveMs * FINAL_ANSWERS_SHARE);
     }
 
     private async close(): Promise<void> {
