Tests: extra answers that are cut and run into the answer of a call

An engine may send extra answers and cut them; when the rest of a head is missing, the next answer on the connection is read as a part of it. The forms cut a refusal, a 421 and a sealed answer to another call at each byte, with the call's own answer right behind.

--- a/features/relay_refusal_bytes.feature
+++ b/features/relay_refusal_bytes.feature
@@ -31,6 +31,8 @@
             | 503    | with a statement, the id of another call and the call's   |
             | 503    | with a statement and both ids in one header               |
             | 503    | with a statement for another call, and the sealed answer  |
+            | 503    | with a statement, cut before any id, and the sealed answer |
+            | 421    | with a reason that is cut, and the sealed answer          |
             | 421    | without a statement and without an id                     |
             | 421    | without a statement, the id of another call and the call's |
 
@@ -57,3 +59,19 @@
         Given a relay whose server answers 503 with a statement behind the sealed answer of the call
         When the call that it gets may run once at most
         Then the caller gets the sealed answer
+
+    # Guards against the head of an extra answer whose rest is missing, so that the head of the next answer is read as a part of it.
+    Scenario Outline: <extra> that is cut anywhere, with <answer> right behind it, is not taken for another answer
+        Given a server that sends <extra> before <answer>, cut at each of its bytes
+        When each of these answers is read
+        Then each of them fails or is <answer>
+
+        Examples:
+            | extra                            | answer                   |
+            | the refusal of another call      | the sealed answer        |
+            | the refusal of another call      | a sealed failure         |
+            | a refusal that names its call last | the sealed answer      |
+            | a 421 to another call            | the sealed answer        |
+            | a 421 to another call            | a sealed failure         |
+            | a sealed answer to another call  | a sealed failure         |
+            | a sealed answer to another call  | a refusal                |
--- a/features/steps/relay_refusal_byte_steps.ts
+++ b/features/steps/relay_refusal_byte_steps.ts
@@ -6,8 +6,11 @@
 
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { PlatformHeaders } from "../../platform/mod.js";
 import { EngineServer } from "../../platform/standin/engine_server.js";
-import { NOT_RUN_STATUSES } from "../../src/protocol/relay/mod.js";
+import { AttemptError, NOT_RUN_STATUSES } from "../../src/protocol/relay/mod.js";
+import { HttpAttemptAnswer } from "../../src/transport/relay/http_attempt_answer.js";
+import { HttpClient, HttpExchange } from "../../src/transport/relay/mod.js";
 import { type ByteAnswer, ByteServer, ConnectionEnd } from "../support/byte_server.js";
 import { type CallerAnswer, RelayFixture } from "../support/relay_fixture.js";
 import type { Scenario } from "../support/world.js";
@@ -77,6 +80,11 @@
         "with a statement for another call, and the sealed answer",
         (status, id) => formatHead(status, ownId("other"), STATEMENT, EMPTY) + formatSealed(id),
     ],
+    ["with a reason that is cut, and the sealed answer", (status, id) => `HTTP/1.1 ${status} Sta${formatSealed(id)}`],
+    [
+        "with a statement, cut before any id, and the sealed answer",
+        (status, id) => formatHead(status, STATEMENT, "Via: a").slice(0, -4) + formatSealed(id),
+    ],
     ["without a statement and without an id", status => formatHead(status, EMPTY)],
     [
         "with a statement that is sent twice in its head",
@@ -105,17 +113,43 @@
     ],
 ]);
 
+/** Reading of an answer that failed. */
+const FAILED = "failed";
+
+/** Id of the call to which answers are read one after the other. */
+const READ_ID = "call-1";
+
+/** Extra answers that belong to another call. */
+const EXTRA_ANSWERS: Readonly<Record<string, string>> = {
+    "the refusal of another call": formatHead(503, ownId("other"), STATEMENT, "Engine-Load: 1,2,3", EMPTY),
+    "a refusal that names its call last": formatHead(503, STATEMENT, "Engine-Load: 1,2,3", EMPTY, ownId("other")),
+    "a 421 to another call": formatHead(421, ownId("other"), "Instance-Id: i-1", EMPTY),
+    "a sealed answer to another call": formatHead(200, "Response-Seal: seal", "Engine-Load: 1,2,3", EMPTY, ownId("other")),
+};
+
+/** Answers to the call that is read, by name. */
+const READ_ANSWERS: Readonly<Record<string, string>> = {
+    "the sealed answer": formatSealed(READ_ID),
+    "a sealed failure": formatHead(500, ownId(READ_ID), "Response-Seal: seal", EMPTY),
+    "a refusal": formatHead(503, ownId(READ_ID), STATEMENT, EMPTY),
+};
+
 /** State of a scenario of this file. */
 interface RefusalScenario extends Scenario {
     refusingServer: ByteServer;
     refusalRelay: RelayFixture;
     refusedCalls: number;
     refusalAnswer: CallerAnswer;
+    readClient: HttpClient;
+    /** Bytes of the answers that are read one after the other. */
+    readBytes: string[];
+    readings: string[];
 }
 
 After(async function(this: RefusalScenario) {
     await this.refusalRelay?.stop();
     this.refusingServer?.close();
+    await this.readClient?.close();
 });
 
 Given(/^a relay whose server answers (\d+) (with.*)$/, async function(this: RefusalScenario, status: string, name: string) {
@@ -148,6 +182,69 @@
     assert.deepEqual({ status, body }, { status: 200, body: SEALED_BODY });
 });
 
+Given(
+    /^a server that sends (.+) before (.+), cut at each of its bytes$/,
+    async function(this: RefusalScenario, extra: string, answer: string) {
+        const extraBytes = EXTRA_ANSWERS[extra];
+        const answerBytes = READ_ANSWERS[answer];
+        assert(extraBytes !== undefined && answerBytes !== undefined, `unknown answers: ${extra}, ${answer}`);
+        this.readBytes = Array.from({ length: extraBytes.length }, (value, cut) => extraBytes.slice(0, cut) + answerBytes);
+        this.readings = [];
+        this.readClient = new HttpClient();
+        this.refusingServer = new ByteServer(() => ({
+            bytes: this.readBytes[this.readings.length] ?? "",
+            end: ConnectionEnd.Open,
+        }));
+        await this.refusingServer.start();
+    },
+);
+
+When("each of these answers is read", async function(this: RefusalScenario) {
+    while (this.readings.length < this.readBytes.length) {
+        this.readings.push(await readOutcome(this.readClient, this.refusingServer.address));
+    }
+});
+
+Then(/^each of them fails or is (.+)$/, async function(this: RefusalScenario, answer: string) {
+    const server = new ByteServer(() => ({ bytes: READ_ANSWERS[answer] ?? "", end: ConnectionEnd.Open }));
+    await server.start();
+    const expected = await readOutcome(this.readClient, server.address);
+    server.close();
+    assert.notEqual(expected, FAILED);
+    assert.equal(this.readings[0], expected, "without the extra answer");
+    const wrong = this.readings.flatMap((reading, cut) => {
+        return reading === FAILED || reading === expected ? [] : [`cut at byte ${cut}: ${reading}`];
+    });
+    assert.deepEqual(wrong, []);
+});
+
+/** Sends the call and returns what its answer says, or that it failed. */
+async function readOutcome(client: HttpClient, address: string): Promise<string> {
+    const { signal } = new AbortController();
+    const request = { method: "POST", path: "/", headers: ["Request-Id", READ_ID], body: Buffer.from("body") };
+    const answer = new HttpAttemptAnswer(new HttpExchange(client.pool(address), request, signal), {
+        receiver: "engine-1",
+        callId: READ_ID,
+        headers: new PlatformHeaders(),
+        signal,
+    });
+    try {
+        const { status, isNotExecuted, isSealed } = await answer.awaitHead();
+        const body: Buffer[] = [];
+        for (let chunk = await answer.next(); chunk !== undefined; chunk = await answer.next()) {
+            body.push(chunk);
+        }
+        return JSON.stringify({ status, isNotExecuted, isSealed, body: String(Buffer.concat(body)) });
+    }
+    catch (error) {
+        assert(error instanceof AttemptError);
+        return FAILED;
+    }
+    finally {
+        answer.cancel();
+    }
+}
+
 /** Returns how the connection of an answer ends. */
 function endOf(name: string): ConnectionEnd {
     if (name.includes("reset")) {
