Transport: fail an answer whose head contains the first line of another one

A server's extra answer can be cut within its head, at the point where the next answer is due. Cut within the reason of its first line or the value of a header, the call's own answer was read as the rest of it: with the status and the statement of the extra answer, and the id, seal and body of the call's. A call that ran and was answered with success was then refused as not run, because of 421 or Not-Executed (REFUSED), or sent to another server (TWICE); a sealed failure could reach its caller as a success (MIXED).

A reason or a value in which a first line appears fails the exchange and resets its connection; the caller of a call that may run once at most gets 502.

--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -23,6 +23,9 @@
 /** The transfer coding that is read (RFC 9112, section 7); with another one, an answer may end with its connection. */
 const CHUNKED_CODING = "chunked";
 
+/** First line of an answer. Within the head of another one, it shows that the rest of that head is missing. */
+const STATUS_LINE = /HTTP\/\d\.\d [1-5]\d\d/;
+
 /** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
 const RESET_PROBE = "\r\n";
 
@@ -119,7 +122,7 @@
         const { method, path, headers, body } = request;
         pool.dispatch({ method: method as "GET", path, headers, body }, {
             onRequestStart: controller => this.handleStart(controller),
-            onResponseStart: (controller, status, responseHeaders) => this.handleHead(status, responseHeaders),
+            onResponseStart: (controller, status, responseHeaders, reason) => this.handleHead(status, responseHeaders, reason),
             onResponseData: (controller, chunk) => this.handleChunk(chunk),
             onResponseEnd: () => this.handleEnd(),
             onResponseError: (controller, error) => this.fail(error),
@@ -236,7 +239,11 @@
         };
     }
 
-    private handleHead(status: number, headers: IncomingHttpHeaders): void {
+    private handleHead(status: number, headers: IncomingHttpHeaders, reason = ""): void {
+        if (hasStatusLine(reason) || Object.values(headers).some(hasStatusLine)) {
+            this.cancel(new Error("the server sent an answer within the head of another one"));
+            return;
+        }
         if (status < 200) {
             this.interimAnswers += 1;
             if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
@@ -362,3 +369,8 @@
         });
     }
 }
+
+/** @returns Whether a part of a head contains the first line of another one. */
+function hasStatusLine(text: string | string[] | undefined): boolean {
+    return Array.isArray(text) ? text.some(hasStatusLine) : text !== undefined && STATUS_LINE.test(text);
+}
