--- a/features/support/exchange_rig.ts
+++ b/features/support/exchange_rig.ts
@@ -18,7 +18,7 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Time after which an exchange that has not ended is cancelled, in milliseconds. */
-const END_TIMEOUT_MS = 3_000;
+const END_TIMEOUT_MS = 10_000;
 
 /** How a request is sent. */
 export interface SendSettings {
