Relay: believe no statement that a call has not run of a success or a server's own failure

A node believed the header with any status: an answer 200, 302, 500, 502 or 504 that has it contradicts itself, and its caller was promised that the call had not run.

--- a/features/relay_refusal_bytes.feature
+++ b/features/relay_refusal_bytes.feature
@@ -15,6 +15,11 @@
             | 429    | without a statement                                       |
             | 408    | without a statement                                       |
             | 500    | without a statement                                       |
+            | 200    | with a statement                                          |
+            | 302    | with a statement                                          |
+            | 500    | with a statement                                          |
+            | 502    | with a statement                                          |
+            | 504    | with a statement                                          |
             | 503    | with the statement in a trailer                           |
             | 503    | with the statement in an interim head                     |
             | 200    | with the statement in an interim head                     |
@@ -46,6 +51,7 @@
             | 503    | with a statement                                           |
             | 429    | with a statement                                           |
             | 421    | with a statement                                           |
+            | 400    | with a statement                                           |
             | 421    | without a statement                                        |
             | 503    | with a statement that is sent twice in its head            |
             | 503    | with a statement and the call's id twice                   |
