Transport: a call without a host cuts no calls behind it

A call of HTTP/1.1 without a Host header, on a connection with calls behind it: the calls behind were passed on and run, and got no answer, as the connection closed after the 400. Measured on over loopback: "/slow, /hostless, /slow, /now" gave 200 400 and a closed connection.

Cause: the HTTP library answers such a call by itself with "Connection: close", and the servers do not know of it.

The servers for callers refuse it themselves now. A relay says that it closes with the last answer, as after other calls that it cannot read; an entry VM keeps the connection. Calls of HTTP/1.0 need no host, as before.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -175,3 +175,18 @@
         When a connection sends the calls "/slow" and then "/crowded" with an expectation, and without waiting its body and "/now"
         Then the connection gets the answers 200 400, each with its own body, and the connection is closed
         And the calls that were handled are "/slow"
+
+    # The HTTP library answered and closed by itself: the call behind had run and was cut.
+    Scenario Outline: <node> refuses a call of HTTP/1.1 without a host, and answers the calls around it: <calls>
+        Given <node> whose calls are answered by their path
+        When a connection sends the calls "<calls>"
+        Then the connection gets the answers <answers>, each with its own body, and <end>
+
+        Examples:
+            | node         | calls                         | answers         | end                        |
+            | a relay node | /hostless                     | 400             | the connection is closed   |
+            | a relay node | /hostless, /now               | 400 200         | the connection is closed   |
+            | a relay node | /slow, /hostless, /slow, /now | 200 400 200 200 | the connection is closed   |
+            | an entry VM  | /hostless                     | 400             | a further call is answered |
+            | an entry VM  | /hostless, /now               | 400 200         | a further call is answered |
+            | an entry VM  | /slow, /hostless, /slow, /now | 200 400 200 200 | a further call is answered |
--- a/features/steps/caller_expectation_steps.ts
+++ b/features/steps/caller_expectation_steps.ts
@@ -220,6 +220,10 @@
     },
 );
 
+When("a connection sends the calls {string}", function(this: ExpectationScenario, paths: string) {
+    write(this, formatWhole(this, listPaths(paths)));
+});
+
 Then(
     /^the connection gets the answers ([\d ]+), each with its own body, and (.*)$/,
     async function(this: ExpectationScenario, statuses: string, end: string) {
@@ -313,10 +317,9 @@
     const crowd = path === "/crowded" ? "X: 1\r\n".repeat(CROWDED_HEADER_COUNT) : "";
     const isMalformed = path === "/malformed";
     const length = isMalformed ? "Transfer-Encoding: chunked\r\n" : `Content-Length: ${body.length}\r\n`;
+    const host = path === "/hostless" ? "" : "Host: app.example\r\n";
     const verb = path === "/page" ? "GET" : method;
-    const head = `${verb} ${target} HTTP/${version}\r\nHost: app.example\r\n${ownHeaders}${headers}${crowd}${
-        hasBody ? length : ""
-    }\r\n`;
+    const head = `${verb} ${target} HTTP/${version}\r\n${host}${ownHeaders}${headers}${crowd}${hasBody ? length : ""}\r\n`;
     return { head, body: isMalformed ? "no chunk\r\n" : hasBody ? body : "" };
 }
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -49,6 +49,9 @@
 /** Retry-after time sent to callers of a node that has stopped, in milliseconds. */
 const STOPPED_RETRY_AFTER_MS = 1_000;
 
+/** Version of HTTP in which each call has to have a Host header (RFC 9112, section 3.2). */
+const HOST_VERSION = "1.1";
+
 /** Error code of a connection that its peer reset. */
 const CONNECTION_RESET = "ECONNRESET";
 
@@ -115,6 +118,8 @@
             headersTimeout: this.limits.headersTimeoutMs,
             requestTimeout: this.limits.bodyTimeoutMs,
             connectionsCheckingInterval: Math.min(CONNECTION_CHECK_INTERVAL_MS, this.limits.bodyTimeoutMs),
+            // The library would refuse such a call by itself and close the connection, also before the answers to calls behind it.
+            requireHostHeader: false,
             noDelay: true,
         });
         this.server.maxHeadersCount = MAX_HEADER_COUNT + 1;
@@ -199,6 +204,13 @@
     }
 
     private async answer(request: IncomingMessage, response: ServerResponse, writer: HttpAnswerWriter): Promise<void> {
+        if (request.headers.host === undefined && request.httpVersion === HOST_VERSION) {
+            request.resume();
+            writer.refuse(
+                new Refusal(RefusalType.InvalidRequest, "The call has no Host header. Send one.", { field: "headers" }),
+            );
+            return;
+        }
         const [path = "/", search] = (request.url ?? "/").split("?", 2);
         let page: OperationsPage | undefined;
         try {
--- a/src/transport/interim_heads.ts
+++ b/src/transport/interim_heads.ts
@@ -1,7 +1,8 @@
 /**
  * Interim heads for callers that wait for one before they send the body of a call (RFC 9110, section 10.1.1).
  *
- * The HTTP library queues an interim head behind the earlier answers of a connection, and puts a final head in front of what is queued.
+ * The HTTP library queues an interim head behind the earlier answers of a connection, and puts the final head of a body of bytes in front of
+ * what is queued.
  *
  * @module
  */
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -130,6 +130,8 @@
             maxHeaderSize: MAX_HEAD_BYTES,
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+            // The library would refuse such a call by itself and close the connection, also before the answers to calls behind it.
+            requireHostHeader: false,
             noDelay: true,
         });
         this.connectionLimits = new ConnectionLimits(this.server, {
