Transport: take no call behind one that offers an upgrade

A call with "Connection: Upgrade" and "Upgrade" (h2c, websocket), with another call behind it. Measured over loopback on: sent in one segment, the second call got no answer on an open connection. With its body in a later segment, the body was taken for a call and run, and its answer stood in for the one of the call whose body it was.

Cause: the HTTP library treats such a call as any other when nobody listens for upgrades, but drops what was read together with its end.

Such a call is the last of its connection now: it is answered as before, with "Connection: close" (RFC 9112, section 9.6), and nothing behind it is taken. Callers that offer an upgrade with each call need a connection for each.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -190,3 +190,17 @@
             | an entry VM  | /hostless                     | 400             | a further call is answered |
             | an entry VM  | /hostless, /now               | 400 200         | a further call is answered |
             | an entry VM  | /slow, /hostless, /slow, /now | 200 400 200 200 | a further call is answered |
+
+    # The HTTP library drops what was read with the end of the call: a body behind it was taken for a call and run.
+    Scenario Outline: <node> takes no call behind one that offers an upgrade: <calls>
+        Given <node> whose calls are answered by their path
+        When a connection sends the calls "<calls>" with the head of a call, and later its body, which holds a call
+        Then the connection gets the answers <answers>, each with its own body, and the connection is closed
+        And the calls that were handled are "<calls>"
+
+        Examples:
+            | node         | calls           | answers |
+            | a relay node | /upgrade        | 200     |
+            | a relay node | /slow, /upgrade | 200 200 |
+            | an entry VM  | /upgrade        | 200     |
+            | an entry VM  | /slow, /upgrade | 200 200 |
--- a/features/steps/caller_expectation_steps.ts
+++ b/features/steps/caller_expectation_steps.ts
@@ -220,6 +220,18 @@
     },
 );
 
+When(
+    "a connection sends the calls {string} with the head of a call, and later its body, which holds a call",
+    async function(this: ExpectationScenario, paths: string) {
+        const front = formatWhole(this, listPaths(paths));
+        const inner = formatWhole(this, ["/now"]);
+        const { head } = formatNext(this, "/now");
+        write(this, front + head.replace(`Content-Length: ${BODY.length}`, `Content-Length: ${inner.length}`));
+        await pause(READ_MS);
+        write(this, inner);
+    },
+);
+
 When("a connection sends the calls {string}", function(this: ExpectationScenario, paths: string) {
     write(this, formatWhole(this, listPaths(paths)));
 });
@@ -318,8 +330,11 @@
     const isMalformed = path === "/malformed";
     const length = isMalformed ? "Transfer-Encoding: chunked\r\n" : `Content-Length: ${body.length}\r\n`;
     const host = path === "/hostless" ? "" : "Host: app.example\r\n";
+    const offer = path === "/upgrade" ? "Connection: Upgrade\r\nUpgrade: h2c\r\n" : "";
     const verb = path === "/page" ? "GET" : method;
-    const head = `${verb} ${target} HTTP/${version}\r\n${host}${ownHeaders}${headers}${crowd}${hasBody ? length : ""}\r\n`;
+    const head = `${verb} ${target} HTTP/${version}\r\n${host}${ownHeaders}${headers}${offer}${crowd}${
+        hasBody ? length : ""
+    }\r\n`;
     return { head, body: isMalformed ? "no chunk\r\n" : hasBody ? body : "" };
 }
 
--- a/src/transport/_caller_connection.ts
+++ b/src/transport/_caller_connection.ts
@@ -21,13 +21,18 @@
      */
     constructor(private readonly socket: Socket, private readonly isClosing: () => boolean) {}
 
-    /** Whether a head said that the connection closes; calls that come after it are not read. */
+    /** Whether a head said, or will say, that the connection closes; calls that come after it are not read. */
     get isEnding(): boolean {
         return this.hasClosingHead;
     }
 
-    /** Adds the response to a call whose head was read. */
-    add(response: ServerResponse): void {
+    /**
+     * Adds the response to a call whose head was read.
+     *
+     * @param isLast Whether the connection closes after it, and carries no further calls.
+     */
+    add(response: ServerResponse, isLast: boolean): void {
+        this.hasClosingHead ||= isLast;
         this.openResponses.add(response);
         response.on("close", () => this.remove(response));
         response.on("finish", () => this.remove(response));
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -21,6 +21,7 @@
 import { ConnectionLimits } from "./connection_limits.js";
 import { InterimHeads } from "./interim_heads.js";
 import { listen } from "./listen.js";
+import { offersUpgrade } from "./upgrade_offer.js";
 
 /** Maximum size of the body of a call, in bytes. */
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -190,7 +191,7 @@
         if (connection === undefined || connection.isEnding) {
             return;
         }
-        connection.add(response);
+        connection.add(response, offersUpgrade(request));
         this.interimHeads.prepare(request, response);
         const writer = new HttpAnswerWriter(response, () => {
             return connection.decideClosingHead(response, this.interimHeads.giveUp(request, response));
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -21,6 +21,7 @@
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
+import { offersUpgrade } from "../upgrade_offer.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
@@ -299,7 +300,9 @@
             onLocal: (localAnswer, execution) => this.settings.onLocalAnswer?.({ id, localAnswer, execution }),
         });
         const openCall: OpenCall = { request, response, answer, callerAbort: new AbortController(), read: undefined };
-        connection.add(openCall, response.shouldKeepAlive);
+        const isLast = offersUpgrade(request);
+        connection.mustClose ||= isLast;
+        connection.add(openCall, response.shouldKeepAlive && !isLast);
         this.interimHeads.prepare(request, response);
         response.on("finish", () => {
             openCall.read = undefined;
