--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -21,6 +21,7 @@
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
+import { offersUpgrade } from "../upgrade_offer.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
@@ -130,6 +131,8 @@
             maxHeaderSize: MAX_HEAD_BYTES,
             requestTimeout: 0,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+            // The library would refuse such a call by itself and close the connection, also before the answers to calls behind it.
+            requireHostHeader: false,
             noDelay: true,
         });
         this.connectionLimits = new ConnectionLimits(this.server, {
@@ -297,7 +300,9 @@
             onLocal: localAnswer => this.settings.onLocalAnswer?.({ id, localAnswer, execution: answer.execution }),
         });
         const openCall: OpenCall = { request, response, answer, callerAbort: new AbortController(), read: undefined };
-        connection.add(openCall, response.shouldKeepAlive);
+        const isLast = offersUpgrade(request);
+        connection.mustClose ||= isLast;
+        connection.add(openCall, response.shouldKeepAlive && !isLast);
         this.interimHeads.prepare(request, response);
         response.on("finish", () => {
             openCall.read = undefined;
