--- a/features/relay_program.feature
+++ b/features/relay_program.feature
@@ -10,6 +10,13 @@
         When the relay program receives SIGTERM
         Then it exits within 3000 ms with code 0
 
+    # Guards against incidents that cannot be traced, as the last lines of a calm node were buffered when it was killed.
+    Scenario: a program that is killed 2 s after a call has written the line about it
+        Given a relay program whose log output is not read
+        When 1 calls that each log a line are sent, 1 at a time
+        And the program is killed 2 s later
+        Then its output names the call
+
     Scenario Outline: the program starts although its compiled code is <state>
         Given a copy of the relay program whose compiled code is <state>
         When it is started without settings
--- a/features/steps/relay_program_steps.ts
+++ b/features/steps/relay_program_steps.ts
@@ -37,6 +37,7 @@
     /** Exit code; Node gives `null` after a signal. */
     programExit: Promise<number | null>;
     programPort: number;
+    programOutput: string;
     maxLatencyMs: number;
     terminatedAtMs: number;
     copyRun: SpawnSyncReturns<string>;
@@ -201,3 +202,16 @@
         encoding: "utf8",
     });
 }
+
+When("the program is killed {int} s later", async function(this: ProgramScenario, seconds: number) {
+    await new Promise(resolve => setTimeout(resolve, seconds * 1_000));
+    this.program.kill("SIGKILL");
+    this.programOutput = "";
+    for await (const text of this.program.stdout ?? []) {
+        this.programOutput += String(text);
+    }
+});
+
+Then("its output names the call", function(this: ProgramScenario) {
+    assert(this.programOutput.includes('"call: ended"'), `the output is "${this.programOutput}"`);
+});
