Relay: pass no status on that promises untruly that a call has not run

Found by a review: a peer's answer with a server's seal was passed on whatever its status, also a 503 or 429 without a statement to a call that may run once at most. Peers of the known builds send none, but the caller's node did not check. An answer of a server is now forwarded by one rule for attempts at servers and by way of peers; otherwise the caller gets 502.

--- a/features/relay_refusals.feature
+++ b/features/relay_refusals.feature
@@ -10,10 +10,10 @@
 
         Examples:
             | kind             | runs | seed |
-            | unsafe           | 300  | 1    |
-            | stream           | 300  | 2    |
-            | safe             | 300  | 3    |
-            | resumable stream | 300  | 4    |
+            | unsafe           | 600  | 1    |
+            | stream           | 600  | 2    |
+            | safe             | 600  | 3    |
+            | resumable stream | 600  | 4    |
 
     # Guards against an exit that answers without regard to the attempts of the call.
     Scenario: a promise that a call has not run and an attempt exclude each other, in any order
--- a/features/steps/relay_refusal_steps.ts
+++ b/features/steps/relay_refusal_steps.ts
@@ -46,6 +46,8 @@
         const call = CALL_BY_KIND[kind];
         assert(call !== undefined, `unknown kind ${kind}`);
         const delay = fc.constantFrom(...DELAYS_MS);
+        // A call is handed to a peer once two servers were not reached.
+        const end = fc.oneof(fc.constant(ReceiverEnd.Unreached), fc.constantFrom(...Object.values(ReceiverEnd)));
         const history = fc.record({
             call: fc.constant(call),
             servers: fc.integer({ min: 1, max: 4 }),
@@ -59,9 +61,7 @@
             stopsAfterMs: fc.option(delay, { nil: undefined }),
             graceMs: fc.constantFrom(0, 500, 3_000),
             failsInside: fc.constantFrom(false, false, false, true),
-            attempts: fc.array(fc.record({ end: fc.constantFrom(...Object.values(ReceiverEnd)), delayMs: delay }), {
-                maxLength: 10,
-            }),
+            attempts: fc.array(fc.record({ end, delayMs: delay }), { maxLength: 10 }),
         });
         const property = fc.asyncProperty(history, async settings => {
             const model = new RefusalModel(settings);
--- a/features/support/refusal_model.ts
+++ b/features/support/refusal_model.ts
@@ -30,6 +30,8 @@
     HandsBack = "hands back",
     /** It answers 503 without a statement that it has not run the call. */
     Unavailable = "unavailable",
+    /** A peer passes a server's answer 503 on that states nothing. */
+    PassesOn = "passes 503 on",
     /** It answers 500. */
     Fails = "fails",
     /** No connection is opened. */
@@ -122,7 +124,8 @@
 
     /** Whether the caller was promised that its call has not run; a server's own answer to a call that may be repeated promises nothing. */
     private isPromised({ status, body }: ScriptedCaller): boolean {
-        return NOT_RUN_STATUSES.has(status) && body !== UNAVAILABLE_BODY;
+        const { isStream, mayRepeat } = this.drawn.call;
+        return NOT_RUN_STATUSES.has(status) && !(body === UNAVAILABLE_BODY && mayRepeat && !isStream);
     }
 
     protected override sendToServer(
@@ -183,6 +186,11 @@
                 return local(421, "handed back");
             case ReceiverEnd.Unavailable:
                 return isServer ? local(503, UNAVAILABLE_BODY) : local(502, "unavailable");
+            case ReceiverEnd.PassesOn:
+                return answer(makeAnswerHead(503, id, true), [
+                    { atMs: headAtMs, content: Buffer.from(UNAVAILABLE_BODY) },
+                    { atMs: headAtMs, content: "end" },
+                ]);
             case ReceiverEnd.Fails:
                 return local(500, "failed");
             case ReceiverEnd.Unreached:
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -35,8 +35,8 @@
 /** Text of the answer to a call in which this node failed. */
 export const FAILED_INSIDE = "an error inside the node ended it";
 
-/** Status of a call in which this node failed and that may have run. */
-const FAILED_INSIDE_STATUS = 502;
+/** Status of a call that may have run. */
+const MAY_HAVE_RUN_STATUS = 502;
 
 /** Admitted call with its route, workspace, service and deadlines. */
 export interface AdmittedCall {
@@ -117,6 +117,11 @@
         if (this.breakOffStarted(`the next answer had status ${head.status}`)) {
             return;
         }
+        if (!mayForwardFailure(head.status, this.admitted.route)) {
+            const text = `The call may have run: its server answered with status ${head.status}.`;
+            this.failAs(AnswerPlace.Attempts, MAY_HAVE_RUN_STATUS, text);
+            return;
+        }
         this.admitted.answer.sendComplete(head.status, head.endToEnd, body);
         this.record(RelayOutcome.Answered, head.status, "");
     }
@@ -239,7 +244,7 @@
             this.refuse(AnswerPlace.InternalError, `The call has not run: ${FAILED_INSIDE}.`);
             return;
         }
-        this.failAs(AnswerPlace.InternalError, FAILED_INSIDE_STATUS, `The call may have run: ${FAILED_INSIDE}.`);
+        this.failAs(AnswerPlace.InternalError, MAY_HAVE_RUN_STATUS, `The call may have run: ${FAILED_INSIDE}.`);
     }
 
     /**
