Relay: take a call for unwritable only while nothing was written

By reading: an invalid argument that the HTTP library reports counted as unsent whatever the step of the exchange. No path of the library reports one after the first byte. The end of a hedge before an error inside the node is answered is no longer needed, as an open attempt counts as one that may have run.

--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -152,8 +152,6 @@
         }
         catch (error) {
             this.settings.recorder.logError(call.head.id, error);
-            // First, as a peer that was asked may have run the call.
-            this.hedge?.end();
             this.finalAnswer.failInside();
         }
         finally {
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -102,10 +102,10 @@
     }
 
     private toError(step: string, cause: unknown): AttemptError {
-        if (cause instanceof errors.InvalidArgumentError) {
-            return new AttemptError(AttemptFault.Unwritable, this.context.receiver, "write the call", cause);
-        }
         if (this.exchange.reachedStep === DispatchStep.Connect) {
+            if (cause instanceof errors.InvalidArgumentError) {
+                return new AttemptError(AttemptFault.Unwritable, this.context.receiver, "write the call", cause);
+            }
             return new AttemptError(AttemptFault.NotRun, this.context.receiver, "connect", cause);
         }
         if (cause === MEMORY_EXCEEDED) {
