Logs: bound the ids in lines about answers without a run

Callers choose the ids of calls, and these lines are exempt from the limit. Ids are cut to 128 characters. An error in the record of an answer no longer ends the calls behind it, and the lines are written with all others, without an fsync of their own.

--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -7,6 +7,7 @@
 import { Command, Option } from "clipanion";
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
+import { MAX_LOGGED_ID_LENGTH } from "../protocol/relay/mod.js";
 import { ExitCode } from "./operator_command.js";
 
 /** Time before a call's first line from which lines about the nodes themselves are shown, in milliseconds; older changes of node state took effect before the call. */
@@ -79,9 +80,9 @@
     if (!Array.isArray(calls)) {
         return line;
     }
-    const call = (calls as readonly { readonly id?: string }[]).find(entry => entry.id === id);
+    const call = (calls as readonly { readonly id?: string }[]).find(entry => entry.id === id.slice(0, MAX_LOGGED_ID_LENGTH));
     // Without the call, the line is of others.
-    return call === undefined ? { ...rest, id: "" } : { ...rest, ...call };
+    return call === undefined ? { ...rest, id: "" } : { ...rest, ...call, id };
 }
 
 /** Reads the lines of a call and the lines about the node itself. */
--- a/src/daemon/relay/relay_log.ts
+++ b/src/daemon/relay/relay_log.ts
@@ -6,7 +6,13 @@
 
 import type { Logger } from "pino";
 import { type CallRecord, CallRecorder, RelayOutcome } from "../../coordination/relay/mod.js";
-import { type AnswerPlace, type AttemptRecord, hashKey, NOT_RUN_STATUSES } from "../../protocol/relay/mod.js";
+import {
+    type AnswerPlace,
+    type AttemptRecord,
+    hashKey,
+    MAX_LOGGED_ID_LENGTH,
+    NOT_RUN_STATUSES,
+} from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import type { WrittenLocalAnswer } from "../../transport/relay/mod.js";
 
@@ -112,7 +118,7 @@
             void this.settings.clock.sleep(MAX_LINE_DELAY_MS).then(() => this.writeNotRunEntries());
         }
         const attempts = execution.attempts.length === 0 ? undefined : execution.attempts.map(attempt => ({ ...attempt }));
-        this.notRunEntries.push({ id, status, place, attempts });
+        this.notRunEntries.push({ id: id?.slice(0, MAX_LOGGED_ID_LENGTH), status, place, attempts });
         if (this.notRunEntries.length >= MAX_CALLS_PER_LINE) {
             this.writeNotRunEntries();
         }
@@ -124,8 +130,6 @@
         if (calls.length > 0) {
             this.notRunEntries = [];
             this.settings.logger.info({ calls }, NOT_RUN_MESSAGE);
-            // Lines that are buffered end with a process that is killed.
-            this.settings.logger.flush();
         }
     }
 
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -330,8 +330,14 @@
         });
         const onListenerError = (error: unknown) => this.relayLog.error("node: listener failed", error);
         const onLocalAnswer = (answer: WrittenLocalAnswer) => {
-            this.metrics.recordLocalAnswer(answer.localAnswer);
-            this.relayLog.recordLocalAnswer(answer);
+            try {
+                this.metrics.recordLocalAnswer(answer.localAnswer);
+                this.relayLog.recordLocalAnswer(answer);
+            }
+            catch (error) {
+                // The call has its answer, and others may wait for theirs.
+                this.relayLog.error("call: its answer was not recorded", error, { id: answer.id });
+            }
         };
         this.detourServer = new DetourServer({
             clock,
--- a/src/protocol/relay/relay_answer.ts
+++ b/src/protocol/relay/relay_answer.ts
@@ -13,6 +13,9 @@
 /** Statuses that promise the caller that its call has not run and will not run. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Characters of a call's id, which its caller chooses, in the lines about such answers, which no limit drops. */
+export const MAX_LOGGED_ID_LENGTH = 128;
+
 /** Part of a node that decides on an answer of its own. */
 export enum AnswerPlace {
     /** The call was not read to its end, or cannot be read. */
