--- a/features/steps/relay_server_limit_steps.ts
+++ b/features/steps/relay_server_limit_steps.ts
@@ -153,8 +153,8 @@
 }
 
 function recordAnswer({ limits }: LimitScenario, description: string, sentAtMs: number): void {
-    const status = description.includes("another server") ? 421 : description.includes("error") ? 500 : 200;
-    const isRefusal = description.includes("refusal") || status === 421;
+    const isRefusal = description.includes("refusal") || description.includes("another server");
+    const status = description.includes("another server") ? 421 : isRefusal ? 503 : description.includes("error") ? 500 : 200;
     const limit = /with (?:the limit )?(\d+)/.exec(description)?.[1] ?? (description.includes("unreadable") ? "x" : undefined);
     const headers = [
         ...isRefusal ? ["Not-Executed", "1"] : description.includes("unsealed") ? [] : ["Response-Seal", "seal"],
