Logs, metrics: tell what the connection of a failed attempt carried before

`call: attempt failed` has `connection` now, and foxtailrail_relay_repeated_ids counts calls that are sent to an address at which their id was answered before. No change of what is sent or believed.

--- a/features/steps/log_sharing_steps.ts
+++ b/features/steps/log_sharing_steps.ts
@@ -182,6 +182,7 @@
         takenCalls: () => 0,
         heldBytes: () => 0,
         evictions: () => 0,
+        repeatedIds: () => 0,
         quarantinedTraits: () => 0,
         configurationVersion: () => 0,
         isLogAnswering: () => true,
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -450,7 +450,7 @@
             slot.state.recordHead();
             this.settings.statements.recordAnswer(slot.server, head, sentAtMs);
             if (isRefused) {
-                this.handleRefusal(slot, head);
+                this.handleRefusal(slot, head, answer);
                 await discardRest(answer, this.settings.clock);
                 return false;
             }
@@ -467,7 +467,7 @@
                 answer,
                 isTakenOver: () => this.hedge?.isTakenOver === true,
                 onProgress: () => this.hedge?.cancel(),
-                onFailed: reason => this.recordFailedAttempt(slot, reason),
+                onFailed: reason => this.recordFailedAttempt(slot, reason, answer),
             });
             outcome = await serverAnswer.relay(head);
             return outcome === AttemptOutcome.Good;
@@ -482,7 +482,7 @@
             if (error.fault === AttemptFault.Unwritable) {
                 throw error;
             }
-            outcome = this.handleError(slot, error, serverAnswer?.events ?? 0);
+            outcome = this.handleError(slot, error, { events: serverAnswer?.events ?? 0, answer });
             return false;
         }
         finally {
@@ -541,7 +541,7 @@
         return await this.relayDetour(detour);
     }
 
-    private handleRefusal(slot: SlotReservation, head: AnswerHead): void {
+    private handleRefusal(slot: SlotReservation, head: AnswerHead, answer: AttemptAnswer): void {
         this.refusals += 1;
         if (head.status === MISDIRECTED_STATUS) {
             slot.state.suspend(MISDIRECTED_SUSPENSION_MS);
@@ -551,11 +551,15 @@
         }
         this.attempts -= 1;
         this.state.retryAtMs = this.settings.scheduler(this.admitted.service).firstRestEndMs;
-        this.recordFailedAttempt(slot, `server ${slot.server.id} refused with status ${head.status}`);
+        this.recordFailedAttempt(slot, `server ${slot.server.id} refused with status ${head.status}`, answer);
     }
 
-    private handleError(slot: SlotReservation, error: AttemptError, events: number): AttemptOutcome {
-        this.recordFailedAttempt(slot, error.message);
+    private handleError(
+        slot: SlotReservation,
+        error: AttemptError,
+        { events, answer }: { readonly events: number; readonly answer: AttemptAnswer | undefined },
+    ): AttemptOutcome {
+        this.recordFailedAttempt(slot, error.message, answer);
         if (error.fault === AttemptFault.NotRun) {
             this.attempts -= 1;
             this.connectFailures += 1;
@@ -580,13 +584,14 @@
     }
 
     /** Excludes a server from further attempts, and records and logs why its attempt failed. */
-    private recordFailedAttempt(slot: SlotReservation, reason: string): void {
+    private recordFailedAttempt(slot: SlotReservation, reason: string, answer: AttemptAnswer | undefined): void {
         this.excludedServers.add(slot.server.id);
         this.state.lastFailureReason = reason;
         this.settings.recorder.logEvent(this.admitted.call.head.id, "attempt failed", {
             server: slot.server.id,
             reason,
             content: this.fingerprint,
+            connection: answer?.connection,
             elapsedMs: Math.round(this.elapsedMs()),
         });
     }
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -39,6 +39,8 @@
     /** Bytes of others that are held until they are complete or written, and how often their largest holder was evicted. */
     readonly heldBytes: () => number;
     readonly evictions: () => number;
+    /** Calls that were sent to an address at which their id had been answered before. */
+    readonly repeatedIds: () => number;
     readonly configurationVersion: () => number;
     readonly isLogAnswering: () => boolean;
     /** Topics of the platform's log that this node reads for others. */
@@ -140,6 +142,11 @@
             "Answers and calls that were given up because they held most of the memory.",
             gauges.evictions,
         );
+        this.addGauge(
+            "repeated_ids",
+            "Calls that were sent to an address at which their id had been answered before.",
+            gauges.repeatedIds,
+        );
         this.addGauge("configuration_version", "Version of the configuration in force.", gauges.configurationVersion);
         this.addGauge("log_answering", "1 while the platform's log answers.", () => gauges.isLogAnswering() ? 1 : 0);
         new Gauge({
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -392,6 +392,7 @@
             quarantinedTraits: () => this.quarantine.quarantinedTraits,
             heldBytes: () => this.inputLimits.memory.usedBytes,
             evictions: () => this.inputLimits.memory.evictions,
+            repeatedIds: () => this.httpClient.repeatedIds + this.peerHttpClient.repeatedIds,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
             isLogAnswering: () => this.logHealth.isAnswering,
             readTopics: () => this.topicViews.readTopics,
--- a/src/protocol/relay/relay_client.ts
+++ b/src/protocol/relay/relay_client.ts
@@ -41,8 +41,25 @@
     }
 }
 
+/** Connection that carries an attempt. */
+export interface AttemptConnection {
+    /** Local port; `undefined` if the connection was closed before the call was written. */
+    readonly localPort: number | undefined;
+    /** Calls that it carried before. */
+    readonly earlierCalls: number;
+    /** Whether an answer with the id of the call has arrived before on it, or on another kept connection to the address. */
+    readonly hasAnsweredId: boolean;
+    /** Time since the first byte of the call was written, in milliseconds. */
+    readonly sinceWriteMs: number;
+}
+
 /** Answer of a backend server that is being received. */
 export abstract class AttemptAnswer {
+    /** Connection that carries the attempt; `undefined` if none is known. */
+    get connection(): AttemptConnection | undefined {
+        return undefined;
+    }
+
     /**
      * Waits for the head.
      *
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -5,6 +5,7 @@
  */
 
 import { Pool } from "undici";
+import { AddressConnections } from "./address_connections.js";
 import { InputLimits } from "./input_limits.js";
 import { makeTimedConnector } from "./timed_connector.js";
 
@@ -23,9 +24,10 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/** Keeps one connection pool for each address. */
+/** Keeps one set of connections for each address. */
 export class HttpClient {
-    private readonly pools = new Map<string, Pool>();
+    private readonly addresses = new Map<string, AddressConnections>();
+    private repeated = 0;
 
     /**
      * @param connectTimeoutMs Connection timeout, in milliseconds. Defaults to 1,000.
@@ -36,46 +38,62 @@
         readonly inputLimits: InputLimits = new InputLimits(),
     ) {}
 
+    /** Calls that were sent to an address at which their id had been answered before. */
+    get repeatedIds(): number {
+        return this.repeated;
+    }
+
     /** Returns the connection pool of an address and creates it if necessary. */
     pool(address: string): Pool {
-        let pool = this.pools.get(address);
-        if (pool === undefined) {
-            pool = new Pool(`http://${address}`, {
-                connections: MAX_CONNECTIONS_PER_ADDRESS,
-                connect: makeTimedConnector(this.connectTimeoutMs),
-                pipelining: 1,
-                bodyTimeout: 0,
-                headersTimeout: 0,
-            });
-            this.pools.set(address, pool);
+        return this.open(address).pool;
+    }
+
+    /**
+     * Returns the connections to an address.
+     *
+     * @throws {Error} If the address is none to which a connection can be opened.
+     */
+    open(address: string): AddressConnections {
+        let connections = this.addresses.get(address);
+        if (connections === undefined) {
+            connections = new AddressConnections(() => this.openPool(address), () => this.repeated += 1);
+            this.addresses.set(address, connections);
         }
-        return pool;
+        return connections;
     }
 
-    /** Closes the pools of all addresses that are not in the set. Requests in progress are completed first. */
+    /** Closes the connections to all addresses that are not in the set. Requests in progress are completed first. */
     retain(addresses: ReadonlySet<string>): void {
-        for (const [address, pool] of this.pools) {
+        for (const [address, connections] of this.addresses) {
             if (!addresses.has(address)) {
-                this.pools.delete(address);
-                void pool.close();
+                this.addresses.delete(address);
+                connections.close();
             }
         }
     }
 
-    /** Replaces the pools of addresses, so that requests use new connections. Requests in progress are completed first. */
+    /** Replaces the connections to addresses by new ones. Requests in progress are completed first. */
     renew(addresses: Iterable<string>): void {
         for (const address of addresses) {
-            const pool = this.pools.get(address);
-            this.pools.delete(address);
-            void pool?.close();
+            this.addresses.get(address)?.renew();
         }
     }
 
     /** Closes all connections immediately; requests in progress fail. */
     async close(): Promise<void> {
-        const pools = [...this.pools.values()];
-        this.pools.clear();
-        await Promise.all(pools.map(pool => pool.destroy()));
+        const all = [...this.addresses.values()];
+        this.addresses.clear();
+        await Promise.all(all.map(connections => connections.destroy()));
+    }
+
+    private openPool(address: string): Pool {
+        return new Pool(`http://${address}`, {
+            connections: MAX_CONNECTIONS_PER_ADDRESS,
+            connect: makeTimedConnector(this.connectTimeoutMs),
+            pipelining: 1,
+            bodyTimeout: 0,
+            headersTimeout: 0,
+        });
     }
 }
 
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -8,7 +8,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import type { Dispatcher, Pool } from "undici";
-import { DispatchStep } from "../protocol/relay/mod.js";
+import { type AttemptConnection, DispatchStep } from "../protocol/relay/mod.js";
 import { BlockBuffer, GrowingBuffer, type MemoryShare } from "../state/mod.js";
 import { SocketHold } from "./_socket_hold.js";
 import { InputLimits } from "./input_limits.js";
@@ -20,6 +20,9 @@
 /** Interim answers, such as 102, after which an exchange fails. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** Lowest status of an answer after which the call may go on elsewhere. */
+const MIN_UNUSED_STATUS = 300;
+
 /** The transfer coding that is read (RFC 9112, section 7); with another one, an answer may end with its connection. */
 const CHUNKED_CODING = "chunked";
 
@@ -37,6 +40,9 @@
     onRequestSocket = undefined;
 });
 
+/** Requests that each socket has carried. */
+const requestsBySocket = new WeakMap<Socket, number>();
+
 /** Request of an {@linkcode HttpExchange}. */
 export interface HttpExchangeRequest {
     readonly method: string;
@@ -48,6 +54,10 @@
     readonly mayWrite?: () => boolean;
     /** Limits that the answer shares with others. By default, it has its own. */
     readonly inputLimits?: InputLimits;
+    /** Whether an answer with the id of the request has arrived before on a connection that may carry it. */
+    readonly hasAnsweredId?: boolean;
+    /** Called when the request is answered without a success, before its connection may carry another one. */
+    readonly onUnused?: () => void;
 }
 
 /** Reason with which an exchange fails whose request may not be written any more. */
@@ -96,6 +106,9 @@
     private error: Error | undefined;
     private socket: Socket | undefined;
     private socketHold: SocketHold | undefined;
+    private earlierRequests = 0;
+    private localPort: number | undefined;
+    private writtenAtMs = 0;
     private controller: Dispatcher.DispatchController | undefined;
     private wakeReader: () => void = () => undefined;
     private readonly onAbort = () => this.cancel(this.signal.reason as Error);
@@ -137,6 +150,16 @@
         return this.step;
     }
 
+    /** Connection that carries the request; `undefined` as long as no byte of it can have been sent. */
+    get connection(): AttemptConnection | undefined {
+        return this.socket === undefined ? undefined : {
+            localPort: this.localPort,
+            earlierCalls: this.earlierRequests,
+            hasAnsweredId: this.request.hasAnsweredId ?? false,
+            sinceWriteMs: Math.round(performance.now() - this.writtenAtMs),
+        };
+    }
+
     /**
      * Waits for the head of the answer.
      *
@@ -235,6 +258,10 @@
         this.step = DispatchStep.AwaitHead;
         onRequestSocket = socket => {
             this.socket = socket;
+            this.localPort = socket.localPort;
+            this.earlierRequests = requestsBySocket.get(socket) ?? 0;
+            requestsBySocket.set(socket, this.earlierRequests + 1);
+            this.writtenAtMs = performance.now();
             this.socketHold = new SocketHold(socket);
         };
     }
@@ -256,6 +283,9 @@
             this.cancel(new Error(`the server sent an answer in transfer coding ${String(coding)}, which is not read`));
             return;
         }
+        if (status >= MIN_UNUSED_STATUS) {
+            this.request.onUnused?.();
+        }
         this.status = status;
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -5,17 +5,19 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
-import { errors, type Pool } from "undici";
+import { errors } from "undici";
 import {
     type AnswerHead,
     AttemptAnswer,
+    type AttemptConnection,
     AttemptError,
     AttemptFault,
     DispatchStep,
     type RelayHeaders,
 } from "../../protocol/relay/mod.js";
+import type { AddressConnections } from "../address_connections.js";
 import type { HttpClient } from "../http_client.js";
-import { type HttpExchange, MEMORY_EXCEEDED } from "../http_exchange.js";
+import { type HttpExchange, type HttpExchangeRequest, MEMORY_EXCEEDED } from "../http_exchange.js";
 
 /** Content type of the answers that nodes generate. */
 export const NODE_CONTENT_TYPE = "application/json";
@@ -45,6 +47,10 @@
         super();
     }
 
+    override get connection(): AttemptConnection | undefined {
+        return this.exchange.connection;
+    }
+
     override async awaitHead(): Promise<AnswerHead> {
         try {
             await this.exchange.awaitHead();
@@ -127,15 +133,26 @@
 }
 
 /**
- * Returns the connection pool of a receiver.
+ * Sends a call.
  *
- * @throws {AttemptError} If its address is none to which a connection can be opened.
+ * @param client Client that has the connections.
+ * @param address Address of the receiver.
+ * @param request Call to send.
+ * @param context See {@linkcode AnswerContext}.
+ * @throws {AttemptError} If the receiver's address is none to which a connection can be opened.
  */
-export function openPool(client: HttpClient, address: string, receiver: string): Pool {
+export function sendAttempt(
+    client: HttpClient,
+    address: string,
+    request: HttpExchangeRequest,
+    context: AnswerContext,
+): AttemptAnswer {
+    let connections: AddressConnections;
     try {
-        return client.pool(address);
+        connections = client.open(address);
     }
     catch (cause) {
-        throw new AttemptError(AttemptFault.NotRun, receiver, `open a connection pool for ${address}`, cause);
+        throw new AttemptError(AttemptFault.NotRun, context.receiver, `open a connection pool for ${address}`, cause);
     }
+    return new HttpAttemptAnswer(connections.send(context.callId, request, context.signal), context);
 }
--- a/src/transport/relay/http_detour_client.ts
+++ b/src/transport/relay/http_detour_client.ts
@@ -6,9 +6,8 @@
 
 import { type AttemptAnswer, DetourCall, DetourClient, type DetourPeer, type RelayHeaders } from "../../protocol/relay/mod.js";
 import type { HttpClient } from "../http_client.js";
-import { HttpExchange } from "../http_exchange.js";
 import { DETOUR_CALL_HEADER, DETOUR_PATH } from "./detour_server.js";
-import { HttpAttemptAnswer, openPool } from "./http_attempt_answer.js";
+import { sendAttempt } from "./http_attempt_answer.js";
 
 /** Sends calls as messages to the {@linkcode DetourServer} of a peer. */
 export class HttpDetourClient extends DetourClient {
@@ -23,7 +22,7 @@
     override send(peer: DetourPeer, call: DetourCall, signal: AbortSignal, maySend: () => boolean): AttemptAnswer {
         const head = this.headers.readCall(call.headers);
         const callId = typeof head === "string" ? undefined : head.id;
-        const exchange = new HttpExchange(openPool(this.client, peer.address, peer.node), {
+        const request = {
             method: "POST",
             path: DETOUR_PATH,
             headers: {
@@ -33,13 +32,8 @@
             body: Buffer.from(DetourCall.encode(call).finish()),
             mayWrite: maySend,
             inputLimits: this.client.inputLimits,
-        }, signal);
-        return new HttpAttemptAnswer(exchange, {
-            receiver: peer.node,
-            callId,
-            nodeHeader: DETOUR_CALL_HEADER,
-            headers: this.headers,
-            signal,
-        });
+        };
+        const context = { receiver: peer.node, callId, nodeHeader: DETOUR_CALL_HEADER, headers: this.headers, signal };
+        return sendAttempt(this.client, peer.address, request, context);
     }
 }
--- a/src/transport/relay/http_relay_client.ts
+++ b/src/transport/relay/http_relay_client.ts
@@ -13,8 +13,7 @@
 } from "../../protocol/relay/mod.js";
 import type { RelayServer } from "../../state/relay/mod.js";
 import type { HttpClient } from "../http_client.js";
-import { HttpExchange } from "../http_exchange.js";
-import { HttpAttemptAnswer, openPool } from "./http_attempt_answer.js";
+import { sendAttempt } from "./http_attempt_answer.js";
 
 /** Sends opaque calls to backend servers without changing method, target or body. */
 export class HttpRelayClient extends RelayClient {
@@ -27,15 +26,16 @@
     }
 
     override send(server: RelayServer, call: RelayCall, attempt: AttemptHead, signal: AbortSignal): AttemptAnswer {
-        const exchange = new HttpExchange(openPool(this.client, server.address, server.id), {
+        const request = {
             method: call.method,
             path: call.target,
             headers: this.headers.writeAttempt(call.head, attempt),
-            body: call.body.length > 0 ? call.body : undefined,
+            ...call.body.length > 0 ? { body: call.body } : {},
             mayWrite: attempt.maySend,
             inputLimits: this.client.inputLimits,
-        }, signal);
-        return new HttpAttemptAnswer(exchange, { receiver: server.id, callId: call.head.id, headers: this.headers, signal });
+        };
+        const context = { receiver: server.id, callId: call.head.id, headers: this.headers, signal };
+        return sendAttempt(this.client, server.address, request, context);
     }
 
     override retain(addresses: ReadonlySet<string>): void {
