--- /dev/null
+++ b/features/relay_refusal_copies.feature
@@ -0,0 +1,23 @@
+@loopback
+Feature: Copies of refusals
+    A server or a peer refuses a call and sends the refusal once more before its next answer on the connection, where the id may be under
+    way again.
+
+    # Guards against a copy that is taken for the refusal of a later attempt: the call runs twice, or its caller is told that it has not run.
+    Scenario Outline: no copy of a refusal counts as that of a later attempt with the same id
+        Given a relay for "<kind>" calls with <receivers> that refuse each new id, and send the refusal once more before the answer
+        When <calls>
+        Then each id has run once at most, and no caller whose call has run is told that it has not
+        And a receiver got ids again that it had refused, and the node counted them
+
+        Examples:
+            | kind   | receivers                | calls                                                        |
+            | unsafe | three entries of a server | 8 times 3 calls are sent at once                            |
+            | unsafe | a server                 | 6 calls are sent again with their id                         |
+            | unsafe | two servers              | 6 calls are sent again with their id                         |
+            | unsafe | a server                 | 6 calls are sent again with their id after its entry was replaced |
+            | unsafe | a peer                   | 6 calls are sent again with their id                         |
+            | stream | three entries of a server | 8 times 3 calls are sent at once                            |
+            | stream | a server                 | 6 calls are sent again with their id                         |
+            | stream | two servers              | 6 calls are sent again with their id                         |
+            | stream | a peer                   | 6 calls are sent again with their id                         |
--- a/features/steps/relay_answer_identity_steps.ts
+++ b/features/steps/relay_answer_identity_steps.ts
@@ -7,7 +7,16 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { EngineServer } from "../../platform/standin/engine_server.js";
-import { DetourCall } from "../../src/protocol/relay/mod.js";
+import {
+    formatBody,
+    formatChunkedAnswer,
+    formatEvents,
+    formatPeerRefusal,
+    formatServerRefusal,
+    formatWholeAnswer,
+    readCallId,
+    readDetourId,
+} from "../support/answer_texts.js";
 import { type CallerAnswer, PATH_BY_CALL_KIND, RelayFixture } from "../support/relay_fixture.js";
 import { type RepeatedAnswer, RepeatingServer } from "../support/repeating_server.js";
 import type { Scenario } from "../support/world.js";
@@ -22,18 +31,18 @@
 const FRAMING_LINES = /(?:content-length|transfer-encoding): [^\r]*\r\n/gi;
 
 const ANSWER_BY_FORM: Readonly<Record<string, RepeatedAnswer>> = {
-    "with its length": { format: formatWhole, copy: text => text },
-    "in chunks": { format: id => formatChunked(id, formatBody(id)), copy: text => text },
-    "without a length": { format: formatWhole, copy: text => text.replace(FRAMING_LINES, "") },
-    "after an interim head": { format: formatWhole, copy: text => `HTTP/1.1 102 Processing\r\n\r\n${text}` },
-    "and refuses every other call": { format: formatWhole, copy: text => text },
-    "as a stream": { format: id => formatChunked(id, formatEvents(id)), copy: text => text },
+    "with its length": { format: formatWholeAnswer, copy: text => text },
+    "in chunks": { format: id => formatChunkedAnswer(id, formatBody(id)), copy: text => text },
+    "without a length": { format: formatWholeAnswer, copy: text => text.replace(FRAMING_LINES, "") },
+    "after an interim head": { format: formatWholeAnswer, copy: text => `HTTP/1.1 102 Processing\r\n\r\n${text}` },
+    "and refuses every other call": { format: formatWholeAnswer, copy: text => text },
+    "as a stream": { format: id => formatChunkedAnswer(id, formatEvents(id)), copy: text => text },
     "as a stream without a length": {
-        format: id => formatChunked(id, formatEvents(id)),
+        format: id => formatChunkedAnswer(id, formatEvents(id)),
         copy: text => text.replace(FRAMING_LINES, ""),
     },
     "as a stream, and refuses every other call": {
-        format: id => formatChunked(id, formatEvents(id)),
+        format: id => formatChunkedAnswer(id, formatEvents(id)),
         copy: text => text,
     },
 };
@@ -53,7 +62,7 @@
 Given(
     /^a relay whose server sends each answer once more before the next, (.*)$/,
     async function(this: IdentityScenario, form: string) {
-        this.repeatingServer = await startServer(form, readCallId, formatRefusal);
+        this.repeatingServer = await startServer(form, readCallId, formatServerRefusal);
         const entry = new EngineServer("engine-1").serverEntry("service", { Address: this.repeatingServer.address });
         this.identityRelay = new RelayFixture();
         await this.identityRelay.start([], false, store => store.put("keyed.servers", "engine-1", entry));
@@ -109,56 +118,3 @@
         assert.deepEqual(this.identityRelay.errorLines, []);
     },
 );
-
-/** Returns the id of a call of a caller once its head and body have been read. */
-function readCallId(request: Buffer): string | undefined {
-    return readBody(request) === undefined ? undefined : /request-id: ([^\r]*)/i.exec(String(request))?.[1];
-}
-
-/** Returns the id of a call of a node. */
-function readDetourId(request: Buffer): string | undefined {
-    const body = readBody(request);
-    if (body === undefined) {
-        return undefined;
-    }
-    const { headers } = DetourCall.decode(body);
-    return headers[headers.findIndex(name => name.toLowerCase() === "request-id") + 1];
-}
-
-function readBody(request: Buffer): Buffer | undefined {
-    const end = request.indexOf("\r\n\r\n");
-    const length = Number(/content-length: (\d+)/i.exec(request.toString("latin1"))?.[1] ?? 0);
-    const body = request.subarray(end + 4);
-    return end < 0 || body.length < length ? undefined : body;
-}
-
-function formatBody(id: string): string {
-    return `answer to ${id}`;
-}
-
-function formatEvents(id: string): string {
-    return `id: 1\ndata: ${id}\n\nid: 2\ndata: ${id}\n\n`;
-}
-
-function formatHead(status: number, id: string, framing: string): string {
-    return `HTTP/1.1 ${status} Status\r\nRequest-Id: ${id}\r\nResponse-Seal: seal\r\n${framing}\r\n\r\n`;
-}
-
-function formatWhole(id: string): string {
-    const body = formatBody(id);
-    return formatHead(200, id, `Content-Length: ${body.length}`) + body;
-}
-
-function formatChunked(id: string, body: string): string {
-    return `${formatHead(200, id, "Transfer-Encoding: chunked")}${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
-}
-
-/** Formats a server's refusal, which states that the call has not run. */
-function formatRefusal(id: string): string {
-    return `HTTP/1.1 503 Status\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
-}
-
-/** Formats a peer's own refusal. */
-function formatPeerRefusal(id: string): string {
-    return `HTTP/1.1 503 Status\r\nFoxtailrail-Call: ${id}\r\nContent-Length: 0\r\n\r\n`;
-}
--- a/features/support/repeating_server.ts
+++ b/features/support/repeating_server.ts
@@ -6,14 +6,24 @@
 
 import { createServer, type Server, type Socket } from "node:net";
 
+/** Calls that a {@linkcode RepeatingServer} refuses. */
+export enum RefusedCalls {
+    /** Every other call, whatever its id. */
+    EveryOther = "every other call",
+    /** Each call whose id has not arrived before. */
+    NewIds = "new ids",
+}
+
 /** Answer of a {@linkcode RepeatingServer}. */
 export interface RepeatedAnswer {
     /** Answer to a call, by its id. */
     readonly format: (id: string) => string;
-    /** Bytes with which an answer is sent once more. */
-    readonly copy: (answer: string) => string;
-    /** Answer to every other call, which does not run; all calls run without one. */
+    /** Bytes with which an answer is sent once more before the answer to the next call; none if it is empty. */
+    readonly copy: (answer: string, nextId: string) => string;
+    /** Answer to calls that do not run; all calls run without one. */
     readonly formatRefusal?: (id: string) => string;
+    /** Calls that do not run; by default, every other one. */
+    readonly refusedCalls?: RefusedCalls;
 }
 
 /** Serves calls on plain sockets. */
@@ -22,6 +32,9 @@
     readonly runIds: string[] = [];
     /** Answers that were sent once more. */
     copies = 0;
+    /** Calls with an id that was refused before. */
+    resentCalls = 0;
+    private readonly refusedIds = new Set<string>();
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private calls = 0;
@@ -67,9 +80,10 @@
                 return;
             }
             buffered = Buffer.alloc(0);
-            if (lastAnswer !== "") {
+            const copy = lastAnswer === "" ? "" : this.answer.copy(lastAnswer, id);
+            if (copy !== "") {
                 this.copies += 1;
-                socket.write(this.answer.copy(lastAnswer));
+                socket.write(copy);
             }
             lastAnswer = this.formatNext(id);
             socket.write(lastAnswer);
@@ -79,7 +93,11 @@
     private formatNext(id: string): string {
         const { format, formatRefusal } = this.answer;
         this.calls += 1;
-        if (formatRefusal !== undefined && this.calls % 2 === 1) {
+        const isResent = this.refusedIds.has(id);
+        this.resentCalls += isResent ? 1 : 0;
+        const isRefused = this.answer.refusedCalls === RefusedCalls.NewIds ? !isResent : this.calls % 2 === 1;
+        if (formatRefusal !== undefined && isRefused) {
+            this.refusedIds.add(id);
             return formatRefusal(id);
         }
         this.runIds.push(id);
