Transport: send an id that was answered on a kept connection on one of its own

Callers saw a call that may run once at most run twice, or got 503 for a call that ran. A server may send the copy of a refusal in front of its next answer. It has the id of the refused call; when that is under way again on the same connection, the node took the copy for the refusal of the new attempt, counted this one as not run, and went on elsewhere or refused.

Cause: an answer was matched to a call by the id alone, although the connection had carried that id before. A call was kept from a server by the id of its entry, which says nothing of the address or the connection.

Change: AddressConnections remembers by its hash each id that was answered without a success, before the connection may carry another call, and sends such an id on a connection that carries no other one. An id that is answered while the call waits for a connection is not written. It holds for servers and peers alike, and for the engines and plain services of foxtailraild. An attempt whose answer is a success but is not used, such as a stream that ends within an event, counts as answered as well.

--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -488,6 +488,9 @@
         finally {
             endWatch?.();
             this.abortController.signal.removeEventListener("abort", onCallAborted);
+            if (outcome !== AttemptOutcome.Good) {
+                answer?.recordUnused();
+            }
             answer?.cancel();
             slot.release(outcome);
             this.settings.observer.recordEnd(slot.state, outcome);
--- a/src/protocol/relay/relay_client.ts
+++ b/src/protocol/relay/relay_client.ts
@@ -47,7 +47,7 @@
     readonly localPort: number | undefined;
     /** Calls that it carried before. */
     readonly earlierCalls: number;
-    /** Whether an answer with the id of the call has arrived before on it, or on another kept connection to the address. */
+    /** Whether the id of the call was answered at the address before; the connection then carries no other call. */
     readonly hasAnsweredId: boolean;
     /** Time since the first byte of the call was written, in milliseconds. */
     readonly sinceWriteMs: number;
@@ -83,6 +83,11 @@
      */
     abstract recordRead(heldBytes: number, events: number): void;
 
+    /** Records that the answer is not used, so that the call may be sent to its receiver again. */
+    recordUnused(): void {
+        // By default, no connection carries two calls.
+    }
+
     /** Cancels the attempt: closes the connection unless the answer has ended, and returns the memory that it holds. */
     abstract cancel(): void;
 }
--- a/src/transport/address_connections.ts
+++ b/src/transport/address_connections.ts
@@ -8,10 +8,14 @@
 import { AnsweredIds } from "./_answered_ids.js";
 import { HttpExchange, type HttpExchangeRequest } from "./http_exchange.js";
 
-/** Pool of the connections to one address, with the ids of the calls that were answered on them without a success. */
+/**
+ * Connections to one address. A receiver may send an answer a second time, in front of the next one on its connection. An id that was
+ * answered on a kept connection is therefore sent on one of its own only, so that each answer with the id is that to its last call.
+ */
 export class AddressConnections {
-    private currentPool: Pool;
+    private keptPool: Pool;
     private answeredIds = new AnsweredIds();
+    private readonly singleUsePools = new Set<Pool>();
 
     /**
      * @param openPool Opens a pool.
@@ -19,12 +23,12 @@
      * @throws {Error} If the address is none to which a connection can be opened.
      */
     constructor(private readonly openPool: () => Pool, private readonly onRepeatedId: () => void) {
-        this.currentPool = openPool();
+        this.keptPool = openPool();
     }
 
     /** Pool of the connections that are kept. */
     get pool(): Pool {
-        return this.currentPool;
+        return this.keptPool;
     }
 
     /**
@@ -35,39 +39,48 @@
      * @param signal Cancels the exchange when aborted.
      */
     send(id: string | undefined, request: HttpExchangeRequest, signal: AbortSignal): HttpExchange {
-        if (this.answeredIds.isFull) {
-            this.answeredIds = new AnsweredIds();
+        if (id === undefined) {
+            return new HttpExchange(this.keptPool, request, signal);
         }
-        const { answeredIds } = this;
-        const hasAnsweredId = id !== undefined && answeredIds.has(id);
-        if (hasAnsweredId) {
+        if (this.answeredIds.has(id)) {
             this.onRepeatedId();
+            return this.sendApart({ ...request, hasAnsweredId: true }, signal);
         }
-        return new HttpExchange(this.pool, {
+        if (this.answeredIds.isFull) {
+            this.renew();
+        }
+        const { answeredIds } = this;
+        return new HttpExchange(this.keptPool, {
             ...request,
-            hasAnsweredId,
-            onUnused: () => {
-                if (id !== undefined) {
-                    answeredIds.add(id);
-                }
-            },
+            // The id may have been answered while the call waited for a connection.
+            mayWrite: () => !answeredIds.has(id) && (request.mayWrite?.() ?? true),
+            onUnused: () => answeredIds.add(id),
         }, signal);
     }
 
-    /** Replaces the connections by new ones. Requests in progress are completed first. */
+    /** Sends a call on a connection that carries no other one. */
+    private sendApart(request: HttpExchangeRequest, signal: AbortSignal): HttpExchange {
+        const pool = this.openPool();
+        const exchange = new HttpExchange(pool, request, signal);
+        this.singleUsePools.add(pool);
+        void pool.close().then(() => this.singleUsePools.delete(pool));
+        return exchange;
+    }
+
+    /** Replaces the kept connections by new ones. Requests in progress are completed first. */
     renew(): void {
         this.close();
-        this.currentPool = this.openPool();
+        this.keptPool = this.openPool();
         this.answeredIds = new AnsweredIds();
     }
 
     /** Closes the connections once their requests have ended. */
     close(): void {
-        void this.currentPool.close();
+        void this.keptPool.close();
     }
 
     /** Closes all connections immediately; requests in progress fail. */
     async destroy(): Promise<void> {
-        await this.currentPool.destroy();
+        await Promise.all([this.keptPool, ...this.singleUsePools].map(pool => pool.destroy()));
     }
 }
--- a/src/transport/http_engine.ts
+++ b/src/transport/http_engine.ts
@@ -21,7 +21,7 @@
 import type { LoadReport, Vm } from "../state/mod.js";
 import { EventStreamParser } from "./_event_stream_parser.js";
 import type { HttpClient } from "./http_client.js";
-import { HttpExchange, type HttpExchangeRequest } from "./http_exchange.js";
+import type { HttpExchangeRequest } from "./http_exchange.js";
 
 /** Timeout for reading a load report or cache events, in milliseconds. */
 const REPORT_TIMEOUT_MS = 1_000;
@@ -58,7 +58,7 @@
     }
 
     override async *generate(vm: Vm, request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent> {
-        const exchange = new HttpExchange(this.client.pool(vm.address), {
+        const exchange = this.client.open(vm.address).send(request.id, {
             ...toExchangeRequest(request),
             inputLimits: this.client.inputLimits,
         }, signal);
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -54,14 +54,14 @@
     readonly mayWrite?: () => boolean;
     /** Limits that the answer shares with others. By default, it has its own. */
     readonly inputLimits?: InputLimits;
-    /** Whether an answer with the id of the request has arrived before on a connection that may carry it. */
+    /** Whether the id of the request was answered at the address before; for logs. */
     readonly hasAnsweredId?: boolean;
-    /** Called when the request is answered without a success, before its connection may carry another one. */
+    /** Called when the answer is no success, before the connection may carry another request, or is not used for another reason. */
     readonly onUnused?: () => void;
 }
 
 /** Reason with which an exchange fails whose request may not be written any more. */
-const TOO_LATE = new Error("its time was over before a connection was open");
+const NOT_ALLOWED = new Error("it was not allowed any more when a connection was open");
 
 /** Reason with which an exchange fails whose answer is the largest while a node holds too many bytes. */
 export const MEMORY_EXCEEDED = new Error("the memory for bytes of others is used up, and this answer holds most of it");
@@ -227,6 +227,11 @@
         this.pacedAnswer.record(events);
     }
 
+    /** Records that the answer is not used although it may be a success; see {@linkcode HttpExchangeRequest.onUnused}. */
+    recordUnused(): void {
+        this.request.onUnused?.();
+    }
+
     /** Ends the accounting of the memory of the answer, which its reader no longer holds. */
     release(): void {
         this.memoryShare.close();
@@ -248,7 +253,7 @@
 
     private handleStart(controller: Dispatcher.DispatchController): void {
         if (this.error === undefined && this.request.mayWrite?.() === false) {
-            this.fail(TOO_LATE);
+            this.fail(NOT_ALLOWED);
         }
         if (this.error !== undefined) {
             controller.abort(this.error);
--- a/src/transport/http_plain_service.ts
+++ b/src/transport/http_plain_service.ts
@@ -15,7 +15,7 @@
 import type { Vm } from "../state/mod.js";
 import type { HttpClient } from "./http_client.js";
 import { toDispatchError } from "./http_engine.js";
-import { HttpExchange } from "./http_exchange.js";
+import type { HttpExchange } from "./http_exchange.js";
 
 /** Maximum size of an answer of a plain service, in bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -28,7 +28,7 @@
     }
 
     override async send(vm: Vm, request: ServiceRequest, signal: AbortSignal): Promise<ServiceAnswer> {
-        const exchange = new HttpExchange(this.client.pool(vm.address), {
+        const exchange = this.client.open(vm.address).send(request.id, {
             method: request.method,
             path: request.target,
             headers: requestHeaders(request),
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -102,6 +102,10 @@
         this.exchange.recordRead(heldBytes, events);
     }
 
+    override recordUnused(): void {
+        this.exchange.recordUnused();
+    }
+
     override cancel(): void {
         this.exchange.cancel(CANCELLED);
         this.exchange.release();
