Transport: close a connection that carried an answer to another call

Callers got 502 for each call on a connection to a sound server, after it had once sent an answer too many: measured, six of seven calls after it, all of which had run. The answer too many was taken for that of the next call and rejected by its id, and the next call's own answer, which came later, for that of the call after it, and so on.

Cause: an exchange resets its connection only while its answer is incomplete. An answer that arrives with its end, such as a refusal without a body, left the connection in use with one answer outstanding.

Change: an exchange whose answer is rejected as another call's closes its connection in any case, before it can carry another call, unless it already does. The engines and plain services of foxtailraild do the same.

One extra answer costs the call that it meets, no more.

--- a/features/relay_refusal_copies.feature
+++ b/features/relay_refusal_copies.feature
@@ -21,3 +21,14 @@
             | stream | a server                 | 6 calls are sent again with their id                         |
             | stream | two servers              | 6 calls are sent again with their id                         |
             | stream | a peer                   | 6 calls are sent again with their id                         |
+
+    # Guards against answers that are all taken for those to the calls before them, once a connection has carried one answer too many.
+    Scenario Outline: one answer too many costs no more than the call that it meets
+        Given a relay for "<kind>" calls with <receivers> that send their first refusal once more, 100 ms before the answer to the next call
+        When 8 calls are sent one after the other
+        Then all but two of them get their own answer
+
+        Examples:
+            | kind   | receivers |
+            | unsafe | a server  |
+            | stream | a server  |
--- a/features/steps/relay_refusal_copy_steps.ts
+++ b/features/steps/relay_refusal_copy_steps.ts
@@ -9,6 +9,7 @@
 import { EngineServer } from "../../platform/standin/engine_server.js";
 import { NOT_RUN_STATUSES } from "../../src/protocol/relay/mod.js";
 import {
+    formatBody,
     formatChunkedAnswer,
     formatEvents,
     formatPeerRefusal,
@@ -18,7 +19,7 @@
     readDetourId,
 } from "../support/answer_texts.js";
 import { type CallerAnswer, PATH_BY_CALL_KIND, RelayFixture } from "../support/relay_fixture.js";
-import { RefusedCalls, RepeatingServer } from "../support/repeating_server.js";
+import { RefusedCalls, type RepeatedAnswer, RepeatingServer } from "../support/repeating_server.js";
 import type { Scenario } from "../support/world.js";
 
 /** Port that refuses connections. It is outside the range from which listeners get a free port. */
@@ -60,36 +61,57 @@
 
 Given(
     /^a relay for "(.*)" calls with (.*) that refuse each new id, and send the refusal once more before the answer$/,
-    async function(this: CopyScenario, kind: string, text: string) {
-        const receivers = RECEIVERS_BY_TEXT[text];
-        assert(receivers !== undefined, `unknown receivers: ${text}`);
-        this.copyPath = PATH_BY_CALL_KIND[kind] ?? "";
-        this.copyAnswers = [];
-        this.refusingServers = Array.from({ length: receivers.servers }, () =>
-            new RepeatingServer({
-                format: kind === "stream" ? formatStream : formatWholeAnswer,
-                copy: (answer, nextId) => answer.includes(`: ${nextId}\r\n`) ? answer : "",
-                formatRefusal: receivers.isPeer ? formatPeerRefusal : formatServerRefusal,
-                refusedCalls: RefusedCalls.NewIds,
-            }, receivers.isPeer ? readDetourId : readCallId));
-        for (const server of this.refusingServers) {
-            await server.start();
-        }
-        this.copyRelay = new RelayFixture();
-        await this.copyRelay.start([], false, () => {
-            for (const [index, { address }] of this.refusingServers.entries()) {
-                for (let entry = 0; entry < receivers.entries; entry += 1) {
-                    register(this, `engine-${index}-${entry}`, receivers.isPeer ? `127.0.0.1:${REFUSING_PORT}` : address);
-                }
-                if (receivers.isPeer) {
-                    const peer = { address, failureDomain: "zone-a", cores: 1 };
-                    this.copyRelay.store.put("keyed.nodes", "entry-2", peer);
-                }
-            }
+    async function(this: CopyScenario, kind: string, receivers: string) {
+        await startRelay(this, { kind, receivers }, {
+            copy: (answer, nextId) => answer.includes(`: ${nextId}\r\n`) ? answer : "",
+            refusedCalls: RefusedCalls.NewIds,
+        });
+    },
+);
+
+Given(
+    /^a relay for "(.*)" calls with (.*) that send their first refusal once more, (\d+) ms before the answer to the next call$/,
+    async function(this: CopyScenario, kind: string, receivers: string, leadMs: string) {
+        await startRelay(this, { kind, receivers }, {
+            copy: answer => answer.startsWith("HTTP/1.1 503") ? answer : "",
+            refusedCalls: RefusedCalls.First,
+            copyLeadMs: Number(leadMs),
         });
     },
 );
 
+/** Starts receivers that answer in a given way, and a relay with them. */
+async function startRelay(
+    scenario: CopyScenario,
+    { kind, receivers: text }: { readonly kind: string; readonly receivers: string },
+    answer: Pick<RepeatedAnswer, "copy" | "refusedCalls" | "copyLeadMs">,
+): Promise<void> {
+    const receivers = RECEIVERS_BY_TEXT[text];
+    assert(receivers !== undefined, `unknown receivers: ${text}`);
+    scenario.copyPath = PATH_BY_CALL_KIND[kind] ?? "";
+    scenario.copyAnswers = [];
+    scenario.refusingServers = Array.from({ length: receivers.servers }, () =>
+        new RepeatingServer({
+            ...answer,
+            format: kind === "stream" ? formatStream : formatWholeAnswer,
+            formatRefusal: receivers.isPeer ? formatPeerRefusal : formatServerRefusal,
+        }, receivers.isPeer ? readDetourId : readCallId));
+    for (const server of scenario.refusingServers) {
+        await server.start();
+    }
+    scenario.copyRelay = new RelayFixture();
+    await scenario.copyRelay.start([], false, store => {
+        for (const [index, { address }] of scenario.refusingServers.entries()) {
+            for (let entry = 0; entry < receivers.entries; entry += 1) {
+                register(scenario, `engine-${index}-${entry}`, receivers.isPeer ? `127.0.0.1:${REFUSING_PORT}` : address);
+            }
+            if (receivers.isPeer) {
+                store.put("keyed.nodes", "entry-2", { address, failureDomain: "zone-a", cores: 1 });
+            }
+        }
+    });
+}
+
 When(/^(\d+) times (\d+) calls are sent at once$/, async function(this: CopyScenario, times: string, calls: string) {
     for (let time = 0; time < Number(times); time += 1) {
         const sent = Array.from({ length: Number(calls) }, () => this.copyRelay.send({ path: this.copyPath }));
@@ -117,6 +139,21 @@
     },
 );
 
+When("{int} calls are sent one after the other", async function(this: CopyScenario, count: number) {
+    for (let call = 0; call < count; call += 1) {
+        this.copyAnswers.push(await this.copyRelay.send({ path: this.copyPath }));
+        if (call === 0) {
+            await pause();
+        }
+    }
+});
+
+Then("all but two of them get their own answer", function(this: CopyScenario) {
+    const wrong = this.copyAnswers.filter(({ id, body }) => ![formatBody(id), formatEvents(id)].includes(body));
+    assert.deepEqual(wrong.slice(2), []);
+    assert(this.refusingServers.some(({ copies }) => copies === 1), "no answer was sent once more");
+});
+
 Then(
     "each id has run once at most, and no caller whose call has run is told that it has not",
     function(this: CopyScenario) {
@@ -141,7 +178,8 @@
     const resentCalls = this.refusingServers.reduce((sum, server) => sum + server.resentCalls, 0);
     assert(resentCalls > 0, "no id arrived again");
     const counted = await this.copyRelay.readMetric("repeated_ids");
-    assert(counted > 0, "the node counted no id that was answered before");
+    const lines = this.copyRelay.lines.map(line => JSON.stringify(line)).join("\n");
+    assert(counted > 0, `the node counted no id that was answered before:\n${lines}`);
 });
 
 /** Registers a server in the store. */
--- a/features/support/repeating_server.ts
+++ b/features/support/repeating_server.ts
@@ -5,6 +5,7 @@
  */
 
 import { createServer, type Server, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** Calls that a {@linkcode RepeatingServer} refuses. */
 export enum RefusedCalls {
@@ -12,6 +13,8 @@
     EveryOther = "every other call",
     /** Each call whose id has not arrived before. */
     NewIds = "new ids",
+    /** The first call. */
+    First = "first",
 }
 
 /** Answer of a {@linkcode RepeatingServer}. */
@@ -24,6 +27,8 @@
     readonly formatRefusal?: (id: string) => string;
     /** Calls that do not run; by default, every other one. */
     readonly refusedCalls?: RefusedCalls;
+    /** Time between a copy and the answer behind it, in milliseconds; by default, they are sent at once. */
+    readonly copyLeadMs?: number;
 }
 
 /** Serves calls on plain sockets. */
@@ -69,38 +74,59 @@
     private handleConnection(socket: Socket): void {
         let buffered = Buffer.alloc(0);
         let lastAnswer = "";
+        let answered: Promise<void> = Promise.resolve();
         this.sockets.add(socket);
         // How a connection ends does not matter.
         socket.on("error", () => undefined);
         socket.on("close", () => this.sockets.delete(socket));
-        socket.on("data", data => {
-            buffered = Buffer.concat([buffered, data]);
-            const id = this.readId(buffered);
-            if (id === undefined) {
-                return;
-            }
-            buffered = Buffer.alloc(0);
+        const answer = async (id: string) => {
             const copy = lastAnswer === "" ? "" : this.answer.copy(lastAnswer, id);
             if (copy !== "") {
                 this.copies += 1;
                 socket.write(copy);
+                await this.pauseAfterCopy();
             }
             lastAnswer = this.formatNext(id);
             socket.write(lastAnswer);
+        };
+        socket.on("data", data => {
+            buffered = Buffer.concat([buffered, data]);
+            const id = this.readId(buffered);
+            if (id === undefined) {
+                return;
+            }
+            buffered = Buffer.alloc(0);
+            answered = answered.then(() => answer(id));
         });
     }
 
+    private async pauseAfterCopy(): Promise<void> {
+        if (this.answer.copyLeadMs !== undefined) {
+            await sleep(this.answer.copyLeadMs);
+        }
+    }
+
     private formatNext(id: string): string {
         const { format, formatRefusal } = this.answer;
         this.calls += 1;
         const isResent = this.refusedIds.has(id);
         this.resentCalls += isResent ? 1 : 0;
-        const isRefused = this.answer.refusedCalls === RefusedCalls.NewIds ? !isResent : this.calls % 2 === 1;
-        if (formatRefusal !== undefined && isRefused) {
+        if (formatRefusal !== undefined && this.isRefused(isResent)) {
             this.refusedIds.add(id);
             return formatRefusal(id);
         }
         this.runIds.push(id);
         return format(id);
     }
+
+    private isRefused(isResent: boolean): boolean {
+        switch (this.answer.refusedCalls ?? RefusedCalls.EveryOther) {
+            case RefusedCalls.EveryOther:
+                return this.calls % 2 === 1;
+            case RefusedCalls.NewIds:
+                return !isResent;
+            case RefusedCalls.First:
+                return this.calls === 1;
+        }
+    }
 }
--- a/src/transport/http_engine.ts
+++ b/src/transport/http_engine.ts
@@ -85,6 +85,9 @@
             throw new Error("the stream ended without its last event");
         }
         catch (cause) {
+            if (cause instanceof DispatchError && cause.fault === DispatchFault.Mismatched) {
+                exchange.rejectConnection(cause);
+            }
             throw toDispatchError(cause, { peer: vm.id, step: exchange.reachedStep, signal });
         }
         finally {
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -40,8 +40,13 @@
     onRequestSocket = undefined;
 });
 
-/** Requests that each socket has carried. */
-const requestsBySocket = new WeakMap<Socket, number>();
+/** What a socket has carried. */
+interface SocketUse {
+    readonly requests: number;
+    readonly lastExchange: HttpExchange;
+}
+
+const usesBySocket = new WeakMap<Socket, SocketUse>();
 
 /** Request of an {@linkcode HttpExchange}. */
 export interface HttpExchangeRequest {
@@ -251,6 +256,17 @@
         }
     }
 
+    /**
+     * Closes the connection, on which the answer to another request has come in place of the one to this; the latter may follow. An exchange
+     * that has not ended fails.
+     */
+    rejectConnection(reason: Error): void {
+        this.cancel(reason);
+        if (this.socket !== undefined && usesBySocket.get(this.socket)?.lastExchange === this) {
+            this.socket.resetAndDestroy();
+        }
+    }
+
     private handleStart(controller: Dispatcher.DispatchController): void {
         if (this.error === undefined && this.request.mayWrite?.() === false) {
             this.fail(NOT_ALLOWED);
@@ -264,8 +280,8 @@
         onRequestSocket = socket => {
             this.socket = socket;
             this.localPort = socket.localPort;
-            this.earlierRequests = requestsBySocket.get(socket) ?? 0;
-            requestsBySocket.set(socket, this.earlierRequests + 1);
+            this.earlierRequests = usesBySocket.get(socket)?.requests ?? 0;
+            usesBySocket.set(socket, { requests: this.earlierRequests + 1, lastExchange: this });
             this.writtenAtMs = performance.now();
             this.socketHold = new SocketHold(socket);
         };
--- a/src/transport/http_plain_service.ts
+++ b/src/transport/http_plain_service.ts
@@ -56,6 +56,7 @@
     const echoed = exchange.headers["x-request-id"];
     if (echoed !== id) {
         const cause = new Error(`answer of request ${String(echoed)} came instead`);
+        exchange.rejectConnection(cause);
         throw new DispatchError({ fault: DispatchFault.Mismatched, step: DispatchStep.ReadBody, peer, cause });
     }
 }
--- a/src/transport/relay/http_attempt_answer.ts
+++ b/src/transport/relay/http_attempt_answer.ts
@@ -62,12 +62,10 @@
         const head = this.context.headers.readAnswer(this.exchange.status, toHeaderList(headers));
         if (this.context.nodeHeader !== undefined && !head.isSealed && headers["content-type"] !== NODE_CONTENT_TYPE) {
             // The HTTP library of a node answers what it cannot read, also in place of the answer to an earlier call.
-            this.cancel();
-            throw this.toError("read the head", new Error(`the answer with status ${head.status} is of no server and no node`));
+            throw this.reject(`the answer with status ${head.status} is of no server and no node`);
         }
         if (!this.isAnswerOfCall(head.callId, nodeId)) {
-            this.cancel();
-            throw this.toError("read the head", new Error(`the answer belongs to call ${nodeId ?? head.callId ?? "unknown"}`));
+            throw this.reject(`the answer belongs to call ${nodeId ?? head.callId ?? "unknown"}`);
         }
         return head;
     }
@@ -111,6 +109,13 @@
         this.exchange.release();
     }
 
+    private reject(reason: string): AttemptError {
+        const error = new Error(reason);
+        this.exchange.rejectConnection(error);
+        this.exchange.release();
+        return this.toError("read the head", error);
+    }
+
     private toError(step: string, cause: unknown): AttemptError {
         if (this.exchange.reachedStep === DispatchStep.Connect) {
             if (cause instanceof errors.InvalidArgumentError) {
