Soak: servers that refuse calls, send refusals once more and have several entries

The soak's judge reads the servers' own lists of what they ran, but its servers refused nothing. With this kind, servers refuse two calls of five, send refusals once more in front of the next answer or while the connection is idle, and stand in the catalog under three ids each. What a server refuses is not in its list; all rules stay as they are.

--- a/features/steps/relay_soak_steps.ts
+++ b/features/steps/relay_soak_steps.ts
@@ -6,7 +6,7 @@
 
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { runReplacement, runSoak, type SoakResult } from "../../platform/standin/soak/soak_run.js";
+import { runReplacement, runSoak, type SoakKind, type SoakResult } from "../../platform/standin/soak/soak_run.js";
 import type { Scenario } from "../support/world.js";
 
 /** Folder with the bundle of this build. */
@@ -27,10 +27,10 @@
 }
 
 When(
-    /^a (soak|calm soak) of (\d+) s runs with seed (\d+)$/,
-    async function(this: SoakScenario, name: string, seconds: string, seed: string) {
+    /^a (soak|calm soak|refusing soak) of (\d+) s runs with seed (\d+)$/,
+    async function(this: SoakScenario, kind: SoakKind, seconds: string, seed: string) {
         const durationMs = Number(seconds) * 1_000;
-        this.soak = await runSoak({ seed: Number(seed), durationMs, bundle: BUNDLE, isCalm: name === "calm soak" });
+        this.soak = await runSoak({ seed: Number(seed), durationMs, bundle: BUNDLE, kind });
     },
 );
 
--- a/measure/experiments.ts
+++ b/measure/experiments.ts
@@ -15,7 +15,7 @@
 import { rolloutExperiment } from "./rollouts.js";
 import { schedulingExperiment } from "./scheduling.js";
 import { schedulingDecisionsExperiment } from "./scheduling_decisions.js";
-import { buildsExperiment, changesExperiment, soakExperiment } from "./soak.js";
+import { buildsExperiment, changesExperiment, refusalsExperiment, soakExperiment } from "./soak.js";
 
 /** Experiments, in the order in which they are listed to the user. */
 export const experiments: readonly Experiment[] = [
@@ -29,6 +29,7 @@
     rolloutExperiment,
     placementExperiment,
     soakExperiment,
+    refusalsExperiment,
     changesExperiment,
     buildsExperiment,
     holdUpsExperiment,
--- a/measure/soak.ts
+++ b/measure/soak.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { runReplacement, runSoak, type SoakResult } from "../platform/standin/soak/soak_run.js";
+import { runReplacement, runSoak, SoakKind, type SoakResult } from "../platform/standin/soak/soak_run.js";
 import type { Experiment, Figures, Report, Target } from "./experiment.js";
 
 /** Duration of the actions, in milliseconds. */
@@ -15,17 +15,27 @@
     name: "soak",
     summary: "relay nodes under load beside overlapping signals, restarts, changes and silent servers",
     run: async (seed, { newBundle }) => {
-        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle, isCalm: false });
+        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle, kind: SoakKind.Rough });
         return toReport("soak", { seed, newBundle }, { soak: result });
     },
 };
 
+/** As the soak, with servers that refuse calls and send refusals once more. */
+export const refusalsExperiment: Experiment = {
+    name: "refusals",
+    summary: "the soak with servers that refuse calls, send refusals once more, and stand in the catalog several times",
+    run: async (seed, { newBundle }) => {
+        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle, kind: SoakKind.Refusing });
+        return toReport("refusals", { seed, newBundle }, { refusals: result });
+    },
+};
+
 /** Changes of the configuration and hold-ups alone. */
 export const changesExperiment: Experiment = {
     name: "changes",
     summary: "relay nodes under load beside changes of the configuration and hold-ups of their event loops",
     run: async (seed, { newBundle }) => {
-        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle, isCalm: true });
+        const result = await runSoak({ seed, durationMs: ACTIONS_MS, bundle: newBundle, kind: SoakKind.Calm });
         return toReport("changes", { seed, newBundle }, { changes: result });
     },
 };
@@ -51,12 +61,14 @@
     const baseline: Record<string, Figures[string]> = {};
     const current: Record<string, Figures[string]> = {};
     const targets: Target[] = [];
-    for (const [name, { findings, calls, incarnations, actions }] of Object.entries(results)) {
+    for (const [name, { findings, calls, incarnations, copies, copiesWithId, actions }] of Object.entries(results)) {
         const ofOldBuild = findings.filter(({ bundle }) => bundle !== undefined && bundle !== newBundle);
         const others = findings.filter(finding => !ofOldBuild.includes(finding));
         baseline[`${name}: broken rules at nodes of the old build`] = ofOldBuild.length;
         current[`${name}: calls by status`] = [calls];
         current[`${name}: starts of nodes`] = incarnations;
+        current[`${name}: refusals sent once more`] = copies;
+        current[`${name}: refusals sent once more with the id under way`] = copiesWithId;
         current[`${name}: actions`] = actions.join(", ");
         current[`${name}: findings`] = others.map(({ rule, detail }) => ({ rule, detail }));
         targets.push({ name: `${name}: broken rules`, measured: others.length, comparison: "at most", bound: 0 });
