--- a/features/steps/relay_refusal_copy_steps.ts
+++ b/features/steps/relay_refusal_copy_steps.ts
@@ -121,13 +121,13 @@
 });
 
 When(
-    /^(\d+) calls are sent again with their id( after its entry was replaced)?$/,
-    async function(this: CopyScenario, count: string, replacement: string | undefined) {
+    /^(\d+) calls are sent again with their id(| after its entry was replaced)$/,
+    async function(this: CopyScenario, count: string, replacement: string) {
         const { copyRelay, copyPath: path, copyAnswers } = this;
         for (let call = 0; call < Number(count); call += 1) {
             const answer = await copyRelay.send({ path });
             copyAnswers.push(answer);
-            if (replacement !== undefined) {
+            if (replacement !== "") {
                 copyRelay.store.put("keyed.servers", "engine-0-0", undefined);
                 await pause();
                 register(this, "engine-0-0", this.refusingServers[0]?.address);
