--- a/features/relay_refusal_copies.feature
+++ b/features/relay_refusal_copies.feature
@@ -32,3 +32,9 @@
             | kind   | receivers |
             | unsafe | a server  |
             | stream | a server  |
+
+    # Guards against a copy of the beginning of a stream that is taken for its rest.
+    Scenario: a stream is resumed although its beginning is sent once more
+        Given a relay for "resumable stream" calls with three entries of a server that end each new stream within an event, and send it once more
+        When 8 times 3 calls are sent at once
+        Then each caller gets its whole stream
--- a/features/steps/relay_refusal_copy_steps.ts
+++ b/features/steps/relay_refusal_copy_steps.ts
@@ -28,6 +28,12 @@
 /** Time for which a node sends nothing to a server that has refused a call, in milliseconds, and some more. */
 const SUSPENSION_MS = 60;
 
+/** Bytes that are missing at the end of a broken stream. */
+const BROKEN_BYTES = 4;
+
+/** Beginning of the second event of a stream. */
+const SECOND_EVENT = "id: 2";
+
 /** Receivers of a relay that refuse new ids. */
 interface Receivers {
     readonly servers: number;
@@ -80,11 +86,23 @@
     },
 );
 
+Given(
+    /^a relay for "(.*)" calls with (.*) that end each new stream within an event, and send it once more$/,
+    async function(this: CopyScenario, kind: string, receivers: string) {
+        await startRelay(this, { kind, receivers }, {
+            copy: (answer, nextId) => answer.includes(`: ${nextId}\r\n`) ? answer : "",
+            refusedCalls: RefusedCalls.NewIds,
+            formatRefusal: id => formatChunkedAnswer(id, formatEvents(id).slice(0, -BROKEN_BYTES)),
+            format: id => formatChunkedAnswer(id, formatEvents(id).slice(formatEvents(id).indexOf(SECOND_EVENT))),
+        });
+    },
+);
+
 /** Starts receivers that answer in a given way, and a relay with them. */
 async function startRelay(
     scenario: CopyScenario,
     { kind, receivers: text }: { readonly kind: string; readonly receivers: string },
-    answer: Pick<RepeatedAnswer, "copy" | "refusedCalls" | "copyLeadMs">,
+    answer: Partial<RepeatedAnswer> & Pick<RepeatedAnswer, "copy">,
 ): Promise<void> {
     const receivers = RECEIVERS_BY_TEXT[text];
     assert(receivers !== undefined, `unknown receivers: ${text}`);
@@ -92,9 +110,9 @@
     scenario.copyAnswers = [];
     scenario.refusingServers = Array.from({ length: receivers.servers }, () =>
         new RepeatingServer({
-            ...answer,
             format: kind === "stream" ? formatStream : formatWholeAnswer,
             formatRefusal: receivers.isPeer ? formatPeerRefusal : formatServerRefusal,
+            ...answer,
         }, receivers.isPeer ? readDetourId : readCallId));
     for (const server of scenario.refusingServers) {
         await server.start();
@@ -114,7 +132,9 @@
 
 When(/^(\d+) times (\d+) calls are sent at once$/, async function(this: CopyScenario, times: string, calls: string) {
     for (let time = 0; time < Number(times); time += 1) {
-        const sent = Array.from({ length: Number(calls) }, () => this.copyRelay.send({ path: this.copyPath }));
+        const sent = Array.from({ length: Number(calls) }, (unused, call) =>
+            // Calls with the same content are held back once servers have broken off a few of them.
+            this.copyRelay.send({ path: this.copyPath, body: `${time}-${call}` }));
         this.copyAnswers.push(...await Promise.all(sent));
         await pause();
     }
@@ -148,6 +168,11 @@
     }
 });
 
+Then("each caller gets its whole stream", function(this: CopyScenario) {
+    const wrong = this.copyAnswers.filter(({ id, body, isComplete }) => !isComplete || body !== formatEvents(id));
+    assert.deepEqual(wrong.map(({ id, body }) => [id, body]), []);
+});
+
 Then("all but two of them get their own answer", function(this: CopyScenario) {
     const wrong = this.copyAnswers.filter(({ id, body }) => ![formatBody(id), formatEvents(id)].includes(body));
     assert.deepEqual(wrong.slice(2), []);
