Transport: keep no exchange alive with its idle connection

The note of a connection's last exchange held the request and answer of that exchange until the next one. A count of requests tells as well whether a later one is under way.

--- a/src/transport/_answered_ids.ts
+++ b/src/transport/_answered_ids.ts
@@ -7,7 +7,7 @@
 import { hashKey } from "../protocol/relay/mod.js";
 
 /** Ids of one address that are kept at most; each takes about 20 bytes. */
-export const MAX_ANSWERED_IDS = 512;
+const MAX_ANSWERED_IDS = 512;
 
 /** Set of ids by their hash: another id with the same hash counts as answered, too. */
 export class AnsweredIds {
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -40,13 +40,8 @@
     onRequestSocket = undefined;
 });
 
-/** What a socket has carried. */
-interface SocketUse {
-    readonly requests: number;
-    readonly lastExchange: HttpExchange;
-}
-
-const usesBySocket = new WeakMap<Socket, SocketUse>();
+/** Number of requests that each socket has carried. */
+const requestsBySocket = new WeakMap<Socket, number>();
 
 /** Request of an {@linkcode HttpExchange}. */
 export interface HttpExchangeRequest {
@@ -257,13 +252,15 @@
     }
 
     /**
-     * Closes the connection, on which the answer to another request has come in place of the one to this; the latter may follow. An exchange
-     * that has not ended fails.
+     * Closes the connection, unless it carries a later request: it has carried the answer to another request in place of the one to this,
+     * which may follow. An exchange that has not ended fails.
      */
     rejectConnection(reason: Error): void {
         this.cancel(reason);
-        if (this.socket !== undefined && usesBySocket.get(this.socket)?.lastExchange === this) {
-            this.socket.resetAndDestroy();
+        const { socket } = this;
+        const isLastRequest = socket !== undefined && requestsBySocket.get(socket) === this.earlierRequests + 1;
+        if (isLastRequest) {
+            socket.resetAndDestroy();
         }
     }
 
@@ -280,8 +277,8 @@
         onRequestSocket = socket => {
             this.socket = socket;
             this.localPort = socket.localPort;
-            this.earlierRequests = usesBySocket.get(socket)?.requests ?? 0;
-            usesBySocket.set(socket, { requests: this.earlierRequests + 1, lastExchange: this });
+            this.earlierRequests = requestsBySocket.get(socket) ?? 0;
+            requestsBySocket.set(socket, this.earlierRequests + 1);
             this.writtenAtMs = performance.now();
             this.socketHold = new SocketHold(socket);
         };
