Coordination: move what nodes share out into a folder of its own

admission_gate, limit_allotment and server_limits imported each other in a circle. The demand of the nodes, the allotted share, the allowance of a limit and the shared token bucket are now in coordination/allotment, which relay imports. No behaviour changes.

--- a/features/steps/relay_report_steps.ts
+++ b/features/steps/relay_report_steps.ts
@@ -7,6 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { setMaxListeners } from "node:events";
+import { sumDemands } from "../../src/coordination/allotment/mod.js";
 import {
     BrittleServers,
     CallQuarantine,
@@ -16,7 +17,6 @@
     ServerLimits,
     ServerPool,
     ServerStatements,
-    sumDemands,
     TopicViews,
     WorkspaceQuota,
 } from "../../src/coordination/relay/mod.js";
--- a/features/steps/relay_server_statement_steps.ts
+++ b/features/steps/relay_server_statement_steps.ts
@@ -7,7 +7,8 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { PlatformHeaders } from "../../platform/mod.js";
-import { BrittleServers, ServerLimits, ServerStatements, sumDemands } from "../../src/coordination/relay/mod.js";
+import { sumDemands } from "../../src/coordination/allotment/mod.js";
+import { BrittleServers, ServerLimits, ServerStatements } from "../../src/coordination/relay/mod.js";
 import { type AnswerHead, hashKey } from "../../src/protocol/relay/mod.js";
 import { type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import type { ModelServer } from "../../standin/engine_behavior_model.js";
--- a/measure/relay_simulation.ts
+++ b/measure/relay_simulation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { sumDemands } from "../src/coordination/allotment/mod.js";
 import {
     AttemptOutcome,
     decideRetryAfter,
@@ -13,7 +14,6 @@
     ServerPool,
     ServiceScheduler,
     type SlotReservation,
-    sumDemands,
 } from "../src/coordination/relay/mod.js";
 import { EMPTY_REPORT, hashKey } from "../src/protocol/relay/mod.js";
 import { type Clock, type RandomSource, type RelayRoute, SeededRandom, Semantics } from "../src/state/relay/mod.js";
--- a/src/coordination/relay/limit_allotment.ts
+++ b/src/coordination/allotment/allotted_share.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-import { type Demand, STALENESS_REPORT_INTERVALS, sumDemands } from "./admission_gate.js";
+import { type Demand, STALENESS_REPORT_INTERVALS, sumDemands } from "./demand.js";
 
 /** Demand that is assumed at each node in addition to the reported one, in calls; a burst reaches many nodes before they report it. */
 const ASSUMED_DEMAND_CALLS = 0.5;
--- /dev/null
+++ b/src/coordination/allotment/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * What all nodes share out among themselves without a coordinator: demand, and each node's part of a common rate.
+ *
+ * @module
+ */
+
+export * from "./allotted_share.js";
+export * from "./call_allowance.js";
+export * from "./demand.js";
+export * from "./shared_token_bucket.js";
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -8,10 +8,7 @@
  */
 
 import type { RandomSource } from "../../state/relay/mod.js";
-import type { CallAllowance } from "./server_limits.js";
-
-/** Age of a node's view of its peers, in report intervals: one for the report in transit and one until the next report. */
-export const STALENESS_REPORT_INTERVALS = 2;
+import { type CallAllowance, type Demand, STALENESS_REPORT_INTERVALS } from "../allotment/mod.js";
 
 /** Fraction of the available slots that is allotted; the rest covers calls that no report includes yet. */
 const ALLOTTED_FRACTION = 0.8;
@@ -19,29 +16,6 @@
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
 
-/** Demand for the slots of a service. */
-export interface Demand {
-    /** Waiting calls that can still meet their latency objective. */
-    readonly inTimeCalls: number;
-    /** Waiting calls that are late. */
-    readonly lateCalls: number;
-    /** Arrival rate of calls that can still meet their latency objective. */
-    readonly arrivalsPerSecond: number;
-}
-
-/** Adds up the demands of several nodes for the same service. */
-export function sumDemands(demands: Iterable<Demand>): Demand {
-    let inTimeCalls = 0;
-    let lateCalls = 0;
-    let arrivalsPerSecond = 0;
-    for (const demand of demands) {
-        inTimeCalls += demand.inTimeCalls;
-        lateCalls += demand.lateCalls;
-        arrivalsPerSecond += demand.arrivalsPerSecond;
-    }
-    return { inTimeCalls, lateCalls, arrivalsPerSecond };
-}
-
 /** Slots of one server and their turnover. */
 export interface ServerCapacity {
     readonly slots: number;
--- a/src/coordination/relay/brittle_servers.ts
+++ b/src/coordination/relay/brittle_servers.ts
@@ -9,9 +9,8 @@
 
 import type { AnswerHead, BrittleServer } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
+import { allottedShare, type ServiceDemands } from "../allotment/mod.js";
 import { incarnationKey } from "./incarnation_key.js";
-import { allottedShare } from "./limit_allotment.js";
-import type { ServiceDemands } from "./server_limits.js";
 
 /** Share of a brittle server's slots that are used. */
 const USED_SLOTS_SHARE = 0.85;
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -13,7 +13,7 @@
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
-import type { Demand } from "./admission_gate.js";
+import type { Demand } from "../allotment/mod.js";
 import type { CallQuarantine } from "./call_quarantine.js";
 import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -6,7 +6,7 @@
 
 import { callsByServerKey, hashKey, type PeerReport } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
-import { type Demand, sumDemands } from "./admission_gate.js";
+import { type Demand, sumDemands } from "../allotment/mod.js";
 
 /** Age of a report above which its calls are no longer summed, in milliseconds; several lost datagrams do not reach it. */
 export const MAX_REPORT_AGE_MS = 2_500;
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -8,11 +8,9 @@
 
 import type { AnswerHead, ServerLimit } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
-import type { Demand } from "./admission_gate.js";
+import { allottedShare, type CallAllowance, type ServiceDemands, SharedTokenBucket } from "../allotment/mod.js";
 import { MIN_SERVER_ERROR_STATUS, MISDIRECTED_STATUS } from "./final_answer.js";
 import { incarnationKey } from "./incarnation_key.js";
-import { allottedShare } from "./limit_allotment.js";
-import { SharedTokenBucket } from "./shared_token_bucket.js";
 
 /** Lowest rate of calls to a server, in calls per second: only an answer can end a limit of 0. */
 const MIN_CALLS_PER_SECOND = 0.1;
@@ -44,18 +42,6 @@
     allottedAtMs: number;
 }
 
-/** Rate of calls to a server, and the calls that may be sent now. */
-export interface CallAllowance {
-    readonly callsPerSecond: number;
-    readonly availableCalls: number;
-}
-
-/** Demand for a service at this node and at all others. */
-export interface ServiceDemands {
-    readonly own: Demand;
-    readonly peers: Demand;
-}
-
 /** Settings of {@linkcode ServerLimits}. */
 export interface ServerLimitsSettings {
     readonly clock: Clock;
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -5,8 +5,8 @@
  */
 
 import type { Clock, RelayServer, ServerProfile } from "../../state/relay/mod.js";
+import type { CallAllowance } from "../allotment/mod.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
-import type { CallAllowance } from "./server_limits.js";
 import type { ServerStatements } from "./server_statements.js";
 
 /** Cost of a call that does not depend on its prompt, in prompt tokens: the engine's scheduling and its first step. */
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -8,7 +8,8 @@
  */
 
 import type { Clock, RandomSource } from "../../state/relay/mod.js";
-import { AdmissionGate, type Demand, type ServerCapacity } from "./admission_gate.js";
+import type { Demand } from "../allotment/mod.js";
+import { AdmissionGate, type ServerCapacity } from "./admission_gate.js";
 import { ArrivalRate } from "./arrival_rate.js";
 import { comparePriority } from "./call_priority.js";
 import { chooseServer, type PlacementRequest } from "./placement.js";
--- a/src/coordination/relay/workspace_quota.ts
+++ b/src/coordination/relay/workspace_quota.ts
@@ -8,7 +8,7 @@
 
 import { hashKey } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
-import { SharedTokenBucket } from "./shared_token_bucket.js";
+import { SharedTokenBucket } from "../allotment/mod.js";
 
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Logger } from "pino";
+import type { ServiceDemands } from "../../coordination/allotment/mod.js";
 import {
     type BackgroundTask,
     BrittleServers,
@@ -26,7 +27,6 @@
     ServerPool,
     ServerReach,
     ServerStatements,
-    type ServiceDemands,
     ServiceScheduler,
     StopDeadline,
     stopReserveMs,
