Exchanges: a status outside 100 to 599 is no answer

Plain services passed such answers on, and load reports and setups of engines were read from them.

HttpExchange now fails with such a status and resets the connection, like with other answers that it cannot read: 502, repeated within the retry budget only if the call may be repeated. The requests of the node itself (the log service, the VM list and the weight store, load reports, cache events, setups and orders of engines) were read with another method of the HTTP library. They go through HttpExchange as well: HttpClient.request, which shares readWholeAnswer with the keyed log. Their answers have no limit of size, as before.

--- a/features/relay_cut_answers.feature
+++ b/features/relay_cut_answers.feature
@@ -48,6 +48,17 @@
             | has a transfer coding other than chunks          | fails       |
             | has a transfer coding after its chunks           | fails       |
             | has a transfer coding other than chunks and is reset | fails   |
+            | has the status 000                               | fails       |
+            | has the status 001                               | fails       |
+            | has the status 099                               | fails       |
+            | has the status 099 on a connection that closes   | fails       |
+            | has the status 600                               | fails       |
+            | has the status 600 and no length                 | fails       |
+            | has the status 999                               | fails       |
+            | has the status 1000                              | fails       |
+            | has the status 20                                | fails       |
+            | follows an interim head with the status 600      | fails       |
+            | has the status 599                               | is complete |
 
     Scenario Outline: the node goes on when a large answer <framing> is <end> while it is not read, and its reader then <action>
         Given a server that sends 1048576 bytes <framing>, and whose connection is then <end>
--- a/features/steps/relay_cut_answer_steps.ts
+++ b/features/steps/relay_cut_answer_steps.ts
@@ -62,6 +62,17 @@
     "has the status 101": `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: raw\r\n\r\n${BODY}`,
     "has a transfer coding other than chunks": `${HEAD}Transfer-Encoding: identity\r\n\r\n${BODY}`,
     "has a transfer coding after its chunks": `${HEAD}Transfer-Encoding: chunked, identity\r\n\r\n${CHUNKS}\r\n`,
+    "has the status 000": `${HEAD.replace("200", "000")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 001": `${HEAD.replace("200", "001")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 099": `${HEAD.replace("200", "099")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 099 on a connection that closes": `${HEAD.replace("200", "099")}Connection: close\r\n\r\n${BODY}`,
+    "has the status 600": `${HEAD.replace("200", "600")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 600 and no length": `${HEAD.replace("200", "600")}\r\n${BODY}`,
+    "has the status 999": `${HEAD.replace("200", "999")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 1000": `${HEAD.replace("200", "1000")}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 20": `${HEAD.replace("200", "20")}Content-Length: 20\r\n\r\n${BODY}`,
+    "follows an interim head with the status 600": `HTTP/1.1 600 Interim\r\n\r\n${HEAD}Content-Length: 20\r\n\r\n${BODY}`,
+    "has the status 599": `${HEAD.replace("200", "599")}Content-Length: 20\r\n\r\n${BODY}`,
     "has a transfer coding other than chunks and is reset": `${HEAD}Transfer-Encoding: identity\r\n\r\n${BODY}`,
 };
 
@@ -157,6 +168,18 @@
     }
 });
 
+Given(
+    /^a server that answers an upload (.+), (before|after) it has read it, and whose connection is then (.+)$/,
+    async function(this: CutScenario, framing: string, moment: string, end: string) {
+        await startServer(this, moment === "before");
+        this.nextAnswer = { bytes: ANSWERS[framing] ?? "", end: end as ConnectionEnd };
+    },
+);
+
+When("its answer to an upload of {int} bytes is read", async function(this: CutScenario, bytes: number) {
+    this.reading = await readAnswer(this, { body: Buffer.alloc(bytes) });
+});
+
 When("its answer is read", async function(this: CutScenario) {
     this.reading = await readAnswer(this);
 });
@@ -207,18 +230,18 @@
     return !/content-length|transfer-encoding/i.test(whole);
 }
 
-async function startServer(scenario: CutScenario): Promise<void> {
+async function startServer(scenario: CutScenario, answersEarly = false): Promise<void> {
     scenario.httpClient = new HttpClient();
-    scenario.byteServer = new ByteServer(() => scenario.nextAnswer);
+    scenario.byteServer = new ByteServer(() => scenario.nextAnswer, answersEarly);
     await scenario.byteServer.start();
 }
 
 /** Sends a request and reads its answer. */
 async function readAnswer(
     { byteServer, httpClient }: CutScenario,
-    reader: { readonly waitMs?: number; readonly givesUp?: boolean } = {},
+    reader: { readonly waitMs?: number; readonly givesUp?: boolean; readonly body?: Buffer } = {},
 ): Promise<AnswerReading> {
-    const request = { method: "POST", path: "/", headers: {}, body: Buffer.from("body") };
+    const request = { method: "POST", path: "/", headers: {}, body: reader.body ?? Buffer.from("body") };
     const exchange = new HttpExchange(httpClient.pool(byteServer.address), request, new AbortController().signal);
     const timeout = setTimeout(() => exchange.cancel(new Error("timeout")), READ_TIMEOUT_MS);
     let bytes = 0;
--- a/features/support/byte_server.ts
+++ b/features/support/byte_server.ts
@@ -6,6 +6,9 @@
 
 import { createServer, type Server, type Socket } from "node:net";
 
+/** Time between the end of a connection and its reset, in milliseconds. */
+const LATE_RESET_MS = 20;
+
 /** How a server ends a connection after its last byte. */
 export enum ConnectionEnd {
     /** Closes it. */
@@ -14,6 +17,8 @@
     LateClose = "closed later",
     /** Resets it. */
     Reset = "reset",
+    /** Closes it, and resets it 20 ms later. */
+    LateReset = "closed, and reset 20 ms later",
     /** Leaves it open. */
     Open = "left open",
 }
@@ -26,11 +31,16 @@
 
 /** Answers each request with the bytes that a function returns for it. */
 export class ByteServer {
+    /** Heads of the requests that have arrived, for each connection. */
+    readonly headsByConnection: string[][] = [];
     private readonly sockets = new Set<Socket>();
     private readonly server: Server;
 
-    /** @param answer Returns the answer to the request with the given head. */
-    constructor(private readonly answer: (head: string) => ByteAnswer) {
+    /**
+     * @param answer Returns the answer to the request with the given head.
+     * @param answersEarly Whether it answers a request once its head has arrived, and reads nothing more on its connection.
+     */
+    constructor(private readonly answer: (head: string) => ByteAnswer, private readonly answersEarly = false) {
         this.server = createServer({ noDelay: true }, socket => this.handleConnection(socket));
     }
 
@@ -55,6 +65,8 @@
 
     private handleConnection(socket: Socket): void {
         let received = "";
+        const heads: string[] = [];
+        this.headsByConnection.push(heads);
         this.sockets.add(socket);
         socket.on("error", () => socket.destroy());
         socket.on("close", () => this.sockets.delete(socket));
@@ -62,11 +74,15 @@
             received += data.toString("latin1");
             const headEnd = received.indexOf("\r\n\r\n");
             const length = Number(/\r\ncontent-length: (\d+)/i.exec(received)?.[1] ?? 0);
-            if (headEnd < 0 || received.length < headEnd + 4 + length) {
+            if (headEnd < 0 || !this.answersEarly && received.length < headEnd + 4 + length) {
                 return;
             }
             const head = received.slice(0, headEnd);
             received = "";
+            heads.push(head);
+            if (this.answersEarly) {
+                socket.pause();
+            }
             writeAnswer(socket, this.answer(head));
         });
     }
@@ -83,6 +99,9 @@
         case ConnectionEnd.Reset:
             socket.write(bytes, "latin1", () => socket.resetAndDestroy());
             return;
+        case ConnectionEnd.LateReset:
+            socket.end(bytes, "latin1", () => setTimeout(() => socket.resetAndDestroy(), LATE_RESET_MS));
+            return;
         case ConnectionEnd.Open:
             socket.write(bytes, "latin1");
             return;
--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -87,6 +87,8 @@
     readonly lines: LogLine[] = [];
     /** Addresses on which the node listens, by use; by default, free ports. */
     readonly listen: Record<string, string> = {};
+    /** Limits of the configurations that {@linkcode configure} writes. */
+    limits: ConfiguredLimits = {};
     private startedNode: RelayNode | undefined;
     private version = 1;
 
@@ -152,7 +154,8 @@
     /** Writes a configuration to the store, by default a newer one that admits the caller's key. */
     configure(settings: { readonly keys?: readonly string[]; readonly version?: number } = {}): void {
         this.version += 2;
-        this.store.put("keyed.op", "config", makeConfiguration(settings.version ?? this.version, settings.keys ?? [API_KEY]));
+        const { version = this.version, keys = [API_KEY] } = settings;
+        this.store.put("keyed.op", "config", makeConfiguration(version, keys, HOST, this.limits));
     }
 
     /** Sends a call and reads its answer; a failed connection resolves with status 0. */
--- a/src/transport/http_client.ts
+++ b/src/transport/http_client.ts
@@ -5,9 +5,12 @@
  */
 
 import { Pool } from "undici";
+import { SystemClock } from "../state/mod.js";
 import { AddressConnections } from "./address_connections.js";
+import type { HttpExchangeRequest } from "./http_exchange.js";
 import { InputLimits } from "./input_limits.js";
 import { makeTimedConnector } from "./timed_connector.js";
+import { readWholeAnswer, type WholeAnswer, type WholeAnswerLimits } from "./whole_answer.js";
 
 /** Maximum number of connections to one address. */
 const MAX_CONNECTIONS_PER_ADDRESS = 256;
@@ -27,6 +30,8 @@
 /** Keeps one set of connections for each address. */
 export class HttpClient {
     private readonly addresses = new Map<string, AddressConnections>();
+    /** Limits of answers to the node itself. Their senders are trusted, and none of them is given up for the bytes of callers. */
+    private readonly ownLimits = new InputLimits(new SystemClock(), Infinity);
     private repeated = 0;
 
     /**
@@ -62,6 +67,18 @@
         return connections;
     }
 
+    /**
+     * Sends a request of the node itself and reads its answer to the end.
+     *
+     * @throws {RangeError} If the answer is too large.
+     * @throws {Error} If the address is none to which a connection can be opened, the exchange fails before the end of the answer, or its
+     *     time is over.
+     */
+    request(address: string, request: HttpExchangeRequest, limits: WholeAnswerLimits): Promise<WholeAnswer> {
+        const inputLimits = this.ownLimits;
+        return readWholeAnswer(signal => this.open(address).send(undefined, { ...request, inputLimits }, signal), limits);
+    }
+
     /** Closes the connections to all addresses that are not in the set. Requests in progress are completed first. */
     retain(addresses: ReadonlySet<string>): void {
         for (const [address, connections] of this.addresses) {
--- a/src/transport/http_engine.ts
+++ b/src/transport/http_engine.ts
@@ -98,13 +98,7 @@
 
     override async readLoad(vm: Vm): Promise<LoadReport> {
         try {
-            const response = await this.client.pool(vm.address).request({
-                method: "GET",
-                path: "/load",
-                headersTimeout: REPORT_TIMEOUT_MS,
-                bodyTimeout: REPORT_TIMEOUT_MS,
-            });
-            return reportSchema.parse(await response.body.json());
+            return reportSchema.parse(await this.readReport(vm, "/load"));
         }
         catch (cause) {
             throw new PlatformError("read load report", vm.id, Executed.No, cause);
@@ -113,18 +107,18 @@
 
     override async readCacheEvents(vm: Vm, after: number): Promise<CacheEventBatch> {
         try {
-            const response = await this.client.pool(vm.address).request({
-                method: "GET",
-                path: `/cache-events?after=${after}`,
-                headersTimeout: REPORT_TIMEOUT_MS,
-                bodyTimeout: REPORT_TIMEOUT_MS,
-            });
-            return cacheEventsSchema.parse(await response.body.json());
+            return cacheEventsSchema.parse(await this.readReport(vm, `/cache-events?after=${after}`));
         }
         catch (cause) {
             throw new PlatformError("read cache events", vm.id, Executed.No, cause);
         }
     }
+
+    private async readReport(vm: Vm, path: string): Promise<unknown> {
+        const request = { method: "GET", path, headers: {} };
+        const { body } = await this.client.request(vm.address, request, { timeoutMs: REPORT_TIMEOUT_MS });
+        return JSON.parse(body.toString("utf8"));
+    }
 }
 
 function toExchangeRequest(request: EngineRequest): HttpExchangeRequest {
--- a/src/transport/http_engine_control.ts
+++ b/src/transport/http_engine_control.ts
@@ -32,38 +32,31 @@
 
     override async order(vm: Vm, order: EngineOrder, signal: AbortSignal): Promise<void> {
         const step = "order setup";
-        let statusCode: number;
+        let status: number;
         try {
-            const response = await this.client.pool(vm.address).request({
+            ({ status } = await this.client.request(vm.address, {
                 method: "PUT",
                 path: "/setup",
                 headers: { "content-type": "application/json" },
-                body: JSON.stringify(order),
-                signal,
-            });
-            await response.body.dump();
-            statusCode = response.statusCode;
+                body: Buffer.from(JSON.stringify(order)),
+            }, { signal }));
         }
         catch (cause) {
             throw new OrderError(step, vm.id, OrderFault.NoAnswer, cause);
         }
-        if (statusCode === FENCED_STATUS) {
+        if (status === FENCED_STATUS) {
             throw new OrderError(step, vm.id, OrderFault.Fenced);
         }
-        if (statusCode !== 202) {
-            throw new OrderError(step, vm.id, OrderFault.NoAnswer, new Error(`status ${statusCode}`));
+        if (status !== 202) {
+            throw new OrderError(step, vm.id, OrderFault.NoAnswer, new Error(`status ${status}`));
         }
     }
 
     override async readState(vm: Vm): Promise<EngineState> {
         try {
-            const response = await this.client.pool(vm.address).request({
-                method: "GET",
-                path: "/setup",
-                headersTimeout: STATE_TIMEOUT_MS,
-                bodyTimeout: STATE_TIMEOUT_MS,
-            });
-            return stateSchema.parse(await response.body.json());
+            const request = { method: "GET", path: "/setup", headers: {} };
+            const { body } = await this.client.request(vm.address, request, { timeoutMs: STATE_TIMEOUT_MS });
+            return stateSchema.parse(JSON.parse(body.toString("utf8")));
         }
         catch (cause) {
             throw new OrderError("read setup", vm.id, OrderFault.NoAnswer, cause);
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -20,6 +20,10 @@
 /** Interim answers, such as 102, after which an exchange fails. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** Lowest and highest status of an answer (RFC 9110, section 15). Callers and libraries give others no meaning, or fail on them. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Lowest status of an answer after which the call may go on elsewhere. */
 const MIN_UNUSED_STATUS = 300;
 
@@ -289,6 +293,10 @@
             this.cancel(new Error("the server sent an answer within the head of another one"));
             return;
         }
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            this.cancel(new Error(`the server sent the status ${status}, which is none of an answer`));
+            return;
+        }
         if (status < 200) {
             this.interimAnswers += 1;
             if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
--- a/src/transport/http_platform.ts
+++ b/src/transport/http_platform.ts
@@ -60,19 +60,16 @@
     async call<Answer>(call: PlatformCall, schema: z.ZodType<Answer>): Promise<Answer> {
         try {
             const timeoutMs = ANSWER_TIMEOUT_MS + (call.waitMs ?? 0);
-            const response = await this.client.pool(this.address).request({
+            const { status, body } = await this.client.request(this.address, {
                 method: call.method,
                 path: call.path,
+                headers: {},
                 body: call.body === undefined ? undefined : Buffer.from(call.body),
-                headersTimeout: timeoutMs,
-                bodyTimeout: timeoutMs,
-                signal: AbortSignal.timeout(timeoutMs),
-            });
-            if (response.statusCode !== 200) {
-                await response.body.dump();
-                throw new Error(`status ${response.statusCode}`);
+            }, { timeoutMs });
+            if (status !== 200) {
+                throw new Error(`status ${status}`);
             }
-            return schema.parse(await response.body.json());
+            return schema.parse(JSON.parse(body.toString("utf8")));
         }
         catch (cause) {
             const executed = isConnectError(cause) ? Executed.No : Executed.Unknown;
--- a/src/transport/relay/mod.ts
+++ b/src/transport/relay/mod.ts
@@ -8,6 +8,7 @@
 export { HttpClient } from "../http_client.js";
 export { HttpExchange } from "../http_exchange.js";
 export { InputLimits } from "../input_limits.js";
+export { readWholeAnswer } from "../whole_answer.js";
 export * from "./caller_server.js";
 export * from "./connection_probe.js";
 export * from "./detour_server.js";
