Exchanges: a part of an answer that ends with its connection is not whole

Callers got a part of an answer as a whole 200 if a server answered an upload with neither a length nor chunks, ended the connection in one direction without reading the upload, and reset it 20 ms later. Streams ended as complete in this way. The same held for answers of peers and of plain services, and for both clients of the log.

The end was probed for a reset once, when it was read, and a request that was not written was not noticed. On loopback, the operating system takes 3.9 MB from Node.js at once although the server reads nothing, so that the part that is not written is not visible to the node either. ConnectionEnd, which holds for all users of HttpExchange, now fails an answer that ends while a part of the request is with the node.

--- a/features/relay_cut_answers.feature
+++ b/features/relay_cut_answers.feature
@@ -60,6 +60,37 @@
             | follows an interim head with the status 600      | fails       |
             | has the status 599                               | is complete |
 
+    # Guards against a part of an answer that is taken for whole because its connection ended, although the request was not read.
+    Scenario Outline: an answer <framing> to <bytes> bytes, sent <moment> they are read on a connection that is then <end>, <outcome>
+        Given a server that answers an upload <framing>, <moment> it has read it, and whose connection is then <end>
+        When its answer to an upload of <bytes> bytes is read
+        Then the answer <outcome>
+
+        Examples:
+            | framing                                  | moment | bytes    | end                           | outcome     |
+            | without a length                         | before | 16000000 | closed                        | fails       |
+            | without a length                         | before | 16000000 | closed, and reset 20 ms later | fails       |
+            | without a length                         | before | 3900000  | closed, and reset 20 ms later | fails       |
+            | without a length                         | before | 900000   | closed, and reset 20 ms later | fails       |
+            | without a length                         | before | 3900000  | reset                         | fails       |
+            | without a length after an interim head   | before | 3900000  | closed, and reset 20 ms later | fails       |
+            | without a length over HTTP/1.0           | before | 3900000  | closed, and reset 20 ms later | fails       |
+            | without a length                         | after  | 3900000  | closed                        | is complete |
+            | without a length                         | after  | 3900000  | closed later                  | is complete |
+            | without a length after an interim head   | after  | 3900000  | closed                        | is complete |
+            | with a length                            | before | 3900000  | left open                     | is complete |
+            | with a length                            | before | 16000000 | closed                        | is complete |
+            | with a length                            | before | 3900000  | closed, and reset 20 ms later | is complete |
+            | with a length over HTTP/1.0              | before | 16000000 | closed                        | is complete |
+            | in chunks                                | before | 16000000 | closed, and reset 20 ms later | is complete |
+            | in chunks after an interim head          | before | 3900000  | left open                     | is complete |
+
+    # Guards against a request on a connection whose end is kept from the HTTP library after an answer that has no body.
+    Scenario: the end of a connection is known at once after an answer without a body
+        Given a server that answers with status 204, and closes each connection soon afterwards
+        When uploads of 20000 bytes are sent 50 ms apart
+        Then each of them is answered
+
     Scenario Outline: the node goes on when a large answer <framing> is <end> while it is not read, and its reader then <action>
         Given a server that sends 1048576 bytes <framing>, and whose connection is then <end>
         When the reader of its answer waits for 200 ms and then <action>
--- a/features/steps/relay_cut_answer_steps.ts
+++ b/features/steps/relay_cut_answer_steps.ts
@@ -176,6 +176,26 @@
     },
 );
 
+Given("a server that answers with status 204, and closes each connection soon afterwards", async function(this: CutScenario) {
+    await startServer(this);
+    this.nextAnswer = { bytes: "HTTP/1.1 204 No Content\r\n\r\n", end: ConnectionEnd.LateClose };
+});
+
+When("uploads of {int} bytes are sent {int} ms apart", async function(this: CutScenario, bytes: number, intervalMs: number) {
+    this.problems = [];
+    for (let upload = 0; upload < 3; upload += 1) {
+        const { failure } = await readAnswer(this, { body: Buffer.alloc(bytes) });
+        if (failure !== undefined) {
+            this.problems.push(failure);
+        }
+        await new Promise(resolve => setTimeout(resolve, intervalMs));
+    }
+});
+
+Then("each of them is answered", function(this: CutScenario) {
+    assert.deepEqual(this.problems, []);
+});
+
 When("its answer to an upload of {int} bytes is read", async function(this: CutScenario, bytes: number) {
     this.reading = await readAnswer(this, { body: Buffer.alloc(bytes) });
 });
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -10,6 +10,7 @@
 import type { Dispatcher, Pool } from "undici";
 import { type AttemptConnection, DispatchStep } from "../protocol/relay/mod.js";
 import { BlockBuffer, GrowingBuffer, type MemoryShare } from "../state/mod.js";
+import { ConnectionEnd } from "./_connection_end.js";
 import { SocketHold } from "./_socket_hold.js";
 import { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
@@ -33,9 +34,6 @@
 /** First line of an answer. Within the head of another one, it shows that the rest of that head is missing. */
 const STATUS_LINE = /HTTP\/\d\.\d [1-5]\d\d/;
 
-/** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
-const RESET_PROBE = "\r\n";
-
 /** Receives the socket of the request that is being written, which undici publishes in its next diagnostics message. */
 let onRequestSocket: ((socket: Socket) => void) | undefined;
 
@@ -105,7 +103,8 @@
     private readonly pacedAnswer: PacedAnswer;
     private isPaced = false;
     private ended = false;
-    private isCloseDelimited = false;
+    /** End of the connection if it delimits the answer. */
+    private connectionEnd: ConnectionEnd | undefined;
     private interimAnswers = 0;
     private error: Error | undefined;
     private socket: Socket | undefined;
@@ -316,7 +315,7 @@
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
         if (headers["content-length"] === undefined && coding === undefined) {
-            this.probeForReset();
+            this.startConnectionEnd();
         }
         this.wakeReader();
     }
@@ -382,21 +381,19 @@
         this.cancel(MEMORY_EXCEEDED);
     }
 
-    /**
-     * Detects a connection reset in a close-delimited answer. Such an answer ends when its connection closes, and a reset that
-     * arrives right after the last bytes is reported as a regular close. Only a write to the socket fails then.
-     */
-    private probeForReset(): void {
-        const { socket } = this;
-        this.isCloseDelimited = true;
-        socket?.prependOnceListener("end", () => socket.write(RESET_PROBE));
+    private startConnectionEnd(): void {
+        const { socket, socketHold: hold } = this;
+        if (socket !== undefined && hold !== undefined) {
+            const onIncomplete = (reason: Error) => this.cancel(reason);
+            this.connectionEnd = new ConnectionEnd({ socket, hold, bodyBytes: this.request.body?.length ?? 0, onIncomplete });
+        }
     }
 
     private handleEnd(): void {
         if (this.error !== undefined) {
             return;
         }
-        if (this.isCloseDelimited && this.socket?.errored) {
+        if (this.connectionEnd !== undefined && this.socket?.errored) {
             this.fail(new Error("the connection was reset within an answer without a length"));
             return;
         }
@@ -414,6 +411,7 @@
     }
 
     private settle(): void {
+        this.connectionEnd?.stop();
         this.updateHold();
         this.signal.removeEventListener("abort", this.onAbort);
         this.wakeReader();
