--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -10,6 +10,7 @@
 import type { Dispatcher, Pool } from "undici";
 import { type AttemptConnection, DispatchStep } from "../protocol/relay/mod.js";
 import { BlockBuffer, GrowingBuffer, type MemoryShare } from "../state/mod.js";
+import { ConnectionEnd } from "./_connection_end.js";
 import { SocketHold } from "./_socket_hold.js";
 import { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
@@ -20,6 +21,10 @@
 /** Interim answers, such as 102, after which an exchange fails. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** Lowest and highest status of an answer (RFC 9110, section 15). Callers and libraries give others no meaning, or fail on them. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** Lowest status of an answer after which the call may go on elsewhere. */
 const MIN_UNUSED_STATUS = 300;
 
@@ -29,9 +34,6 @@
 /** First line of an answer. Within the head of another one, it shows that the rest of that head is missing. */
 const STATUS_LINE = /HTTP\/\d\.\d [1-5]\d\d/;
 
-/** Empty line written to detect a reset connection; RFC 9112, section 2.2, asks servers to ignore it before a request line. */
-const RESET_PROBE = "\r\n";
-
 /** Receives the socket of the request that is being written, which undici publishes in its next diagnostics message. */
 let onRequestSocket: ((socket: Socket) => void) | undefined;
 
@@ -101,7 +103,8 @@
     private readonly pacedAnswer: PacedAnswer;
     private isPaced = false;
     private ended = false;
-    private isCloseDelimited = false;
+    /** End of the connection if it delimits the answer. */
+    private connectionEnd: ConnectionEnd | undefined;
     private interimAnswers = 0;
     private error: Error | undefined;
     private socket: Socket | undefined;
@@ -289,6 +292,10 @@
             this.cancel(new Error("the server sent an answer within the head of another one"));
             return;
         }
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            this.cancel(new Error(`the server sent the status ${status}, which is none of an answer`));
+            return;
+        }
         if (status < 200) {
             this.interimAnswers += 1;
             if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
@@ -308,7 +315,7 @@
         this.headers = headers;
         this.step = DispatchStep.AwaitFirstToken;
         if (headers["content-length"] === undefined && coding === undefined) {
-            this.probeForReset();
+            this.startConnectionEnd();
         }
         this.wakeReader();
     }
@@ -374,21 +381,19 @@
         this.cancel(MEMORY_EXCEEDED);
     }
 
-    /**
-     * Detects a connection reset in a close-delimited answer. Such an answer ends when its connection closes, and a reset that
-     * arrives right after the last bytes is reported as a regular close. Only a write to the socket fails then.
-     */
-    private probeForReset(): void {
-        const { socket } = this;
-        this.isCloseDelimited = true;
-        socket?.prependOnceListener("end", () => socket.write(RESET_PROBE));
+    private startConnectionEnd(): void {
+        const { socket, socketHold: hold } = this;
+        if (socket !== undefined && hold !== undefined) {
+            const onIncomplete = (reason: Error) => this.cancel(reason);
+            this.connectionEnd = new ConnectionEnd({ socket, hold, bodyBytes: this.request.body?.length ?? 0, onIncomplete });
+        }
     }
 
     private handleEnd(): void {
         if (this.error !== undefined) {
             return;
         }
-        if (this.isCloseDelimited && this.socket?.errored) {
+        if (this.connectionEnd !== undefined && this.socket?.errored) {
             this.fail(new Error("the connection was reset within an answer without a length"));
             return;
         }
@@ -406,6 +411,7 @@
     }
 
     private settle(): void {
+        this.connectionEnd?.stop();
         this.updateHold();
         this.signal.removeEventListener("abort", this.onAbort);
         this.wakeReader();
