Relay: send nothing more to failure domains that the operator empties

Waiting calls are refused at once when no server is left (503, Retry-After).

A call that a rollout assigns to a version whose servers are all in emptied domains goes to the proven version; calls of the proven version are refused rather than exposed to an unproven one.

--- a/features/support/following_node.ts
+++ b/features/support/following_node.ts
@@ -4,10 +4,12 @@
  * @module
  */
 
+import assert from "node:assert/strict";
 import { pino } from "pino";
 import { PlatformRecords } from "../../platform/mod.js";
 import { EngineServer } from "../../platform/standin/engine_server.js";
 import {
+    EmptiedDomains,
     EraGuardedLog,
     LogHealth,
     NodeDirectory,
@@ -19,6 +21,7 @@
 import { hashKey, type KeyedLog } from "../../src/protocol/relay/mod.js";
 import { type RelayConfiguration, type RelayServer, SeededRandom } from "../../src/state/relay/mod.js";
 import type { VirtualClock } from "../../standin/virtual_clock.js";
+import type { LogLine } from "./relay_fixture.js";
 
 /** Time in which a node must act on a record, in milliseconds; the platform's bound. */
 export const APPLY_MS = 2_000;
@@ -30,6 +33,7 @@
 export interface FollowingNodeObserver {
     readonly onConfiguration?: (configuration: RelayConfiguration) => void;
     readonly onServerUpdated?: (server: RelayServer) => void;
+    readonly onDomainChange?: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
 /** Parts of a relay node that depend on the platform's log. */
@@ -37,12 +41,15 @@
     readonly follower: LogFollower;
     readonly catalog: ServerCatalog;
     readonly rollouts: VersionRollouts;
+    readonly emptiedDomains: EmptiedDomains;
     readonly directory: NodeDirectory;
     readonly views: TopicViews;
     /** Times at which the node registered again, in milliseconds since the Unix epoch. */
     readonly rejoinedAtMs: number[] = [];
     /** Versions of the configurations that came into force, in order. */
     readonly versions: number[] = [];
+    /** Lines that the node has logged about what it reads. */
+    readonly lines: LogLine[] = [];
     /** Versions whose rollouts the node started, in order. */
     readonly startedRollouts: unknown[] = [];
     /** Number of changes of the log's era that the node has seen. */
@@ -94,6 +101,11 @@
             },
             onRewrite: () => undefined,
         });
+        this.emptiedDomains = new EmptiedDomains({
+            clock,
+            health,
+            onChange: (text, detail) => observer.onDomainChange?.(text, detail),
+        });
         this.directory = new NodeDirectory({
             log: guardedLog,
             clock,
@@ -114,7 +126,13 @@
             views: this.views,
             catalog: this.catalog,
             rollouts: this.rollouts,
-            relayLog: new RelayLog({ logger: pino({ level: "silent" }), clock, linesPerSecond: 1, onCallEnded: () => undefined }),
+            emptiedDomains: this.emptiedDomains,
+            relayLog: new RelayLog({
+                logger: pino({ level: "info" }, { write: line => this.lines.push(JSON.parse(line) as LogLine) }),
+                clock,
+                linesPerSecond: 1,
+                onCallEnded: () => undefined,
+            }),
             applyMs: APPLY_MS,
             leaveMs: APPLY_MS,
             onRead: () => undefined,
@@ -152,10 +170,22 @@
     private async expire(signal: AbortSignal): Promise<void> {
         while (await this.clock.sleep(EXPIRY_INTERVAL_MS, signal)) {
             this.catalog.expire();
+            this.emptiedDomains.expire();
         }
     }
 }
 
+/** Returns a server of the service as a node reads it from its entry, with changes in the platform's format. */
+export function readServerEntry(id: string, changes: Readonly<Record<string, unknown>>): RelayServer {
+    const entry = { ...makeServerEntry("ready", 1), ...changes };
+    const server = new PlatformRecords().decodeServer({
+        key: id.replaceAll(" ", "-"),
+        value: Buffer.from(JSON.stringify(entry)),
+        offset: 0,
+    });
+    return typeof server === "string" ? assert.fail(server) : { ...server, id };
+}
+
 /** Returns the entry of a server in the platform's format. */
 export function makeServerEntry(state: string, sequence: number): Readonly<Record<string, unknown>> {
     return new EngineServer("s").serverEntry("service", { Address: "10.0.0.1:80", State: state, Sequence: sequence });
--- a/src/coordination/relay/final_answer.ts
+++ b/src/coordination/relay/final_answer.ts
@@ -137,14 +137,16 @@
      *
      * @param place Part of the node that decided on it.
      * @param text Text of the answer.
+     * @param lateRetryAfterMs Time after which the caller may retry if too little time is left, in milliseconds; by default, it is not
+     * asked to retry then.
      */
-    refuse(place: AnswerPlace, text: string): void {
+    refuse(place: AnswerPlace, text: string, lateRetryAfterMs?: number): void {
         if (this.breakOffStarted(text)) {
             return;
         }
         const earliestMs = (this.state.retryAtMs ?? 0) - this.settings.clock.now();
         const remainingMs = this.admitted.deadlineMs - this.elapsedMs();
-        const retryAfterMs = decideRetryAfter({ remainingMs, earliestMs }, this.settings.random);
+        const retryAfterMs = decideRetryAfter({ remainingMs, earliestMs }, this.settings.random) ?? lateRetryAfterMs;
         this.sendLocal(RelayOutcome.Refused, { place, status: 503, text, retryAfterMs });
     }
 
--- a/src/coordination/relay/order_history.ts
+++ b/src/coordination/relay/order_history.ts
@@ -57,7 +57,8 @@
     }
 }
 
-function isLater(position: LogPosition, known: LogPosition): boolean {
+/** @returns Whether a position of the log is later than another one; offsets are compared within an era only. */
+export function isLater(position: LogPosition, known: LogPosition): boolean {
     return position.era === known.era ? position.offset > known.offset : position.era > known.era;
 }
 
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -16,7 +16,7 @@
     type EndAttempt,
     type RelayClient,
 } from "../../protocol/relay/mod.js";
-import { type Clock, type RandomSource, Semantics } from "../../state/relay/mod.js";
+import { type Clock, type Homes, type RandomSource, type RelayServer, Semantics } from "../../state/relay/mod.js";
 import type { RetryBudget } from "../retry_budget.js";
 import { discardRest } from "./answer_reader.js";
 import type { CallFingerprint } from "./call_fingerprint.js";
@@ -31,6 +31,7 @@
 import { type AdmittedCall, CallState, DEADLINE_EXCEEDED, FinalAnswer, MISDIRECTED_STATUS } from "./final_answer.js";
 import { ServerAnswer } from "./server_answer.js";
 import { AttemptOutcome, type ServerCallObserver } from "./server_call_observer.js";
+import { homesOf } from "./server_filter.js";
 import type { ServerReach } from "./server_reach.js";
 import type { ServerStatements } from "./server_statements.js";
 import type { ServiceScheduler } from "./service_scheduler.js";
@@ -62,6 +63,12 @@
 /** Assumed tokens per event, used to estimate an answer's events from its tokens. */
 const TOKENS_PER_EVENT = 5;
 
+/**
+ * Time after which a caller may retry a call that no server may get, if too little of its own time is left for a retry, in milliseconds;
+ * an order that ends is applied within a few seconds.
+ */
+const EXCLUDED_RETRY_AFTER_MS = 1_000;
+
 /** Shortest remaining time for which another attempt is made, in milliseconds. */
 const MIN_ATTEMPT_MS = 100;
 
@@ -87,6 +94,8 @@
     readonly detourClient: DetourClient;
     readonly fingerprint: CallFingerprint;
     readonly stopDeadline: StopDeadline;
+    /** Returns whether a call with these homes may still be sent to a server. */
+    readonly mayReceive?: (server: RelayServer, homes: Homes | undefined) => boolean;
 }
 
 /** Serves one admitted call with one or more attempts. */
@@ -97,6 +106,8 @@
     private readonly state: CallState;
     private readonly finalAnswer: FinalAnswer;
     private readonly splitter = new EventStreamSplitter();
+    /** Regions to which the call is confined; `undefined` if to none. */
+    private readonly homes: Homes | undefined;
     private fingerprint = 0;
     private traits: readonly CallTrait[] = [];
     private attempts = 0;
@@ -115,6 +126,7 @@
      * @param admitted Call to serve.
      */
     constructor(private readonly settings: RelayedCallSettings, private readonly admitted: AdmittedCall) {
+        this.homes = homesOf(admitted.route, admitted.workspace);
         this.state = new CallState(admitted.answer.execution);
         this.finalAnswer = new FinalAnswer(settings, admitted, this.state);
     }
@@ -361,6 +373,7 @@
             expectedEvents: this.expectedEvents,
             promptPartId: head.parts.at(-1)?.id,
             excludedServers: this.excludedServers,
+            homes: this.homes,
             mayLeave: () => this.mayDecline() || this.choosePeer() !== undefined,
             signal: this.abortController.signal,
             isTooLateForStop: () => !this.fitsBeforeStop(),
@@ -382,7 +395,7 @@
         const { call, route, service } = this.admitted;
         const { head } = call;
         const extent = { isStream: route.isStream, expectedEvents: this.expectedEvents, objectiveMs: route.objectiveMs };
-        const speeds = slot === undefined ? scheduler(service).speeds(head.id, head.size?.prompt ?? 0) : [slot.speed];
+        const speeds = slot === undefined ? scheduler(service).speeds(head.id, head.size?.prompt ?? 0, this.homes) : [slot.speed];
         const durations = speeds.map(speed => expectedDurationMs(speed, extent));
         return stopDeadline.mayPassOn(durations.length === 0 ? route.objectiveMs : Math.min(...durations));
     }
@@ -395,6 +408,11 @@
         return !this.abortController.signal.aborted;
     }
 
+    /** @returns Whether an order or the call's homes have excluded a server since its slot was reserved. */
+    private isExcluded({ server }: SlotReservation): boolean {
+        return this.settings.mayReceive?.(server, this.homes) === false;
+    }
+
     /** As {@linkcode maySend}, but a peer that was asked for the answer meanwhile goes on. */
     private maySendBesideHedge(slot: SlotReservation): boolean {
         const hasHedge = this.hedge !== undefined && !this.hedge.isOver;
@@ -437,7 +455,7 @@
                 serverId,
                 workspace: workspace?.name,
                 deadlineMs: Math.max(1, Math.floor(this.admitted.deadlineMs - this.elapsedMs())),
-                maySend: () => this.maySendBesideHedge(slot),
+                maySend: () => !this.isExcluded(slot) && this.maySendBesideHedge(slot),
                 lastEventId: this.splitter.lastEventId ?? call.head.lastEventId,
             };
             const send = () => this.settings.client.send(slot.server, call, attempt, abandoned.signal);
@@ -567,10 +585,11 @@
             this.attempts -= 1;
             this.connectFailures += 1;
             this.lastServerReached = false;
-            if (!this.abortController.signal.aborted) {
-                slot.state.suspendUnreachable(UNREACHABLE_SUSPENSION_MS);
+            if (this.abortController.signal.aborted || this.isExcluded(slot)) {
+                return AttemptOutcome.Neutral;
             }
-            return this.abortController.signal.aborted ? AttemptOutcome.Neutral : AttemptOutcome.Broken;
+            slot.state.suspendUnreachable(UNREACHABLE_SUSPENSION_MS);
+            return AttemptOutcome.Broken;
         }
         if (error.fault === AttemptFault.Cancelled) {
             return AttemptOutcome.Neutral;
@@ -657,11 +676,28 @@
         }
         const { head } = this.admitted.call;
         this.settings.recorder.logEvent(head.id, "got no place", {
-            ...this.settings.scheduler(this.admitted.service).describeLoad(head.id),
+            ...this.settings.scheduler(this.admitted.service).describeLoad(head.id, this.homes),
             elapsedMs: Math.round(this.elapsedMs()),
         });
         this.state.retryAtMs = error.retryAtMs;
-        this.finalAnswer.refuse(AnswerPlace.NoSlot, "No backend server is free in time; the call has not run.");
+        switch (error.reason) {
+            case NoSlotReason.Emptied:
+                this.finalAnswer.refuse(
+                    AnswerPlace.EmptiedDomain,
+                    "The backend servers for the call are in failure domains that are kept empty; it has not run.",
+                    EXCLUDED_RETRY_AFTER_MS,
+                );
+                return;
+            case NoSlotReason.Homes:
+                this.finalAnswer.refuse(
+                    AnswerPlace.Homes,
+                    "No backend server is in a region to which the call is confined; it has not run.",
+                    EXCLUDED_RETRY_AFTER_MS,
+                );
+                return;
+            default:
+                this.finalAnswer.refuse(AnswerPlace.NoSlot, "No backend server is free in time; the call has not run.");
+        }
     }
 
     private elapsedMs(): number {
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-import type { Clock, RandomSource } from "../../state/relay/mod.js";
+import type { Clock, Homes, RandomSource } from "../../state/relay/mod.js";
 import type { Demand } from "../allotment/mod.js";
 import { AdmissionGate, type ServerCapacity } from "./admission_gate.js";
 import { ArrivalRate } from "./arrival_rate.js";
@@ -46,8 +46,12 @@
     readonly failureDomain: string;
     readonly clock: Clock;
     readonly random: RandomSource;
-    /** Returns the servers that may be chosen for a call, by its id; they depend on the call during a rollout of another version. */
-    readonly candidates: (callId: string) => readonly ServerState[];
+    /**
+     * Returns the servers that may be chosen for a call, by its id and homes; they depend on the id during a rollout of another version.
+     */
+    readonly candidates: (callId: string, homes?: Homes) => readonly ServerState[];
+    /** Returns why a call must not be sent to any server, by its id and homes; `undefined` if it may be. */
+    readonly findExclusion?: (callId: string, homes?: Homes) => NoSlotReason | undefined;
     /** Returns the servers that receive most of the calls. */
     readonly mainServers: () => readonly ServerState[];
     /** Returns the demand of all other nodes for the service. */
@@ -105,8 +109,8 @@
     }
 
     /** Describes the load for a call's log line: waiting calls, candidate servers, and their slots and calls. */
-    describeLoad(callId: string): Readonly<Record<string, unknown>> {
-        const servers = this.settings.candidates(callId);
+    describeLoad(callId: string, homes?: Homes): Readonly<Record<string, unknown>> {
+        const servers = this.settings.candidates(callId, homes);
         return {
             service: this.settings.service,
             waitingCalls: this.queue.length,
@@ -120,9 +124,9 @@
         };
     }
 
-    /** Returns the speeds of the servers that may be chosen for a call of this many prompt tokens, by its id. */
-    speeds(callId: string, promptTokens: number): readonly ServerSpeed[] {
-        return this.settings.candidates(callId).map(state => ({
+    /** Returns the speeds of the servers that may be chosen for a call of this many prompt tokens, by its id and homes. */
+    speeds(callId: string, promptTokens: number, homes?: Homes): readonly ServerSpeed[] {
+        return this.settings.candidates(callId, homes).map(state => ({
             firstEventMs: state.expectedFirstEventMs(promptTokens),
             msPerEvent: state.msPerEvent,
             callMs: state.measuredCallMs,
@@ -135,6 +139,10 @@
      * @throws {NoSlotError} If the call is refused or aborted before it gets one.
      */
     reserveSlot(request: SlotRequest): Promise<SlotReservation> {
+        const exclusion = this.settings.findExclusion?.(request.id, request.homes);
+        if (exclusion !== undefined) {
+            return Promise.reject(new NoSlotError(this.settings.service, exclusion));
+        }
         if (request.waitLimits.inTimeUntilMs >= this.settings.clock.now()) {
             this.arrivals.record();
         }
@@ -167,6 +175,16 @@
         });
     }
 
+    /** Refuses the waiting calls that must not be sent to any server any more. */
+    refuseExcluded(): void {
+        for (const queued of [...this.queue]) {
+            const exclusion = this.settings.findExclusion?.(queued.request.id, queued.request.homes);
+            if (exclusion !== undefined) {
+                this.rejectQueued(queued, exclusion);
+            }
+        }
+    }
+
     /** Gives free slots to waiting calls and refuses calls that are overdue. */
     dispatchWaiting(): void {
         if (this.queue.length === 0) {
@@ -202,7 +220,8 @@
                 const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now);
                 const slot = mayAdmit ? this.tryReserveSlot(queued.request) : undefined;
                 if (slot === undefined) {
-                    isFull ||= mayAdmit && queued.request.excludedServers.size === 0;
+                    const { excludedServers, homes } = queued.request;
+                    isFull ||= mayAdmit && excludedServers.size === 0 && homes === undefined;
                     remaining.push(queued);
                     continue;
                 }
@@ -286,7 +305,7 @@
             remainingMs: request.deadlineAtMs - now,
         };
         const jitter = { nodeCount: nodeCount(), next: () => random.next() };
-        const choice = chooseServer(this.settings.candidates(request.id), call, jitter);
+        const choice = chooseServer(this.settings.candidates(request.id, request.homes), call, jitter);
         if (choice === undefined) {
             return undefined;
         }
--- a/src/coordination/relay/slot_reservation.ts
+++ b/src/coordination/relay/slot_reservation.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RelayRoute, RelayServer } from "../../state/relay/mod.js";
+import type { Homes, RelayRoute, RelayServer } from "../../state/relay/mod.js";
 import type { PlacementRecord } from "./call_record.js";
 import type { AttemptOutcome } from "./server_call_observer.js";
 import type { InFlightCall, ServerState } from "./server_state.js";
@@ -28,6 +28,8 @@
     readonly promptPartId: string | undefined;
     /** Servers that must not be chosen because earlier attempts failed there. */
     readonly excludedServers: ReadonlySet<string>;
+    /** Regions to which the call is confined; `undefined` if to none. */
+    readonly homes?: Homes | undefined;
     /** Whether a peer can take the call if this node reaches no server. */
     readonly mayLeave: () => boolean;
     /** Cancels the request when aborted. */
@@ -46,6 +48,10 @@
     Stopping = "stopping",
     /** Its caller disconnected, or its deadline passed. */
     Ended = "ended",
+    /** All servers that it may be sent to are in emptied failure domains. */
+    Emptied = "emptied",
+    /** No server is in a region to which it is confined. */
+    Homes = "homes",
 }
 
 /** Thrown when a waiting call gets no slot; this attempt was not sent. */
--- a/src/coordination/relay/version_rollouts.ts
+++ b/src/coordination/relay/version_rollouts.ts
@@ -158,9 +158,17 @@
     /**
      * Returns the servers that may take a call.
      *
+     * @param servers Servers that may be used.
      * @param callId Id of the call; its hash selects the version, the same one on all nodes.
+     * @param open All servers that accept calls, also those that may not be used. While those of the new version may not be used, its
+     * calls go to the others; while the others may not be used, their calls are not exposed to an unproven version.
      */
-    candidates(service: string, servers: readonly ServerState[], callId: string): readonly ServerState[] {
+    candidates(
+        service: string,
+        servers: readonly ServerState[],
+        callId: string,
+        open: readonly ServerState[] = servers,
+    ): readonly ServerState[] {
         const rollout = this.rollouts.get(service);
         if (rollout === undefined) {
             return servers;
@@ -170,6 +178,9 @@
         if (matching.length > 0 || rollout.state === VersionOrderState.RolledBack) {
             return matching;
         }
+        if (open !== servers && open.some(({ server }) => (server.version === rollout.order.version) === isTarget)) {
+            return isTarget ? servers : [];
+        }
         return rollout.state === VersionOrderState.Completed || !isTarget ? servers : [];
     }
 
--- a/src/daemon/relay/log_follower.ts
+++ b/src/daemon/relay/log_follower.ts
@@ -6,6 +6,7 @@
 
 import { isDeepStrictEqual } from "node:util";
 import {
+    type EmptiedDomains,
     type LogHealth,
     runInSteps,
     type ServerCatalog,
@@ -17,7 +18,7 @@
     type TopicViews,
     type VersionRollouts,
 } from "../../coordination/relay/mod.js";
-import type { KeyedLog, KeyedRecord } from "../../protocol/relay/mod.js";
+import { describeCause, type KeyedLog, type KeyedRecord, type LogPosition } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayConfiguration, RelayServer } from "../../state/relay/mod.js";
 import type { RecordReader } from "./record_reader.js";
 import type { RelayLog } from "./relay_log.js";
@@ -32,6 +33,7 @@
     readonly views: TopicViews;
     readonly catalog: ServerCatalog;
     readonly rollouts: VersionRollouts;
+    readonly emptiedDomains: EmptiedDomains;
     readonly relayLog: RelayLog;
     /** Time from the writing of a configuration until it must be in force, in milliseconds. */
     readonly applyMs: number;
@@ -73,8 +75,14 @@
             {
                 applyMs,
                 isLongPoll: true,
-                onSnapshot: applyRecords,
+                onSnapshot: async (list, read) => {
+                    // First and in one step, as calls are sent once a configuration is in force.
+                    this.applyDomainOrders(list, read);
+                    this.settings.emptiedDomains.endUnlisted(new Set(list.map(({ key }) => key)), positionOf(read));
+                    await applyRecords(list, read);
+                },
                 onRecords: async (list, read) => {
+                    this.applyDomainOrders(list, read);
                     await applyRecords(list, read);
                     return list.at(-1);
                 },
@@ -130,12 +138,27 @@
         }
     }
 
+    private applyDomainOrders(list: readonly KeyedRecord[], read: TopicRead): void {
+        for (const record of list) {
+            const { key, offset } = record;
+            try {
+                const order = this.settings.records.decodeDomainOrder(record);
+                if (order !== undefined) {
+                    this.settings.emptiedDomains.apply(order, key, { ...positionOf(read), offset });
+                }
+            }
+            catch (error) {
+                this.settings.relayLog.warn("domain: order ignored", { key, offset, error: describeCause(error) });
+            }
+        }
+    }
+
     private applyOperatorRecord(record: KeyedRecord, read: TopicRead): void {
         let next: RelayConfiguration | undefined;
         try {
             const order = this.settings.records.decodeOrder(record);
             if (order !== undefined) {
-                this.settings.rollouts.applyOrder(order, { era: read.end?.era ?? 0, offset: record.offset });
+                this.settings.rollouts.applyOrder(order, { ...positionOf(read), offset: record.offset });
             }
             next = this.settings.records.decodeConfiguration(record);
         }
@@ -217,6 +240,11 @@
     }
 }
 
+/** @returns Era and end of the topic when it was read. */
+function positionOf({ end }: TopicRead): LogPosition {
+    return end ?? { era: 0, offset: 0 };
+}
+
 /** @returns Whether two entries differ only in the count of reports and in the time that is left to warm up. */
 function isSameServer(left: RelayServer, right: RelayServer): boolean {
     return isDeepStrictEqual({ ...left, sequence: 0, warmUpMs: 0 }, { ...right, sequence: 0, warmUpMs: 0 });
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -12,6 +12,7 @@
     type CallFingerprint,
     CallQuarantine,
     DetourPeers,
+    EmptiedDomains,
     type EraChange,
     EraGuardedLog,
     fromDetourCall,
@@ -23,6 +24,7 @@
     RetryBudget,
     runTask,
     ServerCatalog,
+    ServerFilter,
     ServerLimits,
     ServerPool,
     ServerReach,
@@ -32,6 +34,7 @@
     stopReserveMs,
     TopicViews,
     TurnWatch,
+    UsableServers,
     VersionRollouts,
     WakeablePause,
     WorkspaceQuota,
@@ -129,7 +132,10 @@
     private readonly log: EraGuardedLog;
     private readonly logHealth: LogHealth;
     private readonly topicViews: TopicViews;
+    private readonly emptiedDomains: EmptiedDomains;
+    private readonly filter: ServerFilter;
     private readonly pool: ServerPool;
+    private readonly servers: UsableServers;
     private readonly catalog: ServerCatalog;
     private readonly peers: PeerTable;
     private readonly quota: WorkspaceQuota;
@@ -181,6 +187,12 @@
             onServerUpdated: server => this.updateServer(server),
             onServerRemoved: (server, reason) => this.removeServer(server, reason),
         });
+        this.emptiedDomains = new EmptiedDomains({
+            clock,
+            health: this.logHealth,
+            onChange: (text, detail) => this.handleDomainChange(text, detail),
+        });
+        this.filter = new ServerFilter(this.emptiedDomains);
         this.peers = new PeerTable(clock);
         this.logHealth.peerSteadyMs = () => this.peers.longestLogSteadyMs;
         this.logHealth.peerReadMs = () => this.peers.longestStatedLogSteadyMs;
@@ -193,7 +205,7 @@
         this.quarantine = new CallQuarantine({
             clock,
             random,
-            serverCount: service => this.pool.openServers(service).length,
+            serverCount: service => this.servers.open(service).length,
             nodeCount: () => this.peers.reachablePeers + 1,
             onChange: (text, detail) => this.relayLog.info(text, detail),
         });
@@ -244,11 +256,12 @@
             onRewrite: topic => this.recordRewrite(topic),
         });
         this.pool = new ServerPool(clock, this.peers, { observer: this.rollouts, statements: this.statements });
+        this.servers = new UsableServers(this.pool, this.filter, this.rollouts);
         this.reach = new ServerReach({
             clock,
             random,
             services: () => this.schedulers.keys(),
-            openServers: service => this.pool.openServers(service),
+            openServers: service => this.servers.open(service),
             probe: server => probeConnection(server.address, CONNECT_TIMEOUT_MS),
             onLost: service => this.handleLostService(service),
             onRegained: (service, lostMs) => this.handleRegainedService(service, lostMs),
@@ -269,8 +282,10 @@
             views: this.topicViews,
             catalog: this.catalog,
             rollouts: this.rollouts,
+            emptiedDomains: this.emptiedDomains,
             relayLog: this.relayLog,
-            applyMs: settings.configuration.applyMs,
+            // Orders about failure domains are in the operator's topic as well.
+            applyMs: Math.min(settings.configuration.applyMs, settings.failureDomains.emptyMs ?? Infinity),
             leaveMs: settings.servers.leaveMs,
             onRead: read => this.metrics.recordRead(read),
             onConfiguration: configuration => {
@@ -326,6 +341,7 @@
                 detourClient: new HttpDetourClient(this.peerHttpClient, headers),
                 fingerprint: dependencies.fingerprint,
                 stopDeadline: this.stopDeadline,
+                mayReceive: (server, homes) => this.filter.isUsable(server, homes),
             },
         });
         const onListenerError = (error: unknown) => this.relayLog.error("node: listener failed", error);
@@ -383,8 +399,12 @@
         return new RelayMetrics({
             waitingCalls: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.waitingCalls]),
             sentCalls: () => this.pool.sumByService(state => state.ownCalls),
-            openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
+            openServers: () =>
+                this.pool.sumByService(state =>
+                    state.server.isDraining || !this.filter.isUsable(state.server, undefined) ? 0 : 1
+                ),
             limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
+            emptiedDomains: () => this.emptiedDomains.size,
             peers: () => this.peers.reachablePeers,
             lostServices: () => this.reach.lostServices().length,
             detouredCalls: () => this.detourPeers.openCalls,
@@ -595,6 +615,7 @@
         const intervalMs = () => this.isIdle() ? IDLE_MAINTENANCE_INTERVAL_MS : MAINTENANCE_INTERVAL_MS;
         while (await this.maintenancePause.sleep(intervalMs(), signal)) {
             this.maintain("expiry of servers", () => this.catalog.expire());
+            this.maintain("expiry of orders", () => this.emptiedDomains.expire());
             this.maintain("reach of servers", () => this.reach.check());
             this.maintain("dispatch of waiting calls", () => this.dispatchWaiting());
         }
@@ -630,6 +651,9 @@
         callerGone: AbortSignal,
     ): string | undefined {
         const { clock, headers, logger } = this.dependencies;
+        if (!this.emptiedDomains.isLoaded) {
+            return "The node has not read the operator's orders yet.";
+        }
         const admitted = fromDetourCall(call, { headers, answer, callerGone, nowMs: clock.now() });
         if (typeof admitted === "string") {
             return admitted;
@@ -641,8 +665,19 @@
         return undefined;
     }
 
+    /** Logs an order about a failure domain, and applies it to the calls that wait. */
+    private handleDomainChange(text: string, detail: Readonly<Record<string, unknown>>): void {
+        this.relayLog.info(text, detail);
+        for (const [service, scheduler] of this.schedulers) {
+            this.maintain(`order about a failure domain for ${service}`, () => {
+                scheduler.refuseExcluded();
+                scheduler.dispatchWaiting();
+            });
+        }
+    }
+
     private handleLostService(service: string): void {
-        const servers = this.pool.openServers(service);
+        const servers = this.servers.open(service);
         this.relayLog.warn("reach: no server of a service is reached", {
             service,
             servers: servers.length,
@@ -691,11 +726,12 @@
                 failureDomain: settings.failureDomain,
                 clock,
                 random,
-                mainServers: () => this.rollouts.mainServers(service, this.pool.openServers(service)),
+                mainServers: () => this.servers.main(service),
                 peerDemand: () => this.peers.demandOf(key),
                 reportIntervalMs: () => this.reporter.intervalMs,
                 nodeCount: () => this.peers.reachablePeers + 1,
-                candidates: callId => this.rollouts.candidates(service, this.pool.openServers(service), callId),
+                candidates: (callId, homes) => this.servers.candidates(service, callId, homes),
+                findExclusion: (callId, homes) => this.servers.findExclusion(service, callId, homes),
                 isOutOfReach: () => this.reach.isLost(service),
                 onFirstWaiting: () => this.maintenancePause.wake(),
                 onDispatchFailed: error => this.relayLog.error("node: dispatch failed", error, { service }),
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -57,6 +57,14 @@
         /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
         leaveMs: z.int().min(100),
     }),
+    failureDomains: z.strictObject({
+        /** Time from an order to empty a failure domain until its servers must receive no more calls, in milliseconds. */
+        emptyMs: z.int().min(100).nullish(),
+        /** Region of this node. */
+        region: z.string().nullish(),
+        /** Region of each failure domain, by its name. */
+        regions: z.record(z.string(), z.string()).nullish(),
+    }).default({}),
     /** Retry budget of each service, shared by all nodes. */
     retries: z.strictObject({
         fraction: z.number().min(0).max(1),
--- a/src/protocol/relay/relay_answer.ts
+++ b/src/protocol/relay/relay_answer.ts
@@ -28,6 +28,10 @@
     Admission = "admission",
     /** No backend server was free in time. */
     NoSlot = "no slot",
+    /** All backend servers that the call may be sent to are in emptied failure domains. */
+    EmptiedDomain = "emptied domain",
+    /** No backend server is in a region to which the call is confined. */
+    Homes = "homes",
     /** The time of the call was over, or no attempt is left. */
     Attempts = "attempts",
     /** The node stops before the call can be passed on. */
--- a/src/state/relay/relay_configuration.ts
+++ b/src/state/relay/relay_configuration.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RouteTable } from "./relay_route.js";
+import type { Homes, RouteTable } from "./relay_route.js";
 
 /** Configured capacity of each engine of a service. */
 export interface EngineCapacity {
@@ -34,6 +34,8 @@
     readonly burstTokens: number;
     /** Tokens charged for a call that does not state its size. */
     readonly defaultCallTokens: number;
+    /** Regions to which its calls are confined; `undefined` if to none. */
+    readonly homes?: Homes | undefined;
 }
 
 /** Limits on requests and connections of callers. */
--- a/src/state/relay/relay_route.ts
+++ b/src/state/relay/relay_route.ts
@@ -6,6 +6,9 @@
 
 import type { Semantics } from "../configuration.js";
 
+/** Regions to which calls are confined; an empty set allows none. */
+export type Homes = ReadonlySet<string>;
+
 /** Service of a route with its share of the traffic. */
 export interface ServiceShare {
     readonly service: string;
@@ -38,6 +41,8 @@
     readonly maxAttempts: number;
     /** Whether calls are accepted without a key. */
     readonly isPublic: boolean;
+    /** Regions to which calls are confined; `undefined` if to none. */
+    readonly homes?: Homes | undefined;
 }
 
 /** Routes of one configuration, matched by host and longest path prefix. */
--- a/src/state/relay/relay_server.ts
+++ b/src/state/relay/relay_server.ts
@@ -33,6 +33,13 @@
     readonly durationMs: number;
 }
 
+/** Order about the servers of a failure domain. */
+export interface DomainOrder {
+    readonly failureDomain: string;
+    /** Whether nothing more may be sent to the domain's servers; otherwise the order before it has ended. */
+    readonly isEmptied: boolean;
+}
+
 /** State of the rollout of a {@linkcode VersionOrder}. */
 export enum VersionOrderState {
     Running = "running",
--- a/standin/keyed_log_model.ts
+++ b/standin/keyed_log_model.ts
@@ -29,6 +29,8 @@
 /** Topic of a {@linkcode KeyedLogModel}. */
 interface ModelTopic {
     records: KeyedRecord[];
+    /** First offset that can still be read. */
+    firstOffset: number;
     /** Ends the reads that wait for a record. */
     wakeReads: AbortController;
     /** Whether the next answer to a read is lost. */
@@ -70,6 +72,11 @@
         }
     }
 
+    /** Compacts a topic: earlier offsets become unreadable, and the newest record of each key stays. */
+    compact(topic: string): void {
+        this.open(topic).firstOffset = this.open(topic).records.length;
+    }
+
     /** Copies all topics; {@linkcode restore} goes back to the last copy. */
     copy(): void {
         this.copies = new Map([...this.topics].map(([name, topic]) => [name, [...topic.records]]));
@@ -80,6 +87,7 @@
         this.era += 1;
         for (const [name, topic] of this.topics) {
             topic.records = [...this.copies.get(name) ?? []];
+            topic.firstOffset = 0;
         }
     }
 
@@ -120,7 +128,7 @@
         const { waitMs = 0, answerTimeoutMs = ANSWER_TIMEOUT_MS } = settings;
         return this.serveRead(topic, waitMs + answerTimeoutMs, async () => {
             const { records, wakeReads } = this.open(topic);
-            if (fromOffset > records.length) {
+            if (fromOffset > records.length || fromOffset < this.open(topic).firstOffset) {
                 throw new CompactedError(topic, fromOffset);
             }
             if (records.length === fromOffset) {
@@ -168,7 +176,7 @@
     private open(name: string): ModelTopic {
         let topic = this.topics.get(name);
         if (topic === undefined) {
-            topic = { records: [], wakeReads: new AbortController(), losesAnswer: false, refusesRead: false };
+            topic = { records: [], firstOffset: 0, wakeReads: new AbortController(), losesAnswer: false, refusesRead: false };
             this.topics.set(name, topic);
         }
         return topic;
