Relay: confine calls to the regions of their route and workspace

AllowedRegions of routes and workspaces were ignored. Calls with homes now go to servers in these regions only, also on second attempts, and are handed only to peers in them; where route and workspace both have homes, both bind. A failure domain of unknown region is no home. Without a server at home they are refused at once (503, not run, with the reason).

DetourCall carries the homes (14), and the route of a call with homes in a field of its own (15): builds that do not know it find no route and refuse the call as not run (400). The settings failureDomains.region and .regions come from Region and Zones.

--- a/features/steps/caller_expectation_steps.ts
+++ b/features/steps/caller_expectation_steps.ts
@@ -380,6 +380,8 @@
         deadlineMs: 5_000,
         firstAttemptDeadlineMs: 5_000,
         configurationVersion: 1,
+        homeRegions: [],
+        confinedRoute: undefined,
     }).finish();
     return Buffer.from(message).toString("latin1");
 }
--- a/features/steps/emptied_domain_steps.ts
+++ b/features/steps/emptied_domain_steps.ts
@@ -8,7 +8,7 @@
 import assert from "node:assert/strict";
 import { PeerTable, ServerFilter, ServerPool, UsableServers } from "../../src/coordination/relay/mod.js";
 import { hashKey } from "../../src/protocol/relay/mod.js";
-import { VersionOrderState } from "../../src/state/relay/mod.js";
+import { type Homes, VersionOrderState } from "../../src/state/relay/mod.js";
 import { KeyedLogModel } from "../../standin/keyed_log_model.js";
 import { VirtualClock } from "../../standin/virtual_clock.js";
 import { FollowingNode, readServerEntry } from "../support/following_node.js";
@@ -25,6 +25,9 @@
 
 const SERVICE = "service";
 
+/** Regions of the failure domains a and b; that of c is unknown. */
+const REGIONS: ReadonlyMap<string, string> = new Map([["a", "north"], ["b", "south"]]);
+
 /** Share of the calls that a running rollout gives to the new version at its start. */
 const CANARY_SHARE = 0.04;
 
@@ -72,6 +75,7 @@
     pool: ServerPool;
     usable: UsableServers;
     emptiedDomains: Set<string>;
+    homes: Homes | undefined;
 }
 
 After(async function(this: EmptiedScenario) {
@@ -136,14 +140,19 @@
 );
 
 When(/^there (?:is|are) (?:an order|orders) for (.*)$/, function(this: EmptiedScenario, domains: string) {
-    this.emptiedDomains = new Set(domains.split(" and "));
-    this.usable = new UsableServers(this.pool, new ServerFilter(this.emptiedDomains), this.following.rollouts);
+    this.emptiedDomains = new Set(domains === "none" ? [] : domains.split(" and "));
+    const filter = new ServerFilter(this.emptiedDomains, domain => REGIONS.get(domain));
+    this.usable = new UsableServers(this.pool, filter, this.following.rollouts);
+});
+
+When(/^the homes of the call are (.*)$/, function(this: EmptiedScenario, homes: string) {
+    this.homes = new Set(homes === "no region" ? [] : homes.split(", "));
 });
 
 Then(/^a call of the (old|new) version gets (.*)$/, function(this: EmptiedScenario, version: string, expected: string) {
     const id = findId(version === "new");
-    const candidates = this.usable.candidates(SERVICE, id);
-    const exclusion = this.usable.findExclusion(SERVICE, id);
+    const candidates = this.usable.candidates(SERVICE, id, this.homes);
+    const exclusion = this.usable.findExclusion(SERVICE, id, this.homes);
     if (expected === "the list itself") {
         const list = this.pool.openServers(SERVICE);
         assert.equal(new ServerFilter(this.emptiedDomains).usable(list), list);
--- a/features/steps/relay_detour_port_steps.ts
+++ b/features/steps/relay_detour_port_steps.ts
@@ -209,6 +209,8 @@
         deadlineMs: DEADLINE_MS,
         firstAttemptDeadlineMs: DEADLINE_MS,
         configurationVersion: 1,
+        homeRegions: [],
+        confinedRoute: undefined,
     }).finish();
     const headers = { "Request-Id": "stranger-1", "Content-Length": message.length };
     return new Promise((resolve, reject) => {
--- a/features/steps/relay_emptied_domain_steps.ts
+++ b/features/steps/relay_emptied_domain_steps.ts
@@ -34,8 +34,10 @@
 /** Ports that refuse connections. They are outside the range from which listeners get a free port. */
 const REFUSING_PORTS: readonly number[] = [1, 2, 3, 4];
 
-/** State of a scenario of this file. */
-interface EmptiedRelayScenario extends Scenario {
+/** State of a scenario with two relay nodes before servers in two failure domains. */
+export interface EmptiedRelayScenario extends Scenario {
+    /** Region of each failure domain; the second node is in zone-b then. */
+    regions: Readonly<Record<string, string>> | undefined;
     relays: RelayFixture[];
     /** Servers by their failure domain. */
     zones: Readonly<Record<string, readonly EngineServer[]>>;
@@ -71,6 +73,10 @@
         this.receivedBefore = 0;
         await Promise.all(Object.values(this.zones).flat().map(engine => engine.start()));
         for (const [index, relay] of this.relays.entries()) {
+            if (this.regions !== undefined) {
+                relay.regions = this.regions;
+                relay.failureDomain = index === 0 ? "zone-a" : "zone-b";
+            }
             await relay.start([], false, store => {
                 const ports = condition.endsWith("reaches none") && index === 0 ? [...REFUSING_PORTS] : [];
                 for (const [zone, engines] of Object.entries(this.zones)) {
--- a/features/steps/relay_stop_steps.ts
+++ b/features/steps/relay_stop_steps.ts
@@ -479,6 +479,8 @@
         deadlineMs: 5_000,
         firstAttemptDeadlineMs: 5_000,
         configurationVersion: 1,
+        homeRegions: [],
+        confinedRoute: undefined,
     });
     return Buffer.from(message.finish());
 }
--- a/features/support/odd_records.ts
+++ b/features/support/odd_records.ts
@@ -295,6 +295,8 @@
         deadlineMs: 5_000,
         firstAttemptDeadlineMs: 5_000,
         configurationVersion: 1,
+        homeRegions: [],
+        confinedRoute: undefined,
         route: {
             name: "unsafe",
             isRepeatable: false,
--- a/features/support/relay_fixture.ts
+++ b/features/support/relay_fixture.ts
@@ -87,6 +87,10 @@
     readonly lines: LogLine[] = [];
     /** Addresses on which the node listens, by use; by default, free ports. */
     readonly listen: Record<string, string> = {};
+    /** Failure domain of the node. */
+    failureDomain = "zone-a";
+    /** Region of each failure domain in the node's settings. */
+    regions: Readonly<Record<string, string>> = {};
     private startedNode: RelayNode | undefined;
     private version = 1;
 
@@ -134,7 +138,7 @@
         }
         this.configure();
         this.startedNode = new RelayNode({
-            settings: parseRelaySettings(settingsText(this.nodeName, this.store.address, this.listen), "test.yaml"),
+            settings: parseRelaySettings(this.settingsText(), "test.yaml"),
             clock: this.clock,
             random: new SeededRandom(1),
             logger: pino({ level: "info" }, { write: line => this.lines.push(JSON.parse(line) as LogLine) }),
@@ -149,6 +153,24 @@
         }
     }
 
+    private settingsText(): string {
+        const { nodeName, failureDomain, regions, listen, store } = this;
+        const addresses = ["callers", "readiness", "peers", "metrics"].map(use => `${use}: "${listen[use] ?? "127.0.0.1:0"}"`);
+        return `
+node: ${nodeName}
+failureDomain: ${failureDomain}
+failureDomains: { regions: ${JSON.stringify(regions)} }
+listen: { ${addresses.join(", ")} }
+log: ${store.address}
+isFirstStart: true
+drain: { graceSeconds: 3, balancerLagMs: 50 }
+configuration: { applyMs: 2000 }
+servers: { leaveMs: 2000 }
+retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
+rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+`;
+    }
+
     /** Writes a configuration to the store, by default a newer one that admits the caller's key. */
     configure(settings: { readonly keys?: readonly string[]; readonly version?: number } = {}): void {
         this.version += 2;
@@ -243,22 +265,6 @@
     }
 }
 
-function settingsText(node: string, store: string, listen: Readonly<Record<string, string>>): string {
-    const addresses = ["callers", "readiness", "peers", "metrics"].map(use => `${use}: "${listen[use] ?? "127.0.0.1:0"}"`);
-    return `
-node: ${node}
-failureDomain: zone-a
-listen: { ${addresses.join(", ")} }
-log: ${store}
-isFirstStart: true
-drain: { graceSeconds: 3, balancerLagMs: 50 }
-configuration: { applyMs: 2000 }
-servers: { leaveMs: 2000 }
-retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
-rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
-`;
-}
-
 /** Returns a configuration in the platform's format that admits the given keys; `host` is that of all routes. */
 export function makeConfiguration(version: number, keys: readonly string[], host = HOST, limits: ConfiguredLimits = {}): unknown {
     const route = (name: string, kind: string, changes: Readonly<Record<string, unknown>> = {}) => ({
--- a/measure/record_messages.ts
+++ b/measure/record_messages.ts
@@ -143,6 +143,8 @@
         deadlineMs: 4_000,
         firstAttemptDeadlineMs: 4_500,
         configurationVersion: 7,
+        homeRegions: [],
+        confinedRoute: undefined,
         ...changes,
     };
     const admitted = fromDetourCall(call, {
--- a/src/coordination/relay/detour_call.ts
+++ b/src/coordination/relay/detour_call.ts
@@ -4,10 +4,11 @@
  * @module
  */
 
-import type { DetourCall } from "../../protocol/relay/mod.js";
+import type { DetourCall, DetourRoute } from "../../protocol/relay/mod.js";
 import { type RelayAnswer, type RelayHeaders } from "../../protocol/relay/mod.js";
 import { type RelayRoute, Semantics } from "../../state/relay/mod.js";
 import type { AdmittedCall } from "./final_answer.js";
+import { homesOf } from "./server_filter.js";
 
 /** Largest number in a field of 32 bits. */
 const MAX_UINT32 = 0xffff_ffff;
@@ -24,6 +25,17 @@
 /** Returns the message for a call. */
 export function toDetourCall(admitted: AdmittedCall, settings: DetourSettings): DetourCall {
     const { call, route, workspace, service, deadlineMs, firstAttemptDeadlineMs, configurationVersion } = admitted;
+    const homes = homesOf(route, workspace);
+    const sentRoute: DetourRoute = {
+        name: route.name,
+        isRepeatable: route.semantics === Semantics.Repeatable,
+        isStream: route.isStream,
+        isResumable: route.isResumable,
+        timeoutMs: route.timeoutMs,
+        objectiveMs: route.objectiveMs,
+        rank: toUint32(route.rank),
+        maxAttempts: toUint32(settings.maxAttempts),
+    };
     return {
         headers: [...call.head.endToEnd],
         method: call.method,
@@ -31,22 +43,15 @@
         body: call.body,
         lastEventId: settings.lastEventId ?? "",
         service,
-        route: {
-            name: route.name,
-            isRepeatable: route.semantics === Semantics.Repeatable,
-            isStream: route.isStream,
-            isResumable: route.isResumable,
-            timeoutMs: route.timeoutMs,
-            objectiveMs: route.objectiveMs,
-            rank: toUint32(route.rank),
-            maxAttempts: toUint32(settings.maxAttempts),
-        },
+        route: homes === undefined ? sentRoute : undefined,
         workspace: workspace?.name ?? "",
         workspaceRank: toUint32(workspace?.rank ?? 0),
         elapsedMs: settings.nowMs - call.arrivedAtMs,
         deadlineMs,
         firstAttemptDeadlineMs,
         configurationVersion: toUint32(configurationVersion),
+        homeRegions: [...homes ?? []],
+        confinedRoute: homes === undefined ? undefined : sentRoute,
     };
 }
 
@@ -71,7 +76,7 @@
 }
 
 /** @returns What is wrong with a message whose call cannot be written or timed; `undefined` for any other. */
-function findProblem({ method, target, headers, route, ...times }: DetourCall): string | undefined {
+function findProblem({ method, target, headers, ...times }: DetourCall, route: DetourRoute | undefined): string | undefined {
     const { elapsedMs, deadlineMs, firstAttemptDeadlineMs } = times;
     const durations = [elapsedMs, deadlineMs, firstAttemptDeadlineMs, route?.timeoutMs ?? 0, route?.objectiveMs ?? 0];
     if (!durations.every(duration => Number.isFinite(duration))) {
@@ -103,8 +108,8 @@
     message: DetourCall,
     { headers, answer, callerGone, nowMs }: DetourArrival,
 ): AdmittedCall | string {
-    const { route } = message;
-    const problem = findProblem(message);
+    const route = message.confinedRoute ?? message.route;
+    const problem = findProblem(message, route);
     if (problem !== undefined) {
         return problem;
     }
@@ -123,6 +128,7 @@
         maxPauseMs: undefined,
         shares: [{ service: message.service, weight: 1 }],
         isPublic: message.workspace === "",
+        homes: message.confinedRoute === undefined && message.homeRegions.length === 0 ? undefined : new Set(message.homeRegions),
     };
     return {
         call: {
--- a/src/coordination/relay/detour_peers.ts
+++ b/src/coordination/relay/detour_peers.ts
@@ -5,7 +5,7 @@
  */
 
 import { type DetourPeer, hashKey } from "../../protocol/relay/mod.js";
-import type { Clock, RandomSource } from "../../state/relay/mod.js";
+import type { Clock, Homes, RandomSource } from "../../state/relay/mod.js";
 import type { NodeDirectory } from "./node_directory.js";
 import type { PeerTable } from "./peer_table.js";
 
@@ -25,6 +25,8 @@
     readonly failureDomain: string;
     readonly directory: NodeDirectory;
     readonly peers: PeerTable;
+    /** Returns whether a call with these homes may go to a failure domain; by default, if it has none. */
+    readonly isAtHome?: (failureDomain: string, homes: Homes | undefined) => boolean;
 }
 
 /** Chooses peers by their load and failure domain. */
@@ -48,17 +50,19 @@
      * Chooses a peer for a call.
      *
      * @param excludedNodes Peers that could not take the call.
+     * @param homes Regions to which the call is confined; `undefined` if to none.
      * @returns `undefined` if there is none that reaches the service.
      */
-    choose(service: string, excludedNodes: ReadonlySet<string>): DetourPeer | undefined {
-        const { clock, directory, failureDomain, peers } = this.settings;
+    choose(service: string, excludedNodes: ReadonlySet<string>, homes?: Homes): DetourPeer | undefined {
+        const { clock, directory, failureDomain, peers, isAtHome } = this.settings;
         const now = clock.now();
         const serviceKey = hashKey(service);
         const local: DetourPeer[] = [];
         const remote: DetourPeer[] = [];
         for (const { node, address, failureDomain: domain } of directory.peers()) {
             const isSuspended = now < (this.suspendedUntilMs.get(node) ?? 0);
-            if (!isSuspended && !excludedNodes.has(node) && peers.mayTakeCalls(node, serviceKey)) {
+            const mayReceive = homes === undefined || isAtHome?.(domain, homes) === true;
+            if (mayReceive && !isSuspended && !excludedNodes.has(node) && peers.mayTakeCalls(node, serviceKey)) {
                 (domain === failureDomain ? local : remote).push({ node, address });
             }
         }
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -276,7 +276,7 @@
         if (this.admitted.isDetour || this.excludedPeers.size >= MAX_DETOURS) {
             return undefined;
         }
-        return this.settings.detourPeers.choose(this.admitted.service, this.excludedPeers);
+        return this.settings.detourPeers.choose(this.admitted.service, this.excludedPeers, this.homes);
     }
 
     /** @returns Whether the call is over: its caller has an answer, or it may not be sent again. */
--- a/src/coordination/relay/usable_servers.ts
+++ b/src/coordination/relay/usable_servers.ts
@@ -55,7 +55,8 @@
         if (!isExcluded) {
             return undefined;
         }
-        const hasHomeServer = open.some(({ server }) => this.filter.isAtHome(server.failureDomain, homes));
+        const atHome = open.filter(({ server }) => this.filter.isAtHome(server.failureDomain, homes));
+        const hasHomeServer = atHome.length === open.length || this.rollouts.candidates(service, atHome, callId, open).length > 0;
         return hasHomeServer ? NoSlotReason.Emptied : NoSlotReason.Homes;
     }
 }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -60,7 +60,7 @@
 import type { RecordReader } from "./record_reader.js";
 import { RelayLog } from "./relay_log.js";
 import { RelayMetrics } from "./relay_metrics.js";
-import type { RelaySettings } from "./relay_settings.js";
+import { regionsOf, type RelaySettings } from "./relay_settings.js";
 
 /** Connect timeout for backend servers and peers, in milliseconds; shorter than the second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -192,7 +192,8 @@
             health: this.logHealth,
             onChange: (text, detail) => this.handleDomainChange(text, detail),
         });
-        this.filter = new ServerFilter(this.emptiedDomains);
+        const regions = regionsOf(settings);
+        this.filter = new ServerFilter(this.emptiedDomains, domain => regions.get(domain));
         this.peers = new PeerTable(clock);
         this.logHealth.peerSteadyMs = () => this.peers.longestLogSteadyMs;
         this.logHealth.peerReadMs = () => this.peers.longestStatedLogSteadyMs;
@@ -272,6 +273,7 @@
             failureDomain: settings.failureDomain,
             directory: this.directory,
             peers: this.peers,
+            isAtHome: (domain, homes) => this.filter.isAtHome(domain, homes),
         });
         this.follower = new LogFollower({
             log: this.log,
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -112,3 +112,10 @@
 export function parseRelaySettings(text: string, file: string): RelaySettings {
     return parseSettingsFile(settingsSchema, text, file);
 }
+
+/** Returns the region of each failure domain that the settings state; that of the own one is the node's, unless the table names another. */
+export function regionsOf({ failureDomain, failureDomains }: RelaySettings): ReadonlyMap<string, string> {
+    const regions = new Map(Object.entries(failureDomains.regions ?? {}));
+    const own = regions.get(failureDomain) ?? failureDomains.region ?? undefined;
+    return own === undefined ? regions : regions.set(failureDomain, own);
+}
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -141,6 +141,13 @@
   readonly deadlineMs: number;
   readonly firstAttemptDeadlineMs: number;
   readonly configurationVersion: number;
+  /** Regions to which the call is confined; none if the call has no homes. */
+  readonly homeRegions: readonly string[];
+  /**
+   * Route of a call with homes, in place of the one above. Builds that do not know this field refuse a call without a route as not run, so
+   * that they cannot send it to another region.
+   */
+  readonly confinedRoute: DetourRoute | undefined;
 }
 
 /** Properties of the route under which the first node admitted a call. */
@@ -922,6 +929,8 @@
     deadlineMs: 0,
     firstAttemptDeadlineMs: 0,
     configurationVersion: 0,
+    homeRegions: [],
+    confinedRoute: undefined,
   };
 }
 
@@ -966,6 +975,12 @@
     if (message.configurationVersion !== 0) {
       writer.uint32(104).uint32(message.configurationVersion);
     }
+    for (const v of message.homeRegions) {
+      writer.uint32(114).string(v!);
+    }
+    if (message.confinedRoute !== undefined) {
+      DetourRoute.encode(message.confinedRoute, writer.uint32(122).fork()).join();
+    }
     return writer;
   },
 
@@ -1086,6 +1101,22 @@
             message.configurationVersion = reader.uint32();
             continue;
           }
+          case 14: {
+            if (tag !== 114) {
+              break;
+            }
+
+            message.homeRegions.push(reader.string());
+            continue;
+          }
+          case 15: {
+            if (tag !== 122) {
+              break;
+            }
+
+            message.confinedRoute = DetourRoute.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -9,6 +9,7 @@
     type BrittleServer,
     type CallSuspect,
     DetourCall,
+    DetourRoute,
     type LeavingServer,
     type LostService,
     PeerReport,
