Tests, settings: callers that keep to no limit, against foxtailraild's own process

The limits on bodies and connections can be lowered in the settings (input.*), so that a small crowd exceeds them. 60 callers send bodies that stop short, bodies and heads without end, and announced bodies far over the limit, stay, and come back when closed. Checked: an ordinary call is answered while they stay and after they left, memory under 170 MB, under 160 descriptors, the process ends after SIGTERM.

The product's behaviour is unchanged here.

--- /dev/null
+++ b/features/steps/callers_without_limits_steps.ts
@@ -0,0 +1,104 @@
+/**
+ * Steps about callers that keep to no limit, with the daemon's own process on loopback.
+ *
+ * @module
+ */
+
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { request } from "undici";
+import { type Deployment, readDeployment } from "../../standin/deployment.js";
+import { LocalFleet } from "../../standin/local_fleet.js";
+import { parseRoughInput, RoughCallers } from "../support/rough_callers.js";
+import type { Scenario } from "../support/world.js";
+
+/** Low limits of the daemon, so that a small crowd exceeds them. */
+const LOW_LIMITS = { maxBodyBytes: 1_048_576, maxHeldBytes: 8_388_608, maxConnections: 128 };
+
+/** Time that an ordinary caller waits, and that the platform waits after SIGTERM, in milliseconds: a bound on hanging, not on speed. */
+const PATIENT_MS = 40_000;
+
+/** Answer-time target that even a heavily loaded machine meets, in milliseconds. */
+const RELAXED_ANSWER_MS = 600_000;
+
+const BYTES_PER_MEGABYTE = 1_000_000;
+
+/** State of a scenario of this file. */
+interface RoughScenario extends Scenario {
+    roughFleet: LocalFleet;
+    roughDeployment: Deployment;
+    roughCallers: RoughCallers | undefined;
+}
+
+After(async function(this: RoughScenario) {
+    this.roughCallers?.leave();
+    // A daemon that hangs does not end by SIGTERM.
+    this.roughFleet?.daemons[0]?.process.signal("SIGKILL");
+    await this.roughFleet?.stop();
+});
+
+Given("a daemon with low limits on input", async function(this: RoughScenario) {
+    const deployment = await readDeployment("examples/rastro-sul.yaml");
+    this.roughDeployment = {
+        ...deployment,
+        entryVms: deployment.entryVms.slice(0, 1),
+        pools: deployment.pools.map(pool => ({ ...pool, servers: pool.servers.slice(-1) })),
+        configuration: {
+            ...deployment.configuration,
+            operations: deployment.configuration.operations.map(operation => ({
+                ...operation as object,
+                promise: { answerMs: RELAXED_ANSWER_MS },
+            })),
+        },
+    };
+    this.roughFleet = new LocalFleet({
+        deployment: this.roughDeployment,
+        operatorKey: "operator",
+        daemonSettings: { drain: { balancerLagMs: 200, limitMs: 1_000 }, input: LOW_LIMITS },
+    });
+    await this.roughFleet.start();
+});
+
+When(/^(\d+) callers send (.+) to (\S+)$/, async function(this: RoughScenario, count: string, content: string, path: string) {
+    this.roughCallers = new RoughCallers(this.roughFleet.daemons[0].callerAddress, path, parseRoughInput(content));
+    await this.roughCallers.start(Number(count));
+});
+
+When("the callers leave", function(this: RoughScenario) {
+    this.roughCallers?.leave();
+});
+
+Then("an ordinary call is answered", async function(this: RoughScenario) {
+    const response = await request(`http://${this.roughFleet.daemons[0].callerAddress}/v1/chat/completions`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${this.roughDeployment.workspaces[0].key}`,
+            "content-type": "application/json",
+            "foxtailrail-operation": "dossier-summary",
+        },
+        body: JSON.stringify({ model: "default", max_tokens: 4, messages: [{ role: "user", content: "ordinary" }] }),
+        signal: AbortSignal.timeout(PATIENT_MS),
+    });
+    const text = await response.body.text();
+    assert.equal(response.statusCode, 200, text);
+});
+
+Then(
+    "the daemon lives and has used less than {int} MB and has fewer than {int} descriptors",
+    function(this: RoughScenario, maxMegabytes: number, maxDescriptors: number) {
+        const { pid } = this.roughFleet.daemons[0].process;
+        const kibibytes = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1];
+        const megabytes = Number(kibibytes) * 1_024 / BYTES_PER_MEGABYTE;
+        const descriptors = readdirSync(`/proc/${pid}/fd`).length;
+        assert(megabytes < maxMegabytes, `it has used ${Math.round(megabytes)} MB`);
+        assert(descriptors < maxDescriptors, `it has ${descriptors} descriptors`);
+    },
+);
+
+Then("the daemon ends after SIGTERM", async function(this: RoughScenario) {
+    const timeout = AbortSignal.timeout(PATIENT_MS);
+    const late = new Promise<"late">(resolve => timeout.addEventListener("abort", () => resolve("late")));
+    const end = await Promise.race([this.roughFleet.daemons[0].process.terminate("SIGTERM"), late]);
+    assert.notEqual(end, "late");
+});
--- /dev/null
+++ b/features/support/rough_callers.ts
@@ -0,0 +1,119 @@
+/**
+ * Callers that keep to no limit: they send bodies and heads that do not end and leave their connections open.
+ *
+ * @module
+ */
+
+import { connect, type Socket } from "node:net";
+
+/** Bytes of one write of input without end, at least. */
+const WRITE_BYTES = 65_536;
+
+/** Time after which a caller whose connection was closed comes back, in milliseconds. */
+const RETURN_AFTER_MS = 50;
+
+/** What each caller sends after the request line and the Host header. */
+export interface RoughInput {
+    /** Rest of the head, and bytes that are sent once. */
+    readonly start: Buffer;
+    /** Bytes that are sent again and again; none to stop after the start. */
+    readonly repeated: Buffer;
+}
+
+/** Input by its description in a feature. */
+const INPUTS: readonly (readonly [pattern: RegExp, make: (first: number, second: number) => RoughInput])[] = [
+    [/^(\d+) bytes in chunks of (\d+) that stop short$/, (bytes, size) => ({
+        start: Buffer.concat([CHUNKED, chunks(size, Math.floor(bytes / size))]),
+        repeated: NO_BYTES,
+    })],
+    [/^bytes without end in chunks of (\d+)$/, size => ({
+        start: CHUNKED,
+        repeated: chunks(size, Math.ceil(WRITE_BYTES / size)),
+    })],
+    [/^bodies of (\d+) bytes, announced$/, bytes => ({
+        start: Buffer.from(`Content-Length: ${bytes}\r\n\r\n`),
+        repeated: Buffer.alloc(WRITE_BYTES),
+    })],
+    [/^heads without end$/, () => ({ start: NO_BYTES, repeated: Buffer.from(`X-Rough: ${"x".repeat(1_000)}\r\n`) })],
+    [
+        /^heads that stop after (\d+) bytes$/,
+        bytes => ({ start: Buffer.from(`X-Rough: ${"x".repeat(bytes)}`), repeated: NO_BYTES }),
+    ],
+];
+
+const NO_BYTES = Buffer.alloc(0);
+
+const CHUNKED = Buffer.from("Transfer-Encoding: chunked\r\n\r\n");
+
+/** Returns what a description in a feature means. */
+export function parseRoughInput(text: string): RoughInput {
+    for (const [pattern, make] of INPUTS) {
+        const match = pattern.exec(text);
+        if (match !== null) { // eslint-disable-line no-restricted-syntax -- result type of the language
+            return make(Number(match[1]), Number(match[2]));
+        }
+    }
+    throw new Error(`Cannot send "${text}": there is no such input`);
+}
+
+/** Callers that send until they are told to leave. */
+export class RoughCallers {
+    private readonly sockets = new Set<Socket>();
+    private hasLeft = false;
+
+    /**
+     * @param address Address of the program.
+     * @param path Path of the calls.
+     * @param input What each caller sends.
+     */
+    constructor(private readonly address: string, private readonly path: string, private readonly input: RoughInput) {}
+
+    /** Connects the callers and resolves once each has begun to send, or got no connection. */
+    async start(count: number): Promise<void> {
+        await Promise.all(Array.from({ length: count }, () => this.send()));
+    }
+
+    /** Closes all connections. */
+    leave(): void {
+        this.hasLeft = true;
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+    }
+
+    private send(): Promise<void> {
+        const [host, port] = this.address.split(":");
+        const { start, repeated } = this.input;
+        const socket = connect({ host, port: Number(port) });
+        this.sockets.add(socket);
+        const write = () => {
+            let isWritable = repeated.length > 0;
+            while (isWritable && !socket.destroyed) {
+                isWritable = socket.write(repeated);
+            }
+        };
+        socket.on("drain", write);
+        socket.on("error", () => socket.destroy());
+        socket.resume();
+        return new Promise(resolve => {
+            socket.on("connect", () => {
+                socket.write(`${this.path === "/metrics" ? "GET" : "POST"} ${this.path} HTTP/1.1\r\nHost: app.example\r\n`);
+                socket.write(start);
+                write();
+                resolve();
+            });
+            socket.on("close", () => {
+                this.sockets.delete(socket);
+                resolve();
+                if (!this.hasLeft) {
+                    setTimeout(() => this.hasLeft || void this.send(), RETURN_AFTER_MS);
+                }
+            });
+        });
+    }
+}
+
+/** Formats bytes in chunks of a size (RFC 9112, section 7.1). */
+function chunks(size: number, count: number): Buffer {
+    return Buffer.from(`${size.toString(16)}\r\n${"x".repeat(size)}\r\n`.repeat(count), "latin1");
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -35,8 +35,6 @@
     HttpServer,
     HttpVmList,
     HttpWebhook,
-    MAX_CALLER_CONNECTIONS,
-    MAX_HELD_BODY_BYTES,
     MAX_PEER_CHANNELS,
     type OperationsPage,
     operatorService,
@@ -124,6 +122,11 @@
         this.httpServer = new HttpServer({
             clock,
             node: settings.node,
+            limits: {
+                maxBodyBytes: settings.input.maxBodyBytes,
+                maxHeldBodyBytes: settings.input.maxHeldBytes,
+                maxConnections: settings.input.maxConnections,
+            },
             handler: this.node.handler,
             operationsPage: path => this.operationsPage(path),
             onError: error => this.recordEvent("failed", `A request failed inside the node: ${String(error)}.`),
@@ -252,9 +255,10 @@
     }
 
     private limits(): readonly LimitedQuantity[] {
+        const { input } = this.dependencies.settings;
         return [
-            { name: "MAX_CALLER_CONNECTIONS", limit: MAX_CALLER_CONNECTIONS, read: () => this.httpServer.connections },
-            { name: "MAX_HELD_BODY_BYTES", limit: MAX_HELD_BODY_BYTES, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_CALLER_CONNECTIONS", limit: input.maxConnections, read: () => this.httpServer.connections },
+            { name: "MAX_HELD_BODY_BYTES", limit: input.maxHeldBytes, read: () => this.httpServer.bodyBytes },
             { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keyCount },
             { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
             { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.outbox.size },
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -7,6 +7,7 @@
 import { createHash } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { z } from "zod";
+import { MAX_BODY_BYTES, MAX_CALLER_CONNECTIONS, MAX_HELD_BODY_BYTES } from "../transport/mod.js";
 import { addressSchema, parseSettingsFile, SettingsError } from "./settings_file.js";
 
 /** Time for which a draining node keeps accepting calls, so that the balancer can notice that it is not ready; in milliseconds. */
@@ -46,6 +47,12 @@
         keyHorizonMs: z.int().min(60_000).default(DEFAULT_KEY_HORIZON_MS),
         requireDatedKeys: z.boolean().default(false),
     }).default({ keyHorizonMs: DEFAULT_KEY_HORIZON_MS, requireDatedKeys: false }),
+    /** Limits on what callers send. */
+    input: z.strictObject({
+        maxBodyBytes: z.int().min(1_024).max(MAX_BODY_BYTES).default(MAX_BODY_BYTES),
+        maxHeldBytes: z.int().min(1_048_576).max(MAX_HELD_BODY_BYTES).default(MAX_HELD_BODY_BYTES),
+        maxConnections: z.int().min(1).max(MAX_CALLER_CONNECTIONS).default(MAX_CALLER_CONNECTIONS),
+    }).default({ maxBodyBytes: MAX_BODY_BYTES, maxHeldBytes: MAX_HELD_BODY_BYTES, maxConnections: MAX_CALLER_CONNECTIONS }),
     /** URL that is notified when a rollout completes, is rolled back or is late. */
     webhookUrl: z.url({ protocol: /^https?$/, error: "must be an http or https address" }).optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -69,6 +69,8 @@
     readonly maxBodyBytes: number;
     /** Maximum total size of the bodies held in memory at a time, in bytes. Defaults to {@linkcode MAX_HELD_BODY_BYTES}. */
     readonly maxHeldBodyBytes: number;
+    /** Maximum number of connections from callers. Defaults to {@linkcode MAX_CALLER_CONNECTIONS}. */
+    readonly maxConnections: number;
     /** Time within which a caller must send the headers, in milliseconds. Defaults to 10,000. */
     readonly headersTimeoutMs: number;
     /** Time within which a caller must send the complete request, in milliseconds. Defaults to 30,000. */
@@ -79,6 +81,7 @@
 const DEFAULT_LIMITS: HttpServerLimits = {
     maxBodyBytes: MAX_BODY_BYTES,
     maxHeldBodyBytes: MAX_HELD_BODY_BYTES,
+    maxConnections: MAX_CALLER_CONNECTIONS,
     headersTimeoutMs: HEADERS_TIMEOUT_MS,
     bodyTimeoutMs: BODY_TIMEOUT_MS,
 };
@@ -124,7 +127,7 @@
             noDelay: true,
         });
         this.server.maxHeadersCount = MAX_HEADER_COUNT + 1;
-        this.server.maxConnections = MAX_CALLER_CONNECTIONS;
+        this.server.maxConnections = this.limits.maxConnections;
         const connectionLimits = new ConnectionLimits(this.server, {
             clock: settings.clock,
             onIdle: socket => socket.destroySoon(),
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -40,6 +40,8 @@
     readonly basePort?: number;
     /** Key of the operator. */
     readonly operatorKey: string;
+    /** Settings of the daemons that replace or extend the fleet's. Defaults to none. */
+    readonly daemonSettings?: Readonly<Record<string, unknown>>;
     /** Returns the log address for daemons of a failure domain, such as a forwarder's. Defaults to the log's own address. */
     readonly logAddressFor?: (failureDomain: string, logAddress: string) => string;
 }
@@ -213,6 +215,7 @@
             operators: [{ name: OPERATOR_NAME, keyHash: hashKey(this.settings.operatorKey) }],
             drain: { balancerLagMs: BALANCER_LAG_MS },
             logLevel: "warn",
+            ...this.settings.daemonSettings,
         });
     }
 
