Transport: take in bodies in one way on every port, in slices and turns

Callers saw no answer for 16 s and more beside 100 connections with bodies in one-byte chunks, also after these had left, and SIGTERM had no effect meanwhile. Cause: HttpServer collected bodies by itself and paused none of them, so that the loop was held up by the parser, 2 microseconds for each chunk and eleven thousand chunks for each read of a socket; bodies were read on without bound after a refusal.

- HttpServer uses BodyCollector with InputLimits.
Its own collecting of bodies is gone.
- SlicedInput gives the parser 4 KiB at a time from the moment on that a connection is paced; before, the library reads directly, as it did.
- Paced connections wait in a queue of ReadPacer.
One that has gone leaves it, at no cost to those behind it.
- Refused and unneeded bodies are discarded at a bounded rate; beyond a bound the connection is closed, after the answers to earlier calls.
The status and detour servers did not pace such bodies either.

--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -371,11 +371,13 @@
                 return { status: 200, contentType: this.metrics.contentType, text: await this.metrics.text() };
             }]]),
             error => logger.error({ error: String(error) }, "metrics: failed"),
+            this.inputLimits,
         );
         this.readinessServer = new StatusServer(
             clock,
             new Map([["/-/ready", () => this.readinessResponse()]]),
             error => logger.error({ error: String(error) }, "readiness: failed"),
+            this.inputLimits,
         );
     }
 
--- a/src/state/memory_budget.ts
+++ b/src/state/memory_budget.ts
@@ -7,6 +7,9 @@
 /** Smallest share that is evicted, in bytes: whoever sends without end gets beyond it soon, and ordinary calls stay below it. */
 const MIN_EVICTED_BYTES = 131_072;
 
+/** Multiple of the limit from which on the largest share is evicted whatever its size: many connections may hold little each. */
+const HARD_LIMIT_FACTOR = 2;
+
 /** Bytes that one holder keeps, such as an answer that is not complete. */
 export class MemoryShare {
     private held = 0;
@@ -62,8 +65,11 @@
     private used = 0;
     private evictionCount = 0;
 
-    /** @param limitBytes Number of bytes that all shares may have together. */
-    constructor(private readonly limitBytes: number) {}
+    /**
+     * @param limitBytes Number of bytes that all shares may have together.
+     * @param minEvictedBytes Smallest share that is evicted, in bytes, unless the shares have twice the limit. Defaults to 128 KiB.
+     */
+    constructor(private readonly limitBytes: number, private readonly minEvictedBytes = MIN_EVICTED_BYTES) {}
 
     /** Number of bytes that are held. */
     get usedBytes(): number {
@@ -104,9 +110,10 @@
     }
 
     private findLargest(): MemoryShare | undefined {
+        const minBytes = this.used > this.limitBytes * HARD_LIMIT_FACTOR ? 1 : this.minEvictedBytes;
         let largest: MemoryShare | undefined;
         for (const share of this.evictableShares) {
-            if (share.bytes >= (largest?.bytes ?? MIN_EVICTED_BYTES)) {
+            if (share.bytes >= (largest?.bytes ?? minBytes)) {
                 largest = share;
             }
         }
--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -9,6 +9,12 @@
 import type { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
 
+/** Bytes that are discarded at the cost of one piece: 100 MB a second at the default rate. */
+const DISCARDED_BYTES_PER_PIECE = 1_024;
+
+/** Largest body that is read behind a request that needs none, in bytes. */
+const MAX_IGNORED_BYTES = 65_536;
+
 /** Settings of a {@linkcode BodyCollector}. */
 export interface BodyCollectorSettings {
     readonly inputLimits: InputLimits;
@@ -48,11 +54,13 @@
     /** Whether the bytes were discarded for lack of memory. */
     isEvicted = false;
     private isReleased = false;
+    private isComplete = false;
     private readonly content = new BlockBuffer();
     private readonly memoryShare: MemoryShare;
 
     /**
-     * Starts reading.
+     * Starts reading. The memory of a body that does not come to its end is returned when its connection closes, and that of a complete
+     * one when {@linkcode release} is called.
      *
      * @param request Request with the body.
      * @param settings See {@linkcode BodyCollectorSettings}.
@@ -63,7 +71,14 @@
         const pace = new PacedBody(pacer, request);
         request.on("data", (chunk: Buffer) => {
             this.add(chunk);
-            pace.record(1);
+            pace.record(this.isDiscarding ? 1 + Math.floor(chunk.length / DISCARDED_BYTES_PER_PIECE) : 1);
+        });
+        request.on("end", () => this.isComplete = true);
+        request.on("close", () => {
+            pace.close();
+            if (!this.isComplete) {
+                this.release();
+            }
         });
     }
 
@@ -85,12 +100,16 @@
         this.memoryShare.close();
     }
 
+    private get isDiscarding(): boolean {
+        return this.isEvicted || this.isReleased;
+    }
+
     private add(chunk: Buffer): void {
         this.size += chunk.length;
         if (this.isTooLarge) {
             this.release();
         }
-        else if (!this.isEvicted && !this.isReleased) {
+        else if (!this.isDiscarding) {
             this.content.append(chunk);
             this.memoryShare.resize(this.content.length);
         }
@@ -103,3 +122,25 @@
         this.settings.onEvicted?.();
     }
 }
+
+/**
+ * Reads and discards the body of a request that is answered without it.
+ *
+ * @param inputLimits Limits of the node.
+ * @param close Closes the connection of a body that is larger than 64 KiB; called with each further part of it.
+ */
+export function discardBody(request: IncomingMessage, inputLimits: InputLimits, close: () => void): void {
+    if (request.listenerCount("data") > 0) {
+        return;
+    }
+    const body = new BodyCollector(request, {
+        inputLimits,
+        maxBytes: 0,
+        onProgress: size => {
+            if (size > MAX_IGNORED_BYTES) {
+                close();
+            }
+        },
+    });
+    request.on("close", () => body.release());
+}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -15,12 +15,16 @@
     Refusal,
     RefusalType,
 } from "../protocol/mod.js";
-import { afterArrivedInput, BlockBuffer, type Clock } from "../state/mod.js";
+import { afterArrivedInput, type Clock } from "../state/mod.js";
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
+import { BodyCollector, discardBody } from "./body_collector.js";
 import { ConnectionLimits } from "./connection_limits.js";
+import { InputLimits } from "./input_limits.js";
 import { InterimHeads } from "./interim_heads.js";
 import { listen } from "./listen.js";
+import { DEFAULT_PIECES_PER_MS } from "./read_pacer.js";
+import { SlicedInput } from "./sliced_input.js";
 import { offersUpgrade } from "./upgrade_offer.js";
 
 /** Maximum size of the body of a call, in bytes. */
@@ -47,6 +51,15 @@
 /** Interval at which connections are checked for callers that are too slow, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
+/** Multiple of the maximum body size up to which a refused body is read and discarded, so that its caller reads the refusal. */
+const MAX_DISCARDED_BODY_FACTOR = 2;
+
+/** Factor by which one body in chunks of a byte may be read faster than it has to be to come in time. */
+const PACE_MARGIN = 1.25;
+
+/** Retry-after time sent to callers of a node that holds too many bodies, in milliseconds. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
 /** Retry-after time sent to callers of a node that has stopped, in milliseconds. */
 const STOPPED_RETRY_AFTER_MS = 1_000;
 
@@ -107,7 +120,7 @@
     private readonly interimHeads: InterimHeads;
     private readonly limits: HttpServerLimits;
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
-    private heldBodyBytes = 0;
+    private readonly inputLimits: InputLimits;
     private callCount = 0;
     private isClosing = false;
     private isStopped = false;
@@ -117,6 +130,12 @@
     /** @param settings See {@linkcode HttpServerSettings}. */
     constructor(private readonly settings: HttpServerSettings) {
         this.limits = { ...DEFAULT_LIMITS, ...settings.limits };
+        const { maxBodyBytes, maxHeldBodyBytes, bodyTimeoutMs } = this.limits;
+        this.inputLimits = new InputLimits(settings.clock, maxHeldBodyBytes, {
+            // The largest body is to come in time also if each of its chunks has one byte.
+            piecesPerMs: Math.max(DEFAULT_PIECES_PER_MS, PACE_MARGIN * maxBodyBytes / bodyTimeoutMs),
+            minEvictedBytes: 1,
+        });
         this.server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
             headersTimeout: this.limits.headersTimeoutMs,
@@ -133,6 +152,7 @@
             onIdle: socket => socket.destroySoon(),
         });
         this.interimHeads = new InterimHeads(this.server);
+        new SlicedInput(this.server, this.inputLimits);
         this.server.on("connection", socket => this.trackSocket(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("connect", (request, socket) => this.handleTunnel(socket as Socket));
@@ -148,7 +168,17 @@
 
     /** Total size of the bodies held in memory, in bytes. */
     get bodyBytes(): number {
-        return this.heldBodyBytes;
+        return this.inputLimits.memory.usedBytes;
+    }
+
+    /** Number of bodies that were discarded because bodies took too much memory and theirs was the largest. */
+    get evictions(): number {
+        return this.inputLimits.memory.evictions;
+    }
+
+    /** Number of connections that wait for their turn because they bring many small pieces. */
+    get pacedConnections(): number {
+        return this.inputLimits.pacer.waitingConnections;
     }
 
     /** Starts listening and returns the bound port. */
@@ -209,7 +239,7 @@
 
     private async answer(request: IncomingMessage, response: ServerResponse, writer: HttpAnswerWriter): Promise<void> {
         if (request.headers.host === undefined && request.httpVersion === HOST_VERSION) {
-            request.resume();
+            this.discardBody(request);
             writer.refuse(
                 new Refusal(RefusalType.InvalidRequest, "The call has no Host header. Send one.", { field: "headers" }),
             );
@@ -222,10 +252,12 @@
         }
         catch (error) {
             this.settings.onError?.(error);
+            this.discardBody(request);
             refuseAfterError(writer, error, Executed.No);
             return;
         }
         if (page !== undefined) {
+            this.discardBody(request);
             writer.writeComplete(page, Buffer.from(page.body));
             return;
         }
@@ -263,28 +295,29 @@
                 abortController.abort(CALLER_GONE);
             }
         });
-        let body: Buffer;
+        let body: BodyCollector | undefined;
         try {
             body = await this.readBody(request);
         }
         catch (error) {
-            request.resume();
+            this.discardBody(request);
             writer.refuse(error instanceof Refusal ? error : new Refusal(RefusalType.CallerGone, "The caller went away."));
             return;
         }
         if (this.isStopped) {
-            this.heldBodyBytes -= body.length;
+            body?.release();
             writer.refuse(new Refusal(RefusalType.NotReady, "The node has stopped.", { retryAfterMs: STOPPED_RETRY_AFTER_MS }));
             return;
         }
         this.callCount += 1;
         this.callAborts.add(abortController);
         try {
-            await this.settings.handler.handle(this.toCall(request, { ...target, body, abortController }), writer);
+            const call = this.toCall(request, { ...target, body: body?.take() ?? EMPTY_BODY, abortController });
+            await this.settings.handler.handle(call, writer);
         }
         finally {
             this.callAborts.delete(abortController);
-            this.heldBodyBytes -= body.length;
+            body?.release();
         }
     }
 
@@ -307,52 +340,50 @@
         };
     }
 
-    private readBody(request: IncomingMessage): Promise<Buffer> {
+    private discardBody(request: IncomingMessage): void {
+        discardBody(request, this.inputLimits, () => this.closeAfterAnswers(request.socket));
+    }
+
+    /** Closes a connection once the calls that were read from it are answered. */
+    private closeAfterAnswers(socket: Socket): void {
+        if (!socket.writableEnded) {
+            this.connectionBySocket.get(socket)?.afterAnswers(() => socket.destroySoon());
+        }
+    }
+
+    /**
+     * Reads the body of a call; `undefined` if it has none.
+     *
+     * @throws {Refusal} If the headers or the body exceed a limit. The rest of the body is discarded.
+     */
+    private readBody(request: IncomingMessage): Promise<BodyCollector | undefined> {
         checkHeaders(request);
         if (request.headers["content-length"] === undefined && request.headers["transfer-encoding"] === undefined) {
-            return Promise.resolve(EMPTY_BODY);
+            return Promise.resolve(undefined);
         }
+        const { maxBodyBytes } = this.limits;
         return new Promise((resolve, reject) => {
-            const body = new BlockBuffer();
-            let size = 0;
-            const fail = (error: Error) => {
-                request.removeAllListeners("data");
-                this.heldBodyBytes -= size;
-                size = 0;
-                reject(error);
-            };
-            request.on("data", (chunk: Buffer) => {
-                size += chunk.length;
-                this.heldBodyBytes += chunk.length;
-                const refusal = this.checkBodySize(size);
-                if (refusal !== undefined) {
-                    fail(refusal);
-                    return;
-                }
-                body.append(chunk);
-            });
-            request.on("end", () => resolve(body.take()));
-            request.on("error", fail);
-            request.on("aborted", () => fail(CALLER_GONE));
-        });
-    }
-
-    private checkBodySize(size: number): Refusal | undefined {
-        if (size > this.limits.maxBodyBytes) {
-            return new Refusal(
-                RefusalType.BodyTooLarge,
-                `Body is larger than ${this.limits.maxBodyBytes} bytes. Send a smaller one.`,
-                {
-                    field: "body",
+            const body = new BodyCollector(request, {
+                inputLimits: this.inputLimits,
+                maxBytes: maxBodyBytes,
+                onProgress: size => {
+                    if (size > maxBodyBytes) {
+                        const text = `Body is larger than ${maxBodyBytes} bytes. Send a smaller one.`;
+                        reject(new Refusal(RefusalType.BodyTooLarge, text, { field: "body" }));
+                    }
+                    if (size > maxBodyBytes * MAX_DISCARDED_BODY_FACTOR) {
+                        this.closeAfterAnswers(request.socket);
+                    }
+                },
+                onEvicted: () => {
+                    const text = "This node holds as many bodies as it may. Try again.";
+                    reject(new Refusal(RefusalType.Overloaded, text, { retryAfterMs: MEMORY_RETRY_AFTER_MS }));
                 },
-            );
-        }
-        if (this.heldBodyBytes > this.limits.maxHeldBodyBytes) {
-            return new Refusal(RefusalType.Overloaded, "This node holds as many bodies as it may. Try again.", {
-                retryAfterMs: 1_000,
             });
-        }
-        return undefined;
+            request.on("end", () => resolve(body));
+            request.on("error", reject);
+            request.on("aborted", () => reject(CALLER_GONE));
+        });
     }
 }
 
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -16,11 +16,12 @@
     STOPPING_RETRY_AFTER_MS,
 } from "../../protocol/relay/mod.js";
 import { afterArrivedInput, type CallerLimits, type Clock } from "../../state/relay/mod.js";
-import { BodyCollector } from "../body_collector.js";
+import { BodyCollector, discardBody } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
+import { SlicedInput } from "../sliced_input.js";
 import { offersUpgrade } from "../upgrade_offer.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -143,6 +144,7 @@
             },
         });
         this.interimHeads = new InterimHeads(this.server);
+        new SlicedInput(this.server, this.inputLimits);
         this.server.on("connection", socket => this.handleConnection(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => {
@@ -283,7 +285,8 @@
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const connection = this.connections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
-            request.resume();
+            // The answer to an earlier call closes the connection.
+            discardBody(request, this.inputLimits, () => undefined);
             request.on("end", () => this.reportUnanswered(request));
             return;
         }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -7,11 +7,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { AnswerPlace, describeCause, DetourCall, type LocalAnswer } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
-import { BodyCollector } from "../body_collector.js";
+import { BodyCollector, discardBody } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
+import { SlicedInput } from "../sliced_input.js";
 import type { WrittenLocalAnswer } from "./caller_server.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
 
@@ -73,6 +74,7 @@
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
         new ConnectionLimits(this.server, { clock: settings.clock, onIdle: socket => socket.destroySoon() });
         this.interimHeads = new InterimHeads(this.server);
+        new SlicedInput(this.server, this.inputLimits);
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         // The library's own answer would stand in place of that to a call that runs.
         this.server.on("clientError", (error, socket) => socket.destroy(error));
@@ -201,6 +203,7 @@
         this.settings.onRejected("detour: call rejected", { sender: request.socket.remoteAddress, status, text });
         answer.closeAfterwards();
         answer.sendLocal(localAnswer);
-        request.resume();
+        // The answer closes the connection.
+        discardBody(request, this.inputLimits, () => undefined);
     }
 }
--- a/src/transport/relay/status_server.ts
+++ b/src/transport/relay/status_server.ts
@@ -6,8 +6,11 @@
 
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { Clock } from "../../state/relay/mod.js";
+import { discardBody } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
+import { InputLimits } from "../input_limits.js";
 import { listen } from "../listen.js";
+import { SlicedInput } from "../sliced_input.js";
 
 /** Answer to a request for one path. */
 export interface StatusPage {
@@ -24,15 +27,23 @@
      * @param clock Clock by which idle connections are closed.
      * @param pages Functions that generate the answer for each path.
      * @param onError Called when generating an answer fails, or a connection cannot be accepted.
+     * @param inputLimits Limits that all connections of the node share. By default, these have their own.
      */
     constructor(
         clock: Clock,
         private readonly pages: ReadonlyMap<string, () => Promise<StatusPage> | StatusPage>,
         private readonly onError: (error: unknown) => void,
+        inputLimits: InputLimits = new InputLimits(clock),
     ) {
         this.server = createServer();
         new ConnectionLimits(this.server, { clock, onIdle: socket => socket.destroySoon() });
+        new SlicedInput(this.server, inputLimits);
         this.server.on("request", (request, response) => {
+            discardBody(request, inputLimits, () => {
+                if (!request.socket.writableEnded) {
+                    request.socket.destroySoon();
+                }
+            });
             this.answer(request.url ?? "/", response).catch((error: unknown) => {
                 this.onError(error);
                 response.destroy();
