Transport: read a paced connection on after it was switched to slices

A connection that was paused while the library read its socket directly was never read again once it was switched to slices: the library resumes such a socket by its own listener only, which is removed with the switch. A single call in chunks of a byte got 408 (4 MiB and 200,000 bytes, in process). The switch of a paused connection now waits until it is resumed.

--- a/features/callers_without_limits.feature
+++ b/features/callers_without_limits.feature
@@ -27,3 +27,16 @@
             | heads that stop after 30000 bytes               | /v1/chat/completions |
             | bytes without end in chunks of 1                | /metrics             |
             | bytes without end in chunks of 65536            | /metrics             |
+
+    # Guards against a paced connection that is not read on.
+    Scenario Outline: a call of <bytes> bytes in chunks of 1 is answered when there is no other load
+        Given a daemon with low limits on input
+        Then a call of <bytes> bytes in chunks of 1 is answered
+        And an ordinary call is answered
+
+        Examples:
+            | bytes  |
+            | 500    |
+            | 10000  |
+            | 100000 |
+            | 500000 |
--- a/features/steps/callers_without_limits_steps.ts
+++ b/features/steps/callers_without_limits_steps.ts
@@ -7,6 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { readdirSync, readFileSync } from "node:fs";
+import { Readable } from "node:stream";
 import { request } from "undici";
 import { type Deployment, readDeployment } from "../../standin/deployment.js";
 import { LocalFleet } from "../../standin/local_fleet.js";
@@ -70,18 +71,13 @@
 });
 
 Then("an ordinary call is answered", async function(this: RoughScenario) {
-    const response = await request(`http://${this.roughFleet.daemons[0].callerAddress}/v1/chat/completions`, {
-        method: "POST",
-        headers: {
-            authorization: `Bearer ${this.roughDeployment.workspaces[0].key}`,
-            "content-type": "application/json",
-            "foxtailrail-operation": "dossier-summary",
-        },
-        body: JSON.stringify({ model: "default", max_tokens: 4, messages: [{ role: "user", content: "ordinary" }] }),
-        signal: AbortSignal.timeout(PATIENT_MS),
-    });
-    const text = await response.body.text();
-    assert.equal(response.statusCode, 200, text);
+    await assertAnswered(this, formatBody("ordinary"));
+});
+
+Then("a call of {int} bytes in chunks of 1 is answered", async function(this: RoughScenario, bytes: number) {
+    const emptyBytes = formatBody("").length;
+    const body = formatBody("x".repeat(bytes - emptyBytes));
+    await assertAnswered(this, Readable.from(body, { objectMode: true }));
 });
 
 Then(
@@ -102,3 +98,24 @@
     const end = await Promise.race([this.roughFleet.daemons[0].process.terminate("SIGTERM"), late]);
     assert.notEqual(end, "late");
 });
+
+/** Formats the body of a call. */
+function formatBody(content: string): string {
+    return JSON.stringify({ model: "default", max_tokens: 4, messages: [{ role: "user", content }] });
+}
+
+/** Sends a call whose body is a text, or a stream in chunks, and expects a complete answer. */
+async function assertAnswered({ roughFleet, roughDeployment }: RoughScenario, body: string | Readable): Promise<void> {
+    const response = await request(`http://${roughFleet.daemons[0].callerAddress}/v1/chat/completions`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${roughDeployment.workspaces[0].key}`,
+            "content-type": "application/json",
+            "foxtailrail-operation": "dossier-summary",
+        },
+        body,
+        signal: AbortSignal.timeout(PATIENT_MS),
+    });
+    const text = await response.body.text();
+    assert.equal(response.statusCode, 200, text);
+}
--- a/src/transport/sliced_input.ts
+++ b/src/transport/sliced_input.ts
@@ -46,6 +46,11 @@
     }
 
     private slice(socket: Socket): void {
+        if (socket.isPaused()) {
+            // The library reads the socket on only if it paused and resumes it in the same way.
+            socket.once("resume", () => this.slice(socket));
+            return;
+        }
         const [parse, ...others] = socket.listeners("data") as ((bytes: Buffer) => void)[];
         if (parse === undefined || others.length > 0) {
             // A tunnel, which the parser does not read.
