Transport, metrics: bound the memory of incomplete gRPC messages

10 connections to the port of peers and operators, each with 10 messages that stop a byte short of 7.9 MB, took 880 MB: the library bounds the size of one message only, and collects messages before any key is checked. An interceptor counts the bytes of incomplete messages of the node; beyond 16 MiB the largest call is closed with RESOURCE_EXHAUSTED before its handler is called. A connection has at most 256 calls at a time.

foxtailrail_evictions and foxtailrail_paced_connections show what is given up and paced, and MAX_HELD_MESSAGE_BYTES is a limited quantity.

--- a/features/callers_without_limits.feature
+++ b/features/callers_without_limits.feature
@@ -40,3 +40,12 @@
             | 10000  |
             | 100000 |
             | 500000 |
+
+    # Guards against incomplete gRPC messages that take all memory of the process.
+    Scenario: incomplete messages to the port of peers and operators do not disturb calls
+        Given a daemon with low limits on input
+        When 10 peers each send 10 messages of 7900000 bytes that stop short
+        Then an ordinary call is answered
+        And the daemon lives and has used less than 170 MB and has fewer than 160 descriptors
+        And the metric "foxtailrail_evictions" is over 0
+        And the daemon ends after SIGTERM
--- a/features/steps/callers_without_limits_steps.ts
+++ b/features/steps/callers_without_limits_steps.ts
@@ -12,6 +12,7 @@
 import { type Deployment, readDeployment } from "../../standin/deployment.js";
 import { LocalFleet } from "../../standin/local_fleet.js";
 import { parseRoughInput, RoughCallers } from "../support/rough_callers.js";
+import { RoughPeers } from "../support/rough_peers.js";
 import type { Scenario } from "../support/world.js";
 
 /** Low limits of the daemon, so that a small crowd exceeds them. */
@@ -30,10 +31,12 @@
     roughFleet: LocalFleet;
     roughDeployment: Deployment;
     roughCallers: RoughCallers | undefined;
+    roughPeers: RoughPeers | undefined;
 }
 
 After(async function(this: RoughScenario) {
     this.roughCallers?.leave();
+    this.roughPeers?.leave();
     // A daemon that hangs does not end by SIGTERM.
     this.roughFleet?.daemons[0]?.process.signal("SIGKILL");
     await this.roughFleet?.stop();
@@ -66,6 +69,20 @@
     await this.roughCallers.start(Number(count));
 });
 
+When(
+    "{int} peers each send {int} messages of {int} bytes that stop short",
+    async function(this: RoughScenario, peers: number, messages: number, bytes: number) {
+        this.roughPeers = new RoughPeers(this.roughFleet.daemons[0].peerAddress);
+        await this.roughPeers.start(peers, messages, bytes);
+    },
+);
+
+Then("the metric {string} is over {int}", async function(this: RoughScenario, name: string, least: number) {
+    const response = await request(`http://${this.roughFleet.daemons[0].callerAddress}/metrics`);
+    const value = new RegExp(`^${name} (\\d+)$`, "m").exec(await response.body.text())?.[1];
+    assert(Number(value) > least, `it is ${value}`);
+});
+
 When("the callers leave", function(this: RoughScenario) {
     this.roughCallers?.leave();
 });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -35,6 +35,7 @@
     HttpServer,
     HttpVmList,
     HttpWebhook,
+    MAX_HELD_MESSAGE_BYTES,
     MAX_PEER_CHANNELS,
     type OperationsPage,
     operatorService,
@@ -137,6 +138,10 @@
         if (this.node.scheduler instanceof TieredScheduler) {
             registerSchedulingMetrics(this.metrics.registry, this.node.scheduler, rank => tierName(this.node, rank));
         }
+        this.metrics.registerInputMetrics({
+            evictions: () => this.httpServer.evictions + this.grpcServer.evictions,
+            pacedConnections: () => this.httpServer.pacedConnections,
+        });
         registerConfigurationMetrics(this.metrics.registry, this.node);
         this.grpcServer = new GrpcServer({
             services: this.services(limits),
@@ -259,6 +264,7 @@
         return [
             { name: "MAX_CALLER_CONNECTIONS", limit: input.maxConnections, read: () => this.httpServer.connections },
             { name: "MAX_HELD_BODY_BYTES", limit: input.maxHeldBytes, read: () => this.httpServer.bodyBytes },
+            { name: "MAX_HELD_MESSAGE_BYTES", limit: MAX_HELD_MESSAGE_BYTES, read: () => this.grpcServer.messageBytes },
             { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keyCount },
             { name: "MAX_STREAMS", limit: MAX_STREAMS, read: () => this.node.guard.streams.size },
             { name: "MAX_STORING_ENTRIES", limit: MAX_STORING_ENTRIES, read: () => this.node.guard.outbox.size },
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -23,6 +23,12 @@
     readonly read: () => number;
 }
 
+/** Values of what is done about callers that keep to no limit. */
+export interface InputGauges {
+    readonly evictions: () => number;
+    readonly pacedConnections: () => number;
+}
+
 /** Records calls, and exposes every limited quantity together with its limit. */
 export class Metrics extends CallObserver {
     readonly registry = new Registry();
@@ -88,6 +94,22 @@
         }
     }
 
+    /** Registers metrics of what is done about callers that keep to no limit. */
+    registerInputMetrics({ evictions, pacedConnections }: InputGauges): void {
+        const evicted: Gauge = new Gauge({
+            name: "foxtailrail_evictions",
+            help: "Bodies and messages that were given up because they held most of the memory.",
+            registers: [this.registry],
+            collect: () => evicted.set(evictions()),
+        });
+        const paced: Gauge = new Gauge({
+            name: "foxtailrail_paced_connections",
+            help: "Connections that wait for their turn because they bring many small pieces.",
+            registers: [this.registry],
+            collect: () => paced.set(pacedConnections()),
+        });
+    }
+
     /**
      * Registers a metric of the time at which the certificate for peers expires.
      *
--- a/src/transport/grpc_server.ts
+++ b/src/transport/grpc_server.ts
@@ -5,10 +5,18 @@
  */
 
 import { Server, ServerCredentials, type ServiceDefinition, type UntypedServiceImplementation } from "@grpc/grpc-js";
+import { MemoryBudget } from "../state/mod.js";
+import { messageMemoryInterceptor } from "./_message_memory.js";
 
 /** Maximum size of a received message, in bytes. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Memory of all messages that are not complete, in bytes. */
+export const MAX_HELD_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+/** Maximum number of calls at a time on one connection; further ones wait at their client. */
+const MAX_CONCURRENT_CALLS = 256;
+
 /** Maximum age of a connection, in milliseconds. Reconnecting checks certificates again, so a revoked one goes out of use. */
 const MAX_CONNECTION_AGE_MS = 600_000;
 
@@ -27,7 +35,10 @@
 
 /** Serves calls from other daemons and from operators. */
 export class GrpcServer {
+    private readonly messageMemory = new MemoryBudget(MAX_HELD_MESSAGE_BYTES);
     private readonly server = new Server({
+        "interceptors": [messageMemoryInterceptor(this.messageMemory)],
+        "grpc.max_concurrent_streams": MAX_CONCURRENT_CALLS,
         "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
         "grpc.so_reuseport": 0,
         "grpc.max_connection_age_ms": MAX_CONNECTION_AGE_MS,
@@ -40,6 +51,16 @@
         }
     }
 
+    /** Total size of the messages that are not complete, in bytes. */
+    get messageBytes(): number {
+        return this.messageMemory.usedBytes;
+    }
+
+    /** Number of calls that were closed because incomplete messages took too much memory and theirs was the largest. */
+    get evictions(): number {
+        return this.messageMemory.evictions;
+    }
+
     /** Starts listening and returns the bound port. */
     listen(host: string, port: number): Promise<number> {
         const credentials = this.settings.credentials ?? ServerCredentials.createInsecure();
