Transport: bound the memory of heads for the node

4,000 connections with heads that stop after 30,000 bytes took 252 MB of the daemon's 256; the limits of 32 KiB for a head and 8,192 connections allow twice that. A server now closes the connections with the largest incomplete heads while these have more than 16 MiB together, and the head of a call counts in the memory of bodies until its body is complete.

--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -20,6 +20,8 @@
     readonly inputLimits: InputLimits;
     /** Largest body that is kept, in bytes; the bytes of a larger one are discarded. */
     readonly maxBytes: number;
+    /** Size of the head, which takes memory until the body is complete, in bytes. Defaults to 0: it is not counted. */
+    readonly headBytes?: number;
     /** Called with the size of the body so far, in bytes. */
     readonly onProgress?: (size: number) => void;
     /** Called when the bytes are discarded because bodies and answers take too much memory and this one takes most of it. */
@@ -68,6 +70,7 @@
     constructor(request: IncomingMessage, private readonly settings: BodyCollectorSettings) {
         const { memory, pacer } = settings.inputLimits;
         this.memoryShare = memory.open(() => this.handleEvicted());
+        this.memoryShare.resize(settings.headBytes ?? 0);
         const pace = new PacedBody(pacer, request);
         request.on("data", (chunk: Buffer) => {
             this.add(chunk);
@@ -111,7 +114,7 @@
         }
         else if (!this.isDiscarding) {
             this.content.append(chunk);
-            this.memoryShare.resize(this.content.length);
+            this.memoryShare.resize((this.settings.headBytes ?? 0) + this.content.length);
         }
         this.settings.onProgress?.(this.size);
     }
--- a/src/transport/connection_limits.ts
+++ b/src/transport/connection_limits.ts
@@ -17,6 +17,15 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Bytes of heads that are not complete, on all connections of a server; beyond, the connections with the largest ones are closed. */
+export const MAX_HELD_HEAD_BYTES = 16_777_216;
+
+/** Bytes of incomplete heads from which on connections are checked more often. */
+const CROWDED_HEAD_BYTES = MAX_HELD_HEAD_BYTES / 8;
+
+/** Interval at which connections are checked while they hold that much, in milliseconds. */
+const CROWDED_CHECK_INTERVAL_MS = 50;
+
 /** Error code with which the HTTP library reports a call that does not come in time. */
 const TIMEOUT_ERROR_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 
@@ -35,6 +44,7 @@
 export class ConnectionLimits {
     private readonly states = new Map<Socket, ConnectionState>();
     private readonly closed = new AbortController();
+    private headBytes = 0;
 
     /**
      * @param server Server whose idle limit is its `keepAliveTimeout`, which callers are told.
@@ -45,7 +55,7 @@
         server.on("request", (request, response) => {
             const state = this.states.get(request.socket);
             state?.startCall(request, server.keepAliveTimeout);
-            response.on("close", () => state?.endCall(settings.clock.now()));
+            response.on("close", () => state?.endCall(settings.clock.now(), request));
         });
         // With a listener, the library leaves it to the listener to close connections that are idle.
         server.on("timeout", () => undefined);
@@ -99,7 +109,8 @@
 
     private async checkConnections(): Promise<void> {
         const { clock } = this.settings;
-        while (await clock.sleep(CHECK_INTERVAL_MS, this.closed.signal)) {
+        const intervalMs = () => this.headBytes > CROWDED_HEAD_BYTES ? CROWDED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+        while (await clock.sleep(intervalMs(), this.closed.signal)) {
             // Input that arrives after this time is too late for the limits that are over by now.
             const nowMs = clock.now();
             afterArrivedInput(() => this.judgeConnections(nowMs));
@@ -107,13 +118,29 @@
     }
 
     private judgeConnections(nowMs: number): void {
+        this.headBytes = 0;
         for (const [socket, state] of this.states) {
+            this.headBytes += state.unfinishedHeadBytes;
             state.takeSlowCall(nowMs)?.refuse();
             if (state.isIdle(nowMs, this.server.headersTimeout)) {
                 this.states.delete(socket);
                 this.settings.onIdle(socket);
             }
         }
+        if (this.headBytes > MAX_HELD_HEAD_BYTES) {
+            this.closeLargestHeads();
+        }
+    }
+
+    private closeLargestHeads(): void {
+        const sizes = [...this.states].map(([socket, state]) => ({ socket, bytes: state.unfinishedHeadBytes }));
+        for (const { socket, bytes } of sizes.sort((first, second) => second.bytes - first.bytes)) {
+            if (this.headBytes <= MAX_HELD_HEAD_BYTES) {
+                return;
+            }
+            this.headBytes -= bytes;
+            socket.destroy();
+        }
     }
 }
 
@@ -135,6 +162,10 @@
     private openCalls = 0;
     private bytesRead = 0;
     private hasUnfinishedInput = false;
+    /** Number of bytes at the end of the last call. */
+    private callEndBytes = 0;
+    /** Call that was answered before it was read to its end. */
+    private unreadCall: IncomingMessage | undefined;
 
     /**
      * @param idleTimeoutMs Longest idle limit in force since callers were told one on this connection, in milliseconds.
@@ -142,6 +173,18 @@
      */
     constructor(private readonly socket: Socket, public idleTimeoutMs: number, private idleSinceMs: number) {}
 
+    /** Number of bytes that were read of a head that is not complete. */
+    get unfinishedHeadBytes(): number {
+        if (this.openCalls > 0 || this.unreadCall?.complete === false) {
+            return 0;
+        }
+        if (this.unreadCall !== undefined) {
+            this.unreadCall = undefined;
+            this.callEndBytes = this.socket.bytesRead;
+        }
+        return this.socket.bytesRead - this.callEndBytes;
+    }
+
     startCall(call: IncomingMessage, idleTimeoutMs: number): void {
         this.newestCall = call;
         this.openCalls += 1;
@@ -149,7 +192,9 @@
         this.idleTimeoutMs = idleTimeoutMs;
     }
 
-    endCall(nowMs: number): void {
+    endCall(nowMs: number, call: IncomingMessage): void {
+        this.unreadCall = call.complete ? undefined : call;
+        this.callEndBytes = this.socket.bytesRead;
         this.openCalls -= 1;
         this.newestCall = this.openCalls > 0 ? this.newestCall : undefined;
         this.bytesRead = this.socket.bytesRead;
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -54,6 +54,9 @@
 /** Multiple of the maximum body size up to which a refused body is read and discarded, so that its caller reads the refusal. */
 const MAX_DISCARDED_BODY_FACTOR = 2;
 
+/** Largest head of a call whose body is discarded for lack of memory while its connection stays open, in bytes. */
+const MAX_DISCARDING_HEAD_BYTES = 4_096;
+
 /** Factor by which one body in chunks of a byte may be read faster than it has to be to come in time. */
 const PACE_MARGIN = 1.25;
 
@@ -362,10 +365,12 @@
             return Promise.resolve(undefined);
         }
         const { maxBodyBytes } = this.limits;
+        const headBytes = countHeadBytes(request);
         return new Promise((resolve, reject) => {
             const body = new BodyCollector(request, {
                 inputLimits: this.inputLimits,
                 maxBytes: maxBodyBytes,
+                headBytes,
                 onProgress: size => {
                     if (size > maxBodyBytes) {
                         const text = `Body is larger than ${maxBodyBytes} bytes. Send a smaller one.`;
@@ -378,6 +383,10 @@
                 onEvicted: () => {
                     const text = "This node holds as many bodies as it may. Try again.";
                     reject(new Refusal(RefusalType.Overloaded, text, { retryAfterMs: MEMORY_RETRY_AFTER_MS }));
+                    if (headBytes > MAX_DISCARDING_HEAD_BYTES) {
+                        // The head stays in memory until the rest of the body has come.
+                        setImmediate(() => this.closeAfterAnswers(request.socket));
+                    }
                 },
             });
             request.on("end", () => resolve(body));
@@ -401,6 +410,11 @@
     return typeof value === "string" ? value : undefined;
 }
 
+/** Returns the size of the headers of a request, in bytes; the HTTP parser decodes them as Latin-1. */
+function countHeadBytes(request: IncomingMessage): number {
+    return request.rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
+}
+
 function checkHeaders(request: IncomingMessage): void {
     if (request.rawHeaders.length / 2 > MAX_HEADER_COUNT) {
         throw new Refusal(RefusalType.InvalidRequest, `Call has more than ${MAX_HEADER_COUNT} headers. Send fewer.`, {
