Transport: count the heads of calls in the memory of a relay node as well

A call with a head over 4 KiB whose body is given up gets its 503 at once, and its connection is closed, as its head would stay in memory until the rest of the body has come.

relay_refusals, relay_refusal_bytes, caller_interface, relay_decisions and relay_held_up_calls pass.

--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -12,6 +12,12 @@
 /** Bytes that are discarded at the cost of one piece: 100 MB a second at the default rate. */
 const DISCARDED_BYTES_PER_PIECE = 1_024;
 
+/**
+ * Largest head of a call whose body is discarded for lack of memory while its connection stays open, in bytes. The head stays in memory
+ * until the rest of the body has come.
+ */
+export const MAX_DISCARDING_HEAD_BYTES = 4_096;
+
 /** Largest body that is read behind a request that needs none, in bytes. */
 const MAX_IGNORED_BYTES = 65_536;
 
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -18,7 +18,7 @@
 import { afterArrivedInput, type Clock } from "../state/mod.js";
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
-import { BodyCollector, discardBody } from "./body_collector.js";
+import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "./body_collector.js";
 import { ConnectionLimits } from "./connection_limits.js";
 import { InputLimits } from "./input_limits.js";
 import { InterimHeads } from "./interim_heads.js";
@@ -54,9 +54,6 @@
 /** Multiple of the maximum body size up to which a refused body is read and discarded, so that its caller reads the refusal. */
 const MAX_DISCARDED_BODY_FACTOR = 2;
 
-/** Largest head of a call whose body is discarded for lack of memory while its connection stays open, in bytes. */
-const MAX_DISCARDING_HEAD_BYTES = 4_096;
-
 /** Factor by which one body in chunks of a byte may be read faster than it has to be to come in time. */
 const PACE_MARGIN = 1.25;
 
@@ -384,7 +381,7 @@
                     const text = "This node holds as many bodies as it may. Try again.";
                     reject(new Refusal(RefusalType.Overloaded, text, { retryAfterMs: MEMORY_RETRY_AFTER_MS }));
                     if (headBytes > MAX_DISCARDING_HEAD_BYTES) {
-                        // The head stays in memory until the rest of the body has come.
+                        // The refusal is written by then.
                         setImmediate(() => this.closeAfterAnswers(request.socket));
                     }
                 },
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -16,7 +16,7 @@
     STOPPING_RETRY_AFTER_MS,
 } from "../../protocol/relay/mod.js";
 import { afterArrivedInput, type CallerLimits, type Clock } from "../../state/relay/mod.js";
-import { BodyCollector, discardBody } from "../body_collector.js";
+import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
@@ -341,9 +341,20 @@
             answer.sendLocal(localAnswer);
         };
         const tooLarge = { place: AnswerPlace.Reading, status: 413, text: `The body is larger than ${maxBodyBytes} bytes.` };
+        const refuseForMemory = (write: (localAnswer: LocalAnswer) => void) => {
+            const text = "The node holds too many bytes of calls; the call has not run.";
+            write({ place: AnswerPlace.Memory, status: 503, text, retryAfterMs: MEMORY_RETRY_AFTER_MS });
+        };
+        const headSize = headerBytes(request.rawHeaders);
         const body = new BodyCollector(request, {
             inputLimits: this.inputLimits,
             maxBytes: maxBodyBytes,
+            headBytes: headSize,
+            onEvicted: () => {
+                if (headSize > MAX_DISCARDING_HEAD_BYTES && !answer.isStarted) {
+                    refuseForMemory(refuse);
+                }
+            },
             onProgress: size => {
                 if (size > maxBodyBytes * MAX_DISCARDED_BODY_FACTOR && !answer.isStarted) {
                     refuse(tooLarge);
@@ -360,8 +371,7 @@
                 return;
             }
             if (body.isEvicted) {
-                const text = "The node holds too many bytes of calls; the call has not run.";
-                answer.sendLocal({ place: AnswerPlace.Memory, status: 503, text, retryAfterMs: MEMORY_RETRY_AFTER_MS });
+                refuseForMemory(localAnswer => answer.sendLocal(localAnswer));
                 return;
             }
             const refusal = finish(body.take());
