--- a/features/support/odd_records.ts
+++ b/features/support/odd_records.ts
@@ -215,6 +215,8 @@
 /** Largest count that a report can state. */
 const MAX_UINT32 = 2 ** 32 - 1;
 
+const NO_CALLS_ABOVE_SHARE = { aboveShareCalls: 0, aboveShareArrivalsPerSecond: 0 };
+
 /** Changes of a sound report, by flaw. */
 const REPORT_CHANGES: ReadonlyMap<string, ReportChange> = new Map<string, ReportChange>([
     ["no port in its address", () => ({ address: "127.0.0.1" })],
@@ -243,10 +245,22 @@
         serverCalls: Array.from({ length: 4_000 }, () => 1_000_000),
     })],
     ["as many waiting calls as fit", () => ({
-        demands: [{ serviceKey: hashKey("service"), inTimeCalls: MAX_UINT32, lateCalls: MAX_UINT32, arrivalsPerSecond: 0 }],
+        demands: [{
+            serviceKey: hashKey("service"),
+            inTimeCalls: MAX_UINT32,
+            lateCalls: MAX_UINT32,
+            arrivalsPerSecond: 0,
+            ...NO_CALLS_ABOVE_SHARE,
+        }],
     })],
     ["as many arriving calls as fit", () => ({
-        demands: [{ serviceKey: hashKey("service"), inTimeCalls: 0, lateCalls: 0, arrivalsPerSecond: MAX_UINT32 }],
+        demands: [{
+            serviceKey: hashKey("service"),
+            inTimeCalls: 0,
+            lateCalls: 0,
+            arrivalsPerSecond: MAX_UINT32,
+            ...NO_CALLS_ABOVE_SHARE,
+        }],
     })],
     ["as many calls at each server as fit", (key, serverKeys) => ({
         serverKeys: [...serverKeys],
--- a/measure/hold_ups.ts
+++ b/measure/hold_ups.ts
@@ -293,7 +293,14 @@
         serverCalls: serverKeys.map((key, index) => index % 4),
         bucketKeys,
         bucketTotals: bucketKeys.map((key, index) => 1_000 * index),
-        demands: [{ serviceKey: hashKey("service-0"), inTimeCalls: 3, lateCalls: 1, arrivalsPerSecond: 12 }],
+        demands: [{
+            serviceKey: hashKey("service-0"),
+            inTimeCalls: 3,
+            lateCalls: 1,
+            arrivalsPerSecond: 12,
+            aboveShareCalls: 0,
+            aboveShareArrivalsPerSecond: 0,
+        }],
         heardNodes: 1,
     };
 }
--- a/measure/placement.ts
+++ b/measure/placement.ts
@@ -7,6 +7,7 @@
 import type { Experiment, Figures, Report } from "./experiment.js";
 import { RelaySimulation } from "./relay_simulation.js";
 import { RELAY_CASES, type RelayCase } from "./relay_workload.js";
+import { runContention } from "./workspace_contention.js";
 
 /** Simulates each case with the scheduler of the relay; `overrides` replaces settings of the case, such as the report age. */
 async function runCases(seed: number, overrides: Partial<RelayCase>): Promise<Figures> {
@@ -37,7 +38,7 @@
         scenario: "placement",
         seed,
         baseline: await runCases(seed, { reportAgeMs: 0 }),
-        current: await runCases(seed, {}),
+        current: { ...await runCases(seed, {}), ...await runContention(seed) },
         targets: [],
     }),
 };
--- a/measure/record_messages.ts
+++ b/measure/record_messages.ts
@@ -70,7 +70,14 @@
         logSteadyMs: 9_000,
         heardNodes: 1,
         cores: 0.675,
-        demands: [{ serviceKey: 21, inTimeCalls: 4, lateCalls: 2, arrivalsPerSecond: 30 }],
+        demands: [{
+            serviceKey: 21,
+            inTimeCalls: 4,
+            lateCalls: 2,
+            arrivalsPerSecond: 30,
+            aboveShareCalls: 0,
+            aboveShareArrivalsPerSecond: 0,
+        }],
         callSuspects: [{
             traitKey: 31,
             crashKeys: [0xdead_beef, 8],
--- a/measure/relay_simulation.ts
+++ b/measure/relay_simulation.ts
@@ -4,20 +4,31 @@
  * @module
  */
 
-import { sumDemands } from "../src/coordination/allotment/mod.js";
+import { sumDemands, WorkspaceShares } from "../src/coordination/allotment/mod.js";
 import {
     AttemptOutcome,
     decideRetryAfter,
     decideWaitLimits,
+    FairQueueing,
     NoSlotError,
     PeerTable,
     ServerPool,
     ServiceScheduler,
     type SlotReservation,
+    toWorkspaceLoads,
+    WorkspaceLoadSums,
 } from "../src/coordination/relay/mod.js";
 import { EMPTY_REPORT, hashKey } from "../src/protocol/relay/mod.js";
-import { type Clock, type RandomSource, type RelayRoute, SeededRandom, Semantics } from "../src/state/relay/mod.js";
+import {
+    type Clock,
+    type RandomSource,
+    type RelayRoute,
+    type RelayServer,
+    SeededRandom,
+    Semantics,
+} from "../src/state/relay/mod.js";
 import { SlotEngine } from "../standin/slot_engine.js";
+import { LocalShares } from "./naive/local_shares.js";
 import { type CallKind, makeCalls, type RelayCase, type WorkloadCall } from "./relay_workload.js";
 
 /** Duration of the arrivals, in milliseconds. */
@@ -50,6 +61,22 @@
 /** Service that all calls are routed to. */
 const SERVICE = "llm";
 
+/** How the nodes divide slots among workspaces. */
+export enum ShareRule {
+    /** Not at all. */
+    None = "none",
+    /** By what each node sees itself. */
+    Local = "local",
+    /** By the reports of all nodes. */
+    Reports = "reports",
+}
+
+/** Span of time in which the calls of each workspace are counted, in milliseconds. */
+export interface MeasuredSpan {
+    readonly fromMs: number;
+    readonly untilMs: number;
+}
+
 /** Outcomes and value of the calls of one kind. */
 export interface KindFigures {
     calls: number;
@@ -58,6 +85,9 @@
     /** Calls that were answered completely, but outside their objectives. */
     late: number;
     refused: number;
+    /** Time until refusal of the refused attempts, in milliseconds, and their number. */
+    refusalMs: number;
+    refusals: number;
     /** Calls that their callers abandoned, or that the engine rejected. */
     failed: number;
     offeredValue: number;
@@ -67,6 +97,8 @@
 /** Figures of one simulation. */
 export interface RelayFigures {
     readonly kinds: ReadonlyMap<string, KindFigures>;
+    /** Figures by workspace and kind, of calls that arrive in the measured span. */
+    readonly workspaces: ReadonlyMap<string, ReadonlyMap<string, KindFigures>>;
     /** Value earned as a share of the value offered. */
     readonly earnedShare: number;
     /** Share of the calls that were answered, in time or late. */
@@ -99,6 +131,7 @@
     readonly peers: PeerTable;
     readonly pool: ServerPool;
     readonly scheduler: ServiceScheduler;
+    readonly shares: WorkspaceShares | undefined;
 }
 
 /** Peer table with perfect, current knowledge of the calls at each engine: an upper bound for any exchange of reports. */
@@ -126,7 +159,10 @@
     private readonly nodes: SimulatedNode[] = [];
     private readonly events = new Map<number, SimulationEvent[]>();
     private readonly kinds = new Map<string, KindFigures>();
+    private readonly workspaceFigures = new Map<string, Map<string, KindFigures>>();
     private readonly routes = new Map<CallKind, RelayRoute>();
+    /** Functions that break off the calls at each engine. */
+    private readonly openCalls = new Map<string, Set<() => void>>();
     private sequence = 0;
     private runningCallsSum = 0;
     private runningCallsSamples = 0;
@@ -134,8 +170,15 @@
     /**
      * @param relayCase Fleet and workload.
      * @param seed Seed of the random number generator.
+     * @param shareRule How the nodes divide slots among workspaces.
+     * @param span Span in which the calls of each workspace are counted.
      */
-    constructor(private readonly relayCase: RelayCase, seed: number) {
+    constructor(
+        private readonly relayCase: RelayCase,
+        seed: number,
+        private readonly shareRule = ShareRule.None,
+        private readonly span: MeasuredSpan = { fromMs: 0, untilMs: 0 },
+    ) {
         this.random = new SeededRandom(seed);
         const { engines, nodes, kinds } = relayCase;
         for (let index = 0; index < engines; index += 1) {
@@ -147,7 +190,7 @@
         }
         for (const kind of kinds) {
             this.routes.set(kind, makeRoute(kind));
-            this.kinds.set(kind.name, { calls: 0, inTime: 0, late: 0, refused: 0, failed: 0, offeredValue: 0, earnedValue: 0 });
+            this.kinds.set(kind.name, noFigures());
         }
     }
 
@@ -155,8 +198,7 @@
     async run(): Promise<RelayFigures> {
         for (const call of makeCalls(this.relayCase, ARRIVAL_DURATION_MS, this.random)) {
             this.schedule(call.atMs, () => this.handleArrival(call, call.atMs, false));
-            if (call.atMs >= WARM_UP_MS) {
-                const figures = this.figuresOf(call);
+            for (const figures of this.figuresOf(call)) {
                 figures.calls += 1;
                 figures.offeredValue += call.value;
             }
@@ -173,6 +215,7 @@
         for (const engine of this.engines) {
             engine.advance(ms);
         }
+        this.applyOutage(ms);
         const due = this.events.get(ms);
         if (due !== undefined) {
             this.events.delete(ms);
@@ -206,19 +249,9 @@
             peers.ownCalls = id => pool.find(id)?.ownCalls ?? 0;
         }
         for (const [engine, { id, profile }] of this.engines.entries()) {
-            pool.put({
-                id,
-                service: SERVICE,
-                address: `127.0.0.1:${engine}`,
-                failureDomain: `domain-${engine % 4}`,
-                version: "v1",
-                slots: profile.slots,
-                isDraining: false,
-                startedAtMs: 1,
-                sequence: 1,
-                warmUpMs: 0,
-            });
+            pool.put(makeServer(engine, id, profile.slots));
         }
+        const shares = this.makeShares();
         const scheduler = new ServiceScheduler({
             service: SERVICE,
             failureDomain: `domain-${index % 4}`,
@@ -229,9 +262,51 @@
             peerDemand: () => peers.demandOf(hashKey(SERVICE)),
             reportIntervalMs: () => this.relayCase.reportIntervalMs,
             isOutOfReach: () => false,
+            fairQueueing: shares && new FairQueueing({
+                clock: this.clock,
+                random: this.random,
+                shares,
+                peerLoads: () => peers.workspaceLoadsOf(hashKey(SERVICE)),
+                unreachableShare: () => 0,
+                reportIntervalMs: () => this.relayCase.reportIntervalMs,
+            }),
             nodeCount: () => this.relayCase.nodes,
         });
-        return { peers, pool, scheduler };
+        return { peers, pool, scheduler, shares };
+    }
+
+    private makeShares(): WorkspaceShares | undefined {
+        const settings = { service: SERVICE, clock: this.clock, onChange: () => undefined };
+        if (this.shareRule === ShareRule.None) {
+            return undefined;
+        }
+        return this.shareRule === ShareRule.Local ?
+            new LocalShares(settings, this.relayCase.nodes) :
+            new WorkspaceShares(settings);
+    }
+
+    /** Stops and restarts the engines of the outage; their calls break. */
+    private applyOutage(ms: number): void {
+        const { outage } = this.relayCase;
+        if (outage === undefined || ms !== outage.fromMs && ms !== outage.untilMs) {
+            return;
+        }
+        for (const [index, { id, profile }] of this.engines.entries()) {
+            if (index % outage.everyEngines !== 0) {
+                continue;
+            }
+            for (const node of this.nodes) {
+                if (ms === outage.fromMs) {
+                    node.pool.remove(id);
+                }
+                else {
+                    node.pool.put(makeServer(index, id, profile.slots));
+                }
+            }
+            for (const abandon of ms === outage.fromMs ? this.openCalls.get(id) ?? [] : []) {
+                abandon();
+            }
+        }
     }
 
     /** Delivers to each node, with a delay, the in-flight calls and demand of the other nodes. */
@@ -240,11 +315,21 @@
         const { sequence } = this;
         const ownCalls = this.nodes.map(node => this.engines.map(engine => node.pool.find(engine.id)?.ownCalls ?? 0));
         const demands = this.nodes.map(node => node.scheduler.demand);
+        const loads = this.nodes.map(({ shares }) => {
+            const reported = shares?.reported();
+            return reported === undefined ? [] : [toWorkspaceLoads(hashKey(SERVICE), reported)];
+        });
+        const loadSums = new WorkspaceLoadSums();
+        loadSums.add(loads.flat());
+        const totalLoads = loadSums.messages();
         const totalCalls = this.engines.map((engine, engineIndex) =>
             ownCalls.reduce((total, calls) => total + (calls[engineIndex] ?? 0), 0)
         );
         for (const [index, node] of this.nodes.entries()) {
             const { reportAgeMs, reportIntervalMs } = this.relayCase;
+            const peerLoads = new WorkspaceLoadSums();
+            peerLoads.add(totalLoads);
+            peerLoads.subtract(loads[index] ?? []);
             const delayMs = reportAgeMs + (this.random.next() - 1) * reportIntervalMs;
             this.schedule(this.clock.nowMs + Math.max(1, delayMs), () => {
                 node.peers.record({
@@ -252,8 +337,11 @@
                     node: "fleet",
                     sequence,
                     heardNodes: this.nodes.length - 1,
+                    workspaceLoads: peerLoads.messages(),
                     demands: [{
                         serviceKey: hashKey(SERVICE),
+                        aboveShareCalls: 0,
+                        aboveShareArrivalsPerSecond: 0,
                         ...sumDemands([...demands.slice(0, index), ...demands.slice(index + 1)]),
                     }],
                     serverKeys: this.engines.map(engine => hashKey(engine.id)),
@@ -279,6 +367,7 @@
             id: String(call.id),
             route,
             workspaceRank: 0,
+            workspace: call.workspace,
             arrivedAtMs: nowMs,
             deadlineAtMs: nowMs + remainingMs,
             waitLimits: decideWaitLimits(route, {
@@ -300,20 +389,32 @@
                 if (!(error instanceof NoSlotError)) {
                     throw error;
                 }
-                this.handleRefusal(call, firstArrivalMs, isRetry);
+                this.handleRefusal(call, firstArrivalMs, isRetry, nowMs, error.retryAtMs ?? 0);
             },
         );
     }
 
-    private handleRefusal(call: WorkloadCall, firstArrivalMs: number, isRetry: boolean): void {
+    private handleRefusal(
+        call: WorkloadCall,
+        firstArrivalMs: number,
+        isRetry: boolean,
+        arrivedAtMs: number,
+        retryAtMs: number,
+    ): void {
+        for (const figures of this.figuresOf(call)) {
+            figures.refusals += 1;
+            figures.refusalMs += this.clock.nowMs - arrivedAtMs;
+        }
         const remainingMs = firstArrivalMs + call.kind.deadlineMs - this.clock.nowMs;
-        const retryAfterMs = isRetry ? undefined : decideRetryAfter({ remainingMs, earliestMs: 0 }, this.random);
+        const retryAfterMs = isRetry ?
+            undefined :
+            decideRetryAfter({ remainingMs, earliestMs: retryAtMs - this.clock.nowMs }, this.random);
         if (retryAfterMs !== undefined) {
             this.schedule(this.clock.nowMs + retryAfterMs, () => this.handleArrival(call, firstArrivalMs, true));
             return;
         }
-        if (call.atMs >= WARM_UP_MS) {
-            this.figuresOf(call).refused += 1;
+        for (const figures of this.figuresOf(call)) {
+            figures.refused += 1;
         }
     }
 
@@ -321,14 +422,29 @@
         const { kind } = call;
         const { tokensPerEvent } = this.relayCase;
         const engine = this.engines.find(({ id }) => id === reservation.server.id);
+        const openCalls = this.openCalls.get(reservation.server.id) ?? new Set<() => void>();
+        this.openCalls.set(reservation.server.id, openCalls);
         let firstTokenMs = Infinity;
         let isFinished = false;
         const finish = (outcome: AttemptOutcome) => {
             isFinished = true;
+            openCalls.delete(abandon);
             reservation.release(outcome);
         };
+        let cancel: (() => void) | undefined;
+        const abandon = () => {
+            if (!isFinished) {
+                cancel?.();
+                finish(AttemptOutcome.Neutral);
+                this.recordFailure(call);
+            }
+        };
+        openCalls.add(abandon);
         this.schedule(this.clock.nowMs + ROUND_TRIP_MS, () => {
-            const cancel = engine?.start(this.clock.nowMs, {
+            if (isFinished) {
+                return;
+            }
+            cancel = engine?.start(this.clock.nowMs, {
                 promptTokens: call.promptTokens,
                 outputTokens: call.outputTokens,
                 onFirstToken: () => {
@@ -341,13 +457,6 @@
                     this.recordCompletion(call, firstTokenMs <= kind.objectiveMs && longestPauseMs <= kind.maxPauseMs);
                 },
             });
-            const abandon = () => {
-                if (!isFinished) {
-                    cancel?.();
-                    finish(AttemptOutcome.Neutral);
-                    this.recordFailure(call);
-                }
-            };
             if (cancel === undefined) {
                 abandon();
                 return;
@@ -367,27 +476,33 @@
     }
 
     private recordCompletion(call: WorkloadCall, isInTime: boolean): void {
-        if (call.atMs < WARM_UP_MS) {
-            return;
+        for (const figures of this.figuresOf(call)) {
+            figures.inTime += isInTime ? 1 : 0;
+            figures.late += isInTime ? 0 : 1;
+            figures.earnedValue += isInTime ? call.value : call.lateValue;
         }
-        const figures = this.figuresOf(call);
-        figures.inTime += isInTime ? 1 : 0;
-        figures.late += isInTime ? 0 : 1;
-        figures.earnedValue += isInTime ? call.value : call.lateValue;
     }
 
     private recordFailure(call: WorkloadCall): void {
-        if (call.atMs >= WARM_UP_MS) {
-            this.figuresOf(call).failed += 1;
+        for (const figures of this.figuresOf(call)) {
+            figures.failed += 1;
         }
     }
 
-    private figuresOf(call: WorkloadCall): KindFigures {
-        const figures = this.kinds.get(call.kind.name);
-        if (figures === undefined) {
-            throw new RangeError(`Cannot count call ${call.id}: kind ${call.kind.name} is unknown`);
+    /** @returns Figures in which a call counts. */
+    private figuresOf({ atMs, kind, workspace }: WorkloadCall): readonly KindFigures[] {
+        const figures = this.kinds.get(kind.name);
+        if (figures === undefined || atMs < WARM_UP_MS) {
+            return [];
+        }
+        if (atMs < this.span.fromMs || atMs >= this.span.untilMs) {
+            return [figures];
         }
-        return figures;
+        const byKind = this.workspaceFigures.get(workspace) ?? new Map<string, KindFigures>();
+        this.workspaceFigures.set(workspace, byKind);
+        const workspaceFigures = byKind.get(kind.name) ?? noFigures();
+        byKind.set(kind.name, workspaceFigures);
+        return [figures, workspaceFigures];
     }
 
     private summarise(): RelayFigures {
@@ -404,6 +519,7 @@
         const slots = this.engines.length * this.relayCase.slots;
         return {
             kinds: this.kinds,
+            workspaces: this.workspaceFigures,
             earnedShare: earnedValue / offeredValue,
             servedShare: servedCalls / calls,
             utilization: this.runningCallsSum / this.runningCallsSamples / slots,
@@ -411,6 +527,25 @@
     }
 }
 
+function noFigures(): KindFigures {
+    return { calls: 0, inTime: 0, late: 0, refused: 0, refusalMs: 0, refusals: 0, failed: 0, offeredValue: 0, earnedValue: 0 };
+}
+
+function makeServer(index: number, id: string, slots: number): RelayServer {
+    return {
+        id,
+        service: SERVICE,
+        address: `127.0.0.1:${index}`,
+        failureDomain: `domain-${index % 4}`,
+        version: "v1",
+        slots,
+        isDraining: false,
+        startedAtMs: 1,
+        sequence: 1,
+        warmUpMs: 0,
+    };
+}
+
 function makeRoute(kind: CallKind): RelayRoute {
     return {
         name: kind.name,
--- a/measure/relay_workload.ts
+++ b/measure/relay_workload.ts
@@ -36,6 +36,23 @@
     readonly max: number;
 }
 
+/** Workspace with its part of the calls. */
+export interface WorkspaceTraffic {
+    readonly name: string;
+    /** Part of the calls, relative to the other workspaces. */
+    readonly weight: number;
+    /** Factor on the arrival rate, by the time since the start in milliseconds. */
+    readonly load: (atMs: number) => number;
+}
+
+/** Outage of some of the engines. */
+export interface EngineOutage {
+    readonly fromMs: number;
+    readonly untilMs: number;
+    /** Every how many engines one is down. */
+    readonly everyEngines: number;
+}
+
 /** Fleet and workload of one simulation. */
 export interface RelayCase {
     readonly name: string;
@@ -54,12 +71,16 @@
     readonly kinds: readonly CallKind[];
     /** Factor on the arrival rate, by the time since the start in milliseconds. */
     readonly load: (atMs: number) => number;
+    /** Workspaces; left out if all calls belong to the same one. */
+    readonly workspaces?: readonly WorkspaceTraffic[];
+    readonly outage?: EngineOutage;
 }
 
 /** One call of the workload. */
 export interface WorkloadCall {
     readonly id: number;
     readonly kind: CallKind;
+    readonly workspace: string;
     readonly atMs: number;
     /** Index of the node that the call arrives at. */
     readonly node: number;
@@ -93,11 +114,14 @@
     const { kinds, nodes, tokensPerEvent, load } = relayCase;
     const callers = Array.from({ length: Math.ceil(nodes * CALLERS_PER_NODE) }, () => random.nextInt(nodes));
     const calls: WorkloadCall[] = [];
-    for (const kind of kinds) {
+    const workspaces = relayCase.workspaces ?? [{ name: "all", weight: 1, load: () => 1 }];
+    const weightSum = workspaces.reduce((sum, workspace) => sum + workspace.weight, 0);
+    for (const [kind, workspace] of kinds.flatMap(each => workspaces.map(workspace => [each, workspace] as const))) {
+        const callsPerSecond = kind.callsPerSecond * workspace.weight / weightSum;
         const meanSize = kind.prompt.mean + OUTPUT_TOKEN_WEIGHT * kind.events.mean * tokensPerEvent;
         let atMs = 0;
         for (;;) {
-            atMs += -Math.log(1 - random.next()) * 1_000 / (kind.callsPerSecond * load(atMs));
+            atMs += -Math.log(1 - random.next()) * 1_000 / (callsPerSecond * load(atMs) * workspace.load(atMs));
             if (atMs >= durationMs) {
                 break;
             }
@@ -108,6 +132,7 @@
             calls.push({
                 id: calls.length,
                 kind,
+                workspace: workspace.name,
                 atMs,
                 node: callers[random.nextInt(callers.length)] ?? 0,
                 promptTokens,
--- a/src/coordination/allotment/allotted_share.ts
+++ b/src/coordination/allotment/allotted_share.ts
@@ -44,6 +44,8 @@
 }
 
 /** @returns Calls that wait now or arrive within a time. */
-function countCalls({ inTimeCalls, lateCalls, arrivalsPerSecond }: Demand, durationMs: number): number {
-    return inTimeCalls + lateCalls + arrivalsPerSecond * durationMs / MS_PER_SECOND;
+function countCalls(demand: Demand, durationMs: number): number {
+    const { inTimeCalls, lateCalls, arrivalsPerSecond, aboveShareCalls = 0, aboveShareArrivalsPerSecond = 0 } = demand;
+    const arrivals = (arrivalsPerSecond + aboveShareArrivalsPerSecond) * durationMs / MS_PER_SECOND;
+    return inTimeCalls + lateCalls + aboveShareCalls + arrivals;
 }
--- a/src/coordination/allotment/demand.ts
+++ b/src/coordination/allotment/demand.ts
@@ -15,6 +15,9 @@
     readonly lateCalls: number;
     /** Arrival rate of calls that can still meet their latency objective. */
     readonly arrivalsPerSecond: number;
+    /** As `inTimeCalls` and `arrivalsPerSecond`, of calls beyond the share of their workspace, which those do not include; 0 by default. */
+    readonly aboveShareCalls?: number;
+    readonly aboveShareArrivalsPerSecond?: number;
 }
 
 /** Adds up the demands of several nodes for the same service. */
@@ -22,12 +25,16 @@
     let inTimeCalls = 0;
     let lateCalls = 0;
     let arrivalsPerSecond = 0;
+    let aboveShareCalls = 0;
+    let aboveShareArrivalsPerSecond = 0;
     for (const demand of demands) {
         inTimeCalls += demand.inTimeCalls;
         lateCalls += demand.lateCalls;
         arrivalsPerSecond += demand.arrivalsPerSecond;
+        aboveShareCalls += demand.aboveShareCalls ?? 0;
+        aboveShareArrivalsPerSecond += demand.aboveShareArrivalsPerSecond ?? 0;
     }
-    return { inTimeCalls, lateCalls, arrivalsPerSecond };
+    return { inTimeCalls, lateCalls, arrivalsPerSecond, aboveShareCalls, aboveShareArrivalsPerSecond };
 }
 
 /** Demand for a service at this node and at all others. */
--- a/src/coordination/allotment/mod.ts
+++ b/src/coordination/allotment/mod.ts
@@ -1,5 +1,5 @@
 /**
- * What all nodes share out among themselves without a coordinator: demand, and each node's part of a common rate.
+ * What all nodes share out among themselves without a coordinator: demand, each node's part of a common rate, and the shares of workspaces.
  *
  * @module
  */
@@ -7,4 +7,9 @@
 export * from "./allotted_share.js";
 export * from "./call_allowance.js";
 export * from "./demand.js";
+export * from "./max_min_division.js";
 export * from "./shared_token_bucket.js";
+export * from "./workspace_accounts.js";
+export * from "./workspace_division.js";
+export * from "./workspace_load.js";
+export * from "./workspace_shares.js";
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -9,10 +9,17 @@
 
 import type { RandomSource } from "../../state/relay/mod.js";
 import { type CallAllowance, type Demand, STALENESS_REPORT_INTERVALS } from "../allotment/mod.js";
+import type { SlotSupply } from "./slot_forecast.js";
 
 /** Fraction of the available slots that is allotted; the rest covers calls that no report includes yet. */
 const ALLOTTED_FRACTION = 0.8;
 
+/**
+ * Fraction of all slots that calls beyond the share of their workspace leave free. A call within its share then finds a slot at once, at a
+ * server that is not busy.
+ */
+const RESERVED_FRACTION = 0.1;
+
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
 
@@ -30,15 +37,16 @@
 /** Slots that this node may take until the next allotment. */
 interface Allotment {
     inTime: number;
+    aboveShare: number;
     late: number;
 }
 
 /**
- * Allots this node a share of the fleet's slots in proportion to its share of the fleet's demand. Calls in time are allotted first;
- * what they leave unused goes to late calls in the next interval.
+ * Allots this node a share of the fleet's slots in proportion to its share of the fleet's demand. Calls in time are allotted first, of
+ * them those within the share of their workspace; what they leave unused goes to the others in the next interval.
  */
 export class AdmissionGate {
-    private allotment: Allotment = { inTime: Infinity, late: Infinity };
+    private allotment: Allotment = { inTime: Infinity, aboveShare: Infinity, late: Infinity };
     private allottedAtMs = -Infinity;
     private isSaturated = false;
 
@@ -60,19 +68,31 @@
      * @param ownDemand Demand of this node.
      * @param peerDemand Total demand of all other nodes.
      * @param servers Servers that accept calls.
+     * @returns Basis of the allotment.
      */
-    allot(nowMs: number, ownDemand: Demand, peerDemand: Demand, servers: Iterable<ServerCapacity>): void {
+    allot(nowMs: number, ownDemand: Demand, peerDemand: Demand, servers: readonly ServerCapacity[]): SlotSupply {
         this.allottedAtMs = nowMs;
         const stalenessMs = STALENESS_REPORT_INTERVALS * this.reportIntervalMs();
         const slots = ALLOTTED_FRACTION * countAvailableSlots(servers, stalenessMs);
         const ownInTime = expectedInTimeCalls(ownDemand, stalenessMs);
         const allInTime = ownInTime + expectedInTimeCalls(peerDemand, stalenessMs);
+        const ownAbove = expectedAboveCalls(ownDemand, stalenessMs);
+        const allAbove = ownAbove + expectedAboveCalls(peerDemand, stalenessMs);
         const allLate = ownDemand.lateCalls + peerDemand.lateCalls;
-        this.isSaturated = slots <= allInTime;
-        const unused = this.allotment.inTime === Infinity ? 0 : this.allotment.inTime;
+        const lentSlots = slots - allInTime - (allAbove > 0 ? RESERVED_FRACTION * countSlots(servers) : 0);
+        this.isSaturated = slots <= allInTime + allAbove;
+        // A slot that a call within its share leaves unused stays free for the next one while others are above theirs.
+        const unused = allAbove > 0 || this.allotment.inTime === Infinity ? 0 : this.allotment.inTime;
         this.allotment = {
             inTime: this.allotmentFor(ownInTime, slots / allInTime),
-            late: this.allotmentFor(ownDemand.lateCalls, (slots - allInTime) / allLate) + unused,
+            aboveShare: allAbove > 0 ? this.allotmentFor(ownAbove, lentSlots / allAbove) : Infinity,
+            late: this.allotmentFor(ownDemand.lateCalls, (slots - allInTime - allAbove) / allLate) + unused,
+        };
+        return {
+            windowMs: stalenessMs,
+            inTime: { slots, peerCalls: allInTime - ownInTime },
+            aboveShare: { slots: lentSlots, peerCalls: allAbove - ownAbove },
+            late: { slots: slots - allInTime - allAbove, peerCalls: peerDemand.lateCalls },
         };
     }
 
@@ -83,21 +103,22 @@
 
     /** Returns the current allotment for log lines; `undefined` means unlimited. */
     describe(): Readonly<Record<string, number | undefined>> {
-        const { inTime, late } = this.allotment;
+        const { inTime, aboveShare, late } = this.allotment;
         return {
             allottedInTime: Number.isFinite(inTime) ? inTime : undefined,
+            allottedAboveShare: Number.isFinite(aboveShare) ? aboveShare : undefined,
             allottedLate: Number.isFinite(late) ? late : undefined,
         };
     }
 
-    /** Whether a call may take a slot. */
-    mayAdmit(isLate: boolean): boolean {
-        return (isLate ? this.allotment.late : this.allotment.inTime) > 0;
+    /** Whether a call may take a slot; `isAboveShare` states whether it is beyond the share of its workspace. */
+    mayAdmit(isLate: boolean, isAboveShare = false): boolean {
+        return this.allotment[classOf(isLate, isAboveShare)] > 0;
     }
 
     /** Counts a call that took a slot against the allotment. */
-    recordAdmitted(isLate: boolean): void {
-        this.allotment[isLate ? "late" : "inTime"] -= 1;
+    recordAdmitted(isLate: boolean, isAboveShare = false): void {
+        this.allotment[classOf(isLate, isAboveShare)] -= 1;
     }
 
     private allotmentFor(demand: number, share: number): number {
@@ -111,6 +132,19 @@
     }
 }
 
+function countSlots(servers: readonly ServerCapacity[]): number {
+    return servers.reduce((sum, { slots }) => sum + slots, 0);
+}
+
+function classOf(isLate: boolean, isAboveShare: boolean): keyof Allotment {
+    return isLate ? "late" : isAboveShare ? "aboveShare" : "inTime";
+}
+
+/** @returns Calls beyond the share of their workspace, as {@linkcode expectedInTimeCalls}. */
+function expectedAboveCalls({ aboveShareCalls = 0, aboveShareArrivalsPerSecond = 0 }: Demand, stalenessMs: number): number {
+    return aboveShareCalls + aboveShareArrivalsPerSecond * stalenessMs / MS_PER_SECOND;
+}
+
 /** @returns Calls in time that wait now or arrive within the staleness of the node's view. */
 function expectedInTimeCalls({ inTimeCalls, arrivalsPerSecond }: Demand, stalenessMs: number): number {
     return inTimeCalls + arrivalsPerSecond * stalenessMs / MS_PER_SECOND;
--- /dev/null
+++ b/src/coordination/relay/fair_queueing.ts
@@ -0,0 +1,162 @@
+/**
+ * Order and early refusal of waiting calls while workspaces compete for the slots of a service.
+ *
+ * Load: a few workspaces send several times their usual load. Calls beyond the share of their workspace wait behind all others, and calls
+ * whose place in the queue says that they get no slot in time are refused at once.
+ *
+ * @module
+ */
+
+import { hashKey } from "../../protocol/relay/mod.js";
+import type { Clock, RandomSource } from "../../state/relay/mod.js";
+import { type Demand, type ServiceLoads, STALENESS_REPORT_INTERVALS, type WorkspaceShares } from "../allotment/mod.js";
+import type { ServerCapacity } from "./admission_gate.js";
+import { type CallPriority, comparePriority } from "./call_priority.js";
+import { type SlotClass, SlotForecast, type SlotSupply } from "./slot_forecast.js";
+
+/** Milliseconds in a second. */
+const MS_PER_SECOND = 1_000;
+
+/** Spread of the time at which a refused caller may find a slot, as a fraction of the forecast; callers must not return together. */
+const RETRY_SPREAD = 0.5;
+
+/** Waiting call as far as its order depends on it. */
+export interface FairCall extends CallPriority {
+    readonly workspaceKey: number;
+}
+
+/** Call with its place. */
+export interface PlacedCall<Call extends FairCall> {
+    readonly call: Call;
+    /** Whether it is beyond the share of its workspace. */
+    readonly isAbove: boolean;
+    /** Time until it gets a slot, in milliseconds. */
+    readonly waitMs: number;
+}
+
+/** Settings of {@linkcode FairQueueing}. */
+export interface FairQueueingSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly shares: WorkspaceShares;
+    /** Returns the loads of the workspaces at the other nodes. */
+    readonly peerLoads: () => ServiceLoads;
+    /** Returns the share of all nodes that are unreachable but may still serve callers, from 0 to 1. */
+    readonly unreachableShare: () => number;
+    /** Returns the time between the nodes' reports, in milliseconds. */
+    readonly reportIntervalMs: () => number;
+}
+
+/** Decides in which order calls get slots, and which are refused early, by the shares of their workspaces. */
+export class FairQueueing {
+    private readonly forecast = new SlotForecast();
+
+    /** @param settings See {@linkcode FairQueueingSettings}. */
+    constructor(private readonly settings: FairQueueingSettings) {}
+
+    /** Accounts of the workspaces. */
+    get shares(): WorkspaceShares {
+        return this.settings.shares;
+    }
+
+    /** Returns the key of a workspace; calls without one share a key. */
+    keyOf(workspace: string | undefined): number {
+        return hashKey(workspace ?? "");
+    }
+
+    /** Divides the slots of the servers among the workspaces for the next interval. */
+    divide(servers: Iterable<ServerCapacity>): void {
+        const { shares, peerLoads, unreachableShare, reportIntervalMs } = this.settings;
+        let slots = 0;
+        let allCalls = 0;
+        for (const server of servers) {
+            slots += usableSlots(server);
+            allCalls += server.calls;
+        }
+        shares.divide({
+            slots: slots * (1 - unreachableShare()),
+            allCalls,
+            peers: peerLoads(),
+            intervalMs: reportIntervalMs(),
+        });
+    }
+
+    /** Records the basis of an allotment of slots. */
+    recordSupply(supply: SlotSupply): void {
+        this.forecast.record(supply);
+    }
+
+    /** Whether the next call of a workspace is beyond its share. */
+    isAbove(workspaceKey: number): boolean {
+        return this.settings.shares.credit(workspaceKey) < 1;
+    }
+
+    /** Separates the calls that are beyond the share of their workspace in this node's demand. */
+    classify(demand: Demand, queue: Iterable<FairCall>): Demand {
+        const { shares, clock } = this.settings;
+        const now = clock.now();
+        let aboveCalls = 0;
+        for (const { workspaceKey, inTimeUntilMs } of queue) {
+            aboveCalls += inTimeUntilMs >= now ? 1 - shares.fractionWithin(workspaceKey) : 0;
+        }
+        const { inTimeCalls, lateCalls, arrivalsPerSecond } = demand;
+        const aboveShareCalls = Math.min(inTimeCalls, Math.round(aboveCalls));
+        const aboveShareArrivalsPerSecond = Math.round(arrivalsPerSecond * shares.arrivalFractionAbove);
+        return {
+            inTimeCalls: inTimeCalls - aboveShareCalls,
+            lateCalls,
+            arrivalsPerSecond: arrivalsPerSecond - aboveShareArrivalsPerSecond,
+            aboveShareCalls,
+            aboveShareArrivalsPerSecond,
+        };
+    }
+
+    /**
+     * Returns the waiting calls in the order in which they get slots: calls in time within the share of their workspace, other calls in
+     * time, late calls within the share, other late calls; each by {@linkcode comparePriority}. The highest class of a workspace's calls
+     * takes its share.
+     */
+    arrange<Call extends FairCall>(queue: readonly Call[], demand: Demand): readonly PlacedCall<Call>[] {
+        const now = this.settings.clock.now();
+        const sorted = [...queue].sort((left, right) => comparePriority(left, right, now));
+        const ownCalls = this.expectedCalls(demand);
+        const places = { inTime: 0, aboveShare: 0, late: 0 };
+        const workspaceCalls = new Map<number, number>();
+        const groups: readonly PlacedCall<Call>[][] = [[], [], [], []];
+        for (const call of sorted) {
+            const { workspaceKey } = call;
+            const workspacePlace = workspaceCalls.get(workspaceKey) ?? 0;
+            workspaceCalls.set(workspaceKey, workspacePlace + 1);
+            const isAbove = this.settings.shares.credit(workspaceKey) < workspacePlace + 1;
+            const isLate = call.inTimeUntilMs < now;
+            const slotClass = isLate ? "late" : isAbove ? "aboveShare" : "inTime";
+            const classWaitMs = this.forecast.waitMs(slotClass, places[slotClass], ownCalls[slotClass]);
+            places[slotClass] += 1;
+            const shareWaitMs = isAbove && !isLate ? this.settings.shares.waitMs(workspaceKey, workspacePlace) : Infinity;
+            groups[Number(isLate) * 2 + Number(isAbove)]?.push({ call, isAbove, waitMs: Math.min(classWaitMs, shareWaitMs) });
+        }
+        return groups.flat();
+    }
+
+    /** @returns Calls of this node that want a slot within the window, by class. */
+    private expectedCalls(demand: Demand): Readonly<Record<SlotClass, number>> {
+        const windowSeconds = STALENESS_REPORT_INTERVALS * this.settings.reportIntervalMs() / MS_PER_SECOND;
+        const { inTimeCalls, arrivalsPerSecond, aboveShareCalls = 0, aboveShareArrivalsPerSecond = 0, lateCalls } = demand;
+        return {
+            inTime: inTimeCalls + arrivalsPerSecond * windowSeconds,
+            aboveShare: aboveShareCalls + aboveShareArrivalsPerSecond * windowSeconds,
+            late: lateCalls,
+        };
+    }
+
+    /** Returns the time before which the caller of a refused call finds no slot, in milliseconds since the Unix epoch, spread. */
+    retryAtMs(waitMs: number): number | undefined {
+        const { clock, random } = this.settings;
+        return Number.isFinite(waitMs) ? clock.now() + waitMs * (1 + RETRY_SPREAD * random.next()) : undefined;
+    }
+}
+
+/** @returns Slots of a server that its limit on the calls of all nodes lets it use. */
+function usableSlots({ slots, callMs, allowance }: ServerCapacity): number {
+    return allowance === undefined ? slots : Math.min(slots, allowance.callsPerSecond * callMs / MS_PER_SECOND);
+}
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -13,7 +13,7 @@
     type VersionCount,
 } from "../../protocol/relay/mod.js";
 import type { Clock, RelayWorkspace } from "../../state/relay/mod.js";
-import type { Demand } from "../allotment/mod.js";
+import type { Demand, ServiceLoads } from "../allotment/mod.js";
 import type { CallQuarantine } from "./call_quarantine.js";
 import { MeshExchange } from "./mesh_exchange.js";
 import type { NodeDirectory } from "./node_directory.js";
@@ -23,6 +23,7 @@
 import type { ServerStatements } from "./server_statements.js";
 import type { TopicViews } from "./topic_views.js";
 import { TreeExchange } from "./tree_exchange.js";
+import { toWorkspaceLoads } from "./workspace_load_sums.js";
 import type { WorkspaceQuota } from "./workspace_quota.js";
 
 /** Maximum number of peers for a full-mesh exchange; 16 nodes send at most 1,200 reports per second in total. */
@@ -52,6 +53,8 @@
     readonly lostServices: () => readonly string[];
     /** Calls that need slots, by service. */
     readonly demands: () => Iterable<readonly [string, Demand]>;
+    /** Loads of the workspaces, by service whose slots are short. */
+    readonly workspaceLoads?: () => Iterable<readonly [string, ServiceLoads]>;
     readonly isDraining: () => boolean;
     /** Time for which the platform's log has answered without an outage, in milliseconds. */
     readonly logSteadyMs: () => number;
@@ -195,7 +198,15 @@
             serverLimits: [...limits.reportedLimits()],
             leavingServers: [...statements.reportedLeaving()],
             brittleServers: [...statements.brittle.reported()],
-            demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
+            demands: [...this.settings.demands()].map(([service, demand]) => ({
+                serviceKey: hashKey(service),
+                aboveShareCalls: 0,
+                aboveShareArrivalsPerSecond: 0,
+                ...demand,
+            })),
+            workspaceLoads: [...this.settings.workspaceLoads?.() ?? []].map(([service, loads]) =>
+                toWorkspaceLoads(hashKey(service), loads)
+            ),
             leaving: isDraining(),
             logSteadyMs: Math.round(logSteadyMs()),
             lostServices: this.settings.lostServices().map(service => ({
--- a/src/coordination/relay/peer_table.ts
+++ b/src/coordination/relay/peer_table.ts
@@ -6,7 +6,8 @@
 
 import { callsByServerKey, hashKey, type PeerReport } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
-import { type Demand, sumDemands } from "../allotment/mod.js";
+import { type Demand, type ServiceLoads, sumDemands } from "../allotment/mod.js";
+import { WorkspaceLoadSums } from "./workspace_load_sums.js";
 
 /** Age of a report above which its calls are no longer summed, in milliseconds; several lost datagrams do not reach it. */
 export const MAX_REPORT_AGE_MS = 2_500;
@@ -105,6 +106,17 @@
         return sumDemands(summed.flatMap(({ report }) => report.demands.filter(demand => demand.serviceKey === serviceKey)));
     }
 
+    /** Loads of the workspaces on a service at the other nodes, from recent reports; empty while slots are not short. */
+    workspaceLoadsOf(serviceKey: number): ServiceLoads {
+        const sums = new WorkspaceLoadSums();
+        for (const { report, isInSums } of this.peers.values()) {
+            if (isInSums) {
+                sums.add(report.workspaceLoads);
+            }
+        }
+        return sums.of(serviceKey);
+    }
+
     /**
      * Whether a peer can be handed calls of a service, as far as its reports tell. A peer without a report of its own, whose figures
      * aggregators report, counts as able to.
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -349,6 +349,7 @@
             id: head.id,
             route,
             workspaceRank: workspace?.rank ?? 0,
+            workspace: workspace?.name,
             arrivedAtMs: call.arrivedAtMs,
             deadlineAtMs: call.arrivedAtMs + deadlineMs,
             waitLimits: decideWaitLimits(route, {
@@ -661,7 +662,10 @@
             elapsedMs: Math.round(this.elapsedMs()),
         });
         this.state.retryAtMs = error.retryAtMs;
-        this.finalAnswer.refuse(AnswerPlace.NoSlot, "No backend server is free in time; the call has not run.");
+        const text = error.reason === NoSlotReason.ShareSpent ?
+            "The workspace is above its share and no backend server is free for it in time; the call has not run." :
+            "No backend server is free in time; the call has not run.";
+        this.finalAnswer.refuse(AnswerPlace.NoSlot, text);
     }
 
     private elapsedMs(): number {
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -22,6 +22,7 @@
 import { MAX_REPORT_AGE_MS, NODE_EXPIRY_MS } from "./peer_table.js";
 import { addTopicViews } from "./topic_views.js";
 import { addVersionCounts } from "./version_count_sums.js";
+import { WorkspaceLoadSums } from "./workspace_load_sums.js";
 
 /** Latest report of one sender. */
 interface SenderEntry {
@@ -49,6 +50,7 @@
     | "silentNodes"
     | "logSteadyMs"
     | "topicViews"
+    | "workspaceLoads"
 >;
 
 /**
@@ -117,6 +119,7 @@
             bucketTotals: [...totals.values()],
             versions: report.versions,
             demands: this.isFresh(sender) ? report.demands : [],
+            workspaceLoads: this.isFresh(sender) ? report.workspaceLoads : [],
             heardNodes: this.isFresh(sender) ? 1 : 0,
         };
     }
@@ -133,6 +136,7 @@
         const leavingServers = new Map<number, LeavingServer>();
         const brittleServers = new Map<number, BrittleServer>();
         const topicViews = new Map<number, TopicView[]>();
+        const workspaceLoads = new WorkspaceLoadSums();
         let heardNodes = 0;
         let silentNodes = 0;
         let logSteadyMs = 0;
@@ -151,6 +155,7 @@
             }
             addAll(calls, callsByServerKey(report));
             addDemands(demands, report.demands);
+            workspaceLoads.add(report.workspaceLoads);
             lostServices.push(...report.lostServices);
             heardNodes += nodes;
             silentNodes += report.silentNodes;
@@ -173,6 +178,7 @@
             silentNodes,
             logSteadyMs,
             topicViews: [...topicViews.values()].flat(),
+            workspaceLoads: workspaceLoads.messages(),
         };
     }
 
@@ -205,6 +211,9 @@
     addAll(totals, totalsByBucketKey(ownPart), -1);
     addVersionCounts(versions, report.versions);
     addVersionCounts(versions, ownPart.versions, -1);
+    const workspaceLoads = new WorkspaceLoadSums();
+    workspaceLoads.add(report.workspaceLoads);
+    workspaceLoads.subtract(ownPart.workspaceLoads);
     return {
         ...report,
         serverKeys: [...calls.keys()],
@@ -213,6 +222,7 @@
         bucketTotals: [...totals.values()],
         versions: [...versions.values()],
         demands: [...demands.values()],
+        workspaceLoads: workspaceLoads.messages(),
         heardNodes: report.heardNodes - ownPart.heardNodes,
         ownPart: undefined,
     };
@@ -276,6 +286,8 @@
             inTimeCalls: (sum?.inTimeCalls ?? 0) + sign * demand.inTimeCalls,
             lateCalls: (sum?.lateCalls ?? 0) + sign * demand.lateCalls,
             arrivalsPerSecond: (sum?.arrivalsPerSecond ?? 0) + sign * demand.arrivalsPerSecond,
+            aboveShareCalls: (sum?.aboveShareCalls ?? 0) + sign * demand.aboveShareCalls,
+            aboveShareArrivalsPerSecond: (sum?.aboveShareArrivalsPerSecond ?? 0) + sign * demand.aboveShareArrivalsPerSecond,
         });
     }
 }
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -12,6 +12,7 @@
 import { AdmissionGate, type ServerCapacity } from "./admission_gate.js";
 import { ArrivalRate } from "./arrival_rate.js";
 import { comparePriority } from "./call_priority.js";
+import type { FairQueueing, PlacedCall } from "./fair_queueing.js";
 import { chooseServer, type PlacementRequest } from "./placement.js";
 import { PromptLocations } from "./prompt_locations.js";
 import type { ServerState } from "./server_state.js";
@@ -30,6 +31,7 @@
 interface QueuedCall {
     readonly request: SlotRequest;
     readonly workspaceRank: number;
+    readonly workspaceKey: number;
     readonly routeRank: number;
     readonly inTimeUntilMs: number;
     readonly arrivedAtMs: number;
@@ -58,6 +60,8 @@
     readonly nodeCount: () => number;
     /** Returns whether this node reaches no server of the service. */
     readonly isOutOfReach: () => boolean;
+    /** Shares of the workspaces in the slots; left out where they are off. */
+    readonly fairQueueing?: FairQueueing | undefined;
     /** Called when a call has to wait and none did before; {@linkcode ServiceScheduler.dispatchWaiting} is due from then on. */
     readonly onFirstWaiting?: () => void;
     /** Called when the dispatch beside the start or end of a call fails. Waiting calls stay in the queue until the next one. */
@@ -90,6 +94,11 @@
 
     /** Demand of this node for the service. */
     get demand(): Demand {
+        return this.settings.fairQueueing?.classify(this.allDemand, this.queue) ?? this.allDemand;
+    }
+
+    /** Demand of this node regardless of the shares of workspaces. */
+    private get allDemand(): Demand {
         const now = this.settings.clock.now();
         let inTimeCalls = 0;
         for (const { inTimeUntilMs } of this.queue) {
@@ -135,28 +144,40 @@
      * @throws {NoSlotError} If the call is refused or aborted before it gets one.
      */
     reserveSlot(request: SlotRequest): Promise<SlotReservation> {
-        if (request.waitLimits.inTimeUntilMs >= this.settings.clock.now()) {
+        const isInTime = request.waitLimits.inTimeUntilMs >= this.settings.clock.now();
+        if (isInTime) {
             this.arrivals.record();
         }
+        const { fairQueueing } = this.settings;
+        const workspaceKey = fairQueueing?.keyOf(request.workspace) ?? 0;
+        fairQueueing?.shares.recordArrival(workspaceKey, request.workspace ?? "", isInTime);
         this.recordHoldUp();
         this.refreshAllotment();
         if (this.queue.length === 0) {
-            const slot = this.tryReserveSlot(request);
+            const slot = this.tryReserveSlot(request, workspaceKey, fairQueueing?.isAbove(workspaceKey) === true);
             if (slot !== undefined) {
                 return Promise.resolve(slot);
             }
         }
+        fairQueueing?.shares.recordWaiting(workspaceKey);
         return new Promise((resolve, reject) => {
             const queued: QueuedCall = {
                 request,
                 workspaceRank: request.workspaceRank,
+                workspaceKey,
                 routeRank: request.route.rank,
                 inTimeUntilMs: request.waitLimits.inTimeUntilMs,
                 arrivedAtMs: request.arrivedAtMs,
                 isCallerRetry: request.waitLimits.isCallerRetry,
                 heldUpMs: 0,
-                resolve,
-                reject,
+                resolve: slot => {
+                    fairQueueing?.shares.recordWaitEnd(workspaceKey);
+                    resolve(slot);
+                },
+                reject: error => {
+                    fairQueueing?.shares.recordWaitEnd(workspaceKey);
+                    reject(error as Error);
+                },
             };
             this.queue.push(queued);
             request.signal.addEventListener("abort", () => this.rejectQueued(queued, NoSlotReason.Ended), { once: true });
@@ -175,12 +196,11 @@
         this.recordHoldUp();
         this.refreshAllotment();
         const now = this.settings.clock.now();
-        this.queue.sort((left, right) => comparePriority(left, right, now));
         const remaining: QueuedCall[] = [];
         const isOutOfReach = this.settings.isOutOfReach();
         const restEndMs = this.firstRestEndMs;
         let isFull = false;
-        for (const queued of this.queue) {
+        for (const { call: queued, isAbove, waitMs } of this.arrangeQueue(now)) {
             try {
                 if (isOutOfReach && queued.request.mayLeave()) {
                     queued.reject(new NoSlotError(this.settings.service, NoSlotReason.OutOfReach));
@@ -196,11 +216,15 @@
                     continue;
                 }
                 if (this.shouldRefuse(limits, now)) {
-                    queued.reject(new NoSlotError(this.settings.service, NoSlotReason.Overdue));
+                    this.refuseQueued(queued, isAbove);
+                    continue;
+                }
+                const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now, isAbove);
+                const slot = mayAdmit ? this.tryReserveSlot(queued.request, queued.workspaceKey, isAbove) : undefined;
+                if (slot === undefined && !this.isCatchingUp && waitMs > limits.giveUpAtMs - now) {
+                    this.refuseQueued(queued, isAbove, waitMs);
                     continue;
                 }
-                const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now);
-                const slot = mayAdmit ? this.tryReserveSlot(queued.request) : undefined;
                 if (slot === undefined) {
                     isFull ||= mayAdmit && queued.request.excludedServers.size === 0;
                     remaining.push(queued);
@@ -216,6 +240,26 @@
         this.queue = remaining;
     }
 
+    /** @returns Waiting calls in the order in which they get slots. */
+    private arrangeQueue(now: number): readonly PlacedCall<QueuedCall>[] {
+        const { fairQueueing } = this.settings;
+        if (fairQueueing !== undefined) {
+            return fairQueueing.arrange(this.queue, this.demand);
+        }
+        this.queue.sort((left, right) => comparePriority(left, right, now));
+        return this.queue.map(call => ({ call, isAbove: false, waitMs: 0 }));
+    }
+
+    /** Refuses a waiting call. `waitMs` is the time until it would get a slot, if that is why. */
+    private refuseQueued(queued: QueuedCall, isAbove: boolean, waitMs = Infinity): void {
+        const { fairQueueing, service } = this.settings;
+        if (isAbove) {
+            fairQueueing?.shares.recordRefused(queued.workspaceKey);
+        }
+        const reason = isAbove ? NoSlotReason.ShareSpent : NoSlotReason.Overdue;
+        queued.reject(new NoSlotError(service, reason, fairQueueing?.retryAtMs(waitMs)));
+    }
+
     /** Dispatches waiting calls; an error is not charged to the call that gave the occasion. */
     private tryDispatch(): void {
         try {
@@ -263,18 +307,22 @@
     }
 
     private refreshAllotment(): void {
-        const { clock, peerDemand, mainServers } = this.settings;
+        const { clock, fairQueueing, peerDemand, mainServers } = this.settings;
         const now = clock.now();
         if (!this.isCatchingUp && this.gate.isDue(now)) {
-            this.gate.allot(now, this.demand, peerDemand(), mainServers().filter(isAvailable).map(toCapacity));
+            const servers = mainServers().filter(isAvailable).map(toCapacity);
+            fairQueueing?.divide(servers);
+            const supply = this.gate.allot(now, this.demand, peerDemand(), servers);
+            fairQueueing?.recordSupply(supply);
         }
     }
 
-    private tryReserveSlot(request: SlotRequest): SlotReservation | undefined {
-        const { clock, failureDomain, nodeCount, random } = this.settings;
+    /** Reserves a slot if the admission gate allows one. `isAbove` states whether the call is beyond the share of its workspace. */
+    private tryReserveSlot(request: SlotRequest, workspaceKey: number, isAbove: boolean): SlotReservation | undefined {
+        const { clock, failureDomain, fairQueueing, nodeCount, random } = this.settings;
         const now = clock.now();
         const isLate = request.waitLimits.inTimeUntilMs < now;
-        if (!this.gate.mayAdmit(isLate)) {
+        if (!this.gate.mayAdmit(isLate, isAbove)) {
             return undefined;
         }
         const call: PlacementRequest = {
@@ -293,14 +341,18 @@
         if (choice.isTrial) {
             choice.state.recordTrial();
         }
-        this.gate.recordAdmitted(isLate);
+        this.gate.recordAdmitted(isLate, isAbove);
+        fairQueueing?.shares.recordStart(workspaceKey, isAbove);
         this.promptLocations.record(request.promptPartId, choice.state.server.id);
         const expectedMs = choice.state.expectedFirstEventMs(request.promptTokens);
         return new SlotReservation(
             choice.state,
             choice.state.startCall(request.promptTokens),
             expectedMs,
-            () => this.tryDispatch(),
+            () => {
+                fairQueueing?.shares.recordEnd(workspaceKey);
+                this.tryDispatch();
+            },
         );
     }
 }
--- a/src/coordination/relay/slot_reservation.ts
+++ b/src/coordination/relay/slot_reservation.ts
@@ -17,6 +17,8 @@
     readonly route: RelayRoute;
     /** Rank of the workspace; 0 is the highest priority. */
     readonly workspaceRank: number;
+    /** Name of the workspace; `undefined` for a public call. */
+    readonly workspace?: string | undefined;
     /** Arrival, in milliseconds since the Unix epoch. */
     readonly arrivedAtMs: number;
     /** Time until which the caller waits, in milliseconds since the Unix epoch. */
@@ -40,6 +42,8 @@
 export enum NoSlotReason {
     /** It exceeded its wait limit, or is late while late calls are refused. */
     Overdue = "overdue",
+    /** Its workspace is above its share of the slots, and others need them. */
+    ShareSpent = "shareSpent",
     /** This node reaches no server of the service, and a peer can take the call. */
     OutOfReach = "outOfReach",
     /** This node stops before the call could be answered. */
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -5,6 +5,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { WorkspaceShares } from "../../coordination/allotment/mod.js";
 import type { CallRecord, TopicRead } from "../../coordination/relay/mod.js";
 import type { LocalAnswer } from "../../protocol/relay/mod.js";
 import type { CutCall } from "../../transport/relay/mod.js";
@@ -28,6 +29,8 @@
     readonly openServers: () => Iterable<readonly [string, number]>;
     /** Number of backend servers that state a limit on the calls of all nodes, by service. */
     readonly limitedServers: () => Iterable<readonly [string, number]>;
+    /** Shares of the workspaces, by service; `undefined` where they are off. */
+    readonly workspaceShares?: (() => ReadonlyMap<string, WorkspaceShares>) | undefined;
     readonly peers: () => number;
     /** Number of services of which no backend server is reached. */
     readonly lostServices: () => number;
@@ -127,6 +130,9 @@
             "Backend servers that state a limit on the calls of all nodes.",
             gauges.limitedServers,
         );
+        if (gauges.workspaceShares !== undefined) {
+            this.addShareMetrics(gauges.workspaceShares);
+        }
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
         this.addGauge("lost_services", "Services of which no backend server is reached.", gauges.lostServices);
         this.addGauge("detoured_calls", "Calls that peers have taken from this node.", gauges.detouredCalls);
@@ -244,6 +250,44 @@
         });
     }
 
+    /** Adds the metrics of the workspaces' shares; those by workspace name only the largest that are above their share. */
+    private addShareMetrics(read: () => ReadonlyMap<string, WorkspaceShares>): void {
+        const registers = [this.registry];
+        for (
+            const [name, help, pick] of [
+                ["workspace_share_slots", "Slots to which a workspace above its share is entitled.", "shareSlots"],
+                ["workspace_held_slots", "Slots that a workspace above its share holds at all nodes.", "heldSlots"],
+            ] as const
+        ) {
+            new Gauge({
+                name: `foxtailrail_relay_${name}`,
+                help,
+                labelNames: ["service", "workspace"],
+                registers,
+                collect() {
+                    this.reset();
+                    for (const [service, shares] of read()) {
+                        for (const figures of shares.figures()) {
+                            this.set({ service, workspace: figures.workspace }, figures[pick]);
+                        }
+                    }
+                },
+            });
+        }
+        const countOf = (count: (shares: WorkspaceShares) => number) => () =>
+            [...read()].map(([service, shares]) => [service, count(shares)] as const);
+        this.addServiceGauge(
+            "share_held_back_calls",
+            "Calls that waited because their workspace was above its share, since the start.",
+            countOf(shares => shares.heldBackCalls),
+        );
+        this.addServiceGauge(
+            "share_refused_calls",
+            "Calls that were refused because their workspace was above its share, since the start.",
+            countOf(shares => shares.refusedCalls),
+        );
+    }
+
     private addGauge(name: string, help: string, read: () => number): void {
         new Gauge({
             name: `foxtailrail_relay_${name}`,
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Logger } from "pino";
-import type { ServiceDemands } from "../../coordination/allotment/mod.js";
+import { type ServiceDemands, type ServiceLoads, WorkspaceShares } from "../../coordination/allotment/mod.js";
 import {
     type BackgroundTask,
     BrittleServers,
@@ -14,6 +14,7 @@
     DetourPeers,
     type EraChange,
     EraGuardedLog,
+    FairQueueing,
     fromDetourCall,
     LogHealth,
     NodeDirectory,
@@ -149,6 +150,8 @@
     private readonly peerSocket: PeerSocket;
     private readonly maintenancePause: WakeablePause;
     private readonly schedulers = new Map<string, ServiceScheduler>();
+    /** Shares of the workspaces by service; empty where they are off. */
+    private readonly shares = new Map<string, WorkspaceShares>();
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private workspaces: ReadonlySet<RelayWorkspace> = new Set();
     private drainSettings: RelaySettings["drain"];
@@ -299,6 +302,7 @@
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
+            workspaceLoads: () => reportedLoads(this.shares),
             versionCounts: () => this.rollouts.versionCounts(),
             lostServices: () => this.reach.lostServices(),
             isDraining: () => this.draining,
@@ -385,6 +389,7 @@
             sentCalls: () => this.pool.sumByService(state => state.ownCalls),
             openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
             limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
+            workspaceShares: this.dependencies.settings.workspaceShares ? () => this.shares : undefined,
             peers: () => this.peers.reachablePeers,
             lostServices: () => this.reach.lostServices().length,
             detouredCalls: () => this.detourPeers.openCalls,
@@ -697,6 +702,7 @@
                 nodeCount: () => this.peers.reachablePeers + 1,
                 candidates: callId => this.rollouts.candidates(service, this.pool.openServers(service), callId),
                 isOutOfReach: () => this.reach.isLost(service),
+                fairQueueing: settings.workspaceShares ? this.makeFairQueueing(service) : undefined,
                 onFirstWaiting: () => this.maintenancePause.wake(),
                 onDispatchFailed: error => this.relayLog.error("node: dispatch failed", error, { service }),
             });
@@ -705,6 +711,22 @@
         return scheduler;
     }
 
+    private makeFairQueueing(service: string): FairQueueing {
+        const { clock, random } = this.dependencies;
+        const key = hashKey(service);
+        const onChange = (text: string, detail: Readonly<Record<string, unknown>>) => this.relayLog.info(text, detail);
+        const shares = new WorkspaceShares({ service, clock, onChange });
+        this.shares.set(service, shares);
+        return new FairQueueing({
+            clock,
+            random,
+            shares,
+            peerLoads: () => this.peers.workspaceLoadsOf(key),
+            unreachableShare: () => this.peers.unreachableShare(),
+            reportIntervalMs: () => this.reporter.intervalMs,
+        });
+    }
+
     private demandsOf(service: string): ServiceDemands {
         return { own: this.scheduler(service).demand, peers: this.peers.demandOf(hashKey(service)) };
     }
@@ -729,6 +751,14 @@
     }
 }
 
+/** @returns Loads of the workspaces by service, of the services whose slots are short. */
+function reportedLoads(shares: ReadonlyMap<string, WorkspaceShares>): readonly (readonly [string, ServiceLoads])[] {
+    return [...shares].flatMap(([service, each]) => {
+        const loads = each.reported();
+        return loads === undefined ? [] : [[service, loads] as const];
+    });
+}
+
 /**
  * Returns the memory for bytes that are held for others, in bytes: half of what the program leaves, as a body is copied once when it is
  * complete.
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -72,6 +72,8 @@
         /** Time within which a bad version must be out of use, in milliseconds. */
         rollbackMs: z.int().min(0),
     }),
+    /** Whether workspaces share the slots of a service by their usual loads while slots are short. */
+    workspaceShares: z.boolean().default(false),
     logLinesPerSecond: z.int().min(1).default(DEFAULT_LOG_LINES_PER_SECOND),
 });
 
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -72,6 +72,24 @@
   readonly leavingServers: readonly LeavingServer[];
   readonly brittleServers: readonly BrittleServer[];
   readonly topicViews: readonly TopicView[];
+  readonly workspaceLoads: readonly WorkspaceLoads[];
+}
+
+/** Loads of the largest workspaces on one service whose slots are short. The lists are parallel: one entry for each workspace. */
+export interface WorkspaceLoads {
+  readonly serviceKey: number;
+  /** Nodes at which calls wait for a slot of the service. */
+  readonly shortNodes: number;
+  /** Hashes of the names of the workspaces. */
+  readonly workspaceKeys: readonly number[];
+  /** Slots that the workspace's calls hold, and calls that wait for one. */
+  readonly heldCalls: readonly number[];
+  readonly waitingCalls: readonly number[];
+  /** Calls that arrive, and calls that release their slot, in 10 s. */
+  readonly arrivalsPer10Seconds: readonly number[];
+  readonly endsPer10Seconds: readonly number[];
+  /** Slots that the workspace usually holds, in hundredths. */
+  readonly usualSlotHundredths: readonly number[];
 }
 
 /** What a node that reads a topic of the platform's log knows about it. */
@@ -192,6 +210,9 @@
   readonly inTimeCalls: number;
   readonly lateCalls: number;
   readonly arrivalsPerSecond: number;
+  /** As in_time_calls and arrivals_per_second, of calls beyond the share of their workspace, which those do not include. */
+  readonly aboveShareCalls: number;
+  readonly aboveShareArrivalsPerSecond: number;
 }
 
 /** Calls of one version of a service's backend servers since the rollout was ordered. */
@@ -248,6 +269,7 @@
     leavingServers: [],
     brittleServers: [],
     topicViews: [],
+    workspaceLoads: [],
   };
 }
 
@@ -341,6 +363,9 @@
     for (const v of message.topicViews) {
       TopicView.encode(v!, writer.uint32(194).fork()).join();
     }
+    for (const v of message.workspaceLoads) {
+      WorkspaceLoads.encode(v!, writer.uint32(210).fork()).join();
+    }
     return writer;
   },
 
@@ -589,6 +614,230 @@
             message.topicViews.push(TopicView.decode(reader, reader.uint32()));
             continue;
           }
+          case 26: {
+            if (tag !== 210) {
+              break;
+            }
+
+            message.workspaceLoads.push(WorkspaceLoads.decode(reader, reader.uint32()));
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
+function createBaseWorkspaceLoads(): WorkspaceLoads {
+  return {
+    serviceKey: 0,
+    shortNodes: 0,
+    workspaceKeys: [],
+    heldCalls: [],
+    waitingCalls: [],
+    arrivalsPer10Seconds: [],
+    endsPer10Seconds: [],
+    usualSlotHundredths: [],
+  };
+}
+
+export const WorkspaceLoads: MessageFns<WorkspaceLoads> = {
+  encode(message: WorkspaceLoads, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.serviceKey !== 0) {
+      writer.uint32(13).fixed32(message.serviceKey);
+    }
+    if (message.shortNodes !== 0) {
+      writer.uint32(16).uint32(message.shortNodes);
+    }
+    if (message.workspaceKeys.length !== 0) {
+      writer.uint32(26).fork();
+      for (const v of message.workspaceKeys) {
+        writer.fixed32(v);
+      }
+      writer.join();
+    }
+    if (message.heldCalls.length !== 0) {
+      writer.uint32(34).fork();
+      for (const v of message.heldCalls) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.waitingCalls.length !== 0) {
+      writer.uint32(42).fork();
+      for (const v of message.waitingCalls) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.arrivalsPer10Seconds.length !== 0) {
+      writer.uint32(50).fork();
+      for (const v of message.arrivalsPer10Seconds) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.endsPer10Seconds.length !== 0) {
+      writer.uint32(58).fork();
+      for (const v of message.endsPer10Seconds) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    if (message.usualSlotHundredths.length !== 0) {
+      writer.uint32(66).fork();
+      for (const v of message.usualSlotHundredths) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): WorkspaceLoads {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseWorkspaceLoads() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 13) {
+              break;
+            }
+
+            message.serviceKey = reader.fixed32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.shortNodes = reader.uint32();
+            continue;
+          }
+          case 3: {
+            if (tag === 29) {
+              message.workspaceKeys.push(reader.fixed32());
+
+              continue;
+            }
+
+            if (tag === 26) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.workspaceKeys.push(reader.fixed32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 4: {
+            if (tag === 32) {
+              message.heldCalls.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 34) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.heldCalls.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 5: {
+            if (tag === 40) {
+              message.waitingCalls.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 42) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.waitingCalls.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 6: {
+            if (tag === 48) {
+              message.arrivalsPer10Seconds.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 50) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.arrivalsPer10Seconds.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 7: {
+            if (tag === 56) {
+              message.endsPer10Seconds.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 58) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.endsPer10Seconds.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
+          case 8: {
+            if (tag === 64) {
+              message.usualSlotHundredths.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 66) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.usualSlotHundredths.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1473,7 +1722,14 @@
 };
 
 function createBaseServiceDemand(): ServiceDemand {
-  return { serviceKey: 0, inTimeCalls: 0, lateCalls: 0, arrivalsPerSecond: 0 };
+  return {
+    serviceKey: 0,
+    inTimeCalls: 0,
+    lateCalls: 0,
+    arrivalsPerSecond: 0,
+    aboveShareCalls: 0,
+    aboveShareArrivalsPerSecond: 0,
+  };
 }
 
 export const ServiceDemand: MessageFns<ServiceDemand> = {
@@ -1490,6 +1746,12 @@
     if (message.arrivalsPerSecond !== 0) {
       writer.uint32(32).uint32(message.arrivalsPerSecond);
     }
+    if (message.aboveShareCalls !== 0) {
+      writer.uint32(40).uint32(message.aboveShareCalls);
+    }
+    if (message.aboveShareArrivalsPerSecond !== 0) {
+      writer.uint32(48).uint32(message.aboveShareArrivalsPerSecond);
+    }
     return writer;
   },
 
@@ -1538,6 +1800,22 @@
             message.arrivalsPerSecond = reader.uint32();
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.aboveShareCalls = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.aboveShareArrivalsPerSecond = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -19,6 +19,7 @@
     type TopicView,
     type VersionCount,
     type VersionSlice,
+    type WorkspaceLoads,
 } from "../gen/relay.js";
 export { describeIssue } from "../schema_problem.js";
 export * from "./call_execution.js";
--- a/src/protocol/relay/report_check.ts
+++ b/src/protocol/relay/report_check.ts
@@ -28,9 +28,15 @@
 }
 
 /** @returns Whether a fleet can have as many calls as a report states; others seem to take all slots. */
-function hasPlausibleCalls({ serverCalls, demands }: PeerReport): boolean {
-    for (const { inTimeCalls, lateCalls, arrivalsPerSecond } of demands) {
-        if (Math.max(inTimeCalls, lateCalls, arrivalsPerSecond) > MAX_CALLS) {
+function hasPlausibleCalls({ serverCalls, demands, workspaceLoads }: PeerReport): boolean {
+    for (const { inTimeCalls, lateCalls, arrivalsPerSecond, aboveShareCalls, aboveShareArrivalsPerSecond } of demands) {
+        if (Math.max(inTimeCalls, lateCalls, arrivalsPerSecond, aboveShareCalls, aboveShareArrivalsPerSecond) > MAX_CALLS) {
+            return false;
+        }
+    }
+    for (const { heldCalls, waitingCalls, arrivalsPer10Seconds, endsPer10Seconds, usualSlotHundredths } of workspaceLoads) {
+        const figures = [...heldCalls, ...waitingCalls, ...arrivalsPer10Seconds, ...endsPer10Seconds, ...usualSlotHundredths];
+        if (figures.some(figure => figure > MAX_CALLS)) {
             return false;
         }
     }
