--- a/src/coordination/allotment/mod.ts
+++ b/src/coordination/allotment/mod.ts
@@ -9,6 +9,7 @@
 export * from "./demand.js";
 export * from "./max_min_division.js";
 export * from "./shared_token_bucket.js";
+export * from "./usual_load.js";
 export * from "./workspace_accounts.js";
 export * from "./workspace_division.js";
 export * from "./workspace_load.js";
--- a/src/coordination/allotment/workspace_shares.ts
+++ b/src/coordination/allotment/workspace_shares.ts
@@ -83,7 +83,7 @@
     private readonly accounts: WorkspaceAccounts;
     private readonly spent = new Map<number, SpentAccount>();
     private waitedAtMs = -Infinity;
-    private peersAreShort = false;
+    private peersWaitedAtMs = -Infinity;
     private shortSinceMs: number | undefined;
     private windowMs = 1;
     private heldBack = 0;
@@ -96,7 +96,7 @@
 
     /** Whether calls wait for slots at this node or at another one. */
     get isShort(): boolean {
-        return this.peersAreShort || this.isShortHere;
+        return this.isShortHere || this.settings.clock.now() - this.peersWaitedAtMs <= SHORT_MS;
     }
 
     /** Calls that were held back, and refused, because their workspace was above its share. */
@@ -202,7 +202,7 @@
     divide({ slots, allCalls, peers, intervalMs }: DivisionInput): void {
         const now = this.settings.clock.now();
         this.windowMs = STALENESS_REPORT_INTERVALS * intervalMs;
-        this.peersAreShort = peers.shortNodes > 0;
+        this.peersWaitedAtMs = peers.shortNodes > 0 ? now : this.peersWaitedAtMs;
         this.shortSinceMs = this.isShort ? this.shortSinceMs ?? now : undefined;
         // Until the reports of all nodes have arrived, the loads of the others are unknown.
         if (this.shortSinceMs === undefined || now - this.shortSinceMs < SETTLING_INTERVALS * intervalMs) {
@@ -261,7 +261,7 @@
         if (account === undefined) {
             account = {
                 share: undefined,
-                credit: 0,
+                credit: MAX_KEPT_CREDIT,
                 callsPerSecond: 0,
                 peerWantedCalls: 0,
                 aboveAtMs: now,
