--- a/features/support/share_fleet.ts
+++ b/features/support/share_fleet.ts
@@ -79,13 +79,15 @@
     cutOffNode: number | undefined;
     /** Largest number of bytes that a report spent on the loads of workspaces. */
     largestLoadBytes = 0;
-    private readonly random = new SeededRandom(7);
+    private readonly random: SeededRandom;
     private readonly nodes: FleetNode[] = [];
     private readonly slotsFreeAtMs = new Map<string, number[]>();
     private readonly downServers = new Set<string>();
     private stepCount = 0;
 
-    constructor() {
+    /** @param seed Seed of the arrivals and of the nodes' decisions. */
+    constructor(seed = 7) {
+        this.random = new SeededRandom(seed);
         for (let index = 0; index < NODES; index += 1) {
             this.nodes.push(this.makeNode(index));
         }
--- a/src/coordination/allotment/decaying_rate.ts
+++ b/src/coordination/allotment/decaying_rate.ts
@@ -7,8 +7,11 @@
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
 
-/** Time constant of the decay, in milliseconds; 2 s after the last event, less than a fiftieth of the rate is left. */
-const DECAY_MS = 500;
+/**
+ * Time constant of the decay, in milliseconds. With 500 ms, a workspace of 16 calls a second was found above its share by chance; 2 s after
+ * the last event, a seventh of the rate is left.
+ */
+const DECAY_MS = 1_000;
 
 /** Counts events with exponentially decaying weights. */
 export class DecayingRate {
--- a/src/coordination/allotment/workspace_shares.ts
+++ b/src/coordination/allotment/workspace_shares.ts
@@ -19,9 +19,15 @@
 /** Time after the last wait of a call for which slots count as short, in milliseconds; several report intervals. */
 const SHORT_MS = 1_000;
 
-/** Time for which a workspace has to be within its share before it is logged as such, in milliseconds. */
+/** Time for which a workspace has to be within its share before the next time above it is a new one, in milliseconds. */
 const QUIET_MS = 2_000;
 
+/** Time above its share from which a workspace is logged, in milliseconds; loads vary by chance for shorter times. */
+const MIN_LOGGED_MS = 1_000;
+
+/** Workspaces of a service that are logged as above their share at a time; bounds the lines when there are hundreds. */
+const MAX_LOGGED_WORKSPACES = 12;
+
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
 
@@ -38,14 +44,18 @@
 interface SpentAccount {
     /** Share in force; `undefined` while the workspace is within it. */
     share: SpentShare | undefined;
+    /** Share that was last in force. */
+    lastShare: SpentShare;
     /** Calls that this node may start within the share. */
     credit: number;
     /** Calls that all nodes start within the share, a second. */
     callsPerSecond: number;
     /** Calls of the workspace at the other nodes that want a slot within the window. */
     peerWantedCalls: number;
-    /** Last time at which the workspace was above its share, in milliseconds since the Unix epoch. */
+    /** First and last time at which the workspace was above its share, in milliseconds since the Unix epoch. */
+    readonly aboveSinceMs: number;
     aboveAtMs: number;
+    isLogged: boolean;
     /** Calls that were held back, and refused, since the workspace came above its share. */
     heldBackCalls: number;
     refusedCalls: number;
@@ -86,6 +96,7 @@
     private peersWaitedAtMs = -Infinity;
     private shortSinceMs: number | undefined;
     private windowMs = 1;
+    private fractionAbove = 0;
     private heldBack = 0;
     private refused = 0;
 
@@ -172,14 +183,7 @@
 
     /** Fraction of the arriving calls in time at this node that are beyond the share of their workspace, from 0 to 1. */
     get arrivalFractionAbove(): number {
-        if (this.spent.size === 0) {
-            return 0;
-        }
-        let abovePerSecond = 0;
-        for (const key of this.spent.keys()) {
-            abovePerSecond += this.accounts.inTimeArrivalsPerSecond(key) * (1 - this.fractionWithin(key));
-        }
-        return abovePerSecond === 0 ? 0 : Math.min(1, abovePerSecond / this.accounts.allInTimeArrivalsPerSecond);
+        return this.spent.size === 0 ? 0 : this.fractionAbove;
     }
 
     /**
@@ -207,6 +211,7 @@
         // Until the reports of all nodes have arrived, the loads of the others are unknown.
         if (this.shortSinceMs === undefined || now - this.shortSinceMs < SETTLING_INTERVALS * intervalMs) {
             this.endAll();
+            this.fractionAbove = 0;
             return;
         }
         const own = this.accounts.loads();
@@ -226,6 +231,16 @@
         for (const [key, share] of shares) {
             this.apply(key, share, own.get(key) ?? NO_LOAD);
         }
+        this.fractionAbove = this.estimateFractionAbove();
+    }
+
+    /** Estimates the fraction once for each division, as there may be hundreds of workspaces. */
+    private estimateFractionAbove(): number {
+        let abovePerSecond = 0;
+        for (const key of this.spent.keys()) {
+            abovePerSecond += this.accounts.inTimeArrivalsPerSecond(key) * (1 - this.fractionWithin(key));
+        }
+        return abovePerSecond === 0 ? 0 : Math.min(1, abovePerSecond / this.accounts.allInTimeArrivalsPerSecond);
     }
 
     /** Returns the largest loads at this node while slots are short; `undefined` otherwise. */
@@ -261,21 +276,27 @@
         if (account === undefined) {
             account = {
                 share: undefined,
+                lastShare: share,
                 credit: MAX_KEPT_CREDIT,
                 callsPerSecond: 0,
                 peerWantedCalls: 0,
+                aboveSinceMs: now,
                 aboveAtMs: now,
+                isLogged: false,
                 heldBackCalls: 0,
                 refusedCalls: 0,
             };
             this.spent.set(key, account);
-            this.log("shares: workspace above its share", key, share, {});
         }
         const perSecond = share.startableCalls / this.windowMs * MS_PER_SECOND;
         const weight = account.share === undefined ? 1 : RATE_WEIGHT;
         account.callsPerSecond += (perSecond - account.callsPerSecond) * weight;
         account.share = share;
+        account.lastShare = share;
         account.aboveAtMs = now;
+        if (!account.isLogged && now - account.aboveSinceMs >= MIN_LOGGED_MS && this.loggedWorkspaces < MAX_LOGGED_WORKSPACES) {
+            account.isLogged = this.log("shares: workspace above its share", key, share, {});
+        }
         const ownWanted = this.wantedCalls(own);
         account.peerWantedCalls = Math.max(0, share.wantedCalls - ownWanted);
         account.credit = Math.min(MAX_KEPT_CREDIT, account.credit) +
@@ -292,13 +313,14 @@
         if (account === undefined) {
             return;
         }
-        const before = account.share;
         account.share = undefined;
         account.credit = Math.max(0, Math.min(MAX_KEPT_CREDIT, account.credit));
         if (this.settings.clock.now() - account.aboveAtMs >= QUIET_MS) {
             this.spent.delete(key);
-            const { heldBackCalls, refusedCalls } = account;
-            this.log("shares: workspace within its share", key, before, { heldBackCalls, refusedCalls });
+            const { heldBackCalls, refusedCalls, isLogged } = account;
+            if (isLogged) {
+                this.log("shares: workspace within its share", key, account.lastShare, { heldBackCalls, refusedCalls });
+            }
         }
     }
 
@@ -308,14 +330,23 @@
         }
     }
 
-    private log(text: string, key: number, share: SpentShare | undefined, detail: Readonly<Record<string, unknown>>): void {
+    private get loggedWorkspaces(): number {
+        let logged = 0;
+        for (const { isLogged } of this.spent.values()) {
+            logged += isLogged ? 1 : 0;
+        }
+        return logged;
+    }
+
+    /** @returns Whether the line was written: the name of a workspace without calls at this node is unknown. */
+    private log(text: string, key: number, share: SpentShare, detail: Readonly<Record<string, unknown>>): boolean {
         const workspace = this.accounts.nameOf(key);
-        if (workspace !== undefined) {
-            const slots = share === undefined ?
-                {} :
-                { shareSlots: Math.round(share.slots), heldSlots: Math.round(share.heldCalls) };
-            this.settings.onChange(text, { service: this.settings.service, workspace, ...slots, ...detail });
+        if (workspace === undefined) {
+            return false;
         }
+        const slots = { shareSlots: Math.round(share.slots), heldSlots: Math.round(share.heldCalls) };
+        this.settings.onChange(text, { service: this.settings.service, workspace, ...slots, ...detail });
+        return true;
     }
 }
 
--- a/src/coordination/relay/fair_queueing.ts
+++ b/src/coordination/relay/fair_queueing.ts
@@ -13,6 +13,7 @@
 import type { ServerCapacity } from "./admission_gate.js";
 import { type CallPriority, comparePriority } from "./call_priority.js";
 import { type SlotClass, SlotForecast, type SlotSupply } from "./slot_forecast.js";
+import { latestRetryMs } from "./wait_limits.js";
 
 /** Milliseconds in a second. */
 const MS_PER_SECOND = 1_000;
@@ -20,6 +21,9 @@
 /** Spread of the time at which a refused caller may find a slot, as a fraction of the forecast; callers must not return together. */
 const RETRY_SPREAD = 0.5;
 
+/** Earliest retry after a forecast that is later than the caller accepts, as a fraction of the latest one. */
+const LATE_RETRY_FRACTION = 0.7;
+
 /** Waiting call as far as its order depends on it. */
 export interface FairCall extends CallPriority {
     readonly workspaceKey: number;
@@ -149,10 +153,19 @@
         };
     }
 
-    /** Returns the time before which the caller of a refused call finds no slot, in milliseconds since the Unix epoch, spread. */
-    retryAtMs(waitMs: number): number | undefined {
+    /**
+     * Returns the time before which the caller of a refused call is not expected to find a slot, in milliseconds since the Unix epoch. It
+     * is spread, and within the time that the caller accepts, as a forecast for several seconds is uncertain.
+     *
+     * @param waitMs Forecast of the call's wait, in milliseconds.
+     * @param remainingMs Time that the caller still waits, in milliseconds.
+     */
+    retryAtMs(waitMs: number, remainingMs: number): number {
         const { clock, random } = this.settings;
-        return Number.isFinite(waitMs) ? clock.now() + waitMs * (1 + RETRY_SPREAD * random.next()) : undefined;
+        const latestMs = Math.max(0, latestRetryMs(remainingMs));
+        const forecastMs = waitMs * (1 + RETRY_SPREAD * random.next());
+        const acceptedMs = latestMs * (LATE_RETRY_FRACTION + (1 - LATE_RETRY_FRACTION) * random.next());
+        return clock.now() + Math.min(forecastMs, acceptedMs);
     }
 }
 
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -251,13 +251,15 @@
     }
 
     /** Refuses a waiting call. `waitMs` is the time until it would get a slot, if that is why. */
-    private refuseQueued(queued: QueuedCall, isAbove: boolean, waitMs = Infinity): void {
+    private refuseQueued(queued: QueuedCall, isAbove: boolean, waitMs?: number): void {
         const { fairQueueing, service } = this.settings;
         if (isAbove) {
             fairQueueing?.shares.recordRefused(queued.workspaceKey);
         }
         const reason = isAbove ? NoSlotReason.ShareSpent : NoSlotReason.Overdue;
-        queued.reject(new NoSlotError(service, reason, fairQueueing?.retryAtMs(waitMs)));
+        const remainingMs = queued.request.deadlineAtMs - this.settings.clock.now();
+        const retryAtMs = waitMs === undefined ? undefined : fairQueueing?.retryAtMs(waitMs, remainingMs);
+        queued.reject(new NoSlotError(service, reason, retryAtMs));
     }
 
     /** Dispatches waiting calls; an error is not charged to the call that gave the occasion. */
--- a/src/coordination/relay/wait_limits.ts
+++ b/src/coordination/relay/wait_limits.ts
@@ -99,6 +99,11 @@
     };
 }
 
+/** Returns the latest time after which a caller that still waits for a time may be asked to retry, both in milliseconds. */
+export function latestRetryMs(remainingMs: number): number {
+    return Math.min(remainingMs * MAX_RETRY_AFTER_FRACTION, remainingMs - SERVING_RESERVE_MS);
+}
+
 /** Times that bound a caller's retry, in milliseconds from now. */
 export interface RetryBounds {
     /** Time that the caller still waits. */
@@ -119,7 +124,7 @@
     { remainingMs, earliestMs: usefulFromMs }: RetryBounds,
     random: RandomSource,
 ): number | undefined {
-    const latestMs = Math.min(remainingMs * MAX_RETRY_AFTER_FRACTION, remainingMs - SERVING_RESERVE_MS);
+    const latestMs = latestRetryMs(remainingMs);
     if (latestMs < MIN_RETRY_AFTER_MS) {
         return undefined;
     }
