Relay: a retry within the share of its workspace goes before calls above a share

What callers saw: a call of a workspace within its share that was refused once, because its workspace was above its share by chance, came back late and was refused again, as late calls wait behind all calls in time.

Change: while some workspace is above its share, such a retry is a call in time for the queue and the admission gate.

--- a/src/coordination/allotment/workspace_shares.ts
+++ b/src/coordination/allotment/workspace_shares.ts
@@ -164,6 +164,16 @@
         }
     }
 
+    /** Whether some workspace asks for more than its share. */
+    get hasWorkspaceAbove(): boolean {
+        for (const { share } of this.spent.values()) {
+            if (share !== undefined) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether a workspace asks for more than its share. */
     isAbove(key: number): boolean {
         return this.spent.get(key)?.share !== undefined;
--- a/src/coordination/relay/admission_gate.ts
+++ b/src/coordination/relay/admission_gate.ts
@@ -9,7 +9,7 @@
 
 import type { RandomSource } from "../../state/relay/mod.js";
 import { type CallAllowance, type Demand, STALENESS_REPORT_INTERVALS } from "../allotment/mod.js";
-import type { SlotSupply } from "./slot_forecast.js";
+import type { SlotClass, SlotSupply } from "./slot_forecast.js";
 
 /** Fraction of the available slots that is allotted; the rest covers calls that no report includes yet. */
 const ALLOTTED_FRACTION = 0.8;
@@ -35,11 +35,7 @@
 }
 
 /** Slots that this node may take until the next allotment. */
-interface Allotment {
-    inTime: number;
-    aboveShare: number;
-    late: number;
-}
+type Allotment = Record<SlotClass, number>;
 
 /**
  * Allots this node a share of the fleet's slots in proportion to its share of the fleet's demand. Calls in time are allotted first, of
@@ -111,14 +107,24 @@
         };
     }
 
-    /** Whether a call may take a slot; `isAboveShare` states whether it is beyond the share of its workspace. */
-    mayAdmit(isLate: boolean, isAboveShare = false): boolean {
-        return this.allotment[classOf(isLate, isAboveShare)] > 0;
+    /** Whether a call may take a slot. */
+    mayAdmit(isLate: boolean): boolean {
+        return this.mayAdmitClass(isLate ? "late" : "inTime");
     }
 
     /** Counts a call that took a slot against the allotment. */
-    recordAdmitted(isLate: boolean, isAboveShare = false): void {
-        this.allotment[classOf(isLate, isAboveShare)] -= 1;
+    recordAdmitted(isLate: boolean): void {
+        this.recordAdmittedClass(isLate ? "late" : "inTime");
+    }
+
+    /** As {@linkcode mayAdmit}, where calls beyond the share of their workspace are a class of their own. */
+    mayAdmitClass(slotClass: SlotClass): boolean {
+        return this.allotment[slotClass] > 0;
+    }
+
+    /** As {@linkcode recordAdmitted}, by class. */
+    recordAdmittedClass(slotClass: SlotClass): void {
+        this.allotment[slotClass] -= 1;
     }
 
     private allotmentFor(demand: number, share: number): number {
@@ -136,10 +142,6 @@
     return servers.reduce((sum, { slots }) => sum + slots, 0);
 }
 
-function classOf(isLate: boolean, isAboveShare: boolean): keyof Allotment {
-    return isLate ? "late" : isAboveShare ? "aboveShare" : "inTime";
-}
-
 /** @returns Calls beyond the share of their workspace, as {@linkcode expectedInTimeCalls}. */
 function expectedAboveCalls({ aboveShareCalls = 0, aboveShareArrivalsPerSecond = 0 }: Demand, stalenessMs: number): number {
     return aboveShareCalls + aboveShareArrivalsPerSecond * stalenessMs / MS_PER_SECOND;
--- a/src/coordination/relay/fair_queueing.ts
+++ b/src/coordination/relay/fair_queueing.ts
@@ -29,11 +29,16 @@
     readonly workspaceKey: number;
 }
 
+/** Part of a call that decides its class. */
+type ClassifiedCall = Pick<FairCall, "workspaceKey" | "inTimeUntilMs" | "isCallerRetry">;
+
 /** Call with its place. */
 export interface PlacedCall<Call extends FairCall> {
     readonly call: Call;
     /** Whether it is beyond the share of its workspace. */
     readonly isAbove: boolean;
+    /** Class by which the admission gate allots it a slot. */
+    readonly slotClass: SlotClass;
     /** Time until it gets a slot, in milliseconds. */
     readonly waitMs: number;
 }
@@ -95,20 +100,37 @@
         return this.settings.shares.credit(workspaceKey) < 1;
     }
 
+    /**
+     * Returns the class of a call. While some workspace is above its share, the retry of a caller whose workspace is not counts as in time:
+     * the others took its slot.
+     *
+     * @param isAbove Whether the call is beyond the share of its workspace.
+     */
+    slotClassOf({ workspaceKey, inTimeUntilMs, isCallerRetry }: ClassifiedCall, isAbove: boolean): SlotClass {
+        const { clock, shares } = this.settings;
+        if (inTimeUntilMs >= clock.now()) {
+            return isAbove ? "aboveShare" : "inTime";
+        }
+        return isCallerRetry && shares.hasWorkspaceAbove && !shares.isAbove(workspaceKey) ? "inTime" : "late";
+    }
+
     /** Separates the calls that are beyond the share of their workspace in this node's demand. */
     classify(demand: Demand, queue: Iterable<FairCall>): Demand {
         const { shares, clock } = this.settings;
         const now = clock.now();
         let aboveCalls = 0;
-        for (const { workspaceKey, inTimeUntilMs } of queue) {
-            aboveCalls += inTimeUntilMs >= now ? 1 - shares.fractionWithin(workspaceKey) : 0;
+        let favouredRetries = 0;
+        for (const call of queue) {
+            const isLate = call.inTimeUntilMs < now;
+            aboveCalls += isLate ? 0 : 1 - shares.fractionWithin(call.workspaceKey);
+            favouredRetries += isLate && this.slotClassOf(call, false) === "inTime" ? 1 : 0;
         }
         const { inTimeCalls, lateCalls, arrivalsPerSecond } = demand;
         const aboveShareCalls = Math.min(inTimeCalls, Math.round(aboveCalls));
         const aboveShareArrivalsPerSecond = Math.round(arrivalsPerSecond * shares.arrivalFractionAbove);
         return {
-            inTimeCalls: inTimeCalls - aboveShareCalls,
-            lateCalls,
+            inTimeCalls: inTimeCalls - aboveShareCalls + favouredRetries,
+            lateCalls: lateCalls - favouredRetries,
             arrivalsPerSecond: arrivalsPerSecond - aboveShareArrivalsPerSecond,
             aboveShareCalls,
             aboveShareArrivalsPerSecond,
@@ -116,9 +138,8 @@
     }
 
     /**
-     * Returns the waiting calls in the order in which they get slots: calls in time within the share of their workspace, other calls in
-     * time, late calls within the share, other late calls; each by {@linkcode comparePriority}. The highest class of a workspace's calls
-     * takes its share.
+     * Returns the waiting calls in the order in which they get slots: by {@linkcode slotClassOf}, late calls within the share of their
+     * workspace before others; each by {@linkcode comparePriority}. The highest class of a workspace's calls takes its share.
      */
     arrange<Call extends FairCall>(queue: readonly Call[], demand: Demand): readonly PlacedCall<Call>[] {
         const now = this.settings.clock.now();
@@ -132,12 +153,17 @@
             const workspacePlace = workspaceCalls.get(workspaceKey) ?? 0;
             workspaceCalls.set(workspaceKey, workspacePlace + 1);
             const isAbove = this.settings.shares.credit(workspaceKey) < workspacePlace + 1;
-            const isLate = call.inTimeUntilMs < now;
-            const slotClass = isLate ? "late" : isAbove ? "aboveShare" : "inTime";
+            const slotClass = this.slotClassOf(call, isAbove);
+            const isLate = slotClass === "late";
             const classWaitMs = this.forecast.waitMs(slotClass, places[slotClass], ownCalls[slotClass]);
             places[slotClass] += 1;
             const shareWaitMs = isAbove && !isLate ? this.settings.shares.waitMs(workspaceKey, workspacePlace) : Infinity;
-            groups[Number(isLate) * 2 + Number(isAbove)]?.push({ call, isAbove, waitMs: Math.min(classWaitMs, shareWaitMs) });
+            groups[Number(isLate) * 2 + Number(isAbove)]?.push({
+                call,
+                isAbove,
+                slotClass,
+                waitMs: Math.min(classWaitMs, shareWaitMs),
+            });
         }
         return groups.flat();
     }
--- a/src/coordination/relay/service_scheduler.ts
+++ b/src/coordination/relay/service_scheduler.ts
@@ -16,6 +16,7 @@
 import { chooseServer, type PlacementRequest } from "./placement.js";
 import { PromptLocations } from "./prompt_locations.js";
 import type { ServerState } from "./server_state.js";
+import type { SlotClass } from "./slot_forecast.js";
 import { NoSlotError, NoSlotReason, type SlotRequest, SlotReservation } from "./slot_reservation.js";
 import type { ServerSpeed } from "./stop_deadline.js";
 import { TurnWatch } from "./turn_watch.js";
@@ -42,6 +43,14 @@
     readonly reject: (error: unknown) => void;
 }
 
+/** What decides whether a call may take a slot. */
+interface SlotClaim {
+    readonly workspaceKey: number;
+    /** Whether the call is beyond the share of its workspace. */
+    readonly isAbove: boolean;
+    readonly slotClass: SlotClass;
+}
+
 /** Settings of a {@linkcode ServiceScheduler}. */
 export interface ServiceSchedulerSettings {
     readonly service: string;
@@ -154,7 +163,10 @@
         this.recordHoldUp();
         this.refreshAllotment();
         if (this.queue.length === 0) {
-            const slot = this.tryReserveSlot(request, workspaceKey, fairQueueing?.isAbove(workspaceKey) === true);
+            const isAbove = fairQueueing?.isAbove(workspaceKey) === true;
+            const slotClass = fairQueueing?.slotClassOf({ ...request.waitLimits, workspaceKey }, isAbove) ??
+                (isInTime ? "inTime" : "late");
+            const slot = this.tryReserveSlot(request, { workspaceKey, isAbove, slotClass });
             if (slot !== undefined) {
                 return Promise.resolve(slot);
             }
@@ -200,7 +212,7 @@
         const isOutOfReach = this.settings.isOutOfReach();
         const restEndMs = this.firstRestEndMs;
         let isFull = false;
-        for (const { call: queued, isAbove, waitMs } of this.arrangeQueue(now)) {
+        for (const { call: queued, isAbove, slotClass, waitMs } of this.arrangeQueue(now)) {
             try {
                 if (isOutOfReach && queued.request.mayLeave()) {
                     queued.reject(new NoSlotError(this.settings.service, NoSlotReason.OutOfReach));
@@ -219,8 +231,10 @@
                     this.refuseQueued(queued, isAbove);
                     continue;
                 }
-                const mayAdmit: boolean = !isFull && this.gate.mayAdmit(queued.inTimeUntilMs < now, isAbove);
-                const slot = mayAdmit ? this.tryReserveSlot(queued.request, queued.workspaceKey, isAbove) : undefined;
+                const mayAdmit: boolean = !isFull && this.gate.mayAdmitClass(slotClass);
+                const slot = mayAdmit ?
+                    this.tryReserveSlot(queued.request, { workspaceKey: queued.workspaceKey, isAbove, slotClass }) :
+                    undefined;
                 if (slot === undefined && !this.isCatchingUp && waitMs > limits.giveUpAtMs - now) {
                     this.refuseQueued(queued, isAbove, waitMs);
                     continue;
@@ -247,7 +261,12 @@
             return fairQueueing.arrange(this.queue, this.demand);
         }
         this.queue.sort((left, right) => comparePriority(left, right, now));
-        return this.queue.map(call => ({ call, isAbove: false, waitMs: 0 }));
+        return this.queue.map(call => ({
+            call,
+            isAbove: false,
+            slotClass: call.inTimeUntilMs < now ? "late" as const : "inTime" as const,
+            waitMs: 0,
+        }));
     }
 
     /** Refuses a waiting call. `waitMs` is the time until it would get a slot, if that is why. */
@@ -319,12 +338,14 @@
         }
     }
 
-    /** Reserves a slot if the admission gate allows one. `isAbove` states whether the call is beyond the share of its workspace. */
-    private tryReserveSlot(request: SlotRequest, workspaceKey: number, isAbove: boolean): SlotReservation | undefined {
+    /** Reserves a slot if the admission gate allows one. */
+    private tryReserveSlot(
+        request: SlotRequest,
+        { workspaceKey, isAbove, slotClass }: SlotClaim,
+    ): SlotReservation | undefined {
         const { clock, failureDomain, fairQueueing, nodeCount, random } = this.settings;
         const now = clock.now();
-        const isLate = request.waitLimits.inTimeUntilMs < now;
-        if (!this.gate.mayAdmit(isLate, isAbove)) {
+        if (!this.gate.mayAdmitClass(slotClass)) {
             return undefined;
         }
         const call: PlacementRequest = {
@@ -343,7 +364,7 @@
         if (choice.isTrial) {
             choice.state.recordTrial();
         }
-        this.gate.recordAdmitted(isLate, isAbove);
+        this.gate.recordAdmittedClass(slotClass);
         fairQueueing?.shares.recordStart(workspaceKey, isAbove);
         this.promptLocations.record(request.promptPartId, choice.state.server.id);
         const expectedMs = choice.state.expectedFirstEventMs(request.promptTokens);
