--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -361,6 +361,7 @@
             id: head.id,
             route,
             workspaceRank: workspace?.rank ?? 0,
+            workspace: workspace?.name,
             arrivedAtMs: call.arrivedAtMs,
             deadlineAtMs: call.arrivedAtMs + deadlineMs,
             waitLimits: decideWaitLimits(route, {
@@ -695,6 +696,12 @@
                     EXCLUDED_RETRY_AFTER_MS,
                 );
                 return;
+            case NoSlotReason.ShareSpent:
+                this.finalAnswer.refuse(
+                    AnswerPlace.NoSlot,
+                    "The workspace is above its share and no backend server is free for it in time; the call has not run.",
+                );
+                return;
             default:
                 this.finalAnswer.refuse(AnswerPlace.NoSlot, "No backend server is free in time; the call has not run.");
         }
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Logger } from "pino";
-import type { ServiceDemands } from "../../coordination/allotment/mod.js";
+import { type ServiceDemands, type ServiceLoads, WorkspaceShares } from "../../coordination/allotment/mod.js";
 import {
     type BackgroundTask,
     BrittleServers,
@@ -15,6 +15,7 @@
     EmptiedDomains,
     type EraChange,
     EraGuardedLog,
+    FairQueueing,
     fromDetourCall,
     LogHealth,
     NodeDirectory,
@@ -155,6 +156,8 @@
     private readonly peerSocket: PeerSocket;
     private readonly maintenancePause: WakeablePause;
     private readonly schedulers = new Map<string, ServiceScheduler>();
+    /** Shares of the workspaces by service; empty where they are off. */
+    private readonly shares = new Map<string, WorkspaceShares>();
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private workspaces: ReadonlySet<RelayWorkspace> = new Set();
     private drainSettings: RelaySettings["drain"];
@@ -316,6 +319,7 @@
             address: () => this.peerSocket.address,
             workspaces: () => this.workspaces,
             demands: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.demand] as const),
+            workspaceLoads: () => reportedLoads(this.shares),
             versionCounts: () => this.rollouts.versionCounts(),
             lostServices: () => this.reach.lostServices(),
             isDraining: () => this.draining,
@@ -409,6 +413,7 @@
                 ),
             limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
             emptiedDomains: () => this.emptiedDomains.size,
+            workspaceShares: this.dependencies.settings.workspaceShares ? () => this.shares : undefined,
             peers: () => this.peers.reachablePeers,
             lostServices: () => this.reach.lostServices().length,
             detouredCalls: () => this.detourPeers.openCalls,
@@ -737,6 +742,7 @@
                 candidates: (callId, homes) => this.servers.candidates(service, callId, homes),
                 findExclusion: (callId, homes) => this.servers.findExclusion(service, callId, homes),
                 isOutOfReach: () => this.reach.isLost(service),
+                fairQueueing: settings.workspaceShares ? this.makeFairQueueing(service) : undefined,
                 onFirstWaiting: () => this.maintenancePause.wake(),
                 onDispatchFailed: error => this.relayLog.error("node: dispatch failed", error, { service }),
             });
@@ -745,6 +751,22 @@
         return scheduler;
     }
 
+    private makeFairQueueing(service: string): FairQueueing {
+        const { clock, random } = this.dependencies;
+        const key = hashKey(service);
+        const onChange = (text: string, detail: Readonly<Record<string, unknown>>) => this.relayLog.info(text, detail);
+        const shares = new WorkspaceShares({ service, clock, onChange });
+        this.shares.set(service, shares);
+        return new FairQueueing({
+            clock,
+            random,
+            shares,
+            peerLoads: () => this.peers.workspaceLoadsOf(key),
+            unreachableShare: () => this.peers.unreachableShare(),
+            reportIntervalMs: () => this.reporter.intervalMs,
+        });
+    }
+
     private demandsOf(service: string): ServiceDemands {
         return { own: this.scheduler(service).demand, peers: this.peers.demandOf(hashKey(service)) };
     }
@@ -769,6 +791,14 @@
     }
 }
 
+/** @returns Loads of the workspaces by service, of the services whose slots are short. */
+function reportedLoads(shares: ReadonlyMap<string, WorkspaceShares>): readonly (readonly [string, ServiceLoads])[] {
+    return [...shares].flatMap(([service, each]) => {
+        const loads = each.reported();
+        return loads === undefined ? [] : [[service, loads] as const];
+    });
+}
+
 /**
  * Returns the memory for bytes that are held for others, in bytes: half of what the program leaves, as a body is copied once when it is
  * complete.
