--- a/features/support/share_fleet.ts
+++ b/features/support/share_fleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type ServiceLoads, WorkspaceShares } from "../../src/coordination/allotment/mod.js";
+import { WorkspaceShares } from "../../src/coordination/allotment/mod.js";
 import {
     AttemptOutcome,
     decideRetryAfter,
@@ -71,7 +71,7 @@
     readonly clock = new VirtualClock();
     /** Arrivals per second, by workspace. */
     readonly rates = new Map<string, number>();
-    /** Outcomes since {@linkcode resetFigures}, by workspace, node and rank: `w0`, `node-0`, `w0 rank 1`. */
+    /** Outcomes since {@linkcode resetFigures}, by workspace, and by workspace and rank: `w0`, `w0 rank 1`. */
     readonly figures = new Map<string, CallerFigures>();
     /** Share of the reports that are lost. */
     lossProbability = 0;
@@ -135,11 +135,6 @@
         return known;
     }
 
-    /** Loads that a node reports. */
-    reportedBy(index: number): ServiceLoads | undefined {
-        return this.nodes[index]?.shares.reported();
-    }
-
     private makeNode(index: number): FleetNode {
         const { clock, random } = this;
         const peers = new PeerTable(clock);
@@ -185,7 +180,7 @@
     }
 
     private sendCall(call: CallerCall): void {
-        const names = [call.workspace, `node-${call.node}`, `${call.workspace} rank ${call.rank}`];
+        const names = [call.workspace, `${call.workspace} rank ${call.rank}`];
         for (const name of names) {
             this.of(name).calls += 1;
         }
