Tests: a domain that is taken back gets calls whatever the servers' speeds

relay_emptied_domains waited for calls at a domain that was back in use beside another one. On a busy machine (load 23 on 7 cores) the measured speeds favoured the other domain, and 1 of 3 runs failed.

--- a/features/relay_emptied_domains.feature
+++ b/features/relay_emptied_domains.feature
@@ -8,7 +8,7 @@
         And callers send <kind> calls to both nodes all the time
         When zone-a is emptied
         Then no server in zone-a receives a call any more
-        When zone-a is taken back
+        When zone-a is taken back and zone-b is emptied
         Then servers in zone-a receive calls again
         And every call was answered as a whole
 
--- a/features/steps/relay_emptied_domain_steps.ts
+++ b/features/steps/relay_emptied_domain_steps.ts
@@ -133,6 +133,13 @@
     await waitFor("both nodes have read the end of the order", () => haveEmptied(this, 0));
 });
 
+// While both domains are in use, the choice between them depends on the measured speeds of the servers, and so on the machine.
+When("zone-a is taken back and zone-b is emptied", function(this: EmptiedRelayScenario) {
+    this.receivedBefore = receivedInA(this);
+    putOrder(this, undefined);
+    putOrder(this, {}, "evacuate/zone-b");
+});
+
 When(
     "zone-a is emptied, the logs are restored to copies from before, and the order is written again after {int} ms",
     async function(this: EmptiedRelayScenario, delayMs: number) {
@@ -249,9 +256,9 @@
 }
 
 /** Writes the order to both logs, or ends it. */
-function putOrder({ relays }: EmptiedRelayScenario, value: unknown): void {
+function putOrder({ relays }: EmptiedRelayScenario, value: unknown, key = ORDER_KEY): void {
     for (const { store } of relays) {
-        store.put("keyed.op", ORDER_KEY, value);
+        store.put("keyed.op", key, value);
     }
 }
 
