Relay: settings of failure domains that name no time or region

A deployment whose settings state 0 or nothing for the time to empty a domain would not have started. 0 now means none, as a missing value does, and the time within which the operator's records are applied is decided in one place.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -60,3 +60,17 @@
             | north        | refuses it as not run           |
             | north, south | refuses it as not run           |
             | no region    | refuses it as not run           |
+
+    Scenario Outline: settings with the failure domains <settings> know the regions <regions>, and records are applied within <applyMs> ms
+        When a node in a reads settings with the failure domains <settings>
+        Then it knows the regions <regions>
+        And it applies records within <applyMs> ms
+
+        Examples:
+            | settings                                                      | regions           | applyMs |
+            | { }                                                           | none              | 3000    |
+            | { emptyMs: , region: , regions: }                             | none              | 3000    |
+            | { emptyMs: 0, region: "north", regions: { } }                 | a north           | 3000    |
+            | { emptyMs: 5000, region: "north", regions: { "b": "south" } } | a north, b south  | 3000    |
+            | { emptyMs: 2000, region: "north", regions: { "a": "south" } } | a south           | 2000    |
+            | { regions: { "constructor": "south" } }                       | constructor south | 3000    |
--- a/features/steps/home_steps.ts
+++ b/features/steps/home_steps.ts
@@ -17,6 +17,7 @@
     ServerFilter,
     toDetourCall,
 } from "../../src/coordination/relay/mod.js";
+import { parseRelaySettings, recordApplyMs, regionsOf, type RelaySettings } from "../../src/daemon/relay/mod.js";
 import { DetourCall, DetourRoute, type RelayAnswer } from "../../src/protocol/relay/mod.js";
 import { type Homes, SeededRandom } from "../../src/state/relay/mod.js";
 import { KeyedLogModel } from "../../standin/keyed_log_model.js";
@@ -35,6 +36,7 @@
     combinedHomes: Homes | undefined;
     detourPeers: DetourPeers;
     sentCall: Uint8Array;
+    settings: RelaySettings;
 }
 
 When(
@@ -130,6 +132,33 @@
     },
 );
 
+When(/^a node in a reads settings with the failure domains (.*)$/, function(this: HomeScenario, text: string) {
+    this.settings = parseRelaySettings(
+        `
+node: entry
+failureDomain: a
+failureDomains: ${text}
+listen: { callers: "127.0.0.1:1", readiness: "127.0.0.1:2", peers: "127.0.0.1:3" }
+log: "127.0.0.1:4"
+drain: { graceSeconds: 8 }
+configuration: { applyMs: 3000 }
+servers: { leaveMs: 2000 }
+retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 52 }
+rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+`,
+        "test.yaml",
+    );
+});
+
+Then(/^it knows the regions (.*)$/, function(this: HomeScenario, expected: string) {
+    const regions = [...regionsOf(this.settings)].map(entry => entry.join(" ")).sort();
+    assert.equal(regions.join(", ") || "none", expected);
+});
+
+Then("it applies records within {int} ms", function(this: HomeScenario, applyMs: number) {
+    assert.equal(recordApplyMs(this.settings), applyMs);
+});
+
 function read(message: DetourCall): AdmittedCall | string {
     return fromDetourCall(message, {
         headers: new PlatformHeaders(),
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -60,7 +60,7 @@
 import type { RecordReader } from "./record_reader.js";
 import { RelayLog } from "./relay_log.js";
 import { RelayMetrics } from "./relay_metrics.js";
-import { regionsOf, type RelaySettings } from "./relay_settings.js";
+import { recordApplyMs, regionsOf, type RelaySettings } from "./relay_settings.js";
 
 /** Connect timeout for backend servers and peers, in milliseconds; shorter than the second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -286,8 +286,7 @@
             rollouts: this.rollouts,
             emptiedDomains: this.emptiedDomains,
             relayLog: this.relayLog,
-            // Orders about failure domains are in the operator's topic as well.
-            applyMs: Math.min(settings.configuration.applyMs, settings.failureDomains.emptyMs ?? Infinity),
+            applyMs: recordApplyMs(settings),
             leaveMs: settings.servers.leaveMs,
             onRead: read => this.metrics.recordRead(read),
             onConfiguration: configuration => {
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -18,6 +18,9 @@
 /** Memory of the process unless the settings state it, in megabytes; that of the smallest machines. */
 const DEFAULT_MEMORY_MEGABYTES = 178;
 
+/** Shortest time for records to be applied, in milliseconds; reads of the log are not repeated faster. */
+const MIN_APPLY_MS = 100;
+
 const settingsSchema = z.strictObject({
     node: z.string().min(1),
     failureDomain: z.string().min(1),
@@ -51,15 +54,15 @@
     }),
     configuration: z.strictObject({
         /** Time from the writing of a configuration until it must be in force, in milliseconds. */
-        applyMs: z.int().min(100),
+        applyMs: z.int().min(MIN_APPLY_MS),
     }),
     servers: z.strictObject({
         /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
         leaveMs: z.int().min(100),
     }),
     failureDomains: z.strictObject({
-        /** Time from an order to empty a failure domain until its servers must receive no more calls, in milliseconds. */
-        emptyMs: z.int().min(100).nullish(),
+        /** Time from an order to empty a failure domain until its servers must receive no more calls, in milliseconds; 0 without one. */
+        emptyMs: z.number().min(0).nullish(),
         /** Region of this node. */
         region: z.string().nullish(),
         /** Region of each failure domain, by its name. */
@@ -113,6 +116,12 @@
     return parseSettingsFile(settingsSchema, text, file);
 }
 
+/** Returns the time from the writing of an operator's record until it must be applied, in milliseconds. */
+export function recordApplyMs({ configuration, failureDomains }: RelaySettings): number {
+    const { emptyMs } = failureDomains;
+    return Math.max(MIN_APPLY_MS, Math.min(configuration.applyMs, emptyMs === 0 ? Infinity : emptyMs ?? Infinity));
+}
+
 /** Returns the region of each failure domain that the settings state; that of the own one is the node's, unless the table names another. */
 export function regionsOf({ failureDomain, failureDomains }: RelaySettings): ReadonlyMap<string, string> {
     const regions = new Map(Object.entries(failureDomains.regions ?? {}));
