Transport, tests: give up bodies that are paused for too long, and count turns without chance

A caller that closes its connection behind unread bytes is not noticed while its connection is paused. In a relay node, whose bodies have no time limit, 800 such callers with 5 MB of one-byte chunks each in the kernel would take turns for almost two hours (calculated). A body that was paused for 1.5 times as long as the largest one takes in chunks of a byte is now given up by closing its connection. Turns that timers give late lose nothing of the rate, but a pacer that was idle has no credit.

--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -21,6 +21,15 @@
 /** Largest body that is read behind a request that needs none, in bytes. */
 const MAX_IGNORED_BYTES = 65_536;
 
+/**
+ * Factor by which a body may be paused for longer than the largest one in chunks of a byte is when it comes alone. A caller that has gone
+ * behind bytes that are not read yet is not noticed, and would keep its turns for hours.
+ */
+const PAUSE_MARGIN = 1.5;
+
+/** Least total time for which a body may be paused, in milliseconds. */
+const MIN_PAUSED_MS = 10_000;
+
 /** Settings of a {@linkcode BodyCollector}. */
 export interface BodyCollectorSettings {
     readonly inputLimits: InputLimits;
@@ -36,17 +45,31 @@
 
 /** Pauses the reading of a body. */
 class PacedBody extends PacedInput {
-    constructor(pacer: ReadPacer, private readonly request: IncomingMessage) {
+    private pausedAtMs = 0;
+    private pausedMs = 0;
+
+    /** @param maxPausedMs Total time for which the body may be paused, in milliseconds; beyond it, the connection is closed. */
+    constructor(
+        pacer: ReadPacer,
+        private readonly request: IncomingMessage,
+        private readonly maxPausedMs: number,
+    ) {
         super(pacer);
     }
 
     protected override pause(): void {
+        this.pausedAtMs = this.pacer.now();
         // The library's own pause keeps the pieces that the parser still has, each as an object, and reads on while they are few bytes.
         this.request._read = () => undefined;
         this.request.socket.pause();
     }
 
     protected override resume(): void {
+        this.pausedMs += this.pacer.now() - this.pausedAtMs;
+        if (this.pausedMs > this.maxPausedMs) {
+            this.request.socket.destroy();
+            return;
+        }
         // The method of the class is in effect again.
         Reflect.deleteProperty(this.request, "_read");
         if (!this.request.socket.destroyed) {
@@ -77,7 +100,7 @@
         const { memory, pacer } = settings.inputLimits;
         this.memoryShare = memory.open(() => this.handleEvicted());
         this.memoryShare.resize(settings.headBytes ?? 0);
-        const pace = new PacedBody(pacer, request);
+        const pace = new PacedBody(pacer, request, Math.max(MIN_PAUSED_MS, PAUSE_MARGIN * settings.maxBytes / pacer.piecesPerMs));
         request.on("data", (chunk: Buffer) => {
             this.add(chunk);
             pace.record(this.isDiscarding ? 1 + Math.floor(chunk.length / DISCARDED_BYTES_PER_PIECE) : 1);
--- a/src/transport/read_pacer.ts
+++ b/src/transport/read_pacer.ts
@@ -18,7 +18,10 @@
 /** Time after the last pause of a connection for which the pacer counts as busy, in milliseconds. */
 const BUSY_MS = 1_000;
 
-/** Time by which turns may be late without loss to the rate, in milliseconds; timers are late by one or two of them. */
+/**
+ * Time by which a turn may be late without loss to the rate if another was taken shortly before, in milliseconds; timers are late by one
+ * or two of them.
+ */
 const MAX_CREDIT_MS = 20;
 
 /** Counts the pieces of one connection and pauses it. */
@@ -29,7 +32,7 @@
     private isClosed = false;
 
     /** @param pacer Pacer of the node. */
-    constructor(private readonly pacer: ReadPacer) {
+    constructor(protected readonly pacer: ReadPacer) {
         this.windowStartMs = pacer.now();
     }
 
@@ -83,6 +86,7 @@
  */
 export class ReadPacer {
     private freeAtMs = 0;
+    private lastTurnAtMs = 0;
     private busyUntilMs = 0;
     private isRunning = false;
     private readonly waiting = new Set<PacedInput>();
@@ -93,7 +97,7 @@
      * @param piecesPerMs Pieces a millisecond that all paced connections together may bring. Defaults to
      *     {@linkcode DEFAULT_PIECES_PER_MS}.
      */
-    constructor(private readonly clock: Clock, private readonly piecesPerMs = DEFAULT_PIECES_PER_MS) {}
+    constructor(private readonly clock: Clock, readonly piecesPerMs = DEFAULT_PIECES_PER_MS) {}
 
     /** Current time, in milliseconds since the Unix epoch. */
     now(): number {
@@ -141,10 +145,12 @@
         await nextPass();
         for (const input of this.waiting) {
             const now = this.clock.now();
-            this.freeAtMs = Math.max(this.freeAtMs, now - MAX_CREDIT_MS) + input.recordedPieces / this.piecesPerMs;
+            const creditMs = now > this.lastTurnAtMs + MAX_CREDIT_MS ? 0 : MAX_CREDIT_MS;
+            this.freeAtMs = Math.max(this.freeAtMs, now - creditMs) + input.recordedPieces / this.piecesPerMs;
             await (this.freeAtMs > now ? this.clock.sleep(this.freeAtMs - now) : nextPass());
             if (this.waiting.delete(input)) {
-                this.busyUntilMs = this.clock.now() + BUSY_MS;
+                this.lastTurnAtMs = this.clock.now();
+                this.busyUntilMs = this.lastTurnAtMs + BUSY_MS;
                 input.proceed();
             }
         }
