Coordination: one mechanism for a server's rate that all nodes keep together

Server limits and brittle servers shared out calls in two similar ways. SharedRate holds the bucket and the allotment of a server's calls, IntervalAllotment the allotment alone, which brittle servers use for their free slots.

--- a/src/coordination/allotment/shared_token_bucket.ts
+++ b/src/coordination/allotment/shared_token_bucket.ts
@@ -29,6 +29,11 @@
     readonly burst: number;
     /** Tokens below zero that are charged at most; overuse beyond them is forgiven. Defaults to no bound. */
     readonly maxDebt?: number;
+    /**
+     * Whether the burst bounds the tokens that can be used, and not the level, so that the tokens that peers are estimated to have used do
+     * not count towards it. Needed where a burst is used within the age of the reports. Defaults to `false`.
+     */
+    readonly isBurstUsable?: boolean;
 }
 
 /**
@@ -44,8 +49,10 @@
     /**
      * @param clock Time source of the refill.
      * @param level Tokens at the start.
+     * @param maxFirstTotal Tokens of a peer's first total that are charged at most: usage of peers that began to use the bucket before
+     *   this node knew of it.
      */
-    constructor(private readonly clock: Clock, private level: number) {
+    constructor(private readonly clock: Clock, private level: number, private readonly maxFirstTotal = 0) {
         this.filledAtMs = clock.now();
     }
 
@@ -56,6 +63,11 @@
 
     /** Tokens that can be used now, less those that peers are estimated to have used since their last reports; negative after overuse. */
     get available(): number {
+        return this.level - this.unreported;
+    }
+
+    /** Tokens that peers are estimated to have used since their last reports. */
+    private get unreported(): number {
         const now = this.clock.now();
         let unreported = 0;
         for (const { perMs, reportedAtMs } of this.peers.values()) {
@@ -64,7 +76,7 @@
                 unreported += perMs * ageMs;
             }
         }
-        return this.level - unreported;
+        return unreported;
     }
 
     /**
@@ -73,10 +85,11 @@
      * @param limits See {@linkcode BucketLimits}.
      * @param reachableShare Share of all nodes that this one reaches, from 0 to 1.
      */
-    refill({ tokensPerSecond, burst, maxDebt = Infinity }: BucketLimits, reachableShare: number): void {
+    refill({ tokensPerSecond, burst, maxDebt = Infinity, isBurstUsable = false }: BucketLimits, reachableShare: number): void {
         const now = this.clock.now();
         const refilled = (now - this.filledAtMs) / MS_PER_SECOND * tokensPerSecond * reachableShare;
-        this.level = Math.min(burst * reachableShare, Math.max(-maxDebt, this.level) + refilled);
+        const unreported = isBurstUsable ? this.unreported : 0;
+        this.level = Math.min(burst * reachableShare + unreported, Math.max(-maxDebt, this.level) + refilled);
         this.filledAtMs = now;
     }
 
@@ -87,7 +100,7 @@
     }
 
     /**
-     * Records a peer's total. Usage before its first report is not charged.
+     * Records a peer's total. Usage before its first report is charged up to a bound, by default not at all.
      *
      * @param incarnation Key of the peer and its start.
      */
@@ -95,6 +108,7 @@
         const now = this.clock.now();
         const usage = this.peers.get(incarnation);
         if (usage === undefined) {
+            this.level -= Math.min(this.maxFirstTotal, Math.max(0, total));
             this.peers.set(incarnation, { total, perMs: 0, reportedAtMs: now });
             return;
         }
@@ -107,6 +121,12 @@
         usage.reportedAtMs = now;
     }
 
+    /** Starts again with a number of tokens; totals go on. */
+    restart(tokens: number): void {
+        this.level = tokens;
+        this.filledAtMs = this.clock.now();
+    }
+
     /** Removes a peer that is gone. */
     removePeer(incarnation: string): void {
         this.peers.delete(incarnation);
--- a/src/coordination/relay/brittle_servers.ts
+++ b/src/coordination/relay/brittle_servers.ts
@@ -8,8 +8,8 @@
  */
 
 import type { AnswerHead, BrittleServer } from "../../protocol/relay/mod.js";
-import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
-import { allottedShare, type ServiceDemands } from "../allotment/mod.js";
+import type { RelayServer } from "../../state/relay/mod.js";
+import { type AllotmentSettings, IntervalAllotment } from "../allotment/mod.js";
 import { incarnationKey } from "./incarnation_key.js";
 
 /** Share of a brittle server's slots that are used. */
@@ -27,21 +27,11 @@
     refusalsPerSecond: number | undefined;
     /** Time at which this was stated, in milliseconds since the Unix epoch. */
     statedAtMs: number;
-    /** Calls that this node may send until the next allotment. */
-    allottedCalls: number;
-    allottedAtMs: number;
+    readonly allotment: IntervalAllotment;
 }
 
 /** Settings of {@linkcode BrittleServers}. */
-export interface BrittleServersSettings {
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    /** Returns the time between the nodes' reports, in milliseconds. */
-    readonly reportIntervalMs: () => number;
-    /** Returns the number of nodes that send calls, including this one. */
-    readonly nodeCount: () => number;
-    /** Returns the demand for a service. */
-    readonly demands: (service: string) => ServiceDemands;
+export interface BrittleServersSettings extends AllotmentSettings {
     /** Called with a log message when a server becomes brittle or stops being so. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
@@ -73,30 +63,13 @@
         if (statement?.refusalsPerSecond === undefined) {
             return true;
         }
-        const { clock, random, nodeCount, reportIntervalMs, demands } = this.settings;
-        const now = clock.now();
-        const elapsedMs = now - statement.allottedAtMs;
-        if (elapsedMs >= reportIntervalMs()) {
-            statement.allottedAtMs = now;
-            const share = allottedShare({
-                ...demands(server.service),
-                nodeCount: nodeCount(),
-                intervalMs: reportIntervalMs(),
-                elapsedMs,
-            });
-            const calls = Math.max(0, freeSlots) * Math.min(1, share);
-            const whole = Math.floor(calls);
-            statement.allottedCalls = whole + (random.next() < calls - whole ? 1 : 0);
-        }
-        return statement.allottedCalls >= 1;
+        statement.allotment.refresh(server.service, () => freeSlots, { maxShare: 1 });
+        return statement.allotment.hasCall;
     }
 
     /** Records that this node sends a call to a server. */
     recordSent(server: RelayServer): void {
-        const statement = this.find(server);
-        if (statement !== undefined) {
-            statement.allottedCalls -= 1;
-        }
+        this.find(server)?.allotment.use();
     }
 
     /**
@@ -154,8 +127,7 @@
         this.statements.set(key, {
             refusalsPerSecond,
             statedAtMs,
-            allottedCalls: known?.allottedCalls ?? 0,
-            allottedAtMs: known?.allottedAtMs ?? -Infinity,
+            allotment: known?.allotment ?? new IntervalAllotment(this.settings, -Infinity),
         });
     }
 
--- a/src/coordination/relay/server_limits.ts
+++ b/src/coordination/relay/server_limits.ts
@@ -7,8 +7,8 @@
  */
 
 import type { AnswerHead, ServerLimit } from "../../protocol/relay/mod.js";
-import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
-import { allottedShare, type CallAllowance, type ServiceDemands, SharedTokenBucket } from "../allotment/mod.js";
+import type { RelayServer } from "../../state/relay/mod.js";
+import { type CallAllowance, type RateLimits, SharedRate, type SharedRateSettings } from "../allotment/mod.js";
 import { MIN_SERVER_ERROR_STATUS, MISDIRECTED_STATUS } from "./final_answer.js";
 import { incarnationKey } from "./incarnation_key.js";
 
@@ -36,24 +36,11 @@
     callsPerSecond: number | undefined;
     /** Time at which this was stated, in milliseconds since the Unix epoch. */
     statedAtMs: number;
-    readonly bucket: SharedTokenBucket;
-    /** Calls that this node may send until the next allotment. */
-    allottedCalls: number;
-    allottedAtMs: number;
+    readonly rate: SharedRate;
 }
 
 /** Settings of {@linkcode ServerLimits}. */
-export interface ServerLimitsSettings {
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    /** Returns the time between the nodes' reports, in milliseconds. */
-    readonly reportIntervalMs: () => number;
-    /** Returns the number of nodes that send calls, including this one. */
-    readonly nodeCount: () => number;
-    /** Returns the share of all nodes that are unreachable but may still send calls, from 0 to 1. */
-    readonly unreachableShare: () => number;
-    /** Returns the demand for a service. */
-    readonly demands: (service: string) => ServiceDemands;
+export interface ServerLimitsSettings extends SharedRateSettings {
     /** Called with a log message when a limit is stated, changed or ended. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
@@ -80,8 +67,8 @@
         if (limited?.callsPerSecond === undefined) {
             return undefined;
         }
-        this.refill(limited, limited.callsPerSecond);
-        return { callsPerSecond: limited.callsPerSecond, availableCalls: Math.max(0, limited.bucket.available) };
+        const { callsPerSecond, rate } = limited;
+        return { callsPerSecond, availableCalls: rate.availableCalls(rateLimits(callsPerSecond)) };
     }
 
     /** Whether this node may send a call to a server now. */
@@ -90,16 +77,14 @@
         if (limited?.callsPerSecond === undefined) {
             return true;
         }
-        this.allot(limited, limited.callsPerSecond, server.service);
-        return limited.allottedCalls >= 1;
+        return limited.rate.mayReceive(rateLimits(limited.callsPerSecond), server.service);
     }
 
     /** Records that this node sends a call to a server. */
     recordSent(server: RelayServer): void {
         const limited = this.findServer(server);
         if (limited?.callsPerSecond !== undefined) {
-            limited.allottedCalls -= 1;
-            limited.bucket.use(1);
+            limited.rate.recordSent();
         }
     }
 
@@ -160,26 +145,25 @@
 
     /** Returns the calls that this node has sent to servers with a limit, by the server's key in reports. */
     *ownTotals(): Iterable<readonly [number, number]> {
-        for (const [key, { bucket }] of this.servers) {
-            yield [key, bucket.ownTotal];
+        for (const [key, { rate }] of this.servers) {
+            yield [key, rate.ownTotal];
         }
     }
 
     /** Records a peer's totals; `incarnation` identifies the peer and its start. */
     recordPeerTotals(incarnation: string, totals: ReadonlyMap<number, number>): void {
-        for (const [key, limited] of this.servers) {
+        for (const [key, { rate, callsPerSecond = 0 }] of this.servers) {
             const total = totals.get(key);
             if (total !== undefined) {
-                this.refill(limited, limited.callsPerSecond ?? 0);
-                limited.bucket.recordPeerTotal(incarnation, total);
+                rate.recordPeerTotal(rateLimits(callsPerSecond), incarnation, total);
             }
         }
     }
 
     /** Removes a peer that is gone. */
     removePeer(incarnation: string): void {
-        for (const { bucket } of this.servers.values()) {
-            bucket.removePeer(incarnation);
+        for (const { rate } of this.servers.values()) {
+            rate.removePeer(incarnation);
         }
     }
 
@@ -205,8 +189,7 @@
         let limited = this.find(key);
         const before = limited?.callsPerSecond;
         if (limited === undefined) {
-            const bucket = new SharedTokenBucket(this.settings.clock, 0);
-            limited = { callsPerSecond, statedAtMs, bucket, allottedCalls: 0, allottedAtMs: this.settings.clock.now() };
+            limited = { callsPerSecond, statedAtMs, rate: new SharedRate(this.settings) };
             this.servers.set(key, limited);
         }
         limited.callsPerSecond = callsPerSecond;
@@ -217,30 +200,6 @@
         }
     }
 
-    /** Allots this node its share of the calls that may be sent, at most once in an interval between reports. */
-    private allot(limited: LimitedServer, callsPerSecond: number, service: string): void {
-        const { clock, random, nodeCount, reportIntervalMs } = this.settings;
-        const now = clock.now();
-        const elapsedMs = now - limited.allottedAtMs;
-        if (elapsedMs < reportIntervalMs()) {
-            return;
-        }
-        limited.allottedAtMs = now;
-        this.refill(limited, callsPerSecond);
-        const { own, peers } = this.settings.demands(service);
-        const calls = Math.max(0, limited.bucket.available) *
-            allottedShare({ own, peers, nodeCount: nodeCount(), intervalMs: reportIntervalMs(), elapsedMs });
-        const whole = Math.floor(calls);
-        limited.allottedCalls = whole + (random.next() < calls - whole ? 1 : 0);
-    }
-
-    private refill(limited: LimitedServer, callsPerSecond: number): void {
-        const tokensPerSecond = Math.max(MIN_CALLS_PER_SECOND, callsPerSecond);
-        const burst = Math.max(1, tokensPerSecond * BURST_SECONDS);
-        const reachableShare = 1 - this.settings.unreachableShare();
-        limited.bucket.refill({ tokensPerSecond, burst, maxDebt: tokensPerSecond * MAX_DEBT_SECONDS }, reachableShare);
-    }
-
     private logUnreadable(server: RelayServer, text: string): void {
         const now = this.settings.clock.now();
         if (now - this.unreadableLoggedAtMs >= UNREADABLE_LOG_INTERVAL_MS) {
@@ -263,3 +222,10 @@
         return known;
     }
 }
+
+/** @returns Limits of the bucket for a stated limit. */
+function rateLimits(callsPerSecond: number): RateLimits {
+    const tokensPerSecond = Math.max(MIN_CALLS_PER_SECOND, callsPerSecond);
+    const burst = Math.max(1, tokensPerSecond * BURST_SECONDS);
+    return { tokensPerSecond, burst, maxDebt: tokensPerSecond * MAX_DEBT_SECONDS };
+}
