Coordination: keep the bound on the calls of cold servers over all nodes

All nodes see a server that has just started, or turned cold, idle at the same moment, and it falls over when they all send. Where a service states ColdPerS, its cold servers now get calls from a SharedRate whose rate and burst keep ColdPerS x ColdOverage + ColdSlack in any one second. Cold is what an entry, an answer (Cold-Ms), a peer (field 25) or a broken connection says last; a node that hears half of the listed nodes or fewer leaves the others their share. Without ColdPerS nothing is stored for peers, and no byte is sent.

--- a/features/steps/log_sharing_steps.ts
+++ b/features/steps/log_sharing_steps.ts
@@ -176,6 +176,7 @@
         sentCalls: () => [],
         openServers: () => [],
         limitedServers: () => [],
+        coldServers: () => [],
         peers: () => 0,
         lostServices: () => 0,
         detouredCalls: () => 0,
--- a/features/support/scripted_answer.ts
+++ b/features/support/scripted_answer.ts
@@ -114,6 +114,7 @@
         callLimit: undefined,
         rest: undefined,
         refusalLimit: undefined,
+        warmUp: undefined,
         isLeaving: false,
         endToEnd: [],
         ...changes,
--- a/src/coordination/relay/node_directory.ts
+++ b/src/coordination/relay/node_directory.ts
@@ -56,10 +56,16 @@
 /** Registers this node's address once and refreshes those of the others periodically; reports update them between refreshes. */
 export class NodeDirectory {
     private readonly entries = new Map<string, NodeEntry>();
+    private reads = 0;
 
     /** @param settings See {@linkcode NodeDirectorySettings}. */
     constructor(private readonly settings: NodeDirectorySettings) {}
 
+    /** Number of times that the entries of the nodes have been read. */
+    get completedReads(): number {
+        return this.reads;
+    }
+
     /** Number of known nodes, without this one. */
     get size(): number {
         return this.entries.size;
@@ -178,6 +184,7 @@
         for (const record of page.records) {
             this.applyRecord(record);
         }
+        this.reads += 1;
         return page.records.some(record => record.key === this.settings.node);
     }
 
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -122,6 +122,8 @@
         statements.brittle.merge(report.brittleServers);
         statements.limits.merge(report.serverLimits);
         statements.limits.recordPeerTotals(incarnation, totals);
+        statements.cold?.merge(report.coldServers);
+        statements.cold?.recordPeerTotals(incarnation, totals);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
             if (total !== undefined) {
@@ -167,6 +169,7 @@
         const incarnation = incarnationOf(report);
         this.settings.quota.removePeer(incarnation);
         this.settings.statements.limits.removePeer(incarnation);
+        this.settings.statements.cold?.removePeer(incarnation);
         this.incarnations.delete(report.node);
     }
 
@@ -176,7 +179,8 @@
         const { quarantine, statements } = this.settings;
         const { limits } = statements;
         const activeServers = [...pool.all()].filter(state => state.ownCalls > 0);
-        const totals = [...quota.ownTotals(), ...limits.ownTotals()];
+        const coldServers = [...statements.cold?.reported() ?? []];
+        const totals = [...quota.ownTotals(), ...limits.ownTotals(), ...statements.cold?.ownTotals() ?? []];
         this.sequence += 1;
         return {
             ...EMPTY_REPORT,
@@ -195,6 +199,7 @@
             serverLimits: [...limits.reportedLimits()],
             leavingServers: [...statements.reportedLeaving()],
             brittleServers: [...statements.brittle.reported()],
+            coldServers,
             demands: [...this.settings.demands()].map(([service, demand]) => ({ serviceKey: hashKey(service), ...demand })),
             leaving: isDraining(),
             logSteadyMs: Math.round(logSteadyMs()),
--- a/src/coordination/relay/relayed_call.ts
+++ b/src/coordination/relay/relayed_call.ts
@@ -578,6 +578,7 @@
         if (error.fault === AttemptFault.TooLarge) {
             return AttemptOutcome.Bad;
         }
+        slot.state.recordBroken();
         if (slot.state.isBrittle) {
             // A brittle server falls over because of the calls that it turned away.
             return AttemptOutcome.Neutral;
--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -8,6 +8,7 @@
     type BrittleServer,
     callsByServerKey,
     type CallSuspect,
+    type ColdServer,
     EMPTY_REPORT,
     type LeavingServer,
     type LostService,
@@ -45,6 +46,7 @@
     | "lostServices"
     | "leavingServers"
     | "brittleServers"
+    | "coldServers"
     | "heardNodes"
     | "silentNodes"
     | "logSteadyMs"
@@ -132,6 +134,7 @@
         const lostServices: LostService[] = [];
         const leavingServers = new Map<number, LeavingServer>();
         const brittleServers = new Map<number, BrittleServer>();
+        const coldServers = new Map<number, ColdServer>();
         const topicViews = new Map<number, TopicView[]>();
         let heardNodes = 0;
         let silentNodes = 0;
@@ -144,6 +147,7 @@
             addNewest(limits, report.serverLimits);
             addNewest(leavingServers, report.leavingServers);
             addNewest(brittleServers, report.brittleServers);
+            addNewest(coldServers, report.coldServers);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
                 silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
@@ -169,6 +173,7 @@
             lostServices,
             leavingServers: [...leavingServers.values()],
             brittleServers: [...brittleServers.values()],
+            coldServers: [...coldServers.values()],
             heardNodes,
             silentNodes,
             logSteadyMs,
--- a/src/coordination/relay/server_answer.ts
+++ b/src/coordination/relay/server_answer.ts
@@ -124,6 +124,7 @@
         if (splitter.hasPartialEvent || isEmpty) {
             const where = isEmpty ? "without an event" : "within an event";
             this.settings.onFailed(`server ${slot.server.id} ended its stream ${where}`);
+            slot.state.recordBroken();
             if (slot.state.isBrittle) {
                 return AttemptOutcome.Neutral;
             }
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -37,9 +37,10 @@
 
     /** Adds a server, or updates it from a newer report; a new incarnation or service starts with fresh state. */
     put(server: RelayServer): void {
+        this.dependencies.statements?.cold?.recordEntry(server);
         const state = this.statesById.get(server.id);
         if (state !== undefined && state.server.startedAtMs === server.startedAtMs && state.server.service === server.service) {
-            state.server = server;
+            state.update(server);
             return;
         }
         this.remove(server.id);
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -79,7 +79,7 @@
     private lastTrialAtMs = 0;
     private suspendedUntilMs = 0;
     private unreachableUntilMs = 0;
-    private readonly warmAtMs: number;
+    private warmAtMs: number;
 
     /**
      * @param server Registration of the server.
@@ -95,7 +95,7 @@
         private readonly countPeerCalls: () => number,
         private readonly dependencies: ServerStateDependencies = {},
     ) {
-        this.warmAtMs = clock.now() + server.warmUpMs;
+        this.warmAtMs = clock.now() + (server.warmUpMs ?? 0);
         this.msPerPromptToken = profile.msPerPromptToken;
         this.msPerEvent = profile.msPerEvent;
     }
@@ -115,6 +115,12 @@
         return this.profile.isCallMeasured ? this.callMs : undefined;
     }
 
+    /** Replaces the registration by a newer one of the same incarnation. */
+    update(server: RelayServer): void {
+        this.server = server;
+        this.warmAtMs = this.clock.now() + (server.warmUpMs ?? 0);
+    }
+
     /** Calls of this node in flight. */
     get ownCalls(): number {
         return this.calls.size;
@@ -264,6 +270,12 @@
     /** Suspends the server because no connection to it could be established, for a time in milliseconds. */
     suspendUnreachable(durationMs: number): void {
         this.unreachableUntilMs = this.clock.now() + durationMs;
+        this.dependencies.statements?.cold?.recordBroken(this.server, true);
+    }
+
+    /** Records that the server closed the connection of a call, so that it may have restarted. */
+    recordBroken(): void {
+        this.dependencies.statements?.cold?.recordBroken(this.server, false);
     }
 
     /** Records that this node reaches the servers of the service again. */
@@ -286,9 +298,9 @@
         return count < MIN_OUTCOMES ? 0 : bad / count;
     }
 
-    /** What the server's limit on the calls of all nodes leaves; `undefined` if it states none. */
+    /** What the server's limits on the calls of all nodes leave; `undefined` if it has none. */
     get allowance(): CallAllowance | undefined {
-        return this.dependencies.statements?.limits.allowance(this.server);
+        return this.dependencies.statements?.allowance(this.server);
     }
 
     /** Whether the server has no free slot, or what it states about itself allows this node no call now. */
@@ -296,7 +308,7 @@
         const { statements } = this.dependencies;
         const freeSlots = this.usableSlots - this.allCalls;
         return freeSlots <= 0 || statements !== undefined &&
-                (!statements.limits.mayReceive(this.server) || !statements.brittle.mayReceive(this.server, freeSlots));
+                (!statements.mayReceive(this.server) || !statements.brittle.mayReceive(this.server, freeSlots));
     }
 
     /** Number of calls of all nodes that the server may have in flight. */
--- a/src/coordination/relay/server_statements.ts
+++ b/src/coordination/relay/server_statements.ts
@@ -9,7 +9,9 @@
 
 import type { AnswerHead, LeavingServer } from "../../protocol/relay/mod.js";
 import type { Clock, RandomSource, RelayServer } from "../../state/relay/mod.js";
+import type { CallAllowance } from "../allotment/mod.js";
 import type { BrittleServers } from "./brittle_servers.js";
+import type { ColdServers } from "./cold_servers.js";
 import { MISDIRECTED_STATUS } from "./final_answer.js";
 import { incarnationKey } from "./incarnation_key.js";
 import type { ServerLimits } from "./server_limits.js";
@@ -47,6 +49,8 @@
     /** Limits on the calls of all nodes. */
     readonly limits: ServerLimits;
     readonly brittle: BrittleServers;
+    /** Servers that bear few calls for a while; `undefined` if none are told apart. */
+    readonly cold?: ColdServers | undefined;
     /** Called with a log message when a server asks for rest or leaves, or when a value cannot be read. */
     readonly onChange: (text: string, detail: Readonly<Record<string, unknown>>) => void;
 }
@@ -71,6 +75,29 @@
         return this.settings.brittle;
     }
 
+    /** Servers that bear few calls for a while; `undefined` if none are told apart. */
+    get cold(): ColdServers | undefined {
+        return this.settings.cold;
+    }
+
+    /** Returns what is left to all nodes of the calls to a server, by the lower of its limits; `undefined` if it has none. */
+    allowance(server: RelayServer): CallAllowance | undefined {
+        const stated = this.limits.allowance(server);
+        const cold = this.cold?.allowance(server);
+        if (stated === undefined || cold === undefined) {
+            return stated ?? cold;
+        }
+        return {
+            callsPerSecond: Math.min(stated.callsPerSecond, cold.callsPerSecond),
+            availableCalls: Math.min(stated.availableCalls, cold.availableCalls),
+        };
+    }
+
+    /** Whether the limits of a server on the calls of all nodes leave this node a call now. */
+    mayReceive(server: RelayServer): boolean {
+        return this.limits.mayReceive(server) && this.cold?.mayReceive(server) !== false;
+    }
+
     /**
      * Learns from the head of an answer, of whatever status.
      *
@@ -78,6 +105,7 @@
      */
     recordAnswer(server: RelayServer, head: AnswerHead, sentAtMs: number): void {
         this.limits.recordAnswer(server, head, sentAtMs);
+        this.cold?.recordAnswer(server, head, sentAtMs);
         if (head.status === MISDIRECTED_STATUS) {
             return;
         }
@@ -119,6 +147,7 @@
     /** Records that this node sends a call to a server. */
     recordSent(server: RelayServer): void {
         this.limits.recordSent(server);
+        this.cold?.recordSent(server);
         this.brittle.recordSent(server);
         const rest = this.findRest(server);
         if (rest !== undefined && this.settings.clock.now() >= rest.untilMs) {
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -28,6 +28,8 @@
     readonly openServers: () => Iterable<readonly [string, number]>;
     /** Number of backend servers that state a limit on the calls of all nodes, by service. */
     readonly limitedServers: () => Iterable<readonly [string, number]>;
+    /** Number of backend servers that bear few calls because they are cold, or may be, by service. */
+    readonly coldServers: () => Iterable<readonly [string, number]>;
     readonly peers: () => number;
     /** Number of services of which no backend server is reached. */
     readonly lostServices: () => number;
@@ -127,6 +129,11 @@
             "Backend servers that state a limit on the calls of all nodes.",
             gauges.limitedServers,
         );
+        this.addServiceGauge(
+            "cold_servers",
+            "Backend servers that bear few calls because they are cold, or may be after a lost connection.",
+            gauges.coldServers,
+        );
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
         this.addGauge("lost_services", "Services of which no backend server is reached.", gauges.lostServices);
         this.addGauge("detoured_calls", "Calls that peers have taken from this node.", gauges.detouredCalls);
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -11,9 +11,12 @@
     BrittleServers,
     type CallFingerprint,
     CallQuarantine,
+    ColdRules,
+    ColdServers,
     DetourPeers,
     type EraChange,
     EraGuardedLog,
+    FleetShare,
     fromDetourCall,
     LogHealth,
     NodeDirectory,
@@ -135,6 +138,8 @@
     private readonly quota: WorkspaceQuota;
     private readonly quarantine: CallQuarantine;
     private readonly limits: ServerLimits;
+    private readonly coldRules: ColdRules;
+    private readonly coldServers: ColdServers;
     private readonly statements: ServerStatements;
     private readonly directory: NodeDirectory;
     private readonly reporter: PeerReporter;
@@ -197,27 +202,35 @@
             nodeCount: () => this.peers.reachablePeers + 1,
             onChange: (text, detail) => this.relayLog.info(text, detail),
         });
-        this.limits = new ServerLimits({
+        const sharedRate = {
             clock,
             random,
             reportIntervalMs: () => this.reporter.intervalMs,
             nodeCount: () => this.peers.reachablePeers + 1,
-            unreachableShare: () => this.peers.unreachableShare(),
-            demands: service => this.demandsOf(service),
-            onChange: (text, detail) => this.relayLog.info(text, detail),
+            demands: (service: string) => this.demandsOf(service),
+            onChange: (text: string, detail: Readonly<Record<string, unknown>>) => this.relayLog.info(text, detail),
+        };
+        this.limits = new ServerLimits({ ...sharedRate, unreachableShare: () => this.peers.unreachableShare() });
+        this.coldRules = new ColdRules(settings.coldServers);
+        // Nodes that start the whole system together are listed only when each of them has registered.
+        const neededReads = settings.isFirstStart ? 2 : 1;
+        const fleetShare = new FleetShare({
+            peers: this.peers,
+            listedNodes: () => this.directory.completedReads >= neededReads ? this.directory.size + 1 : undefined,
+        });
+        this.coldServers = new ColdServers({
+            ...sharedRate,
+            node: settings.node,
+            unreachableShare: () => fleetShare.unreachable,
+            rule: service => this.coldRules.find(service),
+            serverCount: service => this.pool.openServers(service).length,
         });
         this.statements = new ServerStatements({
             clock,
             random,
             limits: this.limits,
-            brittle: new BrittleServers({
-                clock,
-                random,
-                reportIntervalMs: () => this.reporter.intervalMs,
-                nodeCount: () => this.peers.reachablePeers + 1,
-                demands: service => this.demandsOf(service),
-                onChange: (text, detail) => this.relayLog.info(text, detail),
-            }),
+            brittle: new BrittleServers(sharedRate),
+            cold: this.coldServers,
             onChange: (text, detail) => this.relayLog.info(text, detail),
         });
         this.directory = new NodeDirectory({
@@ -274,6 +287,7 @@
             leaveMs: settings.servers.leaveMs,
             onRead: read => this.metrics.recordRead(read),
             onConfiguration: configuration => {
+                this.coldRules.apply(configuration.services.values());
                 this.workspaces = new Set(configuration.workspaceByKey.values());
                 this.callerServer.setLimits(configuration.limits);
             },
@@ -385,6 +399,7 @@
             sentCalls: () => this.pool.sumByService(state => state.ownCalls),
             openServers: () => this.pool.sumByService(state => state.server.isDraining ? 0 : 1),
             limitedServers: () => this.pool.sumByService(state => this.limits.callsPerSecond(state.server) === undefined ? 0 : 1),
+            coldServers: () => this.pool.sumByService(state => this.coldServers.isCold(state.server) ? 1 : 0),
             peers: () => this.peers.reachablePeers,
             lostServices: () => this.reach.lostServices().length,
             detouredCalls: () => this.detourPeers.openCalls,
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -18,6 +18,10 @@
 /** Memory of the process unless the settings state it, in megabytes; that of the smallest machines. */
 const DEFAULT_MEMORY_MEGABYTES = 178;
 
+/** Bounds on the calls of cold servers unless the settings state them: they get no more than they sustain. */
+const DEFAULT_COLD_OVERAGE = 1;
+const DEFAULT_COLD_SLACK = 0;
+
 const settingsSchema = z.strictObject({
     node: z.string().min(1),
     failureDomain: z.string().min(1),
@@ -57,6 +61,13 @@
         /** Time from a server's notice of leaving until it must receive no more calls, in milliseconds. */
         leaveMs: z.int().min(100),
     }),
+    /** Bounds on the calls that all nodes together send to a cold server in any one second; a template may leave values empty. */
+    coldServers: z.strictObject({
+        /** Factor of the calls a second that a cold server sustains. */
+        overage: z.number().min(0).nullish().transform(overage => overage ?? DEFAULT_COLD_OVERAGE),
+        /** Further calls. */
+        slack: z.number().min(0).nullish().transform(slack => slack ?? DEFAULT_COLD_SLACK),
+    }).nullish().transform(bounds => bounds ?? { overage: DEFAULT_COLD_OVERAGE, slack: DEFAULT_COLD_SLACK }),
     /** Retry budget of each service, shared by all nodes. */
     retries: z.strictObject({
         fraction: z.number().min(0).max(1),
--- a/src/protocol/gen/relay.ts
+++ b/src/protocol/gen/relay.ts
@@ -47,7 +47,7 @@
   readonly serverCalls: readonly number[];
   /**
    * Tokens that the sender has used from each bucket that the nodes share, since its start; keys are hashes of workspace names, and
-   * those of limited servers.
+   * those of limited and cold servers.
    */
   readonly bucketKeys: readonly number[];
   readonly bucketTotals: readonly number[];
@@ -72,6 +72,7 @@
   readonly leavingServers: readonly LeavingServer[];
   readonly brittleServers: readonly BrittleServer[];
   readonly topicViews: readonly TopicView[];
+  readonly coldServers: readonly ColdServer[];
 }
 
 /** What a node that reads a topic of the platform's log knows about it. */
@@ -103,6 +104,25 @@
   readonly statedAtMs: number;
 }
 
+/**
+ * Server that bears few calls for a while, as an answer has stated or the loss of connections suggests; the newest statement of a server
+ * holds. Server entries tell of cold servers too, and are not repeated here.
+ */
+export interface ColdServer {
+  /** Hash of the server's id and start time. */
+  readonly serverKey: number;
+  /** Time at which it will be warm, in milliseconds since the Unix epoch; 0 if it no longer is cold. */
+  readonly coldUntilMs: number;
+  /** Whether only a connection that broke or could not be established suggests that it is cold, or an answer since that it is not. */
+  readonly isSuspected: boolean;
+  /** Whether it has probably ended: no connection to it could be established, or several broke at once. */
+  readonly hasEnded: boolean;
+  /** Time at which a node received the statement, in milliseconds since the Unix epoch. */
+  readonly statedAtMs: number;
+  /** Hash of the name of the node whose connection broke; 0 for other statements. */
+  readonly nodeKey: number;
+}
+
 /** Server that has stated in an answer that it is leaving. */
 export interface LeavingServer {
   /** Hash of the server's id and start time. */
@@ -248,6 +268,7 @@
     leavingServers: [],
     brittleServers: [],
     topicViews: [],
+    coldServers: [],
   };
 }
 
@@ -341,6 +362,9 @@
     for (const v of message.topicViews) {
       TopicView.encode(v!, writer.uint32(194).fork()).join();
     }
+    for (const v of message.coldServers) {
+      ColdServer.encode(v!, writer.uint32(202).fork()).join();
+    }
     return writer;
   },
 
@@ -589,6 +613,14 @@
             message.topicViews.push(TopicView.decode(reader, reader.uint32()));
             continue;
           }
+          case 25: {
+            if (tag !== 202) {
+              break;
+            }
+
+            message.coldServers.push(ColdServer.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -793,6 +825,107 @@
   },
 };
 
+function createBaseColdServer(): ColdServer {
+  return { serverKey: 0, coldUntilMs: 0, isSuspected: false, hasEnded: false, statedAtMs: 0, nodeKey: 0 };
+}
+
+export const ColdServer: MessageFns<ColdServer> = {
+  encode(message: ColdServer, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.serverKey !== 0) {
+      writer.uint32(13).fixed32(message.serverKey);
+    }
+    if (message.coldUntilMs !== 0) {
+      writer.uint32(17).double(message.coldUntilMs);
+    }
+    if (message.isSuspected !== false) {
+      writer.uint32(24).bool(message.isSuspected);
+    }
+    if (message.hasEnded !== false) {
+      writer.uint32(32).bool(message.hasEnded);
+    }
+    if (message.statedAtMs !== 0) {
+      writer.uint32(41).double(message.statedAtMs);
+    }
+    if (message.nodeKey !== 0) {
+      writer.uint32(53).fixed32(message.nodeKey);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ColdServer {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseColdServer() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 13) {
+              break;
+            }
+
+            message.serverKey = reader.fixed32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.coldUntilMs = reader.double();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.isSuspected = reader.bool();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.hasEnded = reader.bool();
+            continue;
+          }
+          case 5: {
+            if (tag !== 41) {
+              break;
+            }
+
+            message.statedAtMs = reader.double();
+            continue;
+          }
+          case 6: {
+            if (tag !== 53) {
+              break;
+            }
+
+            message.nodeKey = reader.fixed32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+};
+
 function createBaseLeavingServer(): LeavingServer {
   return { serverKey: 0, statedAtMs: 0 };
 }
--- a/src/protocol/relay/mod.ts
+++ b/src/protocol/relay/mod.ts
@@ -8,6 +8,7 @@
 export {
     type BrittleServer,
     type CallSuspect,
+    type ColdServer,
     DetourCall,
     type LeavingServer,
     type LostService,
--- a/src/protocol/relay/relay_call.ts
+++ b/src/protocol/relay/relay_call.ts
@@ -84,6 +84,8 @@
     readonly rest: ServerRest | undefined;
     /** Refusals above which the backend server falls over; `undefined` when it states none. */
     readonly refusalLimit: RefusalLimit | undefined;
+    /** Time for which the backend server bears few calls; `undefined` when it states none. */
+    readonly warmUp: ServerWarmUp | undefined;
     /** Whether the backend server states that it is leaving. */
     readonly isLeaving: boolean;
     /** End-to-end headers (not hop-by-hop). */
@@ -98,6 +100,14 @@
     readonly restMs: number | undefined;
 }
 
+/** Time for which a backend server bears few calls, as it states in an answer. */
+export interface ServerWarmUp {
+    /** Value as the server sent it. */
+    readonly text: string;
+    /** Parsed value, in milliseconds; `undefined` when it is not a decimal number. */
+    readonly warmUpMs: number | undefined;
+}
+
 /** Rate of calls that a backend server may turn away for want of room before it falls over, as it states in an answer. */
 export interface RefusalLimit {
     /** Value as the server sent it. */
--- a/src/state/relay/relay_configuration.ts
+++ b/src/state/relay/relay_configuration.ts
@@ -14,6 +14,14 @@
     readonly kvCacheTokens: number;
 }
 
+/** Cold servers of a service. */
+export interface ColdStart {
+    /** Time for which a server is cold after a start during traffic, in milliseconds. */
+    readonly durationMs: number;
+    /** Calls a second from all nodes that a cold server sustains. */
+    readonly callsPerSecond: number;
+}
+
 /** Service that routes lead to. */
 export interface RelayService {
     readonly name: string;
@@ -21,6 +29,8 @@
     readonly maxConnections: number;
     /** Engine capacity; `undefined` for a service without engines. */
     readonly engine: EngineCapacity | undefined;
+    /** What cold servers bear; `undefined` if they bear as much as others. */
+    readonly coldStart?: ColdStart | undefined;
 }
 
 /** Workspace with its priority and token quota. */
--- a/src/state/relay/relay_server.ts
+++ b/src/state/relay/relay_server.ts
@@ -21,8 +21,8 @@
     readonly startedAtMs: number;
     /** Sequence number of the report within the incarnation. */
     readonly sequence: number;
-    /** Time for which the server is still slower after its start, in milliseconds. */
-    readonly warmUpMs: number;
+    /** Time for which the server is still slower and bears fewer calls, in milliseconds; `undefined` if its entry does not tell. */
+    readonly warmUpMs: number | undefined;
 }
 
 /** Order to roll out another version of a service's backend servers. */
--- a/standin/detour_model.ts
+++ b/standin/detour_model.ts
@@ -173,6 +173,7 @@
         callLimit: undefined,
         rest: undefined,
         refusalLimit: undefined,
+        warmUp: undefined,
         isLeaving: false,
         endToEnd,
     };
--- a/standin/engine_behavior_model.ts
+++ b/standin/engine_behavior_model.ts
@@ -74,6 +74,11 @@
     readonly refusedAtMs: number[] = [];
     /** Times that the server has fallen over. */
     falls = 0;
+    /** Times in which the server is cold, in milliseconds since the Unix epoch. */
+    readonly coldTimes: { readonly fromMs: number; readonly untilMs: number }[] = [];
+    /** Whether the server's entry, and the heads of its answers, tell how long it stays cold. */
+    hasColdEntry = true;
+    hasColdAnswers = false;
     /** Whether the server states in its answers that it is leaving. */
     isLeaving = false;
     /** Calls that arrived and refusals with a rest that were answered, by node. */
@@ -95,6 +100,16 @@
         return this.running.size;
     }
 
+    /** Entry that the server writes at a time, in milliseconds since the Unix epoch. */
+    entryAt(nowMs: number): RelayServer {
+        return { ...this.registration, warmUpMs: this.hasColdEntry ? this.coldMsAt(nowMs) : 0 };
+    }
+
+    /** Time for which the server stays cold at a time, both in milliseconds. */
+    coldMsAt(nowMs: number): number {
+        return Math.max(0, (this.coldTimes.at(-1)?.untilMs ?? 0) - nowMs);
+    }
+
     /** Adds an answer to the running ones. */
     start(answer: ModelAnswer): void {
         this.running.add(answer);
@@ -217,11 +232,11 @@
         server.arrivals.push(event);
         if (server.restMs !== undefined) {
             server.rests.push(event);
-            return { ...makeHead(call, server, 503, true), rest: { text: String(server.restMs / 1_000), restMs: server.restMs } };
+            return { ...this.makeHead(server, 503, true), rest: { text: String(server.restMs / 1_000), restMs: server.restMs } };
         }
         if (server.runningCalls >= server.registration.slots) {
             this.recordFull(server);
-            return makeHead(call, server, 503, true);
+            return this.makeHead(server, 503, true);
         }
         this.attempt = { call, atMs: clock.now(), server, badAtMs: undefined, crashedAtMs: undefined };
         server.attempts.push(this.attempt);
@@ -273,7 +288,13 @@
         if (server.isLeaving) {
             server.leavingAnswers.push({ node: this.settings.node, atMs: this.settings.clock.now() });
         }
-        return makeHead(this.call, server, status, false);
+        return this.makeHead(server, status, false);
+    }
+
+    private makeHead(server: ModelServer, status: number, isNotExecuted: boolean): AnswerHead {
+        const coldMs = server.coldMsAt(this.settings.clock.now());
+        const warmUp = server.hasColdAnswers && coldMs > 0 ? { text: String(coldMs), warmUpMs: coldMs } : undefined;
+        return { ...makeHead(this.call, server, status, isNotExecuted), warmUp };
     }
 
     /** Finds or opens a connection as far as the links allow it. */
@@ -367,6 +388,7 @@
         refusalLimit: brittleRefusals === undefined ?
             undefined :
             { text: String(brittleRefusals), refusalsPerSecond: brittleRefusals },
+        warmUp: undefined,
         isLeaving,
         endToEnd: [],
     };
--- a/standin/relay_fleet_model.ts
+++ b/standin/relay_fleet_model.ts
@@ -8,7 +8,10 @@
     BrittleServers,
     CallFingerprint,
     CallQuarantine,
+    ColdRules,
+    ColdServers,
     DetourPeers,
+    FleetShare,
     fromDetourCall,
     NodeDirectory,
     PeerReporter,
@@ -267,6 +270,8 @@
     detours = 0;
     /** Share of the reports between nodes that are lost. */
     reportLoss = 0;
+    /** What cold servers bear; nothing less than others by default. */
+    readonly coldRules = new ColdRules({ overage: 1.5, slack: 5 });
     /** Factor of the number of calls. */
     trafficFactor = 1;
     private readonly headers = new ModelHeaders();
@@ -396,26 +401,57 @@
         this.nodes[index]?.link.setState(state);
     }
 
-    /** Ends a server for a time, in milliseconds; its entry is gone meanwhile, and it returns as another incarnation. */
-    crash(server: ModelServer, durationMs: number): void {
+    /**
+     * Ends a server for a time, in milliseconds; it returns as another incarnation. Its entry is gone meanwhile, if it is down for long.
+     *
+     * @param coldMs Time for which it is cold when it returns, in milliseconds.
+     * @param entryDelayMs Time from its return until nodes read its entry, in milliseconds.
+     */
+    crash(server: ModelServer, durationMs: number, coldMs = 0, entryDelayMs = 0): void {
         this.onCrash();
         const backAtMs = this.clock.now() + durationMs;
         server.crash(backAtMs);
-        void this.clock.sleep(DETECTION_MS).then(() => {
-            for (const node of this.nodes) {
-                node.pool.remove(server.registration.id);
-            }
-        });
-        void this.clock.sleep(durationMs).then(() => {
+        if (durationMs >= DETECTION_MS) {
+            void this.clock.sleep(DETECTION_MS).then(() => {
+                for (const node of this.nodes) {
+                    node.pool.remove(server.registration.id);
+                }
+            });
+        }
+        void this.clock.sleep(durationMs).then(async () => {
             if (server.downUntilMs === backAtMs) {
                 server.registration = { ...server.registration, startedAtMs: backAtMs };
-                for (const node of this.nodes) {
-                    node.pool.put(server.registration);
+                if (coldMs > 0) {
+                    server.coldTimes.push({ fromMs: backAtMs, untilMs: backAtMs + coldMs });
+                }
+                if (entryDelayMs > 0) {
+                    await this.clock.sleep(entryDelayMs);
                 }
+                this.putEntry(server);
             }
         });
     }
 
+    /** Makes all nodes read the entry that a server writes now. */
+    putEntry(server: ModelServer): void {
+        server.registration = { ...server.registration, sequence: server.registration.sequence + 1 };
+        for (const node of this.nodes) {
+            node.pool.put(server.entryAt(this.clock.now()));
+        }
+    }
+
+    /** Makes the servers write their entries at an interval, in milliseconds, in turn. */
+    async writeEntries(intervalMs: number): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            for (const server of this.servers.values()) {
+                if (this.clock.now() >= server.downUntilMs) {
+                    this.putEntry(server);
+                }
+                await this.clock.sleep(intervalMs / this.servers.size, this.stopped.signal);
+            }
+        }
+    }
+
     /** Removes the entry of a server for a time, in milliseconds, although the server goes on. */
     loseEntry(server: ModelServer, durationMs: number): void {
         for (const node of this.nodes) {
@@ -503,7 +539,7 @@
     private putServers(node: FleetNode): void {
         for (const server of this.servers.values()) {
             if (server.downUntilMs !== Infinity) {
-                node.pool.put(server.registration);
+                node.pool.put(server.entryAt(this.clock.now()));
             }
         }
     }
@@ -528,26 +564,27 @@
             nodeCount: () => peers.reachablePeers + 1,
             onChange: (text, detail) => this.onChange(name, text, detail),
         });
-        const limits = new ServerLimits({
+        const sharedRate = {
             clock,
             random,
             reportIntervalMs: () => reporter.intervalMs,
             nodeCount: () => peers.reachablePeers + 1,
-            unreachableShare: () => peers.unreachableShare(),
             demands: () => ({ own: scheduler.demand, peers: peers.demandOf(hashKey(FLEET_SERVICE)) }),
-            onChange: (text, detail) => this.onChange(name, text, detail),
-        });
+            onChange: (text: string, detail: Readonly<Record<string, unknown>>) => this.onChange(name, text, detail),
+        };
+        const limits = new ServerLimits({ ...sharedRate, unreachableShare: () => peers.unreachableShare() });
+        const fleetShare = new FleetShare({ peers, listedNodes: () => directory.size + 1 });
         const statements = new ServerStatements({
             clock,
             random,
             limits,
-            brittle: new BrittleServers({
-                clock,
-                random,
-                reportIntervalMs: () => reporter.intervalMs,
-                nodeCount: () => peers.reachablePeers + 1,
-                demands: () => ({ own: scheduler.demand, peers: peers.demandOf(hashKey(FLEET_SERVICE)) }),
-                onChange: (text, detail) => this.onChange(name, text, detail),
+            brittle: new BrittleServers(sharedRate),
+            cold: new ColdServers({
+                ...sharedRate,
+                node: name,
+                unreachableShare: () => fleetShare.unreachable,
+                rule: service => this.coldRules.find(service),
+                serverCount: service => pool.openServers(service).length,
             }),
             onChange: (text, detail) => this.onChange(name, text, detail),
         });
