Coordination: shorter allotments for cold servers, and their statements in a module of their own

What is known of cold servers (ColdStatements) is now apart from the sharing of their calls (ColdServers).

--- a/features/relay_cold_servers.feature
+++ b/features/relay_cold_servers.feature
@@ -96,13 +96,13 @@
 
         Examples:
             | trouble                                                        | share |
-            | six servers are replaced at a time                             | 0.66  |
-            | six are replaced at a time and a node is cut off               | 0.66  |
-            | six are replaced at a time and a third of the nodes is cut off | 0.5   |
-            | six are replaced at a time and all nodes restart at once       | 0.6   |
-            | six are replaced at a time and a third of the reports is lost  | 0.6   |
-            | six are replaced in a pause and calls come back                | 0.6   |
+            | six servers are replaced at a time                             | 0.5   |
+            | six are replaced at a time and a node is cut off               | 0.5   |
+            | six are replaced at a time and a third of the nodes is cut off | 0.4   |
+            | six are replaced at a time and all nodes restart at once       | 0.5   |
+            | six are replaced at a time and a third of the reports is lost  | 0.5   |
+            | six are replaced in a pause and calls come back                | 0.5   |
             | six end for 200 ms and come back before their entries tell     | 0.5   |
             | six end for 600 ms and come back before their entries tell     | 0.5   |
-            | six turn cold as their entries tell                            | 0.6   |
+            | six turn cold as their entries tell                            | 0.5   |
             | six turn cold as their answers tell                            | 0.5   |
--- a/src/coordination/allotment/bounded_rate.ts
+++ b/src/coordination/allotment/bounded_rate.ts
@@ -7,10 +7,10 @@
 import type { RateLimits } from "./shared_rate.js";
 
 /** Share of the bound that is planned for; the rest covers calls that the network delays into the next second. */
-const PLANNED_SHARE = 0.94;
+const PLANNED_SHARE = 0.9;
 
 /** Burst in seconds of the rate; nodes use up half of the level in each report interval, so a lower one would leave calls unused. */
-const BURST_SECONDS = 0.5;
+const BURST_SECONDS = 0.45;
 
 /** Time for which nodes do not know of each other's calls, in seconds: three report intervals of a large fleet. */
 const UNSEEN_SECONDS = 0.3;
@@ -22,7 +22,7 @@
 const MAX_DEBT_SECONDS = 1;
 
 /** Report intervals that an allotment covers at most; more of them would let many nodes send at once after a pause. */
-const MAX_INTERVALS = 3;
+const MAX_INTERVALS = 1;
 
 /** Report intervals for which a call stays allotted that other servers are preferred for; shorter ones leave many calls unused. */
 const HELD_INTERVALS = 5;
--- a/src/coordination/relay/peer_reporter.ts
+++ b/src/coordination/relay/peer_reporter.ts
@@ -122,7 +122,7 @@
         statements.brittle.merge(report.brittleServers);
         statements.limits.merge(report.serverLimits);
         statements.limits.recordPeerTotals(incarnation, totals);
-        statements.cold?.merge(report.coldServers);
+        statements.cold?.statements.merge(report.coldServers);
         statements.cold?.recordPeerTotals(incarnation, totals);
         for (const workspace of workspaces()) {
             const total = totals.get(hashKey(workspace.name));
@@ -179,7 +179,7 @@
         const { quarantine, statements } = this.settings;
         const { limits } = statements;
         const activeServers = [...pool.all()].filter(state => state.ownCalls > 0);
-        const coldServers = [...statements.cold?.reported() ?? []];
+        const coldServers = [...statements.cold?.statements.reported() ?? []];
         const totals = [...quota.ownTotals(), ...limits.ownTotals(), ...statements.cold?.ownTotals() ?? []];
         this.sequence += 1;
         return {
--- a/src/coordination/relay/server_pool.ts
+++ b/src/coordination/relay/server_pool.ts
@@ -37,7 +37,7 @@
 
     /** Adds a server, or updates it from a newer report; a new incarnation or service starts with fresh state. */
     put(server: RelayServer): void {
-        this.dependencies.statements?.cold?.recordEntry(server);
+        this.dependencies.statements?.cold?.statements.recordEntry(server);
         const state = this.statesById.get(server.id);
         if (state !== undefined && state.server.startedAtMs === server.startedAtMs && state.server.service === server.service) {
             state.update(server);
--- a/src/coordination/relay/server_state.ts
+++ b/src/coordination/relay/server_state.ts
@@ -270,12 +270,12 @@
     /** Suspends the server because no connection to it could be established, for a time in milliseconds. */
     suspendUnreachable(durationMs: number): void {
         this.unreachableUntilMs = this.clock.now() + durationMs;
-        this.dependencies.statements?.cold?.recordBroken(this.server, true);
+        this.dependencies.statements?.cold?.statements.recordBroken(this.server, true);
     }
 
     /** Records that the server closed the connection of a call, so that it may have restarted. */
     recordBroken(): void {
-        this.dependencies.statements?.cold?.recordBroken(this.server, false);
+        this.dependencies.statements?.cold?.statements.recordBroken(this.server, false);
     }
 
     /** Records that this node reaches the servers of the service again. */
--- a/src/coordination/relay/server_statements.ts
+++ b/src/coordination/relay/server_statements.ts
@@ -105,7 +105,7 @@
      */
     recordAnswer(server: RelayServer, head: AnswerHead, sentAtMs: number): void {
         this.limits.recordAnswer(server, head, sentAtMs);
-        this.cold?.recordAnswer(server, head, sentAtMs);
+        this.cold?.statements.recordAnswer(server, head, sentAtMs);
         if (head.status === MISDIRECTED_STATUS) {
             return;
         }
