--- a/src/coordination/relay/report_sums.ts
+++ b/src/coordination/relay/report_sums.ts
@@ -8,6 +8,7 @@
     type BrittleServer,
     callsByServerKey,
     type CallSuspect,
+    type ColdServer,
     EMPTY_REPORT,
     type LeavingServer,
     type LostService,
@@ -46,6 +47,7 @@
     | "lostServices"
     | "leavingServers"
     | "brittleServers"
+    | "coldServers"
     | "heardNodes"
     | "silentNodes"
     | "logSteadyMs"
@@ -135,6 +137,7 @@
         const lostServices: LostService[] = [];
         const leavingServers = new Map<number, LeavingServer>();
         const brittleServers = new Map<number, BrittleServer>();
+        const coldServers = new Map<number, ColdServer>();
         const topicViews = new Map<number, TopicView[]>();
         const workspaceLoads = new WorkspaceLoadSums();
         let heardNodes = 0;
@@ -148,6 +151,7 @@
             addNewest(limits, report.serverLimits);
             addNewest(leavingServers, report.leavingServers);
             addNewest(brittleServers, report.brittleServers);
+            addNewest(coldServers, report.coldServers);
             const nodes = Math.max(1, report.heardNodes);
             if (!this.isFresh(sender)) {
                 silentNodes += report.leaving ? 0 : nodes + report.silentNodes;
@@ -174,6 +178,7 @@
             lostServices,
             leavingServers: [...leavingServers.values()],
             brittleServers: [...brittleServers.values()],
+            coldServers: [...coldServers.values()],
             heardNodes,
             silentNodes,
             logSteadyMs,
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -33,6 +33,8 @@
     readonly emptiedDomains: () => number;
     /** Shares of the workspaces, by service; `undefined` where they are off. */
     readonly workspaceShares?: (() => ReadonlyMap<string, WorkspaceShares>) | undefined;
+    /** Number of backend servers that bear few calls because they are cold, or may be, by service. */
+    readonly coldServers: () => Iterable<readonly [string, number]>;
     readonly peers: () => number;
     /** Number of services of which no backend server is reached. */
     readonly lostServices: () => number;
@@ -140,6 +142,11 @@
         if (gauges.workspaceShares !== undefined) {
             this.addShareMetrics(gauges.workspaceShares);
         }
+        this.addServiceGauge(
+            "cold_servers",
+            "Backend servers that bear few calls because they are cold, or may be after a lost connection.",
+            gauges.coldServers,
+        );
         this.addGauge("peers", "Nodes that are heard.", gauges.peers);
         this.addGauge("lost_services", "Services of which no backend server is reached.", gauges.lostServices);
         this.addGauge("detoured_calls", "Calls that peers have taken from this node.", gauges.detouredCalls);
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -20,6 +20,9 @@
 
 /** Shortest time for records to be applied, in milliseconds; reads of the log are not repeated faster. */
 const MIN_APPLY_MS = 100;
+/** Bounds on the calls of cold servers unless the settings state them: they get no more than they sustain. */
+const DEFAULT_COLD_OVERAGE = 1;
+const DEFAULT_COLD_SLACK = 0;
 
 const settingsSchema = z.strictObject({
     node: z.string().min(1),
@@ -68,6 +71,13 @@
         /** Region of each failure domain, by its name. */
         regions: z.record(z.string(), z.string()).nullish(),
     }).default({}),
+    /** Bounds on the calls that all nodes together send to a cold server in any one second; a template may leave values empty. */
+    coldServers: z.strictObject({
+        /** Factor of the calls a second that a cold server sustains. */
+        overage: z.number().min(0).nullish().transform(overage => overage ?? DEFAULT_COLD_OVERAGE),
+        /** Further calls. */
+        slack: z.number().min(0).nullish().transform(slack => slack ?? DEFAULT_COLD_SLACK),
+    }).nullish().transform(bounds => bounds ?? { overage: DEFAULT_COLD_OVERAGE, slack: DEFAULT_COLD_SLACK }),
     /** Retry budget of each service, shared by all nodes. */
     retries: z.strictObject({
         fraction: z.number().min(0).max(1),
