--- a/review/support-2/case.mjs
+++ b/review/support-2/case.mjs
@@ -28,6 +28,9 @@
         lines.push(line);
         process.stdout.write(`${line}\n`);
     };
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.once(signal, () => process.exit(2));
+    }
     let code = 2;
     let timer;
     try {
--- a/review/support-2/crash_part.mjs
+++ b/review/support-2/crash_part.mjs
@@ -6,17 +6,16 @@
 import { BOUNDS, Fleet, loopbackPrefix } from "./fleet.mjs";
 import { Store } from "./store.mjs";
 
-/** Nodes and engines, and slots and queue of an engine, as on the sheet of a small deployment. */
+/** Nodes, and slots and queue of an engine, as on the sheet of a small deployment. */
 const NODES = 3;
-const ENGINES = 6;
 const SLOTS = 19;
 const QUEUE = 114;
 
 /** Time after which a crashed engine is back, in milliseconds. */
 const BACK_MS = 3_000;
 
-/** Sound calls a second. */
-const SOUND_PER_SECOND = 30;
+/** Time from the start of a call until the first event of its answer, in milliseconds; up to 40 more. */
+const FIRST_EVENT_MS = 60;
 
 /** Events of an answer, and the time between them, in milliseconds. */
 const EVENTS = 60;
@@ -36,12 +35,13 @@
     #calls = 0;
     #isSoundRunning = false;
 
-    /** @param settings `crashes`: whether the part crashes engines; `firstMs`: shortest time to the first event of an answer. */
-    constructor({ note, started }, { crashes = true, firstMs = 60 } = {}) {
+    /** @param settings `crashes`: whether the part crashes engines; `engines`; `soundPerSecond`: sound calls a second. */
+    constructor({ note, started }, { crashes = true, engines = 6, soundPerSecond = 30 } = {}) {
         this.note = note;
         this.started = started;
         this.doesCrash = crashes;
-        this.firstMs = firstMs;
+        this.engineCount = engines;
+        this.soundPerSecond = soundPerSecond;
     }
 
     async start() {
@@ -49,7 +49,7 @@
         const store = new Store();
         await store.start(`${prefix}.1`);
         this.started(store);
-        for (let index = 1; index <= ENGINES; index += 1) {
+        for (let index = 1; index <= this.engineCount; index += 1) {
             const engine = new Engine({
                 store,
                 service: "llm",
@@ -127,7 +127,7 @@
         this.startedAtMs = performance.now();
         let sent = 0;
         while (this.#isSoundRunning) {
-            for (; sent < (performance.now() - this.startedAtMs) / 1_000 * SOUND_PER_SECOND; sent += 1) {
+            for (; sent < (performance.now() - this.startedAtMs) / 1_000 * this.soundPerSecond; sent += 1) {
                 this.#calls += 1;
                 this.#send("sound", `${SHARED_PART}:60,${(0x200000 + this.#calls).toString(16)}:500`);
             }
@@ -156,7 +156,7 @@
     }
 
     #plan(call) {
-        const plan = { firstMs: this.firstMs + Math.random() * 40, events: EVENTS, gapMs: EVENT_GAP_MS };
+        const plan = { firstMs: FIRST_EVENT_MS + Math.random() * 40, events: EVENTS, gapMs: EVENT_GAP_MS };
         return this.doesCrash && this.#isCrashing(call) ? { ...plan, crash: () => this.#crash(call) } : plan;
     }
 
--- a/review/support-2/fleet.mjs
+++ b/review/support-2/fleet.mjs
@@ -89,10 +89,13 @@
         this.startedAtMs = performance.now();
         this.exitCode = undefined;
         const { child } = this;
+        const kill = () => child.kill("SIGKILL");
+        process.once("exit", kill);
         this.exited = new Promise(resolve => {
             child.once("exit", (code, signal) => {
                 this.exitCode = code ?? signal;
                 this.exitedAtMs = performance.now();
+                process.off("exit", kill);
                 resolve();
             });
         });
