Tests: callers of both nodes that keep to no limit, with small heaps, little memory and few descriptors

The relay node had no such test; foxtailraild had none with more callers than connections, with heads of many fields, or on the port of peers. The crowds, heaps, memory and descriptors of the started processes are fixed here, before any change of the product. An ordinary caller makes up to four attempts, each on a new connection, as the callers of the platform do.

--- a/features/callers_without_limits.feature
+++ b/features/callers_without_limits.feature
@@ -49,3 +49,48 @@
         And the daemon lives and has used less than 170 MB and has fewer than 160 descriptors
         And the metric "foxtailrail_evictions" is over 0
         And the daemon ends after SIGTERM
+
+    # Guards against callers that keep all others out with connections that come to nothing.
+    Scenario Outline: <count> callers that send <content> do not keep others out
+        Given a daemon with low limits on input
+        When <count> callers send <content> to /v1/chat/completions
+        And the crowd stays for a while
+        Then an ordinary call is answered at one of its attempts
+        When the callers leave
+        Then an ordinary call is answered at one of its attempts
+        And the daemon lives and has used less than 170 MB and has fewer than 160 descriptors
+        And the daemon ends after SIGTERM
+
+        Examples:
+            | count | content                                     |
+            | 300   | nothing                                     |
+            | 300   | heads that stop after 100 bytes             |
+            | 300   | 2000 bytes in chunks of 500 that stop short |
+            | 300   | 2000 bytes of 900000 announced              |
+
+    # Guards against heads that take the heap of the process while their bodies do not come.
+    Scenario Outline: <count> callers that send <content> do not end a daemon with a small heap
+        Given a daemon with a heap of 48 MB
+        When <count> callers send <content> to /v1/chat/completions
+        And the crowd stays for a while
+        Then an ordinary call is answered at one of its attempts
+        And the daemon lives and has used less than 170 MB and has fewer than 2500 descriptors
+        And the daemon ends after SIGTERM
+
+        Examples:
+            | count | content                                        |
+            | 2000  | heads of 90 fields before bodies that stop short |
+            | 2000  | heads that stop after 90 fields                  |
+
+    # Guards against clients of the other port that take all descriptors of the process.
+    Scenario Outline: <count> clients that send <content> to the port of peers and operators do not keep callers out
+        Given a daemon with 400 descriptors
+        When <count> clients send <content> to the port of peers and operators
+        Then an ordinary call is answered at one of its attempts
+        And the daemon lives and has used less than 170 MB and has fewer than 400 descriptors
+        And the daemon ends after SIGTERM
+
+        Examples:
+            | count | content                         |
+            | 500   | nothing                         |
+            | 500   | heads that stop after 100 bytes |
--- /dev/null
+++ b/features/relay_callers_without_limits.feature
@@ -0,0 +1,67 @@
+@loopback
+Feature: Callers of a relay node that keep to no limit
+    One process with a small heap, little memory or few descriptors, before one server. A crowd of callers sends what no call needs and
+    stays; each one whose connection is closed comes back. The process must live, stay within its memory, keep descriptors for itself,
+    answer ordinary calls, and end when told.
+
+    # Guards against heads whose fields and parts take the heap of the process while their bodies do not come.
+    Scenario Outline: <count> callers with <content> do not end a process with a small heap
+        Given a relay program with a heap of 48 MB and memory of 144 MB
+        When <count> callers send <content> to the port for callers
+        Then an ordinary call to the program is answered
+        When the crowd leaves
+        Then an ordinary call to the program is answered
+        When <count> callers send <content> to the port for callers
+        Then an ordinary call to the program is answered
+        And the program lives, has used less than 144 MB and answers SIGTERM
+
+        Examples:
+            | count | content                                                     |
+            | 900   | heads of 300 fields before bodies that stop short           |
+            | 400   | heads of 900 fields before bodies that stop short           |
+            | 300   | heads of 2000 prompt parts before bodies that stop short    |
+            | 900   | heads that stop after 900 fields                            |
+            | 900   | heads that stop after 14000 bytes                           |
+            | 900   | 2000 bytes in chunks of 500 that stop short                 |
+            | 900   | 2000 bytes in chunks of 1 that stop short                   |
+            | 60    | 1000000 bytes in chunks of 65536 that stop short            |
+            | 60    | 1000000 bytes in chunks of 1 that stop short                |
+            | 60    | bytes without end in chunks of 65536                        |
+            | 60    | bodies of 100000000 bytes, announced                        |
+
+    # Guards against callers that hold all descriptors of the process, so that nobody else is answered.
+    Scenario Outline: <count> callers with <content> to the port for <port> do not take all descriptors
+        Given a relay program with memory of 200 MB and 400 descriptors
+        When <count> callers send <content> to the port for <port>
+        Then an ordinary call to the program is answered
+        And the readiness check is answered
+        When the crowd leaves
+        Then an ordinary call to the program is answered
+        When <count> callers send <content> to the port for <port>
+        Then an ordinary call to the program is answered
+        And the program has fewer than 400 descriptors
+        And the program lives, has used less than 200 MB and answers SIGTERM
+
+        Examples:
+            | count | port      | content                                     |
+            | 500   | callers   | nothing                                     |
+            | 500   | callers   | heads that stop after 100 bytes             |
+            | 500   | callers   | 2000 bytes in chunks of 500 that stop short |
+            | 500   | callers   | 2000 bytes of 4000000 announced             |
+            | 500   | peers     | nothing                                     |
+            | 500   | peers     | 2000 bytes in chunks of 500 that stop short |
+            | 500   | readiness | nothing                                     |
+            | 500   | readiness | 2000 bytes in chunks of 500 that stop short |
+
+    # A limit must not meet a call that stays within those of the configuration.
+    Scenario Outline: <call> is answered when there is no other load
+        Given a relay program with a heap of 48 MB and memory of 144 MB
+        Then a call with <call> is answered
+
+        Examples:
+            | call                                          |
+            | a head of 1500 fields                         |
+            | a head of 2000 prompt parts                   |
+            | a body of 4000000 bytes in chunks of 65536    |
+            | a body of 100000 bytes in chunks of 1         |
+            | a body that pauses for 6 s                    |
--- a/features/steps/callers_without_limits_steps.ts
+++ b/features/steps/callers_without_limits_steps.ts
@@ -8,9 +8,10 @@
 import assert from "node:assert/strict";
 import { readdirSync, readFileSync } from "node:fs";
 import { Readable } from "node:stream";
-import { request } from "undici";
+import { setTimeout as pause } from "node:timers/promises";
+import { Agent, request } from "undici";
 import { type Deployment, readDeployment } from "../../standin/deployment.js";
-import { LocalFleet } from "../../standin/local_fleet.js";
+import { LocalFleet, type LocalFleetSettings } from "../../standin/local_fleet.js";
 import { parseRoughInput, RoughCallers } from "../support/rough_callers.js";
 import { RoughPeers } from "../support/rough_peers.js";
 import type { Scenario } from "../support/world.js";
@@ -21,6 +22,13 @@
 /** Time that an ordinary caller waits, and that the platform waits after SIGTERM, in milliseconds: a bound on hanging, not on speed. */
 const PATIENT_MS = 40_000;
 
+/** Attempts of a caller that comes back after a refusal or a closed connection, and the time between two of them, in milliseconds. */
+const ATTEMPTS = 4;
+const ATTEMPT_PAUSE_MS = 250;
+
+/** Time for which a crowd stays before an ordinary call is sent, in milliseconds. */
+const STAY_MS = 1_500;
+
 /** Answer-time target that even a heavily loaded machine meets, in milliseconds. */
 const RELAXED_ANSWER_MS = 600_000;
 
@@ -43,8 +51,21 @@
 });
 
 Given("a daemon with low limits on input", async function(this: RoughScenario) {
+    await startDaemon(this, { daemonSettings: { input: LOW_LIMITS } });
+});
+
+Given("a daemon with a heap of {int} MB", async function(this: RoughScenario, daemonHeapMegabytes: number) {
+    await startDaemon(this, { daemonHeapMegabytes });
+});
+
+Given("a daemon with {int} descriptors", async function(this: RoughScenario, daemonDescriptors: number) {
+    await startDaemon(this, { daemonDescriptors });
+});
+
+/** Starts a fleet of one daemon and one server for each pool. */
+async function startDaemon(scenario: RoughScenario, settings: Partial<LocalFleetSettings>): Promise<void> {
     const deployment = await readDeployment("examples/rastro-sul.yaml");
-    this.roughDeployment = {
+    scenario.roughDeployment = {
         ...deployment,
         entryVms: deployment.entryVms.slice(0, 1),
         pools: deployment.pools.map(pool => ({ ...pool, servers: pool.servers.slice(-1) })),
@@ -56,19 +77,33 @@
             })),
         },
     };
-    this.roughFleet = new LocalFleet({
-        deployment: this.roughDeployment,
+    scenario.roughFleet = new LocalFleet({
+        ...settings,
+        deployment: scenario.roughDeployment,
         operatorKey: "operator",
-        daemonSettings: { drain: { balancerLagMs: 200, limitMs: 1_000 }, input: LOW_LIMITS },
+        daemonSettings: { drain: { balancerLagMs: 200, limitMs: 1_000 }, ...settings.daemonSettings },
     });
-    await this.roughFleet.start();
-});
+    await scenario.roughFleet.start();
+}
 
 When(/^(\d+) callers send (.+) to (\S+)$/, async function(this: RoughScenario, count: string, content: string, path: string) {
     this.roughCallers = new RoughCallers(this.roughFleet.daemons[0].callerAddress, path, parseRoughInput(content));
     await this.roughCallers.start(Number(count));
 });
 
+When(
+    /^(\d+) clients send (.+) to the port of peers and operators$/,
+    async function(this: RoughScenario, count: string, content: string) {
+        this.roughCallers = new RoughCallers(this.roughFleet.daemons[0].peerAddress, "/", parseRoughInput(content));
+        await this.roughCallers.start(Number(count));
+        await pause(STAY_MS);
+    },
+);
+
+When("the crowd stays for a while", async () => {
+    await pause(STAY_MS);
+});
+
 When(
     "{int} peers each send {int} messages of {int} bytes that stop short",
     async function(this: RoughScenario, peers: number, messages: number, bytes: number) {
@@ -91,6 +126,22 @@
     await assertAnswered(this, formatBody("ordinary"));
 });
 
+Then("an ordinary call is answered at one of its attempts", async function(this: RoughScenario) {
+    const failures: string[] = [];
+    for (let attempt = 1; attempt <= ATTEMPTS; attempt += 1) {
+        const dispatcher = new Agent();
+        const answered = assertAnswered(this, formatBody("ordinary"), dispatcher);
+        const failure = await answered.then(() => undefined, (error: unknown) => String(error));
+        void dispatcher.destroy();
+        if (failure === undefined) {
+            return;
+        }
+        failures.push(failure);
+        await pause(ATTEMPT_PAUSE_MS);
+    }
+    assert.fail(failures.join(", "));
+});
+
 Then("a call of {int} bytes in chunks of 1 is answered", async function(this: RoughScenario, bytes: number) {
     const emptyBytes = formatBody("").length;
     const body = formatBody("x".repeat(bytes - emptyBytes));
@@ -121,8 +172,17 @@
     return JSON.stringify({ model: "default", max_tokens: 4, messages: [{ role: "user", content }] });
 }
 
-/** Sends a call whose body is a text, or a stream in chunks, and expects a complete answer. */
-async function assertAnswered({ roughFleet, roughDeployment }: RoughScenario, body: string | Readable): Promise<void> {
+/**
+ * Sends a call and expects a complete answer.
+ *
+ * @param body Text, or stream in chunks.
+ * @param dispatcher Connections of the caller. By default, it uses open ones again.
+ */
+async function assertAnswered(
+    { roughFleet, roughDeployment }: RoughScenario,
+    body: string | Readable,
+    dispatcher?: Agent,
+): Promise<void> {
     const response = await request(`http://${roughFleet.daemons[0].callerAddress}/v1/chat/completions`, {
         method: "POST",
         headers: {
@@ -131,6 +191,7 @@
             "foxtailrail-operation": "dossier-summary",
         },
         body,
+        dispatcher,
         signal: AbortSignal.timeout(PATIENT_MS),
     });
     const text = await response.body.text();
--- a/features/support/relay_program.ts
+++ b/features/support/relay_program.ts
@@ -5,12 +5,12 @@
  */
 
 import { type ChildProcess, spawn, spawnSync } from "node:child_process";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { StoreServer } from "../../platform/standin/store_server.js";
-import { awaitReady, findPorts } from "../../standin/fleet_process.js";
+import { awaitReady, findPorts, withMaxDescriptors } from "../../standin/fleet_process.js";
 import { type ConfiguredLimits, makeConfiguration } from "./relay_fixture.js";
 
 /** Calls that a server takes at once. */
@@ -41,6 +41,14 @@
     serverEntry(service: string, changes: Readonly<Record<string, unknown>>): unknown;
 }
 
+/** Machine of the program; unset fields are not limited. */
+export interface ProgramMachine {
+    /** Memory that the settings state, in megabytes. */
+    readonly megabytes?: number;
+    /** File descriptors that the process may have open. */
+    readonly descriptors?: number;
+}
+
 /** Runs the program until {@linkcode stop}. */
 export class RelayProgram {
     /** Stand-in for the platform's store. */
@@ -53,8 +61,11 @@
     private readinessPort = 0;
     private peerPort = 0;
 
-    /** @param flags Flags of Node.js with which the program is started. */
-    constructor(private readonly flags: readonly string[] = []) {}
+    /**
+     * @param flags Flags of Node.js with which the program is started.
+     * @param machine Machine of the program.
+     */
+    constructor(private readonly flags: readonly string[] = [], private readonly machine: ProgramMachine = {}) {}
 
     /**
      * Starts the store and writes the settings, but does not start the program.
@@ -89,6 +100,7 @@
 servers: { leaveMs: 2000 }
 retries: { fraction: 0.2, windowSeconds: 10, slackCalls: 600 }
 rollouts: { maxShare: 0.1, slackCalls: 50, rollbackMs: 5000 }
+${this.machine.megabytes === undefined ? "" : `memory: { megabytes: ${this.machine.megabytes} }`}
 `;
     }
 
@@ -143,6 +155,16 @@
         return `127.0.0.1:${this.peerPort}`;
     }
 
+    /** Address of the readiness check. */
+    get readinessAddress(): string {
+        return `127.0.0.1:${this.readinessPort}`;
+    }
+
+    /** Returns the number of descriptors that the program has open. */
+    countDescriptors(): number {
+        return readdirSync(`/proc/${this.child?.pid}/fd`).length;
+    }
+
     /** Returns the most memory that the program has used, in bytes; `undefined` if it has ended. */
     readPeakMemory(): number | undefined {
         const { child } = this;
@@ -194,7 +216,9 @@
 
     private spawn(): void {
         const preload = `data:text/javascript,${encodeURIComponent(HOLD_UP_CODE)}`;
-        const child = spawn(process.execPath, [...this.flags, "--import", preload, "dist/entry.cjs"], {
+        const program = [process.execPath, ...this.flags, "--import", preload, "dist/entry.cjs"];
+        const [file = process.execPath, ...rest] = withMaxDescriptors(program, this.machine.descriptors);
+        const child = spawn(file, rest, {
             env: { ...process.env, FOXTAILRAIL_CONFIG: this.settingsFile },
             stdio: ["pipe", "ignore", "ignore"],
         });
--- a/features/support/rough_callers.ts
+++ b/features/support/rough_callers.ts
@@ -12,14 +12,25 @@
 /** Time after which a caller whose connection was closed comes back, in milliseconds. */
 const RETURN_AFTER_MS = 50;
 
-/** What each caller sends after the request line and the Host header. */
+/** What each caller sends after the request line and the headers that all calls have. */
 export interface RoughInput {
+    /** Whether the request line and these headers are sent. Defaults to true. */
+    readonly hasHead?: boolean;
     /** Rest of the head, and bytes that are sent once. */
     readonly start: Buffer;
     /** Bytes that are sent again and again; none to stop after the start. */
     readonly repeated: Buffer;
 }
 
+const NO_BYTES = Buffer.alloc(0);
+
+const CHUNKED = Buffer.from("Transfer-Encoding: chunked\r\n\r\n");
+
+/** Beginning of a body of 2,000 bytes or more, in chunks. */
+const SHORT_BODY = chunks(500, 4);
+
+const LETTERS = "abcdefghijklmnopqrstuvwxyz";
+
 /** Input by its description in a feature. */
 const INPUTS: readonly (readonly [pattern: RegExp, make: (first: number, second: number) => RoughInput])[] = [
     [/^(\d+) bytes in chunks of (\d+) that stop short$/, (bytes, size) => ({
@@ -39,12 +50,22 @@
         /^heads that stop after (\d+) bytes$/,
         bytes => ({ start: Buffer.from(`X-Rough: ${"x".repeat(bytes)}`), repeated: NO_BYTES }),
     ],
+    [/^nothing$/, () => ({ hasHead: false, start: NO_BYTES, repeated: NO_BYTES })],
+    [/^heads that stop after (\d+) fields$/, fields => ({ start: shortFields(fields), repeated: NO_BYTES })],
+    [/^heads of (\d+) fields before bodies that stop short$/, fields => ({
+        start: Buffer.concat([shortFields(fields), CHUNKED, SHORT_BODY]),
+        repeated: NO_BYTES,
+    })],
+    [/^heads of (\d+) prompt parts before bodies that stop short$/, parts => ({
+        start: Buffer.concat([promptParts(parts), CHUNKED, SHORT_BODY]),
+        repeated: NO_BYTES,
+    })],
+    [/^(\d+) bytes of (\d+) announced$/, (bytes, announced) => ({
+        start: Buffer.concat([Buffer.from(`Content-Length: ${announced}\r\n\r\n`), Buffer.alloc(bytes, "x")]),
+        repeated: NO_BYTES,
+    })],
 ];
 
-const NO_BYTES = Buffer.alloc(0);
-
-const CHUNKED = Buffer.from("Transfer-Encoding: chunked\r\n\r\n");
-
 /** Returns what a description in a feature means. */
 export function parseRoughInput(text: string): RoughInput {
     for (const [pattern, make] of INPUTS) {
@@ -65,8 +86,14 @@
      * @param address Address of the program.
      * @param path Path of the calls.
      * @param input What each caller sends.
+     * @param headers Lines of the head that all calls have.
      */
-    constructor(private readonly address: string, private readonly path: string, private readonly input: RoughInput) {}
+    constructor(
+        private readonly address: string,
+        private readonly path: string,
+        private readonly input: RoughInput,
+        private readonly headers: readonly string[] = ["Host: app.example"],
+    ) {}
 
     /** Connects the callers and resolves once each has begun to send, or got no connection. */
     async start(count: number): Promise<void> {
@@ -83,7 +110,9 @@
 
     private send(): Promise<void> {
         const [host, port] = this.address.split(":");
-        const { start, repeated } = this.input;
+        const { hasHead = true, start, repeated } = this.input;
+        const method = this.path.startsWith("/v1/") || this.path.startsWith("/safe/") ? "POST" : "GET";
+        const head = [`${method} ${this.path} HTTP/1.1`, ...this.headers].map(line => `${line}\r\n`).join("");
         const socket = connect({ host, port: Number(port) });
         this.sockets.add(socket);
         const write = () => {
@@ -97,8 +126,7 @@
         socket.resume();
         return new Promise(resolve => {
             socket.on("connect", () => {
-                socket.write(`${this.path === "/metrics" ? "GET" : "POST"} ${this.path} HTTP/1.1\r\nHost: app.example\r\n`);
-                socket.write(start);
+                socket.write(Buffer.concat([Buffer.from(hasHead ? head : ""), start]));
                 write();
                 resolve();
             });
@@ -117,3 +145,19 @@
 function chunks(size: number, count: number): Buffer {
     return Buffer.from(`${size.toString(16)}\r\n${"x".repeat(size)}\r\n`.repeat(count), "latin1");
 }
+
+/** Formats header fields of two letters each. */
+function shortFields(count: number): Buffer {
+    const letters = (first: number, second: number) =>
+        `${LETTERS[first % LETTERS.length] ?? ""}${LETTERS[second % LETTERS.length] ?? ""}`;
+    const fields = Array.from({ length: count }, (unused, index) => {
+        return `${letters(index, Math.floor(index / LETTERS.length))}: ${letters(index * 7, index * 3)}\r\n`;
+    });
+    return Buffer.from(fields.join(""));
+}
+
+/** Formats the header with the parts of a prompt. */
+function promptParts(count: number): Buffer {
+    const parts = Array.from({ length: count }, (unused, index) => `${index.toString(16)}:${index % 10}`);
+    return Buffer.from(`Prefix-Hash: ${parts.join(",")}\r\n`);
+}
--- a/standin/fleet_process.ts
+++ b/standin/fleet_process.ts
@@ -28,9 +28,11 @@
     /**
      * @param name Name of the process.
      * @param args Command-line arguments for Node.js.
+     * @param maxDescriptors File descriptors that the process may have open. Defaults to those of this process.
      */
-    constructor(readonly name: string, args: readonly string[]) {
-        this.child = spawn(process.execPath, args, { stdio: ["ignore", "ignore", "inherit"] });
+    constructor(readonly name: string, args: readonly string[], maxDescriptors?: number) {
+        const [file = process.execPath, ...rest] = withMaxDescriptors([process.execPath, ...args], maxDescriptors);
+        this.child = spawn(file, rest, { stdio: ["ignore", "ignore", "inherit"] });
         this.exited = new Promise(resolve => {
             this.child.once("exit", code => resolve(code ?? undefined));
         });
@@ -53,6 +55,16 @@
     }
 }
 
+/**
+ * Returns a command that runs a program with fewer descriptors.
+ *
+ * @param program Program and its arguments.
+ * @param maxDescriptors File descriptors that the process may have open; `undefined` for those of this process.
+ */
+export function withMaxDescriptors(program: readonly string[], maxDescriptors: number | undefined): readonly string[] {
+    return maxDescriptors === undefined ? program : ["sh", "-c", `ulimit -n ${maxDescriptors} && exec "$0" "$@"`, ...program];
+}
+
 /**
  * Polls a URL until it answers with status 200.
  *
--- a/standin/local_fleet.ts
+++ b/standin/local_fleet.ts
@@ -42,6 +42,10 @@
     readonly operatorKey: string;
     /** Settings of the daemons that replace or extend the fleet's. Defaults to none. */
     readonly daemonSettings?: Readonly<Record<string, unknown>>;
+    /** Heap of each daemon, in megabytes. Defaults to that of its program. */
+    readonly daemonHeapMegabytes?: number;
+    /** File descriptors that each daemon may have open. Defaults to those of this process. */
+    readonly daemonDescriptors?: number;
     /** Returns the log address for daemons of a failure domain, such as a forwarder's. Defaults to the log's own address. */
     readonly logAddressFor?: (failureDomain: string, logAddress: string) => string;
 }
@@ -220,7 +224,9 @@
     }
 
     private spawnDaemon(node: string, settingsFile: string): FleetProcess {
-        return new FleetProcess(node, [...DAEMON_NODE_OPTIONS, DAEMON_PROGRAM, "--settings", settingsFile]);
+        const { daemonHeapMegabytes, daemonDescriptors } = this.settings;
+        const options = daemonHeapMegabytes === undefined ? DAEMON_NODE_OPTIONS : [`--max-old-space-size=${daemonHeapMegabytes}`];
+        return new FleetProcess(node, [...options, DAEMON_PROGRAM, "--settings", settingsFile], daemonDescriptors);
     }
 
     private allocateAddress(): string {
