Transport: hold the head of a call whose body has not come as one block of bytes

Callers saw their calls cut and then refused: a process ended with "JavaScript heap out of memory" once 1,800 callers had sent heads of 300 short fields, or 520 callers one prompt of 2,000 parts, before bodies that stop short. Each of these callers stays within the limits of the configuration.

The HTTP library keeps a string for each name and value, twice, for as long as the request lives, and the relay node parsed prompt parts into objects before the body had come; only the bytes on the wire were counted. A call with 300 fields took 49 kB of heap, one with 2,000 parts 167 kB (measured in process, 1,000 connections).

A head is now packed into one buffer outside of the heap when it is read and parsed when the body is complete; foxtailraild takes the four headers that it needs; ports for peers and status pages, and bodies that are discarded, drop the head. The target counts as a part of the head.

--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import { BlockBuffer, type MemoryShare } from "../state/mod.js";
+import { dropHead } from "./held_head.js";
 import type { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
 
@@ -35,7 +36,7 @@
     readonly inputLimits: InputLimits;
     /** Largest body that is kept, in bytes; the bytes of a larger one are discarded. */
     readonly maxBytes: number;
-    /** Size of the head, which takes memory until the body is complete, in bytes. Defaults to 0: it is not counted. */
+    /** Size of the head, which takes memory until the body is complete, in bytes. Defaults to that of the target. */
     readonly headBytes?: number;
     /** Called with the size of the body so far, in bytes. */
     readonly onProgress?: (size: number) => void;
@@ -87,6 +88,7 @@
     private isReleased = false;
     private isComplete = false;
     private readonly content = new BlockBuffer();
+    private readonly headBytes: number;
     private readonly memoryShare: MemoryShare;
 
     /**
@@ -99,7 +101,8 @@
     constructor(request: IncomingMessage, private readonly settings: BodyCollectorSettings) {
         const { memory, pacer } = settings.inputLimits;
         this.memoryShare = memory.open(() => this.handleEvicted());
-        this.memoryShare.resize(settings.headBytes ?? 0);
+        this.headBytes = settings.headBytes ?? request.url?.length ?? 0;
+        this.memoryShare.resize(this.headBytes);
         const pace = new PacedBody(pacer, request, Math.max(MIN_PAUSED_MS, PAUSE_MARGIN * settings.maxBytes / pacer.piecesPerMs));
         request.on("data", (chunk: Buffer) => {
             this.add(chunk);
@@ -143,7 +146,7 @@
         }
         else if (!this.isDiscarding) {
             this.content.append(chunk);
-            this.memoryShare.resize((this.settings.headBytes ?? 0) + this.content.length);
+            this.memoryShare.resize(this.headBytes + this.content.length);
         }
         this.settings.onProgress?.(this.size);
     }
@@ -162,6 +165,7 @@
  * @param close Closes the connection of a body that is larger than 64 KiB; called with each further part of it.
  */
 export function discardBody(request: IncomingMessage, inputLimits: InputLimits, close: () => void): void {
+    dropHead(request);
     if (request.listenerCount("data") > 0) {
         return;
     }
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -20,6 +20,7 @@
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "./body_collector.js";
 import { ConnectionLimits } from "./connection_limits.js";
+import { dropHead } from "./held_head.js";
 import { InputLimits } from "./input_limits.js";
 import { InterimHeads } from "./interim_heads.js";
 import { listen } from "./listen.js";
@@ -296,6 +297,7 @@
             }
         });
         let body: BodyCollector | undefined;
+        const headers = selectCallHeaders(request);
         try {
             body = await this.readBody(request);
         }
@@ -312,7 +314,7 @@
         this.callCount += 1;
         this.callAborts.add(abortController);
         try {
-            const call = this.toCall(request, { ...target, body: body?.take() ?? EMPTY_BODY, abortController });
+            const call = this.toCall(request, { ...target, ...headers, body: body?.take() ?? EMPTY_BODY, abortController });
             await this.settings.handler.handle(call, writer);
         }
         finally {
@@ -323,20 +325,12 @@
 
     private toCall(
         request: IncomingMessage,
-        parts: CallTarget & { readonly body: Buffer; readonly abortController: AbortController },
+        parts: CallTarget & CallHeaders & { readonly body: Buffer; readonly abortController: AbortController },
     ): IncomingCall {
-        const authorization = request.headers.authorization;
         return {
+            ...parts,
             id: `${this.settings.node}-${this.callCount.toString(36)}-${Date.now().toString(36)}`,
             method: request.method ?? "GET",
-            path: parts.path,
-            query: parts.query,
-            bearerKey: authorization?.startsWith("Bearer ") ? authorization.slice("Bearer ".length) : undefined,
-            idempotencyKey: singleHeader(request, "idempotency-key"),
-            operationName: singleHeader(request, "foxtailrail-operation"),
-            contentType: request.headers["content-type"],
-            body: parts.body,
-            abortController: parts.abortController,
         };
     }
 
@@ -363,6 +357,7 @@
         }
         const { maxBodyBytes } = this.limits;
         const headBytes = countHeadBytes(request);
+        dropHead(request);
         return new Promise((resolve, reject) => {
             const body = new BodyCollector(request, {
                 inputLimits: this.inputLimits,
@@ -402,14 +397,27 @@
     readonly query: string;
 }
 
+/** Headers of a call that its handler gets. */
+type CallHeaders = Pick<IncomingCall, "bearerKey" | "idempotencyKey" | "operationName" | "contentType">;
+
+function selectCallHeaders(request: IncomingMessage): CallHeaders {
+    const { authorization } = request.headers;
+    return {
+        bearerKey: authorization?.startsWith("Bearer ") ? authorization.slice("Bearer ".length) : undefined,
+        idempotencyKey: singleHeader(request, "idempotency-key"),
+        operationName: singleHeader(request, "foxtailrail-operation"),
+        contentType: request.headers["content-type"],
+    };
+}
+
 function singleHeader(request: IncomingMessage, name: string): string | undefined {
     const value = request.headers[name];
     return typeof value === "string" ? value : undefined;
 }
 
-/** Returns the size of the headers of a request, in bytes; the HTTP parser decodes them as Latin-1. */
-function countHeadBytes(request: IncomingMessage): number {
-    return request.rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
+/** Returns the size of the head of a request, in bytes; the HTTP parser decodes it as Latin-1. */
+function countHeadBytes({ rawHeaders, url = "" }: IncomingMessage): number {
+    return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
 }
 
 function checkHeaders(request: IncomingMessage): void {
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -9,7 +9,6 @@
 import {
     AnswerPlace,
     type CallExecution,
-    type CallHead,
     type LocalAnswer,
     type RelayCall,
     type RelayHeaders,
@@ -18,6 +17,7 @@
 import { afterArrivedInput, type CallerLimits, type Clock } from "../../state/relay/mod.js";
 import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
+import { HeldHead } from "../held_head.js";
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
@@ -284,14 +284,14 @@
 
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const connection = this.connections.get(request.socket);
+        const isLast = offersUpgrade(request);
+        const heldHead = new HeldHead(request);
         if (connection === undefined || connection.isClosing) {
             // The answer to an earlier call closes the connection.
             discardBody(request, this.inputLimits, () => undefined);
-            request.on("end", () => this.reportUnanswered(request));
+            request.on("end", () => this.reportUnanswered(heldHead));
             return;
         }
-        const head = this.settings.headers.readCall(request.rawHeaders);
-        const id = typeof head === "string" ? undefined : head.id;
         const answer: HttpRelayAnswer = new HttpRelayAnswer(response, {
             closesConnection: () => {
                 const mayLackBody = this.interimHeads.giveUp(request, response);
@@ -300,10 +300,12 @@
             },
             turn: connection.nextTurn(),
             memory: this.inputLimits.memory,
-            onLocal: localAnswer => this.settings.onLocalAnswer?.({ id, localAnswer, execution: answer.execution }),
+            onLocal: localAnswer => {
+                const id = openCall.read?.id ?? this.readId(heldHead);
+                this.settings.onLocalAnswer?.({ id, localAnswer, execution: answer.execution });
+            },
         });
         const openCall: OpenCall = { request, response, answer, callerAbort: new AbortController(), read: undefined };
-        const isLast = offersUpgrade(request);
         connection.mustClose ||= isLast;
         connection.add(openCall, response.shouldKeepAlive && !isLast);
         this.interimHeads.prepare(request, response);
@@ -312,29 +314,15 @@
             connection.finish(openCall, this.isDraining);
         });
         request.on("error", () => openCall.callerAbort.abort());
-        if (headerBytes(request.rawHeaders) > this.limits.maxHeaderBytes) {
-            const text = `The headers are larger than ${this.limits.maxHeaderBytes} bytes.`;
-            this.readBody(connection, openCall, () => ({ place: AnswerPlace.Reading, status: 431, text }));
-            return;
-        }
-        if (typeof head === "string") {
-            this.readBody(connection, openCall, () => ({ place: AnswerPlace.Reading, status: INVALID_STATUS, text: head }));
-            return;
-        }
-        this.readBody(connection, openCall, body => this.receive(openCall, head, body));
+        this.readBody(connection, openCall, heldHead);
     }
 
     /**
      * Reads the body of a call. A refusal is written at the end of the body, so that the calls that follow are read and answered; only
      * a body that is far too large is not read to its end.
-     *
-     * @param finish Called with the complete body; returns an answer if the call is refused.
      */
-    private readBody(
-        connection: CallerConnection,
-        { request, response, answer, callerAbort }: OpenCall,
-        finish: (body: Buffer) => LocalAnswer | undefined,
-    ): void {
+    private readBody(connection: CallerConnection, openCall: OpenCall, heldHead: HeldHead): void {
+        const { request, response, answer, callerAbort } = openCall;
         const { maxBodyBytes } = this.limits;
         const refuse = (localAnswer: LocalAnswer) => {
             connection.mustClose = true;
@@ -345,13 +333,12 @@
             const text = "The node holds too many bytes of calls; the call has not run.";
             write({ place: AnswerPlace.Memory, status: 503, text, retryAfterMs: MEMORY_RETRY_AFTER_MS });
         };
-        const headSize = headerBytes(request.rawHeaders);
         const body = new BodyCollector(request, {
             inputLimits: this.inputLimits,
             maxBytes: maxBodyBytes,
-            headBytes: headSize,
+            headBytes: heldHead.bytes,
             onEvicted: () => {
-                if (headSize > MAX_DISCARDING_HEAD_BYTES && !answer.isStarted) {
+                if (heldHead.bytes > MAX_DISCARDING_HEAD_BYTES && !answer.isStarted) {
                     refuseForMemory(refuse);
                 }
             },
@@ -374,15 +361,24 @@
                 refuseForMemory(localAnswer => answer.sendLocal(localAnswer));
                 return;
             }
-            const refusal = finish(body.take());
+            const refusal = this.receive(openCall, heldHead, body.take());
             if (refusal !== undefined) {
                 refuse(refusal);
             }
         });
     }
 
-    private receive(openCall: OpenCall, head: CallHead, body: Buffer): undefined {
+    /** Passes a complete call on, or returns the answer with which it is refused. */
+    private receive(openCall: OpenCall, heldHead: HeldHead, body: Buffer): LocalAnswer | undefined {
         const { request, answer, callerAbort } = openCall;
+        const { maxHeaderBytes } = this.limits;
+        if (heldHead.headerBytes > maxHeaderBytes) {
+            return { place: AnswerPlace.Reading, status: 431, text: `The headers are larger than ${maxHeaderBytes} bytes.` };
+        }
+        const head = this.settings.headers.readCall(heldHead.list());
+        if (typeof head === "string") {
+            return { place: AnswerPlace.Reading, status: INVALID_STATUS, text: head };
+        }
         const arrivedAtMs = this.settings.clock.now();
         openCall.read = { id: head.id, arrivedAtMs };
         const call = {
@@ -404,16 +400,16 @@
     }
 
     /** Reports a call that is not received, since an earlier answer closes its connection. */
-    private reportUnanswered(request: IncomingMessage): void {
-        const head = this.settings.headers.readCall(request.rawHeaders);
-        if (typeof head !== "string") {
-            this.settings.onCut({ id: head.id, cause: CutCause.EarlierAnswer, isAnswerStarted: false, ageMs: 0 });
+    private reportUnanswered(heldHead: HeldHead): void {
+        const id = this.readId(heldHead);
+        if (id !== undefined) {
+            this.settings.onCut({ id, cause: CutCause.EarlierAnswer, isAnswerStarted: false, ageMs: 0 });
         }
     }
-}
 
-/** Returns the size of headers on the wire, given as a flat list of names and values, in bytes. */
-function headerBytes(rawHeaders: readonly string[]): number {
-    // Each name is followed by a colon and a space, each value by CRLF; the HTTP parser decodes headers as Latin-1.
-    return rawHeaders.reduce((bytes, text) => bytes + text.length + 2, 0);
+    /** Returns the id of a call; `undefined` if it states none, or states it wrongly. */
+    private readId(heldHead: HeldHead): string | undefined {
+        const head = this.settings.headers.readCall(heldHead.list());
+        return typeof head === "string" ? undefined : head.id;
+    }
 }
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../../state/relay/mod.js";
 import { BodyCollector, discardBody } from "../body_collector.js";
 import { ConnectionLimits } from "../connection_limits.js";
+import { dropHead } from "../held_head.js";
 import { InputLimits } from "../input_limits.js";
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
@@ -116,6 +117,7 @@
     private handleRequest(request: IncomingMessage, response: ServerResponse): void {
         const callId = request.headers[DETOUR_CALL_HEADER];
         const nodeHeaders = typeof callId === "string" ? [DETOUR_CALL_HEADER, callId] : [];
+        dropHead(request);
         const answer: HttpRelayAnswer = new HttpRelayAnswer(response, {
             closesConnection: () => this.interimHeads.giveUp(request, response) || this.isStopped,
             nodeHeaders,
