Tests: a crowd of rough callers runs in a process of its own

The crowd shared its event loop with the ordinary caller of the test. Its connections came back in bursts every 50 ms, and the ordinary caller could connect only within such a burst and send only after it, which no caller elsewhere has to. The crowds, their contents and all bounds are unchanged.

--- a/features/steps/callers_without_limits_steps.ts
+++ b/features/steps/callers_without_limits_steps.ts
@@ -12,7 +12,7 @@
 import { Agent, request } from "undici";
 import { type Deployment, readDeployment } from "../../standin/deployment.js";
 import { LocalFleet, type LocalFleetSettings } from "../../standin/local_fleet.js";
-import { parseRoughInput, RoughCallers } from "../support/rough_callers.js";
+import { RoughCrowd } from "../support/rough_callers.js";
 import { RoughPeers } from "../support/rough_peers.js";
 import type { Scenario } from "../support/world.js";
 
@@ -38,7 +38,7 @@
 interface RoughScenario extends Scenario {
     roughFleet: LocalFleet;
     roughDeployment: Deployment;
-    roughCallers: RoughCallers | undefined;
+    roughCallers: RoughCrowd | undefined;
     roughPeers: RoughPeers | undefined;
 }
 
@@ -87,15 +87,15 @@
 }
 
 When(/^(\d+) callers send (.+) to (\S+)$/, async function(this: RoughScenario, count: string, content: string, path: string) {
-    this.roughCallers = new RoughCallers(this.roughFleet.daemons[0].callerAddress, path, parseRoughInput(content));
-    await this.roughCallers.start(Number(count));
+    this.roughCallers = new RoughCrowd(this.roughFleet.daemons[0].callerAddress, path, content, Number(count));
+    await this.roughCallers.awaitStart();
 });
 
 When(
     /^(\d+) clients send (.+) to the port of peers and operators$/,
     async function(this: RoughScenario, count: string, content: string) {
-        this.roughCallers = new RoughCallers(this.roughFleet.daemons[0].peerAddress, "/", parseRoughInput(content));
-        await this.roughCallers.start(Number(count));
+        this.roughCallers = new RoughCrowd(this.roughFleet.daemons[0].peerAddress, "/", content, Number(count));
+        await this.roughCallers.awaitStart();
         await pause(STAY_MS);
     },
 );
--- a/features/steps/relay_callers_without_limits_steps.ts
+++ b/features/steps/relay_callers_without_limits_steps.ts
@@ -10,7 +10,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { EngineServer } from "../../platform/standin/engine_server.js";
 import { RelayProgram } from "../support/relay_program.js";
-import { parseRoughInput, RoughCallers } from "../support/rough_callers.js";
+import { RoughCrowd } from "../support/rough_callers.js";
 import type { Scenario } from "../support/world.js";
 
 /** Time limit of a step, in milliseconds. */
@@ -48,7 +48,7 @@
 interface CrowdScenario extends Scenario {
     crowdServer: EngineServer;
     crowdProgram: RelayProgram;
-    crowd: RoughCallers | undefined;
+    crowd: RoughCrowd | undefined;
     crowdCalls: number;
 }
 
@@ -82,8 +82,8 @@
     async function(this: CrowdScenario, count: string, content: string, port: string) {
         const lines = Object.entries(HEADERS).map(([name, value]) => `${name}: ${value}`);
         const [address, path] = selectPort(this.crowdProgram, port);
-        this.crowd = new RoughCallers(address, path, parseRoughInput(content), lines);
-        await this.crowd.start(Number(count));
+        this.crowd = new RoughCrowd(address, path, content, Number(count), lines);
+        await this.crowd.awaitStart();
         await pause(STAY_MS);
     },
 );
--- a/features/support/rough_callers.ts
+++ b/features/support/rough_callers.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
+import { type ChildProcess, spawn } from "node:child_process";
 import { connect, type Socket } from "node:net";
+import { fileURLToPath } from "node:url";
+
+/** Program of a crowd. */
+const CROWD_PROGRAM = fileURLToPath(new URL("../crowd/rough_crowd.js", import.meta.url));
 
 /** Bytes of one write of input without end, at least. */
 const WRITE_BYTES = 65_536;
@@ -77,6 +82,41 @@
     throw new Error(`Cannot send "${text}": there is no such input`);
 }
 
+/** Header lines of calls without a workspace. */
+const PLAIN_HEADERS: readonly string[] = ["Host: app.example"];
+
+/** Crowd of {@linkcode RoughCallers} in a process of its own. */
+export class RoughCrowd {
+    private readonly child: ChildProcess;
+
+    /**
+     * @param address Address of the program.
+     * @param path Path of the calls.
+     * @param input What each caller sends, as features describe it.
+     * @param count Number of callers.
+     * @param headers Lines of the head that all calls have.
+     */
+    constructor(address: string, path: string, input: string, count: number, headers = PLAIN_HEADERS) {
+        // Also reports a wrong description.
+        parseRoughInput(input);
+        const args = [CROWD_PROGRAM, address, path, JSON.stringify(headers), input, String(count)];
+        this.child = spawn(process.execPath, args, { stdio: ["pipe", "pipe", "inherit"] });
+    }
+
+    /** Resolves once each caller has begun to send, or got no connection. */
+    async awaitStart(): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.child.stdout?.once("data", () => resolve());
+            this.child.once("exit", () => reject(new Error("Cannot start a crowd: its process has ended")));
+        });
+    }
+
+    /** Closes all connections. */
+    leave(): void {
+        this.child.kill("SIGKILL");
+    }
+}
+
 /** Callers that send until they are told to leave. */
 export class RoughCallers {
     private readonly sockets = new Set<Socket>();
@@ -92,7 +132,7 @@
         private readonly address: string,
         private readonly path: string,
         private readonly input: RoughInput,
-        private readonly headers: readonly string[] = ["Host: app.example"],
+        private readonly headers = PLAIN_HEADERS,
     ) {}
 
     /** Connects the callers and resolves once each has begun to send, or got no connection. */
