Transport: bound the connections of each port, and close those that come to nothing first

Ordinary callers got nothing: 4,300 connections that sent nothing, or stopped within a head or body, held all descriptors of a relay node, which could neither accept nor connect for as long as they stayed, and the readiness check and the port for nodes could be used in the same way. foxtailraild bounded the connections of callers, but closed whoever came next, and had no bound at the port of peers and operators.

A process now divides its descriptors among its ports and leaves some to itself. From two thirds of its connections on, a port closes stalled ones, those without progress for longest first, then those that are idle beyond the time in which callers may use them again, then new ones that have sent nothing. This is judged once all that had arrived is read, so that a caller whose call comes with its connection is not closed. A call of which a part had come gets 503, or 421 at the port for nodes; it has not run. Calls that are being served and connections on whose reuse callers count are never closed. foxtailraild also returns the memory of a call that is given up in this way; the library does not report the end of its connection.

New settings: connections.descriptors (the limit of the process; the platform's template states it), connections.maxCallers, input.maxPeerConnections; input.maxConnections is also bounded by descriptors and heap. The numbers leave a node of 4,100 descriptors 2,925 connections of callers.

--- a/features/steps/log_sharing_steps.ts
+++ b/features/steps/log_sharing_steps.ts
@@ -203,6 +203,7 @@
         configurationVersion: () => 0,
         isLogAnswering: () => true,
         readTopics: () => views.readTopics,
+        connections: () => [],
         droppedLines: () => 0,
     });
     return metrics.text();
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,6 +23,7 @@
     claimPeerService,
     configurationOperatorService,
     configurationPeerService,
+    ConnectionBound,
     GrpcClaimClient,
     GrpcConfigurationClient,
     GrpcPeerClient,
@@ -35,6 +36,7 @@
     HttpServer,
     HttpVmList,
     HttpWebhook,
+    MAX_CALLER_CONNECTIONS,
     MAX_HELD_MESSAGE_BYTES,
     MAX_PEER_CHANNELS,
     type OperationsPage,
@@ -51,6 +53,7 @@
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorService } from "./operator_service.js";
 import { PeerService } from "./peer_service.js";
+import { divideDescriptors, readDescriptorLimit } from "./process_limits.js";
 import { registerSchedulingMetrics, schedulingLimits } from "./scheduling_metrics.js";
 import { findOperator, type Settings } from "./settings.js";
 import { splitAddress } from "./settings_file.js";
@@ -80,6 +83,8 @@
     private readonly configurationClient: GrpcConfigurationClient;
     private readonly claimClient: GrpcClaimClient;
     private readonly node: EntryNode;
+    /** Bounds on the connections of each port, by its use. */
+    private readonly connectionBounds: Readonly<Record<"callers" | "peers", ConnectionBound>>;
     private readonly httpServer: HttpServer;
     private readonly grpcServer: GrpcServer;
     private readonly stopped = new AbortController();
@@ -120,13 +125,19 @@
             keyRules: settings.claims,
             webhook: settings.webhookUrl === undefined ? undefined : new HttpWebhook(settings.webhookUrl),
         });
+        const numbers = divideDescriptors(readDescriptorLimit());
+        const maxCallers = Math.min(settings.input.maxConnections ?? MAX_CALLER_CONNECTIONS, numbers.callers);
+        this.connectionBounds = {
+            callers: this.makeConnectionBound("callers", maxCallers),
+            peers: this.makeConnectionBound("peers", settings.input.maxPeerConnections ?? numbers.peers),
+        };
         this.httpServer = new HttpServer({
             clock,
             node: settings.node,
+            connectionBound: this.connectionBounds.callers,
             limits: {
                 maxBodyBytes: settings.input.maxBodyBytes,
                 maxHeldBodyBytes: settings.input.maxHeldBytes,
-                maxConnections: settings.input.maxConnections,
             },
             handler: this.node.handler,
             operationsPage: path => this.operationsPage(path),
@@ -141,9 +152,12 @@
         this.metrics.registerInputMetrics({
             evictions: () => this.httpServer.evictions + this.grpcServer.evictions,
             pacedConnections: () => this.httpServer.pacedConnections,
+            connections: () => Object.entries(this.connectionBounds),
         });
         registerConfigurationMetrics(this.metrics.registry, this.node);
         this.grpcServer = new GrpcServer({
+            clock,
+            connectionBound: this.connectionBounds.peers,
             services: this.services(limits),
             credentials: this.certificates?.serverCredentials(),
         });
@@ -200,6 +214,18 @@
         }
     }
 
+    private makeConnectionBound(port: string, maxConnections: number): ConnectionBound {
+        return new ConnectionBound({
+            clock: this.dependencies.clock,
+            maxConnections,
+            onGivenUp: ({ stalled, refused, open }) => {
+                const text = `Port for ${port}: ${stalled} stalled and ${refused} new connections were closed; ${open} of ` +
+                    `${maxConnections} are open.`;
+                this.recordEvent("crowded", text);
+            },
+        });
+    }
+
     private services(limits: readonly LimitedQuantity[]): readonly GrpcService[] {
         const { node, membership, dissemination } = this;
         const authorizer = new PeerAuthorizer(this.certificates !== undefined);
@@ -261,8 +287,10 @@
 
     private limits(): readonly LimitedQuantity[] {
         const { input } = this.dependencies.settings;
+        const { callers, peers } = this.connectionBounds;
         return [
-            { name: "MAX_CALLER_CONNECTIONS", limit: input.maxConnections, read: () => this.httpServer.connections },
+            { name: "MAX_CALLER_CONNECTIONS", limit: callers.maxConnections, read: () => callers.open },
+            { name: "MAX_PEER_CONNECTIONS", limit: peers.maxConnections, read: () => peers.open },
             { name: "MAX_HELD_BODY_BYTES", limit: input.maxHeldBytes, read: () => this.httpServer.bodyBytes },
             { name: "MAX_HELD_MESSAGE_BYTES", limit: MAX_HELD_MESSAGE_BYTES, read: () => this.grpcServer.messageBytes },
             { name: "MAX_KEYS", limit: MAX_KEYS, read: () => this.node.guard.streams.keyCount },
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -7,6 +7,7 @@
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 import { CallObserver, type CallTimings } from "../coordination/mod.js";
 import type { AcceptedCall, Refusal } from "../protocol/mod.js";
+import type { ConnectionBound } from "../transport/mod.js";
 
 /** Bucket bounds of the latency histograms, in seconds. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.036, 0.05, 0.1, 0.2, 0.4, 0.72, 1, 2, 5, 10, 30, 60];
@@ -27,6 +28,8 @@
 export interface InputGauges {
     readonly evictions: () => number;
     readonly pacedConnections: () => number;
+    /** Bounds on the connections of each port, by its use. */
+    readonly connections: () => Iterable<readonly [string, ConnectionBound]>;
 }
 
 /** Records calls, and exposes every limited quantity together with its limit. */
@@ -95,7 +98,7 @@
     }
 
     /** Registers metrics of what is done about callers that keep to no limit. */
-    registerInputMetrics({ evictions, pacedConnections }: InputGauges): void {
+    registerInputMetrics({ evictions, pacedConnections, connections }: InputGauges): void {
         const evicted: Gauge = new Gauge({
             name: "foxtailrail_evictions",
             help: "Bodies and messages that were given up because they held most of the memory.",
@@ -108,6 +111,18 @@
             registers: [this.registry],
             collect: () => paced.set(pacedConnections()),
         });
+        const givenUp = new Gauge({
+            name: "foxtailrail_given_up_connections",
+            help: "Connections that were closed because their port had too many, since the start.",
+            labelNames: ["port", "reason"] as const,
+            registers: [this.registry],
+            collect: () => {
+                for (const [port, { stalled, refused }] of connections()) {
+                    givenUp.set({ port, reason: "stalled" }, stalled);
+                    givenUp.set({ port, reason: "refused" }, refused);
+                }
+            },
+        });
     }
 
     /**
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -8,7 +8,7 @@
 import type { WorkspaceShares } from "../../coordination/allotment/mod.js";
 import type { CallRecord, TopicRead } from "../../coordination/relay/mod.js";
 import type { LocalAnswer } from "../../protocol/relay/mod.js";
-import type { CutCall } from "../../transport/relay/mod.js";
+import type { ConnectionBound, CutCall } from "../../transport/relay/mod.js";
 
 /** Bucket bounds of the latency histograms, in seconds: from the duration of a call that is not a stream to that of the longest stream. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.3, 2, 5, 15];
@@ -46,6 +46,8 @@
     /** Bytes of others that are held until they are complete or written, and how often their largest holder was evicted. */
     readonly heldBytes: () => number;
     readonly evictions: () => number;
+    /** Bounds on the connections of each port, by its use. */
+    readonly connections: () => Iterable<readonly [string, ConnectionBound]>;
     /** Calls that were sent to an address at which their id had been answered before. */
     readonly repeatedIds: () => number;
     readonly configurationVersion: () => number;
@@ -162,6 +164,7 @@
             "Answers and calls that were given up because they held most of the memory.",
             gauges.evictions,
         );
+        this.addConnectionGauges(gauges.connections);
         this.addGauge(
             "repeated_ids",
             "Calls that were sent to an address at which their id had been answered before.",
@@ -264,6 +267,33 @@
         });
     }
 
+    private addConnectionGauges(read: () => Iterable<readonly [string, ConnectionBound]>): void {
+        const registers = [this.registry];
+        new Gauge({
+            name: "foxtailrail_relay_connections",
+            help: "Open connections to each port.",
+            labelNames: ["port"],
+            registers,
+            collect() {
+                for (const [port, { open }] of read()) {
+                    this.set({ port }, open);
+                }
+            },
+        });
+        new Gauge({
+            name: "foxtailrail_relay_given_up_connections",
+            help: "Connections that were closed because their port had too many, since the start.",
+            labelNames: ["port", "reason"],
+            registers,
+            collect() {
+                for (const [port, { stalled, refused }] of read()) {
+                    this.set({ port, reason: "stalled" }, stalled);
+                    this.set({ port, reason: "refused" }, refused);
+                }
+            },
+        });
+    }
+
     /** Adds the metrics of the workspaces' shares; those by workspace name only the largest that are above their share. */
     private addShareMetrics(read: () => ReadonlyMap<string, WorkspaceShares>): void {
         const registers = [this.registry];
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -48,6 +48,7 @@
 import {
     bindWithRetry,
     CallerServer,
+    ConnectionBound,
     DetourServer,
     HttpClient,
     HttpDetourClient,
@@ -59,6 +60,7 @@
     StatusServer,
     type WrittenLocalAnswer,
 } from "../../transport/relay/mod.js";
+import { divideDescriptors, readDescriptorLimit } from "../process_limits.js";
 import { splitAddress } from "../settings_file.js";
 import { LogFollower } from "./log_follower.js";
 import type { RecordReader } from "./record_reader.js";
@@ -128,6 +130,8 @@
     private readonly stopped = new AbortController();
     private readonly startedAtMs: number;
     private readonly inputLimits: InputLimits;
+    /** Bounds on the connections of each port, by its use. */
+    private readonly connectionBounds: Readonly<Record<"callers" | "peers" | "readiness" | "metrics", ConnectionBound>>;
     private readonly httpClient: HttpClient;
     private readonly peerHttpClient: HttpClient;
     private readonly relayLog: RelayLog;
@@ -363,6 +367,14 @@
                 mayReceive: (server, homes) => this.filter.isUsable(server, homes),
             },
         });
+        const { descriptors, maxCallers } = settings.connections;
+        const numbers = divideDescriptors(descriptors ?? readDescriptorLimit());
+        this.connectionBounds = {
+            callers: this.makeConnectionBound("callers", maxCallers ?? numbers.callers),
+            peers: this.makeConnectionBound("peers", numbers.peers),
+            readiness: this.makeConnectionBound("readiness", numbers.status),
+            metrics: this.makeConnectionBound("metrics", numbers.status),
+        };
         const onListenerError = (error: unknown) => this.relayLog.error("node: listener failed", error);
         const onLocalAnswer = (answer: WrittenLocalAnswer) => {
             try {
@@ -377,6 +389,7 @@
         this.detourServer = new DetourServer({
             clock,
             inputLimits: this.inputLimits,
+            connectionBound: this.connectionBounds.peers,
             isNode: host => this.directory.hasHost(host),
             receive: (call, answer, callerGone) => this.receiveDetour(handler, call, answer, callerGone),
             onListenerError,
@@ -386,6 +399,7 @@
         this.callerServer = new CallerServer({
             clock,
             inputLimits: this.inputLimits,
+            connectionBound: this.connectionBounds.callers,
             headers,
             receive: (call, answer) => handler.handle(call, answer),
             onError: error =>
@@ -407,15 +421,25 @@
             }]]),
             error => logger.error({ error: String(error) }, "metrics: failed"),
             this.inputLimits,
+            this.connectionBounds.metrics,
         );
         this.readinessServer = new StatusServer(
             clock,
             new Map([["/-/ready", () => this.readinessResponse()]]),
             error => logger.error({ error: String(error) }, "readiness: failed"),
             this.inputLimits,
+            this.connectionBounds.readiness,
         );
     }
 
+    private makeConnectionBound(port: string, maxConnections: number): ConnectionBound {
+        return new ConnectionBound({
+            clock: this.dependencies.clock,
+            maxConnections,
+            onGivenUp: connections => this.relayLog.warn("connections: given up for others", { port, ...connections }),
+        });
+    }
+
     private makeMetrics(): RelayMetrics {
         return new RelayMetrics({
             waitingCalls: () => [...this.schedulers].map(([service, scheduler]) => [service, scheduler.waitingCalls]),
@@ -435,6 +459,7 @@
             quarantinedTraits: () => this.quarantine.quarantinedTraits,
             heldBytes: () => this.inputLimits.memory.usedBytes,
             evictions: () => this.inputLimits.memory.evictions,
+            connections: () => Object.entries(this.connectionBounds),
             repeatedIds: () => this.httpClient.repeatedIds + this.peerHttpClient.repeatedIds,
             configurationVersion: () => this.follower.configuration?.version ?? 0,
             isLogAnswering: () => this.logHealth.isAnswering,
--- a/src/daemon/relay/relay_settings.ts
+++ b/src/daemon/relay/relay_settings.ts
@@ -18,6 +18,9 @@
 /** Memory of the process unless the settings state it, in megabytes; that of the smallest machines. */
 const DEFAULT_MEMORY_MEGABYTES = 178;
 
+/** Least number of file descriptors with which a process starts. */
+const MIN_DESCRIPTORS = 64;
+
 /** Shortest time for records to be applied, in milliseconds; reads of the log are not repeated faster. */
 const MIN_APPLY_MS = 100;
 /** Bounds on the calls of cold servers unless the settings state them: they get no more than they sustain. */
@@ -46,6 +49,12 @@
         /** Memory of the process above which the platform ends it, in megabytes. */
         megabytes: z.number().min(1),
     }).default({ megabytes: DEFAULT_MEMORY_MEGABYTES }),
+    connections: z.strictObject({
+        /** File descriptors that the process may have open, which the ports divide among themselves. */
+        descriptors: z.int().min(MIN_DESCRIPTORS).nullish(),
+        /** Connections of callers. By default, three quarters of the descriptors that are not for files, as far as the heap allows. */
+        maxCallers: z.int().min(1).nullish(),
+    }).default({}),
     /** Address of the platform's log. */
     log: addressSchema,
     /** Whether the whole system is being started for the first time. */
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -51,8 +51,9 @@
     input: z.strictObject({
         maxBodyBytes: z.int().min(1_024).max(MAX_BODY_BYTES).default(MAX_BODY_BYTES),
         maxHeldBytes: z.int().min(1_048_576).max(MAX_HELD_BODY_BYTES).default(MAX_HELD_BODY_BYTES),
-        maxConnections: z.int().min(1).max(MAX_CALLER_CONNECTIONS).default(MAX_CALLER_CONNECTIONS),
-    }).default({ maxBodyBytes: MAX_BODY_BYTES, maxHeldBytes: MAX_HELD_BODY_BYTES, maxConnections: MAX_CALLER_CONNECTIONS }),
+        maxConnections: z.int().min(1).max(MAX_CALLER_CONNECTIONS).optional(),
+        maxPeerConnections: z.int().min(1).optional(),
+    }).default({ maxBodyBytes: MAX_BODY_BYTES, maxHeldBytes: MAX_HELD_BODY_BYTES }),
     /** URL that is notified when a rollout completes, is rolled back or is late. */
     webhookUrl: z.url({ protocol: /^https?$/, error: "must be an http or https address" }).optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
--- a/src/protocol/relay/relay_answer.ts
+++ b/src/protocol/relay/relay_answer.ts
@@ -24,6 +24,8 @@
     UnreadAtStop = "unread at stop",
     /** The body did not fit in the memory of the node. */
     Memory = "memory",
+    /** The node has too many connections, and the rest of the call did not come. */
+    Connections = "connections",
     /** No route, key or quota allows the call. */
     Admission = "admission",
     /** No backend server was free in time. */
--- a/src/transport/connection_limits.ts
+++ b/src/transport/connection_limits.ts
@@ -1,22 +1,18 @@
 /**
- * Time limits of the connections of an HTTP server, judged after what has arrived before is read.
+ * Limits on the number, time and unfinished heads of the connections of an HTTP server, judged after what has arrived before is read.
  *
  * @module
  */
 
-import type { IncomingMessage, Server } from "node:http";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { afterArrivedInput, type Clock } from "../state/mod.js";
+import { ConnectionState } from "./_connection_state.js";
+import type { ConnectionBound } from "./connection_bound.js";
 
 /** Interval at which connections are checked for idleness, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
-/**
- * Time beyond the idle limit for which a connection stays open, in milliseconds. Callers count from when they read an answer, and a call
- * that they send within the limit takes time to arrive.
- */
-const IDLE_MARGIN_MS = 1_000;
-
 /** Bytes of heads that are not complete, on all connections of a server; beyond, the connections with the largest ones are closed. */
 export const MAX_HELD_HEAD_BYTES = 16_777_216;
 
@@ -32,8 +28,15 @@
 /** Settings of {@linkcode ConnectionLimits}. */
 export interface ConnectionLimitsSettings {
     readonly clock: Clock;
+    /** Bound on the number of connections. By default, there is none. */
+    readonly bound?: ConnectionBound | undefined;
     /** Closes a connection that was idle for too long. */
     readonly onIdle: (socket: Socket) => void;
+    /**
+     * Closes a connection that has stalled, for the sake of others, and refuses a call of which only a part has come. By default, the
+     * connection is closed.
+     */
+    readonly onGivenUp?: (socket: Socket) => void;
 }
 
 /**
@@ -54,7 +57,7 @@
         server.on("connection", (socket: Socket) => this.track(socket));
         server.on("request", (request, response) => {
             const state = this.states.get(request.socket);
-            state?.startCall(request, server.keepAliveTimeout);
+            state?.startCall(request, response, server.keepAliveTimeout);
             response.on("close", () => state?.endCall(settings.clock.now(), request));
         });
         // With a listener, the library leaves it to the listener to close connections that are idle.
@@ -102,9 +105,15 @@
     }
 
     private track(socket: Socket): void {
-        const state = new ConnectionState(socket, this.server.keepAliveTimeout, this.settings.clock.now());
+        const { bound, clock, onGivenUp } = this.settings;
+        const giveUp = () => onGivenUp === undefined ? socket.destroy() : onGivenUp(socket);
+        const state = new ConnectionState(socket, this.server.keepAliveTimeout, clock.now(), giveUp);
         this.states.set(socket, state);
-        socket.on("close", () => this.states.delete(socket));
+        socket.on("close", () => {
+            this.states.delete(socket);
+            bound?.remove(state);
+        });
+        bound?.add(state);
     }
 
     private async checkConnections(): Promise<void> {
@@ -120,7 +129,7 @@
     private judgeConnections(nowMs: number): void {
         this.headBytes = 0;
         for (const [socket, state] of this.states) {
-            this.headBytes += state.unfinishedHeadBytes;
+            this.headBytes += state.unfinishedHeadMemory;
             state.takeSlowCall(nowMs)?.refuse();
             if (state.isIdle(nowMs, this.server.headersTimeout)) {
                 this.states.delete(socket);
@@ -133,7 +142,7 @@
     }
 
     private closeLargestHeads(): void {
-        const sizes = [...this.states].map(([socket, state]) => ({ socket, bytes: state.unfinishedHeadBytes }));
+        const sizes = [...this.states].map(([socket, state]) => ({ socket, bytes: state.unfinishedHeadMemory }));
         for (const { socket, bytes } of sizes.sort((first, second) => second.bytes - first.bytes)) {
             if (this.headBytes <= MAX_HELD_HEAD_BYTES) {
                 return;
@@ -143,91 +152,3 @@
         }
     }
 }
-
-/** Call of which the library does not report that it does not come in time. */
-interface LateCall {
-    readonly call: IncomingMessage;
-    /** End of its time limit, in milliseconds since the Unix epoch. */
-    readonly endMs: number;
-    readonly refuse: () => void;
-}
-
-/** Calls on a connection, and since when it is idle. */
-class ConnectionState {
-    /** Number of heads that were read. */
-    readHeads = 0;
-    /** Call whose head was read last, while calls are open. */
-    newestCall: IncomingMessage | undefined;
-    lateCall: LateCall | undefined;
-    private openCalls = 0;
-    private bytesRead = 0;
-    private hasUnfinishedInput = false;
-    /** Number of bytes at the end of the last call. */
-    private callEndBytes = 0;
-    /** Call that was answered before it was read to its end. */
-    private unreadCall: IncomingMessage | undefined;
-
-    /**
-     * @param idleTimeoutMs Longest idle limit in force since callers were told one on this connection, in milliseconds.
-     * @param idleSinceMs Since when no call is open and nothing was read, in milliseconds since the Unix epoch.
-     */
-    constructor(private readonly socket: Socket, public idleTimeoutMs: number, private idleSinceMs: number) {}
-
-    /** Number of bytes that were read of a head that is not complete. */
-    get unfinishedHeadBytes(): number {
-        if (this.openCalls > 0 || this.unreadCall?.complete === false) {
-            return 0;
-        }
-        if (this.unreadCall !== undefined) {
-            this.unreadCall = undefined;
-            this.callEndBytes = this.socket.bytesRead;
-        }
-        return this.socket.bytesRead - this.callEndBytes;
-    }
-
-    startCall(call: IncomingMessage, idleTimeoutMs: number): void {
-        this.newestCall = call;
-        this.openCalls += 1;
-        this.readHeads += 1;
-        this.idleTimeoutMs = idleTimeoutMs;
-    }
-
-    endCall(nowMs: number, call: IncomingMessage): void {
-        this.unreadCall = call.complete ? undefined : call;
-        this.callEndBytes = this.socket.bytesRead;
-        this.openCalls -= 1;
-        this.newestCall = this.openCalls > 0 ? this.newestCall : undefined;
-        this.bytesRead = this.socket.bytesRead;
-        this.hasUnfinishedInput = false;
-        this.idleSinceMs = nowMs;
-    }
-
-    /** Takes the late call, if there is one whose time limit is over. */
-    takeSlowCall(nowMs: number): LateCall | undefined {
-        const { lateCall } = this;
-        if (lateCall === undefined || !lateCall.call.complete && nowMs < lateCall.endMs) {
-            return undefined;
-        }
-        this.lateCall = undefined;
-        return lateCall.call.complete ? undefined : lateCall;
-    }
-
-    /**
-     * Returns whether the connection is idle for too long.
-     *
-     * @param headersTimeoutMs Time within which the rest of a head has to follow, in milliseconds.
-     */
-    isIdle(nowMs: number, headersTimeoutMs: number): boolean {
-        if (this.openCalls > 0) {
-            return false;
-        }
-        if (this.socket.bytesRead !== this.bytesRead) {
-            this.bytesRead = this.socket.bytesRead;
-            this.hasUnfinishedInput = true;
-            this.idleSinceMs = nowMs;
-            return false;
-        }
-        const limitMs = this.hasUnfinishedInput ? Math.max(this.idleTimeoutMs, headersTimeoutMs) : this.idleTimeoutMs;
-        return nowMs >= this.idleSinceMs + limitMs + IDLE_MARGIN_MS;
-    }
-}
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -19,6 +19,7 @@
 import { CallerConnection } from "./_caller_connection.js";
 import { HttpAnswerWriter } from "./_http_answer_writer.js";
 import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "./body_collector.js";
+import { ConnectionBound } from "./connection_bound.js";
 import { ConnectionLimits } from "./connection_limits.js";
 import { dropHead } from "./held_head.js";
 import { InputLimits } from "./input_limits.js";
@@ -61,6 +62,9 @@
 /** Retry-after time sent to callers of a node that holds too many bodies, in milliseconds. */
 const MEMORY_RETRY_AFTER_MS = 1_000;
 
+/** Retry-after time sent to callers whose connections made room for others, in milliseconds. */
+const CROWD_RETRY_AFTER_MS = 1_000;
+
 /** Retry-after time sent to callers of a node that has stopped, in milliseconds. */
 const STOPPED_RETRY_AFTER_MS = 1_000;
 
@@ -83,8 +87,6 @@
     readonly maxBodyBytes: number;
     /** Maximum total size of the bodies held in memory at a time, in bytes. Defaults to {@linkcode MAX_HELD_BODY_BYTES}. */
     readonly maxHeldBodyBytes: number;
-    /** Maximum number of connections from callers. Defaults to {@linkcode MAX_CALLER_CONNECTIONS}. */
-    readonly maxConnections: number;
     /** Time within which a caller must send the headers, in milliseconds. Defaults to 10,000. */
     readonly headersTimeoutMs: number;
     /** Time within which a caller must send the complete request, in milliseconds. Defaults to 30,000. */
@@ -95,7 +97,6 @@
 const DEFAULT_LIMITS: HttpServerLimits = {
     maxBodyBytes: MAX_BODY_BYTES,
     maxHeldBodyBytes: MAX_HELD_BODY_BYTES,
-    maxConnections: MAX_CALLER_CONNECTIONS,
     headersTimeoutMs: HEADERS_TIMEOUT_MS,
     bodyTimeoutMs: BODY_TIMEOUT_MS,
 };
@@ -103,6 +104,8 @@
 /** Settings of a {@linkcode HttpServer}. */
 export interface HttpServerSettings {
     readonly clock: Clock;
+    /** Bound on the number of connections. Defaults to one of {@linkcode MAX_CALLER_CONNECTIONS}. */
+    readonly connectionBound?: ConnectionBound;
     /** Overrides of the default limits. */
     readonly limits?: Partial<HttpServerLimits>;
     /** Id of this node, used as the prefix of call ids. */
@@ -121,6 +124,8 @@
     private readonly interimHeads: InterimHeads;
     private readonly limits: HttpServerLimits;
     private readonly connectionBySocket = new Map<Socket, CallerConnection>();
+    /** Functions that refuse the calls of which only a part has come, by their connections. */
+    private readonly unreadCalls = new Map<Socket, (refusal: Refusal) => void>();
     private readonly inputLimits: InputLimits;
     private callCount = 0;
     private isClosing = false;
@@ -147,10 +152,12 @@
             noDelay: true,
         });
         this.server.maxHeadersCount = MAX_HEADER_COUNT + 1;
-        this.server.maxConnections = this.limits.maxConnections;
         const connectionLimits = new ConnectionLimits(this.server, {
             clock: settings.clock,
+            bound: settings.connectionBound ??
+                new ConnectionBound({ clock: settings.clock, maxConnections: MAX_CALLER_CONNECTIONS }),
             onIdle: socket => socket.destroySoon(),
+            onGivenUp: socket => this.giveUp(socket),
         });
         this.interimHeads = new InterimHeads(this.server);
         new SlicedInput(this.server, this.inputLimits);
@@ -216,7 +223,10 @@
 
     private trackSocket(socket: Socket): void {
         this.connectionBySocket.set(socket, new CallerConnection(socket, () => this.isClosing));
-        socket.on("close", () => this.connectionBySocket.delete(socket));
+        socket.on("close", () => {
+            this.connectionBySocket.delete(socket);
+            this.unreadCalls.delete(socket);
+        });
         socket.on("error", () => socket.destroy());
     }
 
@@ -334,6 +344,23 @@
         };
     }
 
+    /** Closes a connection that has stalled, and refuses a call of which only a part has come. */
+    private giveUp(socket: Socket): void {
+        const refuse = this.unreadCalls.get(socket);
+        if (refuse === undefined || socket.writableLength > 0) {
+            // A refusal would wait behind an answer that is not read.
+            socket.destroy();
+            return;
+        }
+        refuse(
+            new Refusal(RefusalType.Overloaded, "This node has too many connections, and no more of the call came. Try again.", {
+                retryAfterMs: CROWD_RETRY_AFTER_MS,
+            }),
+        );
+        // The refusal is written by then.
+        setImmediate(() => this.closeAfterAnswers(socket));
+    }
+
     private discardBody(request: IncomingMessage): void {
         discardBody(request, this.inputLimits, () => this.closeAfterAnswers(request.socket));
     }
@@ -381,7 +408,15 @@
                     }
                 },
             });
-            request.on("end", () => resolve(body));
+            this.unreadCalls.set(request.socket, refusal => {
+                // The library does not tell of the end of a request that was answered before.
+                body.release();
+                reject(refusal);
+            });
+            request.on("end", () => {
+                this.unreadCalls.delete(request.socket);
+                resolve(body);
+            });
             request.on("error", reject);
             request.on("aborted", () => reject(CALLER_GONE));
         });
--- a/src/transport/mod.ts
+++ b/src/transport/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./certificate_files.js";
+export * from "./connection_bound.js";
 export * from "./grpc_claim_client.js";
 export * from "./grpc_configuration_client.js";
 export * from "./grpc_peer_client.js";
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -16,6 +16,7 @@
 } from "../../protocol/relay/mod.js";
 import { afterArrivedInput, type CallerLimits, type Clock } from "../../state/relay/mod.js";
 import { BodyCollector, discardBody, MAX_DISCARDING_HEAD_BYTES } from "../body_collector.js";
+import type { ConnectionBound } from "../connection_bound.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { HeldHead } from "../held_head.js";
 import { InputLimits } from "../input_limits.js";
@@ -41,6 +42,9 @@
 /** Time after which a call may come again that was refused because bodies take too much memory, in milliseconds. */
 const MEMORY_RETRY_AFTER_MS = 1_000;
 
+/** Time after which a call may come again that was refused because there are too many connections, in milliseconds. */
+const CROWD_RETRY_AFTER_MS = 1_000;
+
 /** Status of calls that cannot be read. */
 const INVALID_STATUS = 400;
 
@@ -101,6 +105,8 @@
     readonly receive: CallReceiver;
     /** Limits that all bodies and answers of the node share. By default, the bodies have their own. */
     readonly inputLimits?: InputLimits;
+    /** Bound on the number of connections. By default, there is none. */
+    readonly connectionBound?: ConnectionBound;
     /** Called with errors thrown by the receiver. */
     readonly onError: (error: unknown) => void;
     /** Called with errors of the listening server, such as a connection that cannot be accepted; it goes on. */
@@ -142,6 +148,8 @@
                 settings.onIdleClose();
                 this.connections.get(socket)?.closeIfIdle();
             },
+            bound: settings.connectionBound,
+            onGivenUp: socket => this.giveUp(socket),
         });
         this.interimHeads = new InterimHeads(this.server);
         new SlicedInput(this.server, this.inputLimits);
@@ -217,6 +225,20 @@
         }
     }
 
+    /** Closes a connection that has stalled, and refuses a call of which only a part has come. */
+    private giveUp(socket: Socket): void {
+        const connection = this.connections.get(socket);
+        const unread = [...connection?.calls ?? []].find(({ request, answer }) => !request.complete && !answer.isStarted);
+        if (connection === undefined || unread === undefined || socket.writableLength > 0) {
+            // A refusal would wait behind an answer that is not read.
+            socket.destroy();
+            return;
+        }
+        connection.mustClose = true;
+        const text = "The node has too many connections, and no more of this call has come for longest; the call has not run.";
+        unread.answer.sendLocal({ place: AnswerPlace.Connections, status: 503, text, retryAfterMs: CROWD_RETRY_AFTER_MS });
+    }
+
     /** Stops listening and closes all connections immediately. */
     closeAll(): void {
         for (const connection of this.connections.values()) {
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -5,9 +5,11 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { AnswerPlace, describeCause, DetourCall, type LocalAnswer } from "../../protocol/relay/mod.js";
 import type { Clock } from "../../state/relay/mod.js";
 import { BodyCollector, discardBody } from "../body_collector.js";
+import type { ConnectionBound } from "../connection_bound.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { dropHead } from "../held_head.js";
 import { InputLimits } from "../input_limits.js";
@@ -43,6 +45,8 @@
     readonly clock: Clock;
     /** Limits that all bodies and answers of the node share. By default, the messages have their own. */
     readonly inputLimits?: InputLimits;
+    /** Bound on the number of connections. By default, there is none. */
+    readonly connectionBound?: ConnectionBound;
     /** Whether a host is that of another node of the fleet. */
     readonly isNode: (host: string) => boolean;
     /**
@@ -73,7 +77,12 @@
     constructor(private readonly settings: DetourServerSettings) {
         this.inputLimits = settings.inputLimits ?? new InputLimits(settings.clock);
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
-        new ConnectionLimits(this.server, { clock: settings.clock, onIdle: socket => socket.destroySoon() });
+        new ConnectionLimits(this.server, {
+            clock: settings.clock,
+            bound: settings.connectionBound,
+            onIdle: socket => socket.destroySoon(),
+            onGivenUp: socket => this.giveUp(socket),
+        });
         this.interimHeads = new InterimHeads(this.server);
         new SlicedInput(this.server, this.inputLimits);
         this.server.on("request", (request, response) => this.handleRequest(request, response));
@@ -189,6 +198,22 @@
         });
     }
 
+    /** Closes a connection that has stalled, and hands a call back of which only a part has come. */
+    private giveUp(socket: Socket): void {
+        for (const [request, answer] of this.unreadCalls) {
+            if (request.socket === socket && !answer.isStarted) {
+                this.unreadCalls.delete(request);
+                this.reject(request, answer, {
+                    place: AnswerPlace.Connections,
+                    status: HANDED_BACK_STATUS,
+                    text: "The node has too many connections.",
+                });
+                return;
+            }
+        }
+        socket.destroy();
+    }
+
     private serve(message: Buffer, answer: HttpRelayAnswer, callerGone: AbortSignal): string | undefined {
         let call: DetourCall;
         try {
--- a/src/transport/relay/status_server.ts
+++ b/src/transport/relay/status_server.ts
@@ -7,6 +7,7 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { Clock } from "../../state/relay/mod.js";
 import { discardBody } from "../body_collector.js";
+import type { ConnectionBound } from "../connection_bound.js";
 import { ConnectionLimits } from "../connection_limits.js";
 import { InputLimits } from "../input_limits.js";
 import { listen } from "../listen.js";
@@ -28,15 +29,17 @@
      * @param pages Functions that generate the answer for each path.
      * @param onError Called when generating an answer fails, or a connection cannot be accepted.
      * @param inputLimits Limits that all connections of the node share. By default, these have their own.
+     * @param bound Bound on the number of connections. By default, there is none.
      */
     constructor(
         clock: Clock,
         private readonly pages: ReadonlyMap<string, () => Promise<StatusPage> | StatusPage>,
         private readonly onError: (error: unknown) => void,
         inputLimits: InputLimits = new InputLimits(clock),
+        bound?: ConnectionBound,
     ) {
         this.server = createServer();
-        new ConnectionLimits(this.server, { clock, onIdle: socket => socket.destroySoon() });
+        new ConnectionLimits(this.server, { clock, bound, onIdle: socket => socket.destroySoon() });
         new SlicedInput(this.server, inputLimits);
         this.server.on("request", (request, response) => {
             discardBody(request, inputLimits, () => {
