Transport: count incomplete heads with the parser's strings, as they come, and within the heap

Callers saw a relay node end with "JavaScript heap out of memory" when 900 callers sent 900 short fields each and stopped within their heads: 6 kB on the wire, 67 kB of heap for each (measured in process). Heads were counted by their bytes on the wire, twice a second, against 16 MiB whatever the heap, and a crowd can fill the heap within one pass of the event loop.

An incomplete head now counts with the strings that the parser holds. The limit is a quarter of the heap beside the program at the port for callers and a sixteenth at each other port, 16 MiB at most. While more than 32 connections are new, those that come are read through the slicing input, which checks the limit after each read; the strings of a closed connection are freed at once, as the library would keep them until all other sockets of the pass are read.

The library also dropped the fields behind the thousandth without a word, so that a call within MaxHeaderBytes whose id came behind them got 400. The number of fields is now that which the configured size allows.

--- a/features/relay_callers_without_limits.feature
+++ b/features/relay_callers_without_limits.feature
@@ -29,6 +29,20 @@
             | 60    | bytes without end in chunks of 65536                        |
             | 60    | bodies of 100000000 bytes, announced                        |
 
+    # Guards against the parsed heads of calls that wait for a server.
+    Scenario Outline: <count> callers with <content> that wait for a server do not end a process with a small heap
+        Given a relay program with a heap of 48 MB and memory of 144 MB
+        And its server takes 4000 ms for a call
+        When <count> callers send <content> to the port for callers
+        And the crowd leaves
+        And its server takes 5 ms for a call
+        Then an ordinary call to the program is answered
+        And the program lives, has used less than 144 MB and answers SIGTERM
+
+        Examples:
+            | count | content                             |
+            | 600   | whole calls with heads of 900 fields |
+
     # Guards against callers that hold all descriptors of the process, so that nobody else is answered.
     Scenario Outline: <count> callers with <content> to the port for <port> do not take all descriptors
         Given a relay program with memory of 200 MB and 400 descriptors
--- a/features/steps/relay_callers_without_limits_steps.ts
+++ b/features/steps/relay_callers_without_limits_steps.ts
@@ -76,6 +76,10 @@
     },
 );
 
+Given("its server takes {int} ms for a call", function(this: CrowdScenario, processingMs: number) {
+    this.crowdServer.processingMs = processingMs;
+});
+
 When(
     /^(\d+) callers send (.+) to the port for (callers|peers|readiness)$/,
     { timeout: STEP_TIMEOUT_MS },
--- a/features/support/rough_callers.ts
+++ b/features/support/rough_callers.ts
@@ -65,6 +65,10 @@
         start: Buffer.concat([promptParts(parts), CHUNKED, SHORT_BODY]),
         repeated: NO_BYTES,
     })],
+    [/^whole calls with heads of (\d+) fields$/, fields => ({
+        start: Buffer.concat([shortFields(fields), Buffer.from("Content-Length: 4\r\n\r\nbody")]),
+        repeated: NO_BYTES,
+    })],
     [/^(\d+) bytes of (\d+) announced$/, (bytes, announced) => ({
         start: Buffer.concat([Buffer.from(`Content-Length: ${announced}\r\n\r\n`), Buffer.alloc(bytes, "x")]),
         repeated: NO_BYTES,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -53,7 +53,7 @@
 import { type LimitedQuantity, Metrics } from "./metrics.js";
 import { OperatorService } from "./operator_service.js";
 import { PeerService } from "./peer_service.js";
-import { divideDescriptors, readDescriptorLimit } from "./process_limits.js";
+import { dividePorts, type PortLimits, readDescriptorLimit } from "./process_limits.js";
 import { registerSchedulingMetrics, schedulingLimits } from "./scheduling_metrics.js";
 import { findOperator, type Settings } from "./settings.js";
 import { splitAddress } from "./settings_file.js";
@@ -125,11 +125,14 @@
             keyRules: settings.claims,
             webhook: settings.webhookUrl === undefined ? undefined : new HttpWebhook(settings.webhookUrl),
         });
-        const numbers = divideDescriptors(readDescriptorLimit());
-        const maxCallers = Math.min(settings.input.maxConnections ?? MAX_CALLER_CONNECTIONS, numbers.callers);
+        const { callers, peers } = dividePorts(readDescriptorLimit());
+        const { maxConnections = MAX_CALLER_CONNECTIONS, maxPeerConnections = peers.maxConnections } = settings.input;
         this.connectionBounds = {
-            callers: this.makeConnectionBound("callers", maxCallers),
-            peers: this.makeConnectionBound("peers", settings.input.maxPeerConnections ?? numbers.peers),
+            callers: this.makeConnectionBound("callers", {
+                ...callers,
+                maxConnections: Math.min(maxConnections, callers.maxConnections),
+            }),
+            peers: this.makeConnectionBound("peers", { ...peers, maxConnections: maxPeerConnections }),
         };
         this.httpServer = new HttpServer({
             clock,
@@ -214,13 +217,14 @@
         }
     }
 
-    private makeConnectionBound(port: string, maxConnections: number): ConnectionBound {
+    private makeConnectionBound(port: string, limits: PortLimits): ConnectionBound {
         return new ConnectionBound({
+            ...limits,
             clock: this.dependencies.clock,
-            maxConnections,
-            onGivenUp: ({ stalled, refused, open }) => {
-                const text = `Port for ${port}: ${stalled} stalled and ${refused} new connections were closed; ${open} of ` +
-                    `${maxConnections} are open.`;
+            onGivenUp: ({ stalled, refused, heads, open, maxConnections }) => {
+                const text =
+                    `Port for ${port}: ${stalled} stalled connections, ${refused} new ones and ${heads} with large heads ` +
+                    `were closed; ${open} of ${maxConnections} are open.`;
                 this.recordEvent("crowded", text);
             },
         });
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -117,9 +117,10 @@
             labelNames: ["port", "reason"] as const,
             registers: [this.registry],
             collect: () => {
-                for (const [port, { stalled, refused }] of connections()) {
+                for (const [port, { stalled, refused, heads }] of connections()) {
                     givenUp.set({ port, reason: "stalled" }, stalled);
                     givenUp.set({ port, reason: "refused" }, refused);
+                    givenUp.set({ port, reason: "head" }, heads);
                 }
             },
         });
--- a/src/daemon/process_limits.ts
+++ b/src/daemon/process_limits.ts
@@ -6,6 +6,7 @@
 
 import { readFileSync } from "node:fs";
 import { getHeapStatistics } from "node:v8";
+import { MAX_HELD_HEAD_BYTES } from "../transport/relay/mod.js";
 
 /** File with the limits of the process on Linux. */
 const LIMITS_FILE = "/proc/self/limits";
@@ -33,31 +34,53 @@
 /** Share of the rest of the heap that connections and the calls on them may take. */
 const CONNECTION_HEAP_SHARE = 1 / 2;
 
+/** Share of that rest that heads which are not complete may take at the port for callers, and at each other port. */
+const CALLER_HEAD_SHARE = 1 / 4;
+const OTHER_HEAD_SHARE = 1 / 16;
+
+/** Least memory of incomplete heads of a port, in bytes. */
+const MIN_HEAD_BYTES = 1_048_576;
+
 /** Heap that a connection takes with a call of which the body has not come, in bytes. */
 const CONNECTION_HEAP_BYTES = 10_240;
 
-/** Numbers of connections that the ports of a process may have open at a time. */
-export interface ConnectionNumbers {
-    readonly callers: number;
-    /** Connections of other nodes and of operators. */
-    readonly peers: number;
-    /** Connections to each port with status pages. */
-    readonly status: number;
+/** What the connections of a port may take. */
+export interface PortLimits {
+    readonly maxConnections: number;
+    /** Memory of heads that are not complete, in bytes. */
+    readonly maxHeadBytes: number;
+}
+
+/** Limits of the ports of a process. */
+export interface ProcessPorts {
+    readonly callers: PortLimits;
+    /** Port for other nodes and for operators. */
+    readonly peers: PortLimits;
+    /** Each port with status pages. */
+    readonly status: PortLimits;
 }
 
 /**
- * Divides the descriptors of a process among its ports.
+ * Divides the descriptors and the heap of a process among its ports.
  *
  * @param descriptors File descriptors that the process may have open.
  * @param heapBytes Limit of the heap, in bytes. Defaults to that of this process.
  */
-export function divideDescriptors(descriptors: number, heapBytes = getHeapStatistics().heap_size_limit): ConnectionNumbers {
+export function dividePorts(descriptors: number, heapBytes = getHeapStatistics().heap_size_limit): ProcessPorts {
     const sockets = Math.max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS);
-    const heapForConnections = Math.max(0, heapBytes - PROGRAM_HEAP_BYTES) * CONNECTION_HEAP_SHARE;
+    const freeBytes = Math.max(0, heapBytes - PROGRAM_HEAP_BYTES);
+    const heapConnections = Math.max(MIN_SOCKETS, freeBytes * CONNECTION_HEAP_SHARE / CONNECTION_HEAP_BYTES);
+    const headBytes = (share: number) => Math.max(MIN_HEAD_BYTES, Math.min(MAX_HELD_HEAD_BYTES, freeBytes * share));
     return {
-        callers: Math.floor(Math.min(sockets * CALLER_SHARE, Math.max(MIN_SOCKETS, heapForConnections / CONNECTION_HEAP_BYTES))),
-        peers: Math.floor(sockets * PEER_SHARE),
-        status: Math.max(MIN_STATUS_CONNECTIONS, Math.floor(sockets * STATUS_SHARE)),
+        callers: {
+            maxConnections: Math.floor(Math.min(sockets * CALLER_SHARE, heapConnections)),
+            maxHeadBytes: headBytes(CALLER_HEAD_SHARE),
+        },
+        peers: { maxConnections: Math.floor(sockets * PEER_SHARE), maxHeadBytes: headBytes(OTHER_HEAD_SHARE) },
+        status: {
+            maxConnections: Math.max(MIN_STATUS_CONNECTIONS, Math.floor(sockets * STATUS_SHARE)),
+            maxHeadBytes: headBytes(OTHER_HEAD_SHARE),
+        },
     };
 }
 
--- a/src/daemon/relay/relay_metrics.ts
+++ b/src/daemon/relay/relay_metrics.ts
@@ -286,9 +286,10 @@
             labelNames: ["port", "reason"],
             registers,
             collect() {
-                for (const [port, { stalled, refused }] of read()) {
+                for (const [port, { stalled, refused, heads }] of read()) {
                     this.set({ port, reason: "stalled" }, stalled);
                     this.set({ port, reason: "refused" }, refused);
+                    this.set({ port, reason: "head" }, heads);
                 }
             },
         });
--- a/src/daemon/relay/relay_node.ts
+++ b/src/daemon/relay/relay_node.ts
@@ -60,7 +60,7 @@
     StatusServer,
     type WrittenLocalAnswer,
 } from "../../transport/relay/mod.js";
-import { divideDescriptors, readDescriptorLimit } from "../process_limits.js";
+import { dividePorts, type PortLimits, readDescriptorLimit } from "../process_limits.js";
 import { splitAddress } from "../settings_file.js";
 import { LogFollower } from "./log_follower.js";
 import type { RecordReader } from "./record_reader.js";
@@ -368,12 +368,15 @@
             },
         });
         const { descriptors, maxCallers } = settings.connections;
-        const numbers = divideDescriptors(descriptors ?? readDescriptorLimit());
+        const { callers, peers, status } = dividePorts(descriptors ?? readDescriptorLimit());
         this.connectionBounds = {
-            callers: this.makeConnectionBound("callers", maxCallers ?? numbers.callers),
-            peers: this.makeConnectionBound("peers", numbers.peers),
-            readiness: this.makeConnectionBound("readiness", numbers.status),
-            metrics: this.makeConnectionBound("metrics", numbers.status),
+            callers: this.makeConnectionBound("callers", {
+                ...callers,
+                maxConnections: maxCallers ?? callers.maxConnections,
+            }),
+            peers: this.makeConnectionBound("peers", peers),
+            readiness: this.makeConnectionBound("readiness", status),
+            metrics: this.makeConnectionBound("metrics", status),
         };
         const onListenerError = (error: unknown) => this.relayLog.error("node: listener failed", error);
         const onLocalAnswer = (answer: WrittenLocalAnswer) => {
@@ -432,10 +435,10 @@
         );
     }
 
-    private makeConnectionBound(port: string, maxConnections: number): ConnectionBound {
+    private makeConnectionBound(port: string, limits: PortLimits): ConnectionBound {
         return new ConnectionBound({
+            ...limits,
             clock: this.dependencies.clock,
-            maxConnections,
             onGivenUp: connections => this.relayLog.warn("connections: given up for others", { port, ...connections }),
         });
     }
--- a/src/transport/_connection_state.ts
+++ b/src/transport/_connection_state.ts
@@ -35,6 +35,8 @@
     /** Call whose head was read last, while calls are open. */
     newestCall: IncomingMessage | undefined;
     lateCall: LateCall | undefined;
+    /** Memory of a head that is not complete when it was last recorded, in bytes. */
+    headMemory = 0;
     private readonly openCalls = new Map<IncomingMessage, ServerResponse>();
     private bytesRead = 0;
     /** Bytes that were read and written when the connection was last seen to make progress. */
@@ -95,14 +97,25 @@
         this.socket.destroy();
     }
 
-    /** Memory that a head takes which is not complete, in bytes. */
-    get unfinishedHeadMemory(): number {
-        const { unfinishedHeadBytes } = this;
-        if (unfinishedHeadBytes === 0) {
-            return 0;
-        }
-        const parser = Reflect.get(this.socket, "parser") as { readonly _headers?: readonly string[] } | undefined;
-        return unfinishedHeadBytes + (parser?._headers?.length ?? 0) * HEADER_TEXT_BYTES;
+    /** Records the memory that a head takes which is not complete, and returns by how many bytes it has grown. */
+    recordHeadMemory(): number {
+        const { headMemory } = this;
+        const unfinishedHeadBytes = this.socket.destroyed ? 0 : this.unfinishedHeadBytes;
+        const texts = unfinishedHeadBytes === 0 ? 0 : this.headTexts?.length ?? 0;
+        this.headMemory = unfinishedHeadBytes + texts * HEADER_TEXT_BYTES;
+        return this.headMemory - headMemory;
+    }
+
+    /** Closes the connection and frees its head, which the library would keep until the event loop has read all other sockets. */
+    closeHead(): void {
+        this.headMemory = 0;
+        this.headTexts?.splice(0);
+        this.socket.destroy();
+    }
+
+    /** Names and values of a head that is not complete, as the parser has them. */
+    private get headTexts(): string[] | undefined {
+        return (Reflect.get(this.socket, "parser") as { readonly _headers?: string[] } | undefined)?._headers;
     }
 
     /** Number of bytes that were read of a head that is not complete. */
--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -36,7 +36,7 @@
     readonly inputLimits: InputLimits;
     /** Largest body that is kept, in bytes; the bytes of a larger one are discarded. */
     readonly maxBytes: number;
-    /** Size of the head, which takes memory until the body is complete, in bytes. Defaults to that of the target. */
+    /** Size of the head, which takes memory until the body is complete, in bytes. Defaults to 0: it is not counted. */
     readonly headBytes?: number;
     /** Called with the size of the body so far, in bytes. */
     readonly onProgress?: (size: number) => void;
@@ -101,7 +101,7 @@
     constructor(request: IncomingMessage, private readonly settings: BodyCollectorSettings) {
         const { memory, pacer } = settings.inputLimits;
         this.memoryShare = memory.open(() => this.handleEvicted());
-        this.headBytes = settings.headBytes ?? request.url?.length ?? 0;
+        this.headBytes = settings.headBytes ?? 0;
         this.memoryShare.resize(this.headBytes);
         const pace = new PacedBody(pacer, request, Math.max(MIN_PAUSED_MS, PAUSE_MARGIN * settings.maxBytes / pacer.piecesPerMs));
         request.on("data", (chunk: Buffer) => {
--- a/src/transport/connection_bound.ts
+++ b/src/transport/connection_bound.ts
@@ -15,6 +15,9 @@
 /** Time within which a new connection is expected to send something, and from which on several stalled ones are closed at a time, in milliseconds. */
 export const STALL_MS = 1_000;
 
+/** Memory of heads that are not complete, on all connections of a port, in bytes, unless it is configured. */
+export const MAX_HELD_HEAD_BYTES = 16_777_216;
+
 /** What a connection is open for, from the least to the most worth keeping. */
 export enum ConnectionUse {
     /** Nothing: it has sent no call in time, or has stopped within one, or does not read its answer. */
@@ -50,6 +53,8 @@
     readonly stalled: number;
     /** New connections that were closed, as all others were in use. */
     readonly refused: number;
+    /** Connections whose incomplete heads were among the largest. */
+    readonly heads: number;
     readonly open: number;
     readonly maxConnections: number;
 }
@@ -59,6 +64,11 @@
     readonly clock: Clock;
     /** Largest number of connections that are open at a time. */
     readonly maxConnections: number;
+    /**
+     * Memory of heads that are not complete, in bytes. Beyond it, the connections with the largest ones are closed. Defaults to
+     * {@linkcode MAX_HELD_HEAD_BYTES}.
+     */
+    readonly maxHeadBytes?: number;
     /** Called with what was given up, at most once a second. */
     readonly onGivenUp?: (connections: GivenUpConnections) => void;
 }
@@ -75,7 +85,8 @@
     private readonly crowdedFrom: number;
     private stalledCount = 0;
     private refusedCount = 0;
-    private reported = { stalled: 0, refused: 0, atMs: -Infinity };
+    private headCount = 0;
+    private reported = { stalled: 0, refused: 0, heads: 0, atMs: -Infinity };
     private isJudging = false;
 
     /** @param settings See {@linkcode ConnectionBoundSettings}. */
@@ -88,6 +99,11 @@
         return this.settings.maxConnections;
     }
 
+    /** Memory of heads that are not complete, in bytes. */
+    get maxHeadBytes(): number {
+        return this.settings.maxHeadBytes ?? MAX_HELD_HEAD_BYTES;
+    }
+
     /** Number of open connections. */
     get open(): number {
         return this.connections.size;
@@ -103,6 +119,17 @@
         return this.refusedCount;
     }
 
+    /** Number of connections that were closed because incomplete heads took too much memory and theirs was among the largest. */
+    get heads(): number {
+        return this.headCount;
+    }
+
+    /** Counts a connection that was closed because of its head. */
+    countClosedHead(): void {
+        this.headCount += 1;
+        this.report();
+    }
+
     /** Adds a new connection. It may close others, or this one. */
     add(connection: BoundedConnection): void {
         this.connections.add(connection);
@@ -156,9 +183,10 @@
         const nowMs = clock.now();
         const stalled = this.stalledCount - this.reported.stalled;
         const refused = this.refusedCount - this.reported.refused;
-        if (stalled + refused > 0 && nowMs >= this.reported.atMs + REPORT_INTERVAL_MS) {
-            this.reported = { stalled: this.stalledCount, refused: this.refusedCount, atMs: nowMs };
-            onGivenUp?.({ stalled, refused, open: this.open, maxConnections });
+        const heads = this.headCount - this.reported.heads;
+        if (stalled + refused + heads > 0 && nowMs >= this.reported.atMs + REPORT_INTERVAL_MS) {
+            this.reported = { stalled: this.stalledCount, refused: this.refusedCount, heads: this.headCount, atMs: nowMs };
+            onGivenUp?.({ stalled, refused, heads, open: this.open, maxConnections });
         }
     }
 }
--- a/src/transport/connection_limits.ts
+++ b/src/transport/connection_limits.ts
@@ -8,16 +8,19 @@
 import type { Socket } from "node:net";
 import { afterArrivedInput, type Clock } from "../state/mod.js";
 import { ConnectionState } from "./_connection_state.js";
-import type { ConnectionBound } from "./connection_bound.js";
+import { type ConnectionBound, MAX_HELD_HEAD_BYTES } from "./connection_bound.js";
 
 /** Interval at which connections are checked for idleness, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
-/** Bytes of heads that are not complete, on all connections of a server; beyond, the connections with the largest ones are closed. */
-export const MAX_HELD_HEAD_BYTES = 16_777_216;
+/** Share of that memory from which on connections are checked more often. */
+const CROWDED_SHARE = 1 / 8;
 
-/** Bytes of incomplete heads from which on connections are checked more often. */
-const CROWDED_HEAD_BYTES = MAX_HELD_HEAD_BYTES / 8;
+/** Share of that memory that is freed at a time. */
+const FREED_SHARE = 1 / 8;
+
+/** Connections whose first head is not complete from which on a crowd is taken to come. */
+const CROWD_CONNECTIONS = 32;
 
 /** Interval at which connections are checked while they hold that much, in milliseconds. */
 const CROWDED_CHECK_INTERVAL_MS = 50;
@@ -28,7 +31,7 @@
 /** Settings of {@linkcode ConnectionLimits}. */
 export interface ConnectionLimitsSettings {
     readonly clock: Clock;
-    /** Bound on the number of connections. By default, there is none. */
+    /** Bound on the connections. By default, only the memory of their incomplete heads is limited. */
     readonly bound?: ConnectionBound | undefined;
     /** Closes a connection that was idle for too long. */
     readonly onIdle: (socket: Socket) => void;
@@ -47,16 +50,21 @@
 export class ConnectionLimits {
     private readonly states = new Map<Socket, ConnectionState>();
     private readonly closed = new AbortController();
+    private readonly maxHeadBytes: number;
     private headBytes = 0;
+    /** Connections whose first head is not complete. */
+    private openingConnections = 0;
 
     /**
      * @param server Server whose idle limit is its `keepAliveTimeout`, which callers are told.
      * @param settings See {@linkcode ConnectionLimitsSettings}.
      */
     constructor(private readonly server: Server, private readonly settings: ConnectionLimitsSettings) {
+        this.maxHeadBytes = settings.bound?.maxHeadBytes ?? MAX_HELD_HEAD_BYTES;
         server.on("connection", (socket: Socket) => this.track(socket));
         server.on("request", (request, response) => {
             const state = this.states.get(request.socket);
+            this.openingConnections -= state?.readHeads === 0 ? 1 : 0;
             state?.startCall(request, response, server.keepAliveTimeout);
             response.on("close", () => state?.endCall(settings.clock.now(), request));
         });
@@ -66,6 +74,22 @@
         server.on("close", () => this.closed.abort());
     }
 
+    /** Whether so many connections are new that the memory of their heads has to be limited as they come. */
+    get isCrowded(): boolean {
+        return this.openingConnections > CROWD_CONNECTIONS;
+    }
+
+    /** Limits the memory of heads after the parser has taken input of a connection. */
+    recordInput(socket: Socket): void {
+        const state = this.states.get(socket);
+        if (state !== undefined) {
+            this.headBytes += state.recordHeadMemory();
+            if (this.headBytes > this.maxHeadBytes) {
+                this.limitHeads();
+            }
+        }
+    }
+
     /** Sets the idle limit. Connections that are idle already, of which callers know the former limit, keep the longer one. */
     setIdleTimeout(idleTimeoutMs: number): void {
         this.server.keepAliveTimeout = idleTimeoutMs;
@@ -109,8 +133,12 @@
         const giveUp = () => onGivenUp === undefined ? socket.destroy() : onGivenUp(socket);
         const state = new ConnectionState(socket, this.server.keepAliveTimeout, clock.now(), giveUp);
         this.states.set(socket, state);
+        this.openingConnections += 1;
         socket.on("close", () => {
-            this.states.delete(socket);
+            this.openingConnections -= state.readHeads === 0 ? 1 : 0;
+            if (this.states.delete(socket)) {
+                this.headBytes -= state.headMemory;
+            }
             bound?.remove(state);
         });
         bound?.add(state);
@@ -118,7 +146,8 @@
 
     private async checkConnections(): Promise<void> {
         const { clock } = this.settings;
-        const intervalMs = () => this.headBytes > CROWDED_HEAD_BYTES ? CROWDED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+        const intervalMs = () =>
+            this.headBytes > this.maxHeadBytes * CROWDED_SHARE ? CROWDED_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
         while (await clock.sleep(intervalMs(), this.closed.signal)) {
             // Input that arrives after this time is too late for the limits that are over by now.
             const nowMs = clock.now();
@@ -127,28 +156,37 @@
     }
 
     private judgeConnections(nowMs: number): void {
-        this.headBytes = 0;
         for (const [socket, state] of this.states) {
-            this.headBytes += state.unfinishedHeadMemory;
             state.takeSlowCall(nowMs)?.refuse();
             if (state.isIdle(nowMs, this.server.headersTimeout)) {
                 this.states.delete(socket);
                 this.settings.onIdle(socket);
             }
         }
-        if (this.headBytes > MAX_HELD_HEAD_BYTES) {
-            this.closeLargestHeads();
-        }
+        this.limitHeads();
     }
 
-    private closeLargestHeads(): void {
-        const sizes = [...this.states].map(([socket, state]) => ({ socket, bytes: state.unfinishedHeadMemory }));
-        for (const { socket, bytes } of sizes.sort((first, second) => second.bytes - first.bytes)) {
-            if (this.headBytes <= MAX_HELD_HEAD_BYTES) {
+    /** Closes the connections with the largest heads while these take too much memory. */
+    private limitHeads(): void {
+        const heads: ConnectionState[] = [];
+        this.headBytes = 0;
+        for (const state of this.states.values()) {
+            state.recordHeadMemory();
+            if (state.headMemory > 0) {
+                this.headBytes += state.headMemory;
+                heads.push(state);
+            }
+        }
+        if (this.headBytes <= this.maxHeadBytes) {
+            return;
+        }
+        for (const state of heads.sort((first, second) => second.headMemory - first.headMemory)) {
+            if (this.headBytes <= this.maxHeadBytes * (1 - FREED_SHARE)) {
                 return;
             }
-            this.headBytes -= bytes;
-            socket.destroy();
+            this.headBytes -= state.headMemory;
+            this.settings.bound?.countClosedHead();
+            state.closeHead();
         }
     }
 }
--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -160,7 +160,7 @@
             onGivenUp: socket => this.giveUp(socket),
         });
         this.interimHeads = new InterimHeads(this.server);
-        new SlicedInput(this.server, this.inputLimits);
+        new SlicedInput(this.server, this.inputLimits, connectionLimits);
         this.server.on("connection", socket => this.trackSocket(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("connect", (request, socket) => this.handleTunnel(socket as Socket));
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -30,6 +30,9 @@
 /** Maximum size of a request head in the HTTP parser, in bytes. It is fixed before the configured limit is known. */
 const MAX_HEAD_BYTES = 65_536;
 
+/** Bytes of the smallest header field: a letter, a colon and the end of the line. */
+const MIN_FIELD_BYTES = 4;
+
 /** Interval at which connections are checked for header timeouts, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
@@ -152,7 +155,7 @@
             onGivenUp: socket => this.giveUp(socket),
         });
         this.interimHeads = new InterimHeads(this.server);
-        new SlicedInput(this.server, this.inputLimits);
+        new SlicedInput(this.server, this.inputLimits, this.connectionLimits);
         this.server.on("connection", socket => this.handleConnection(socket));
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         this.server.on("clientError", (error, socket) => {
@@ -167,6 +170,8 @@
         this.limits = limits;
         this.connectionLimits.setIdleTimeout(limits.idleTimeoutMs);
         this.server.headersTimeout = limits.headerTimeoutMs;
+        // The library drops further fields without a word.
+        this.server.maxHeadersCount = Math.ceil(limits.maxHeaderBytes / MIN_FIELD_BYTES);
     }
 
     /** Starts listening. */
--- a/src/transport/relay/detour_server.ts
+++ b/src/transport/relay/detour_server.ts
@@ -77,14 +77,14 @@
     constructor(private readonly settings: DetourServerSettings) {
         this.inputLimits = settings.inputLimits ?? new InputLimits(settings.clock);
         this.server = createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true });
-        new ConnectionLimits(this.server, {
+        const connectionLimits = new ConnectionLimits(this.server, {
             clock: settings.clock,
             bound: settings.connectionBound,
             onIdle: socket => socket.destroySoon(),
             onGivenUp: socket => this.giveUp(socket),
         });
         this.interimHeads = new InterimHeads(this.server);
-        new SlicedInput(this.server, this.inputLimits);
+        new SlicedInput(this.server, this.inputLimits, connectionLimits);
         this.server.on("request", (request, response) => this.handleRequest(request, response));
         // The library's own answer would stand in place of that to a call that runs.
         this.server.on("clientError", (error, socket) => socket.destroy(error));
--- a/src/transport/relay/mod.ts
+++ b/src/transport/relay/mod.ts
@@ -5,7 +5,7 @@
  */
 
 export { bindWithRetry } from "../bind_retry.js";
-export { ConnectionBound, type GivenUpConnections } from "../connection_bound.js";
+export { ConnectionBound, type GivenUpConnections, MAX_HELD_HEAD_BYTES } from "../connection_bound.js";
 export { HttpClient } from "../http_client.js";
 export { HttpExchange } from "../http_exchange.js";
 export { InputLimits } from "../input_limits.js";
--- a/src/transport/relay/status_server.ts
+++ b/src/transport/relay/status_server.ts
@@ -39,8 +39,8 @@
         bound?: ConnectionBound,
     ) {
         this.server = createServer();
-        new ConnectionLimits(this.server, { clock, bound, onIdle: socket => socket.destroySoon() });
-        new SlicedInput(this.server, inputLimits);
+        const connectionLimits = new ConnectionLimits(this.server, { clock, bound, onIdle: socket => socket.destroySoon() });
+        new SlicedInput(this.server, inputLimits, connectionLimits);
         this.server.on("request", (request, response) => {
             discardBody(request, inputLimits, () => {
                 if (!request.socket.writableEnded) {
--- a/src/transport/sliced_input.ts
+++ b/src/transport/sliced_input.ts
@@ -9,14 +9,15 @@
 
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import type { ConnectionLimits } from "./connection_limits.js";
 import type { InputLimits } from "./input_limits.js";
 
 /** Bytes that the parser takes from a connection in one go; about 700 chunks of a byte, which take one or two milliseconds. */
 const SLICE_BYTES = 4_096;
 
 /**
- * Gives the parser of a server slices of what its connections bring, from the time on that the pacer is busy. Until then the library reads
- * the sockets directly, which takes ordinary calls less time.
+ * Gives the parser of a server slices of what its connections bring, from the time on that the pacer is busy, and if they come in a crowd.
+ * Otherwise the library reads the sockets directly, which takes ordinary calls less time.
  */
 export class SlicedInput {
     private readonly wholeSockets = new Set<Socket>();
@@ -26,11 +27,16 @@
      *
      * @param server Server whose connections are read.
      * @param inputLimits Limits of the node. Bytes that wait for the parser count in its memory.
+     * @param connectionLimits Limits of the server, which are told of what the parser takes while many connections are new.
      */
-    constructor(server: Server, private readonly inputLimits: InputLimits) {
+    constructor(
+        server: Server,
+        private readonly inputLimits: InputLimits,
+        private readonly connectionLimits: ConnectionLimits,
+    ) {
         const { pacer } = inputLimits;
         server.on("connection", (socket: Socket) => {
-            if (pacer.isBusy) {
+            if (pacer.isBusy || connectionLimits.isCrowded) {
                 this.slice(socket);
                 return;
             }
@@ -67,6 +73,7 @@
                 socket.unshift(rest);
             }
             share.resize(rest.length);
+            this.connectionLimits.recordInput(socket);
         };
         socket.on("close", () => share.close());
         // With a listener of others, the library gives up reading the socket directly.
