Transport: free the buffers of what was read before 64 MB of them come together

A relay node whose settings state 144 MB used 172, 166 and 176 MB beside 60 callers with bodies in chunks of 64 KiB that stop short, do not end, or are far over the limit; the machine would have ended it.

The HTTP parser makes a buffer for each piece of a body. They lie outside of the engine's heap, and it lets 64 MB of dropped ones come together before it collects, however small the heap. After each 4 MiB of bodies and answers that were read, the young objects are now collected, which finds those buffers and takes a millisecond or two.

--- a/src/transport/body_collector.ts
+++ b/src/transport/body_collector.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage } from "node:http";
 import { BlockBuffer, type MemoryShare } from "../state/mod.js";
+import { recordDroppedBuffer } from "./buffer_reclaimer.js";
 import { dropHead } from "./held_head.js";
 import type { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
@@ -148,6 +149,7 @@
             this.content.append(chunk);
             this.memoryShare.resize(this.headBytes + this.content.length);
         }
+        recordDroppedBuffer(chunk.length);
         this.settings.onProgress?.(this.size);
     }
 
--- a/src/transport/http_exchange.ts
+++ b/src/transport/http_exchange.ts
@@ -12,6 +12,7 @@
 import { BlockBuffer, GrowingBuffer, type MemoryShare } from "../state/mod.js";
 import { ConnectionEnd } from "./_connection_end.js";
 import { SocketHold } from "./_socket_hold.js";
+import { recordDroppedBuffer } from "./buffer_reclaimer.js";
 import { InputLimits } from "./input_limits.js";
 import { PacedInput, type ReadPacer } from "./read_pacer.js";
 
@@ -335,6 +336,7 @@
             }
             this.queuedBytes.append(chunk);
         }
+        recordDroppedBuffer(chunk.length);
         this.pacedAnswer.record(1);
         this.updateHold();
         this.updateMemory();
