Transport: spread the times after which calls come again that a crowd displaced

Calls that were refused together, because bodies took too much memory or connections were too many, all got Retry-After 1 s and came back at once.

--- a/src/transport/http_server.ts
+++ b/src/transport/http_server.ts
@@ -27,6 +27,7 @@
 import { listen } from "./listen.js";
 import { DEFAULT_PIECES_PER_MS } from "./read_pacer.js";
 import { SlicedInput } from "./sliced_input.js";
+import { SpreadRetryAfter } from "./spread_retry_after.js";
 import { offersUpgrade } from "./upgrade_offer.js";
 
 /** Maximum size of the body of a call, in bytes. */
@@ -59,12 +60,6 @@
 /** Factor by which one body in chunks of a byte may be read faster than it has to be to come in time. */
 const PACE_MARGIN = 1.25;
 
-/** Retry-after time sent to callers of a node that holds too many bodies, in milliseconds. */
-const MEMORY_RETRY_AFTER_MS = 1_000;
-
-/** Retry-after time sent to callers whose connections made room for others, in milliseconds. */
-const CROWD_RETRY_AFTER_MS = 1_000;
-
 /** Retry-after time sent to callers of a node that has stopped, in milliseconds. */
 const STOPPED_RETRY_AFTER_MS = 1_000;
 
@@ -127,6 +122,7 @@
     /** Functions that refuse the calls of which only a part has come, by their connections. */
     private readonly unreadCalls = new Map<Socket, (refusal: Refusal) => void>();
     private readonly inputLimits: InputLimits;
+    private readonly retryAfter = new SpreadRetryAfter();
     private callCount = 0;
     private isClosing = false;
     private isStopped = false;
@@ -354,7 +350,7 @@
         }
         refuse(
             new Refusal(RefusalType.Overloaded, "This node has too many connections, and no more of the call came. Try again.", {
-                retryAfterMs: CROWD_RETRY_AFTER_MS,
+                retryAfterMs: this.retryAfter.next(),
             }),
         );
         // The refusal is written by then.
@@ -401,7 +397,7 @@
                 },
                 onEvicted: () => {
                     const text = "This node holds as many bodies as it may. Try again.";
-                    reject(new Refusal(RefusalType.Overloaded, text, { retryAfterMs: MEMORY_RETRY_AFTER_MS }));
+                    reject(new Refusal(RefusalType.Overloaded, text, { retryAfterMs: this.retryAfter.next() }));
                     if (headBytes > MAX_DISCARDING_HEAD_BYTES) {
                         // The refusal is written by then.
                         setImmediate(() => this.closeAfterAnswers(request.socket));
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -23,6 +23,7 @@
 import { InterimHeads } from "../interim_heads.js";
 import { listen } from "../listen.js";
 import { SlicedInput } from "../sliced_input.js";
+import { SpreadRetryAfter } from "../spread_retry_after.js";
 import { offersUpgrade } from "../upgrade_offer.js";
 import { CallerConnection, type OpenCall } from "./caller_connection.js";
 import { HttpRelayAnswer } from "./http_relay_answer.js";
@@ -42,12 +43,6 @@
 /** Multiple of the maximum body size up to which a body that is too large is read, so that the calls behind it are read as well. */
 const MAX_DISCARDED_BODY_FACTOR = 2;
 
-/** Time after which a call may come again that was refused because bodies take too much memory, in milliseconds. */
-const MEMORY_RETRY_AFTER_MS = 1_000;
-
-/** Time after which a call may come again that was refused because there are too many connections, in milliseconds. */
-const CROWD_RETRY_AFTER_MS = 1_000;
-
 /** Status of calls that cannot be read. */
 const INVALID_STATUS = 400;
 
@@ -131,6 +126,7 @@
     private readonly inputLimits: InputLimits;
     private readonly interimHeads: InterimHeads;
     private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly retryAfter = new SpreadRetryAfter();
     private limits = INITIAL_LIMITS;
     private isDraining = false;
 
@@ -241,7 +237,7 @@
         }
         connection.mustClose = true;
         const text = "The node has too many connections, and no more of this call has come for longest; the call has not run.";
-        unread.answer.sendLocal({ place: AnswerPlace.Connections, status: 503, text, retryAfterMs: CROWD_RETRY_AFTER_MS });
+        unread.answer.sendLocal({ place: AnswerPlace.Connections, status: 503, text, retryAfterMs: this.retryAfter.next() });
     }
 
     /** Stops listening and closes all connections immediately. */
@@ -358,7 +354,7 @@
         const tooLarge = { place: AnswerPlace.Reading, status: 413, text: `The body is larger than ${maxBodyBytes} bytes.` };
         const refuseForMemory = (write: (localAnswer: LocalAnswer) => void) => {
             const text = "The node holds too many bytes of calls; the call has not run.";
-            write({ place: AnswerPlace.Memory, status: 503, text, retryAfterMs: MEMORY_RETRY_AFTER_MS });
+            write({ place: AnswerPlace.Memory, status: 503, text, retryAfterMs: this.retryAfter.next() });
         };
         const body = new BodyCollector(request, {
             inputLimits: this.inputLimits,
