Transport: refuse a call whose body has not come when its caller waits no longer

A relay node kept a call whose body had stopped for as long as its connection lived, as nothing ended it: a descriptor, 9 kB of the heap and its bytes for each, though the caller itself states in Deadline-Ms how long the call is of use to it.

The call is now refused with 408 and its connection closed when that time is over and the rest has not come, judged after what had arrived is read. It was not passed on, so the promise is true, and the line on calls answered as not run has its id. Calls that state no time have no limit in calm.

--- a/features/relay_callers_without_limits.feature
+++ b/features/relay_callers_without_limits.feature
@@ -79,3 +79,10 @@
             | a body of 4000000 bytes in chunks of 65536    |
             | a body of 100000 bytes in chunks of 1         |
             | a body that pauses for 6 s                    |
+
+    # Guards against bodies that stop and hold their connections for as long as there is no pressure.
+    Scenario: a call whose body stops is refused once its caller waits no longer
+        Given a relay program with a heap of 48 MB and memory of 144 MB
+        When a call whose caller waits for 1500 ms stops within its body
+        Then it is answered with 408, and its connection is closed
+        And no call has reached the server
--- a/features/steps/relay_callers_without_limits_steps.ts
+++ b/features/steps/relay_callers_without_limits_steps.ts
@@ -7,6 +7,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { request } from "node:http";
+import { connect } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { EngineServer } from "../../platform/standin/engine_server.js";
 import { RelayProgram } from "../support/relay_program.js";
@@ -50,6 +51,7 @@
     crowdProgram: RelayProgram;
     crowd: RoughCrowd | undefined;
     crowdCalls: number;
+    unfinishedAnswer: string | undefined;
 }
 
 After({ timeout: STEP_TIMEOUT_MS }, async function(this: CrowdScenario) {
@@ -164,6 +166,26 @@
     assert.equal(await sendCall(this, {}, ["first", "second"], Number(seconds) * 1_000), "200");
 });
 
+When(/^a call whose caller waits for (\d+) ms stops within its body$/, async function(this: CrowdScenario, deadlineMs: string) {
+    const lines = Object.entries({ ...HEADERS, "Deadline-Ms": deadlineMs }).map(([name, value]) => `${name}: ${value}`);
+    const [host, port] = this.crowdProgram.callerAddress.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.write(["POST /safe/x HTTP/1.1", ...lines, "Transfer-Encoding: chunked", "", "4", "body", ""].join("\r\n"));
+    socket.setEncoding("latin1").on("data", text => this.unfinishedAnswer = `${this.unfinishedAnswer ?? ""}${text}`);
+    const closed = new Promise(resolve => socket.on("close", resolve).on("error", resolve));
+    const isClosed = await Promise.race([closed.then(() => true), pause(ATTEMPT_MS, false)]);
+    socket.destroy();
+    assert(isClosed, "its connection stays open");
+});
+
+Then("it is answered with {int}, and its connection is closed", function(this: CrowdScenario, status: number) {
+    assert(this.unfinishedAnswer?.startsWith(`HTTP/1.1 ${status} `), this.unfinishedAnswer);
+});
+
+Then("no call has reached the server", function(this: CrowdScenario) {
+    assert.deepEqual(this.crowdServer.receivedCalls.filter(({ startLine }) => startLine.startsWith("POST ")), []);
+});
+
 async function startProgram(scenario: CrowdScenario, program: RelayProgram): Promise<void> {
     scenario.crowdServer = new EngineServer("engine-1");
     scenario.crowdCalls = 0;
--- a/src/protocol/relay/relay_call.ts
+++ b/src/protocol/relay/relay_call.ts
@@ -140,6 +140,9 @@
      */
     abstract readCall(headers: HeaderList): CallHead | string;
 
+    /** Reads how long the caller of a call waits, in milliseconds; `undefined` if it does not state it. */
+    abstract readDeadline(headers: HeaderList): number | undefined;
+
     /** Returns the headers of one attempt, without those that define the framing of the body. */
     abstract writeAttempt(head: CallHead, attempt: AttemptHead): string[];
 
--- a/src/transport/_connection_state.ts
+++ b/src/transport/_connection_state.ts
@@ -23,8 +23,8 @@
 /** Call of which the library does not report that it does not come in time. */
 export interface LateCall {
     readonly call: IncomingMessage;
-    /** End of its time limit, in milliseconds since the Unix epoch. */
-    readonly endMs: number;
+    /** Returns the end of its time limit, in milliseconds since the Unix epoch. */
+    readonly endMs: () => number;
     readonly refuse: () => void;
 }
 
@@ -150,7 +150,7 @@
     /** Takes the late call, if there is one whose time limit is over. */
     takeSlowCall(nowMs: number): LateCall | undefined {
         const { lateCall } = this;
-        if (lateCall === undefined || !lateCall.call.complete && nowMs < lateCall.endMs) {
+        if (lateCall === undefined || !lateCall.call.complete && nowMs < lateCall.endMs()) {
             return undefined;
         }
         this.lateCall = undefined;
--- a/src/transport/connection_limits.ts
+++ b/src/transport/connection_limits.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { afterArrivedInput, type Clock } from "../state/mod.js";
 import { ConnectionState } from "./_connection_state.js";
@@ -90,6 +90,19 @@
         }
     }
 
+    /**
+     * Sets the time limit of a call of which the head was read.
+     *
+     * @param endMs Returns the end of the limit, in milliseconds since the Unix epoch. It is asked only for calls that do not come at once.
+     * @param refuse Called if the call is not complete by then.
+     */
+    limitCall(call: IncomingMessage, endMs: () => number, refuse: () => void): void {
+        const state = this.states.get(call.socket);
+        if (state !== undefined) {
+            state.lateCall = { call, endMs, refuse };
+        }
+    }
+
     /** Sets the idle limit. Connections that are idle already, of which callers know the former limit, keep the longer one. */
     setIdleTimeout(idleTimeoutMs: number): void {
         this.server.keepAliveTimeout = idleTimeoutMs;
@@ -123,7 +136,8 @@
             const { requestTimeout } = this.server;
             if (requestTimeout > 0 && state.newestCall?.complete === false) {
                 // The library does not report the rest of a call of which it has reported the head.
-                state.lateCall = { call: state.newestCall, endMs: this.settings.clock.now() + requestTimeout, refuse: handle };
+                const endMs = this.settings.clock.now() + requestTimeout;
+                state.lateCall = { call: state.newestCall, endMs: () => endMs, refuse: handle };
             }
         });
     }
--- a/src/transport/relay/caller_server.ts
+++ b/src/transport/relay/caller_server.ts
@@ -371,6 +371,18 @@
                 }
             },
         });
+        const startedAtMs = this.settings.clock.now();
+        let endMs: number | undefined;
+        this.connectionLimits.limitCall(
+            request,
+            () => endMs ??= startedAtMs + (this.settings.headers.readDeadline(heldHead.list()) ?? Infinity),
+            () => {
+                if (!answer.isStarted) {
+                    const text = "The call has not come within the time for which its caller waits; it has not run.";
+                    refuse({ place: AnswerPlace.Reading, status: 408, text });
+                }
+            },
+        );
         response.on("close", () => body.release());
         request.on("end", () => {
             if (answer.isStarted || callerAbort.signal.aborted) {
--- a/standin/model_headers.ts
+++ b/standin/model_headers.ts
@@ -23,6 +23,10 @@
         return this.heads.get(id) ?? `Call ${id} is unknown.`;
     }
 
+    override readDeadline(): number | undefined {
+        return undefined;
+    }
+
     override writeAttempt(): string[] {
         throw new Error("Cannot write headers: the model sends none");
     }
