Transport: record the progress of connections twice a second, and let go of complete calls at once

Connections that were never looked at before counted as having made progress just then, so that the order in which a crowd is closed followed their age only. A call that was complete was kept for up to half a second by its time limit.

--- a/src/transport/_connection_state.ts
+++ b/src/transport/_connection_state.ts
@@ -80,13 +80,18 @@
     }
 
     override lastProgressMs(nowMs: number): number {
+        this.recordProgress(nowMs);
+        return this.progressMs;
+    }
+
+    /** Records whether bytes have arrived or left since it was last called. */
+    recordProgress(nowMs: number): void {
         const { bytesRead, bytesWritten, writableLength } = this.socket;
         const bytes = bytesRead + bytesWritten - writableLength;
         if (bytes !== this.progressBytes) {
             this.progressBytes = bytes;
             this.progressMs = nowMs;
         }
-        return this.progressMs;
     }
 
     override giveUp(): void {
@@ -141,6 +146,7 @@
         this.unreadCall = call.complete ? undefined : call;
         this.callEndBytes = this.socket.bytesRead;
         this.openCalls.delete(call);
+        this.lateCall = this.lateCall?.call === call ? undefined : this.lateCall;
         this.newestCall = this.openCalls.size > 0 ? this.newestCall : undefined;
         this.bytesRead = this.socket.bytesRead;
         this.hasUnfinishedInput = false;
--- a/src/transport/connection_bound.ts
+++ b/src/transport/connection_bound.ts
@@ -12,9 +12,15 @@
 /** Share of the connections that is freed at a time, if so many have stalled for long. */
 const FREED_SHARE = 1 / 16;
 
-/** Time within which a new connection is expected to send something, and from which on several stalled ones are closed at a time, in milliseconds. */
+/**
+ * Time within which a new connection is expected to send something, and without progress for which several are closed at a time, in
+ * milliseconds.
+ */
 export const STALL_MS = 1_000;
 
+/** Time between two reports, in milliseconds. */
+const REPORT_INTERVAL_MS = 1_000;
+
 /** Memory of heads that are not complete, on all connections of a port, in bytes, unless it is configured. */
 export const MAX_HELD_HEAD_BYTES = 16_777_216;
 
@@ -73,9 +79,6 @@
     readonly onGivenUp?: (connections: GivenUpConnections) => void;
 }
 
-/** Time between two reports, in milliseconds. */
-const REPORT_INTERVAL_MS = 1_000;
-
 /**
  * Keeps the connections of a port below a bound. From two thirds of it on, the connections that have made no progress for longest are
  * closed, so that callers that come to nothing make room for those that come next. Only at the bound, newcomers are closed unread.
--- a/src/transport/connection_limits.ts
+++ b/src/transport/connection_limits.ts
@@ -13,7 +13,7 @@
 /** Interval at which connections are checked for idleness, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
-/** Share of that memory from which on connections are checked more often. */
+/** Share of the memory of incomplete heads from which on connections are checked more often. */
 const CROWDED_SHARE = 1 / 8;
 
 /** Share of that memory that is freed at a time. */
@@ -171,6 +171,7 @@
 
     private judgeConnections(nowMs: number): void {
         for (const [socket, state] of this.states) {
+            state.recordProgress(nowMs);
             state.takeSlowCall(nowMs)?.refuse();
             if (state.isIdle(nowMs, this.server.headersTimeout)) {
                 this.states.delete(socket);
