Transport: close stalled connections of a crowd only after what had arrived is read

After a hold-up of the event loop, every connection has made no progress for that long. A new one that came while a port was crowded closed those that had stalled for a second at once, before the bytes that had arrived for them were read.

--- a/src/transport/connection_bound.ts
+++ b/src/transport/connection_bound.ts
@@ -141,10 +141,10 @@
         }
         if (!this.isJudging) {
             this.isJudging = true;
-            this.closeStalled(Math.floor(this.crowdedFrom * (1 - FREED_SHARE)), STALL_MS);
-            // What newcomers have sent decides on them.
+            // What has arrived decides, also for connections that a hold-up of the event loop has kept from being read.
             afterArrivedInput(() => {
                 this.isJudging = false;
+                this.closeStalled(Math.floor(this.crowdedFrom * (1 - FREED_SHARE)), STALL_MS);
                 this.closeStalled(this.crowdedFrom, 0);
                 this.report();
             });
